--- /dev/null
+++ b/src/ids.ts
@@ -0,0 +1,53 @@
+/**
+ * Branded identifiers: a string of one kind cannot be passed for another.
+ *
+ * @module
+ */
+
+/** A value of type `T` that only counts as `Name`. */
+export type Brand<T, Name extends string> = T & { readonly __brand: Name };
+
+/** An entry VM or an upstream VM, as the membership list names it. */
+export type VmId = Brand<string, "VmId">;
+/** One life of a process on a VM; a restart gets another. */
+export type Incarnation = Brand<string, "Incarnation">;
+/** A data centre, as the settings and the membership list name it. */
+export type DataCentre = Brand<string, "DataCentre">;
+/** A workspace's name in the records. */
+export type WorkspaceName = Brand<string, "WorkspaceName">;
+/** A request class's name in the records. */
+export type ClassName = Brand<string, "ClassName">;
+/** A tier's name in the records. */
+export type TierName = Brand<string, "TierName">;
+/** An upstream pool's name in the records. */
+export type PoolName = Brand<string, "PoolName">;
+/** A model's name, as callers send it. */
+export type ModelName = Brand<string, "ModelName">;
+/** One request for good: names the VM and incarnation that issued it. */
+export type RequestId = Brand<string, "RequestId">;
+/** One try of a request in a shard's queue. */
+export type TicketId = Brand<string, "TicketId">;
+/** One slot granted on one replica. */
+export type LeaseId = Brand<string, "LeaseId">;
+/** A shard of a pool, written `POOL/INDEX`. */
+export type ShardId = Brand<string, "ShardId">;
+
+/** Every identifier that is a string. */
+export type AnyId =
+  | VmId
+  | Incarnation
+  | DataCentre
+  | WorkspaceName
+  | ClassName
+  | TierName
+  | PoolName
+  | ModelName
+  | RequestId
+  | TicketId
+  | LeaseId
+  | ShardId;
+
+/** Brands `text` at a boundary where its kind is known. */
+export function toId<T extends AnyId>(text: string): T {
+  return text as T;
+}
--- /dev/null
+++ b/src/process/random.ts
@@ -0,0 +1,66 @@
+/**
+ * Random numbers, injected, so that a seed repeats a run.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+
+const TWO_TO_32 = 2 ** 32;
+
+/** A source of random numbers. */
+export abstract class Random {
+  /** A number in [0, 1). */
+  abstract next(): number;
+
+  /** A whole number in [0, bound). */
+  nextInt(bound: number): number {
+    return Math.floor(this.next() * bound);
+  }
+
+  /** `length` hexadecimal digits. */
+  nextHex(length: number): string {
+    let text = "";
+    while (text.length < length) {
+      text += this.nextInt(TWO_TO_32).toString(16).padStart(8, "0");
+    }
+    return text.slice(0, length);
+  }
+
+  /** One of `items`; undefined when there are none. */
+  pick<T>(items: readonly T[]): T | undefined {
+    return items[this.nextInt(items.length)];
+  }
+}
+
+/** The operating system's random numbers. */
+export class SystemRandom extends Random {
+  static create(): SystemRandom {
+    return new SystemRandom();
+  }
+
+  next(): number {
+    return randomBytes(4).readUInt32LE() / TWO_TO_32;
+  }
+}
+
+/** A seeded generator (mulberry32): the same seed gives the same numbers. */
+export class SeededRandom extends Random {
+  #state: number;
+
+  constructor(seed: number) {
+    super();
+    this.#state = seed >>> 0;
+  }
+
+  static create(seed: number): SeededRandom {
+    return new SeededRandom(seed);
+  }
+
+  next(): number {
+    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
+    let mixed = this.#state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / TWO_TO_32;
+  }
+}
--- /dev/null
+++ b/src/process/services.ts
@@ -0,0 +1,146 @@
+/**
+ * What a request's task asks of its process: slots, limits and claims.
+ *
+ * @module
+ */
+import type {
+  ClassName,
+  LeaseId,
+  ModelName,
+  PoolName,
+  RequestId,
+  VmId,
+  WorkspaceName,
+} from "../ids.ts";
+import type { RunOutcome } from "../outcome.ts";
+import type { FateStep } from "../request/fate.ts";
+import type { ClaimAnswer, LeaseNews } from "./peer_api.ts";
+
+/** What a request needs from a pool. */
+export interface LeaseRequest {
+  requestId: RequestId;
+  /** 1 for the first try. */
+  attempt: number;
+  workspace: WorkspaceName;
+  className: ClassName;
+  pool: PoolName;
+  model: ModelName | undefined;
+  adapter: string | undefined;
+  /** `Clock.now()` of this VM at the request's arrival. */
+  arrivedAt: number;
+  /** `Clock.now()` of this VM at which its total target ends. */
+  deadlineAt: number;
+  promptTokens: number;
+  maxTokens: number;
+  doneTokens: number;
+  idempotent: boolean;
+  prefixes: string[];
+  avoid: VmId[];
+}
+
+/** How far the work under a lease has come. */
+export interface LeaseProgress {
+  tokens: number;
+  firstTokenMs: number | undefined;
+  betweenTokensMs: number | undefined;
+}
+
+/** A slot in this VM's hands. */
+export abstract class HeldLease {
+  abstract readonly lease: LeaseId;
+  abstract readonly upstream: VmId;
+  abstract readonly priority: number;
+  /** Aborts when the owner takes the slot back for a higher tier. */
+  abstract readonly preempted: AbortSignal;
+  /**
+   * Whether the lease still stands by the monotonic clock. Ask before each
+   * send: a process that was paused finds out here.
+   */
+  abstract isValid(): boolean;
+  abstract noteProgress(progress: LeaseProgress): void;
+  /** Gives the slot back; the first call counts. */
+  abstract release(
+    state: Exclude<LeaseNews["state"], "running">,
+    progress: LeaseProgress,
+  ): void;
+}
+
+/** Where slots come from. */
+export abstract class LeaseSource {
+  /**
+   * Waits in the shard owner's queue for a slot. Throws `RefusalError`
+   * (`not_run`) when refused; an aborted `signal` withdraws the ticket and
+   * throws `RefusalError` with code `cancelled`. `onStep` hears of queueing.
+   */
+  abstract acquire(
+    request: LeaseRequest,
+    options: { signal: AbortSignal; onStep: (step: FateStep) => void },
+  ): Promise<HeldLease>;
+}
+
+/** Fleet-wide limits of workspaces. */
+export abstract class LimitSource {
+  /**
+   * Takes one request and `tokens` from the workspace's limits. Throws
+   * `RefusalError` (`rate_limited`, `not_run`, with a true retry-after).
+   */
+  abstract admit(workspace: WorkspaceName, tokens: number): Promise<void>;
+  /** Corrects an estimate once the real number of tokens is known. */
+  abstract settle(
+    workspace: WorkspaceName,
+    counts: { estimated: number; actual: number },
+  ): void;
+}
+
+/** The one run of each request id. */
+export abstract class RunClaims {
+  /** A new id that names this VM and incarnation. */
+  abstract issueId(): RequestId;
+  /**
+   * Claims the one run at the VM that issued the id; `unreachable` when that
+   * VM or incarnation cannot be asked, and then nothing may run.
+   */
+  abstract claimRun(
+    requestId: RequestId,
+  ): Promise<
+    | Exclude<ClaimAnswer, { kind: "granted" }>
+    | { kind: "granted"; isStanding: () => boolean }
+    | { kind: "unreachable"; issuer: VmId; why: string }
+  >;
+  /** Reports the run's outcome to the issuing VM; retried in the background. */
+  abstract settleRun(
+    requestId: RequestId,
+    outcome: RunOutcome | "answered",
+  ): void;
+}
+
+/** A share of first tries that may be retried, so that retries cannot pile. */
+export abstract class RetryBudget {
+  abstract noteFirstTry(): void;
+  /** Takes one retry, or returns false when the budget is spent. */
+  abstract takeRetry(): boolean;
+}
+
+/** Figures of finished requests. */
+export abstract class RequestMetrics {
+  abstract noteStep(className: ClassName, step: string, ms: number): void;
+  abstract noteFinished(figures: FinishedRequest): void;
+}
+
+/** One finished request, for metrics and the burn report. */
+export interface FinishedRequest {
+  requestId: RequestId;
+  workspace: WorkspaceName;
+  className: ClassName;
+  pool: PoolName | undefined;
+  upstream: VmId | undefined;
+  result: "met" | "late" | "refused" | "lost" | "cancelled";
+  /** The step that spent the target or refused. */
+  step: string;
+  firstTokenMs: number | undefined;
+  betweenTokensMs: number | undefined;
+  totalMs: number;
+  tokens: number;
+  /** Tokens generated and thrown away. */
+  wastedTokens: number;
+}
