Lease workspace limits in chunks from their owner VM

A workspace's limit is a token bucket at one VM; the others lease chunks sized by their own use, so that most requests wait for nobody. Without an answer within 50 ms a VM uses its share of the rate.

--- /dev/null
+++ b/src/process/limits/held_limit.ts
@@ -0,0 +1,281 @@
+/**
+ * One workspace's limit as an entry VM holds it.
+ *
+ * @module
+ */
+import { RefusalError } from "../../outcome.ts";
+import type { Workspace } from "../../version/records.ts";
+import type { Clock } from "../clock.ts";
+import type { LimitAnswer } from "../peer_api.ts";
+import { ChunkStore } from "./chunk_store.ts";
+import { DemandMeter } from "./demand_meter.ts";
+import {
+  computeLimitRate,
+  type LimitAmount,
+  LimitBucket,
+} from "./limit_bucket.ts";
+
+/** The longest that a request waits for the owner's answer. */
+const OWNER_WAIT_MS = 50;
+
+/** How long a silent owner is left alone before it is asked again. */
+const SILENT_OWNER_MS = 500;
+
+/** A chunk beyond the need covers this VM's own use for so long. */
+const PREFETCH_MS = 1_000;
+
+/**
+ * A chunk beyond the need is at most so much of the whole limit, so that a
+ * small limit is not held by one VM while another has none.
+ */
+const MAX_PREFETCH_MS = 250;
+
+/** State not used for so long is dropped. */
+const IDLE_MS = 60_000;
+
+/** What a held limit needs. */
+export interface HeldLimitOptions {
+  clock: Clock;
+  countEntryVms: () => number;
+  /** Undefined when no owner answered. */
+  fetchChunk: (amount: LimitAmount) => Promise<LimitAnswer | undefined>;
+}
+
+/** A request that waits for a chunk. */
+interface Waiter {
+  amount: LimitAmount;
+  resolve: (verdict: Verdict) => void;
+}
+
+/** What a waiter hears. */
+type Verdict =
+  | { kind: "admitted" }
+  | { kind: "denied"; retryAfterMs: number }
+  | { kind: "silent" };
+
+/** Chunks, local share and waiters of one workspace on this VM. */
+export class HeldLimit {
+  readonly #options: HeldLimitOptions;
+  readonly #chunks = ChunkStore.create();
+  readonly #demand: DemandMeter;
+  #waiters: Waiter[] = [];
+  #isAsking = false;
+  /** Tokens used beyond their estimates, not yet taken from a chunk. */
+  #owedTokens = 0;
+  #deniedUntil = -Infinity;
+  #silentUntil = -Infinity;
+  #local: LimitBucket | undefined;
+  #localDebtUntil = -Infinity;
+  #usedAt: number;
+
+  constructor(options: HeldLimitOptions) {
+    this.#options = options;
+    const now = options.clock.now();
+    this.#demand = DemandMeter.create(now);
+    this.#usedAt = now;
+  }
+
+  static create(options: HeldLimitOptions): HeldLimit {
+    return new HeldLimit(options);
+  }
+
+  /** Admits one request, or throws `RefusalError`. */
+  async admit(workspace: Workspace, tokens: number): Promise<void> {
+    const now = this.#options.clock.now();
+    const amount = { requests: 1, tokens };
+    this.#usedAt = now;
+    checkPossible(workspace, tokens);
+    if (this.#waiters.length === 0 && this.#chunks.take(amount, now)) {
+      this.#noteAdmitted(workspace, amount);
+      return;
+    }
+    if (now < this.#deniedUntil) {
+      throw refuseForLimit(workspace, this.#deniedUntil - now);
+    }
+    const verdict = now < this.#silentUntil
+      ? { kind: "silent" as const }
+      : await this.#waitForChunk(workspace, amount);
+    if (verdict.kind === "denied") {
+      throw refuseForLimit(workspace, verdict.retryAfterMs);
+    }
+    if (verdict.kind === "silent") this.#takeLocalShare(workspace, amount);
+    this.#noteAdmitted(workspace, amount);
+  }
+
+  /** Gives back `tokens` that were not used, or owes them when negative. */
+  settle(tokens: number): void {
+    const now = this.#options.clock.now();
+    const credit = tokens - this.#owedTokens;
+    this.#owedTokens = Math.max(0, -credit);
+    if (credit <= 0) return;
+    this.#chunks.add({ requests: 0, tokens: credit }, now + PREFETCH_MS);
+  }
+
+  /** Whether dropping this state loses nothing that still counts. */
+  isIdle(): boolean {
+    const now = this.#options.clock.now();
+    return !this.#isAsking && now >= this.#localDebtUntil &&
+      now - this.#usedAt > IDLE_MS;
+  }
+
+  #noteAdmitted(workspace: Workspace, amount: LimitAmount): void {
+    const now = this.#options.clock.now();
+    this.#demand.note(amount, now);
+    if (this.#isAsking || now < this.#deniedUntil) return;
+    if (now < this.#silentUntil) return;
+    const extra = this.#computePrefetch(workspace);
+    if (extra.requests < 1) return;
+    const left = this.#chunks.countLeft(now);
+    const isLow = left.requests < extra.requests / 2 ||
+      left.tokens < extra.tokens / 2;
+    if (isLow) void this.#askOwner(workspace);
+  }
+
+  /** What to hold beyond the need; nothing where the limit is small. */
+  #computePrefetch(workspace: Workspace): LimitAmount {
+    const rate = computeLimitRate(workspace);
+    const now = this.#options.clock.now();
+    const expected = this.#demand.compute(PREFETCH_MS, now);
+    const requests = Math.floor(
+      Math.min(expected.requests, rate.requests * MAX_PREFETCH_MS),
+    );
+    if (requests < 1) return { requests: 0, tokens: 0 };
+    const tokens = Math.floor(
+      Math.min(expected.tokens, rate.tokens * MAX_PREFETCH_MS),
+    );
+    return { requests, tokens };
+  }
+
+  async #waitForChunk(
+    workspace: Workspace,
+    amount: LimitAmount,
+  ): Promise<Verdict> {
+    const { clock } = this.#options;
+    const waiter: Waiter = { amount, resolve: () => {} };
+    const verdict = new Promise<Verdict>((resolve) => {
+      waiter.resolve = resolve;
+    });
+    this.#waiters.push(waiter);
+    const cancelTimer = clock.startTimer(
+      OWNER_WAIT_MS,
+      () => this.#onOverdue(waiter),
+    );
+    if (!this.#isAsking) void this.#askOwner(workspace);
+    await verdict;
+    cancelTimer();
+    return verdict;
+  }
+
+  /** The owner's answer may still come and is kept then. */
+  #onOverdue(waiter: Waiter): void {
+    this.#silentUntil = this.#options.clock.now() + SILENT_OWNER_MS;
+    this.#waiters = this.#waiters.filter((other) => other !== waiter);
+    waiter.resolve({ kind: "silent" });
+  }
+
+  /**
+   * Asks until no waiter is left. The chunk's life counts from before the call,
+   * so that an answer that comes late has less of it, or none.
+   */
+  async #askOwner(workspace: Workspace): Promise<void> {
+    const { clock, fetchChunk } = this.#options;
+    this.#isAsking = true;
+    try {
+      do {
+        const askedAt = clock.now();
+        const answer = await fetchChunk(this.#computeAsk(workspace));
+        if (answer === undefined) this.#onSilentOwner();
+        else this.#onAnswer(answer, askedAt);
+      } while (this.#waiters.length > 0);
+    } finally {
+      this.#isAsking = false;
+    }
+  }
+
+  #computeAsk(workspace: Workspace): LimitAmount {
+    const extra = this.#computePrefetch(workspace);
+    let requests = extra.requests;
+    let tokens = extra.tokens + this.#owedTokens;
+    for (const { amount } of this.#waiters) {
+      requests += amount.requests;
+      tokens += amount.tokens;
+    }
+    return { requests, tokens };
+  }
+
+  #onAnswer(answer: LimitAnswer, askedAt: number): void {
+    const now = this.#options.clock.now();
+    this.#silentUntil = -Infinity;
+    if (answer.requests === 0 && answer.tokens === 0) {
+      this.#onDenied(answer.retryAfterMs);
+      return;
+    }
+    const paid = Math.min(this.#owedTokens, answer.tokens);
+    this.#owedTokens -= paid;
+    const { requests } = answer;
+    const tokens = answer.tokens - paid;
+    this.#chunks.add({ requests, tokens }, askedAt + answer.ttlMs);
+    this.#admitWaiters(now);
+  }
+
+  #admitWaiters(now: number): void {
+    while (this.#waiters.length > 0) {
+      const { amount, resolve } = this.#waiters[0]!;
+      if (!this.#chunks.take(amount, now)) return;
+      this.#waiters.shift();
+      resolve({ kind: "admitted" });
+    }
+  }
+
+  #onDenied(retryAfterMs: number): void {
+    this.#deniedUntil = this.#options.clock.now() + retryAfterMs;
+    this.#settleWaiters({ kind: "denied", retryAfterMs });
+  }
+
+  #onSilentOwner(): void {
+    this.#silentUntil = this.#options.clock.now() + SILENT_OWNER_MS;
+    this.#settleWaiters({ kind: "silent" });
+  }
+
+  #settleWaiters(verdict: Verdict): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    for (const { resolve } of waiters) resolve(verdict);
+  }
+
+  /** This VM's part of the rate, for when no owner answers. */
+  #takeLocalShare(workspace: Workspace, amount: LimitAmount): void {
+    const { clock, countEntryVms } = this.#options;
+    const now = clock.now();
+    const rate = computeLimitRate(workspace, 1 / Math.max(1, countEntryVms()));
+    this.#local ??= LimitBucket.create(now);
+    this.#local.update(now, rate);
+    const waitMs = this.#local.computeWaitMs(rate);
+    if (waitMs > 0) throw refuseForLimit(workspace, waitMs);
+    this.#local.take(amount);
+    this.#localDebtUntil = now + this.#local.computeWaitMs(rate);
+  }
+}
+
+/** Refuses for good what no waiting helps. */
+function checkPossible(workspace: Workspace, tokens: number): void {
+  const { requestsPerMinute, tokensPerMinute } = workspace.limits;
+  if (requestsPerMinute > 0 && tokens <= tokensPerMinute) return;
+  throw new RefusalError({
+    code: "rate_limited",
+    message: `The request needs ${tokens} tokens, more than workspace ` +
+      `${workspace.name} may use in a minute`,
+    outcome: "not_run",
+  });
+}
+
+function refuseForLimit(workspace: Workspace, waitMs: number): RefusalError {
+  const { requestsPerMinute, tokensPerMinute } = workspace.limits;
+  return new RefusalError({
+    code: "rate_limited",
+    message: `Workspace ${workspace.name} is over its limit of ` +
+      `${requestsPerMinute} requests and ${tokensPerMinute} tokens a minute`,
+    outcome: "not_run",
+    retryAfterMs: Math.ceil(waitMs),
+  });
+}
