--- /dev/null
+++ b/src/version/record_groups.ts
@@ -0,0 +1,115 @@
+/**
+ * The values that the configuration service holds: an index, and groups of
+ * records of less than a megabyte each.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { StepError } from "../errors.ts";
+import { compareTexts, formatPath } from "./record_problem.ts";
+
+/** The service's bound on one value, in bytes. */
+export const MAX_GROUP_BYTES = 1_000_000;
+
+const MAX_GROUPS = 10_000;
+/** Group names stand in paths: no dot and no slash may be in them. */
+const GROUP_NAME_PATTERN = /^[a-z][a-z0-9_-]{0,62}$/;
+const GROUP_WRAPPER_BYTES = '{"records":[]}'.length;
+
+const VERSION_FIELD = z.number().int().min(1);
+
+const INDEX_SCHEMA = z.strictObject({
+  version: VERSION_FIELD,
+  groups: z.record(z.string().regex(GROUP_NAME_PATTERN), VERSION_FIELD),
+});
+
+const GROUP_SCHEMA = z.strictObject({ records: z.array(z.unknown()) });
+
+/** Which version of each group makes up a version of the configuration. */
+export interface RecordIndex {
+  version: number;
+  groups: ReadonlyMap<string, number>;
+}
+
+/** Records that are published together in one value. */
+export interface RecordGroup {
+  name: string;
+  records: unknown[];
+}
+
+/** Reads an index value; throws a `StepError` that names the path. */
+export function parseIndex(value: unknown): RecordIndex {
+  const result = INDEX_SCHEMA.safeParse(value);
+  if (!result.success) throw toStepError("read_index", result.error);
+  const entries = Object.entries(result.data.groups);
+  if (entries.length > MAX_GROUPS) {
+    throw new StepError(
+      { step: "read_index" },
+      `Expected at most ${MAX_GROUPS} groups at $.groups`,
+    );
+  }
+  return { version: result.data.version, groups: new Map(entries) };
+}
+
+/** Reads a group value; throws a `StepError` that names the path. */
+export function parseGroup(value: unknown): unknown[] {
+  const result = GROUP_SCHEMA.safeParse(value);
+  if (!result.success) throw toStepError("read_group", result.error);
+  return result.data.records;
+}
+
+/**
+ * Packs `records` by kind into groups whose JSON stays within `maxBytes`.
+ * Throws a `StepError` when one record alone is larger.
+ */
+export function buildRecordGroups(
+  records: readonly unknown[],
+  maxBytes: number = MAX_GROUP_BYTES,
+): RecordGroup[] {
+  const byKind = new Map<string, unknown[]>();
+  for (const record of records) {
+    const kind = readKind(record);
+    const list = byKind.get(kind) ?? [];
+    list.push(record);
+    byKind.set(kind, list);
+  }
+  return [...byKind]
+    .sort(([left], [right]) => compareTexts(left, right))
+    .flatMap(([kind, list]) => buildKindGroups(list, { kind, maxBytes }));
+}
+
+function buildKindGroups(
+  records: readonly unknown[],
+  { kind, maxBytes }: { kind: string; maxBytes: number },
+): RecordGroup[] {
+  const groups: RecordGroup[] = [];
+  let room = 0;
+  for (const record of records) {
+    const bytes = Buffer.byteLength(JSON.stringify(record)) + 1;
+    if (bytes + GROUP_WRAPPER_BYTES > maxBytes) {
+      throw new StepError(
+        { step: "split_records" },
+        `Expected records of less than ${maxBytes} bytes, not ${bytes}`,
+      );
+    }
+    if (bytes > room) {
+      groups.push({ name: `${kind}-${groups.length}`, records: [] });
+      room = maxBytes - GROUP_WRAPPER_BYTES;
+    }
+    groups.at(-1)?.records.push(record);
+    room -= bytes;
+  }
+  return groups;
+}
+
+function readKind(record: unknown): string {
+  const kind = (record as { kind?: unknown } | null)?.kind;
+  const isName = typeof kind === "string" && GROUP_NAME_PATTERN.test(kind);
+  return isName ? kind : "unknown";
+}
+
+function toStepError(step: string, error: z.ZodError): StepError {
+  const issue = error.issues[0];
+  const path = formatPath(issue?.path ?? []);
+  return new StepError({ step }, `${issue?.message} at ${path}`);
+}
