--- /dev/null
+++ b/src/process/request_ids.ts
@@ -0,0 +1,83 @@
+/**
+ * Request ids: who issued them, and proof that they did.
+ *
+ * An id is `r~VM~INCARNATION~SEQUENCE~ISSUED~CODE`. The parts after the VM
+ * never hold a `~`, so an id is read from its end and a VM's name may hold
+ * dashes, dots and anything else a header can carry. `CODE` is keyed with a
+ * secret of the incarnation: an id can be checked without keeping it, so
+ * issuing costs no memory, and nobody can guess another caller's id.
+ *
+ * @module
+ */
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { type Incarnation, type RequestId, toId, type VmId } from "../ids.ts";
+
+const SEPARATOR = "~";
+const PREFIX = "r";
+const NUMBER_BASE = 36;
+const CODE_LENGTH = 20;
+const MAX_ID_LENGTH = 300;
+const NUMBER_PATTERN = /^[0-9a-z]{1,11}$/;
+const PRINTABLE_PATTERN = /^[\x21-\x7e]+$/;
+
+/** What an id says of itself. */
+export interface RequestIdParts {
+  vm: VmId;
+  incarnation: Incarnation;
+  /** Counts the ids of one incarnation. */
+  sequence: number;
+  /** The issuer's monotonic time in whole milliseconds. */
+  issuedAt: number;
+  code: string;
+}
+
+/** Writes an id; `secret` is known to the issuing incarnation alone. */
+export function formatRequestId(
+  parts: Omit<RequestIdParts, "code">,
+  secret: string,
+): RequestId {
+  const stem = formatStem(parts);
+  return toId<RequestId>(stem + SEPARATOR + computeCode(stem, secret));
+}
+
+/** Reads an id; undefined when it is not one of ours by its shape. */
+export function parseRequestId(text: string): RequestIdParts | undefined {
+  if (text.length > MAX_ID_LENGTH || !PRINTABLE_PATTERN.test(text)) {
+    return undefined;
+  }
+  const parts = text.split(SEPARATOR);
+  if (parts.length < 6 || parts[0] !== PREFIX) return undefined;
+  const [incarnation, sequence, issuedAt, code] = parts.slice(-4);
+  if (!NUMBER_PATTERN.test(sequence!) || !NUMBER_PATTERN.test(issuedAt!)) {
+    return undefined;
+  }
+  return {
+    vm: toId<VmId>(parts.slice(1, -4).join(SEPARATOR)),
+    incarnation: toId<Incarnation>(incarnation!),
+    sequence: parseInt(sequence!, NUMBER_BASE),
+    issuedAt: parseInt(issuedAt!, NUMBER_BASE),
+    code: code!,
+  };
+}
+
+/** Whether the incarnation that holds `secret` issued the id. */
+export function hasValidCode(parts: RequestIdParts, secret: string): boolean {
+  const expected = Buffer.from(computeCode(formatStem(parts), secret));
+  const given = Buffer.from(parts.code);
+  return given.length === expected.length && timingSafeEqual(given, expected);
+}
+
+function formatStem(parts: Omit<RequestIdParts, "code">): string {
+  return [
+    PREFIX,
+    parts.vm,
+    parts.incarnation,
+    parts.sequence.toString(NUMBER_BASE),
+    parts.issuedAt.toString(NUMBER_BASE),
+  ].join(SEPARATOR);
+}
+
+function computeCode(stem: string, secret: string): string {
+  return createHmac("sha256", secret).update(stem).digest("hex")
+    .slice(0, CODE_LENGTH);
+}
