--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -145,7 +145,11 @@
   members: MemberNews[];
   summaries: ShardSummary[];
   configVersion: number;
+  /** Tells two contents under one version number apart. */
+  configDigest?: string;
   listRevision: number;
+  /** Time since the list was last known to be the newest published. */
+  listAgeMs?: number;
 }
 
 /** The answer to a probe. */
@@ -156,13 +160,19 @@
   members: MemberNews[];
   summaries: ShardSummary[];
   configVersion: number;
+  /** Tells two contents under one version number apart. */
+  configDigest?: string;
   listRevision: number;
+  /** Time since the list was last known to be the newest published. */
+  listAgeMs?: number;
 }
 
 /** Asks for a configuration newer than `after`. */
 export interface SnapshotCall {
   from: CallFrom;
   after: number;
+  /** The digest of what the asker has at `after`. */
+  digest?: string;
   /** The asker's list revision; a newer list comes along. */
   listAfter: number;
 }
