Accept callers and reach upstreams over Node's HTTP

The daemon needs its sockets first. Callers: heads, bodies and idle times are bounded, refusals are typed JSON, a cut answer can't pass for a whole one.

--- /dev/null
+++ b/src/connection/caller_listener.ts
@@ -0,0 +1,205 @@
+/**
+ * The listener for callers.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { toError } from "../errors.ts";
+import type { RequestId } from "../ids.ts";
+import type { Refusal } from "../outcome.ts";
+import { RefusalError } from "../outcome.ts";
+import type { Clock } from "../process/clock.ts";
+import type { Log } from "../process/log.ts";
+import type { CallerHandler, CallerRequest } from "./caller_handler.ts";
+import type { ServerLimits } from "./http_server.ts";
+import { HttpServer } from "./http_server.ts";
+import { HttpSink } from "./http_sink.ts";
+import { writeRefusal } from "./refusal_body.ts";
+import { readRequestBody, SlowBodyError } from "./request_body.ts";
+import type { ServerTls } from "./tls_material.ts";
+
+const SLOW_BODY_STATUS = 408;
+
+/** Bounds on callers; times in milliseconds. */
+export interface CallerLimits extends ServerLimits {
+  maxBodyBytes: number;
+  /** A caller that takes nothing of its answer for so long is cut. */
+  writeStallMs: number;
+}
+
+/** Bounds for when the settings name none. */
+export const DEFAULT_CALLER_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16_384,
+  maxBodyBytes: 8_388_608,
+  maxConnections: 10_000,
+  headersTimeoutMs: 10_000,
+  bodyTimeoutMs: 30_000,
+  keepAliveMs: 30_000,
+  writeStallMs: 30_000,
+};
+
+/** What a listener for callers is made of. */
+export interface CallerListenerOptions {
+  clock: Clock;
+  log: Log;
+  limits: CallerLimits;
+  tls?: ServerTls | undefined;
+  handler: CallerHandler;
+  /** Gives an id to a request that is refused before the handler sees it. */
+  issueId?: () => RequestId;
+}
+
+/** Accepts callers and hands their requests to a `CallerHandler`. */
+export class CallerListener {
+  readonly #options: CallerListenerOptions;
+  readonly #server: HttpServer;
+
+  constructor(options: CallerListenerOptions) {
+    this.#options = options;
+    this.#server = HttpServer.create({
+      name: "callers",
+      log: options.log,
+      limits: options.limits,
+      tls: options.tls,
+      handle: (request, response) => this.#handle(request, response),
+      buildHeaders: () => this.#buildIdHeader(),
+    });
+  }
+
+  static create(options: CallerListenerOptions): CallerListener {
+    return new CallerListener(options);
+  }
+
+  /** The port that is listened on; 0 before `start`. */
+  get port(): number {
+    return this.#server.port;
+  }
+
+  /** Open connections. */
+  get connections(): number {
+    return this.#server.connections;
+  }
+
+  /** Resolves once callers are accepted; rejects `StepError`. */
+  start(host: string, port: number): Promise<void> {
+    return this.#server.start(host, port);
+  }
+
+  /**
+   * Accepts no more connections, closes idle ones, and resolves when the last
+   * request in flight has been answered. Bound it by `closeAll`.
+   */
+  stop(): Promise<void> {
+    return this.#server.stop();
+  }
+
+  /** Cuts every connection at once; requests in flight are cancelled. */
+  closeAll(): void {
+    this.#server.closeAll();
+  }
+
+  /** Shows `tls` to callers that connect from now on. */
+  updateTls(tls: ServerTls): void {
+    this.#server.updateTls(tls);
+  }
+
+  async #handle(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { clock, limits, log, handler } = this.#options;
+    const arrivedAt = clock.now();
+    const sink = HttpSink.create(response, {
+      clock,
+      writeStallMs: limits.writeStallMs,
+      onStall: () => log.warn("caller_stalled", { peer: getPeer(incoming) }),
+    });
+    let isHandled = false;
+    try {
+      checkVersion(incoming);
+      const body = await readRequestBody(incoming, { clock, ...limits });
+      const request = toCallerRequest(incoming, { body, arrivedAt });
+      isHandled = true;
+      await handler.handle(request, sink);
+      if (!sink.isClosed) throw new Error("Handler did not end its answer");
+    } catch (thrown) {
+      await this.#refuse(thrown, { sink, isHandled });
+    }
+  }
+
+  async #refuse(
+    thrown: unknown,
+    exchange: { sink: HttpSink; isHandled: boolean },
+  ): Promise<void> {
+    const refusal = this.#toRefusal(thrown, exchange.isHandled);
+    const options = {
+      requestId: this.#options.issueId?.(),
+      ...(thrown instanceof SlowBodyError
+        ? { status: SLOW_BODY_STATUS, headers: { connection: "close" } }
+        : {}),
+    };
+    await writeRefusal(exchange.sink, refusal, options);
+  }
+
+  #toRefusal(thrown: unknown, isHandled: boolean): Refusal {
+    if (thrown instanceof RefusalError) return thrown.refusal;
+    this.#options.log.error("handler_failed", {
+      error: toError(thrown).message,
+    });
+    return {
+      code: "internal",
+      message: "Internal error",
+      outcome: isHandled ? "unknown" : "not_run",
+    };
+  }
+
+  #buildIdHeader(): Record<string, string> {
+    const id = this.#options.issueId?.();
+    return id === undefined ? {} : { "x-request-id": id };
+  }
+}
+
+/**
+ * An answer to HTTP/1.0 ends where the connection ends, so that a caller could
+ * not tell a cut answer from a whole one.
+ */
+function checkVersion(incoming: IncomingMessage): void {
+  if (incoming.httpVersionMajor === 1 && incoming.httpVersionMinor === 1) {
+    return;
+  }
+  throw new RefusalError({
+    code: "bad_request",
+    message: "HTTP/1.1 is needed",
+    outcome: "not_run",
+  });
+}
+
+function toCallerRequest(
+  incoming: IncomingMessage,
+  read: { body: Uint8Array; arrivedAt: number },
+): CallerRequest {
+  const url = incoming.url ?? "/";
+  const mark = url.indexOf("?");
+  return {
+    method: incoming.method ?? "GET",
+    path: mark < 0 ? url : url.slice(0, mark),
+    query: mark < 0 ? "" : url.slice(mark + 1),
+    headers: toSingleHeaders(incoming),
+    body: read.body,
+    remoteAddress: getPeer(incoming),
+    arrivedAt: read.arrivedAt,
+  };
+}
+
+function toSingleHeaders(incoming: IncomingMessage): Record<string, string> {
+  const headers: Record<string, string> = Object.create(null);
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value === undefined) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
+
+function getPeer(incoming: IncomingMessage): string {
+  return incoming.socket.remoteAddress ?? "";
+}
--- /dev/null
+++ b/src/connection/http_server.ts
@@ -0,0 +1,251 @@
+/**
+ * What all of a VM's listeners share: limits on connections, TLS with reload,
+ * and a stop that cuts off nothing in flight.
+ *
+ * @module
+ */
+import http from "node:http";
+import https from "node:https";
+import type { AddressInfo, Socket } from "node:net";
+import { match } from "ts-pattern";
+import { StepError, toError } from "../errors.ts";
+import type { Log } from "../process/log.ts";
+import type { RefusalAnswer } from "./refusal_body.ts";
+import { buildRefusal } from "./refusal_body.ts";
+import type { ServerTls } from "./tls_material.ts";
+
+const MAX_CHECK_INTERVAL_MS = 1_000;
+const REQUEST_TIMEOUT_MARGIN_MS = 1_000;
+
+/** Bounds on connections; times in milliseconds. */
+export interface ServerLimits {
+  maxHeaderBytes: number;
+  maxConnections: number;
+  /** From a request's first byte, or the connection, to the head's end. */
+  headersTimeoutMs: number;
+  /** From the head to the body's last byte. */
+  bodyTimeoutMs: number;
+  /** An idle connection is closed after this. */
+  keepAliveMs: number;
+}
+
+/** What a server does with a request; a rejection is logged and cuts it. */
+export type HandleExchange = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
+/** What a server is made of. */
+export interface HttpServerOptions {
+  /** Names the listener in logs and errors. */
+  name: string;
+  log: Log;
+  limits: ServerLimits;
+  tls?: ServerTls | undefined;
+  handle: HandleExchange;
+  /** Headers for refusals given before a request could be read. */
+  buildHeaders?: () => Record<string, string>;
+}
+
+/** One listening socket and its connections. */
+export class HttpServer {
+  readonly #options: HttpServerOptions;
+  readonly #server: http.Server;
+  /** Exchanges in flight on each open connection. */
+  readonly #inFlight = new Map<Socket, number>();
+  #isStopping = false;
+
+  constructor(options: HttpServerOptions) {
+    this.#options = options;
+    this.#server = createServer(options);
+    this.#server.maxConnections = options.limits.maxConnections;
+    this.#server.on("connection", (socket) => this.#noteSocket(socket));
+    this.#server.on("request", (request, response) => {
+      void this.#runExchange(request, response);
+    });
+    this.#server.on("clientError", (error: Error, socket: Socket) => {
+      this.#handleClientError(error, socket);
+    });
+    this.#server.on("drop", () => {
+      options.log.warn("connection_dropped", { listener: options.name });
+    });
+  }
+
+  static create(options: HttpServerOptions): HttpServer {
+    return new HttpServer(options);
+  }
+
+  /** The port that is listened on; 0 before `start`. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo | null)?.port ?? 0;
+  }
+
+  /** Open connections. */
+  get connections(): number {
+    return this.#inFlight.size;
+  }
+
+  /** Resolves once connections are accepted; rejects `StepError`. */
+  start(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const onError = (cause: Error) => {
+        const peer = `${host}:${port}`;
+        reject(
+          new StepError(
+            { step: `${this.#options.name}_listen`, peer, cause },
+            "Cannot listen",
+          ),
+        );
+      };
+      this.#server.once("error", onError);
+      this.#server.listen({ host, port }, () => {
+        this.#server.off("error", onError);
+        this.#server.on("error", (error) => this.#noteServerError(error));
+        resolve();
+      });
+    });
+  }
+
+  /** Resolves when the last exchange in flight has ended. */
+  stop(): Promise<void> {
+    this.#isStopping = true;
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+      this.#closeIdle();
+    });
+  }
+
+  /** Cuts every connection at once. */
+  closeAll(): void {
+    for (const socket of this.#inFlight.keys()) socket.destroy();
+  }
+
+  /** Uses `tls` for connections from now on; open ones stay as they are. */
+  updateTls(tls: ServerTls): void {
+    if (!(this.#server instanceof https.Server)) {
+      throw new StepError(
+        { step: "update_tls", peer: this.#options.name },
+        "Listener was started without TLS",
+      );
+    }
+    this.#server.setSecureContext(tls);
+  }
+
+  #noteSocket(socket: Socket): void {
+    this.#inFlight.set(socket, 0);
+    socket.once("close", () => this.#inFlight.delete(socket));
+  }
+
+  async #runExchange(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const socket = getRawSocket(request.socket);
+    this.#addInFlight(socket, 1);
+    if (this.#isStopping) response.shouldKeepAlive = false;
+    response.once("close", () => {
+      this.#addInFlight(socket, -1);
+      if (this.#isStopping) this.#closeIdle();
+    });
+    try {
+      await this.#options.handle(request, response);
+    } catch (thrown) {
+      this.#options.log.error("exchange_failed", {
+        listener: this.#options.name,
+        error: toError(thrown).message,
+      });
+      response.destroy();
+    }
+  }
+
+  #addInFlight(socket: Socket, change: number): void {
+    const count = this.#inFlight.get(socket);
+    if (count !== undefined) this.#inFlight.set(socket, count + change);
+  }
+
+  /**
+   * Closes connections without an exchange. Node's own closing leaves out a
+   * connection whose head is half sent, and checks head timeouts no more once
+   * it closes: such a caller would keep the process from ever ending.
+   */
+  #closeIdle(): void {
+    for (const [socket, count] of this.#inFlight) {
+      if (count === 0) socket.destroySoon();
+    }
+  }
+
+  #handleClientError(error: Error, socket: Socket): void {
+    const code = (error as NodeJS.ErrnoException).code ?? "unknown";
+    this.#options.log.info("bad_connection", {
+      listener: this.#options.name,
+      cause: code,
+    });
+    const busy = (this.#inFlight.get(getRawSocket(socket)) ?? 0) > 0;
+    // An answer in flight must not be followed by another one's bytes, which
+    // the caller would take for a part of it.
+    if (busy || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    socket.end(formatAnswer(buildClientError(code, this.#options)));
+  }
+
+  #noteServerError(error: Error): void {
+    this.#options.log.error("listener_failed", {
+      listener: this.#options.name,
+      error: error.message,
+    });
+  }
+}
+
+function createServer(options: HttpServerOptions): http.Server {
+  const { limits } = options;
+  const settings: http.ServerOptions = {
+    maxHeaderSize: limits.maxHeaderBytes,
+    headersTimeout: limits.headersTimeoutMs,
+    requestTimeout: limits.headersTimeoutMs + limits.bodyTimeoutMs +
+      REQUEST_TIMEOUT_MARGIN_MS,
+    keepAliveTimeout: limits.keepAliveMs,
+    connectionsCheckingInterval: Math.min(
+      MAX_CHECK_INTERVAL_MS,
+      Math.ceil(limits.headersTimeoutMs / 2),
+    ),
+  };
+  if (options.tls === undefined) return http.createServer(settings);
+  const handshakeTimeout = limits.headersTimeoutMs;
+  return https.createServer({ ...settings, ...options.tls, handshakeTimeout });
+}
+
+/** The TCP socket beneath a TLS one, as the `connection` event gave it. */
+function getRawSocket(socket: Socket): Socket {
+  return (socket as Socket & { _parent?: Socket })._parent ?? socket;
+}
+
+function buildClientError(
+  code: string,
+  options: HttpServerOptions,
+): RefusalAnswer {
+  const { status, message } = match(code)
+    .with("HPE_HEADER_OVERFLOW", () => {
+      return { status: 431, message: "Headers are too large" };
+    })
+    .with("ERR_HTTP_REQUEST_TIMEOUT", () => {
+      return { status: 408, message: "Request came too slowly" };
+    })
+    .otherwise(() => ({ status: 400, message: "Request is not valid HTTP" }));
+  return buildRefusal({ code: "bad_request", message, outcome: "not_run" }, {
+    requestId: undefined,
+    status,
+    headers: { connection: "close", ...options.buildHeaders?.() },
+  });
+}
+
+function formatAnswer(answer: RefusalAnswer): string {
+  const lines = [
+    `HTTP/1.1 ${answer.status} ${http.STATUS_CODES[answer.status]}`,
+    ...Object.entries(answer.headers).map(([name, value]) => {
+      return `${name}: ${value}`;
+    }),
+  ];
+  return `${lines.join("\r\n")}\r\n\r\n${answer.body}`;
+}
--- /dev/null
+++ b/src/connection/http_transport.ts
@@ -0,0 +1,319 @@
+/**
+ * The way to the upstreams over HTTP/1.1.
+ *
+ * @module
+ */
+import type { AgentOptions } from "node:http";
+import http from "node:http";
+import https from "node:https";
+import { StepError, toError } from "../errors.ts";
+import type { VmId } from "../ids.ts";
+import type { Clock } from "../process/clock.ts";
+import type { Log } from "../process/log.ts";
+import {
+  formatOrder,
+  parseCacheEvents,
+  parseImported,
+  parseLoadReport,
+} from "./engine_reports.ts";
+import type { ClientTls } from "./tls_material.ts";
+import { runUpstreamCall } from "./upstream_call.ts";
+import type {
+  CacheEvent,
+  EngineOrder,
+  LoadReport,
+  UpstreamAnswer,
+  UpstreamCall,
+} from "./upstream_transport.ts";
+import { UpstreamError, UpstreamTransport } from "./upstream_transport.ts";
+
+const REPORT_LIMIT_MS = 2_000;
+const ORDER_LIMIT_MS = 5_000;
+const CACHE_COPY_LIMIT_MS = 10_000;
+const MAX_REPORT_BYTES = 4_194_304;
+const MAX_CACHE_BYTES = 268_435_456;
+const IDLE_CONNECTION_MS = 15_000;
+const MAX_IDLE_CONNECTIONS = 256;
+const CONFLICT = 409;
+const NO_BODY = new Uint8Array();
+
+/** An IP address and a port. */
+export interface Endpoint {
+  address: string;
+  port: number;
+}
+
+/** What the way to the upstreams is made of. */
+export interface HttpTransportOptions {
+  clock: Clock;
+  log: Log;
+  /** Where an upstream listens; undefined when it is not listed. */
+  findAddress: (vm: VmId) => Endpoint | undefined;
+  tls?: ClientTls | undefined;
+}
+
+interface ReportCall {
+  step: string;
+  method: string;
+  path: string;
+  headers?: Record<string, string>;
+  body?: Uint8Array;
+  limitMs: number;
+  maxBytes: number;
+}
+
+interface WholeAnswer {
+  status: number;
+  body: Buffer;
+}
+
+/** Reaches upstreams through agents that keep connections open. */
+export class HttpUpstreamTransport extends UpstreamTransport {
+  readonly #options: HttpTransportOptions;
+  readonly #agents = new Map<string, http.Agent>();
+
+  constructor(options: HttpTransportOptions) {
+    super();
+    this.#options = options;
+  }
+
+  static create(options: HttpTransportOptions): HttpUpstreamTransport {
+    return new HttpUpstreamTransport(options);
+  }
+
+  async send(call: UpstreamCall): Promise<UpstreamAnswer> {
+    const endpoint = this.#options.findAddress(call.upstream);
+    if (endpoint === undefined) {
+      throw new UpstreamError(
+        { step: "upstream_connect", peer: call.upstream },
+        {
+          kind: "connect",
+          mayHaveRun: false,
+          message: "Upstream is not listed",
+        },
+      );
+    }
+    const agent = this.#getAgent(endpoint);
+    try {
+      return await runUpstreamCall(call, {
+        clock: this.#options.clock,
+        endpoint,
+        agent: call.freshConnection ? undefined : agent,
+        tls: this.#options.tls,
+        onSilent: () => closeIdleConnections(agent),
+      });
+    } catch (thrown) {
+      this.#noteFailure(call, thrown);
+      throw thrown;
+    }
+  }
+
+  /** Closes kept connections; calls in flight go on. */
+  close(): void {
+    for (const agent of this.#agents.values()) closeIdleConnections(agent);
+    this.#agents.clear();
+  }
+
+  /** Closes kept connections to endpoints that `isWanted` refuses. */
+  removeEndpoints(isWanted: (endpoint: Endpoint) => boolean): void {
+    for (const [key, agent] of this.#agents) {
+      if (isWanted(parseEndpoint(key))) continue;
+      closeIdleConnections(agent);
+      this.#agents.delete(key);
+    }
+  }
+
+  async fetchLoad(upstream: VmId): Promise<LoadReport> {
+    const answer = await this.#fetchWhole(upstream, {
+      step: "fetch_load",
+      method: "GET",
+      path: "/v1/load",
+      limitMs: REPORT_LIMIT_MS,
+      maxBytes: MAX_REPORT_BYTES,
+    });
+    return this.#readReport(answer, {
+      step: "fetch_load",
+      upstream,
+      parse: parseLoadReport,
+    });
+  }
+
+  async fetchCacheEvents(
+    upstream: VmId,
+    after: number,
+  ): Promise<CacheEvent[]> {
+    const answer = await this.#fetchWhole(upstream, {
+      step: "fetch_cache_events",
+      method: "GET",
+      path: `/v1/cache/events?after=${after}`,
+      limitMs: REPORT_LIMIT_MS,
+      maxBytes: MAX_REPORT_BYTES,
+    });
+    return this.#readReport(answer, {
+      step: "fetch_cache_events",
+      upstream,
+      parse: parseCacheEvents,
+    });
+  }
+
+  async sendOrder(upstream: VmId, order: EngineOrder): Promise<boolean> {
+    const answer = await this.#fetchWhole(upstream, {
+      step: "send_order",
+      method: "POST",
+      path: "/v1/orders",
+      headers: { "content-type": "application/json" },
+      body: Buffer.from(formatOrder(order)),
+      limitMs: ORDER_LIMIT_MS,
+      maxBytes: MAX_REPORT_BYTES,
+    });
+    if (answer.status === CONFLICT) return false;
+    checkStatus(answer, { step: "send_order", upstream });
+    return true;
+  }
+
+  async copyCache(
+    from: VmId,
+    to: VmId,
+    prefixes: string[],
+  ): Promise<number> {
+    if (prefixes.length === 0) return 0;
+    const query = prefixes.map(encodeURIComponent).join(",");
+    const exported = await this.#fetchWhole(from, {
+      step: "export_cache",
+      method: "GET",
+      path: `/v1/cache/export?prefixes=${query}`,
+      limitMs: CACHE_COPY_LIMIT_MS,
+      maxBytes: MAX_CACHE_BYTES,
+    });
+    checkStatus(exported, { step: "export_cache", upstream: from });
+    const imported = await this.#fetchWhole(to, {
+      step: "import_cache",
+      method: "POST",
+      path: "/v1/cache/import",
+      headers: { "content-type": "application/octet-stream" },
+      body: exported.body,
+      limitMs: CACHE_COPY_LIMIT_MS,
+      maxBytes: MAX_REPORT_BYTES,
+    });
+    checkStatus(imported, { step: "import_cache", upstream: to });
+    return parseImported(readJson(imported.body)) ?? prefixes.length;
+  }
+
+  #getAgent(endpoint: Endpoint): http.Agent {
+    const key = formatEndpoint(endpoint);
+    const known = this.#agents.get(key);
+    if (known !== undefined) return known;
+    const settings: AgentOptions = {
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      timeout: IDLE_CONNECTION_MS,
+      scheduling: "lifo",
+    };
+    const agent = this.#options.tls === undefined
+      ? new http.Agent(settings)
+      : new https.Agent(settings);
+    this.#agents.set(key, agent);
+    return agent;
+  }
+
+  async #fetchWhole(upstream: VmId, call: ReportCall): Promise<WholeAnswer> {
+    const answer = await this.send({
+      upstream,
+      method: call.method,
+      path: call.path,
+      headers: call.headers ?? {},
+      body: call.body ?? NO_BODY,
+      freshConnection: false,
+      limits: {
+        firstByteMs: call.limitMs,
+        betweenBytesMs: call.limitMs,
+        totalMs: call.limitMs,
+      },
+      signal: new AbortController().signal,
+    });
+    const chunks: Uint8Array[] = [];
+    let length = 0;
+    for await (const chunk of answer.body) {
+      length += chunk.length;
+      if (length > call.maxBytes) {
+        throw new StepError(
+          { step: call.step, peer: upstream },
+          "Answer is too large",
+        );
+      }
+      chunks.push(chunk);
+    }
+    return { status: answer.status, body: Buffer.concat(chunks) };
+  }
+
+  #readReport<T>(
+    answer: WholeAnswer,
+    options: {
+      step: string;
+      upstream: VmId;
+      parse: (value: unknown) => T;
+    },
+  ): T {
+    checkStatus(answer, options);
+    try {
+      return options.parse(JSON.parse(answer.body.toString()));
+    } catch (thrown) {
+      throw new StepError(
+        {
+          step: options.step,
+          peer: options.upstream,
+          cause: toError(thrown),
+        },
+        "Report is not as documented",
+      );
+    }
+  }
+
+  #noteFailure(call: UpstreamCall, thrown: unknown): void {
+    if (!(thrown instanceof UpstreamError)) return;
+    this.#options.log.debug("upstream_failed", {
+      step: thrown.step,
+      peer: call.upstream,
+      cause: thrown.kind,
+      may_have_run: thrown.mayHaveRun,
+    });
+  }
+}
+
+/**
+ * Drops the kept connections to an endpoint. Where one of them went silent,
+ * the others may have, too, and a call on each would wait out its limit.
+ */
+function closeIdleConnections(agent: http.Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
+function checkStatus(
+  answer: WholeAnswer,
+  place: { step: string; upstream: VmId },
+): void {
+  if (answer.status >= 200 && answer.status < 300) return;
+  throw new StepError(
+    { step: place.step, peer: place.upstream },
+    `Upstream answered ${answer.status}`,
+  );
+}
+
+function readJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+function formatEndpoint(endpoint: Endpoint): string {
+  return `${endpoint.address}|${endpoint.port}`;
+}
+
+function parseEndpoint(key: string): Endpoint {
+  const [address, port] = key.split("|");
+  return { address: address ?? "", port: Number(port) };
+}
