--- /dev/null
+++ b/standin/engine_calls.ts
@@ -0,0 +1,191 @@
+/**
+ * The engine's calls of docs/PLATFORM.md on an `EngineCore`, whatever carries
+ * the bytes: the HTTP stand-in and fakes in one process both serve with it.
+ *
+ * @module
+ */
+import { match, P } from "ts-pattern";
+import { z } from "zod";
+import type { LoadReport } from "../src/connection/upstream_transport.ts";
+import { toError } from "../src/errors.ts";
+import {
+  type CompletionCall,
+  type EngineCall,
+  parseCompletionCall,
+} from "./engine_body.ts";
+import type { EngineCore } from "./engine_core.ts";
+import {
+  type AnswerWriter,
+  RunWriter,
+  writeError,
+  writeJson,
+} from "./engine_writer.ts";
+
+/** Ends the work of a call; harmless once it is over. */
+export type CancelCall = () => void;
+
+const ORDER_BODY = z.object({
+  action: z.enum(["load", "unload", "role"]),
+  model: z.string().default(""),
+  version: z.string().default(""),
+  adapter: z.string().optional(),
+  role: z.string().optional(),
+  fencing: z.number(),
+});
+
+const CONTROL_BODY = z.object({
+  crash_after_tokens: z.number().optional(),
+  start_again: z.boolean().optional(),
+  stall_ms: z.number().optional(),
+  drop_listeners: z.boolean().optional(),
+  silent_next: z.number().optional(),
+  refuse_next: z.number().optional(),
+  leaving: z.boolean().optional(),
+  options: z.object({
+    speedFactor: z.number(),
+    baseMs: z.number(),
+    perRunningMs: z.number(),
+    maxBatch: z.number(),
+    loadLagMs: z.number(),
+    cacheEventDelayMs: z.number(),
+    cacheEventGapShare: z.number(),
+  }).partial().strict().optional(),
+}).strict();
+
+type ControlBody = z.infer<typeof CONTROL_BODY>;
+
+/** Serves one call; the answer goes to `writer`, now or in the core's time. */
+export function handleEngineCall(
+  core: EngineCore,
+  call: EngineCall,
+  writer: AnswerWriter,
+): CancelCall {
+  const url = new URL(call.path, "http://engine");
+  let cancel: CancelCall = () => {};
+  try {
+    match(`${call.method} ${url.pathname}`)
+      .with(
+        P.union("POST /v1/completions", "POST /v1/chat/completions"),
+        () => {
+          cancel = startCompletion(core, parseCompletionCall(call), writer);
+        },
+      )
+      .with("GET /v1/load", () => {
+        writeJson(writer, { status: 200, body: toLoadBody(core.getLoad()) });
+      })
+      .with("GET /v1/cache/events", () => {
+        const after = Number(url.searchParams.get("after") ?? "0");
+        const events = core.listCacheEvents(after);
+        writeJson(writer, { status: 200, body: { events } });
+      })
+      .with("GET /v1/cache/export", () => {
+        const asked = (url.searchParams.get("prefixes") ?? "").split(",");
+        writeBlob(writer, core.listCached(asked));
+      })
+      .with("POST /v1/cache/import", () => {
+        const imported = core.addCached(readBlob(call.body));
+        writeJson(writer, { status: 200, body: { imported } });
+      })
+      .with("POST /v1/orders", () => handleOrder(core, call, writer))
+      .with("POST /control", () => {
+        applyControl(core, CONTROL_BODY.parse(readJson(call.body)));
+        writeJson(writer, { status: 200, body: {} });
+      })
+      .with("GET /control/counts", () => {
+        writeJson(writer, { status: 200, body: core.counts });
+      })
+      .with("GET /control/runs", () => {
+        const id = url.searchParams.get("request_id") ?? "";
+        writeJson(writer, { status: 200, body: { runs: core.listRuns(id) } });
+      })
+      .otherwise(() => {
+        const message = "No such call";
+        writeError(writer, { status: 404, code: "not_found", message });
+      });
+  } catch (thrown) {
+    const message = toError(thrown).message;
+    writeError(writer, { status: 400, code: "bad_request", message });
+  }
+  return cancel;
+}
+
+function startCompletion(
+  core: EngineCore,
+  call: CompletionCall,
+  writer: AnswerWriter,
+): CancelCall {
+  const runWriter = RunWriter.create(call, writer);
+  const answer = core.startRun(call.request, runWriter);
+  return match(answer)
+    .with({ kind: "accepted" }, ({ run }) => {
+      runWriter.start(run);
+      return () => run.cancel();
+    })
+    .with({ kind: "not_started" }, ({ message }) => {
+      writeError(writer, { status: 503, code: "not_started", message });
+      return () => {};
+    })
+    .with({ kind: "bad_request" }, ({ message }) => {
+      writeError(writer, { status: 400, code: "bad_request", message });
+      return () => {};
+    })
+    .exhaustive();
+}
+
+function handleOrder(
+  core: EngineCore,
+  call: EngineCall,
+  writer: AnswerWriter,
+): void {
+  const body = ORDER_BODY.parse(readJson(call.body));
+  const order = { ...body, adapter: body.adapter, role: body.role };
+  if (core.applyOrder(order)) {
+    writeJson(writer, { status: 200, body: { accepted: true } });
+    return;
+  }
+  const message = "Fencing number is old";
+  writeError(writer, { status: 409, code: "old_fencing", message });
+}
+
+function applyControl(core: EngineCore, body: ControlBody): void {
+  if (body.options !== undefined) Object.assign(core.options, body.options);
+  if (body.leaving !== undefined) core.setLeaving(body.leaving);
+  if (body.silent_next !== undefined) core.setSilentNext(body.silent_next);
+  if (body.refuse_next !== undefined) core.setRefuseNext(body.refuse_next);
+  if (body.stall_ms !== undefined) core.setStall(body.stall_ms);
+  if (body.drop_listeners) core.dropListeners();
+  if (body.start_again) core.startAgain();
+  if (body.crash_after_tokens !== undefined) {
+    core.setCrashAfter(body.crash_after_tokens);
+  }
+}
+
+function toLoadBody(report: LoadReport) {
+  return {
+    age_ms: report.ageMs,
+    running: report.running,
+    waiting: report.waiting,
+    cache_used: report.cacheUsed,
+    leaving: report.leaving,
+    models: report.models,
+    role: report.role,
+    fencing: report.fencing,
+    cache_sequence: report.cacheSequence,
+  };
+}
+
+function writeBlob(writer: AnswerWriter, prefixes: readonly string[]): void {
+  const text = prefixes.join("\n");
+  writer.writeHead(200, { "content-type": "application/octet-stream" });
+  writer.write(text);
+  writer.end();
+}
+
+function readBlob(body: Uint8Array): string[] {
+  return new TextDecoder().decode(body).split("\n")
+    .filter((prefix) => prefix !== "");
+}
+
+function readJson(body: Uint8Array): unknown {
+  return JSON.parse(new TextDecoder().decode(body));
+}
