--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -9,6 +9,15 @@
 export type { Endpoint, HttpTransportOptions } from "./http_transport.ts";
 export { DEFAULT_JSON_LIMITS, parseJsonBody } from "./json_body.ts";
 export type { JsonLimits } from "./json_body.ts";
+export { OperatorApi, OperatorListener } from "./operator_listener.ts";
+export type {
+  HealthAnswer,
+  OperatorListenerOptions,
+} from "./operator_listener.ts";
+export { DEFAULT_PEER_DEADLINES, TrpcPeerDirectory } from "./peer_client.ts";
+export type { PeerDeadlines, TrpcPeerDirectoryOptions } from "./peer_client.ts";
+export { PeerListener } from "./peer_server.ts";
+export type { PeerListenerOptions } from "./peer_server.ts";
 export { buildRefusal, getRefusalKind, writeRefusal } from "./refusal_body.ts";
 export type {
   RefusalAnswer,
@@ -16,6 +25,9 @@
   RefusalOptions,
   RefusalType,
 } from "./refusal_body.ts";
+export { readBearerToken, SharedSecret } from "./secret.ts";
+export { parseEvent, parseEvents, SseFramer } from "./sse_frames.ts";
+export type { SseFrame } from "./sse_frames.ts";
 export type { ClientTls, ServerTls } from "./tls_material.ts";
 export { UpstreamError, UpstreamTransport } from "./upstream_transport.ts";
 export type {
--- /dev/null
+++ b/src/connection/peer_server.ts
@@ -0,0 +1,121 @@
+/**
+ * The listener for other entry VMs.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
+import type { Log } from "../process/log.ts";
+import type { PeerApi } from "../process/peer_api.ts";
+import type { ServerLimits } from "./http_server.ts";
+import { HttpServer } from "./http_server.ts";
+import { PEER_ROUTER } from "./peer_router.ts";
+import { SharedSecret } from "./secret.ts";
+import type { ServerTls } from "./tls_material.ts";
+
+/** The header that carries the fleet's shared secret. */
+export const PEER_SECRET_HEADER = "x-peer-secret";
+
+const MAX_CALL_BYTES = 33_554_432;
+const UNAUTHORIZED = 401;
+/** Longer than a client keeps an idle connection, so that it closes first. */
+const KEEP_ALIVE_MS = 60_000;
+
+const LIMITS: ServerLimits = {
+  maxHeaderBytes: 8_192,
+  maxConnections: 10_000,
+  headersTimeoutMs: 5_000,
+  bodyTimeoutMs: 10_000,
+  keepAliveMs: KEEP_ALIVE_MS,
+};
+
+/** What a listener for peers is made of. */
+export interface PeerListenerOptions {
+  /** The fleet's shared secret. */
+  secret: string;
+  api: PeerApi;
+  log: Log;
+  tls?: ServerTls | undefined;
+}
+
+/** Answers the calls of other entry VMs. */
+export class PeerListener {
+  readonly #options: PeerListenerOptions;
+  readonly #secret: SharedSecret;
+  readonly #server: HttpServer;
+
+  constructor(options: PeerListenerOptions) {
+    this.#options = options;
+    this.#secret = SharedSecret.create(options.secret);
+    this.#server = HttpServer.create({
+      name: "peers",
+      log: options.log,
+      limits: LIMITS,
+      tls: options.tls,
+      handle: (request, response) => this.#handle(request, response),
+    });
+  }
+
+  static create(options: PeerListenerOptions): PeerListener {
+    return new PeerListener(options);
+  }
+
+  /** The port that is listened on; 0 before `start`. */
+  get port(): number {
+    return this.#server.port;
+  }
+
+  /** Resolves once peers are accepted; rejects `StepError`. */
+  start(host: string, port: number): Promise<void> {
+    return this.#server.start(host, port);
+  }
+
+  /** Resolves when the last call in flight has been answered. */
+  stop(): Promise<void> {
+    return this.#server.stop();
+  }
+
+  /** Cuts every connection at once. */
+  closeAll(): void {
+    this.#server.closeAll();
+  }
+
+  /** Shows `tls` to peers that connect from now on. */
+  updateTls(tls: ServerTls): void {
+    this.#server.updateTls(tls);
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const offered = request.headers[PEER_SECRET_HEADER];
+    if (!this.#secret.isEqualTo(String(offered ?? ""))) {
+      this.#options.log.warn("peer_refused", {
+        peer: request.socket.remoteAddress,
+      });
+      response.writeHead(UNAUTHORIZED, { connection: "close" }).end();
+      return;
+    }
+    await nodeHTTPRequestHandler({
+      req: request,
+      res: response,
+      path: getProcedure(request.url ?? "/"),
+      router: PEER_ROUTER,
+      createContext: () => ({ api: this.#options.api }),
+      maxBodySize: MAX_CALL_BYTES,
+      onError: ({ error, path }) => {
+        this.#options.log.warn("peer_call_failed", {
+          step: path,
+          peer: request.socket.remoteAddress,
+          error: error.message,
+        });
+      },
+    });
+  }
+}
+
+function getProcedure(url: string): string {
+  const mark = url.indexOf("?");
+  return mark < 0 ? url.slice(1) : url.slice(1, mark);
+}
