--- a/src/process/limits/held_limit.ts
+++ b/src/process/limits/held_limit.ts
@@ -18,6 +18,12 @@
 /** The longest that a request waits for the owner's answer. */
 const OWNER_WAIT_MS = 50;
 
+/**
+ * The whole fleet may admit so much of a minute's limit before the owner has
+ * agreed. It spares a request of a workspace with little traffic the wait.
+ */
+const MAX_AHEAD_SHARE = 0.05;
+
 /** How long a silent owner is left alone before it is asked again. */
 const SILENT_OWNER_MS = 500;
 
@@ -60,8 +66,13 @@
   readonly #demand: DemandMeter;
   #waiters: Waiter[] = [];
   #isAsking = false;
-  /** Tokens used beyond their estimates, not yet taken from a chunk. */
-  #owedTokens = 0;
+  /**
+   * Used without a chunk; the owner hears of it with the next call. Negative
+   * tokens were paid for and not used: the next requests here use them. They
+   * are not sent back to the owner, since a repeated message would then give
+   * them back twice.
+   */
+  #owed: LimitAmount = { requests: 0, tokens: 0 };
   #deniedUntil = -Infinity;
   #silentUntil = -Infinity;
   #local: LimitBucket | undefined;
@@ -85,30 +96,23 @@
     const amount = { requests: 1, tokens };
     this.#usedAt = now;
     checkPossible(workspace, tokens);
-    if (this.#waiters.length === 0 && this.#chunks.take(amount, now)) {
+    if (this.#waiters.length === 0 && this.#takeChunk(amount)) {
       this.#noteAdmitted(workspace, amount);
       return;
     }
     if (now < this.#deniedUntil) {
       throw refuseForLimit(workspace, this.#deniedUntil - now);
     }
-    const verdict = now < this.#silentUntil
-      ? { kind: "silent" as const }
-      : await this.#waitForChunk(workspace, amount);
-    if (verdict.kind === "denied") {
-      throw refuseForLimit(workspace, verdict.retryAfterMs);
-    }
-    if (verdict.kind === "silent") this.#takeLocalShare(workspace, amount);
+    if (now < this.#silentUntil) this.#takeLocalShare(workspace, amount);
+    else if (this.#canGoAhead(workspace, amount)) this.#addOwed(amount);
+    else await this.#takeFromOwner(workspace, amount);
     this.#noteAdmitted(workspace, amount);
   }
 
   /** Gives back `tokens` that were not used, or owes them when negative. */
   settle(tokens: number): void {
-    const now = this.#options.clock.now();
-    const credit = tokens - this.#owedTokens;
-    this.#owedTokens = Math.max(0, -credit);
-    if (credit <= 0) return;
-    this.#chunks.add({ requests: 0, tokens: credit }, now + PREFETCH_MS);
+    this.#owed.tokens -= tokens;
+    if (this.#owed.tokens < 0) this.#deniedUntil = -Infinity;
   }
 
   /** Whether dropping this state loses nothing that still counts. */
@@ -118,17 +122,62 @@
       now - this.#usedAt > IDLE_MS;
   }
 
+  /** Takes one request from the chunks, its tokens from the credit first. */
+  #takeChunk(amount: LimitAmount): boolean {
+    const credit = Math.max(0, -this.#owed.tokens);
+    const fromCredit = Math.min(credit, amount.tokens);
+    const { requests } = amount;
+    const tokens = amount.tokens - fromCredit;
+    const now = this.#options.clock.now();
+    if (!this.#chunks.take({ requests, tokens }, now)) return false;
+    this.#owed.tokens += fromCredit;
+    return true;
+  }
+
+  /**
+   * A request goes ahead of the owner's word when nothing is owed yet and one
+   * such request on every VM is a small part of the limit.
+   */
+  #canGoAhead(workspace: Workspace, amount: LimitAmount): boolean {
+    if (this.#owed.requests > 0 || this.#waiters.length > 0) return false;
+    const vms = this.#options.countEntryVms();
+    const { requestsPerMinute, tokensPerMinute } = workspace.limits;
+    return vms * amount.requests <= requestsPerMinute * MAX_AHEAD_SHARE &&
+      vms * amount.tokens <= tokensPerMinute * MAX_AHEAD_SHARE;
+  }
+
+  #addOwed(amount: LimitAmount): void {
+    this.#owed.requests += amount.requests;
+    this.#owed.tokens += amount.tokens;
+  }
+
+  async #takeFromOwner(
+    workspace: Workspace,
+    amount: LimitAmount,
+  ): Promise<void> {
+    const verdict = await this.#waitForChunk(workspace, amount);
+    if (verdict.kind === "denied") {
+      throw refuseForLimit(workspace, verdict.retryAfterMs);
+    }
+    if (verdict.kind === "silent") this.#takeLocalShare(workspace, amount);
+  }
+
   #noteAdmitted(workspace: Workspace, amount: LimitAmount): void {
     const now = this.#options.clock.now();
     this.#demand.note(amount, now);
     if (this.#isAsking || now < this.#deniedUntil) return;
     if (now < this.#silentUntil) return;
+    const isOwing = this.#owed.requests > 0;
+    if (isOwing || this.#isLow(workspace)) void this.#askOwner(workspace);
+  }
+
+  /** Whether to fetch the next chunk before this one runs out. */
+  #isLow(workspace: Workspace): boolean {
     const extra = this.#computePrefetch(workspace);
-    if (extra.requests < 1) return;
-    const left = this.#chunks.countLeft(now);
-    const isLow = left.requests < extra.requests / 2 ||
+    if (extra.requests < 1) return false;
+    const left = this.#chunks.countLeft(this.#options.clock.now());
+    return left.requests < extra.requests / 2 ||
       left.tokens < extra.tokens / 2;
-    if (isLow) void this.#askOwner(workspace);
   }
 
   /** What to hold beyond the need; nothing where the limit is small. */
@@ -183,9 +232,12 @@
     try {
       do {
         const askedAt = clock.now();
-        const answer = await fetchChunk(this.#computeAsk(workspace));
-        if (answer === undefined) this.#onSilentOwner();
-        else this.#onAnswer(answer, askedAt);
+        const amount = this.#computeAsk(workspace);
+        const answered = fetchChunk(amount).then((answer) => {
+          if (answer === undefined) this.#onSilentOwner();
+          else this.#onAnswer(answer, askedAt);
+        });
+        await Promise.race([answered, clock.sleep(OWNER_WAIT_MS)]);
       } while (this.#waiters.length > 0);
     } finally {
       this.#isAsking = false;
@@ -194,34 +246,41 @@
 
   #computeAsk(workspace: Workspace): LimitAmount {
     const extra = this.#computePrefetch(workspace);
-    let requests = extra.requests;
-    let tokens = extra.tokens + this.#owedTokens;
+    let requests = extra.requests + this.#owed.requests;
+    let tokens = extra.tokens + this.#owed.tokens;
     for (const { amount } of this.#waiters) {
       requests += amount.requests;
       tokens += amount.tokens;
     }
-    return { requests, tokens };
+    return { requests, tokens: Math.max(0, tokens) };
   }
 
   #onAnswer(answer: LimitAnswer, askedAt: number): void {
-    const now = this.#options.clock.now();
     this.#silentUntil = -Infinity;
-    if (answer.requests === 0 && answer.tokens === 0) {
+    if (answer.requests === 0) {
       this.#onDenied(answer.retryAfterMs);
       return;
     }
-    const paid = Math.min(this.#owedTokens, answer.tokens);
-    this.#owedTokens -= paid;
-    const { requests } = answer;
-    const tokens = answer.tokens - paid;
-    this.#chunks.add({ requests, tokens }, askedAt + answer.ttlMs);
-    this.#admitWaiters(now);
+    this.#chunks.add(this.#settleOwed(answer), askedAt + answer.ttlMs);
+    this.#admitWaiters();
   }
 
-  #admitWaiters(now: number): void {
+  /** Pays what is owed; gives what is left of the answer. */
+  #settleOwed(answer: LimitAmount): LimitAmount {
+    const requests = Math.min(this.#owed.requests, answer.requests);
+    const tokens = Math.min(Math.max(0, this.#owed.tokens), answer.tokens);
+    this.#owed.requests -= requests;
+    this.#owed.tokens -= tokens;
+    return {
+      requests: answer.requests - requests,
+      tokens: answer.tokens - tokens,
+    };
+  }
+
+  #admitWaiters(): void {
     while (this.#waiters.length > 0) {
       const { amount, resolve } = this.#waiters[0]!;
-      if (!this.#chunks.take(amount, now)) return;
+      if (!this.#takeChunk(amount)) return;
       this.#waiters.shift();
       resolve({ kind: "admitted" });
     }
@@ -243,17 +302,22 @@
     for (const { resolve } of waiters) resolve(verdict);
   }
 
-  /** This VM's part of the rate, for when no owner answers. */
+  /**
+   * This VM's part of the rate, for when no owner answers. The owner may be
+   * alive and only its answer lost; were the use not owed, it would come on
+   * top of the whole rate, which shows as overshoot on a lossy network.
+   */
   #takeLocalShare(workspace: Workspace, amount: LimitAmount): void {
     const { clock, countEntryVms } = this.#options;
     const now = clock.now();
     const rate = computeLimitRate(workspace, 1 / Math.max(1, countEntryVms()));
     this.#local ??= LimitBucket.create(now);
     this.#local.update(now, rate);
-    const waitMs = this.#local.computeWaitMs(rate);
+    const waitMs = this.#local.computeWaitMs(amount, rate);
     if (waitMs > 0) throw refuseForLimit(workspace, waitMs);
     this.#local.take(amount);
-    this.#localDebtUntil = now + this.#local.computeWaitMs(rate);
+    this.#addOwed(amount);
+    this.#localDebtUntil = now + this.#local.computeWaitMs(amount, rate);
   }
 }
 
--- a/src/process/limits/limit_bucket.ts
+++ b/src/process/limits/limit_bucket.ts
@@ -69,11 +69,11 @@
     this.#tokens = computeLevel(this.#tokens, rate.tokens, ms);
   }
 
-  /** Time until the next grant, 0 for now; infinite where nothing fills. */
-  computeWaitMs(rate: LimitRate): number {
+  /** Time until `amount` can be granted; infinite where nothing fills. */
+  computeWaitMs(amount: LimitAmount, rate: LimitRate): number {
     return Math.max(
-      computeLevelWaitMs(this.#requests, rate.requests),
-      computeLevelWaitMs(this.#tokens, rate.tokens),
+      amount.requests > 0 ? computeWait(this.#requests, rate.requests) : 0,
+      amount.tokens > 0 ? computeWait(this.#tokens, rate.tokens) : 0,
     );
   }
 
@@ -94,7 +94,7 @@
   return Math.min(burst, level + rate * ms);
 }
 
-function computeLevelWaitMs(level: number, rate: number): number {
+function computeWait(level: number, rate: number): number {
   if (rate <= 0) return Infinity;
   return level >= -ROUNDING ? 0 : Math.ceil(-level / rate);
 }
--- a/src/process/limits/limit_owner.ts
+++ b/src/process/limits/limit_owner.ts
@@ -85,9 +85,9 @@
     const now = this.#options.clock.now();
     const bucket = this.#getBucket(call.workspace);
     bucket.update(now, rate);
-    const waitMs = bucket.computeWaitMs(rate);
-    if (waitMs > 0) return refuseChunk(waitMs);
     const amount = { requests: call.requests, tokens: call.tokens };
+    const waitMs = bucket.computeWaitMs(amount, rate);
+    if (waitMs > 0) return refuseChunk(waitMs);
     bucket.take(amount);
     return { isOwner: true, ...amount, ttlMs: CHUNK_TTL_MS, retryAfterMs: 0 };
   }
