--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export { compareSnapshots } from "./changes.ts";
+export type { FieldChange, SnapshotChange } from "./changes.ts";
 export type { ListedVm, MembershipList } from "./membership_list.ts";
 export { parseMembershipList } from "./membership_schema.ts";
 export { computeKeyHash, findWorkspaceByKey } from "./keys.ts";
--- a/src/version/record_groups.ts
+++ b/src/version/record_groups.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { StepError } from "../errors.ts";
 import { compareTexts, formatPath } from "./record_problem.ts";
+import { findBoundProblem } from "./value_bounds.ts";
 
 /** The service's bound on one value, in bytes. */
 export const MAX_GROUP_BYTES = 1_000_000;
@@ -16,14 +17,31 @@
 const GROUP_NAME_PATTERN = /^[a-z][a-z0-9_-]{0,62}$/;
 const GROUP_WRAPPER_BYTES = '{"records":[]}'.length;
 
-const VERSION_FIELD = z.number().int().min(1);
+const VALUE_TEXTS = { index: "Index value", group: "Group value" };
+
+const VERSION_EXPECTED = "a whole number of at least 1";
+const NAME_EXPECTED = "group names of 1 to 63 lower-case letters, digits, _, -";
+const GROUPS_EXPECTED = "an object from group names to versions";
+
+const VERSION_FIELD = z.number({ error: VERSION_EXPECTED })
+  .int({ error: VERSION_EXPECTED }).min(1, { error: VERSION_EXPECTED });
 
 const INDEX_SCHEMA = z.strictObject({
   version: VERSION_FIELD,
-  groups: z.record(z.string().regex(GROUP_NAME_PATTERN), VERSION_FIELD),
-});
+  groups: z.record(
+    z.string().regex(GROUP_NAME_PATTERN),
+    VERSION_FIELD,
+    {
+      error: ({ code }) =>
+        code === "invalid_key" ? NAME_EXPECTED : GROUPS_EXPECTED,
+    },
+  ),
+}, { error: "an object of version and groups alone" });
 
-const GROUP_SCHEMA = z.strictObject({ records: z.array(z.unknown()) });
+const GROUP_SCHEMA = z.strictObject(
+  { records: z.array(z.unknown(), { error: "a list of records" }) },
+  { error: "an object of records alone" },
+);
 
 /** Which version of each group makes up a version of the configuration. */
 export interface RecordIndex {
@@ -37,10 +55,24 @@
   records: unknown[];
 }
 
-/** Reads an index value; throws a `StepError` that names the path. */
+/**
+ * Reads an index value; throws a `StepError` that names the path.
+ *
+ * The bounds are checked first, because zod passes over an entry named
+ * `__proto__`: the index would be accepted with a group missing, which would
+ * show as workspaces that are suddenly unknown.
+ */
 export function parseIndex(value: unknown): RecordIndex {
+  const bound = findBoundProblem(value);
+  if (bound) {
+    const path = formatPath(bound.keys);
+    throw new StepError(
+      { step: "read_index" },
+      `Index value: ${path}: expected ${bound.expected}`,
+    );
+  }
   const result = INDEX_SCHEMA.safeParse(value);
-  if (!result.success) throw toStepError("read_index", result.error);
+  if (!result.success) throw toStepError("index", result.error);
   const entries = Object.entries(result.data.groups);
   if (entries.length > MAX_GROUPS) {
     throw new StepError(
@@ -54,7 +86,7 @@
 /** Reads a group value; throws a `StepError` that names the path. */
 export function parseGroup(value: unknown): unknown[] {
   const result = GROUP_SCHEMA.safeParse(value);
-  if (!result.success) throw toStepError("read_group", result.error);
+  if (!result.success) throw toStepError("group", result.error);
   return result.data.records;
 }
 
@@ -108,8 +140,11 @@
   return isName ? kind : "unknown";
 }
 
-function toStepError(step: string, error: z.ZodError): StepError {
+function toStepError(value: "index" | "group", error: z.ZodError): StepError {
   const issue = error.issues[0];
   const path = formatPath(issue?.path ?? []);
-  return new StepError({ step }, `${issue?.message} at ${path}`);
+  return new StepError(
+    { step: `read_${value}` },
+    `${VALUE_TEXTS[value]}: ${path}: expected ${issue?.message}`,
+  );
 }
