Let the late chunk's test fail when the chunk lives from the answer

The test granted no tokens beyond what was owed, so it passed whether the chunk had expired or not. It now grants plenty and fails when a chunk's life counts from the answer (tried on a copy).

--- a/test/process/limits/held_limit_test.ts
+++ b/test/process/limits/held_limit_test.ts
@@ -58,7 +58,8 @@
   const held = createHeld(clock, async (amount) => {
     calls += 1;
     await clock.sleep(6_000);
-    return calls === 1 ? grantChunk({ ...amount, requests: 100 }) : undefined;
+    if (calls > 1) return undefined;
+    return grantChunk({ requests: 100 + amount.requests, tokens: 1e6 });
   });
   void held.admit();
   await clock.run(7_000);
