Route callers' requests and run them to a true end

One straight-down task for completions and plain services: authenticate, claim, check, admit, lease, send, pass on, end. Work that is not idempotent is sent once.

--- a/src/process/fate_store.ts
+++ b/src/process/fate_store.ts
@@ -77,7 +77,7 @@
     this.#bytes += entry.bytes;
     const steps = [...(earlier?.steps ?? []), ...record.steps];
     steps.forEach((step) => this.#addStep(entry, step));
-    this.#makeRoom();
+    this.#dropOldest();
   }
 
   /** Adds a step; an id that is not held is ignored. */
@@ -86,11 +86,11 @@
       this.#finished.get(requestId);
     if (entry === undefined) return;
     this.#addStep(entry, step);
-    this.#makeRoom();
+    this.#dropOldest();
   }
 
   /** Ends a record; it is kept until its room is needed. */
-  finish(requestId: RequestId, end: FateEnd): void {
+  end(requestId: RequestId, end: FateEnd): void {
     const entry = this.#running.get(requestId);
     if (entry === undefined) return;
     Object.assign(entry.record, end);
@@ -116,7 +116,7 @@
     this.#bytes += bytes;
   }
 
-  #makeRoom(): void {
+  #dropOldest(): void {
     while (this.size > this.#maxRecords || this.#bytes > this.#maxBytes) {
       const oldest = this.#finished.keys().next().value ??
         this.#running.keys().next().value;
--- a/src/process/retry_budget.ts
+++ b/src/process/retry_budget.ts
@@ -50,8 +50,8 @@
 
   takeRetry(): boolean {
     const bucket = this.#getBucket();
-    const firstTries = sum(this.#buckets.map((each) => each.firstTries));
-    const retries = sum(this.#buckets.map((each) => each.retries));
+    const firstTries = addAll(this.#buckets.map((each) => each.firstTries));
+    const retries = addAll(this.#buckets.map((each) => each.retries));
     const allowed = this.#getShare() * firstTries + RESERVE;
     if (retries + 1 > allowed) return false;
     bucket.retries++;
@@ -73,6 +73,6 @@
   }
 }
 
-function sum(counts: number[]): number {
+function addAll(counts: number[]): number {
   return counts.reduce((total, count) => total + count, 0);
 }
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -10,7 +10,8 @@
   method: string;
   /** The path as sent, still percent-encoded, without the query. */
   path: string;
-  query: URLSearchParams;
+  /** As sent, without its question mark; empty if there is none. */
+  query: string;
   /** Header names are in lower case. */
   headers: Record<string, string>;
   /** Empty when there is none; bounded by the listener. */
--- /dev/null
+++ b/src/request/request_run.ts
@@ -0,0 +1,282 @@
+/**
+ * One request's account: its steps, its tokens and its true outcome.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import type { RequestId, VmId } from "../ids.ts";
+import type { Refusal, RunOutcome } from "../outcome.ts";
+import type { FinishedRequest } from "../process/services.ts";
+import type {
+  RequestClass,
+  Snapshot,
+  UpstreamPool,
+  Workspace,
+} from "../version/records.ts";
+import type { CallerSink } from "./caller_sink.ts";
+import type { FateRecord, FateStepName } from "./fate.ts";
+import type { RequestServices } from "./request_services.ts";
+
+/** What a run begins with. */
+export interface RunStart {
+  requestId: RequestId;
+  workspace: Workspace;
+  requestClass: RequestClass;
+  snapshot: Snapshot;
+  /** `Clock.now()` at arrival. */
+  arrivedAt: number;
+  sink: CallerSink;
+  /** False for work that may run at most once. */
+  idempotent: boolean;
+  /** Whether the claim on the id still stands; asked before each send. */
+  isClaimStanding: () => boolean;
+  /** Whether the caller took the id beforehand and so may ask again. */
+  retainsAnswer: boolean;
+}
+
+/** How a run ended. */
+export type RunEnd =
+  | { kind: "answered" }
+  | { kind: "refused"; refusal: Refusal }
+  | { kind: "cancelled" };
+
+/** One admitted request, from its claim to its end. */
+export class RequestRun {
+  readonly services: RequestServices;
+  readonly start: RunStart;
+  /** `Clock.now()` at which the total target ends. */
+  readonly deadlineAt: number;
+  pool: UpstreamPool | undefined;
+  upstream: VmId | undefined;
+  /** Tokens that the caller has. */
+  tokens = 0;
+  /** Tokens that were generated and that no caller got. */
+  wastedTokens = 0;
+  #step: FateStepName = "arrived";
+  #stepAt: number;
+  #slowestStep = "arrived";
+  #slowestMs = 0;
+  #mayHaveRun = false;
+  #hasRun = false;
+  #firstTokenAt: number | undefined;
+  #lastTokenAt: number | undefined;
+  #ended = false;
+
+  constructor(services: RequestServices, start: RunStart) {
+    this.services = services;
+    this.start = start;
+    this.deadlineAt = start.arrivedAt + start.requestClass.targets.totalMs;
+    this.#stepAt = start.arrivedAt;
+    services.fates.start(buildFate(services, start));
+  }
+
+  static create(services: RequestServices, start: RunStart): RequestRun {
+    const run = new RequestRun(services, start);
+    run.note("arrived");
+    return run;
+  }
+
+  get id(): RequestId {
+    return this.start.requestId;
+  }
+
+  /** Whether the total target has passed and a late answer has no use. */
+  get isPastUse(): boolean {
+    return !this.start.requestClass.lateIsUseful &&
+      this.services.environment.clock.now() >= this.deadlineAt;
+  }
+
+  /** Takes a step into the fate record and the log. */
+  note(
+    step: FateStepName,
+    options: { peer?: string; detail?: string } = {},
+  ): void {
+    const { environment, fates } = this.services;
+    const now = environment.clock.now();
+    const ageMs = Math.round(now - this.start.arrivedAt);
+    this.#noteStepTime(step, now);
+    fates.note(this.id, { step, ageMs, ...options });
+    environment.log.info("request_step", {
+      request_id: this.id,
+      step,
+      age_ms: ageMs,
+      ...options,
+    });
+  }
+
+  /** From here on bytes of the request may have reached an upstream. */
+  noteMayHaveRun(): void {
+    this.#mayHaveRun = true;
+  }
+
+  /** An upstream showed that it worked on the request. */
+  noteRan(): void {
+    this.#mayHaveRun = true;
+    this.#hasRun = true;
+  }
+
+  /** Tokens on their way to the caller. */
+  noteTokens(count: number): void {
+    if (count === 0) return;
+    const now = this.services.environment.clock.now();
+    this.noteRan();
+    if (this.#firstTokenAt === undefined) {
+      this.#firstTokenAt = now;
+      this.note("first_token", { peer: this.upstream });
+    }
+    this.#lastTokenAt = now;
+    this.tokens += count;
+  }
+
+  /** Tokens of an answer that came in one piece: they tell no pace. */
+  noteWhole(count: number): void {
+    this.noteRan();
+    this.tokens += count;
+  }
+
+  /** What can truthfully be said of the work so far. */
+  getOutcome(): RunOutcome {
+    if (this.#hasRun) return "ran";
+    return this.#mayHaveRun ? "unknown" : "not_run";
+  }
+
+  /** Ends the account; the first call counts. */
+  end(end: RunEnd): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    const { claims, fates, environment } = this.services;
+    const outcome = end.kind === "answered" ? "answered" : this.getOutcome();
+    const code = match(end)
+      .with({ kind: "answered" }, () => undefined)
+      .with({ kind: "refused" }, ({ refusal }) => refusal.code)
+      .with({ kind: "cancelled" }, () => "cancelled" as const)
+      .exhaustive();
+    const step = this.#step;
+    if (end.kind !== "answered") this.wastedTokens += this.tokens;
+    this.note(end.kind, {
+      detail: end.kind === "refused" ? end.refusal.message : undefined,
+    });
+    if (outcome === "unknown") {
+      this.note("unknown", { detail: "An upstream may have done the work" });
+    }
+    fates.end(this.id, { outcome, code, tokens: this.tokens });
+    claims.settleRun(this.id, outcome);
+    const figures = this.#buildFigures(end, step);
+    if (isCounted(end)) this.services.metrics.noteFinished(figures);
+    environment.log.info("request_finished", {
+      request_id: this.id,
+      workspace: figures.workspace,
+      class: figures.className,
+      outcome,
+      code,
+      result: figures.result,
+      total_ms: Math.round(figures.totalMs),
+      tokens: figures.tokens,
+      wasted_tokens: figures.wastedTokens,
+    });
+  }
+
+  #noteStepTime(step: FateStepName, now: number): void {
+    const spentMs = now - this.#stepAt;
+    const { metrics } = this.services;
+    if (this.#step !== step) {
+      metrics.noteStep(this.start.requestClass.name, this.#step, spentMs);
+    }
+    if (spentMs > this.#slowestMs) {
+      this.#slowestMs = spentMs;
+      this.#slowestStep = this.#step;
+    }
+    this.#step = step;
+    this.#stepAt = now;
+  }
+
+  #buildFigures(end: RunEnd, lastStep: string): FinishedRequest {
+    const now = this.services.environment.clock.now();
+    const arrivedAt = this.start.arrivedAt;
+    const firstTokenMs = this.#firstTokenAt === undefined
+      ? undefined
+      : this.#firstTokenAt - arrivedAt;
+    const betweenTokensMs = this.#computeBetweenTokens();
+    const totalMs = now - arrivedAt;
+    const result = match(end)
+      .with(
+        { kind: "answered" },
+        () =>
+          this.#isMet({ firstTokenMs, betweenTokensMs, totalMs })
+            ? "met" as const
+            : "late" as const,
+      )
+      .with({ kind: "cancelled" }, () => "cancelled" as const)
+      .with(
+        { kind: "refused" },
+        () =>
+          this.getOutcome() === "not_run"
+            ? "refused" as const
+            : "lost" as const,
+      )
+      .exhaustive();
+    return {
+      requestId: this.id,
+      workspace: this.start.workspace.name,
+      className: this.start.requestClass.name,
+      pool: this.pool?.name,
+      upstream: this.upstream,
+      result,
+      step: end.kind === "refused" ? lastStep : this.#slowestStep,
+      firstTokenMs,
+      betweenTokensMs,
+      totalMs,
+      tokens: this.tokens,
+      wastedTokens: this.wastedTokens,
+    };
+  }
+
+  #computeBetweenTokens(): number | undefined {
+    if (this.#firstTokenAt === undefined || this.tokens < 2) return undefined;
+    return (this.#lastTokenAt! - this.#firstTokenAt) / (this.tokens - 1);
+  }
+
+  #isMet(
+    times: Pick<
+      FinishedRequest,
+      "firstTokenMs" | "betweenTokensMs" | "totalMs"
+    >,
+  ): boolean {
+    const targets = this.start.requestClass.targets;
+    return (times.firstTokenMs ?? 0) <= targets.firstTokenMs &&
+      (times.betweenTokensMs ?? 0) <= targets.betweenTokensMs &&
+      times.totalMs <= targets.totalMs;
+  }
+}
+
+/** A caller's own mistake spends no one's error budget. */
+function isCounted(end: RunEnd): boolean {
+  if (end.kind !== "refused") return true;
+  return match(end.refusal.code)
+    .with(
+      "bad_request",
+      "unauthorized",
+      "forbidden",
+      "not_found",
+      "payload_too_large",
+      () => false,
+    )
+    .otherwise(() => true);
+}
+
+function buildFate(services: RequestServices, start: RunStart): FateRecord {
+  const { vm, clock } = services.environment;
+  return {
+    requestId: start.requestId,
+    vm,
+    workspace: start.workspace.name,
+    className: start.requestClass.name,
+    arrivedAt: new Date(clock.wallTime()).toISOString(),
+    configVersion: start.snapshot.version,
+    outcome: "running",
+    code: undefined,
+    steps: [],
+    droppedSteps: 0,
+    tokens: 0,
+  };
+}
--- /dev/null
+++ b/src/request/router.ts
@@ -0,0 +1,175 @@
+/**
+ * Routes each caller's request to what answers it.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { writeRefusal } from "../connection/refusal_body.ts";
+import { toError } from "../errors.ts";
+import { type RequestId, toId } from "../ids.ts";
+import { type Refusal, RefusalError } from "../outcome.ts";
+import { ID_TTL_MS } from "../process/run_claims.ts";
+import type { Snapshot } from "../version/records.ts";
+import { checkCaller } from "./authenticate.ts";
+import { CallerHandler, type CallerRequest } from "./caller_request.ts";
+import type { CallerSink } from "./caller_sink.ts";
+import { runCompletion } from "./completion_task.ts";
+import { buildFatePage } from "./fate_page.ts";
+import type { RequestServices } from "./request_services.ts";
+import { REQUEST_ID_HEADER } from "./request_task.ts";
+import { parseRoute, type Route } from "./routes.ts";
+import { runService } from "./service_task.ts";
+
+const OK = 200;
+const CREATED = 201;
+const NOT_READY_RETRY_MS = 1_000;
+
+/** The callers' side of one VM. */
+export class RequestRouter extends CallerHandler {
+  readonly #services: RequestServices;
+
+  constructor(services: RequestServices) {
+    super();
+    this.#services = services;
+  }
+
+  static create(services: RequestServices): RequestRouter {
+    return new RequestRouter(services);
+  }
+
+  override async handle(
+    request: CallerRequest,
+    sink: CallerSink,
+  ): Promise<void> {
+    try {
+      const route = parseRoute(request.method, request.path);
+      await this.#runRoute(route, { request, sink });
+    } catch (thrown) {
+      const refusal = this.#toRefusal(request, thrown);
+      const requestId = this.#findRequestId(request);
+      await writeRefusal(sink, refusal, { requestId });
+    }
+  }
+
+  async #runRoute(
+    route: Route,
+    exchange: { request: CallerRequest; sink: CallerSink },
+  ): Promise<void> {
+    const { request, sink } = exchange;
+    await match(route)
+      .with({ kind: "entries" }, () => {
+        const query = new URLSearchParams(request.query);
+        return writeJson(sink, OK, this.#services.entries(query));
+      })
+      .with({ kind: "models" }, () => this.#writeModels(exchange))
+      .with({ kind: "issue_id" }, () => this.#writeNewId(exchange))
+      .with({ kind: "fate" }, ({ requestId }) => {
+        return this.#writeFate(requestId, exchange);
+      })
+      .with({ kind: "completion" }, () => {
+        const snapshot = this.#getSnapshot();
+        return runCompletion(this.#services, { ...exchange, snapshot });
+      })
+      .with({ kind: "service" }, (target) => {
+        const snapshot = this.#getSnapshot();
+        return runService(this.#services, { ...exchange, snapshot }, target);
+      })
+      .with({ kind: "none" }, () => {
+        throw new RefusalError({
+          code: "not_found",
+          message: `There is no ${request.method} ${request.path}`,
+          outcome: "not_run",
+        });
+      })
+      .exhaustive();
+  }
+
+  /** The configuration that a request keeps from here to its end. */
+  #getSnapshot(): Snapshot {
+    const snapshot = this.#services.getSnapshot();
+    if (snapshot !== undefined) return snapshot;
+    throw new RefusalError({
+      code: "not_ready",
+      message: "This VM has no configuration yet",
+      outcome: "not_run",
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+
+  async #writeModels(
+    { request, sink }: { request: CallerRequest; sink: CallerSink },
+  ): Promise<void> {
+    const snapshot = this.#getSnapshot();
+    checkCaller(snapshot, request.headers);
+    const data = [...snapshot.poolsByModel].map(([model, pools]) => ({
+      id: model,
+      object: "model",
+      created: 0,
+      owned_by: pools[0]?.name,
+    }));
+    await writeJson(sink, OK, { object: "list", data });
+  }
+
+  async #writeNewId(
+    { request, sink }: { request: CallerRequest; sink: CallerSink },
+  ): Promise<void> {
+    checkCaller(this.#getSnapshot(), request.headers);
+    const requestId = this.#services.claims.issueId();
+    await writeJson(sink, CREATED, {
+      request_id: requestId,
+      valid_for_ms: ID_TTL_MS,
+    });
+  }
+
+  async #writeFate(
+    requestId: RequestId,
+    { request, sink }: { request: CallerRequest; sink: CallerSink },
+  ): Promise<void> {
+    const workspace = checkCaller(this.#getSnapshot(), request.headers);
+    const page = await buildFatePage(this.#services, requestId, workspace);
+    await writeJson(sink, OK, page);
+  }
+
+  /** The id that a refusal names: the caller's, else one to ask us about. */
+  #findRequestId(request: CallerRequest): RequestId {
+    const given = request.headers[REQUEST_ID_HEADER];
+    if (given !== undefined) return toId<RequestId>(given);
+    return this.#services.claims.issueId();
+  }
+
+  #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
+    const { log } = this.#services.environment;
+    if (thrown instanceof RefusalError) {
+      const { code, outcome, message } = thrown.refusal;
+      log.info("request_refused", {
+        request_id: request.headers[REQUEST_ID_HEADER],
+        path: request.path,
+        code,
+        outcome,
+        detail: message,
+      });
+      return thrown.refusal;
+    }
+    const error = toError(thrown);
+    log.error("request_failed", { error: error.stack ?? error.message });
+    return {
+      code: "internal",
+      message: "The router failed",
+      outcome: "unknown",
+    };
+  }
+}
+
+async function writeJson(
+  sink: CallerSink,
+  status: number,
+  value: unknown,
+): Promise<void> {
+  const body = Buffer.from(JSON.stringify(value));
+  sink.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": String(body.length),
+  });
+  await sink.write(body);
+  await sink.end();
+}
--- /dev/null
+++ b/src/request/tries.ts
@@ -0,0 +1,332 @@
+/**
+ * Runs work on upstreams until the caller has its answer or a true refusal.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import {
+  type CallLimits,
+  UpstreamError,
+  type UpstreamErrorKind,
+} from "../connection/upstream_transport.ts";
+import { toError } from "../errors.ts";
+import type { VmId } from "../ids.ts";
+import { type Refusal, type RefusalCode, RefusalError } from "../outcome.ts";
+import type { HeldLease, LeaseProgress } from "../process/services.ts";
+import type { RequestRun } from "./request_run.ts";
+import { TryProgress } from "./try_progress.ts";
+import { BrokenAnswerError, type UpstreamWork } from "./upstream_work.ts";
+
+/** Sends that may fail for one request, the first one included. */
+const MAX_SENDS = 4;
+/** Leases that one request may use up, preempted and lapsed ones included. */
+const MAX_LEASES = 12;
+const NO_PROGRESS: LeaseProgress = {
+  tokens: 0,
+  firstTokenMs: undefined,
+  betweenTokensMs: undefined,
+};
+const FAILED_RETRY_AFTER_MS = 1_000;
+
+/** How one try ended. */
+type TryEnd =
+  | { kind: "answered" }
+  | { kind: "cancelled" }
+  /** The lease lapsed before anything was sent. */
+  | { kind: "lapsed" }
+  | { kind: "preempted" }
+  | { kind: "failed"; failure: TryFailure };
+
+interface TryFailure {
+  upstream: VmId;
+  code: RefusalCode;
+  message: string;
+  /** False only when this send surely did nothing. */
+  mayHaveRun: boolean;
+  /** Whether a byte of the request was written. */
+  wasSent: boolean;
+}
+
+/**
+ * Gets the work done. Resolves when the caller has the whole answer; throws
+ * `RefusalError`, whose outcome holds for all sends together.
+ */
+export async function runTries(
+  run: RequestRun,
+  work: UpstreamWork,
+): Promise<void> {
+  run.services.budget.noteFirstTry();
+  run.pool = work.pool;
+  const avoid: VmId[] = [];
+  let sends = 0;
+  for (let attempt = 1; attempt <= MAX_LEASES; attempt++) {
+    const lease = await acquireLease(run, work, { attempt, avoid });
+    const end = await runTry(run, work, lease);
+    if (end.kind === "answered") return;
+    if (end.kind === "cancelled") throw createCancelled(run);
+    if (end.kind === "lapsed") continue;
+    if (end.kind === "preempted") {
+      checkCanContinue(run, work, "The slot was taken for a higher tier");
+      continue;
+    }
+    sends++;
+    avoid.push(end.failure.upstream);
+    checkRetry(run, work, { failure: end.failure, sends });
+    run.note("retried", { detail: end.failure.message });
+  }
+  throw createRefusal(run, {
+    code: "no_upstream",
+    message: "No slot lasted until the work was done",
+  });
+}
+
+async function acquireLease(
+  run: RequestRun,
+  work: UpstreamWork,
+  options: { attempt: number; avoid: VmId[] },
+): Promise<HeldLease> {
+  const { start, services } = run;
+  try {
+    const lease = await services.leases.acquire({
+      requestId: run.id,
+      attempt: options.attempt,
+      workspace: start.workspace.name,
+      className: start.requestClass.name,
+      pool: work.pool.name,
+      arrivedAt: start.arrivedAt,
+      deadlineAt: run.deadlineAt,
+      idempotent: start.idempotent,
+      avoid: [...options.avoid],
+      ...work.buildLeaseNeeds(),
+    }, {
+      signal: start.sink.signal,
+      onStep: (step) => {
+        run.note(step.step, { peer: step.peer, detail: step.detail });
+      },
+    });
+    run.note("granted", { peer: lease.upstream });
+    return lease;
+  } catch (thrown) {
+    if (!(thrown instanceof RefusalError)) throw thrown;
+    // The lease source speaks for this try alone; an earlier one may have run.
+    throw createRefusal(run, thrown.refusal);
+  }
+}
+
+async function runTry(
+  run: RequestRun,
+  work: UpstreamWork,
+  lease: HeldLease,
+): Promise<TryEnd> {
+  const { environment } = run.services;
+  const cancel = new AbortController();
+  const progress = TryProgress.create(environment.clock);
+  const onPreempted = () => {
+    // The slot goes back at once: a slow caller may hold this task in a write
+    // long after the upstream stopped working for it.
+    cancel.abort();
+    lease.release("cancelled", progress.getProgress());
+  };
+  const onCallerGone = () => cancel.abort();
+  const preempted = run.start.idempotent ? lease.preempted : undefined;
+  preempted?.addEventListener("abort", onPreempted, { once: true });
+  // Work that may run at most once and that the caller can ask about again is
+  // let finish: cutting it would leave a hold that nobody can tell of.
+  const isLetFinish = !run.start.idempotent && run.start.retainsAnswer;
+  if (!isLetFinish) {
+    run.start.sink.signal.addEventListener("abort", onCallerGone, {
+      once: true,
+    });
+  }
+  try {
+    return await sendWork(run, work, { lease, cancel, progress });
+  } finally {
+    preempted?.removeEventListener("abort", onPreempted);
+    run.start.sink.signal.removeEventListener("abort", onCallerGone);
+    lease.release("failed", progress.getProgress());
+  }
+}
+
+async function sendWork(
+  run: RequestRun,
+  work: UpstreamWork,
+  options: {
+    lease: HeldLease;
+    cancel: AbortController;
+    progress: TryProgress;
+  },
+): Promise<TryEnd> {
+  const { lease, cancel, progress } = options;
+  const call = work.buildCall(lease);
+  const early = findEarlyEnd(run, lease);
+  if (early !== undefined) {
+    lease.release("unused", NO_PROGRESS);
+    return early;
+  }
+  run.upstream = lease.upstream;
+  run.note("sent", { peer: lease.upstream });
+  try {
+    const answer = await run.services.environment.upstreams.send({
+      ...call,
+      upstream: lease.upstream,
+      freshConnection: !run.start.idempotent,
+      limits: computeLimits(run, work),
+      signal: cancel.signal,
+    });
+    await work.handleAnswer(answer, {
+      signal: cancel.signal,
+      progress,
+      onWhole: () => lease.release("done", progress.getProgress()),
+    });
+    return { kind: "answered" };
+  } catch (thrown) {
+    return handleFailure(run, toError(thrown), { lease, progress });
+  }
+}
+
+/**
+ * Looks once more, right before the send, whether it may go out. A process
+ * that was paused wakes with leases and claims that others have taken over;
+ * sending then would put work on a slot that is not its own.
+ */
+function findEarlyEnd(run: RequestRun, lease: HeldLease): TryEnd | undefined {
+  if (run.start.sink.signal.aborted) return { kind: "cancelled" };
+  if (!run.start.isClaimStanding()) {
+    lease.release("unused", NO_PROGRESS);
+    throw createRefusal(run, {
+      code: "paused",
+      message: "The claim on the request id lapsed before the work was sent",
+      retryAfterMs: FAILED_RETRY_AFTER_MS,
+    });
+  }
+  if (lease.isValid() && !lease.preempted.aborted) return undefined;
+  run.note("preempted", {
+    peer: lease.upstream,
+    detail: "The lease lapsed before the work was sent",
+  });
+  return { kind: "lapsed" };
+}
+
+function handleFailure(
+  run: RequestRun,
+  error: Error,
+  options: { lease: HeldLease; progress: TryProgress },
+): TryEnd {
+  const { lease, progress } = options;
+  const failure = toFailure(error, lease.upstream);
+  if (failure.mayHaveRun) run.noteMayHaveRun();
+  if (run.start.sink.signal.aborted) {
+    lease.release("cancelled", progress.getProgress());
+    return { kind: "cancelled" };
+  }
+  if (run.start.idempotent && lease.preempted.aborted) {
+    run.note("preempted", { peer: lease.upstream });
+    return { kind: "preempted" };
+  }
+  lease.release("failed", progress.getProgress());
+  run.note("stream_broken", { peer: lease.upstream, detail: error.message });
+  return { kind: "failed", failure };
+}
+
+function toFailure(error: Error, upstream: VmId): TryFailure {
+  if (error instanceof UpstreamError) {
+    return {
+      upstream,
+      code: chooseCode(error.kind),
+      message: error.message,
+      mayHaveRun: error.mayHaveRun,
+      wasSent: error.mayHaveRun,
+    };
+  }
+  const notStarted = error instanceof BrokenAnswerError && error.notStarted;
+  return {
+    upstream,
+    code: "upstream_failed",
+    message: error.message,
+    mayHaveRun: !notStarted,
+    wasSent: true,
+  };
+}
+
+function chooseCode(kind: UpstreamErrorKind): RefusalCode {
+  return match(kind)
+    .returnType<RefusalCode>()
+    .with(
+      "first_byte_timeout",
+      "between_bytes_timeout",
+      "total_timeout",
+      () => "upstream_timeout",
+    )
+    .with("connect", "write", "broken", "aborted", () => "upstream_failed")
+    .exhaustive();
+}
+
+/** Throws unless the work may and can be sent once more. */
+function checkRetry(
+  run: RequestRun,
+  work: UpstreamWork,
+  options: { failure: TryFailure; sends: number },
+): void {
+  const { failure, sends } = options;
+  const giveUp = (why: string): RefusalError =>
+    createRefusal(run, {
+      code: failure.code,
+      message: `${failure.message}; ${why}`,
+      retryAfterMs: FAILED_RETRY_AFTER_MS,
+    });
+  // Work that may run at most once: once a byte is out nobody can tell what
+  // the upstream did with it, and a second send could double a slot hold.
+  if (!run.start.idempotent && failure.wasSent) {
+    throw giveUp("work that is not idempotent is sent once");
+  }
+  if (sends >= MAX_SENDS) throw giveUp("no more tries are made");
+  checkCanContinue(run, work, failure.message);
+  if (!run.services.budget.takeRetry()) {
+    throw giveUp("the retry budget is spent");
+  }
+}
+
+function checkCanContinue(
+  run: RequestRun,
+  work: UpstreamWork,
+  cause: string,
+): void {
+  if (run.isPastUse) {
+    throw createRefusal(run, {
+      code: "deadline_passed",
+      message: `${cause}; the target has passed`,
+    });
+  }
+  if (!work.canContinue()) {
+    throw createRefusal(run, {
+      code: "upstream_failed",
+      message: `${cause}; the answer cannot be resumed`,
+    });
+  }
+}
+
+function computeLimits(run: RequestRun, work: UpstreamWork): CallLimits {
+  const limits = work.pool.timeouts;
+  if (run.start.requestClass.lateIsUseful) return limits;
+  const leftMs = run.deadlineAt - run.services.environment.clock.now();
+  return {
+    ...limits,
+    firstByteMs: Math.max(1, Math.min(limits.firstByteMs, leftMs)),
+  };
+}
+
+function createCancelled(run: RequestRun): RefusalError {
+  return createRefusal(run, {
+    code: "cancelled",
+    message: "The caller went away",
+  });
+}
+
+/** A refusal whose outcome covers every send of the run. */
+function createRefusal(
+  run: RequestRun,
+  refusal: Omit<Refusal, "outcome">,
+): RefusalError {
+  const outcome = run.getOutcome();
+  return new RefusalError({ ...refusal, outcome });
+}
--- /dev/null
+++ b/src/request/upstream_work.ts
@@ -0,0 +1,82 @@
+/**
+ * One kind of work that upstreams do for a request.
+ *
+ * @module
+ */
+import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
+import type { VmId } from "../ids.ts";
+import type { Refusal } from "../outcome.ts";
+import type { HeldLease, LeaseRequest } from "../process/services.ts";
+import type { UpstreamPool } from "../version/records.ts";
+import type { TryProgress } from "./try_progress.ts";
+
+/** What goes to the upstream. */
+export interface WorkCall {
+  method: string;
+  /** Path and query. */
+  path: string;
+  headers: Record<string, string>;
+  body: Uint8Array;
+}
+
+/** An answer of an upstream that is no answer for the caller. */
+export class BrokenAnswerError extends Error {
+  /** Whether the upstream's documented word is that it did nothing. */
+  readonly notStarted: boolean;
+
+  constructor(message: string, options: { notStarted: boolean }) {
+    super(message);
+    this.name = "BrokenAnswerError";
+    this.notStarted = options.notStarted;
+  }
+
+  static create(message: string): BrokenAnswerError {
+    return new BrokenAnswerError(message, { notStarted: false });
+  }
+}
+
+/** What a try needs to pass an answer on. */
+export interface RelayOptions {
+  /** Aborts when the try is over: the caller left or the slot was taken. */
+  signal: AbortSignal;
+  progress: TryProgress;
+  /** To be called once the upstream has done its part: frees its slot. */
+  onWhole: () => void;
+}
+
+/** Work that may take several tries, all for one answer. */
+export abstract class UpstreamWork {
+  abstract readonly pool: UpstreamPool;
+  /** What a lease for the next try is asked for with. */
+  abstract buildLeaseNeeds(): Pick<
+    LeaseRequest,
+    | "model"
+    | "adapter"
+    | "promptTokens"
+    | "maxTokens"
+    | "doneTokens"
+    | "prefixes"
+  >;
+  /** What the next try sends. */
+  abstract buildCall(lease: HeldLease): WorkCall;
+  /**
+   * Passes one upstream's answer to the caller. Resolves when the caller has
+   * the whole answer; throws `UpstreamError` or `BrokenAnswerError`.
+   */
+  abstract handleAnswer(
+    answer: UpstreamAnswer,
+    options: RelayOptions,
+  ): Promise<void>;
+  /** Whether another try can still give the caller one whole answer. */
+  abstract canContinue(): boolean;
+  /**
+   * Ends an answer that has begun and cannot be finished, so that the caller
+   * cannot take it for a whole one.
+   */
+  abstract endCut(refusal: Refusal): Promise<void>;
+}
+
+/** An upstream's name in messages. */
+export function formatUpstream(upstream: VmId): string {
+  return `upstream ${upstream}`;
+}
