--- /dev/null
+++ b/test/process/orders/placement_test.ts
@@ -0,0 +1,103 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import { chooseModels, planOrders } from "../../../src/process/orders/index.ts";
+import { buildPool, buildReport, MODEL_A, MODEL_B } from "./fixtures.ts";
+
+const VMS = ["u1", "u2", "u3", "u4"].map((id) => toId<VmId>(id));
+
+describe("chooseModels", () => {
+  it("gives each model its replicas and leaves holders where they are", () => {
+    const reports = new Map([[VMS[3]!, buildReport([MODEL_B])]]);
+    const desired = chooseModels({
+      pool: buildPool([MODEL_A, MODEL_B]),
+      shardIndex: 0,
+      upstreams: VMS,
+      reports,
+    });
+    const holders = (model: string) =>
+      VMS.filter((vm) => desired.get(vm)?.some((one) => one.model === model));
+    expect(holders(MODEL_A.model)).toHaveLength(MODEL_A.replicas);
+    expect(holders(MODEL_B.model)).toEqual([VMS[3]]);
+  });
+
+  it("splits the replicas over the shards without losing one", () => {
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 20 }),
+        fc.integer({ min: 1, max: 8 }),
+        (replicas, shards) => {
+          const pool = { ...buildPool([{ ...MODEL_A, replicas }]), shards };
+          const many = Array.from(
+            { length: 20 },
+            (_, index) => toId<VmId>(`many-${index}`),
+          );
+          let placed = 0;
+          for (let shardIndex = 0; shardIndex < shards; shardIndex++) {
+            const input = { pool, shardIndex, upstreams: many };
+            const desired = chooseModels({ ...input, reports: new Map() });
+            placed += [...desired.values()].flat().length;
+          }
+          expect(placed).toBe(replicas);
+        },
+      ),
+      { seed: 7, numRuns: 100 },
+    );
+  });
+});
+
+describe("planOrders", () => {
+  it("orders nothing of an upstream whose state is unknown", () => {
+    const planned = planOrders({
+      pool: buildPool([MODEL_A]),
+      shardIndex: 0,
+      upstreams: VMS,
+      reports: new Map(),
+    });
+    expect(planned).toEqual([]);
+  });
+
+  it("comes to rest once every order has been carried out", () => {
+    const pool = buildPool([MODEL_A, MODEL_B]);
+    const reports = new Map(VMS.map((vm) => [vm, buildReport([MODEL_B])]));
+    const input = { pool, shardIndex: 0, upstreams: VMS, reports };
+    for (let round = 0; round < 5; round++) {
+      for (const { upstream, order } of planOrders(input)) {
+        const report = reports.get(upstream)!;
+        if (order.action === "unload") {
+          report.models = report.models.filter((one) =>
+            one.model !== order.model
+          );
+          continue;
+        }
+        const held = report.models.find((one) => one.model === order.model);
+        const adapters = order.adapter === undefined ? [] : [order.adapter];
+        if (held) held.adapters.push(...adapters);
+        else {
+          const { model, version } = order;
+          report.models.push({ model, version, adapters });
+        }
+      }
+    }
+    expect(planOrders(input)).toEqual([]);
+    const holders = [...reports.values()].filter((report) =>
+      report.models.some((held) =>
+        held.model === MODEL_A.model && held.adapters.includes("formal")
+      )
+    );
+    expect(holders).toHaveLength(MODEL_A.replicas);
+  });
+
+  it("unloads only after every load has been seen to stand", () => {
+    const pool = buildPool([MODEL_A]);
+    const reports = new Map(VMS.map((vm) => [vm, buildReport([MODEL_B])]));
+    const planned = planOrders({
+      pool,
+      shardIndex: 0,
+      upstreams: VMS,
+      reports,
+    });
+    expect(planned.length).toBeGreaterThan(0);
+    expect(planned.every(({ order }) => order.action === "load")).toBe(true);
+  });
+});
