--- /dev/null
+++ b/src/process/configuration_store.ts
@@ -0,0 +1,172 @@
+/**
+ * The accepted configuration and the rules by which another replaces it.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { match } from "ts-pattern";
+import { buildSnapshot, formatProblem } from "../version/index.ts";
+import type { RecordProblem, Snapshot } from "../version/index.ts";
+import type { Clock } from "./clock.ts";
+
+const DIGEST_LENGTH = 16;
+const MAX_HISTORY = 32;
+const MAX_REJECTED = 32;
+const MAX_PROBLEMS_KEPT = 10;
+
+/** Published records that may become the configuration. */
+export interface Offer {
+  version: number;
+  records: unknown[];
+  /** `service`, `directory` or the VM that handed them on. */
+  from: string;
+}
+
+/** What became of an offer. */
+export type OfferResult =
+  | { kind: "accepted"; snapshot: Snapshot }
+  /** Another content under the version in force; `replaced` says which won. */
+  | { kind: "conflict"; replaced: boolean; digest: string }
+  | { kind: "rejected"; problems: RecordProblem[]; isNew: boolean }
+  | { kind: "same" }
+  | { kind: "older" };
+
+/** A version that this VM decided on. */
+export interface VersionEntry {
+  version: number;
+  digest: string;
+  result: "accepted" | "rejected";
+  from: string;
+  /** Time since the decision. */
+  ageMs: number;
+  problems: string[];
+}
+
+type StoredEntry = Omit<VersionEntry, "ageMs"> & { decidedAt: number };
+
+interface Accepted {
+  snapshot: Snapshot;
+  records: unknown[];
+  digest: string;
+}
+
+/**
+ * Keeps the one accepted configuration. Only a higher version replaces it.
+ *
+ * Two contents under one version number break the service's promise (two
+ * services that disagree, or a version published twice). Each VM would keep
+ * the one it saw first, and two VMs would treat one request differently with
+ * nothing in the versions to show it. So the content with the greater digest
+ * wins everywhere, whichever a VM saw first.
+ */
+export class ConfigurationStore {
+  readonly #clock: Clock;
+  #accepted: Accepted | undefined;
+  #history: StoredEntry[] = [];
+  #rejected = new Map<string, RecordProblem[]>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): ConfigurationStore {
+    return new ConfigurationStore(clock);
+  }
+
+  getSnapshot(): Snapshot | undefined {
+    return this.#accepted?.snapshot;
+  }
+
+  /** The version in force; 0 before the first. */
+  getVersion(): number {
+    return this.#accepted?.snapshot.version ?? 0;
+  }
+
+  /** Of the records in force; empty before the first. */
+  getDigest(): string {
+    return this.#accepted?.digest ?? "";
+  }
+
+  /** The records in force, as published. */
+  getRecords(): unknown[] | undefined {
+    return this.#accepted?.records;
+  }
+
+  /** Takes `offer` if the rules say so; never throws. */
+  apply(offer: Offer): OfferResult {
+    if (!Number.isSafeInteger(offer.version) || offer.version < 1) {
+      return { kind: "older" };
+    }
+    if (offer.version < this.getVersion()) return { kind: "older" };
+    const digest = computeDigest(offer.records);
+    const isConflict = offer.version === this.getVersion();
+    if (isConflict && digest === this.getDigest()) return { kind: "same" };
+    if (isConflict && digest < this.getDigest()) {
+      return { kind: "conflict", replaced: false, digest };
+    }
+    const known = this.#rejected.get(toKey(offer.version, digest));
+    if (known !== undefined) {
+      return { kind: "rejected", problems: known, isNew: false };
+    }
+    return match(buildSnapshot(offer.version, offer.records))
+      .with({ kind: "rejected" }, ({ problems }): OfferResult => {
+        this.#noteRejected(offer, digest, problems);
+        return { kind: "rejected", problems, isNew: true };
+      })
+      .with({ kind: "accepted" }, ({ snapshot }): OfferResult => {
+        this.#accepted = { snapshot, records: offer.records, digest };
+        this.#addHistory(offer, { digest, result: "accepted", problems: [] });
+        return isConflict
+          ? { kind: "conflict", replaced: true, digest }
+          : { kind: "accepted", snapshot };
+      })
+      .exhaustive();
+  }
+
+  /** The latest decisions, oldest first. */
+  listHistory(): VersionEntry[] {
+    const now = this.#clock.now();
+    return this.#history.map(({ decidedAt, ...entry }) => ({
+      ...entry,
+      ageMs: now - decidedAt,
+    }));
+  }
+
+  #noteRejected(
+    offer: Offer,
+    digest: string,
+    problems: RecordProblem[],
+  ): void {
+    const kept = problems.slice(0, MAX_PROBLEMS_KEPT);
+    this.#rejected.set(toKey(offer.version, digest), kept);
+    if (this.#rejected.size > MAX_REJECTED) {
+      const oldest = this.#rejected.keys().next().value;
+      if (oldest !== undefined) this.#rejected.delete(oldest);
+    }
+    const texts = kept.map(formatProblem);
+    this.#addHistory(offer, { digest, result: "rejected", problems: texts });
+  }
+
+  #addHistory(
+    offer: Offer,
+    decision: Pick<StoredEntry, "digest" | "result" | "problems">,
+  ): void {
+    this.#history.push({
+      ...decision,
+      version: offer.version,
+      from: offer.from,
+      decidedAt: this.#clock.now(),
+    });
+    if (this.#history.length > MAX_HISTORY) this.#history.shift();
+  }
+}
+
+/** A short digest of records as published, in their published order. */
+export function computeDigest(records: readonly unknown[]): string {
+  const hash = createHash("sha256").update(JSON.stringify(records));
+  return hash.digest("hex").slice(0, DIGEST_LENGTH);
+}
+
+function toKey(version: number, digest: string): string {
+  return `${version}/${digest}`;
+}
--- /dev/null
+++ b/src/process/member_beliefs.ts
@@ -0,0 +1,242 @@
+/**
+ * What this VM believes of the other entry VMs, and what it says of itself.
+ *
+ * The rules are those of SWIM: a suspicion stands for a time in which the
+ * suspect may refute it by a higher counter; then the VM counts as dead.
+ *
+ * @module
+ */
+import type { Incarnation, VmId } from "../ids.ts";
+import type { Clock } from "./clock.ts";
+import type { CallFrom, MemberNews } from "./peer_api.ts";
+
+const STATE_ORDER = { alive: 0, suspect: 1, dead: 2 } as const;
+
+type Liveness = keyof typeof STATE_ORDER;
+
+interface Belief {
+  incarnation: Incarnation;
+  state: Liveness;
+  /** Announced by the VM itself; it holds for the rest of its life. */
+  draining: boolean;
+  counter: number;
+  suspectedAt: number;
+}
+
+/** What one VM tells of itself in each message. */
+export interface Contact {
+  from: CallFrom;
+  counter: number;
+  draining: boolean;
+}
+
+/** A table of beliefs; VMs without an entry count as alive. */
+export class MemberBeliefs {
+  readonly #self: CallFrom;
+  readonly #clock: Clock;
+  readonly #onNews: (news: MemberNews) => void;
+  readonly #beliefs = new Map<VmId, Belief>();
+  #counter = 0;
+  #draining = false;
+
+  constructor(
+    options: {
+      self: CallFrom;
+      clock: Clock;
+      onNews: (news: MemberNews) => void;
+    },
+  ) {
+    this.#self = options.self;
+    this.#clock = options.clock;
+    this.#onNews = options.onNews;
+  }
+
+  /** `onNews` gets each change of a belief, to be passed on. */
+  static create(
+    options: {
+      self: CallFrom;
+      clock: Clock;
+      onNews: (news: MemberNews) => void;
+    },
+  ): MemberBeliefs {
+    return new MemberBeliefs(options);
+  }
+
+  /** What this VM tells of itself. */
+  getOwn(): Contact {
+    return {
+      from: this.#self,
+      counter: this.#counter,
+      draining: this.#draining,
+    };
+  }
+
+  startDraining(): void {
+    if (this.#draining) return;
+    this.#draining = true;
+    this.#announceOwn();
+  }
+
+  isDead(vm: VmId): boolean {
+    return this.#beliefs.get(vm)?.state === "dead";
+  }
+
+  isDraining(vm: VmId): boolean {
+    if (vm === this.#self.vm) return this.#draining;
+    return this.#beliefs.get(vm)?.draining ?? false;
+  }
+
+  /** What is believed of `vm`, unless it simply counts as alive. */
+  findDoubt(vm: VmId): MemberNews | undefined {
+    const belief = this.#beliefs.get(vm);
+    if (belief === undefined || belief.state === "alive") return undefined;
+    return toNews(vm, belief);
+  }
+
+  /** Takes in what a VM said of itself just now. */
+  noteContact(contact: Contact): void {
+    const { vm, incarnation } = contact.from;
+    if (vm === this.#self.vm) return;
+    const belief = this.#beliefs.get(vm);
+    const isSameLife = belief?.incarnation === incarnation;
+    // A late duplicate of an old message must not undo a newer belief.
+    if (isSameLife && contact.counter < belief.counter) return;
+    const isKnown = isSameLife && contact.counter === belief.counter;
+    if (isKnown && belief.state !== "alive") return;
+    if (isKnown && belief.draining === contact.draining) return;
+    const isOldNews = belief === undefined && !contact.draining &&
+      contact.counter === 0;
+    this.#put(vm, {
+      incarnation,
+      state: "alive",
+      draining: contact.draining,
+      counter: contact.counter,
+      suspectedAt: 0,
+    }, isOldNews);
+  }
+
+  /** Takes in what a third VM said. */
+  noteNews(news: MemberNews): void {
+    if (news.vm === this.#self.vm) this.#handleDoubt(news);
+    else if (this.#isNewer(news)) this.#put(news.vm, this.#toBelief(news));
+  }
+
+  /** A probe of `vm`, direct and through others, got no answer. */
+  noteSilence(vm: VmId): void {
+    const belief = this.#beliefs.get(vm);
+    if (belief === undefined) {
+      // Nothing was ever heard of it, so there is no life to suspect by name.
+      const incarnation = "" as Incarnation;
+      this.#put(
+        vm,
+        this.#toBelief({
+          vm,
+          incarnation,
+          state: "suspect",
+          counter: 0,
+        }),
+      );
+    } else if (belief.state === "alive") {
+      this.#put(vm, {
+        ...belief,
+        state: "suspect",
+        suspectedAt: this.#clock.now(),
+      });
+    }
+  }
+
+  /** Declares dead whom nobody cleared within `suspicionMs`. */
+  applySuspicions(suspicionMs: number): VmId[] {
+    const now = this.#clock.now();
+    const dead: VmId[] = [];
+    for (const [vm, belief] of this.#beliefs) {
+      if (belief.state !== "suspect") continue;
+      if (now - belief.suspectedAt < suspicionMs) continue;
+      this.#put(vm, { ...belief, state: "dead" });
+      dead.push(vm);
+    }
+    return dead;
+  }
+
+  /** Gives every suspect its whole time again, after a pause of this VM. */
+  resumeSuspicions(): void {
+    for (const belief of this.#beliefs.values()) {
+      belief.suspectedAt = this.#clock.now();
+    }
+  }
+
+  /** Forgets the VMs that are not in `listed`. */
+  removeUnlisted(listed: ReadonlySet<VmId>): void {
+    for (const vm of this.#beliefs.keys()) {
+      if (!listed.has(vm)) this.#beliefs.delete(vm);
+    }
+  }
+
+  #handleDoubt(news: MemberNews): void {
+    const isOwnLife = news.incarnation === this.#self.incarnation ||
+      news.incarnation === "";
+    const isDoubt = news.state === "suspect" || news.state === "dead";
+    if (!isOwnLife || !isDoubt || news.counter < this.#counter) return;
+    this.#counter = news.counter;
+    this.#announceOwn();
+  }
+
+  #announceOwn(): void {
+    this.#counter += 1;
+    this.#onNews({
+      ...this.#self,
+      state: this.#draining ? "draining" : "alive",
+      counter: this.#counter,
+    });
+  }
+
+  #isNewer(news: MemberNews): boolean {
+    const belief = this.#beliefs.get(news.vm);
+    if (belief === undefined) return true;
+    const state = toLiveness(news);
+    if (belief.incarnation === news.incarnation) {
+      if (news.counter !== belief.counter) {
+        return news.counter > belief.counter;
+      }
+      if (STATE_ORDER[state] !== STATE_ORDER[belief.state]) {
+        return STATE_ORDER[state] > STATE_ORDER[belief.state];
+      }
+      return news.state === "draining" && !belief.draining;
+    }
+    // Lives cannot be ordered by their names. Doubt about another life says
+    // nothing of the one known; word of another life counts where the one
+    // known is in doubt. Else the VM's own next message decides.
+    return state === "alive" && belief.state !== "alive";
+  }
+
+  #toBelief(news: MemberNews): Belief {
+    const known = this.#beliefs.get(news.vm);
+    const isSameLife = known?.incarnation === news.incarnation;
+    return {
+      incarnation: news.incarnation,
+      state: toLiveness(news),
+      draining: news.state === "draining" || (isSameLife && known.draining),
+      counter: news.counter,
+      suspectedAt: this.#clock.now(),
+    };
+  }
+
+  #put(vm: VmId, belief: Belief, isOldNews = false): void {
+    this.#beliefs.set(vm, belief);
+    if (!isOldNews) this.#onNews(toNews(vm, belief));
+  }
+}
+
+function toLiveness(news: MemberNews): Liveness {
+  return news.state === "draining" ? "alive" : news.state;
+}
+
+function toNews(vm: VmId, belief: Belief): MemberNews {
+  const isDraining = belief.state === "alive" && belief.draining;
+  return {
+    vm,
+    incarnation: belief.incarnation,
+    state: isDraining ? "draining" : belief.state,
+    counter: belief.counter,
+  };
+}
