Name the fake service's methods with listed verbs

The check of names refuses any verb outside docs/VERBS.md; the fake of the configuration service used two that are not there. No behaviour changes.

--- a/test/process/configuration_propagation_test.ts
+++ b/test/process/configuration_propagation_test.ts
@@ -8,7 +8,7 @@
 import { buildRecords } from "../support/fleet_records.ts";
 
 async function startAt(fleet: FleetType, version: number): Promise<void> {
-  fleet.service.publish(version, buildRecords(version));
+  fleet.service.putVersion(version, buildRecords(version));
   fleet.startAll();
   await fleet.runUntil(() => isEverywhere(fleet, version), 10_000);
   await fleet.clock.run(5_000);
@@ -23,7 +23,7 @@
     it(`reaches ${count} VMs within a second`, async () => {
       const fleet = Fleet.create({ count });
       await startAt(fleet, 1);
-      fleet.service.publish(2, buildRecords(2));
+      fleet.service.putVersion(2, buildRecords(2));
       const took = await fleet.runUntil(() => isEverywhere(fleet, 2), 10_000);
       expect(took).toBeLessThan(1_000);
     });
@@ -33,7 +33,7 @@
     const fleet = Fleet.create({ count: 1 });
     await startAt(fleet, 1);
     const before = fleet.service.groupCalls;
-    fleet.service.publish(2, buildRecords(2));
+    fleet.service.putVersion(2, buildRecords(2));
     await fleet.runUntil(() => isEverywhere(fleet, 2), 10_000);
     expect(before).toBeGreaterThan(1);
     expect(fleet.service.groupCalls - before).toBe(1);
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -46,7 +46,7 @@
   }
 
   /** Publishes `records` as `version`, even below the one before. */
-  publish(version: number, records: unknown[]): void {
+  putVersion(version: number, records: unknown[]): void {
     const groups = new Map<string, number>();
     for (const { name, records: part } of buildRecordGroups(records)) {
       const before = this.#findGroup(name);
@@ -57,12 +57,12 @@
       groups.set(name, groupVersion);
     }
     this.#index = { version, groups };
-    this.#wakeAll();
+    this.#resumeWaiters();
   }
 
-  publishList(revision: number, vms: readonly ListedVm[]): void {
+  putList(revision: number, vms: readonly ListedVm[]): void {
     this.#list = { revision, vms: vms.map(toPublished) };
-    this.#wakeAll();
+    this.#resumeWaiters();
   }
 
   /** The service as `vm` reaches it. */
@@ -111,7 +111,7 @@
     if (this.isDown || !isReachable) throw new Error("The service is down");
   }
 
-  #wakeAll(): void {
+  #resumeWaiters(): void {
     const waiters = [...this.#waiters];
     this.#waiters.clear();
     for (const wake of waiters) wake();
@@ -200,7 +200,7 @@
     this.service = new FakeService(this.clock);
     const listed = createListed(options.count, options.dataCentres ?? 4);
     this.#seeds = listed.map((vm) => vm.id);
-    this.service.publishList(1, listed);
+    this.service.putList(1, listed);
     for (const vm of listed) this.addVm(vm);
   }
 
