Show a whole fleet under a mixed load by one command

npm run demo starts the stand-ins and eight entry VMs a user, sends each class's requests, checks every answer's bytes and compares what callers were told with what the upstreams did.

--- /dev/null
+++ b/demo/child_process_group.ts
@@ -0,0 +1,166 @@
+/**
+ * The demo's child processes: started, listened to and ended by their ids.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, openSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+
+const READ_LINE_TIMEOUT_MS = 15_000;
+const LOG_TAIL_LINES = 15;
+
+/** One child and where its output goes. */
+export interface Child {
+  name: string;
+  pid: number;
+  process: ChildProcess;
+  logFile: string;
+  /** Resolves once the process is over. */
+  exited: Promise<void>;
+}
+
+/** What a child is started with. */
+export interface ChildOptions {
+  name: string;
+  /** A compiled module and its arguments. */
+  args: string[];
+}
+
+/** Every child that the demo starts. */
+export class ChildProcessGroup {
+  readonly #directory: string;
+  readonly #children: Child[] = [];
+
+  constructor(directory: string) {
+    this.#directory = directory;
+    // What goes wrong without it: a demo that throws leaves its children
+    // running and their ports taken.
+    process.once("exit", () => this.#destroyAll());
+  }
+
+  /** Logs go to files in `directory`. */
+  static create(directory: string): ChildProcessGroup {
+    return new ChildProcessGroup(directory);
+  }
+
+  /** Starts a child whose whole output goes to its log file. */
+  start(options: ChildOptions): Child {
+    const logFile = join(this.#directory, `${options.name}.log`);
+    const log = openSync(logFile, "a");
+    const child = spawn(process.execPath, options.args, {
+      stdio: ["ignore", log, log],
+    });
+    closeSync(log);
+    return this.#add(child, { name: options.name, logFile });
+  }
+
+  /** Starts a child and gives the first line that it prints. */
+  async startAndReadLine(options: ChildOptions): Promise<string> {
+    const logFile = join(this.#directory, `${options.name}.log`);
+    const log = openSync(logFile, "a");
+    const child = spawn(process.execPath, options.args, {
+      stdio: ["ignore", "pipe", log],
+    });
+    closeSync(log);
+    this.#add(child, { name: options.name, logFile });
+    const line = await readFirstLine(child);
+    if (line !== undefined) return line;
+    throw new Error(
+      `${options.name} did not start:\n${readLogTail(logFile)}`,
+    );
+  }
+
+  /** Kills one child at once. */
+  async destroy(child: Child): Promise<void> {
+    child.process.kill("SIGKILL");
+    await child.exited;
+  }
+
+  /**
+   * Ends every child by SIGTERM, the last started first; names those that
+   * had to be killed after `timeoutMs`.
+   */
+  async stopAll(timeoutMs: number): Promise<string[]> {
+    const killed: string[] = [];
+    const alive = this.listAlive().reverse();
+    for (const child of alive) child.process.kill("SIGTERM");
+    await Promise.all(alive.map(async (child) => {
+      if (await waitForExit(child, timeoutMs)) return;
+      killed.push(child.name);
+      await this.destroy(child);
+    }));
+    return killed;
+  }
+
+  /** Children that still run, by asking the system for their ids. */
+  listAlive(): Child[] {
+    return this.#children.filter((child) => isAlive(child));
+  }
+
+  #add(
+    child: ChildProcess,
+    options: { name: string; logFile: string },
+  ): Child {
+    if (child.pid === undefined) {
+      throw new Error(`Process ${options.name} could not be started`);
+    }
+    const exited = new Promise<void>((resolve) => {
+      child.once("exit", () => resolve());
+    });
+    const added = { ...options, pid: child.pid, process: child, exited };
+    this.#children.push(added);
+    return added;
+  }
+
+  #destroyAll(): void {
+    for (const child of this.listAlive()) child.process.kill("SIGKILL");
+  }
+}
+
+/** The last lines of a log file. */
+export function readLogTail(logFile: string): string {
+  return readFileSync(logFile, "utf8").trimEnd().split("\n")
+    .slice(-LOG_TAIL_LINES).join("\n");
+}
+
+function isAlive(child: Child): boolean {
+  const { exitCode, signalCode } = child.process;
+  if (exitCode !== null || signalCode !== null) return false;
+  try {
+    process.kill(child.pid, 0);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+async function waitForExit(child: Child, ms: number): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const timeout = new Promise<boolean>((resolve) => {
+    timer = setTimeout(() => resolve(false), ms);
+  });
+  const exited = child.exited.then(() => true);
+  const result = await Promise.race([exited, timeout]);
+  clearTimeout(timer);
+  return result;
+}
+
+function readFirstLine(child: ChildProcess): Promise<string | undefined> {
+  return new Promise((resolve) => {
+    let text = "";
+    const timer = setTimeout(() => resolve(undefined), READ_LINE_TIMEOUT_MS);
+    child.once("exit", () => {
+      clearTimeout(timer);
+      resolve(undefined);
+    });
+    child.stdout?.on("data", (part: Buffer) => {
+      text += part.toString("utf8");
+      const end = text.indexOf("\n");
+      if (end < 0) return;
+      clearTimeout(timer);
+      resolve(text.slice(0, end));
+    });
+  });
+}
--- /dev/null
+++ b/demo/fleet.ts
@@ -0,0 +1,213 @@
+/**
+ * The demo's fleet: stand-ins and eight entry VMs, each a process.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import {
+  type Child,
+  ChildProcessGroup,
+  readLogTail,
+} from "./child_process_group.ts";
+import {
+  type Example,
+  listRecords,
+  type WrittenVm,
+} from "./example_records.ts";
+import { findFreePorts } from "./free_ports.ts";
+import { fetchJson, sendCall } from "./http_call.ts";
+
+const READY_TIMEOUT_MS = 30_000;
+const READY_POLL_MS = 100;
+const STOP_TIMEOUT_MS = 15_000;
+const DRAIN_GRACE_MS = 8_000;
+const ENTRIES_TTL_MS = 1_000;
+const PORTS_PER_VM = 3;
+
+/** One entry VM of the demo. */
+export interface EntryVm {
+  id: string;
+  port: number;
+  operatorPort: number;
+  child: Child;
+}
+
+/** Where the compiled programs and a place for files are. */
+export interface FleetOptions {
+  root: string;
+  directory: string;
+}
+
+interface VmPorts {
+  callers: number;
+  peers: number;
+  operators: number;
+}
+
+/** Everything that runs for one user. */
+export class DemoFleet {
+  readonly entryVms: EntryVm[] = [];
+  readonly enginePorts: number[] = [];
+  readonly servicePorts: number[] = [];
+  readonly #example: Example;
+  readonly #options: FleetOptions;
+  readonly #children: ChildProcessGroup;
+  readonly #secret = randomBytes(16).toString("hex");
+
+  constructor(example: Example, options: FleetOptions) {
+    this.#example = example;
+    this.#options = options;
+    mkdirSync(options.directory, { recursive: true });
+    this.#children = ChildProcessGroup.create(options.directory);
+  }
+
+  static create(example: Example, options: FleetOptions): DemoFleet {
+    return new DemoFleet(example, options);
+  }
+
+  /** Starts everything; resolves once every entry VM is ready. */
+  async start(): Promise<void> {
+    const upstreams = await this.#startUpstreams();
+    const [platformPort] = await this.#startStandIns("platform", 1);
+    const entries = this.#listVms("entry");
+    const ports = await findVmPorts(entries.length);
+    const listed = entries.map((vm, index) => ({
+      ...vm,
+      port: ports[index]!.callers,
+      peer_port: ports[index]!.peers,
+    }));
+    await fetchJson({
+      port: platformPort!,
+      method: "POST",
+      path: "/control",
+      body: JSON.stringify({
+        groups: this.#example.groups,
+        vms: [...listed, ...upstreams],
+      }),
+    });
+    for (const [index, vm] of listed.entries()) {
+      this.#startVm(vm, { ports: ports[index]!, platformPort: platformPort! });
+    }
+    await Promise.all(this.entryVms.map(waitUntilReady));
+  }
+
+  /** Kills one entry VM at once. */
+  async destroy(vm: EntryVm): Promise<void> {
+    await this.#children.destroy(vm.child);
+  }
+
+  /** Ends everything; gives what went wrong in it. */
+  async stop(): Promise<string[]> {
+    const killed = await this.#children.stopAll(STOP_TIMEOUT_MS);
+    const alive = this.#children.listAlive();
+    return [
+      ...killed.map((name) => `${name} did not end by SIGTERM`),
+      ...alive.map((child) => `${child.name} still runs`),
+    ];
+  }
+
+  async #startUpstreams(): Promise<WrittenVm[]> {
+    const upstreams = this.#listVms("upstream");
+    const listed: WrittenVm[] = [];
+    for (const pool of listRecords(this.#example, "upstream_pool")) {
+      const members = upstreams.filter((vm) => vm.pool === pool.name);
+      const kind = pool.type === "model" ? "engine" : "service";
+      const options = { models: pool.models ?? [] };
+      const ports = await this.#startStandIns(kind, members.length, options);
+      const known = kind === "engine" ? this.enginePorts : this.servicePorts;
+      known.push(...ports);
+      listed.push(
+        ...members.map((vm, index) => ({ ...vm, port: ports[index]! })),
+      );
+    }
+    return listed;
+  }
+
+  async #startStandIns(
+    kind: string,
+    count: number,
+    options: unknown = {},
+  ): Promise<number[]> {
+    const line = await this.#children.startAndReadLine({
+      name: `${kind}-stand-in`,
+      args: [
+        join(this.#options.root, "dist/standin/main.js"),
+        kind,
+        ...Array.from({ length: count }, () => "--port=0"),
+        `--options=${JSON.stringify(options)}`,
+      ],
+    });
+    return (JSON.parse(line) as { ports: number[] }).ports;
+  }
+
+  #startVm(
+    vm: WrittenVm,
+    options: { ports: VmPorts; platformPort: number },
+  ): void {
+    const file = join(this.#options.directory, `${vm.id}.json`);
+    writeFileSync(file, JSON.stringify(this.#buildSettings(vm, options)));
+    const child = this.#children.start({
+      name: vm.id,
+      args: [
+        join(this.#options.root, "dist/src/bin/persimmonslipd.js"),
+        "--settings",
+        file,
+      ],
+    });
+    this.entryVms.push({
+      id: vm.id,
+      port: options.ports.callers,
+      operatorPort: options.ports.operators,
+      child,
+    });
+  }
+
+  #buildSettings(
+    vm: WrittenVm,
+    options: { ports: VmPorts; platformPort: number },
+  ) {
+    const { ports, platformPort } = options;
+    const host = vm.address;
+    return {
+      vm: vm.id,
+      data_centre: vm.data_centre,
+      address: vm.address,
+      listeners: {
+        callers: { port: ports.callers, host },
+        peers: { port: ports.peers, host, secret: this.#secret },
+        operators: { port: ports.operators, host, token: this.#secret },
+      },
+      source: { kind: "service", urls: [`http://127.0.0.1:${platformPort}`] },
+      drain: { grace_ms: DRAIN_GRACE_MS, entries_ttl_ms: ENTRIES_TTL_MS },
+    };
+  }
+
+  #listVms(role: WrittenVm["role"]): WrittenVm[] {
+    return this.#example.vms.filter((vm) => vm.role === role);
+  }
+}
+
+async function findVmPorts(count: number): Promise<VmPorts[]> {
+  const ports = await findFreePorts(count * PORTS_PER_VM);
+  return Array.from({ length: count }, (_, index) => ({
+    callers: ports[index * PORTS_PER_VM]!,
+    peers: ports[index * PORTS_PER_VM + 1]!,
+    operators: ports[index * PORTS_PER_VM + 2]!,
+  }));
+}
+
+async function waitUntilReady(vm: EntryVm): Promise<void> {
+  const tries = READY_TIMEOUT_MS / READY_POLL_MS;
+  for (let count = 0; count < tries; count++) {
+    if (vm.child.process.exitCode !== null) break;
+    const call = { port: vm.operatorPort, method: "GET", path: "/readyz" };
+    const result = await sendCall(call);
+    if (result.kind === "whole" && result.status === 200) return;
+    await sleep(READY_POLL_MS);
+  }
+  const tail = readLogTail(vm.child.logFile);
+  throw new Error(`${vm.id} is not ready; the end of its log:\n${tail}`);
+}
--- /dev/null
+++ b/demo/user_demo.ts
@@ -0,0 +1,91 @@
+/**
+ * The demo of one user: fleet up, load, table, fleet down.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Account, Callers } from "./callers.ts";
+import { listTotalTargets, readExample } from "./example_records.ts";
+import { DemoFleet } from "./fleet.ts";
+import { renderOutcomes } from "./outcome_table.ts";
+import { checkPromises } from "./promises.ts";
+import { buildWorkload } from "./workload.ts";
+
+/** How a user's demo is run. */
+export interface UserDemoOptions {
+  user: string;
+  seconds: number;
+  /** Whether an entry VM is killed halfway. */
+  kill: boolean;
+  root: string;
+  /** Where settings and logs go. */
+  directory: string;
+  print: (text: string) => void;
+}
+
+/** Runs the demo; gives what was wrong, which is nothing in a good run. */
+export async function runUserDemo(options: UserDemoOptions): Promise<string[]> {
+  const { print } = options;
+  const example = readExample(options.root, options.user);
+  const fleet = DemoFleet.create(example, options);
+  const faults: string[] = [];
+  try {
+    const startedAt = performance.now();
+    await fleet.start();
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+    print(
+      `${options.user}: ${fleet.entryVms.length} entry VMs, ` +
+        `${fleet.enginePorts.length} model engines and ` +
+        `${fleet.servicePorts.length} service replicas ready in ${seconds} s`,
+    );
+    const callers = await runLoad(fleet, options);
+    faults.push(...listUnaccounted(callers.accounts));
+    print(renderOutcomes(callers.accounts, listTotalTargets(example)));
+    const report = await checkPromises(fleet, callers.accounts);
+    faults.push(...report.broken);
+    print(
+      `tokens generated ${report.generatedTokens}, ` +
+        `needed by whole answers ${report.neededTokens}; ` +
+        `connections to a VM that was gone ${callers.failedConnects}; ` +
+        `promises broken ${report.broken.length}`,
+    );
+  } catch (thrown) {
+    faults.push(thrown instanceof Error ? thrown.message : String(thrown));
+  }
+  faults.push(...await fleet.stop());
+  print(`${options.user}: everything has been stopped`);
+  return faults;
+}
+
+async function runLoad(
+  fleet: DemoFleet,
+  options: UserDemoOptions,
+): Promise<Callers> {
+  const workload = buildWorkload(
+    readExample(options.root, options.user),
+    options.seconds,
+  );
+  const callers = Callers.create();
+  const count = await callers.fetchEntries(fleet.entryVms[0]!.port);
+  options.print(
+    `callers use ${count} addresses; ${workload.length} requests in ` +
+      `${options.seconds} s`,
+  );
+  const load = callers.run(workload);
+  if (options.kill) {
+    await sleep(options.seconds * 500);
+    const vm = fleet.entryVms.at(-1)!;
+    options.print(`killing ${vm.id}`);
+    await fleet.destroy(vm);
+  }
+  await load;
+  return callers;
+}
+
+function listUnaccounted(accounts: readonly Account[]): string[] {
+  return accounts.flatMap(({ request, requestId, outcome }) =>
+    outcome.kind === "unaccounted"
+      ? [`${request.className} ${requestId ?? "without id"}: ${outcome.why}`]
+      : []
+  );
+}
--- a/standin/engine_calls.ts
+++ b/standin/engine_calls.ts
@@ -95,8 +95,10 @@
         writeJson(writer, { status: 200, body: core.counts });
       })
       .with("GET /control/runs", () => {
-        const id = url.searchParams.get("request_id") ?? "";
-        writeJson(writer, { status: 200, body: { runs: core.listRuns(id) } });
+        const id = url.searchParams.get("request_id");
+        const ids = id === null ? core.listRequestIds() : [id];
+        const runs = ids.flatMap((one) => core.listRuns(one));
+        writeJson(writer, { status: 200, body: { runs } });
       })
       .otherwise(() => {
         const message = "No such call";
--- a/standin/service_core.ts
+++ b/standin/service_core.ts
@@ -1,6 +1,6 @@
 /**
- * A plain service without sockets: look-ups that may be repeated and holds
- * that may not, with counts by request id and faults on request.
+ * A plain service without sockets: look-ups that may be repeated, and posts
+ * such as holds that may not, with counts by request id and faults on request.
  *
  * @module
  */
@@ -79,7 +79,7 @@
 
   #runCall(call: ServiceCall): ServiceAnswer {
     return match([call.method, call.path.split("?")[0]] as const)
-      .with(["POST", "/holds"], () => this.#addHold(call))
+      .with(["POST", P.string], () => this.#addHold(call))
       .with(
         ["GET", P.string.startsWith("/lookup/")],
         ([, path]) => buildAnswer(200, formatLookup(path)),
