--- /dev/null
+++ b/standin/virtual_service.ts
@@ -0,0 +1,160 @@
+/**
+ * A configuration service in virtual time, for tests and benches.
+ *
+ * @module
+ */
+import type { VmId } from "../src/ids.ts";
+import type { Clock } from "../src/process/clock.ts";
+import { ConfigurationSource } from "../src/process/configuration_source.ts";
+import { buildRecordGroups } from "../src/version/index.ts";
+import type { ListedVm, RecordIndex } from "../src/version/index.ts";
+
+const READ_DELAY_MS = 3;
+
+/** What one configuration service has; several VMs may read it. */
+export class VirtualService {
+  readonly #clock: Clock;
+  readonly #groups = new Map<string, unknown[]>();
+  #index: RecordIndex | undefined;
+  #list: { revision: number; vms: unknown[] } | undefined;
+  #waiters = new Set<() => void>();
+  /** Calls so far; a waiting watch is one. */
+  calls = 0;
+  groupCalls = 0;
+  isDown = false;
+  /** VMs that the service answers; all when undefined. */
+  reachableBy: Set<VmId> | undefined;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Publishes `records` as `version`, even below the one before. */
+  putVersion(version: number, records: unknown[]): void {
+    const groups = new Map<string, number>();
+    for (const { name, records: part } of buildRecordGroups(records)) {
+      const before = this.#findGroup(name);
+      const isSame = before !== undefined &&
+        JSON.stringify(this.#groups.get(before)) === JSON.stringify(part);
+      const groupVersion = isSame ? this.#index!.groups.get(name)! : version;
+      this.#groups.set(`${name}/${groupVersion}`, part);
+      groups.set(name, groupVersion);
+    }
+    this.#index = { version, groups };
+    this.#resumeWaiters();
+  }
+
+  putList(revision: number, vms: readonly ListedVm[]): void {
+    this.#list = { revision, vms: vms.map(toPublished) };
+    this.#resumeWaiters();
+  }
+
+  /** The service as `vm` reaches it. */
+  createSource(vm: VmId, clock: Clock): ConfigurationSource {
+    return new VirtualServiceSource({ service: this, vm, clock });
+  }
+
+  async read<T>(
+    reader: { vm: VmId; clock: Clock },
+    find: () => T | undefined,
+    options: { waitMs: number; signal?: AbortSignal },
+  ): Promise<T | undefined> {
+    this.calls += 1;
+    const endsAt = this.#clock.now() + options.waitMs;
+    await reader.clock.sleep(READ_DELAY_MS, options.signal);
+    while (true) {
+      this.#checkUp(reader.vm);
+      const value = find();
+      if (value !== undefined) return structuredClone(value);
+      const leftMs = endsAt - this.#clock.now();
+      if (leftMs <= 0 || options.signal?.aborted) return undefined;
+      await this.#waitForChange(leftMs, reader.clock);
+    }
+  }
+
+  findIndex(after: number): RecordIndex | undefined {
+    return this.#index && this.#index.version > after ? this.#index : undefined;
+  }
+
+  findRecords(name: string, version: number): unknown[] | undefined {
+    this.groupCalls += 1;
+    return this.#groups.get(`${name}/${version}`);
+  }
+
+  findList(after: number): unknown | undefined {
+    return this.#list && this.#list.revision > after ? this.#list : undefined;
+  }
+
+  #findGroup(name: string): string | undefined {
+    const version = this.#index?.groups.get(name);
+    return version === undefined ? undefined : `${name}/${version}`;
+  }
+
+  #checkUp(vm: VmId): void {
+    const isReachable = this.reachableBy?.has(vm) ?? true;
+    if (this.isDown || !isReachable) throw new Error("The service is down");
+  }
+
+  #resumeWaiters(): void {
+    const waiters = [...this.#waiters];
+    this.#waiters.clear();
+    for (const wake of waiters) wake();
+  }
+
+  async #waitForChange(ms: number, clock: Clock): Promise<void> {
+    const controller = new AbortController();
+    const wake = () => controller.abort();
+    this.#waiters.add(wake);
+    await clock.sleep(ms, controller.signal);
+    this.#waiters.delete(wake);
+  }
+}
+
+class VirtualServiceSource extends ConfigurationSource {
+  readonly #service: VirtualService;
+  readonly #reader: { vm: VmId; clock: Clock };
+
+  constructor(options: { service: VirtualService; vm: VmId; clock: Clock }) {
+    super();
+    this.#service = options.service;
+    this.#reader = options;
+  }
+
+  fetchIndex(
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<RecordIndex | undefined> {
+    const find = () => this.#service.findIndex(after);
+    return this.#service.read(this.#reader, find, { waitMs, signal });
+  }
+
+  async fetchGroup(name: string, version: number): Promise<unknown[]> {
+    const find = () => this.#service.findRecords(name, version);
+    const records = await this.#service.read(this.#reader, find, { waitMs: 0 });
+    if (records === undefined) throw new Error(`No group ${name}/${version}`);
+    return records;
+  }
+
+  fetchMembership(
+    after: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<unknown | undefined> {
+    const find = () => this.#service.findList(after);
+    return this.#service.read(this.#reader, find, { waitMs, signal });
+  }
+}
+
+function toPublished(vm: ListedVm): unknown {
+  return {
+    id: vm.id,
+    role: vm.role,
+    state: vm.state,
+    data_centre: vm.dataCentre,
+    address: vm.address,
+    port: vm.port,
+    peer_port: vm.peerPort,
+    pool: vm.pool,
+  };
+}
--- a/test/process/configuration_propagation_test.ts
+++ b/test/process/configuration_propagation_test.ts
@@ -4,24 +4,24 @@
  * @module
  */
 import { describe, expect, it } from "vitest";
-import { Fleet, type Fleet as FleetType } from "../support/fleet.ts";
+import { VirtualFleet } from "../../standin/virtual_fleet.ts";
 import { buildRecords } from "../support/fleet_records.ts";
 
-async function startAt(fleet: FleetType, version: number): Promise<void> {
+async function startAt(fleet: VirtualFleet, version: number): Promise<void> {
   fleet.service.putVersion(version, buildRecords(version));
   fleet.startAll();
   await fleet.runUntil(() => isEverywhere(fleet, version), 10_000);
   await fleet.clock.run(5_000);
 }
 
-function isEverywhere(fleet: FleetType, version: number): boolean {
+function isEverywhere(fleet: VirtualFleet, version: number): boolean {
   return fleet.listVersions().every((one) => one === version);
 }
 
 describe("propagation", () => {
   for (const count of [8, 32]) {
     it(`reaches ${count} VMs within a second`, async () => {
-      const fleet = Fleet.create({ count });
+      const fleet = VirtualFleet.create({ count });
       await startAt(fleet, 1);
       fleet.service.putVersion(2, buildRecords(2));
       const took = await fleet.runUntil(() => isEverywhere(fleet, 2), 10_000);
@@ -30,7 +30,7 @@
   }
 
   it("fetches only the groups that changed", async () => {
-    const fleet = Fleet.create({ count: 1 });
+    const fleet = VirtualFleet.create({ count: 1 });
     await startAt(fleet, 1);
     const before = fleet.service.groupCalls;
     fleet.service.putVersion(2, buildRecords(2));
