--- a/standin/engine_calls.ts
+++ b/standin/engine_calls.ts
@@ -24,6 +24,8 @@
 /** Ends the work of a call; harmless once it is over. */
 export type CancelCall = () => void;
 
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 const ORDER_BODY = z.object({
   action: z.enum(["load", "unload", "role"]),
   model: z.string().default(""),
@@ -36,7 +38,8 @@
 const CONTROL_BODY = z.object({
   crash_after_tokens: z.number().optional(),
   start_again: z.boolean().optional(),
-  stall_ms: z.number().optional(),
+  // A longer timer would fire at once.
+  stall_ms: z.number().max(MAX_TIMER_MS).optional(),
   drop_listeners: z.boolean().optional(),
   silent_next: z.number().optional(),
   refuse_next: z.number().optional(),
--- a/standin/engine_core.ts
+++ b/standin/engine_core.ts
@@ -10,9 +10,12 @@
   EngineOrder,
   LoadReport,
 } from "../src/connection/upstream_transport.ts";
-import type { CancelTimer, Clock } from "../src/process/clock.ts";
+import type { Clock } from "../src/process/clock.ts";
 import type { Random } from "../src/process/random.ts";
+import { EngineBatch } from "./engine_batch.ts";
 import { EngineCache } from "./engine_cache.ts";
+import { createCounts, type EngineCounts } from "./engine_counts.ts";
+import { LoadHistory } from "./engine_load.ts";
 import { EngineModels, type OrderRecord } from "./engine_models.ts";
 import {
   DEFAULT_ENGINE_OPTIONS,
@@ -21,7 +24,6 @@
 import {
   type EngineRequest,
   EngineRun,
-  type RunEnd,
   type RunListener,
   type RunRecord,
 } from "./engine_run.ts";
@@ -33,57 +35,17 @@
   | { kind: "not_started"; message: string }
   | { kind: "bad_request"; message: string };
 
-/** Totals since the engine was made. */
-export interface EngineCounts {
-  accepted: number;
-  refused: number;
-  answered: number;
-  cancelled: number;
-  crashed: number;
-  /** Tokens generated. */
-  tokens: number;
-  /** Prompt and resumed tokens that were worked through. */
-  prefillTokens: number;
-  /** Tokens that the prefix cache spared. */
-  cachedTokens: number;
-  /** Runs put back because memory ran out. */
-  putBack: number;
-  acceptedWhileLeaving: number;
-  /** The latest acceptance, counted from when the engine began to leave. */
-  lastAcceptedAfterLeavingMs: number;
-}
-
-interface LoadSample {
-  at: number;
-  report: LoadReport;
-}
-
 /** One engine. Its time is the injected clock's. */
 export class EngineCore {
   readonly options: EngineOptions;
-  readonly counts: EngineCounts = {
-    accepted: 0,
-    refused: 0,
-    answered: 0,
-    cancelled: 0,
-    crashed: 0,
-    tokens: 0,
-    prefillTokens: 0,
-    cachedTokens: 0,
-    putBack: 0,
-    acceptedWhileLeaving: 0,
-    lastAcceptedAfterLeavingMs: 0,
-  };
+  readonly counts: EngineCounts = createCounts();
   readonly #clock: Clock;
+  readonly #batch: EngineBatch;
   readonly #cache: EngineCache;
   readonly #models: EngineModels;
   readonly #runs = new Map<string, RunRecord[]>();
-  #waiting: EngineRun[] = [];
-  #running: EngineRun[] = [];
-  #samples: LoadSample[] = [];
+  readonly #loads: LoadHistory;
   #order = 0;
-  #stopStep: CancelTimer | undefined;
-  #stalledUntil = 0;
   #leavingSince: number | undefined;
   #crashed = false;
   #crashAfterTokens = Infinity;
@@ -100,6 +62,15 @@
     this.#clock = clock;
     this.#cache = EngineCache.create(clock, random, this.options);
     this.#models = EngineModels.create(clock, this.options);
+    this.#batch = EngineBatch.create({
+      clock,
+      options: this.options,
+      cache: this.#cache,
+      counts: this.counts,
+      onToken: () => this.#checkCrash(),
+      onStep: () => this.#noteLoad(),
+    });
+    this.#loads = LoadHistory.create(clock, this.options);
     this.#noteLoad();
   }
 
@@ -117,11 +88,11 @@
   }
 
   get running(): number {
-    return this.#running.length;
+    return this.#batch.running;
   }
 
   get waiting(): number {
-    return this.#waiting.length;
+    return this.#batch.waiting;
   }
 
   /** Takes a request in; the listener hears of its tokens and its end. */
@@ -163,11 +134,7 @@
 
   /** The engine's account of its load, as old as `loadLagMs`. */
   getLoad(): LoadReport {
-    const now = this.#clock.now();
-    this.#dropSamples(now);
-    const sample = this.#samples[0]!;
-    const ageMs = Math.min(this.options.loadLagMs, now - sample.at);
-    return { ...sample.report, ageMs };
+    return this.#loads.get();
   }
 
   /** Published cache events above `after`: late, and some never come. */
@@ -207,15 +174,12 @@
 
   /** Does no work for `ms`; connections stay open. */
   setStall(ms: number): void {
-    this.#stalledUntil = this.#clock.now() + ms;
-    this.#stopStep?.();
-    this.#stopStep = undefined;
-    this.#startStep();
+    this.#batch.setStall(ms);
   }
 
   /** Nothing more is heard of the requests here now; new ones work. */
   dropListeners(): void {
-    for (const run of [...this.#running, ...this.#waiting]) run.silent = true;
+    for (const run of this.#batch.list()) run.silent = true;
   }
 
   /** The next `count` requests are accepted and never heard of again. */
@@ -242,7 +206,6 @@
   /** Comes back empty after a crash; counts and run records stay. */
   startAgain(): void {
     this.#crashed = false;
-    this.#stalledUntil = 0;
     this.#cache.clear();
     this.#noteLoad();
   }
@@ -278,144 +241,27 @@
     } else {
       records.push(run.record);
     }
-    this.#putInQueue(run);
-    this.#startStep();
+    this.#batch.add(run);
     this.#noteLoad();
   }
 
-  #putInQueue(run: EngineRun): void {
-    const later = this.#waiting.findIndex((other) => isBefore(run, other));
-    const place = later < 0 ? this.#waiting.length : later;
-    this.#waiting.splice(place, 0, run);
-  }
-
   #drop(run: EngineRun): void {
-    this.#waiting = this.#waiting.filter((other) => other !== run);
-    this.#running = this.#running.filter((other) => other !== run);
+    this.#batch.remove(run);
     this.counts.cancelled++;
     run.settle("cancelled");
     this.#noteLoad();
   }
 
-  #startStep(): void {
-    if (this.#stopStep !== undefined || this.#crashed) return;
-    const stalledMs = this.#stalledUntil - this.#clock.now();
-    if (stalledMs > 0) {
-      if (stalledMs === Infinity) return;
-      this.#stopStep = this.#clock.startTimer(stalledMs, () => {
-        this.#stopStep = undefined;
-        this.#startStep();
-      });
-      return;
-    }
-    this.#admitWaiting();
-    if (this.#running.length === 0) return;
-    const stepMs = this.#runPrefill();
-    this.#stopStep = this.#clock.startTimer(stepMs, () => this.#endStep());
-  }
-
-  #admitWaiting(): void {
-    let memory = this.#countMemory();
-    while (this.#waiting.length > 0) {
-      const run = this.#waiting[0]!;
-      if (this.#running.length >= this.options.maxBatch) return;
-      const isFull = memory + run.memoryTokens > this.options.memoryTokens;
-      if (isFull && this.#running.length > 0) return;
-      this.#waiting.shift();
-      this.#running.push(run);
-      memory += run.memoryTokens;
-      this.#findCached(run);
-    }
-  }
-
-  #findCached(run: EngineRun): void {
-    const leading = this.#cache.takeLeading(run.request.prefixes);
-    const cached = Math.min(
-      leading * this.options.tokensPerPrefix,
-      run.record.promptTokens,
-    );
-    run.record.cachedTokens += cached;
-    this.counts.cachedTokens += cached;
-    run.prefillLeft = run.memoryTokens - cached;
-  }
-
-  /** Works on prompts for one step; returns how long the step takes. */
-  #runPrefill(): number {
-    let budget = this.options.prefillTokensPerStep;
-    let worked = 0;
-    for (const run of this.#running) {
-      const tokens = Math.min(run.prefillLeft, budget);
-      run.prefillLeft -= tokens;
-      budget -= tokens;
-      worked += tokens;
-    }
-    this.counts.prefillTokens += worked;
-    return this.options.speedFactor * (
-      this.options.baseMs +
-      this.options.perRunningMs * this.#running.length +
-      this.options.prefillMsPerToken * worked
-    );
-  }
-
-  #endStep(): void {
-    this.#stopStep = undefined;
-    for (const run of [...this.#running]) {
-      const isStopped = run.record.end !== undefined;
-      if (isStopped || run.prefillLeft > 0) continue;
-      this.#addToken(run);
-      if (this.#crashed) return;
-    }
-    this.#putBackOverflow();
-    this.#startStep();
-    this.#noteLoad();
-  }
-
-  #addToken(run: EngineRun): void {
-    if (run.nextToken === run.request.resumeTokens) {
-      this.#cache.put(run.request.prefixes);
-    }
-    if (!run.isFinished) {
-      this.counts.tokens++;
-      run.addToken();
-    }
-    if (this.counts.tokens >= this.#crashAfterTokens) return this.#endByCrash();
-    if (run.isFinished) this.#settleRun(run, run.answer.finishReason);
-  }
-
-  #settleRun(run: EngineRun, end: RunEnd): void {
-    if (run.record.end !== undefined) return;
-    this.#running = this.#running.filter((other) => other !== run);
-    this.counts.answered++;
-    run.settle(end);
-  }
-
-  /** Puts the last of the batch back while the batch outgrows the memory. */
-  #putBackOverflow(): void {
-    let memory = this.#countMemory();
-    while (memory > this.options.memoryTokens && this.#running.length > 1) {
-      const run = this.#running.reduce((last, other) =>
-        isBefore(last, other) ? other : last
-      );
-      this.#running = this.#running.filter((other) => other !== run);
-      memory -= run.memoryTokens;
-      this.counts.putBack++;
-      this.#putInQueue(run);
-    }
-  }
-
-  #countMemory(): number {
-    return this.#running.reduce((sum, run) => sum + run.memoryTokens, 0);
+  #checkCrash(): void {
+    if (this.counts.tokens >= this.#crashAfterTokens) this.#endByCrash();
   }
 
   #endByCrash(): void {
     if (this.#crashed) return;
     this.#crashed = true;
     this.#crashAfterTokens = Infinity;
-    this.#stopStep?.();
-    this.#stopStep = undefined;
-    const runs = [...this.#running, ...this.#waiting];
-    this.#running = [];
-    this.#waiting = [];
+    const runs = this.#batch.list();
+    this.#batch.clear();
     this.counts.crashed += runs.length;
     for (const run of runs) run.settle("crashed");
     this.#noteLoad();
@@ -423,39 +269,23 @@
   }
 
   #noteLoad(): void {
-    const now = this.#clock.now();
-    const report: LoadReport = {
+    this.#loads.add({
       ageMs: 0,
-      running: this.#running.length,
-      waiting: this.#waiting.length,
+      running: this.#batch.running,
+      waiting: this.#batch.waiting,
       cacheUsed: Math.min(
         1,
-        this.#countMemory() / this.options.memoryTokens,
+        this.#batch.memoryTokens / this.options.memoryTokens,
       ),
       leaving: this.#leavingSince !== undefined,
       models: this.#models.list(),
       role: this.#models.role,
       fencing: this.#models.fencing,
       cacheSequence: this.#cache.sequence,
-    };
-    this.#samples.push({ at: now, report });
-    this.#dropSamples(now);
-  }
-
-  /** Keeps the newest sample that is old enough, and those after it. */
-  #dropSamples(now: number): void {
-    const latest = now - this.options.loadLagMs;
-    const young = this.#samples.findIndex((sample) => sample.at > latest);
-    const end = young < 0 ? this.#samples.length : young;
-    if (end > 1) this.#samples.splice(0, end - 1);
+    });
   }
 }
 
-function isBefore(left: EngineRun, right: EngineRun): boolean {
-  const difference = left.request.priority - right.request.priority;
-  return difference < 0 || (difference === 0 && left.order < right.order);
-}
-
 function checkResume(run: EngineRun): string | undefined {
   const { resumeTokens, resumeText } = run.request;
   if (resumeTokens > run.answer.length) {
