Test requests under breakage, resubmission and cancel

The request task now splits events with the connection folder's framer, and its phases no longer share a name with the latency figures.

--- a/src/request/completion_stream.ts
+++ b/src/request/completion_stream.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { RequestId } from "../ids.ts";
-import type { SseEvent } from "./sse_framer.ts";
+import type { SseEvent } from "./sse_events.ts";
 import { BrokenAnswerError } from "./upstream_work.ts";
 
 const DONE = "[DONE]";
--- a/src/request/completion_stream_work.ts
+++ b/src/request/completion_stream_work.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { buildRefusal } from "../connection/refusal_body.ts";
+import { SseFramer } from "../connection/sse_frames.ts";
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
 import type { HeldLease } from "../process/services.ts";
@@ -12,7 +13,7 @@
 import { buildAnswerHeaders } from "./answer_headers.ts";
 import { CompletionStream, type StreamPart } from "./completion_stream.ts";
 import { CompletionWork, type CompletionWorkStart } from "./completion_work.ts";
-import { SseFramer } from "./sse_framer.ts";
+import { listEvents } from "./sse_events.ts";
 import {
   BrokenAnswerError,
   type RelayOptions,
@@ -116,7 +117,7 @@
   ): Promise<void> {
     const part: StreamPart = { bytes: [], tokens: 0 };
     try {
-      for (const event of framer.push(options.bytes)) {
+      for (const event of listEvents(framer.push(options.bytes).bytes)) {
         const added = this.#stream.takeEvent(event);
         part.bytes.push(...added.bytes);
         part.tokens += added.tokens;
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -16,6 +16,7 @@
 import type { CallerSink } from "./caller_sink.ts";
 import type { FateRecord, FateStepName } from "./fate.ts";
 import type { RequestServices } from "./request_services.ts";
+import { RunPhases } from "./run_phases.ts";
 
 /** What a run begins with. */
 export interface RunStart {
@@ -52,10 +53,7 @@
   tokens = 0;
   /** Tokens that were generated and that no caller got. */
   wastedTokens = 0;
-  #step: FateStepName = "arrived";
-  #stepAt: number;
-  #slowestStep = "arrived";
-  #slowestMs = 0;
+  readonly #phases: RunPhases;
   #mayHaveRun = false;
   #hasRun = false;
   #firstTokenAt: number | undefined;
@@ -66,7 +64,9 @@
     this.services = services;
     this.start = start;
     this.deadlineAt = start.arrivedAt + start.requestClass.targets.totalMs;
-    this.#stepAt = start.arrivedAt;
+    this.#phases = RunPhases.create(start.arrivedAt, (phase, ms) => {
+      services.metrics.noteStep(start.requestClass.name, phase, ms);
+    });
     services.fates.start(buildFate(services, start));
   }
 
@@ -94,7 +94,7 @@
     const { environment, fates } = this.services;
     const now = environment.clock.now();
     const ageMs = Math.round(now - this.start.arrivedAt);
-    this.#noteStepTime(step, now);
+    this.#phases.noteStep(step, now);
     fates.note(this.id, { step, ageMs, ...options });
     environment.log.info("request_step", {
       request_id: this.id,
@@ -151,7 +151,7 @@
       .with({ kind: "refused" }, ({ refusal }) => refusal.code)
       .with({ kind: "cancelled" }, () => "cancelled" as const)
       .exhaustive();
-    const step = this.#step;
+    const lastPhase = this.#phases.current;
     if (end.kind !== "answered") this.wastedTokens += this.tokens;
     this.note(end.kind, {
       detail: end.kind === "refused" ? end.refusal.message : undefined,
@@ -161,7 +161,7 @@
     }
     fates.end(this.id, { outcome, code, tokens: this.tokens });
     claims.settleRun(this.id, outcome);
-    const figures = this.#buildFigures(end, step);
+    const figures = this.#buildFigures(end, lastPhase);
     if (isCounted(end)) this.services.metrics.noteFinished(figures);
     environment.log.info("request_finished", {
       request_id: this.id,
@@ -176,21 +176,7 @@
     });
   }
 
-  #noteStepTime(step: FateStepName, now: number): void {
-    const spentMs = now - this.#stepAt;
-    const { metrics } = this.services;
-    if (this.#step !== step) {
-      metrics.noteStep(this.start.requestClass.name, this.#step, spentMs);
-    }
-    if (spentMs > this.#slowestMs) {
-      this.#slowestMs = spentMs;
-      this.#slowestStep = this.#step;
-    }
-    this.#step = step;
-    this.#stepAt = now;
-  }
-
-  #buildFigures(end: RunEnd, lastStep: string): FinishedRequest {
+  #buildFigures(end: RunEnd, lastPhase: string): FinishedRequest {
     const now = this.services.environment.clock.now();
     const arrivedAt = this.start.arrivedAt;
     const firstTokenMs = this.#firstTokenAt === undefined
@@ -222,7 +208,7 @@
       pool: this.pool?.name,
       upstream: this.upstream,
       result,
-      step: end.kind === "refused" ? lastStep : this.#slowestStep,
+      step: end.kind === "refused" ? lastPhase : this.#phases.slowest,
       firstTokenMs,
       betweenTokensMs,
       totalMs,
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -200,7 +200,7 @@
     });
   }
   if (lease.isValid() && !lease.preempted.aborted) return undefined;
-  run.note("preempted", {
+  run.note("retried", {
     peer: lease.upstream,
     detail: "The lease lapsed before the work was sent",
   });
--- /dev/null
+++ b/test/request/completion_test.ts
@@ -0,0 +1,457 @@
+import { describe, expect, it } from "vitest";
+import { toId } from "../../src/ids.ts";
+import type { ModelName, RequestId } from "../../src/ids.ts";
+import { RefusalError } from "../../src/outcome.ts";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { buildRequest } from "../support/request_fakes.ts";
+import { RequestVm } from "../support/request_vm.ts";
+import {
+  answerJson,
+  answerStream,
+  buildEngineEvents,
+  createError,
+  type EngineFault,
+} from "../support/scripted_engine.ts";
+
+const STREAM_BODY = {
+  model: "m1",
+  stream: true,
+  messages: [{ role: "user", content: "Hola" }],
+};
+
+function createVm(faults: EngineFault[] = []): RequestVm {
+  const vm = new RequestVm(VirtualClock.create());
+  vm.upstreams.answer = (call, engine) => {
+    const fault = faults[engine] ?? {};
+    return Promise.resolve().then(() => answerStream(call, { engine, fault }));
+  };
+  return vm;
+}
+
+function getExpected(requestId: string, body: unknown, engine = 0): string {
+  return buildEngineEvents({
+    headers: { "x-request-id": requestId },
+    body: Buffer.from(JSON.stringify(body)),
+  }, { engine }).join("");
+}
+
+async function runStream(
+  vm: RequestVm,
+  body: unknown = STREAM_BODY,
+  headers: Record<string, string> = {},
+) {
+  const request = buildRequest("POST", "/v1/chat/completions", {
+    body,
+    headers,
+  });
+  const { sink, done } = vm.send(request);
+  await done;
+  return sink;
+}
+
+function listSteps(vm: RequestVm, requestId: string): string[] {
+  const fate = vm.fates.find(toId<RequestId>(requestId));
+  return fate!.steps.map((step) => step.step);
+}
+
+describe("a streamed completion", () => {
+  it("passes the engine's bytes on and tells every step", async () => {
+    const vm = createVm();
+    const sink = await runStream(vm);
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.status).toBe(200);
+    expect(sink.isWhole).toBe(true);
+    expect(sink.text).toBe(getExpected(id, STREAM_BODY));
+    expect(listSteps(vm, id)).toEqual([
+      "arrived",
+      "claimed",
+      "admitted",
+      "granted",
+      "sent",
+      "first_token",
+      "answered",
+    ]);
+    const call = vm.upstreams.calls[0]!;
+    expect(call.headers["x-priority"]).toBe("7");
+    expect(call.freshConnection).toBe(false);
+    expect(vm.metrics.finished[0]).toMatchObject({
+      result: "met",
+      tokens: 7,
+      wastedTokens: 0,
+    });
+    expect(vm.leases.leases[0]!.state).toBe("done");
+    expect(vm.limits.settled).toHaveLength(1);
+    const actual = vm.limits.settled[0]!.actual;
+    expect(actual).toBe(7 + vm.leases.leases[0]!.request.promptTokens);
+  });
+
+  it("logs the request id on every line", async () => {
+    const vm = createVm();
+    const sink = await runStream(vm);
+    const ids = vm.log.lines.map((line) => line.fields["request_id"]);
+    expect(new Set(ids)).toEqual(new Set([sink.headers["x-request-id"]]));
+    expect(JSON.stringify(vm.log.lines)).not.toContain("key-1");
+  });
+
+  it("caps the tokens by the class", async () => {
+    const vm = createVm();
+    await runStream(vm, { ...STREAM_BODY, max_tokens: 100_000 });
+    const body = JSON.parse(
+      Buffer.from(vm.upstreams.calls[0]!.body).toString(),
+    );
+    expect(body.max_tokens).toBe(200);
+    expect(vm.leases.leases[0]!.request.maxTokens).toBe(200);
+  });
+
+  // Symptom: the caller's text misses or repeats words in the middle.
+  // Sequence: an engine crashes mid-stream, another one goes on.
+  // Cause: resumption from a token that the caller does not have.
+  it("resumes a broken stream, byte-exact, avoiding the engine", async () => {
+    const vm = createVm([{ breakAt: 700 }]);
+    const sink = await runStream(vm);
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.text).toBe(getExpected(id, STREAM_BODY));
+    expect(sink.isWhole).toBe(true);
+    const [first, second] = vm.upstreams.calls;
+    expect(Number(second!.headers["x-resume-tokens"])).toBeGreaterThan(0);
+    expect(second!.upstream).not.toBe(first!.upstream);
+    expect(listSteps(vm, id)).toContain("resumed");
+    expect(vm.leases.leases.map((lease) => lease.state))
+      .toEqual(["failed", "done"]);
+  });
+
+  // Symptom: the caller sees two finishes, or a usage of half the answer.
+  // Sequence: the engine breaks after its finishing event, before [DONE].
+  // Cause: a finish passed on before the end was known to come.
+  it("gives one finish and the whole usage after a late break", async () => {
+    const body = { ...STREAM_BODY, stream_options: { include_usage: true } };
+    const whole = getExpected("r~x", body);
+    const vm = createVm();
+    const finishAt = whole.indexOf('"stop"');
+    vm.upstreams.answer = (call, engine) => {
+      const shift = call.headers["x-request-id"]!.length * 8 + 40;
+      const fault = engine === 0 ? { breakAt: finishAt + shift } : {};
+      return Promise.resolve(answerStream(call, { engine, fault }));
+    };
+    const sink = await runStream(vm, body);
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.text).toBe(getExpected(id, body));
+    expect(sink.text.split("[DONE]")).toHaveLength(2);
+    expect(vm.upstreams.calls).toHaveLength(2);
+  });
+
+  // Symptom: a stranger's text in the answer.
+  // Sequence: an engine mixes two answers up, or answers a request late.
+  // Cause: events passed on without a look at whose they are.
+  it("takes an answer of another request for a broken one", async () => {
+    const vm = createVm([{ wrongIdFrom: 0 }, { wrongIdFrom: 3 }]);
+    const sink = await runStream(vm);
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.text).toBe(getExpected(id, STREAM_BODY, 1));
+    expect(sink.text).not.toContain("r~other");
+  });
+
+  // Symptom: half an answer that looks like a whole one.
+  // Sequence: every engine breaks until no more tries are made.
+  // Cause: an end without a word of what is missing.
+  it("ends a stream that cannot go on with an error, no [DONE]", async () => {
+    const fault = { breakAt: 700 };
+    const vm = createVm([fault, { failsAtHead: true }, fault, {
+      failsAtHead: true,
+    }]);
+    const sink = await runStream(vm);
+    const last = sink.text.split("\n\n").at(-2)!;
+    expect(sink.text).not.toContain("[DONE]");
+    expect(last).toMatch(/^event: error\ndata: /);
+    const error = JSON.parse(last.slice(last.indexOf("{"))).error;
+    expect(error).toMatchObject({ code: "upstream_failed", outcome: "ran" });
+    expect(vm.metrics.finished[0]).toMatchObject({ result: "lost" });
+    expect(vm.metrics.finished[0]!.wastedTokens).toBeGreaterThan(0);
+  });
+
+  it("ends a stream itself where only [DONE] is missing", async () => {
+    const vm = createVm();
+    vm.upstreams.answer = (call, engine) => {
+      const events = buildEngineEvents(call, { engine });
+      const breakAt = Buffer.byteLength(events.slice(0, -1).join("")) + 3;
+      return Promise.resolve(
+        answerStream(call, { engine, fault: { breakAt } }),
+      );
+    };
+    const sink = await runStream(vm);
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.text).toBe(getExpected(id, STREAM_BODY));
+    expect(vm.upstreams.calls).toHaveLength(1);
+  });
+
+  // Symptom: tokens go on being generated for a caller that left.
+  // Sequence: the caller disconnects mid-stream.
+  // Cause: nobody tells the engine.
+  it("cancels the work at the engine when the caller leaves", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock);
+    vm.upstreams.answer = (call, engine) =>
+      Promise.resolve(answerStream(call, { engine, clock, tokenMs: 50 }));
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/chat/completions", { body: STREAM_BODY }),
+    );
+    await clock.run(600);
+    sink.controller.abort();
+    await clock.run(1);
+    await done;
+    expect(vm.upstreams.calls[0]!.signal.aborted).toBe(true);
+    expect(vm.upstreams.calls).toHaveLength(1);
+    expect(vm.leases.leases[0]!.state).toBe("cancelled");
+    expect(vm.metrics.finished[0]).toMatchObject({ result: "cancelled" });
+    expect(sink.text).not.toContain("[DONE]");
+  });
+
+  // Symptom: memory grows with a reader that takes nothing.
+  // Sequence: the engine is quick, the caller slow.
+  // Cause: reading on while a write is not taken.
+  it("reads no more while the caller takes nothing", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock);
+    let given = 0;
+    vm.upstreams.answer = (call, engine) => {
+      const answer = answerStream(call, { engine });
+      const count = async function* () {
+        for await (const bytes of answer.body) {
+          given += bytes.length;
+          yield bytes;
+        }
+      };
+      return Promise.resolve({ ...answer, body: count() });
+    };
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/chat/completions", { body: STREAM_BODY }),
+    );
+    let letOn = () => {};
+    sink.onWrite = () => new Promise((resolve) => letOn = resolve);
+    await clock.run(100);
+    const before = given;
+    await clock.run(1_000);
+    expect(given).toBe(before);
+    sink.onWrite = () => Promise.resolve();
+    letOn();
+    await done;
+    expect(sink.isWhole).toBe(true);
+  });
+
+  // Symptom: a preempted answer starts anew, or its slot stays taken.
+  // Sequence: the owner takes the slot back for a higher tier mid-stream.
+  // Cause: preemption handled as a failure.
+  it("resumes after a preemption without spending the budget", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock, { retryShare: 0 });
+    vm.upstreams.answer = (call, engine) =>
+      Promise.resolve(answerStream(call, { engine, clock, tokenMs: 100 }));
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/chat/completions", { body: STREAM_BODY }),
+    );
+    for (let times = 0; times < 4; times++) {
+      await clock.run(500);
+      vm.leases.leases.at(-1)!.taker.abort();
+    }
+    await clock.run(5_000);
+    await done;
+    const id = sink.headers["x-request-id"]!;
+    expect(sink.text).toBe(getExpected(id, STREAM_BODY));
+    expect(listSteps(vm, id).filter((step) => step === "preempted"))
+      .toHaveLength(4);
+    expect(vm.leases.leases.map((lease) => lease.state).slice(0, 4))
+      .toEqual(Array(4).fill("cancelled"));
+  });
+
+  // Symptom: work is sent on a slot that another request has.
+  // Sequence: the process is paused between the grant and the send.
+  // Cause: a lease believed in after its time.
+  it("asks for a new slot when the lease lapsed in a pause", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock);
+    vm.leases.delaysMs = [3_000];
+    vm.upstreams.answer = (call, engine) =>
+      Promise.resolve(answerStream(call, { engine }));
+    const { done } = vm.send(
+      buildRequest("POST", "/v1/chat/completions", { body: STREAM_BODY }),
+    );
+    await clock.run(3_001);
+    await done;
+    expect(vm.upstreams.calls).toHaveLength(1);
+    expect(vm.leases.leases.map((lease) => lease.state))
+      .toEqual(["unused", "done"]);
+  });
+
+  // Symptom: in an outage, retries double the load on what is left.
+  // Sequence: every first try fails.
+  // Cause: retries without a shared bound.
+  it("stops retrying when the budget is spent", async () => {
+    const vm = new RequestVm(VirtualClock.create(), { retryShare: 0 });
+    vm.upstreams.answer = (call) =>
+      Promise.reject(createError(call, { kind: "first_byte_timeout" }));
+    const sinks = [];
+    for (let index = 0; index < 5; index++) sinks.push(await runStream(vm));
+    expect(vm.upstreams.calls).toHaveLength(5 + 2);
+    const error = sinks.at(-1)!.json.error;
+    expect(sinks.at(-1)!.status).toBe(504);
+    expect(error).toMatchObject({
+      code: "upstream_timeout",
+      outcome: "unknown",
+    });
+  });
+
+  // Symptom: "not run" is said of work that may have run.
+  // Sequence: a send breaks, then no slot is to be had for the retry.
+  // Cause: the outcome of the last try alone.
+  it("counts every send in the outcome", async () => {
+    const vm = new RequestVm(VirtualClock.create(), { upstreams: ["u1"] });
+    vm.upstreams.answer = (call) => Promise.reject(createError(call, {}));
+    const sink = await runStream(vm);
+    expect(sink.json.error).toMatchObject({
+      code: "no_upstream",
+      outcome: "unknown",
+    });
+  });
+
+  it("says not_run where no byte was sent or nothing was started", async () => {
+    const vm = createVm();
+    vm.upstreams.answer = (call, index) =>
+      index === 0
+        ? Promise.reject(
+          createError(call, { kind: "connect", mayHaveRun: false }),
+        )
+        : Promise.resolve(answerJson(503, { error: { code: "not_started" } }));
+    const sink = await runStream(vm);
+    expect(sink.json.error).toMatchObject({ outcome: "not_run" });
+    expect(vm.metrics.finished[0]).toMatchObject({ result: "refused" });
+    expect(vm.limits.settled[0]!.actual).toBe(0);
+  });
+
+  it("gives a 503 without the documented code no such trust", async () => {
+    const vm = createVm();
+    vm.upstreams.answer = () =>
+      Promise.resolve(answerJson(503, { error: { code: "busy" } }));
+    const sink = await runStream(vm);
+    expect(sink.json.error).toMatchObject({ outcome: "unknown" });
+  });
+
+  it("keeps the configuration that it was admitted under", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock);
+    vm.leases.delaysMs = [100];
+    vm.upstreams.answer = (call, engine) =>
+      Promise.resolve(answerStream(call, { engine }));
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/chat/completions", { body: STREAM_BODY }),
+    );
+    await clock.run(10);
+    vm.snapshot = undefined;
+    await clock.run(200);
+    await done;
+    expect(sink.isWhole).toBe(true);
+    const id = toId<RequestId>(sink.headers["x-request-id"]!);
+    expect(vm.fates.find(id)!.configVersion).toBe(3);
+  });
+
+  it("passes the engine's own 400 on", async () => {
+    const vm = createVm();
+    vm.upstreams.answer = () =>
+      Promise.resolve(answerJson(400, { error: { message: "bad top_p" } }));
+    const sink = await runStream(vm);
+    expect(sink.status).toBe(400);
+    expect(sink.json.error.message).toBe("bad top_p");
+    expect(vm.upstreams.calls).toHaveLength(1);
+  });
+
+  it("answers at once when the limit refuses, and sends nothing", async () => {
+    const vm = createVm();
+    vm.limits.refusal = new RefusalError({
+      code: "rate_limited",
+      message: "Too many",
+      outcome: "not_run",
+      retryAfterMs: 1_500,
+    });
+    const sink = await runStream(vm);
+    expect(sink.status).toBe(429);
+    expect(sink.headers["retry-after"]).toBe("2");
+    expect(vm.upstreams.calls).toHaveLength(0);
+  });
+});
+
+describe("a whole completion", () => {
+  const body = { model: "m1", prompt: "Hola" };
+
+  it("retries a broken answer and passes the whole one on", async () => {
+    const vm = createVm();
+    const whole = (call: { headers: Record<string, string> }) => ({
+      id: call.headers["x-request-id"],
+      choices: [{ text: "Buenos días" }],
+      usage: { completion_tokens: 3 },
+    });
+    vm.upstreams.answer = (call, index) => {
+      if (index === 0) {
+        return Promise.resolve(
+          answerJson(200, { ...whole(call), id: "other" }),
+        );
+      }
+      return Promise.resolve(answerJson(200, whole(call)));
+    };
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/completions", { body }),
+    );
+    await done;
+    expect(sink.json.choices[0].text).toBe("Buenos días");
+    expect(sink.headers["content-length"]).toBe(
+      String(Buffer.byteLength(sink.text)),
+    );
+    expect(vm.metrics.finished[0]).toMatchObject({
+      tokens: 3,
+      firstTokenMs: undefined,
+    });
+  });
+
+  it("is given up at once when late answers have no use", async () => {
+    const clock = VirtualClock.create();
+    const vm = new RequestVm(clock);
+    vm.upstreams.answer = async (call) => {
+      await clock.sleep(call.limits.firstByteMs);
+      throw createError(call, { kind: "first_byte_timeout" });
+    };
+    const { sink, done } = vm.send(
+      buildRequest("POST", "/v1/completions", { body }),
+    );
+    await clock.run(10_001);
+    await done;
+    expect(sink.status).toBe(504);
+    expect(sink.json.error.code).toBe("deadline_passed");
+    expect(vm.upstreams.calls.map((call) => call.limits.firstByteMs))
+      .toEqual([5_000, 5_000]);
+  });
+});
+
+describe("a model with an adapter", () => {
+  it("is found as MODEL:ADAPTER", async () => {
+    const vm = createVm();
+    const pool = vm.snapshot!.poolsByModel.get(toId<ModelName>("m1"))![0]!;
+    pool.models.push({
+      model: toId<ModelName>("m1"),
+      version: "1",
+      adapters: ["easy"],
+      replicas: 1,
+    });
+    await runStream(vm, { ...STREAM_BODY, model: "m1:easy" });
+    expect(vm.leases.leases[0]!.request).toMatchObject({
+      model: "m1",
+      adapter: "easy",
+    });
+  });
+
+  it("is not found where no pool holds it", async () => {
+    const sink = await runStream(createVm(), {
+      ...STREAM_BODY,
+      model: "m1:no",
+    });
+    expect(sink.status).toBe(404);
+    expect(sink.json.error).toMatchObject({ outcome: "not_run" });
+  });
+});
--- /dev/null
+++ b/test/support/request_vm.ts
@@ -0,0 +1,213 @@
+/**
+ * One VM's request side over fakes, with a small configuration.
+ *
+ * @module
+ */
+import { type ModelName, type PoolName, toId } from "../../src/ids.ts";
+import type { ClassName, TierName, WorkspaceName } from "../../src/ids.ts";
+import { AnswerStore } from "../../src/process/answer_store.ts";
+import type { Clock } from "../../src/process/clock.ts";
+import { FateFinder } from "../../src/process/fate_finder.ts";
+import { FateStore } from "../../src/process/fate_store.ts";
+import type {
+  ClaimAnswer,
+  ClaimCall,
+  FateAnswer,
+  FateCall,
+  PeerApi,
+  SettleCall,
+} from "../../src/process/peer_api.ts";
+import { WindowRetryBudget } from "../../src/process/retry_budget.ts";
+import { ProcessRunClaims } from "../../src/process/run_claims.ts";
+import type { CallerRequest } from "../../src/request/caller_request.ts";
+import { RequestRouter } from "../../src/request/router.ts";
+import { computeKeyHash } from "../../src/version/keys.ts";
+import type {
+  RequestClass,
+  Snapshot,
+  UpstreamPool,
+  Workspace,
+} from "../../src/version/records.ts";
+import {
+  buildEnvironment,
+  FakeLeases,
+  FakeLimits,
+  FakeLog,
+  FakeMetrics,
+  FakePeers,
+  FakeSink,
+  FakeUpstreams,
+} from "./request_fakes.ts";
+
+/** A VM whose neighbours on every side are fakes. */
+export class RequestVm {
+  readonly clock: Clock;
+  readonly peers: FakePeers;
+  readonly upstreams = new FakeUpstreams();
+  readonly leases: FakeLeases;
+  readonly limits = new FakeLimits();
+  readonly metrics = new FakeMetrics();
+  readonly log = new FakeLog();
+  readonly fates = FateStore.create();
+  readonly answers = AnswerStore.create();
+  readonly claims: ProcessRunClaims;
+  readonly finder: FateFinder;
+  readonly router: RequestRouter;
+  snapshot: Snapshot | undefined = buildTestSnapshot();
+  isDraining = false;
+
+  constructor(
+    clock: Clock,
+    options: {
+      vm?: string;
+      incarnation?: string;
+      seed?: number;
+      peers?: FakePeers;
+      upstreams?: string[];
+      retryShare?: number;
+    } = {},
+  ) {
+    this.clock = clock;
+    this.peers = options.peers ?? new FakePeers();
+    this.leases = new FakeLeases(
+      clock,
+      options.upstreams ?? ["u1", "u2", "u3", "u4", "u5"],
+    );
+    const environment = buildEnvironment(clock, {
+      ...options,
+      peers: this.peers,
+      upstreams: this.upstreams,
+      log: this.log,
+    });
+    this.claims = ProcessRunClaims.create(environment);
+    const { fates, answers, claims } = this;
+    this.finder = FateFinder.create({ environment, fates, answers, claims });
+    this.router = RequestRouter.create({
+      environment,
+      getSnapshot: () => this.snapshot,
+      leases: this.leases,
+      limits: this.limits,
+      claims,
+      fates,
+      answers,
+      budget: WindowRetryBudget.create({
+        clock,
+        getShare: () => options.retryShare ?? 1,
+      }),
+      metrics: this.metrics,
+      isDraining: () => this.isDraining,
+      entries: () => ({ entries: [] }),
+      findFate: (id, fateOptions) => this.finder.findFate(id, fateOptions),
+    });
+    this.peers.peers.set(environment.vm, this.createPeer());
+  }
+
+  /** Starts a request; the promise is over when its task is. */
+  send(
+    request: CallerRequest,
+  ): { sink: FakeSink; done: Promise<void> } {
+    const sink = new FakeSink();
+    const done = this.router.handle(request, sink);
+    return { sink, done };
+  }
+
+  /** The calls of `PeerApi` that requests need, answered by this VM. */
+  createPeer(): PeerApi {
+    const peer: Pick<PeerApi, "claimRun" | "settleRun" | "findFate"> = {
+      claimRun: (call: ClaimCall): Promise<ClaimAnswer> =>
+        Promise.resolve(this.claims.answerClaim(call)),
+      settleRun: (call: SettleCall): Promise<void> =>
+        Promise.resolve(this.claims.answerSettle(call)),
+      findFate: (call: FateCall): Promise<FateAnswer> =>
+        this.finder.answerFate(call),
+    };
+    return peer as PeerApi;
+  }
+}
+
+const CHAT = toId<ClassName>("chat");
+const HOLD = toId<ClassName>("hold");
+
+/** One workspace with key `key-1`, one with `key-2`, two classes, two pools. */
+export function buildTestSnapshot(): Snapshot {
+  const classes = [
+    buildClass(CHAT, { idempotent: true }),
+    buildClass(HOLD, { idempotent: false }),
+  ];
+  const workspaces = [
+    buildWorkspace("w1", "key-1"),
+    buildWorkspace("w2", "key-2"),
+  ];
+  const engines = buildPool("engines", "model");
+  const booking = buildPool("booking", "service");
+  return {
+    version: 3,
+    tiers: new Map([[toId<TierName>("gold"), {
+      kind: "tier",
+      name: toId<TierName>("gold"),
+      rank: 0,
+      maxSlotShare: 1,
+    }]]),
+    classes: new Map(classes.map((each) => [each.name, each])),
+    workspaces: new Map(workspaces.map((each) => [each.name, each])),
+    pools: new Map([engines, booking].map((each) => [each.name, each])),
+    policy: {
+      kind: "policy",
+      name: "policy",
+      weights: { wastedWork: 1, goodput: 1, attainment: 1 },
+      retryShare: 0.1,
+      preemption: true,
+      weightStoreOrdersPerMinute: 1,
+    },
+    workspaceByKeyHash: new Map(
+      workspaces.map((each) => [each.keyHashes[0]!, each]),
+    ),
+    poolsByModel: new Map([[toId<ModelName>("m1"), [engines]]]),
+  };
+}
+
+function buildClass(
+  name: ClassName,
+  options: { idempotent: boolean },
+): RequestClass {
+  return {
+    kind: "request_class",
+    name,
+    tier: toId<TierName>("gold"),
+    targets: { firstTokenMs: 500, betweenTokensMs: 100, totalMs: 10_000 },
+    lateIsUseful: false,
+    idempotent: options.idempotent,
+    minShare: 0.1,
+    maxWaitMs: 5_000,
+    queueLimit: 100,
+    maxOutputTokens: 200,
+    objective: 0.95,
+  };
+}
+
+function buildWorkspace(name: string, key: string): Workspace {
+  return {
+    kind: "workspace",
+    name: toId<WorkspaceName>(name),
+    keyHashes: [computeKeyHash(key)],
+    defaultClass: CHAT,
+    classes: [CHAT, HOLD],
+    weight: 1,
+    limits: { requestsPerMinute: 1000, tokensPerMinute: 100_000 },
+    objectives: {},
+  };
+}
+
+function buildPool(name: string, type: "model" | "service"): UpstreamPool {
+  return {
+    kind: "upstream_pool",
+    name: toId<PoolName>(name),
+    type,
+    models: [],
+    shards: 1,
+    slots: { initial: 4, min: 1, max: 8 },
+    fencing: "checked",
+    timeouts: { firstByteMs: 5_000, betweenBytesMs: 2_000, totalMs: 60_000 },
+    defaultClass: type === "service" ? HOLD : undefined,
+  };
+}
