--- a/test/version/conversion_test.ts
+++ b/test/version/conversion_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
 import { parseRecord } from "../../src/version/index.ts";
+import { buildRawSet } from "./record_fixtures.ts";
 import type { RawRecord } from "./record_fixtures.ts";
 
 const SEED = 20_253;
@@ -143,3 +144,81 @@
     );
   });
 });
+
+describe("each field of a record arrives under its own name", () => {
+  // The equality of two schemas cannot show a field that both take wrongly.
+  it("for a request class", () => {
+    const { chat } = buildRawSet();
+    expect(parseRecord({ ...chat, late_is_useful: true })).toStrictEqual({
+      kind: "valid",
+      record: {
+        kind: "request_class",
+        name: "chat",
+        tier: "high",
+        targets: { firstTokenMs: 1_400, betweenTokensMs: 60, totalMs: 30_000 },
+        lateIsUseful: true,
+        idempotent: true,
+        minShare: 0.1,
+        maxWaitMs: 1_000,
+        queueLimit: 10,
+        maxOutputTokens: 100,
+        objective: 0.95,
+      },
+    });
+  });
+
+  it("for a workspace", () => {
+    const { desk } = buildRawSet();
+    expect(parseRecord({ ...desk, weight: 7 })).toStrictEqual({
+      kind: "valid",
+      record: {
+        kind: "workspace",
+        name: "desk",
+        keyHashes: desk?.key_hashes,
+        defaultClass: "chat",
+        classes: ["chat", "hold"],
+        weight: 7,
+        limits: { requestsPerMinute: 60, tokensPerMinute: 6_000 },
+        objectives: { chat: 0.9 },
+      },
+    });
+  });
+
+  it("for an upstream pool", () => {
+    const timeouts = { first_byte_ms: 1, between_bytes_ms: 2, total_ms: 3 };
+    const { engines } = buildRawSet();
+    expect(parseRecord({ ...engines, timeouts })).toStrictEqual({
+      kind: "valid",
+      record: {
+        kind: "upstream_pool",
+        name: "engines",
+        type: "model",
+        models: [{ model: "m", version: "1", adapters: ["a"], replicas: 2 }],
+        shards: 1,
+        slots: { initial: 4, min: 1, max: 8 },
+        fencing: "checked",
+        timeouts: { firstByteMs: 1, betweenBytesMs: 2, totalMs: 3 },
+        defaultClass: undefined,
+      },
+    });
+  });
+
+  it("for a tier and the policy", () => {
+    const { low, policy } = buildRawSet();
+    expect(parseRecord(low)).toStrictEqual({
+      kind: "valid",
+      record: { kind: "tier", name: "low", rank: 1, maxSlotShare: 0.5 },
+    });
+    expect(parseRecord(policy)).toStrictEqual({
+      kind: "valid",
+      record: {
+        kind: "policy",
+        name: "policy",
+        weights: { wastedWork: 1, goodput: 2, attainment: 3 },
+        retryShare: 0.1,
+        preemption: true,
+        weightStoreOrdersPerMinute: 6,
+      },
+    });
+  });
+});
--- a/test/version/snapshot_test.ts
+++ b/test/version/snapshot_test.ts
@@ -182,6 +182,17 @@
     expect(findProblems(Object.values(set))).toEqual([]);
   });
 
+  it("accepts shares whose sum only rounding puts above the bound", () => {
+    // Symptom: records that add up to the bound are rejected. Sequence: a tier
+    // capped at 0.3 has classes of 0.1 and 0.2. Cause: 0.1 + 0.2 > 0.3 in
+    // floating point.
+    const set = buildRawSet();
+    Object.assign(set.low ?? {}, { max_slot_share: 0.3 });
+    Object.assign(set.chat ?? {}, { tier: "low", min_share: 0.1 });
+    Object.assign(set.hold ?? {}, { min_share: 0.2 });
+    expect(findProblems(Object.values(set))).toEqual([]);
+  });
+
   it("rejects an empty set with its version", () => {
     // Symptom: every caller is refused everywhere, seconds after a change.
     // Sequence: a publisher writes an index that names no group; every VM
