--- /dev/null
+++ b/test/connection/caller_listener_test.ts
@@ -0,0 +1,393 @@
+import https from "node:https";
+import type { TLSSocket } from "node:tls";
+import { describe, expect, it, onTestFinished } from "vitest";
+import type {
+  CallerLimits,
+  CallerRequest,
+  HttpSink,
+  ServerTls,
+} from "../../src/connection/index.ts";
+import {
+  CallerHandler,
+  CallerListener,
+  DEFAULT_CALLER_LIMITS,
+} from "../../src/connection/index.ts";
+import type { RequestId } from "../../src/ids.ts";
+import { toId } from "../../src/ids.ts";
+import { RefusalError } from "../../src/outcome.ts";
+import type { Clock } from "../../src/process/clock.ts";
+import { SystemClock } from "../../src/process/clock.ts";
+import { SilentLog } from "../../src/process/log.ts";
+import type { CallerSink } from "../../src/request/caller_sink.ts";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { CountingClock } from "../support/counting_clock.ts";
+import { LOOPBACK, RawClient, waitUntil } from "../support/loopback.ts";
+import { readTls } from "../support/tls_pairs.ts";
+
+const GET = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+const CHUNK = Buffer.alloc(65_536, "a");
+
+type Handle = (request: CallerRequest, sink: CallerSink) => Promise<void>;
+
+class FakeHandler extends CallerHandler {
+  readonly #handle: Handle;
+
+  constructor(handle: Handle) {
+    super();
+    this.#handle = handle;
+  }
+
+  override handle(request: CallerRequest, sink: CallerSink): Promise<void> {
+    return this.#handle(request, sink);
+  }
+}
+
+async function answerEcho(
+  request: CallerRequest,
+  sink: CallerSink,
+): Promise<void> {
+  sink.writeHead(200, { "content-type": "application/json" });
+  await sink.write(Buffer.from(JSON.stringify({
+    ...request,
+    body: Buffer.from(request.body).toString(),
+    arrivedAt: undefined,
+  })));
+  await sink.end();
+}
+
+async function startListener(
+  handle: Handle,
+  options: {
+    limits?: Partial<CallerLimits>;
+    clock?: Clock;
+    tls?: ServerTls;
+  } = {},
+): Promise<CallerListener> {
+  const listener = CallerListener.create({
+    clock: options.clock ?? SystemClock.create(),
+    log: SilentLog.create(),
+    limits: { ...DEFAULT_CALLER_LIMITS, ...options.limits },
+    tls: options.tls,
+    handler: new FakeHandler(handle),
+    issueId: () => toId<RequestId>("id-1"),
+  });
+  await listener.start(LOOPBACK, 0);
+  onTestFinished(async () => {
+    const stopped = listener.stop();
+    listener.closeAll();
+    await stopped;
+  });
+  return listener;
+}
+
+/** The name on the certificate that a new connection is shown. */
+function fetchCertificateName(port: number, ca: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const options = { host: LOOPBACK, port, ca, agent: false as const };
+    https.get(options, (message) => {
+      const socket = message.socket as TLSSocket;
+      resolve(String(socket.getPeerCertificate().subject.CN));
+      message.resume();
+    }).on("error", reject);
+  });
+}
+
+describe("CallerListener", () => {
+  it("hands a request on whole", async () => {
+    const listener = await startListener(answerEcho);
+    const url = `http://${LOOPBACK}:${listener.port}/v1/x%20y?a=1&b=?`;
+    const answer = await fetch(url, {
+      method: "PUT",
+      headers: { "X-Thing": "one" },
+      body: "text",
+    });
+    expect(await answer.json()).toMatchObject({
+      method: "PUT",
+      path: "/v1/x%20y",
+      query: "a=1&b=?",
+      headers: { "x-thing": "one" },
+      body: "text",
+      remoteAddress: LOOPBACK,
+    });
+  });
+
+  it("answers with the refusal that the handler throws", async () => {
+    const listener = await startListener(() => {
+      throw new RefusalError({
+        code: "rate_limited",
+        message: "Too many requests",
+        outcome: "not_run",
+        retryAfterMs: 1_001,
+      });
+    });
+    const answer = await fetch(`http://${LOOPBACK}:${listener.port}/`);
+    expect(answer.status).toBe(429);
+    expect(answer.headers.get("retry-after")).toBe("2");
+    expect(answer.headers.get("x-request-id")).toBe("id-1");
+    expect(await answer.json()).toEqual({
+      error: {
+        type: "rate_limit_error",
+        code: "rate_limited",
+        message: "Too many requests",
+        outcome: "not_run",
+        retry_after: 1.001,
+      },
+    });
+  });
+
+  it("tells of a fault without its cause, and that it may have run", async () => {
+    const listener = await startListener(() => {
+      throw new Error("Secret detail");
+    });
+    const answer = await fetch(`http://${LOOPBACK}:${listener.port}/`);
+    expect(answer.status).toBe(500);
+    expect(answer.headers.get("x-should-retry")).toBe("false");
+    const text = await answer.text();
+    expect(JSON.parse(text)).toMatchObject({ error: { outcome: "unknown" } });
+    expect(text).not.toContain("Secret");
+  });
+
+  it("refuses a body past its bound, announced or not", async () => {
+    const listener = await startListener(answerEcho, {
+      limits: { maxBodyBytes: 1_000 },
+    });
+    const url = `http://${LOOPBACK}:${listener.port}/`;
+    const announced = await fetch(url, { method: "POST", body: CHUNK });
+    expect(announced.status).toBe(413);
+    const stream = new ReadableStream({
+      start(controller) {
+        controller.enqueue(CHUNK);
+        controller.close();
+      },
+    });
+    const init = { method: "POST", body: stream, duplex: "half" } as const;
+    expect((await fetch(url, init)).status).toBe(413);
+  });
+
+  it("refuses HTTP/1.0, whose answers cannot be told from cut ones", async () => {
+    const listener = await startListener(answerEcho);
+    const client = RawClient.create(listener.port);
+    client.socket.write("GET / HTTP/1.0\r\n\r\n");
+    await client.waitClosed();
+    expect(client.received).toContain("400 Bad Request");
+  });
+
+  it("answers headers past their bound with 431", async () => {
+    const listener = await startListener(answerEcho, {
+      limits: { maxHeaderBytes: 1_000 },
+    });
+    const client = RawClient.create(listener.port);
+    client.socket.write(`GET / HTTP/1.1\r\nx: ${"a".repeat(2_000)}\r\n\r\n`);
+    await client.waitClosed();
+    expect(client.received).toContain("431 ");
+    expect(client.received).toContain('"outcome":"not_run"');
+    expect(client.received).toContain("x-request-id: id-1");
+  });
+
+  it("does not accept connections past their bound", async () => {
+    const listener = await startListener(answerEcho, {
+      limits: { maxConnections: 2 },
+    });
+    const first = RawClient.create(listener.port);
+    const second = RawClient.create(listener.port);
+    await waitUntil(() => listener.connections === 2);
+    await RawClient.create(listener.port).waitClosed();
+    first.socket.write(GET);
+    second.socket.write(GET);
+    await first.waitFor("200 OK");
+    await second.waitFor("200 OK");
+  });
+
+  it("cuts off a caller that sends its head too slowly", async () => {
+    // Symptom: connections pile up until no caller gets one.
+    // Sequence: a caller sends a head a byte at a time and never ends it.
+    // Cause: a head without a time limit holds its connection for ever.
+    let handled = 0;
+    const listener = await startListener(() => {
+      handled += 1;
+      return Promise.resolve();
+    }, { limits: { headersTimeoutMs: 50 } });
+    const client = RawClient.create(listener.port);
+    client.socket.write("GET / HTTP/1.1\r\nhost:");
+    await client.waitClosed();
+    expect(client.received).toContain("408 Request Timeout");
+    expect(client.received).toContain('"code":"bad_request"');
+    expect(handled).toBe(0);
+  });
+
+  it("cuts off a caller that sends its body too slowly", async () => {
+    // Symptom: memory grows with half-sent documents.
+    // Sequence: a caller announces a body and then sends a byte now and then.
+    // Cause: bytes keep coming, so that no idle limit ever notices.
+    const clock = CountingClock.create();
+    let handled = 0;
+    const listener = await startListener(() => {
+      handled += 1;
+      return Promise.resolve();
+    }, { clock, limits: { bodyTimeoutMs: 1_000 } });
+    const client = RawClient.create(listener.port);
+    client.socket.write(
+      "POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n",
+    );
+    await waitUntil(() => clock.pending > 0);
+    client.socket.write("a");
+    await clock.run(999);
+    client.socket.write("a");
+    await clock.run(1);
+    await client.waitClosed();
+    expect(client.received).toContain("408 Request Timeout");
+    expect(client.received).toContain('"outcome":"not_run"');
+    expect(handled).toBe(0);
+  });
+
+  it("cuts an answer so that the caller cannot take it for whole", async () => {
+    // Symptom: a reader holds half a document and takes it for all of it.
+    // Sequence: the answer breaks after its head and some of its body.
+    // Cause: an orderly end of a broken answer looks like its real end.
+    let fail = () => {};
+    const listener = await startListener(async (_, sink) => {
+      sink.writeHead(200, {});
+      await sink.write(Buffer.from("half"));
+      await new Promise<void>((resolve) => fail = resolve);
+      throw new RefusalError({
+        code: "upstream_failed",
+        message: "Upstream failed",
+        outcome: "ran",
+      });
+    });
+    const answer = await fetch(`http://${LOOPBACK}:${listener.port}/`);
+    expect(answer.status).toBe(200);
+    fail();
+    await expect(answer.text()).rejects.toThrow();
+  });
+
+  it("does not end an answer that its handler left open", async () => {
+    let leave = () => {};
+    const listener = await startListener(async (_, sink) => {
+      sink.writeHead(200, {});
+      await sink.write(Buffer.from("half"));
+      await new Promise<void>((resolve) => leave = resolve);
+    });
+    const answer = await fetch(`http://${LOOPBACK}:${listener.port}/`);
+    leave();
+    await expect(answer.text()).rejects.toThrow();
+  });
+
+  it("keeps a bounded amount for a slow reader, and cuts it in the end", async () => {
+    // Symptom: memory grows until the process is killed.
+    // Sequence: a caller asks for a long answer, stops reading, stays.
+    // Cause: the upstream writes faster than the caller takes.
+    const clock = VirtualClock.create();
+    let written = 0;
+    let held: CallerSink | undefined;
+    let isOver = false;
+    const listener = await startListener(async (_, sink) => {
+      held = sink;
+      sink.writeHead(200, {});
+      while (!sink.signal.aborted) {
+        await sink.write(CHUNK);
+        written += CHUNK.length;
+      }
+      isOver = true;
+    }, { clock, limits: { writeStallMs: 1_000 } });
+    const client = RawClient.create(listener.port, { isReading: false });
+    client.socket.pause();
+    client.socket.write(GET);
+    // The kernel takes some; then the handler waits and only time goes on.
+    let before = -1;
+    while (before !== written) {
+      before = written;
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    const { bufferedBytes } = held as HttpSink;
+    expect(bufferedBytes).toBeGreaterThan(0);
+    expect(bufferedBytes).toBeLessThan(2 * CHUNK.length);
+    expect(isOver).toBe(false);
+    await clock.run(1_000);
+    await waitUntil(() => isOver);
+    await waitUntil(() => listener.connections === 0);
+  });
+
+  it("tells the handler when the caller goes away", async () => {
+    let isAborted = false;
+    const listener = await startListener(async (_, sink) => {
+      sink.writeHead(200, {});
+      await sink.write(Buffer.from("first"));
+      await new Promise<void>((resolve) => {
+        sink.signal.addEventListener("abort", () => resolve());
+      });
+      isAborted = true;
+    });
+    const client = RawClient.create(listener.port);
+    client.socket.write(GET);
+    await client.waitFor("first");
+    client.socket.destroy();
+    await waitUntil(() => isAborted);
+  });
+
+  it("stops without cutting what is in flight, and lets nobody hold it", async () => {
+    // Symptom: a process that drains never ends, or cuts an answer.
+    // Sequence: at the stop one caller waits for its answer, one is idle, and
+    // one has sent half a head and no more.
+    // Cause: Node checks the time limits of heads no more once it closes.
+    let release = () => {};
+    const listener = await startListener(async (_, sink) => {
+      sink.writeHead(200, {});
+      await sink.write(Buffer.from("first"));
+      await new Promise<void>((resolve) => release = resolve);
+      await sink.write(Buffer.from("last"));
+      await sink.end();
+    });
+    const busy = RawClient.create(listener.port);
+    const idle = RawClient.create(listener.port);
+    const half = RawClient.create(listener.port);
+    busy.socket.write(GET);
+    half.socket.write("GET / HTTP/1.1\r\n");
+    await busy.waitFor("first");
+    await waitUntil(() => listener.connections === 3);
+    const stopped = listener.stop();
+    await idle.waitClosed();
+    await half.waitClosed();
+    await RawClient.create(listener.port).waitClosed();
+    release();
+    await stopped;
+    await busy.waitClosed();
+    expect(busy.received).toMatch(/last\r\n0\r\n\r\n$/);
+  });
+
+  it("never mixes an error into an answer in flight", async () => {
+    // Symptom: a caller reads an error's text as a part of its answer.
+    // Sequence: while its answer streams, the caller sends bytes that are no
+    // HTTP.
+    // Cause: the error is written straight to the socket.
+    const listener = await startListener(async (_, sink) => {
+      sink.writeHead(200, {});
+      await sink.write(Buffer.from("first"));
+      await new Promise<void>((resolve) => {
+        sink.signal.addEventListener("abort", () => resolve());
+      });
+    });
+    const client = RawClient.create(listener.port);
+    client.socket.write(GET);
+    await client.waitFor("first");
+    client.socket.write("\0\0 no request\r\n\r\n");
+    await client.waitClosed();
+    expect(client.received).not.toContain("bad_request");
+  });
+
+  it("shows a new certificate after an update, and keeps open ones", async () => {
+    const first = readTls("a");
+    const second = readTls("b");
+    const listener = await startListener(answerEcho, { tls: first });
+    const ca = first.cert + second.cert;
+    expect(await fetchCertificateName(listener.port, ca)).toBe(
+      "persimmonslip-test-a",
+    );
+    listener.updateTls(second);
+    expect(await fetchCertificateName(listener.port, ca)).toBe(
+      "persimmonslip-test-b",
+    );
+    await expect(fetchCertificateName(listener.port, first.cert)).rejects
+      .toThrow();
+  });
+});
