End the demo at once where a VM cannot start

A child that SIGTERM ended has a signal code and no exit code; the wait for readiness went on for its 30 s and the failed demo took 35 s.

--- a/demo/child_process_group.ts
+++ b/demo/child_process_group.ts
@@ -125,9 +125,14 @@
     .slice(-LOG_TAIL_LINES).join("\n");
 }
 
-function isAlive(child: Child): boolean {
+/** Whether a child has ended, by itself or by a signal. */
+export function hasEnded(child: Child): boolean {
   const { exitCode, signalCode } = child.process;
-  if (exitCode !== null || signalCode !== null) return false;
+  return exitCode !== null || signalCode !== null;
+}
+
+function isAlive(child: Child): boolean {
+  if (hasEnded(child)) return false;
   try {
     process.kill(child.pid, 0);
     return true;
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -10,6 +10,7 @@
 import {
   type Child,
   ChildProcessGroup,
+  hasEnded,
   readLogTail,
 } from "./child_process_group.ts";
 import {
@@ -202,7 +203,7 @@
 async function waitUntilReady(vm: EntryVm): Promise<void> {
   const tries = READY_TIMEOUT_MS / READY_POLL_MS;
   for (let count = 0; count < tries; count++) {
-    if (vm.child.process.exitCode !== null) break;
+    if (hasEnded(vm.child)) break;
     const call = { port: vm.operatorPort, method: "GET", path: "/readyz" };
     const result = await sendCall(call);
     if (result.kind === "whole" && result.status === 200) return;
