--- a/src/process/configuration_follower.ts
+++ b/src/process/configuration_follower.ts
@@ -257,13 +257,9 @@
         log.info("configuration_accepted", { version, from });
         this.#announceSnapshot(snapshot);
       })
-      .with({ kind: "conflict" }, ({ replaced, digest }) => {
-        log.error("configuration_conflict", {
-          version,
-          from,
-          digest,
-          replaced,
-        });
+      .with({ kind: "conflict", isNew: true }, ({ replaced, digest }) => {
+        const fields = { version, from, digest, replaced };
+        log.error("configuration_conflict", fields);
         const snapshot = this.#store.getSnapshot();
         if (replaced && snapshot) this.#announceSnapshot(snapshot);
       })
@@ -276,7 +272,8 @@
           first: entry?.problems[0],
         });
       })
-      .with({ kind: "rejected" }, { kind: "same" }, { kind: "older" }, () => {})
+      .with({ kind: "conflict" }, { kind: "rejected" }, () => {})
+      .with({ kind: "same" }, { kind: "older" }, () => {})
       .exhaustive();
   }
 
--- a/src/process/configuration_reader.ts
+++ b/src/process/configuration_reader.ts
@@ -100,12 +100,16 @@
   ): Promise<void> {
     const { log } = this.#options.environment;
     let failures = 0;
+    // Without a wait at first and after failures: a watch tells that nothing
+    // is newer only when its time is over.
+    let mayWait = false;
     while (!this.#stopped.signal.aborted) {
       const isStarting = this.#options.getVersion() === 0;
       if (!this.isWatcher() && !isStarting) await this.#waitForTurn();
       if (this.#stopped.signal.aborted) return;
       try {
-        await readOnce(this.isWatcher() ? WATCH_WAIT_MS : 0);
+        await readOnce(this.isWatcher() && mayWait ? WATCH_WAIT_MS : 0);
+        mayWait = true;
         if (failures > 0) log.info("source_answers", { read: name });
         failures = 0;
         // A source without any version answers a read at once, again and again.
@@ -113,6 +117,7 @@
       } catch (error) {
         if (this.#stopped.signal.aborted) return;
         failures += 1;
+        mayWait = false;
         if (failures === 1) this.#noteFailure(name, toError(error));
         await this.#sleepBeforeRetry(failures);
       }
--- a/src/process/configuration_store.ts
+++ b/src/process/configuration_store.ts
@@ -26,7 +26,7 @@
 export type OfferResult =
   | { kind: "accepted"; snapshot: Snapshot }
   /** Another content under the version in force; `replaced` says which won. */
-  | { kind: "conflict"; replaced: boolean; digest: string }
+  | { kind: "conflict"; replaced: boolean; isNew: boolean; digest: string }
   | { kind: "rejected"; problems: RecordProblem[]; isNew: boolean }
   | { kind: "same" }
   | { kind: "older" };
@@ -35,7 +35,8 @@
 export interface VersionEntry {
   version: number;
   digest: string;
-  result: "accepted" | "rejected";
+  /** `outranked`: another content of that version is in force. */
+  result: "accepted" | "rejected" | "outranked";
   from: string;
   /** Time since the decision. */
   ageMs: number;
@@ -64,6 +65,7 @@
   #accepted: Accepted | undefined;
   #history: StoredEntry[] = [];
   #rejected = new Map<string, RecordProblem[]>();
+  #outranked: string | undefined;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -102,7 +104,8 @@
     const isConflict = offer.version === this.getVersion();
     if (isConflict && digest === this.getDigest()) return { kind: "same" };
     if (isConflict && digest < this.getDigest()) {
-      return { kind: "conflict", replaced: false, digest };
+      const isNew = this.#noteOutranked(offer, digest);
+      return { kind: "conflict", replaced: false, isNew, digest };
     }
     const known = this.#rejected.get(toKey(offer.version, digest));
     if (known !== undefined) {
@@ -117,7 +120,7 @@
         this.#accepted = { snapshot, records: offer.records, digest };
         this.#addHistory(offer, { digest, result: "accepted", problems: [] });
         return isConflict
-          ? { kind: "conflict", replaced: true, digest }
+          ? { kind: "conflict", replaced: true, isNew: true, digest }
           : { kind: "accepted", snapshot };
       })
       .exhaustive();
@@ -132,6 +135,14 @@
     }));
   }
 
+  #noteOutranked(offer: Offer, digest: string): boolean {
+    const key = toKey(offer.version, digest);
+    if (this.#outranked === key) return false;
+    this.#outranked = key;
+    this.#addHistory(offer, { digest, result: "outranked", problems: [] });
+    return true;
+  }
+
   #noteRejected(
     offer: Offer,
     digest: string,
--- a/src/process/member_beliefs.ts
+++ b/src/process/member_beliefs.ts
@@ -10,6 +10,9 @@
 import type { Clock } from "./clock.ts";
 import type { CallFrom, MemberNews } from "./peer_api.ts";
 
+/** Stands for the life of a VM of which none is known by name. */
+export const UNKNOWN_INCARNATION = "?" as Incarnation;
+
 const STATE_ORDER = { alive: 0, suspect: 1, dead: 2 } as const;
 
 type Liveness = keyof typeof STATE_ORDER;
@@ -126,7 +129,7 @@
     const belief = this.#beliefs.get(vm);
     if (belief === undefined) {
       // Nothing was ever heard of it, so there is no life to suspect by name.
-      const incarnation = "" as Incarnation;
+      const incarnation = UNKNOWN_INCARNATION;
       this.#put(
         vm,
         this.#toBelief({
@@ -174,7 +177,7 @@
 
   #handleDoubt(news: MemberNews): void {
     const isOwnLife = news.incarnation === this.#self.incarnation ||
-      news.incarnation === "";
+      news.incarnation === UNKNOWN_INCARNATION;
     const isDoubt = news.state === "suspect" || news.state === "dead";
     if (!isOwnLife || !isDoubt || news.counter < this.#counter) return;
     this.#counter = news.counter;
--- a/src/process/member_upstream_words.ts
+++ b/src/process/member_upstream_words.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { Incarnation, VmId } from "../ids.ts";
+import type { VmId } from "../ids.ts";
+import { UNKNOWN_INCARNATION } from "./member_beliefs.ts";
 import type { MemberNews } from "./peer_api.ts";
 
-/** Upstreams have no incarnation that the router knows. */
-const NO_INCARNATION = "" as Incarnation;
 
 interface Word {
   isLeaving: boolean;
@@ -32,7 +31,7 @@
     const counter = (this.#words.get(vm)?.counter ?? 0) + 1;
     this.#words.set(vm, { isLeaving, counter });
     const state = isLeaving ? "draining" : "alive";
-    return { vm, incarnation: NO_INCARNATION, state, counter };
+    return { vm, incarnation: UNKNOWN_INCARNATION, state, counter };
   }
 
   /** Takes in what a VM passed on; returns whether it was new. */
