--- /dev/null
+++ b/test/failures/vm_paused_test.ts
@@ -0,0 +1,112 @@
+/**
+ * Symptom: a replica has twice its slots; two VMs act as owner of one shard.
+ *
+ * Sequence: the owner's process is stopped, the others take its shards over,
+ * the process goes on.
+ *
+ * Cause: it still believes what it believed before, and its timeouts seem to
+ * have run out for all the others. It finds the gap by its monotonic clock, is
+ * the owner of nothing, and hears of the fleet before it acts again.
+ *
+ * @module
+ */
+import { expect, it } from "vitest";
+import type { VmId } from "../../src/ids.ts";
+import type { VirtualFleet } from "../../standin/virtual_fleet.ts";
+import { buildRecords } from "../support/fleet_records.ts";
+import { listOwners, startFleet, toVmId } from "../support/fleet_steps.ts";
+
+const KEY = "pool/0";
+
+async function pauseOwner(
+  fleet: VirtualFleet,
+  ms: number,
+): Promise<VmId> {
+  const [owner] = listOwners(fleet, KEY);
+  fleet.network.pause(owner!);
+  await fleet.clock.run(ms);
+  return owner!;
+}
+
+it("owns nothing until it has heard of the fleet", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const owner = await pauseOwner(fleet, 15_000);
+  const { membership } = fleet.vms.get(owner)!;
+  expect(listOwners(fleet, KEY, owner)).not.toContain(owner);
+  fleet.network.resume(owner);
+  expect(membership.isRecovering()).toBe(true);
+  expect(membership.findOwner(KEY)).not.toBe(owner);
+  await fleet.runUntil(() => !membership.isRecovering(), 2_000);
+  await fleet.runUntil(
+    () =>
+      listOwners(fleet, KEY).size === 1 && listOwners(fleet, KEY).has(owner),
+    5_000,
+  );
+});
+
+it("finds the gap even before any of its timers has run", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const owner = await pauseOwner(fleet, 5_000);
+  const { membership } = fleet.vms.get(owner)!;
+  // Still stopped: this is the first line that runs when it goes on.
+  expect(membership.findOwner(KEY)).not.toBe(owner);
+});
+
+it("takes nobody for dead because of its own pause", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const owner = await pauseOwner(fleet, 60_000);
+  const { membership } = fleet.vms.get(owner)!;
+  let falseDeaths = 0;
+  membership.onChange(() => {
+    const ids = fleet.list().map((vm) => vm.listed.id);
+    const others = ids.filter((id) => id !== owner);
+    if (others.some((id) => !membership.isReachable(id))) falseDeaths += 1;
+  });
+  fleet.network.resume(owner);
+  await fleet.clock.run(20_000);
+  expect(falseDeaths).toBe(0);
+});
+
+it("has the newer configuration before it acts as an owner", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const owner = await pauseOwner(fleet, 5_000);
+  fleet.service.putVersion(2, buildRecords(2));
+  await fleet.clock.run(5_000);
+  const { membership, follower } = fleet.vms.get(owner)!;
+  fleet.network.resume(owner);
+  await fleet.runUntil(() => !membership.isRecovering(), 2_000);
+  expect(follower.getSnapshot()!.version).toBe(2);
+});
+
+it("acts alone again when no other VM answers after the pause", async () => {
+  const fleet = await startFleet({ count: 4 });
+  const owner = await pauseOwner(fleet, 5_000);
+  const others = fleet.list().map((vm) => vm.listed.id).filter((vm) =>
+    vm !== owner
+  );
+  fleet.network.cutBetween([owner], others);
+  const { membership } = fleet.vms.get(owner)!;
+  fleet.network.resume(owner);
+  await fleet.clock.run(1_000);
+  expect(membership.isRecovering()).toBe(true);
+  await fleet.runUntil(() => membership.findOwner(KEY) === owner, 10_000);
+});
+
+it("half of the fleet paused and continued comes back", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const paused = [0, 1, 2, 3].map(toVmId);
+  for (const vm of paused) fleet.network.pause(vm);
+  await fleet.clock.run(20_000);
+  for (const vm of paused) fleet.network.resume(vm);
+  await fleet.runUntil(() => listOwners(fleet, KEY).size === 1, 15_000);
+  const took = await fleet.runUntil(
+    () =>
+      fleet.list().every((vm) =>
+        fleet.list().every((other) =>
+          vm.membership.isReachable(other.listed.id)
+        )
+      ),
+    15_000,
+  );
+  expect(took).toBeLessThan(15_000);
+});
