Add the command-line tool with its ten commands

There was a daemon's API and nothing to ask it with. check and diff work offline; status, versions, drain, burn and fate speak to the operators' listener, entries and load to the callers'.

--- a/lint/verb_list.ts
+++ b/lint/verb_list.ts
@@ -45,6 +45,7 @@
   "print",
   "convert",
   "to",
+  "with",
   "encode",
   "decode",
   "copy",
--- /dev/null
+++ b/src/tool/fleet_commands.ts
@@ -0,0 +1,184 @@
+/**
+ * `persimmonslip status`, `versions`, `entries`, `drain` and `fate`.
+ *
+ * @module
+ */
+import { buildStory, renderStory } from "./fate_story.ts";
+import { readFateFromLogs } from "./fate_from_logs.ts";
+import {
+  DRAIN_ANSWER,
+  ENTRIES_ANSWER,
+  FATE_ANSWER,
+  STATUS_ANSWER,
+  type StatusAnswer,
+  VERSIONS_ANSWER,
+} from "./operator_answers.ts";
+import { formatDuration, renderTable } from "./table.ts";
+import type { ToolContext, ToolResult } from "./terminal.ts";
+import { EXIT_FINDING, EXIT_OK } from "./tool_error.ts";
+import { isConnectionRefused } from "./http_client.ts";
+import type { VmClient } from "./vm_client.ts";
+
+const POLL_MS = 1_000;
+const NONE = "-";
+
+/** Shows the fleet as one VM sees it. */
+export async function runStatus(client: VmClient): Promise<ToolResult> {
+  const status = await client.fetch("/v1/status", STATUS_ANSWER);
+  return { text: renderStatus(status), json: status, exitCode: EXIT_OK };
+}
+
+/** Shows which VM has which configuration, since when and from whom. */
+export async function runVersions(client: VmClient): Promise<ToolResult> {
+  const answer = await client.fetch("/v1/versions", VERSIONS_ANSWER);
+  const rows = answer.vms.map((vm) => [
+    vm.vm,
+    formatNumber(vm.version),
+    vm.since_ms == null ? NONE : formatDuration(vm.since_ms),
+    vm.from ?? NONE,
+  ]);
+  return {
+    text: renderTable(["VM", "VERSION", "SINCE", "FROM"], rows),
+    json: answer,
+    exitCode: EXIT_OK,
+  };
+}
+
+/** Shows the addresses that callers are given. */
+export async function runEntries(
+  client: VmClient,
+  options: { dataCentre?: string | undefined },
+): Promise<ToolResult> {
+  const query = options.dataCentre === undefined
+    ? ""
+    : `?data_centre=${encodeURIComponent(options.dataCentre)}`;
+  const answer = await client.fetch(`/v1/entries${query}`, ENTRIES_ANSWER);
+  const rows = answer.entries.map((entry) => [
+    entry.vm,
+    entry.data_centre,
+    `${entry.address}:${entry.port}`,
+  ]);
+  return {
+    text: renderTable(["VM", "DATA CENTRE", "ADDRESS"], rows) +
+      `Callers may keep this for ${formatDuration(answer.ttl_ms)}\n`,
+    json: answer,
+    exitCode: EXIT_OK,
+  };
+}
+
+/** Begins a drain; with `wait`, goes on until the VM has ended. */
+export async function runDrain(
+  context: ToolContext,
+  client: VmClient,
+  options: { wait: boolean },
+): Promise<ToolResult> {
+  const answer = await client.send("/v1/drain", DRAIN_ANSWER);
+  if (!options.wait) {
+    const left = answer.in_flight === undefined
+      ? ""
+      : `, ${answer.in_flight} requests in flight`;
+    return {
+      text: `The VM drains${left}\n`,
+      json: answer,
+      exitCode: EXIT_OK,
+    };
+  }
+  await waitForEnd(context, client);
+  return {
+    text: "The VM has drained and ended\n",
+    json: { ...answer, ended: true },
+    exitCode: EXIT_OK,
+  };
+}
+
+/** Tells a request's fate; exit code 1 where nothing is known of it. */
+export async function runFate(
+  requestId: string,
+  source: { client: () => VmClient; logs: readonly string[] },
+): Promise<ToolResult> {
+  const page = source.logs.length > 0
+    ? await readFateFromLogs(requestId, source.logs)
+    : await source.client().find(
+      `/v1/requests/${encodeURIComponent(requestId)}`,
+      FATE_ANSWER,
+    );
+  if (page === undefined) return buildNoFate(requestId, source.logs);
+  const story = buildStory(page);
+  return {
+    text: renderStory(page, story),
+    json: { ...page, explanation: story },
+    exitCode: page.steps.length > 0 ? EXIT_OK : EXIT_FINDING,
+  };
+}
+
+function buildNoFate(requestId: string, logs: readonly string[]): ToolResult {
+  const text = logs.length > 0
+    ? `These logs have no line of request ${requestId}. Whether it ran is ` +
+      "not known.\n"
+    : `No VM that can be reached knows request ${requestId}. It was never ` +
+      "sent, or its VM was replaced, or the record had to make room. Whether " +
+      "it ran is not known; log lines may tell: add --logs FILE.\n";
+  return {
+    text,
+    json: { request_id: requestId, outcome: "unknown", steps: [] },
+    exitCode: EXIT_FINDING,
+  };
+}
+
+async function waitForEnd(
+  context: ToolContext,
+  client: VmClient,
+): Promise<void> {
+  while (true) {
+    try {
+      const status = await client.fetch("/v1/status", STATUS_ANSWER);
+      if (context.terminal.isInteractive) {
+        context.terminal.writeError(
+          `\r${status.in_flight} requests in flight   `,
+        );
+      }
+    } catch (thrown) {
+      // The operators' listener closes last. Only a refused connection shows
+      // that it has: silence would be taken for an end that never came.
+      if (isConnectionRefused(thrown)) return;
+      throw thrown;
+    }
+    await context.clock.sleep(POLL_MS);
+  }
+}
+
+function renderStatus(status: StatusAnswer): string {
+  const state = status.draining ? "drains" : "serves";
+  const head = `VM ${status.vm} in ${status.data_centre} ${state}, up ` +
+    `${formatDuration(status.uptime_ms)}, ${status.in_flight} requests in ` +
+    `flight, configuration ${formatNumber(status.config_version)}, list ` +
+    `revision ${formatNumber(status.list_revision)}\n\n`;
+  const members = renderTable(
+    ["VM", "STATE", "DATA CENTRE", "CONFIGURATION"],
+    status.members.map((member) => [
+      member.vm,
+      member.state,
+      member.data_centre,
+      formatNumber(member.config_version),
+    ]),
+  );
+  if (status.shards.length === 0) return head + members;
+  const shards = renderTable(
+    ["SHARD", "OWNER", "ROOM", "SLOTS", "WAITING", "EXPECTED WAIT"],
+    status.shards.map((shard) => [
+      shard.shard,
+      shard.owner ?? NONE,
+      formatNumber(shard.room),
+      formatNumber(shard.slots),
+      formatNumber(shard.waiting),
+      shard.expected_wait_ms == null
+        ? NONE
+        : formatDuration(shard.expected_wait_ms),
+    ]),
+  );
+  return `${head}${members}\n${shards}`;
+}
+
+function formatNumber(value: number | null | undefined): string {
+  return value == null ? NONE : String(value);
+}
--- /dev/null
+++ b/src/tool/http_client.ts
@@ -0,0 +1,161 @@
+/**
+ * The tool's HTTP calls, through Node's own client.
+ *
+ * @module
+ */
+import { Agent as HttpAgent, type IncomingMessage, request } from "node:http";
+import { Agent as HttpsAgent, request as requestTls } from "node:https";
+import { toError } from "../errors.ts";
+import { EXIT_UNREACHABLE, EXIT_USAGE, ToolError } from "./tool_error.ts";
+
+const MAX_ANSWER_BYTES = 64 * 1_024 * 1_024;
+const MAX_SHOWN_LENGTH = 300;
+const OK_STATUSES = { from: 200, to: 299 };
+
+/** One call. */
+export interface HttpCall {
+  method: string;
+  url: URL;
+  headers: Record<string, string>;
+  body?: string;
+  /** Silence on the connection for so long ends the call. */
+  silenceMs: number;
+  /** PEM text of the authority to trust, for https. */
+  ca?: string;
+  /** Keeps connections for later calls. */
+  agent?: HttpAgent | HttpsAgent;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  status: number;
+  headers: Record<string, string>;
+  body: string;
+}
+
+/** Sends a call; resolves with the head. Rejects with a `ToolError`. */
+export function openAnswer(call: HttpCall): Promise<IncomingMessage> {
+  const send = call.url.protocol === "https:" ? requestTls : request;
+  return new Promise((resolve, reject) => {
+    const outgoing = send(call.url, {
+      method: call.method,
+      headers: call.headers,
+      timeout: call.silenceMs,
+      ...(call.ca !== undefined && { ca: call.ca }),
+      ...(call.agent !== undefined && { agent: call.agent }),
+    });
+    // An open connection can go silent for good; without this the tool would
+    // hang without a word.
+    outgoing.on("timeout", () => {
+      outgoing.destroy(new Error(`Silent for ${call.silenceMs} ms`));
+    });
+    outgoing.on("error", (error) => reject(toUnreachable(call, error)));
+    outgoing.on("response", resolve);
+    outgoing.end(call.body);
+  });
+}
+
+/** Sends a call and reads its whole answer. Rejects with a `ToolError`. */
+export async function sendCall(call: HttpCall): Promise<HttpAnswer> {
+  const incoming = await openAnswer(call);
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of incoming) {
+      chunks.push(chunk as Buffer);
+      size += (chunk as Buffer).length;
+      if (size > MAX_ANSWER_BYTES) throw new Error("Answer is too large");
+    }
+  } catch (thrown) {
+    throw toUnreachable(call, toError(thrown));
+  }
+  return {
+    status: incoming.statusCode ?? 0,
+    headers: toPlainHeaders(incoming),
+    body: Buffer.concat(chunks).toString("utf8"),
+  };
+}
+
+/** The headers of an answer, each with one text. */
+export function toPlainHeaders(
+  incoming: IncomingMessage,
+): Record<string, string> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value !== undefined) headers[name] = String(value);
+  }
+  return headers;
+}
+
+/** Whether an HTTP status says that the call succeeded. */
+export function isSuccess(status: number): boolean {
+  return status >= OK_STATUSES.from && status <= OK_STATUSES.to;
+}
+
+/** Reads a URL of the command line. Throws a `ToolError`. */
+export function parseUrl(text: string | undefined, option: string): URL {
+  const variable = `PERSIMMONSLIP_${option.toUpperCase().replaceAll("-", "_")}`;
+  if (text === undefined || text === "") {
+    throw new ToolError(`No address is given`, {
+      exitCode: EXIT_USAGE,
+      step: "read_arguments",
+      hint: `Give --${option} http://ADDRESS:PORT, or set ${variable}`,
+    });
+  }
+  const url = URL.canParse(text) ? new URL(text) : undefined;
+  if (url?.protocol === "http:" || url?.protocol === "https:") return url;
+  throw new ToolError(`Expected an http or https URL, not ${text}`, {
+    exitCode: EXIT_USAGE,
+    step: "read_arguments",
+    hint: `Give --${option} http://ADDRESS:PORT`,
+  });
+}
+
+/** Whether nobody listens at the address of a failed call. */
+export function isConnectionRefused(thrown: unknown): boolean {
+  if (!(thrown instanceof ToolError)) return false;
+  const cause = thrown.cause() as NodeJS.ErrnoException | undefined;
+  return cause?.code === "ECONNREFUSED";
+}
+
+/** The error of a VM's refusal, from its typed body where it has one. */
+export function buildRefusedError(
+  call: { url: URL },
+  answer: HttpAnswer,
+): ToolError {
+  const isTokenRefused = answer.status === 401 || answer.status === 403;
+  return new ToolError(
+    `${call.url.host} answered ${answer.status}: ${readMessage(answer.body)}`,
+    {
+      exitCode: EXIT_UNREACHABLE,
+      step: "call",
+      peer: call.url.host,
+      ...(isTokenRefused && {
+        hint: "Check --token, or PERSIMMONSLIP_TOKEN, against the VM's " +
+          "setting listeners.operators.token",
+      }),
+    },
+  );
+}
+
+function readMessage(body: string): string {
+  try {
+    const error = JSON.parse(body)?.error;
+    if (typeof error?.message === "string") return error.message;
+  } catch {
+    // Not one of the typed bodies; its text is shown as it is.
+  }
+  return body.slice(0, MAX_SHOWN_LENGTH) || "an empty answer";
+}
+
+function toUnreachable(call: HttpCall, error: Error): ToolError {
+  const { host } = call.url;
+  return new ToolError(`${host} cannot be reached`, {
+    exitCode: EXIT_UNREACHABLE,
+    step: "call",
+    peer: host,
+    cause: error,
+    hint: "Check that the address is that of the right listener, and that " +
+      "the VM runs",
+  });
+}
--- /dev/null
+++ b/test/tool/eager_clock.ts
@@ -0,0 +1,32 @@
+/**
+ * A clock whose waits are over at the next turn of the event loop.
+ *
+ * @module
+ */
+import { type CancelTimer, Clock } from "../../src/process/clock.ts";
+
+/** Time that jumps to wherever somebody waits for. */
+export class EagerClock extends Clock {
+  #now = 0;
+
+  static create(): EagerClock {
+    return new EagerClock();
+  }
+
+  now(): number {
+    return this.#now;
+  }
+
+  wallTime(): number {
+    return this.#now;
+  }
+
+  startTimer(ms: number, callback: () => void): CancelTimer {
+    const at = this.#now + ms;
+    const immediate = setImmediate(() => {
+      this.#now = Math.max(this.#now, at);
+      callback();
+    });
+    return () => clearImmediate(immediate);
+  }
+}
--- /dev/null
+++ b/test/tool/fake_vm.ts
@@ -0,0 +1,73 @@
+/**
+ * A listener on loopback that answers as a test says.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** Answers one call. */
+export type Answer = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+/** A VM of whose listeners only the answers matter. */
+export class FakeVm {
+  readonly #server: Server;
+  /** Method, path and credential of each call. */
+  readonly calls: string[] = [];
+
+  constructor(answer: Answer) {
+    this.#server = createServer((request, response) => {
+      const { method, url, headers } = request;
+      this.calls.push(`${method} ${url} ${headers.authorization ?? "none"}`);
+      request.resume();
+      answer(request, response);
+    });
+  }
+
+  static async start(answer: Answer): Promise<FakeVm> {
+    const vm = new FakeVm(answer);
+    await new Promise<void>((resolve) => {
+      vm.#server.listen(0, "127.0.0.1", resolve);
+    });
+    return vm;
+  }
+
+  /** A VM that answers paths with fixed values, and 404 otherwise. */
+  static startFixed(answers: Record<string, unknown>): Promise<FakeVm> {
+    return FakeVm.start((request, response) => {
+      const path = (request.url ?? "").split("?")[0]!;
+      sendJson(response, path in answers ? 200 : 404, answers[path] ?? {});
+    });
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+}
+
+/** Answers with a value as JSON. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+}
--- /dev/null
+++ b/test/tool/fate_test.ts
@@ -0,0 +1,184 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, expect, test } from "vitest";
+import type { LogFields } from "../../src/process/log.ts";
+import { formatLogLine } from "../../src/process/log_line.ts";
+import { buildStory, renderStory } from "../../src/tool/fate_story.ts";
+import type { FatePage } from "../../src/tool/operator_answers.ts";
+import { FakeVm } from "./fake_vm.ts";
+import { runWords } from "./recording_terminal.ts";
+
+const ID = "r~entry-1~abc~1~2~0123456789abcdef0123";
+
+function buildPage(change: Partial<FatePage>): FatePage {
+  return {
+    request_id: ID,
+    outcome: "answered",
+    vm: "entry-1",
+    workspace: "clinic",
+    class: "chat",
+    arrived_at: "2026-01-01T00:00:00.000Z",
+    config_version: 7,
+    tokens: 40,
+    steps: [
+      { step: "arrived", age_ms: 0 },
+      {
+        step: "queued",
+        age_ms: 5,
+        peer: "entry-2",
+        detail: "behind 3 requests of tier clerk",
+      },
+      { step: "granted", age_ms: 1_205, peer: "engine-4" },
+      { step: "sent", age_ms: 1_206, peer: "engine-4" },
+      { step: "answered", age_ms: 4_000 },
+    ],
+    ...change,
+  };
+}
+
+function renderPage(change: Partial<FatePage>): string {
+  const page = buildPage(change);
+  return renderStory(page, buildStory(page));
+}
+
+describe("the story of a fate", () => {
+  test("says where it waited, behind whom, how long and on which replica", () => {
+    const text = renderPage({});
+    expect(text).toContain("workspace clinic, class chat");
+    expect(text).toContain("Answered in full, 40 tokens.");
+    expect(text).toContain(
+      "+5ms  Waited in the queue at entry-2: behind 3 requests of tier clerk " +
+        "(took 1.2s)",
+    );
+    expect(text).toContain("Got a slot on replica engine-4");
+    expect(text).not.toContain("What is not known");
+  });
+
+  test("says why it was refused, and that it may be sent again", () => {
+    const text = renderPage({
+      outcome: "not_run",
+      code: "queue_full",
+      steps: [
+        { step: "arrived", age_ms: 0 },
+        { step: "refused", age_ms: 3, detail: "200 requests wait already" },
+      ],
+    });
+    expect(text).toContain("Not run (queue_full): 200 requests wait already.");
+    expect(text).toContain("may be sent again safely");
+  });
+
+  test("says what is not known and why", () => {
+    const text = renderPage({
+      outcome: "unknown",
+      code: "upstream_timeout",
+      dropped_steps: 2,
+      steps: [
+        { step: "sent", age_ms: 10, peer: "booking-1" },
+        { step: "refused", age_ms: 900, detail: "No answer in time" },
+        { step: "unknown", age_ms: 900 },
+      ],
+    });
+    expect(text).toContain("It may have run");
+    expect(text).not.toContain("safely");
+    expect(text).toMatch(
+      /not known:[^]*upstream did the work[^]*\(booking-1\)/,
+    );
+    expect(text).toContain("2 steps are missing");
+  });
+
+  test("warns where a request ran and its answer did not arrive", () => {
+    const text = renderPage({ outcome: "ran", code: "cancelled" });
+    expect(text).toContain("Sending it again does the work twice");
+  });
+});
+
+describe("fate", () => {
+  test("asks a VM", async () => {
+    const path = `/v1/requests/${encodeURIComponent(ID)}`;
+    const vm = await FakeVm.startFixed({ [path]: buildPage({}) });
+    const options = ["--url", vm.url, "--token", "t"];
+    const run = await runWords(["fate", ID, "--json", ...options]);
+    const unknown = await runWords(["fate", "r~other", ...options]);
+    await vm.stop();
+    expect(JSON.parse(run.output).explanation.outcome).toContain("Answered");
+    expect(run.exitCode).toBe(0);
+    expect(unknown.output).toContain("Whether it ran is not known");
+    expect(unknown.exitCode).toBe(1);
+  });
+});
+
+function writeLogs(events: [string, LogFields][]): string {
+  const lines = events.map(([event, fields], index) =>
+    formatLogLine({
+      time: `2026-01-01T00:00:0${index}.000Z`,
+      level: "info",
+      event,
+      fields,
+    })
+  );
+  const file = join(mkdtempSync(join(tmpdir(), "logs-")), "vm.log");
+  writeFileSync(file, ["Starting up", ...lines, ""].join("\n"));
+  return file;
+}
+
+const STEPS: [string, LogFields][] = [
+  ["request_step", { request_id: ID, step: "arrived", age_ms: 0 }],
+  ["request_step", { request_id: `${ID}0`, step: "refused", age_ms: 0 }],
+  ["request_step", {
+    request_id: ID,
+    step: "queued",
+    age_ms: 2,
+    detail: 'behind 1 of "clerk"',
+  }],
+  ["request_step", { request_id: ID, step: "sent", age_ms: 9, peer: "e-1" }],
+];
+
+describe("fate --logs", () => {
+  test("puts a fate together from the lines of several files", async () => {
+    const first = writeLogs(STEPS);
+    const second = writeLogs([["request_finished", {
+      request_id: ID,
+      workspace: "clinic",
+      class: "chat",
+      outcome: "answered",
+      tokens: 12,
+    }]]);
+    const run = await runWords(["fate", ID, "--logs", second, first, "--json"]);
+    const page = JSON.parse(run.output);
+    expect(page).toMatchObject({
+      outcome: "answered",
+      vm: "entry-1",
+      workspace: "clinic",
+      arrived_at: "2026-01-01T00:00:00.000Z",
+      tokens: 12,
+    });
+    expect(page.steps.map((step: { step: string }) => step.step))
+      .toEqual(["arrived", "queued", "sent"]);
+    expect(page.steps[1].detail).toBe('behind 1 of "clerk"');
+  });
+
+  // Symptom: support tells a customer that a request did not run, and it had.
+  // Sequence: the VM dies after it queued the request; its last lines are lost.
+  // Cause: a log without a line that says "sent" was taken for proof.
+  test("never says not run of a request whose end is not logged", async () => {
+    const file = writeLogs(STEPS.slice(0, 3));
+    const run = await runWords(["fate", ID, "--logs", file, "--json"]);
+    const page = JSON.parse(run.output);
+    expect(page.outcome).toBe("unknown");
+    expect(page.why).toContain("The logs end before the request did");
+  });
+
+  test("ends with 1 where no line is of the request", async () => {
+    const file = writeLogs(STEPS);
+    const run = await runWords(["fate", "r~none", "--logs", file]);
+    expect(run.output).toContain("no line of request r~none");
+    expect(run.exitCode).toBe(1);
+  });
+
+  test("ends with 3 where a file cannot be read", async () => {
+    const run = await runWords(["fate", ID, "--logs", "no-such-file"]);
+    expect(run.error).toContain("no-such-file cannot be read");
+    expect(run.exitCode).toBe(3);
+  });
+});
--- /dev/null
+++ b/test/tool/recording_terminal.ts
@@ -0,0 +1,45 @@
+/**
+ * Runs the tool in this process and keeps what it writes.
+ *
+ * @module
+ */
+import type { Clock } from "../../src/process/clock.ts";
+import { SeededRandom } from "../../src/process/random.ts";
+import { runTool, Terminal } from "../../src/tool/index.ts";
+import { EagerClock } from "./eager_clock.ts";
+
+/** What one run of the tool gave. */
+export interface ToolRun {
+  exitCode: number;
+  output: string;
+  error: string;
+}
+
+class RecordingTerminal extends Terminal {
+  readonly isInteractive = false;
+  output = "";
+  error = "";
+
+  writeOutput(text: string): void {
+    this.output += text;
+  }
+
+  writeError(text: string): void {
+    this.error += text;
+  }
+}
+
+/** Runs the tool with `words` as its arguments. */
+export async function runWords(
+  words: string[],
+  options: { variables?: Record<string, string>; clock?: Clock } = {},
+): Promise<ToolRun> {
+  const terminal = new RecordingTerminal();
+  const exitCode = await runTool(words, {
+    terminal,
+    clock: options.clock ?? EagerClock.create(),
+    random: SeededRandom.create(1),
+    variables: options.variables ?? {},
+  });
+  return { exitCode, output: terminal.output, error: terminal.error };
+}
