--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -9,6 +9,7 @@
 import type { core } from "zod";
 import { StepError, toError } from "../errors.ts";
 import type { DataCentre, VmId } from "../ids.ts";
+import { formatPath } from "../version/record_problem.ts";
 import { findJsonFault } from "./json_scanner.ts";
 import type { LogLevel } from "./log.ts";
 import { SETTINGS_SCHEMA } from "./settings_schema.ts";
@@ -223,13 +224,6 @@
     : `found ${text}`;
 }
 
-function formatPath(path: readonly PropertyKey[]): string {
-  const parts = path.map((part) =>
-    typeof part === "number" ? `[${part}]` : `.${String(part)}`
-  );
-  return `$${parts.join("")}`;
-}
-
 function convertKeys(value: unknown): unknown {
   if (Array.isArray(value)) return value.map(convertKeys);
   if (typeof value !== "object" || value === null) return value;
