Give requests without a taken id one that cannot be submitted again

Each request used to be remembered by its claim, so that its id could not be run twice; at the bound of 50,000 claims that made ids which callers had taken expire early. Ids that go with one submission are now marked (s~) and never granted, so nothing is kept of them.

--- a/src/process/request_ids.ts
+++ b/src/process/request_ids.ts
@@ -1,7 +1,8 @@
 /**
  * Request ids: who issued them, and proof that they did.
  *
- * An id is `r~VM~INCARNATION~SEQUENCE~ISSUED~CODE`. The parts after the VM
+ * An id is `r~VM~INCARNATION~SEQUENCE~ISSUED~CODE`, or `s~…` where it may be
+ * submitted only once. The parts after the VM
  * never hold a `~`, so an id is read from its end and a VM's name may hold
  * dashes, dots and anything else a header can carry. `CODE` is keyed with a
  * secret of the incarnation: an id can be checked without keeping it, so
@@ -14,6 +15,7 @@
 
 const SEPARATOR = "~";
 const PREFIX = "r";
+const SINGLE_PREFIX = "s";
 const NUMBER_BASE = 36;
 const CODE_LENGTH = 20;
 const MAX_ID_LENGTH = 300;
@@ -24,6 +26,8 @@
 export interface RequestIdParts {
   vm: VmId;
   incarnation: Incarnation;
+  /** Whether the id goes with one submission and no other. */
+  isSingle: boolean;
   /** Counts the ids of one incarnation. */
   sequence: number;
   /** The issuer's monotonic time in whole milliseconds. */
@@ -46,7 +50,10 @@
     return undefined;
   }
   const parts = text.split(SEPARATOR);
-  if (parts.length < 6 || parts[0] !== PREFIX) return undefined;
+  const isSingle = parts[0] === SINGLE_PREFIX;
+  if (parts.length < 6 || (parts[0] !== PREFIX && !isSingle)) {
+    return undefined;
+  }
   const [incarnation, sequence, issuedAt, code] = parts.slice(-4);
   if (!NUMBER_PATTERN.test(sequence!) || !NUMBER_PATTERN.test(issuedAt!)) {
     return undefined;
@@ -54,6 +61,7 @@
   return {
     vm: toId<VmId>(parts.slice(1, -4).join(SEPARATOR)),
     incarnation: toId<Incarnation>(incarnation!),
+    isSingle,
     sequence: parseInt(sequence!, NUMBER_BASE),
     issuedAt: parseInt(issuedAt!, NUMBER_BASE),
     code: code!,
@@ -69,7 +77,7 @@
 
 function formatStem(parts: Omit<RequestIdParts, "code">): string {
   return [
-    PREFIX,
+    parts.isSingle ? SINGLE_PREFIX : PREFIX,
     parts.vm,
     parts.incarnation,
     parts.sequence.toString(NUMBER_BASE),
--- a/src/process/run_claims.ts
+++ b/src/process/run_claims.ts
@@ -81,18 +81,16 @@
   }
 
   issueId(): RequestId {
-    const { vm, incarnation, clock } = this.#environment;
-    const issuedAt = Math.floor(clock.now());
-    const sequence = this.#nextSequence++;
-    return formatRequestId(
-      { vm, incarnation, sequence, issuedAt },
-      this.#secret,
-    );
+    return this.#formatNextId({ isSingle: false });
+  }
+
+  issueSingleId(): RequestId {
+    return this.#formatNextId({ isSingle: true });
   }
 
   async claimRun(requestId: RequestId): Promise<ClaimResult> {
     const parts = parseRequestId(requestId);
-    if (parts === undefined) return { kind: "unknown_id" };
+    if (parts === undefined || parts.isSingle) return { kind: "unknown_id" };
     const nonce = this.#environment.random.nextHex(NONCE_LENGTH);
     // The time to live counts from before the ask: an answer that waits in a
     // buffer while this process is paused must not look fresh.
@@ -161,6 +159,16 @@
     return this.#claims.get(requestId)?.holder?.vm;
   }
 
+  #formatNextId(options: { isSingle: boolean }): RequestId {
+    const { vm, incarnation, clock } = this.#environment;
+    const issuedAt = Math.floor(clock.now());
+    const sequence = this.#nextSequence++;
+    return formatRequestId(
+      { vm, incarnation, sequence, issuedAt, ...options },
+      this.#secret,
+    );
+  }
+
   async #askIssuer(
     parts: RequestIdParts,
     claim: { requestId: RequestId; nonce: string },
@@ -227,7 +235,7 @@
   #checkOwnId(requestId: RequestId): RequestIdParts | undefined {
     const { vm, incarnation, clock } = this.#environment;
     const parts = parseRequestId(requestId);
-    if (parts === undefined) return undefined;
+    if (parts === undefined || parts.isSingle) return undefined;
     if (parts.vm !== vm || parts.incarnation !== incarnation) return undefined;
     if (!hasValidCode(parts, this.#secret)) return undefined;
     if (clock.now() - parts.issuedAt >= ID_TTL_MS) return undefined;
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -94,8 +94,13 @@
 
 /** The one run of each request id. */
 export abstract class RunClaims {
-  /** A new id that names this VM and incarnation. */
+  /** A new id that names this VM and incarnation, to be submitted later. */
   abstract issueId(): RequestId;
+  /**
+   * A new id for work that begins at once. It cannot be submitted again, so
+   * nothing has to be remembered of it.
+   */
+  abstract issueSingleId(): RequestId;
   /**
    * Claims the one run at the VM that issued the id; `unreachable` when that
    * VM or incarnation cannot be asked, and then nothing may run.
--- a/src/request/completion_stream_work.ts
+++ b/src/request/completion_stream_work.ts
@@ -10,6 +10,7 @@
 import type { HeldLease } from "../process/services.ts";
 import { AnswerCollector } from "./answer_collector.ts";
 import { checkEngineStatus, readWhole } from "./answer_reader.ts";
+import { writeWhole } from "./answer_writer.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
 import { CompletionStream, type StreamPart } from "./completion_stream.ts";
 import { CompletionWork, type CompletionWorkStart } from "./completion_work.ts";
@@ -173,16 +174,7 @@
       throw BrokenAnswerError.create(`Engine answered ${answer.status}`);
     }
     options.onWhole();
-    const headers = buildAnswerHeaders(run, {
-      "content-type": answer.headers["content-type"] ?? "application/json",
-      "content-length": String(body.length),
-    });
-    this.#collector.noteHead(answer.status, headers);
-    this.#collector.noteBytes(body);
-    run.start.sink.writeHead(answer.status, headers);
-    await run.start.sink.write(body);
-    this.#collector.putAnswer();
-    await run.start.sink.end();
+    await writeWhole(run, answer, body);
   }
 }
 
--- a/src/request/completion_whole_work.ts
+++ b/src/request/completion_whole_work.ts
@@ -5,9 +5,8 @@
  */
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
-import { AnswerCollector } from "./answer_collector.ts";
-import { buildAnswerHeaders } from "./answer_headers.ts";
 import { checkEngineStatus, readWhole } from "./answer_reader.ts";
+import { writeWhole } from "./answer_writer.ts";
 import { CompletionWork, type CompletionWorkStart } from "./completion_work.ts";
 import { BrokenAnswerError, type RelayOptions } from "./upstream_work.ts";
 
@@ -28,7 +27,7 @@
     const body = await readWhole(answer.body, MAX_ANSWER_BYTES);
     if (answer.status < FIRST_CALLER_ERROR) this.#noteAnswer(body, options);
     options.onWhole();
-    await this.#writeAnswer(answer, body);
+    await writeWhole(this.start.run, answer, body);
   }
 
   /** The caller has nothing of the answer until all of it is there. */
@@ -51,22 +50,6 @@
     options.progress.noteWhole(tokens);
     run.noteWhole(tokens);
   }
-
-  async #writeAnswer(answer: UpstreamAnswer, body: Buffer): Promise<void> {
-    const { run } = this.start;
-    const { sink } = run.start;
-    const headers = buildAnswerHeaders(run, {
-      "content-type": answer.headers["content-type"] ?? "application/json",
-      "content-length": String(body.length),
-    });
-    const collector = AnswerCollector.create(run);
-    collector.noteHead(answer.status, headers);
-    collector.noteBytes(body);
-    collector.putAnswer();
-    sink.writeHead(answer.status, headers);
-    await sink.write(body);
-    await sink.end();
-  }
 }
 
 function parseAnswer(
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -21,6 +21,9 @@
 /** Carries an id that the caller took from `POST /v1/requests`. */
 export const REQUEST_ID_HEADER = "x-request-id";
 
+/** Nobody else can run an id that goes with this submission alone. */
+const OWN_CLAIM = { kind: "granted" as const, isStanding: () => true };
+
 /** One call that asks for work. */
 export interface WorkRequest {
   request: CallerRequest;
@@ -52,9 +55,11 @@
 ): Promise<void> {
   const givenId = asked.request.headers[REQUEST_ID_HEADER];
   const requestId = givenId === undefined
-    ? services.claims.issueId()
+    ? services.claims.issueSingleId()
     : checkGivenId(givenId);
-  const claim = await services.claims.claimRun(requestId);
+  const claim = givenId === undefined
+    ? OWN_CLAIM
+    : await services.claims.claimRun(requestId);
   if (claim.kind !== "granted") {
     const { workspace, sink } = asked;
     await answerResubmission(services, { requestId, workspace, sink }, claim);
@@ -71,7 +76,7 @@
     isClaimStanding: claim.isStanding,
     retainsAnswer: givenId !== undefined,
   });
-  run.note("claimed");
+  if (givenId !== undefined) run.note("claimed");
   await runClaimed(run, checkWork);
 }
 
--- a/src/request/resubmission.ts
+++ b/src/request/resubmission.ts
@@ -40,7 +40,10 @@
   const taken = match(claim)
     .with({ kind: "taken" }, (each) => each)
     .with({ kind: "unknown_id" }, () => {
-      throw createUnknown("The request id is not one that is in force");
+      throw createUnknown(
+        "The request id is not one that can be submitted now: it has " +
+          "expired, or did not come from POST /v1/requests",
+      );
     })
     .with({ kind: "unreachable" }, ({ issuer, why }) => {
       throw createUnknown(
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -134,7 +134,7 @@
   #findRequestId(request: CallerRequest): RequestId {
     const given = request.headers[REQUEST_ID_HEADER];
     if (given !== undefined) return toId<RequestId>(given);
-    return this.#services.claims.issueId();
+    return this.#services.claims.issueSingleId();
   }
 
   #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -62,7 +62,10 @@
   for (let attempt = 1; attempt <= MAX_LEASES; attempt++) {
     const lease = await acquireLease(run, work, { attempt, avoid });
     const end = await runTry(run, work, lease);
-    if (end.kind === "answered") return;
+    if (end.kind === "answered") {
+      noteCallerGone(run);
+      return;
+    }
     if (end.kind === "cancelled") throw createCancelled(run);
     if (end.kind === "lapsed") continue;
     if (end.kind === "preempted") {
@@ -80,6 +83,12 @@
   });
 }
 
+/** Says in the fate of an answered request that its caller had left. */
+function noteCallerGone(run: RequestRun): void {
+  if (!run.start.sink.signal.aborted) return;
+  run.note("cancelled", { detail: "The caller left before the last byte" });
+}
+
 async function acquireLease(
   run: RequestRun,
   work: UpstreamWork,
@@ -120,7 +129,10 @@
 ): Promise<TryEnd> {
   const { environment } = run.services;
   const cancel = new AbortController();
-  const progress = TryProgress.create(environment.clock);
+  const progress = TryProgress.create(
+    environment.clock,
+    (each) => lease.noteProgress(each),
+  );
   const onPreempted = () => {
     // The slot goes back at once: a slow caller may hold this task in a write
     // long after the upstream stopped working for it.
@@ -199,6 +211,13 @@
       retryAfterMs: FAILED_RETRY_AFTER_MS,
     });
   }
+  if (run.isPastUse) {
+    lease.release("unused", NO_PROGRESS);
+    throw createRefusal(run, {
+      code: "deadline_passed",
+      message: "The target passed before the work was sent",
+    });
+  }
   if (lease.isValid() && !lease.preempted.aborted) return undefined;
   run.note("retried", {
     peer: lease.upstream,
--- a/src/request/try_progress.ts
+++ b/src/request/try_progress.ts
@@ -10,18 +10,29 @@
 export class TryProgress {
   readonly #clock: Clock;
   readonly #sentAt: number;
+  readonly #onProgress: (progress: LeaseProgress) => void;
   #tokens = 0;
   #firstAt: number | undefined;
   #lastAt: number | undefined;
 
-  constructor(clock: Clock) {
+  constructor(
+    clock: Clock,
+    onProgress: (progress: LeaseProgress) => void,
+  ) {
     this.#clock = clock;
+    this.#onProgress = onProgress;
     this.#sentAt = clock.now();
   }
 
-  /** Begins to count; `clock.now()` is the time of sending. */
-  static create(clock: Clock): TryProgress {
-    return new TryProgress(clock);
+  /**
+   * Begins to count; `clock.now()` is the time of sending. `onProgress` hears
+   * of each change.
+   */
+  static create(
+    clock: Clock,
+    onProgress: (progress: LeaseProgress) => void,
+  ): TryProgress {
+    return new TryProgress(clock, onProgress);
   }
 
   get tokens(): number {
@@ -34,6 +45,7 @@
     this.#firstAt ??= now;
     this.#lastAt = now;
     this.#tokens += count;
+    this.#onProgress(this.getProgress());
   }
 
   /** Tokens of an answer that came in one piece: they tell no pace. */
--- a/test/process/run_claims_test.ts
+++ b/test/process/run_claims_test.ts
@@ -30,6 +30,7 @@
       const parts = {
         vm: toId<VmId>(vm),
         incarnation: toId<Incarnation>("9f-3"),
+        isSingle: vm === "a~b",
         sequence: 46_655,
         issuedAt: 12_345,
       };
--- /dev/null
+++ b/test/request/prompt_prefixes_test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from "vitest";
+import {
+  computePrefixes,
+  MAX_PREFIXES,
+  PREFIX_BLOCK_CHARACTERS,
+} from "../../src/request/prompt_prefixes.ts";
+
+describe("prefix hashes", () => {
+  const block = "x".repeat(PREFIX_BLOCK_CHARACTERS);
+
+  it("are shared as far as two prompts are alike", () => {
+    const one = computePrefixes(`${block}${block}a`, "m");
+    const two = computePrefixes(`${block}${"y".repeat(2_000)}`, "m");
+    expect(one).toHaveLength(2);
+    expect(two[0]).toBe(one[0]);
+    expect(two[1]).not.toBe(one[1]);
+  });
+
+  it("are bounded in number, and none for a short prompt", () => {
+    expect(computePrefixes(block.repeat(100), "m")).toHaveLength(MAX_PREFIXES);
+    expect(computePrefixes("short", "m")).toEqual([]);
+  });
+
+  it("differ between models", () => {
+    expect(computePrefixes(block, "m")).not.toEqual(
+      computePrefixes(block, "n"),
+    );
+  });
+});
