--- /dev/null
+++ b/src/process/scheduler/fair_order.ts
@@ -0,0 +1,297 @@
+/**
+ * The order of the requests of one class that need the same model.
+ *
+ * Workspaces take turns by tokens served against their weight. Among the
+ * workspaces whose turn it is, the request that must start first goes first;
+ * one that can no longer meet its target goes behind those that can.
+ *
+ * @module
+ */
+import type { WorkspaceName } from "../../ids.ts";
+import { Heap } from "./heap.ts";
+import type { QueueEntry } from "./waiter.ts";
+
+/** Entries that are tried when the first ones fit on no free replica. */
+const LOOK_AHEAD = 8;
+/**
+ * How far, in mean requests, a workspace may be ahead of the one furthest
+ * behind and still be chosen by deadline.
+ */
+const SLACK_REQUESTS = 2;
+const MEAN_COST_WEIGHT = 0.05;
+
+/** Which of the two orders apply. */
+export interface FairOrderOptions {
+  fairShare: boolean;
+  deadlineOrder: boolean;
+}
+
+interface Flow<T extends QueueEntry> {
+  workspace: WorkspaceName;
+  /** Tokens served divided by weight. */
+  served: number;
+  /** Can still meet their targets, the earliest start first. */
+  feasible: Heap<T>;
+  /** Cannot any more, the first come first. */
+  late: Heap<T>;
+}
+
+/** Where the head of an order stands against those of other orders. */
+export interface HeadKey {
+  late: boolean;
+  /** The latest start, or the time of arrival of a late one. */
+  at: number;
+  order: number;
+}
+
+/** Compares heads: feasible before late, then the earlier time. */
+export function compareHeads(left: HeadKey, right: HeadKey): number {
+  if (left.late !== right.late) return left.late ? 1 : -1;
+  return left.at - right.at || left.order - right.order;
+}
+
+/** One class's requests for one model. */
+export class FairOrder<T extends QueueEntry> {
+  readonly #options: FairOrderOptions;
+  readonly #flows = new Map<WorkspaceName, Flow<T>>();
+  /** Flows with entries, the least served first. */
+  readonly #byServed = Heap.create<Flow<T>>(isServedLess);
+  /** Flows whose turn it is, by their heads. */
+  readonly #inTurn: Heap<Flow<T>>;
+  /** Flows that are too far ahead, the least served first. */
+  readonly #ahead = Heap.create<Flow<T>>(isServedLess);
+  /** What a workspace that comes back counts as served at least. */
+  #floor = 0;
+  #mostServed = 0;
+  #meanCost = 0;
+  #size = 0;
+
+  constructor(options: FairOrderOptions) {
+    this.#options = options;
+    this.#inTurn = Heap.create<Flow<T>>((left, right) =>
+      compareHeads(buildHeadKey(left), buildHeadKey(right)) < 0
+    );
+  }
+
+  static create<T extends QueueEntry>(
+    options: FairOrderOptions,
+  ): FairOrder<T> {
+    return new FairOrder(options);
+  }
+
+  get size(): number {
+    return this.#size;
+  }
+
+  add(entry: T, now: number): void {
+    const flow = this.#getFlow(entry.workspace);
+    const wasEmpty = isEmpty(flow);
+    // A workspace that was idle gets no credit for the time that it did not
+    // ask, or its burst would keep all others waiting.
+    this.#updateFloor();
+    if (wasEmpty) flow.served = Math.max(flow.served, this.#floor);
+    this.#size++;
+    this.#addToHeap(flow, entry, now);
+    if (wasEmpty) this.#addActive(flow);
+    else this.#inTurn.update(flow);
+  }
+
+  remove(entry: T): boolean {
+    const flow = this.#flows.get(entry.workspace);
+    if (flow === undefined) return false;
+    if (!flow.feasible.remove(entry) && !flow.late.remove(entry)) return false;
+    this.#size--;
+    this.#updateActive(flow);
+    return true;
+  }
+
+  /** The key of the entry that would be chosen now. */
+  findKey(now: number): HeadKey | undefined {
+    const flow = this.#findTurn(now);
+    return flow && buildHeadKey(flow);
+  }
+
+  /** The first entry in order that `accepts` takes, left in its place. */
+  findFirst(now: number, accepts: (entry: T) => boolean): T | undefined {
+    const skipped: T[] = [];
+    let found: T | undefined;
+    while (found === undefined && skipped.length < LOOK_AHEAD) {
+      const flow = this.#findTurn(now);
+      if (flow === undefined) break;
+      const head = getHead(flow)!;
+      if (accepts(head)) {
+        found = head;
+      } else {
+        skipped.push(head);
+        this.remove(head);
+      }
+    }
+    for (const entry of skipped) this.#putBack(entry, now);
+    return found;
+  }
+
+  /** Counts `tokens` as served to `workspace`; negative ones give back. */
+  noteServed(
+    workspace: WorkspaceName,
+    options: { tokens: number; weight: number },
+  ): void {
+    const cost = options.tokens / options.weight;
+    if (cost > 0) {
+      this.#meanCost += MEAN_COST_WEIGHT * (cost - this.#meanCost);
+    }
+    const flow = this.#flows.get(workspace);
+    if (flow === undefined) return;
+    flow.served += cost;
+    this.#mostServed = Math.max(this.#mostServed, flow.served);
+    this.#byServed.update(flow);
+    this.#ahead.update(flow);
+  }
+
+  /** Forgets idle workspaces that are owed and owe nothing. */
+  dropIdle(): void {
+    this.#updateFloor();
+    for (const [workspace, flow] of this.#flows) {
+      if (isEmpty(flow) && flow.served <= this.#floor) {
+        this.#flows.delete(workspace);
+      }
+    }
+  }
+
+  /** Whether an idle workspace has been served more than the others. */
+  hasDebt(): boolean {
+    return this.#flows.size > 0;
+  }
+
+  #getFlow(workspace: WorkspaceName): Flow<T> {
+    let flow = this.#flows.get(workspace);
+    if (flow !== undefined) return flow;
+    flow = {
+      workspace,
+      served: this.#floor,
+      feasible: Heap.create<T>(isStartedSooner),
+      late: Heap.create<T>(isArrivedSooner),
+    };
+    this.#flows.set(workspace, flow);
+    return flow;
+  }
+
+  #addToHeap(flow: Flow<T>, entry: T, now: number): void {
+    const feasible = this.#options.deadlineOrder && entry.startBy >= now;
+    (feasible ? flow.feasible : flow.late).push(entry);
+  }
+
+  #putBack(entry: T, now: number): void {
+    const flow = this.#getFlow(entry.workspace);
+    const wasEmpty = isEmpty(flow);
+    this.#size++;
+    this.#addToHeap(flow, entry, now);
+    if (wasEmpty) this.#addActive(flow);
+    else this.#inTurn.update(flow);
+  }
+
+  /** The flow whose head goes next, once late heads have been moved. */
+  #findTurn(now: number): Flow<T> | undefined {
+    this.#updateTurns();
+    while (true) {
+      const flow = this.#inTurn.getFirst();
+      if (flow === undefined) return undefined;
+      if (this.#isAhead(flow)) {
+        this.#inTurn.remove(flow);
+        this.#ahead.push(flow);
+      } else if (!this.#updateLate(flow, now)) {
+        return flow;
+      }
+    }
+  }
+
+  /**
+   * Moves heads that can no longer meet their target. Only the first flow
+   * needs a look: a start time in the past sorts before any in the future.
+   */
+  #updateLate(flow: Flow<T>, now: number): boolean {
+    let moved = false;
+    let head = flow.feasible.getFirst();
+    while (head !== undefined && head.startBy < now) {
+      flow.feasible.remove(head);
+      flow.late.push(head);
+      moved = true;
+      head = flow.feasible.getFirst();
+    }
+    if (moved) this.#inTurn.update(flow);
+    return moved;
+  }
+
+  #addActive(flow: Flow<T>): void {
+    this.#byServed.push(flow);
+    if (this.#isAhead(flow)) this.#ahead.push(flow);
+    else this.#inTurn.push(flow);
+  }
+
+  #updateActive(flow: Flow<T>): void {
+    if (!isEmpty(flow)) {
+      this.#inTurn.update(flow);
+      return;
+    }
+    this.#byServed.remove(flow);
+    this.#inTurn.remove(flow);
+    this.#ahead.remove(flow);
+  }
+
+  #updateFloor(): void {
+    const least = this.#byServed.getFirst()?.served ?? this.#mostServed;
+    this.#floor = Math.max(this.#floor, least);
+  }
+
+  /** Lets in the flows whose turn has come. */
+  #updateTurns(): void {
+    let next = this.#ahead.getFirst();
+    while (next !== undefined && !this.#isAhead(next)) {
+      this.#ahead.remove(next);
+      this.#inTurn.push(next);
+      next = this.#ahead.getFirst();
+    }
+  }
+
+  #isAhead(flow: Flow<T>): boolean {
+    if (!this.#options.fairShare) return false;
+    const least = this.#byServed.getFirst()?.served ?? flow.served;
+    return flow.served > least + SLACK_REQUESTS * this.#meanCost;
+  }
+}
+
+function getHead<T extends QueueEntry>(flow: Flow<T>): T | undefined {
+  return flow.feasible.getFirst() ?? flow.late.getFirst();
+}
+
+function buildHeadKey<T extends QueueEntry>(flow: Flow<T>): HeadKey {
+  const feasible = flow.feasible.getFirst();
+  if (feasible !== undefined) {
+    return { late: false, at: feasible.startBy, order: feasible.order };
+  }
+  const late = flow.late.getFirst()!;
+  return { late: true, at: late.arrivedAt, order: late.order };
+}
+
+function isEmpty<T extends QueueEntry>(flow: Flow<T>): boolean {
+  return flow.feasible.size === 0 && flow.late.size === 0;
+}
+
+function isServedLess(
+  left: { served: number; workspace: string },
+  right: { served: number; workspace: string },
+): boolean {
+  if (left.served !== right.served) return left.served < right.served;
+  return left.workspace < right.workspace;
+}
+
+function isStartedSooner(left: QueueEntry, right: QueueEntry): boolean {
+  if (left.startBy !== right.startBy) return left.startBy < right.startBy;
+  return left.order < right.order;
+}
+
+function isArrivedSooner(left: QueueEntry, right: QueueEntry): boolean {
+  if (left.arrivedAt !== right.arrivedAt) {
+    return left.arrivedAt < right.arrivedAt;
+  }
+  return left.order < right.order;
+}
--- /dev/null
+++ b/src/process/scheduler/held_slot.ts
@@ -0,0 +1,136 @@
+/**
+ * A slot in this VM's hands.
+ *
+ * @module
+ */
+import type {
+  ClassName,
+  LeaseId,
+  ShardId,
+  TicketId,
+  VmId,
+  WorkspaceName,
+} from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type { LeaseNews, SlotLease } from "../peer_api.ts";
+import { HeldLease, type LeaseProgress } from "../services.ts";
+
+/** What a held slot is made of. */
+export interface HeldSlotOptions {
+  clock: Clock;
+  slot: SlotLease;
+  ticket: TicketId;
+  className: ClassName;
+  workspace: WorkspaceName;
+  idempotent: boolean;
+  promptTokens: number;
+  /** This VM's time before it asked, from which the lease counts. */
+  askedAt: number;
+  onRelease: (slot: HeldSlot) => void;
+}
+
+/** A lease with what the holder knows of its work. */
+export class HeldSlot extends HeldLease {
+  readonly shard: ShardId;
+  readonly byOwner: boolean;
+  readonly #options: HeldSlotOptions;
+  readonly #preempted = new AbortController();
+  #state: LeaseNews["state"] = "running";
+  #progress: LeaseProgress = {
+    tokens: 0,
+    firstTokenMs: undefined,
+    betweenTokensMs: undefined,
+  };
+  #validUntil: number;
+  /** When the owner last heard of the lease; undefined before it did. */
+  #announcedAt: number | undefined;
+  #announcedFirstToken = false;
+
+  constructor(options: HeldSlotOptions) {
+    super();
+    this.#options = options;
+    this.shard = options.slot.shard;
+    this.byOwner = options.slot.byOwner;
+    this.#validUntil = options.askedAt + options.slot.ttlMs;
+  }
+
+  static create(options: HeldSlotOptions): HeldSlot {
+    return new HeldSlot(options);
+  }
+
+  override get lease(): LeaseId {
+    return this.#options.slot.lease;
+  }
+
+  override get upstream(): VmId {
+    return this.#options.slot.upstream;
+  }
+
+  override get priority(): number {
+    return this.#options.slot.priority;
+  }
+
+  override get preempted(): AbortSignal {
+    return this.#preempted.signal;
+  }
+
+  override isValid(): boolean {
+    return this.#state === "running" &&
+      this.#options.clock.now() < this.#validUntil;
+  }
+
+  override noteProgress(progress: LeaseProgress): void {
+    this.#progress = progress;
+  }
+
+  override release(
+    state: Exclude<LeaseNews["state"], "running">,
+    progress: LeaseProgress,
+  ): void {
+    if (this.#state !== "running") return;
+    this.#state = state;
+    this.#progress = progress;
+    this.#options.onRelease(this);
+  }
+
+  /** The owner wants the slot back. */
+  preempt(): void {
+    this.#preempted.abort();
+  }
+
+  /** The owner took a renewal in that was sent at `sentAt`. */
+  renew(sentAt: number, ttlMs: number): void {
+    // A lease that lapsed stays lapsed: its slot may have been granted to
+    // another meanwhile, and only a send that has begun may go on.
+    if (sentAt < this.#validUntil) {
+      this.#validUntil = Math.max(this.#validUntil, sentAt + ttlMs);
+    }
+    this.#announcedAt = sentAt;
+    this.#announcedFirstToken = this.#progress.firstTokenMs !== undefined;
+  }
+
+  /** Whether the owner should hear of the lease again. */
+  isDue(now: number, everyMs: number): boolean {
+    if (this.#announcedAt === undefined) return true;
+    if (now - this.#announcedAt >= everyMs) return true;
+    return !this.#announcedFirstToken &&
+      this.#progress.firstTokenMs !== undefined;
+  }
+
+  /** The news of the lease as it is now. */
+  buildNews(): LeaseNews {
+    const { ticket, className, workspace, idempotent, promptTokens } =
+      this.#options;
+    return {
+      lease: this.lease,
+      ticket,
+      upstream: this.upstream,
+      className,
+      workspace,
+      idempotent,
+      state: this.#state,
+      promptTokens,
+      ...this.#progress,
+    };
+  }
+}
--- a/src/process/scheduler/index.ts
+++ b/src/process/scheduler/index.ts
@@ -3,6 +3,14 @@
  *
  * @module
  */
+export { ALL_DECISIONS, buildDecisions } from "./decisions.ts";
+export type { SchedulerDecisions } from "./decisions.ts";
+export { LeaseClient } from "./lease_client.ts";
+export type { LeaseClientOptions } from "./lease_client.ts";
+export { ShardOwner } from "./shard_owner.ts";
+export type { ShardOwnerOptions } from "./shard_owner.ts";
+export { ShardOwners } from "./shard_owners.ts";
+export type { ShardOwnersOptions } from "./shard_owners.ts";
 export {
   buildShardId,
   buildShardKey,
--- /dev/null
+++ b/src/process/scheduler/lease_accounts.ts
@@ -0,0 +1,342 @@
+/**
+ * Opens, renews and settles a shard's leases, and learns from each.
+ *
+ * @module
+ */
+import { type LeaseId, type ShardId, toId, type VmId } from "../../ids.ts";
+import type { LeaseNews, SlotLease } from "../peer_api.ts";
+import type { Random } from "../random.ts";
+import type { SchedulerDecisions } from "./decisions.ts";
+import { noteProbeDone, noteProbeFailed } from "./ejection.ts";
+import { type LeaseEntry, LeaseLedger } from "./lease_ledger.ts";
+import type { OutputLengths } from "./output_lengths.ts";
+import type { Replica } from "./replica.ts";
+import type { ReplicaSet } from "./replica_set.ts";
+import type { ServiceSpeed } from "./service_speed.ts";
+import type { Waiter } from "./waiter.ts";
+import { UNKNOWN_RANK, type WaiterFactory } from "./waiter_factory.ts";
+
+/** How long a renewed lease stands, in milliseconds. */
+export const LEASE_TTL_MS = 6_000;
+/**
+ * How long a lease stands before its first renewal, in milliseconds. Shorter,
+ * so that a grant whose answer was lost gives its slot back soon.
+ */
+export const FIRST_TTL_MS = 3_000;
+/** Times the target after which a first token that is not there counts. */
+const OVERDUE_RATIO = 2;
+
+/** What the accounts work on. */
+export interface LeaseAccountsOptions {
+  shard: ShardId;
+  random: Random;
+  replicas: ReplicaSet;
+  factory: WaiterFactory;
+  lengths: OutputLengths;
+  speed: ServiceSpeed;
+  decisions: SchedulerDecisions;
+  /** Corrects what fair sharing charged for a lease. */
+  onServed: (entry: LeaseEntry, tokens: number) => void;
+}
+
+/** The leases of one shard. */
+export class LeaseAccounts {
+  readonly ledger = LeaseLedger.create();
+  readonly #options: LeaseAccountsOptions;
+  readonly #prefix: string;
+  readonly #preempted = new Set<LeaseEntry>();
+  #counter = 0;
+
+  constructor(options: LeaseAccountsOptions) {
+    this.#options = options;
+    this.#prefix = options.random.nextHex(8);
+  }
+
+  static create(options: LeaseAccountsOptions): LeaseAccounts {
+    return new LeaseAccounts(options);
+  }
+
+  /** Opens a lease for `waiter` on `replica`. */
+  grant(waiter: Waiter, replica: Replica, now: number): SlotLease {
+    const { call } = waiter;
+    const { enginePriority } = this.#options.decisions;
+    const lease = toId<LeaseId>(
+      `${this.#options.shard}:${this.#prefix}:${this.#counter++}`,
+    );
+    const entry: LeaseEntry = {
+      lease,
+      ticket: waiter.ticket,
+      holder: call.from.vm,
+      upstream: replica.id,
+      className: waiter.className,
+      workspace: waiter.workspace,
+      rank: waiter.rank,
+      weight: waiter.weight,
+      lane: waiter.lane,
+      idempotent: call.idempotent,
+      isLong: waiter.isLong,
+      granted: true,
+      doneTokens: call.doneTokens,
+      promptTokens: call.promptTokens,
+      grantedAt: now,
+      deadlineAt: waiter.deadlineAt,
+      chargedTokens: waiter.cost,
+      expectedTokens: waiter.cost,
+      priority: enginePriority ? waiter.rank : 0,
+      expiresAt: now + FIRST_TTL_MS,
+      tokens: 0,
+      firstTokenMs: undefined,
+      betweenTokensMs: undefined,
+      preempted: false,
+    };
+    this.#open(entry, now);
+    replica.cache.noteRouted(call.prefixes);
+    if (replica.ejected) replica.probing = true;
+    return this.buildSlotLease(entry);
+  }
+
+  /** The lease as its holder gets it. */
+  buildSlotLease(entry: LeaseEntry): SlotLease {
+    return {
+      lease: entry.lease,
+      shard: this.#options.shard,
+      upstream: entry.upstream,
+      ttlMs: FIRST_TTL_MS,
+      priority: entry.priority,
+      byOwner: true,
+    };
+  }
+
+  /** Takes in what `holder` says of a lease; a repeat does no harm. */
+  applyNews(
+    news: LeaseNews,
+    options: { holder: VmId; now: number },
+  ): void {
+    const { now } = options;
+    if (this.ledger.isClosed(news.lease, now)) return;
+    const known = this.ledger.get(news.lease);
+    if (known === undefined && news.state !== "running") {
+      this.ledger.noteClosed(news.lease, now);
+      this.ledger.noteClosed(news.ticket, now);
+      return;
+    }
+    const entry = known ?? this.#addAnnounced(news, options);
+    this.#noteProgress(entry, news, now);
+    if (news.state === "running") {
+      entry.holder = options.holder;
+      entry.expiresAt = now + LEASE_TTL_MS;
+      return;
+    }
+    this.#settle(entry, news, now);
+  }
+
+  /** Gives back the slot of a ticket whose caller went away. */
+  releaseTicket(entry: LeaseEntry, now: number): void {
+    this.#close(entry, now);
+  }
+
+  /** Closes the leases whose holders went silent; gives them. */
+  closeExpired(now: number): LeaseEntry[] {
+    const expired = this.ledger.takeExpired(now);
+    for (const entry of expired) this.#noteClosed(entry, now);
+    return expired;
+  }
+
+  /** Marks `entry` to be stopped by its holder. */
+  preempt(entry: LeaseEntry): void {
+    entry.preempted = true;
+    this.#preempted.add(entry);
+  }
+
+  /** The leases that `holder` should stop. */
+  listPreempted(holder: VmId): LeaseId[] {
+    const leases: LeaseId[] = [];
+    for (const entry of this.#preempted) {
+      if (entry.holder === holder) leases.push(entry.lease);
+    }
+    return leases;
+  }
+
+  /** Every lease as its holder would announce it. */
+  listNews(): LeaseNews[] {
+    return [...this.ledger.list()].map(toNews);
+  }
+
+  /** Expected time in the slot still to come, in milliseconds. */
+  computeRemainingMs(entry: LeaseEntry, now: number): number {
+    const requestClass = this.#options.factory.findClass(entry);
+    if (requestClass === undefined) return 0;
+    const { length, service } = this.#options.factory.computeSize(
+      {
+        className: entry.className,
+        workspace: entry.workspace,
+        model: entry.lane === "" ? undefined : entry.lane,
+        maxTokens: requestClass.maxOutputTokens,
+        doneTokens: entry.doneTokens + entry.tokens,
+      },
+      { requestClass, now },
+    );
+    if (entry.lane === "") return service.totalMs - (now - entry.grantedAt);
+    const isStarted = entry.firstTokenMs !== undefined;
+    const left = length.tokens - entry.doneTokens - entry.tokens;
+    if (left <= 0) return 0;
+    return service.totalMs - (isStarted ? service.firstTokenMs : 0);
+  }
+
+  /**
+   * Counts a first token that is long overdue as a sample. A replica that
+   * hangs never finishes anything, so its latency would never be known and it
+   * would never be ejected.
+   */
+  noteOverdue(now: number): void {
+    for (const entry of this.ledger.list()) {
+      if (entry.firstTokenMs !== undefined || entry.lane === "") continue;
+      const target = this.#findTarget(entry, "firstTokenMs");
+      const ratio = (now - entry.grantedAt) / target;
+      if (ratio < OVERDUE_RATIO) continue;
+      const replica = this.#options.replicas.get(entry.upstream);
+      replica?.latency.noteFirstToken(ratio);
+    }
+  }
+
+  #addAnnounced(
+    news: LeaseNews,
+    options: { holder: VmId; now: number },
+  ): LeaseEntry {
+    const { factory } = this.#options;
+    const requestClass = factory.findClass(news);
+    const entry: LeaseEntry = {
+      lease: news.lease,
+      ticket: news.ticket,
+      holder: options.holder,
+      upstream: news.upstream,
+      className: news.className,
+      workspace: news.workspace,
+      rank: requestClass === undefined
+        ? UNKNOWN_RANK
+        : factory.getRank(requestClass),
+      weight: factory.getWeight(news.workspace),
+      lane: "",
+      idempotent: news.idempotent,
+      isLong: false,
+      granted: false,
+      doneTokens: 0,
+      promptTokens: news.promptTokens,
+      grantedAt: options.now,
+      deadlineAt: Infinity,
+      chargedTokens: 0,
+      expectedTokens: 0,
+      priority: 0,
+      expiresAt: options.now + LEASE_TTL_MS,
+      tokens: 0,
+      firstTokenMs: undefined,
+      betweenTokensMs: undefined,
+      preempted: false,
+    };
+    this.#open(entry, options.now);
+    return entry;
+  }
+
+  #noteProgress(entry: LeaseEntry, news: LeaseNews, now: number): void {
+    const replica = this.#options.replicas.get(entry.upstream);
+    const isNewer = news.tokens > entry.tokens;
+    entry.tokens = Math.max(entry.tokens, news.tokens);
+    if (entry.firstTokenMs === undefined && news.firstTokenMs !== undefined) {
+      entry.firstTokenMs = news.firstTokenMs;
+      const target = this.#findTarget(entry, "firstTokenMs");
+      replica?.latency.noteFirstToken(news.firstTokenMs / target);
+    }
+    if (news.betweenTokensMs === undefined || !isNewer) return;
+    entry.betweenTokensMs = news.betweenTokensMs;
+    const target = this.#findTarget(entry, "betweenTokensMs");
+    replica?.latency.noteBetweenTokens(news.betweenTokensMs / target);
+    replica?.limit.noteRatio(news.betweenTokensMs / target);
+    replica?.limit.update(now);
+  }
+
+  #settle(entry: LeaseEntry, news: LeaseNews, now: number): void {
+    const replica = this.#options.replicas.get(entry.upstream);
+    if (news.state === "failed") replica?.latency.noteFailure();
+    if (news.state === "done") {
+      replica?.latency.noteSuccess();
+      this.#recordFinished(entry, now);
+    }
+    this.#close(entry, now, { isFailed: news.state === "failed" });
+    const served = news.state === "unused" ? 0 : entry.tokens;
+    this.#options.onServed(entry, served);
+  }
+
+  #recordFinished(entry: LeaseEntry, now: number): void {
+    if (!entry.granted) return;
+    const { lengths, speed } = this.#options;
+    if (entry.lane !== "") {
+      lengths.record(entry.className, {
+        workspace: entry.workspace,
+        tokens: entry.doneTokens + entry.tokens,
+      });
+    }
+    speed.record({
+      className: entry.className,
+      firstTokenMs: entry.firstTokenMs,
+      betweenTokensMs: entry.betweenTokensMs,
+      heldMs: now - entry.grantedAt,
+      now,
+    });
+  }
+
+  #open(entry: LeaseEntry, now: number): void {
+    this.ledger.add(entry);
+    this.#updateReplica(entry.upstream, now);
+  }
+
+  #close(
+    entry: LeaseEntry,
+    now: number,
+    options: { isFailed: boolean } = { isFailed: false },
+  ): void {
+    this.ledger.remove(entry.lease, now);
+    this.#noteClosed(entry, now, options);
+  }
+
+  #noteClosed(
+    entry: LeaseEntry,
+    now: number,
+    options: { isFailed: boolean } = { isFailed: false },
+  ): void {
+    this.#preempted.delete(entry);
+    this.#updateReplica(entry.upstream, now);
+    const replica = this.#options.replicas.get(entry.upstream);
+    if (replica === undefined || !replica.probing) return;
+    if (options.isFailed) noteProbeFailed(replica, now);
+    else noteProbeDone(replica, now);
+  }
+
+  #updateReplica(upstream: VmId, now: number): void {
+    const replica = this.#options.replicas.get(upstream);
+    replica?.setInUse(this.ledger.countInUse(upstream), now);
+  }
+
+  #findTarget(
+    entry: LeaseEntry,
+    target: "firstTokenMs" | "betweenTokensMs",
+  ): number {
+    const requestClass = this.#options.factory.findClass(entry);
+    return Math.max(1, requestClass?.targets[target] ?? Infinity);
+  }
+}
+
+function toNews(entry: LeaseEntry): LeaseNews {
+  return {
+    lease: entry.lease,
+    ticket: entry.ticket,
+    upstream: entry.upstream,
+    className: entry.className,
+    workspace: entry.workspace,
+    idempotent: entry.idempotent,
+    state: "running",
+    promptTokens: entry.promptTokens,
+    tokens: entry.tokens,
+    firstTokenMs: entry.firstTokenMs,
+    betweenTokensMs: entry.betweenTokensMs,
+  };
+}
--- /dev/null
+++ b/src/process/scheduler/lease_client.ts
@@ -0,0 +1,410 @@
+/**
+ * The entry VM's way to slots: waits in the queue of a shard's owner, or takes
+ * from this VM's own share while no owner answers.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import type { ShardId, TicketId, VmId } from "../../ids.ts";
+import { toId } from "../../ids.ts";
+import { type Refusal, RefusalError } from "../../outcome.ts";
+import type { FateStep } from "../../request/fate.ts";
+import {
+  getClassRank,
+  type Snapshot,
+  type UpstreamPool,
+} from "../../version/records.ts";
+import type { Environment } from "../environment.ts";
+import type { MembershipView } from "../membership_view.ts";
+import type {
+  AcquireAnswer,
+  PeerApi,
+  ShardSummary,
+  SlotLease,
+} from "../peer_api.ts";
+import { type HeldLease, type LeaseRequest, LeaseSource } from "../services.ts";
+import { HeldSlot } from "./held_slot.ts";
+import { FIRST_TTL_MS } from "./lease_accounts.ts";
+import { LeaseSync, SYNC_EVERY_MS } from "./lease_sync.ts";
+import { computeLocalShare, LocalShare } from "./local_share.ts";
+import { OwnerCalls } from "./owner_calls.ts";
+import { chooseShard } from "./shard_choice.ts";
+import { listShardUpstreams } from "./shards.ts";
+
+/** Silence of an owner after which the VM's own share is used. */
+const OWNER_SILENCE_MS = 1_500;
+/** How long a request waits for a place in the VM's own share. */
+const LOCAL_WAIT_MS = 2_000;
+/** Between two tries while no owner answers. */
+const RETRY_MS = 100;
+/** Shards that a request is passed on to at most. */
+const MAX_HOPS = 3;
+/** A shard without leases is forgotten after this. */
+const IDLE_SHARD_MS = 60_000;
+const NO_UPSTREAM_RETRY_MS = 5_000;
+const UNREACHABLE_RETRY_MS = 1_000;
+
+/** What the client is made of. */
+export interface LeaseClientOptions {
+  environment: Environment;
+  membership: MembershipView;
+  getSnapshot: () => Snapshot | undefined;
+  /** This VM's own answers, for shards that it owns itself. */
+  getLocal: () => PeerApi;
+  /** What the owner of a shard last let the fleet know of it. */
+  findSummary?: (shard: ShardId) => ShardSummary | undefined;
+}
+
+interface AcquireOptions {
+  signal: AbortSignal;
+  onStep: (step: FateStep) => void;
+}
+
+/** One request on its way to a slot. */
+interface Wait {
+  request: LeaseRequest;
+  options: AcquireOptions;
+  ticket: TicketId;
+  pool: UpstreamPool;
+  rank: number;
+  shard: ShardId;
+  hops: number;
+  /** `queued` answers so far. */
+  queuedCount: number;
+  /** Since when no owner has answered. */
+  silentSince: number | undefined;
+}
+
+/** Acquires slots from the owners of shards. */
+export class LeaseClient extends LeaseSource {
+  readonly #options: LeaseClientOptions;
+  readonly #environment: Environment;
+  readonly #calls: OwnerCalls;
+  readonly #syncs = new Map<ShardId, LeaseSync>();
+  readonly #shares = new Map<ShardId, LocalShare>();
+  readonly #activeTickets = new Set<TicketId>();
+  readonly #stopped = new AbortController();
+  readonly #prefix: string;
+  #tickets = 0;
+  #localLeases = 0;
+
+  constructor(options: LeaseClientOptions) {
+    super();
+    this.#options = options;
+    this.#environment = options.environment;
+    const { vm, random } = options.environment;
+    this.#prefix = `${vm}.${random.nextHex(8)}`;
+    this.#calls = OwnerCalls.create({
+      environment: options.environment,
+      membership: options.membership,
+      getLocal: options.getLocal,
+      onStrayGrant: (slot, ticket) => this.#releaseStray(slot, ticket),
+    });
+    options.membership.onChange(() => this.#onMembershipChange());
+  }
+
+  static create(options: LeaseClientOptions): LeaseClient {
+    return new LeaseClient(options);
+  }
+
+  /** Starts to renew and return leases. */
+  start(): void {
+    void this.#runSyncs();
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  override async acquire(
+    request: LeaseRequest,
+    options: AcquireOptions,
+  ): Promise<HeldLease> {
+    const wait = this.#buildWait(request, options);
+    this.#activeTickets.add(wait.ticket);
+    try {
+      return await this.#waitForSlot(wait);
+    } finally {
+      this.#activeTickets.delete(wait.ticket);
+    }
+  }
+
+  async #waitForSlot(wait: Wait): Promise<HeldLease> {
+    const { clock } = this.#environment;
+    while (true) {
+      this.#checkCancelled(wait);
+      const askedAt = clock.now();
+      const answer = await this.#calls.acquire(
+        { ...wait, signal: wait.options.signal },
+      );
+      // A grant is taken even when the caller has gone: it must be returned.
+      if (answer?.kind === "granted") {
+        return this.#openSlot(wait, answer.lease, askedAt);
+      }
+      this.#checkCancelled(wait);
+      if (answer === undefined || answer.kind === "not_owner") {
+        const local = await this.#waitWithoutOwner(wait);
+        if (local !== undefined) return local;
+        continue;
+      }
+      wait.silentSince = undefined;
+      this.#applyAnswer(wait, answer);
+    }
+  }
+
+  #applyAnswer(
+    wait: Wait,
+    answer: Exclude<AcquireAnswer, { kind: "granted" | "not_owner" }>,
+  ): void {
+    match(answer)
+      .with({ kind: "queued" }, ({ ahead, behind, expectedMs }) => {
+        wait.queuedCount++;
+        // Each answer is a step at first, then ever fewer: a long wait would
+        // fill the request's record.
+        if (!isPowerOfTwo(wait.queuedCount)) return;
+        const order = behind === "" ? "" : ` (${behind})`;
+        this.#noteStep(wait, "queued", {
+          detail: `${ahead} ahead${order} in ${wait.shard}, ` +
+            `expected wait ${expectedMs} ms`,
+        });
+      })
+      .with({ kind: "pass_on" }, ({ shard }) => {
+        // Past the bound the same shard is asked again; it does not pass a
+        // ticket on twice.
+        if (wait.hops >= MAX_HOPS) return;
+        wait.hops++;
+        this.#noteStep(wait, "passed_on", {
+          detail: `from ${wait.shard} to ${shard}, which serves a lower tier`,
+        });
+        wait.shard = shard;
+      })
+      .with({ kind: "refused" }, ({ refusal }) => {
+        throw new RefusalError(refusal);
+      })
+      .exhaustive();
+  }
+
+  /**
+   * No owner answers, or none knows that it is. Tries again shortly, and after
+   * a bounded silence uses this VM's own share of the shard.
+   */
+  async #waitWithoutOwner(wait: Wait): Promise<HeldLease | undefined> {
+    const { clock } = this.#environment;
+    const now = clock.now();
+    wait.silentSince ??= now;
+    const silentMs = now - wait.silentSince;
+    if (silentMs >= OWNER_SILENCE_MS) {
+      const slot = this.#takeLocal(wait);
+      if (slot !== undefined) return slot;
+      const hasShare = this.#computeShare(wait) > 0;
+      if (!hasShare || silentMs >= OWNER_SILENCE_MS + LOCAL_WAIT_MS) {
+        this.#cancelTicket(wait);
+        throw new RefusalError(buildUnreachable());
+      }
+    }
+    const share = this.#getShare(wait.shard);
+    share.addWaiting(wait.rank);
+    await clock.sleep(RETRY_MS, wait.options.signal);
+    share.removeWaiting(wait.rank);
+    return undefined;
+  }
+
+  #takeLocal(wait: Wait): HeldLease | undefined {
+    const { vm, clock } = this.#environment;
+    const share = this.#getShare(wait.shard);
+    const upstreams = this.#listUpstreams(wait)
+      .map((upstream) => upstream.id)
+      .filter((upstream) => !wait.request.avoid.includes(upstream));
+    const upstream = share.take(wait.rank, {
+      share: this.#computeShare(wait),
+      upstreams,
+    });
+    if (upstream === undefined) return undefined;
+    this.#cancelTicket(wait);
+    this.#environment.log.warn("local_share_used", {
+      request: wait.request.requestId,
+      shard: wait.shard,
+      peer: upstream,
+    });
+    const slot: SlotLease = {
+      lease: toId(`${wait.shard}:${vm}:local-${this.#localLeases++}`),
+      shard: wait.shard,
+      upstream,
+      ttlMs: FIRST_TTL_MS,
+      priority: wait.rank,
+      byOwner: false,
+    };
+    return this.#openSlot(wait, slot, clock.now());
+  }
+
+  #openSlot(wait: Wait, slot: SlotLease, askedAt: number): HeldLease {
+    const { request } = wait;
+    const sync = this.#getSync(slot.shard);
+    const held = HeldSlot.create({
+      clock: this.#environment.clock,
+      slot,
+      ticket: wait.ticket,
+      className: request.className,
+      workspace: request.workspace,
+      idempotent: request.idempotent,
+      promptTokens: request.promptTokens,
+      askedAt,
+      onRelease: (released) => {
+        if (!released.byOwner) {
+          this.#shares.get(released.shard)?.release(released.upstream);
+        }
+        sync.addReturn(released.buildNews());
+      },
+    });
+    sync.add(held);
+    return held;
+  }
+
+  /** Gives back a grant that came after its call had been given up. */
+  #releaseStray(slot: SlotLease, ticket: TicketId): void {
+    // The ticket's next call gets the same lease again, so it is still wanted.
+    if (this.#activeTickets.has(ticket)) return;
+    const sync = this.#getSync(slot.shard);
+    if (!sync.has(slot.lease)) sync.addWithdrawn(ticket);
+  }
+
+  #cancelTicket(wait: Wait): void {
+    this.#getSync(wait.shard).addWithdrawn(wait.ticket);
+  }
+
+  #checkCancelled(wait: Wait): void {
+    if (!wait.options.signal.aborted) return;
+    this.#cancelTicket(wait);
+    throw new RefusalError({
+      code: "cancelled",
+      message: "The caller went away while the request waited",
+      outcome: "not_run",
+    });
+  }
+
+  #buildWait(request: LeaseRequest, options: AcquireOptions): Wait {
+    const { membership, getSnapshot, findSummary } = this.#options;
+    const snapshot = getSnapshot();
+    const pool = snapshot?.pools.get(request.pool);
+    const shard = pool && chooseShard(request, {
+      pool,
+      upstreams: membership.listUpstreams(pool.name),
+      findSummary: findSummary ?? (() => undefined),
+    });
+    if (snapshot === undefined || pool === undefined || shard === undefined) {
+      throw new RefusalError(buildNoUpstream(request));
+    }
+    return {
+      request,
+      options,
+      pool,
+      shard,
+      ticket: toId(`${this.#prefix}.${this.#tickets++}`),
+      rank: getClassRank(snapshot, request.className),
+      hops: 0,
+      queuedCount: 0,
+      silentSince: undefined,
+    };
+  }
+
+  #noteStep(
+    wait: Wait,
+    step: FateStep["step"],
+    fields: { detail: string },
+  ): void {
+    const ageMs = this.#environment.clock.now() - wait.request.arrivedAt;
+    const peer: VmId | undefined = this.#calls.findOwner(wait.shard);
+    const detail = fields.detail;
+    wait.options.onStep(
+      peer === undefined ? { step, ageMs, detail } : {
+        step,
+        ageMs,
+        peer,
+        detail,
+      },
+    );
+  }
+
+  #listUpstreams(wait: Wait) {
+    const vms = this.#options.membership.listUpstreams(wait.pool.name);
+    return listShardUpstreams(wait.shard, { pool: wait.pool, vms });
+  }
+
+  #computeShare(wait: Wait): number {
+    return computeLocalShare({
+      vm: this.#environment.vm,
+      shard: wait.shard,
+      pool: wait.pool,
+      upstreams: this.#listUpstreams(wait),
+      entryVms: this.#options.membership.listEntryVms(),
+    });
+  }
+
+  #getSync(shard: ShardId): LeaseSync {
+    let sync = this.#syncs.get(shard);
+    if (sync === undefined) {
+      const { environment, membership, getLocal } = this.#options;
+      sync = LeaseSync.create({ environment, membership, getLocal, shard });
+      this.#syncs.set(shard, sync);
+    }
+    return sync;
+  }
+
+  #getShare(shard: ShardId): LocalShare {
+    let share = this.#shares.get(shard);
+    if (share === undefined) {
+      share = LocalShare.create();
+      this.#shares.set(shard, share);
+    }
+    return share;
+  }
+
+  #onMembershipChange(): void {
+    if (this.#stopped.signal.aborted) return;
+    this.#calls.onMembershipChange();
+    for (const sync of this.#syncs.values()) sync.onMembershipChange();
+  }
+
+  async #runSyncs(): Promise<void> {
+    const { clock } = this.#environment;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      for (const sync of this.#syncs.values()) void sync.run();
+      await clock.sleep(SYNC_EVERY_MS, signal);
+      this.#dropIdle();
+    }
+  }
+
+  #dropIdle(): void {
+    const oldest = this.#environment.clock.now() - IDLE_SHARD_MS;
+    for (const [shard, sync] of this.#syncs) {
+      if (sync.isIdle && sync.usedAt < oldest) this.#syncs.delete(shard);
+    }
+    for (const [shard, share] of this.#shares) {
+      if (share.isIdle) this.#shares.delete(shard);
+    }
+  }
+}
+
+function isPowerOfTwo(count: number): boolean {
+  return (count & (count - 1)) === 0;
+}
+
+function buildNoUpstream(request: LeaseRequest): Refusal {
+  return {
+    code: "no_upstream",
+    message: `No upstream of pool ${request.pool} may get the request`,
+    outcome: "not_run",
+    retryAfterMs: NO_UPSTREAM_RETRY_MS,
+  };
+}
+
+function buildUnreachable(): Refusal {
+  return {
+    code: "owner_unreachable",
+    message: "The owner of the queue does not answer, and this VM's own " +
+      "share of the slots is used up",
+    outcome: "not_run",
+    retryAfterMs: UNREACHABLE_RETRY_MS,
+  };
+}
--- /dev/null
+++ b/src/process/scheduler/lease_sync.ts
@@ -0,0 +1,190 @@
+/**
+ * Tells a shard's owner of the leases that this VM holds, in batches.
+ *
+ * @module
+ */
+import type { LeaseId, ShardId, TicketId, VmId } from "../../ids.ts";
+import type { CancelTimer } from "../clock.ts";
+import type { Environment } from "../environment.ts";
+import { waitAtMost } from "../member_wait.ts";
+import type { MembershipView } from "../membership_view.ts";
+import type { LeaseNews, PeerApi, SyncAnswer, SyncCall } from "../peer_api.ts";
+import type { HeldSlot } from "./held_slot.ts";
+import { LEASE_TTL_MS } from "./lease_accounts.ts";
+import { buildShardKey } from "./shards.ts";
+
+/** How often news is looked for, in milliseconds. */
+export const SYNC_EVERY_MS = 500;
+/** How often a running lease is renewed, in milliseconds. */
+export const RENEW_EVERY_MS = 1_500;
+/** How long returns to another VM wait for others, in milliseconds. */
+const RETURN_DELAY_MS = 10;
+const SYNC_DEADLINE_MS = 1_000;
+/** Returns kept while no owner answers; an owner's leases lapse by then. */
+const MAX_RETURNS = 10_000;
+/** Leases named in one call. */
+const MAX_NEWS = 500;
+
+/** What the sync of a shard needs. */
+export interface LeaseSyncOptions {
+  environment: Environment;
+  membership: MembershipView;
+  getLocal: () => PeerApi;
+  shard: ShardId;
+}
+
+/** One shard's leases on this VM. */
+export class LeaseSync {
+  readonly #options: LeaseSyncOptions;
+  readonly #held = new Map<LeaseId, HeldSlot>();
+  #returns: LeaseNews[] = [];
+  #withdrawn: TicketId[] = [];
+  /** The owner that has been told of all leases. */
+  #knownOwner: VmId | undefined;
+  /** Whether any owner was ever told: only then is a change worth a call. */
+  #wasKnown = false;
+  #isSyncing = false;
+  #isWanted = false;
+  #cancelFlush: CancelTimer | undefined;
+  #usedAt: number;
+
+  constructor(options: LeaseSyncOptions) {
+    this.#options = options;
+    this.#usedAt = options.environment.clock.now();
+  }
+
+  static create(options: LeaseSyncOptions): LeaseSync {
+    return new LeaseSync(options);
+  }
+
+  /** When the shard was last used by this VM. */
+  get usedAt(): number {
+    return this.#usedAt;
+  }
+
+  get isIdle(): boolean {
+    return this.#held.size === 0 && this.#returns.length === 0 &&
+      this.#withdrawn.length === 0;
+  }
+
+  add(slot: HeldSlot): void {
+    this.#usedAt = this.#options.environment.clock.now();
+    this.#held.set(slot.lease, slot);
+  }
+
+  has(lease: LeaseId): boolean {
+    return this.#held.has(lease);
+  }
+
+  /** Gives a lease back, at once where this VM is the owner. */
+  addReturn(news: LeaseNews): void {
+    this.#held.delete(news.lease);
+    if (this.#returns.length < MAX_RETURNS) this.#returns.push(news);
+    this.#flushSoon();
+  }
+
+  addWithdrawn(ticket: TicketId): void {
+    this.#withdrawn.push(ticket);
+    this.#flushSoon();
+  }
+
+  /** Called at each change of the membership. */
+  onMembershipChange(): void {
+    if (this.#wasKnown && this.#findOwner() !== this.#knownOwner) {
+      void this.run();
+    }
+  }
+
+  /** One call to the owner, if there is anything to say. */
+  async run(): Promise<void> {
+    if (this.#isSyncing) {
+      this.#isWanted = true;
+      return;
+    }
+    this.#isSyncing = true;
+    try {
+      do {
+        this.#isWanted = false;
+        await this.#syncOnce();
+      } while (this.#isWanted);
+    } finally {
+      this.#isSyncing = false;
+    }
+  }
+
+  async #syncOnce(): Promise<void> {
+    const owner = this.#findOwner();
+    if (owner === undefined) return;
+    const { vm, incarnation, clock } = this.#options.environment;
+    const sentAt = clock.now();
+    const isNew = owner !== this.#knownOwner;
+    const running = this.#listDue(sentAt, isNew);
+    const returns = this.#returns.slice(0, MAX_NEWS);
+    const withdrawn = this.#withdrawn.slice(0, MAX_NEWS);
+    const nothing = running.length + returns.length + withdrawn.length === 0;
+    // A new owner waits for word from every VM, also that there is nothing.
+    if (nothing && !(isNew && this.#wasKnown)) return;
+    const answer = await this.#send(owner, {
+      from: { vm, incarnation },
+      shard: this.#options.shard,
+      news: [...running.map((slot) => slot.buildNews()), ...returns],
+      withdrawn,
+    });
+    if (answer === undefined || !answer.isOwner) {
+      this.#knownOwner = undefined;
+      return;
+    }
+    this.#knownOwner = owner;
+    this.#wasKnown = true;
+    this.#returns.splice(0, returns.length);
+    this.#withdrawn.splice(0, withdrawn.length);
+    for (const slot of running) slot.renew(sentAt, LEASE_TTL_MS);
+    for (const lease of answer.preempt) this.#held.get(lease)?.preempt();
+    if (this.#returns.length > 0) this.#isWanted = true;
+  }
+
+  /**
+   * The leases to renew: all for an owner that has not been told of them, or
+   * it would take their slots for free ones.
+   */
+  #listDue(now: number, isNew: boolean): HeldSlot[] {
+    const held = [...this.#held.values()];
+    if (isNew) return held;
+    return held.filter((slot) => slot.isDue(now, RENEW_EVERY_MS));
+  }
+
+  async #send(owner: VmId, call: SyncCall): Promise<SyncAnswer | undefined> {
+    const { environment, getLocal } = this.#options;
+    const peer = owner === environment.vm
+      ? getLocal()
+      : environment.peers.getPeer(owner);
+    try {
+      return await waitAtMost(
+        peer.syncLeases(call),
+        SYNC_DEADLINE_MS,
+        environment.clock,
+      );
+    } catch {
+      // The owner is told again at the next round, or the next owner is.
+      return undefined;
+    }
+  }
+
+  #findOwner(): VmId | undefined {
+    const { membership, shard } = this.#options;
+    return membership.findOwner(buildShardKey(shard));
+  }
+
+  #flushSoon(): void {
+    this.#usedAt = this.#options.environment.clock.now();
+    if (this.#cancelFlush !== undefined) return;
+    const isLocal = this.#findOwner() === this.#options.environment.vm;
+    this.#cancelFlush = this.#options.environment.clock.startTimer(
+      isLocal ? 0 : RETURN_DELAY_MS,
+      () => {
+        this.#cancelFlush = undefined;
+        void this.run();
+      },
+    );
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/shard_admission.ts
@@ -0,0 +1,333 @@
+/**
+ * Whether a shard takes a request into its queue, and what a refused caller
+ * is told.
+ *
+ * @module
+ */
+import type { TicketId } from "../../ids.ts";
+import type { RefusalCode } from "../../outcome.ts";
+import type { Snapshot } from "../../version/records.ts";
+import type { Clock } from "../clock.ts";
+import type { AcquireAnswer, ShardSummary } from "../peer_api.ts";
+import {
+  computeExpectedWait,
+  computeUsableSlots,
+  RetryTimes,
+  type ShardLoad,
+  type WaitQuestion,
+} from "./admission.ts";
+import type { SchedulerDecisions } from "./decisions.ts";
+import type { LeaseLedger } from "./lease_ledger.ts";
+import { hasServing } from "./replica_choice.ts";
+import type { ReplicaSet } from "./replica_set.ts";
+import type { Waiter } from "./waiter.ts";
+import type { WaiterFactory } from "./waiter_factory.ts";
+import type { WaitingQueue } from "./waiting_queue.ts";
+
+/** Requests that may wait in a shard, beside the first of each class. */
+const QUEUE_BOUND = 4_096;
+/** How long the answer to a ticket between two calls is kept. */
+const VERDICT_LIFE_MS = 10_000;
+/** When to come back where no upstream serves the model yet. */
+const NO_UPSTREAM_RETRY_MS = 5_000;
+
+/** What the admission of a shard looks at. */
+export interface ShardAdmissionOptions {
+  clock: Clock;
+  queue: WaitingQueue<Waiter>;
+  replicas: ReplicaSet;
+  ledger: LeaseLedger;
+  factory: WaiterFactory;
+  decisions: SchedulerDecisions;
+  getSnapshot: () => Snapshot | undefined;
+  listOthers: () => ShardSummary[];
+  queueBound?: number | undefined;
+}
+
+interface Verdict {
+  answer: AcquireAnswer;
+  until: number;
+}
+
+/** Admission to one shard's queue. */
+export class ShardAdmission {
+  readonly #options: ShardAdmissionOptions;
+  readonly #retryTimes = RetryTimes.create();
+  readonly #verdicts = new Map<TicketId, Verdict>();
+  /** Tickets that were passed on, which must not be passed on again. */
+  readonly #passedOn = new Map<TicketId, number>();
+
+  constructor(options: ShardAdmissionOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ShardAdmissionOptions): ShardAdmission {
+    return new ShardAdmission(options);
+  }
+
+  /** The answer that keeps `waiter` out; undefined when it may wait. */
+  check(waiter: Waiter, now: number): AcquireAnswer | undefined {
+    if (!this.#hasServing(waiter)) {
+      return this.#refuse(waiter, "no_upstream", NO_UPSTREAM_RETRY_MS);
+    }
+    // A resumed stream keeps its place in the system: to refuse it would
+    // throw away what has been generated.
+    if (waiter.call.doneTokens > 0) return undefined;
+    return this.#checkClassLimit(waiter) ?? this.#checkDeadline(waiter, now);
+  }
+
+  /** The waiter to shed; undefined while the queue is within its bound. */
+  findVictim(): Waiter | undefined {
+    const { queue, queueBound, decisions } = this.#options;
+    if (!decisions.shedding) return undefined;
+    if (queue.boundedSize <= (queueBound ?? QUEUE_BOUND)) return undefined;
+    return queue.findVictim();
+  }
+
+  /**
+   * The waiter that a full class gives up for `waiter`: the last one of the
+   * workspace that has the most waiting, so that one workspace's burst cannot
+   * keep the others out.
+   */
+  findCrowding(waiter: Waiter): Waiter | undefined {
+    const { queue, decisions } = this.#options;
+    if (!decisions.fairShare || !this.#isClassFull(waiter)) return undefined;
+    const waiting = queue.getClass(waiter);
+    const largest = waiting?.findLargestBacklog();
+    if (waiting === undefined || largest === undefined) return undefined;
+    const most = waiting.backlogs.get(largest)!;
+    const own = waiting.backlogs.get(waiter.workspace)?.count ?? 0;
+    const isLess = (own + 1) / waiter.weight < most.count / most.weight;
+    return isLess ? queue.findLatestOf(waiter, largest) : undefined;
+  }
+
+  /** The answer where the class's own queue is full. */
+  buildFullAnswer(waiter: Waiter): AcquireAnswer {
+    return this.#handOn(waiter) ??
+      this.#refuse(waiter, "queue_full", this.#computeWait(waiter));
+  }
+
+  /** Passes a victim on to a shard that serves a lower tier, or refuses it. */
+  buildShedAnswer(waiter: Waiter): AcquireAnswer {
+    return this.#handOn(waiter) ??
+      this.#refuse(waiter, "shed", this.#computeWait(waiter));
+  }
+
+  /** The answer to a waiter that can no longer be served in time. */
+  buildLateAnswer(waiter: Waiter): AcquireAnswer {
+    return this.#refuse(
+      waiter,
+      "deadline_unreachable",
+      this.#computeLateRetry(waiter),
+    );
+  }
+
+  /** The answer to a late repeat of a ticket that is closed. */
+  buildClosedAnswer(): AcquireAnswer {
+    return {
+      kind: "refused",
+      refusal: {
+        code: "cancelled",
+        message: "The ticket is closed",
+        // The lease that the ticket got may have been used.
+        outcome: "unknown",
+      },
+    };
+  }
+
+  /** Keeps the answer to a ticket whose next call has not come yet. */
+  putVerdict(ticket: TicketId, answer: AcquireAnswer): void {
+    const until = this.#options.clock.now() + VERDICT_LIFE_MS;
+    this.#verdicts.set(ticket, { answer, until });
+  }
+
+  takeVerdict(ticket: TicketId): AcquireAnswer | undefined {
+    const verdict = this.#verdicts.get(ticket);
+    this.#verdicts.delete(ticket);
+    return verdict?.answer;
+  }
+
+  dropOldVerdicts(): void {
+    const now = this.#options.clock.now();
+    for (const [ticket, verdict] of this.#verdicts) {
+      if (verdict.until <= now) this.#verdicts.delete(ticket);
+    }
+    for (const [ticket, until] of this.#passedOn) {
+      if (until <= now) this.#passedOn.delete(ticket);
+    }
+  }
+
+  /** The slots that the waiter's tier may hold at once; at least one. */
+  getTierCap(waiter: { rank: number }): number {
+    const { replicas, decisions } = this.#options;
+    const slots = replicas.slots;
+    if (!decisions.crowding) return slots;
+    return Math.max(1, Math.floor(this.#getSlotShare(waiter.rank) * slots));
+  }
+
+  /** Where a waiter stands: how many go before it, and who they are. */
+  buildPlace(
+    waiter: Waiter,
+  ): { ahead: number; behind: string; expectedMs: number } {
+    let ahead = 0;
+    const groups: string[] = [];
+    for (const queue of this.#options.queue.listClasses()) {
+      if (queue.rank > waiter.rank) continue;
+      const isOwn = queue.className === waiter.className;
+      const count = queue.size - (isOwn ? 1 : 0);
+      if (count <= 0) continue;
+      ahead += count;
+      groups.push(`${count} of class ${queue.className}`);
+    }
+    return {
+      ahead,
+      behind: groups.join(", "),
+      expectedMs: Math.round(this.#computeWait(waiter)),
+    };
+  }
+
+  /** The expected wait of a new request of the lowest tier. */
+  computeLowestWait(): number {
+    const { queue, factory, replicas } = this.#options;
+    if (replicas.room > 0 && queue.size === 0) return 0;
+    let ahead = 0;
+    for (const waiting of queue.listClasses()) ahead += waiting.slotMs;
+    return Math.round(
+      (ahead + factory.meanSlotMs) / Math.max(1, replicas.slots),
+    );
+  }
+
+  #hasServing(waiter: Waiter): boolean {
+    const { model, adapter, avoid } = waiter.call;
+    return hasServing(this.#options.replicas.list(), {
+      model,
+      adapter,
+      avoid,
+      prefixes: [],
+      mayProbe: false,
+      prefixAffinity: false,
+    });
+  }
+
+  #checkClassLimit(waiter: Waiter): AcquireAnswer | undefined {
+    if (!this.#isClassFull(waiter)) return undefined;
+    if (this.findCrowding(waiter) !== undefined) return undefined;
+    return this.buildFullAnswer(waiter);
+  }
+
+  #isClassFull(waiter: Waiter): boolean {
+    const { queue, decisions } = this.#options;
+    if (!decisions.crowding) return false;
+    const waiting = queue.getClass(waiter)?.size ?? 0;
+    return waiting >= waiter.requestClass.queueLimit;
+  }
+
+  #checkDeadline(waiter: Waiter, now: number): AcquireAnswer | undefined {
+    const { decisions, factory } = this.#options;
+    const { requestClass, call } = waiter;
+    if (requestClass.lateIsUseful || !decisions.admission) return undefined;
+    if (waiter.deadlineAt <= now) return this.buildLateAnswer(waiter);
+    if (!factory.computeSize(call, { requestClass, now }).learnt) {
+      return undefined;
+    }
+    const waitMs = this.#computeWait(waiter);
+    // With no wait, starting is the only way to learn that it would have been
+    // in time.
+    if (waitMs === 0) return undefined;
+    if (now + waitMs + waiter.slotMs <= waiter.deadlineAt) return undefined;
+    return this.#handOn(waiter) ?? this.buildLateAnswer(waiter);
+  }
+
+  #handOn(waiter: Waiter): AcquireAnswer | undefined {
+    const { decisions, listOthers, clock } = this.#options;
+    if (!decisions.passOn || this.#passedOn.has(waiter.ticket)) {
+      return undefined;
+    }
+    let best: ShardSummary | undefined;
+    for (const other of listOthers()) {
+      if (other.slots === 0) continue;
+      if (other.room === 0 && other.lowestRank <= waiter.rank) continue;
+      if (best === undefined || other.expectedWaitMs < best.expectedWaitMs) {
+        best = other;
+      }
+    }
+    if (best === undefined) return undefined;
+    this.#passedOn.set(waiter.ticket, clock.now() + VERDICT_LIFE_MS);
+    return { kind: "pass_on", shard: best.shard };
+  }
+
+  #refuse(
+    waiter: Waiter,
+    code: RefusalCode,
+    waitMs: number,
+  ): AcquireAnswer {
+    const retryAfterMs = this.#retryTimes.take(waiter.className, {
+      now: this.#options.clock.now(),
+      waitMs,
+      everyMs: this.#computeEvery(waiter),
+    });
+    return {
+      kind: "refused",
+      refusal: {
+        code,
+        message: MESSAGES[code] ?? "The request was refused",
+        outcome: "not_run",
+        retryAfterMs,
+      },
+    };
+  }
+
+  /** When a new request of the class could finish within its target. */
+  #computeLateRetry(waiter: Waiter): number {
+    const slack = waiter.requestClass.targets.totalMs - waiter.slotMs;
+    return Math.max(0, this.#computeWait(waiter) - Math.max(0, slack));
+  }
+
+  /** Mean time between two grants to the waiter's tier. */
+  #computeEvery(waiter: Waiter): number {
+    return waiter.slotMs / computeUsableSlots(this.#buildLoad(waiter.rank));
+  }
+
+  #computeWait(waiter: Waiter): number {
+    return computeExpectedWait(
+      buildQuestion(waiter),
+      this.#buildLoad(waiter.rank),
+    );
+  }
+
+  #buildLoad(rank: number): ShardLoad {
+    const { queue, replicas, ledger } = this.#options;
+    return {
+      slots: replicas.slots,
+      room: replicas.room,
+      usedAbove: ledger.countAbove(rank),
+      tierCap: this.getTierCap({ rank }),
+      usedByTier: ledger.countRank(rank),
+      classes: queue.listClasses(),
+    };
+  }
+
+  #getSlotShare(rank: number): number {
+    const tiers = this.#options.getSnapshot()?.tiers.values() ?? [];
+    for (const tier of tiers) if (tier.rank === rank) return tier.maxSlotShare;
+    return 1;
+  }
+}
+
+const MESSAGES: Partial<Record<RefusalCode, string>> = {
+  no_upstream: "No upstream of the pool serves what the request needs",
+  queue_full: "The queue of the request's class is full",
+  shed: "The queue is full and holds requests of higher tiers",
+  deadline_unreachable: "The request could not be finished within its target",
+};
+
+function buildQuestion(waiter: Waiter): WaitQuestion {
+  return {
+    rank: waiter.rank,
+    className: waiter.className,
+    workspace: waiter.workspace,
+    weight: waiter.weight,
+    requestClass: waiter.requestClass,
+    slotMs: waiter.slotMs,
+  };
+}
--- /dev/null
+++ b/src/process/scheduler/waiter.ts
@@ -0,0 +1,44 @@
+/**
+ * One request that waits in a shard's queue.
+ *
+ * @module
+ */
+import type { ClassName, TicketId, WorkspaceName } from "../../ids.ts";
+import type { RequestClass } from "../../version/records.ts";
+import type { AcquireAnswer, AcquireCall } from "../peer_api.ts";
+
+/** What the queue orders by; times are the owner's monotonic clock. */
+export interface QueueEntry {
+  readonly ticket: TicketId;
+  readonly className: ClassName;
+  readonly workspace: WorkspaceName;
+  /** Requests that need the same model stand in one lane. */
+  readonly lane: string;
+  readonly rank: number;
+  readonly requestClass: RequestClass;
+  /** The workspace's weight against others of the class. */
+  readonly weight: number;
+  readonly arrivedAt: number;
+  /** Counts entries: breaks ties by order of coming. */
+  readonly order: number;
+  /** Granted later than this, it misses a target. */
+  readonly startBy: number;
+  /** Past this an answer is useless; infinite where late is useful. */
+  readonly giveUpAt: number;
+  /** Expected tokens, the unit of fair sharing. */
+  readonly cost: number;
+  /** Expected time in a slot. */
+  readonly slotMs: number;
+}
+
+/** An entry with the call that is to be answered. */
+export interface Waiter extends QueueEntry {
+  /** The latest call of the ticket. */
+  call: AcquireCall;
+  readonly deadlineAt: number;
+  readonly isLong: boolean;
+  /** The waiter leaves the queue unless its call comes again by then. */
+  renewBy: number;
+  /** Answers the call that is held now; undefined between two calls. */
+  answer: ((answer: AcquireAnswer) => void) | undefined;
+}
--- /dev/null
+++ b/src/process/scheduler/waiter_factory.ts
@@ -0,0 +1,195 @@
+/**
+ * Makes a queue entry of an acquire call: class, tier and expected times.
+ *
+ * @module
+ */
+import { type ClassName, toId, type WorkspaceName } from "../../ids.ts";
+import type { RequestClass, Snapshot } from "../../version/records.ts";
+import type { AcquireCall } from "../peer_api.ts";
+import type { LengthGuess, OutputLengths } from "./output_lengths.ts";
+import type { ServiceGuess, ServiceSpeed } from "./service_speed.ts";
+import type { Waiter } from "./waiter.ts";
+
+/** Rank of a class that this VM's configuration does not have yet. */
+export const UNKNOWN_RANK = 1_000;
+/** Price of reading a prompt token against generating one. */
+export const PROMPT_COST = 0.1;
+/** Times the mean slot time that makes a request a long one. */
+const LONG_RATIO = 4;
+const MEAN_WEIGHT = 0.05;
+const UNKNOWN_CLASS_WAIT_MS = 60_000;
+const UNKNOWN_CLASS_QUEUE = 64;
+
+/** What the size of a request depends on. */
+export interface SizedCall {
+  className: ClassName;
+  workspace: WorkspaceName;
+  model: string | undefined;
+  maxTokens: number;
+  doneTokens: number;
+}
+
+/** The expected size of a request. */
+export interface SizeGuess {
+  length: LengthGuess;
+  service: ServiceGuess;
+  /** Whether a refusal may rest on it. */
+  learnt: boolean;
+}
+
+/** Builds waiters and guesses their size. */
+export class WaiterFactory {
+  readonly #getSnapshot: () => Snapshot | undefined;
+  readonly #lengths: OutputLengths;
+  readonly #speed: ServiceSpeed;
+  #order = 0;
+  #meanSlotMs: number | undefined;
+
+  constructor(
+    getSnapshot: () => Snapshot | undefined,
+    learnt: { lengths: OutputLengths; speed: ServiceSpeed },
+  ) {
+    this.#getSnapshot = getSnapshot;
+    this.#lengths = learnt.lengths;
+    this.#speed = learnt.speed;
+  }
+
+  static create(
+    getSnapshot: () => Snapshot | undefined,
+    learnt: { lengths: OutputLengths; speed: ServiceSpeed },
+  ): WaiterFactory {
+    return new WaiterFactory(getSnapshot, learnt);
+  }
+
+  /** Mean expected time in a slot over the requests that came. */
+  get meanSlotMs(): number {
+    return this.#meanSlotMs ?? 1_000;
+  }
+
+  findClass(call: Pick<AcquireCall, "className">): RequestClass | undefined {
+    return this.#getSnapshot()?.classes.get(call.className);
+  }
+
+  getRank(requestClass: RequestClass): number {
+    const tier = this.#getSnapshot()?.tiers.get(requestClass.tier);
+    return tier?.rank ?? UNKNOWN_RANK;
+  }
+
+  getWeight(workspace: WorkspaceName): number {
+    const weight = this.#getSnapshot()?.workspaces.get(workspace)?.weight;
+    return weight === undefined || weight <= 0 ? 1 : weight;
+  }
+
+  /** The expected length and time of a request. */
+  computeSize(
+    call: SizedCall,
+    options: { requestClass: RequestClass; now: number },
+  ): SizeGuess {
+    const { requestClass, now } = options;
+    const length = this.#lengths.computeGuess({
+      requestClass,
+      workspace: call.workspace,
+      maxTokens: call.maxTokens,
+      doneTokens: call.doneTokens,
+    });
+    const hasTokens = call.model !== undefined;
+    const service = this.#speed.computeGuess(requestClass, {
+      tokens: Math.max(1, length.tokens - call.doneTokens),
+      hasTokens,
+      now,
+    });
+    const learnt = service.learnt && (length.learnt || !hasTokens);
+    return { length, service, learnt };
+  }
+
+  build(call: AcquireCall, now: number): Waiter {
+    const requestClass = this.findClass(call) ?? buildUnknownClass(call);
+    const size = this.computeSize(call, { requestClass, now });
+    const arrivedAt = now - call.ageMs;
+    const deadlineAt = now + call.deadlineInMs;
+    const slotMs = Math.max(1, size.service.totalMs);
+    this.#noteSlotMs(slotMs);
+    return {
+      ticket: call.ticket,
+      className: call.className,
+      workspace: call.workspace,
+      lane: call.model ?? "",
+      rank: this.getRank(requestClass),
+      requestClass,
+      weight: this.getWeight(call.workspace),
+      arrivedAt,
+      order: this.#order++,
+      startBy: computeStartBy(call, { requestClass, size, now }),
+      giveUpAt: computeGiveUp(deadlineAt, requestClass, size),
+      cost: computeCost(call, size),
+      slotMs,
+      call,
+      deadlineAt,
+      isLong: slotMs > LONG_RATIO * this.meanSlotMs,
+      renewBy: 0,
+      answer: undefined,
+    };
+  }
+
+  #noteSlotMs(slotMs: number): void {
+    this.#meanSlotMs = this.#meanSlotMs === undefined
+      ? slotMs
+      : this.#meanSlotMs + MEAN_WEIGHT * (slotMs - this.#meanSlotMs);
+  }
+}
+
+/**
+ * The latest start that meets both the first-token target and the total one.
+ * A resumed stream has had its first token; its caller waits for the next one
+ * as long as for a first one.
+ */
+function computeStartBy(
+  call: AcquireCall,
+  options: { requestClass: RequestClass; size: SizeGuess; now: number },
+): number {
+  const { requestClass, size, now } = options;
+  const since = call.doneTokens > 0 ? now : now - call.ageMs;
+  const firstToken = since + requestClass.targets.firstTokenMs -
+    size.service.firstTokenMs;
+  const whole = now + call.deadlineInMs - size.service.totalMs;
+  return Math.min(firstToken, whole);
+}
+
+function computeGiveUp(
+  deadlineAt: number,
+  requestClass: RequestClass,
+  size: SizeGuess,
+): number {
+  if (requestClass.lateIsUseful) return Infinity;
+  return size.learnt ? deadlineAt - size.service.totalMs : deadlineAt;
+}
+
+function computeCost(call: AcquireCall, size: SizeGuess): number {
+  if (call.model === undefined) return 1;
+  const tokens = Math.max(1, size.length.tokens - call.doneTokens);
+  return tokens + PROMPT_COST * call.promptTokens;
+}
+
+/**
+ * A class that is newer than this VM's configuration. The request was admitted
+ * by a VM that has it, so it waits below all known tiers instead of failing.
+ */
+function buildUnknownClass(call: AcquireCall): RequestClass {
+  return {
+    kind: "request_class",
+    name: call.className,
+    tier: toId(""),
+    targets: {
+      firstTokenMs: Math.max(1, call.deadlineInMs),
+      betweenTokensMs: 1_000,
+      totalMs: Math.max(1, call.deadlineInMs),
+    },
+    lateIsUseful: true,
+    idempotent: call.idempotent,
+    minShare: 0,
+    maxWaitMs: UNKNOWN_CLASS_WAIT_MS,
+    queueLimit: UNKNOWN_CLASS_QUEUE,
+    maxOutputTokens: call.maxTokens,
+    objective: 0,
+  };
+}
--- /dev/null
+++ b/src/process/scheduler/waiting_queue.ts
@@ -0,0 +1,289 @@
+/**
+ * A shard's one queue for all tiers.
+ *
+ * Order at granting: first a class whose head is due or which is owed its
+ * minimum share; then strictly by tier; within a tier by earliest feasible
+ * start; between the workspaces of a class by tokens served.
+ *
+ * @module
+ */
+import type { TicketId, WorkspaceName } from "../../ids.ts";
+import { ClassQueue } from "./class_queue.ts";
+import type { SchedulerDecisions } from "./decisions.ts";
+import { compareHeads, type FairOrder, type HeadKey } from "./fair_order.ts";
+import { Heap } from "./heap.ts";
+import type { QueueEntry } from "./waiter.ts";
+
+/** Classes that go before their tier's turn, the first due first. */
+interface Promoted<T extends QueueEntry> {
+  queue: ClassQueue<T>;
+  dueAt: number;
+}
+
+interface Candidate<T extends QueueEntry> {
+  lane: FairOrder<T>;
+  rank: number;
+  key: HeadKey;
+}
+
+/** Which entries may be granted now. */
+export interface GrantFilter<T extends QueueEntry> {
+  /** Whether the tier of `rank` may hold one more slot. */
+  isOpen: (rank: number) => boolean;
+  /** Whether there is a free slot that suits `entry`. */
+  accepts: (entry: T) => boolean;
+}
+
+/** All requests that wait in one shard. */
+export class WaitingQueue<T extends QueueEntry> {
+  readonly #decisions: SchedulerDecisions;
+  readonly #entries = new Map<TicketId, T>();
+  readonly #classes = new Map<string, ClassQueue<T>>();
+  readonly #byGiveUp = Heap.create<T>((left, right) =>
+    left.giveUpAt < right.giveUpAt
+  );
+
+  constructor(decisions: SchedulerDecisions) {
+    this.#decisions = decisions;
+  }
+
+  static create<T extends QueueEntry>(
+    decisions: SchedulerDecisions,
+  ): WaitingQueue<T> {
+    return new WaitingQueue(decisions);
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Entries beside the first of each class, which takes no bounded place. */
+  get boundedSize(): number {
+    let heads = 0;
+    for (const queue of this.#classes.values()) if (queue.size > 0) heads++;
+    return this.#entries.size - heads;
+  }
+
+  get(ticket: TicketId): T | undefined {
+    return this.#entries.get(ticket);
+  }
+
+  list(): IterableIterator<T> {
+    return this.#entries.values();
+  }
+
+  listClasses(): IterableIterator<ClassQueue<T>> {
+    return this.#classes.values();
+  }
+
+  getClass(entry: QueueEntry): ClassQueue<T> | undefined {
+    return this.#classes.get(buildClassKey(entry));
+  }
+
+  add(entry: T, now: number): void {
+    const key = buildClassKey(entry);
+    let queue = this.#classes.get(key);
+    if (queue === undefined) {
+      queue = ClassQueue.create(entry, this.#decisions);
+      this.#classes.set(key, queue);
+    }
+    queue.add(entry, now);
+    this.#entries.set(entry.ticket, entry);
+    if (Number.isFinite(entry.giveUpAt)) this.#byGiveUp.push(entry);
+  }
+
+  remove(entry: T, now: number): void {
+    if (this.#entries.get(entry.ticket) !== entry) return;
+    this.#entries.delete(entry.ticket);
+    this.#byGiveUp.remove(entry);
+    this.#classes.get(buildClassKey(entry))?.remove(entry, now);
+  }
+
+  /** The entry to grant next among those that `filter` takes. */
+  findNext(now: number, filter: GrantFilter<T>): T | undefined {
+    if (this.#decisions.progress) {
+      for (const { queue } of this.#listPromoted(now)) {
+        if (!filter.isOpen(queue.rank)) continue;
+        const found = queue.findOldest(filter.accepts);
+        if (found !== undefined) return found;
+      }
+    }
+    for (const candidate of this.#listCandidates(now)) {
+      if (!filter.isOpen(candidate.rank)) continue;
+      const found = candidate.lane.findFirst(now, filter.accepts);
+      if (found !== undefined) return found;
+    }
+    return undefined;
+  }
+
+  /** The entry that goes first by tier alone, whatever is owed to others. */
+  findFirstByTier(now: number): T | undefined {
+    const first = this.#listCandidates(now)[0];
+    return first?.lane.findFirst(now, () => true);
+  }
+
+  /** Counts a grant to `entry`, which leaves the queue. */
+  takeGranted(entry: T, now: number): void {
+    const queue = this.#classes.get(buildClassKey(entry));
+    this.remove(entry, now);
+    queue?.settleGrant(entry);
+    this.noteServed(entry, entry.cost);
+  }
+
+  /** Counts `tokens` as served to the workspace of `entry`. */
+  noteServed(
+    entry: Pick<
+      QueueEntry,
+      "className" | "rank" | "workspace" | "weight" | "lane"
+    >,
+    tokens: number,
+  ): void {
+    const queue = this.#classes.get(buildClassKey(entry));
+    queue?.lanes.get(entry.lane)?.noteServed(entry.workspace, {
+      tokens,
+      weight: entry.weight,
+    });
+  }
+
+  /** Adds each class's minimum share; shares above 1 in sum are scaled. */
+  addShare(now: number, slots: number): void {
+    let sum = 0;
+    for (const queue of this.#classes.values()) {
+      if (queue.size > 0) sum += queue.requestClass.minShare;
+    }
+    const scale = 1 / Math.max(1, sum);
+    for (const queue of this.#classes.values()) {
+      const minShare = queue.requestClass.minShare * scale;
+      queue.addShare(now, { minShare, slots });
+    }
+  }
+
+  /** Removes the entries whose answer would now be useless. */
+  takeHopeless(now: number): T[] {
+    const hopeless: T[] = [];
+    let first = this.#byGiveUp.getFirst();
+    while (first !== undefined && first.giveUpAt <= now) {
+      this.remove(first, now);
+      hopeless.push(first);
+      first = this.#byGiveUp.getFirst();
+    }
+    return hopeless;
+  }
+
+  /** The largest rank that waits; undefined when nothing waits. */
+  findLowestRank(): number | undefined {
+    let lowest: number | undefined;
+    for (const queue of this.#classes.values()) {
+      if (queue.size === 0) continue;
+      if (lowest === undefined || queue.rank > lowest) lowest = queue.rank;
+    }
+    return lowest;
+  }
+
+  /** Requests waiting, by rank. */
+  countByRank(): Record<number, number> {
+    const counts: Record<number, number> = {};
+    for (const queue of this.#classes.values()) {
+      if (queue.size === 0) continue;
+      counts[queue.rank] = (counts[queue.rank] ?? 0) + queue.size;
+    }
+    return counts;
+  }
+
+  /**
+   * The entry to shed: of the lowest tier present, the one that came last,
+   * of the workspace with the most waiting. The head of a class goes only
+   * when its tier has nothing else.
+   */
+  findVictim(): T | undefined {
+    const lowest = this.findLowestRank();
+    let victim: T | undefined;
+    let isHead = true;
+    for (const queue of this.#classes.values()) {
+      if (queue.size === 0) continue;
+      if (this.#decisions.tiers && queue.rank !== lowest) continue;
+      const entry = findLatest(queue, queue.findLargestBacklog());
+      if (entry === undefined) continue;
+      const entryIsHead = queue.getOldest() === entry;
+      const better = victim === undefined || (isHead && !entryIsHead) ||
+        (isHead === entryIsHead && entry.order > victim.order);
+      if (!better) continue;
+      victim = entry;
+      isHead = entryIsHead;
+    }
+    return victim;
+  }
+
+  /** The last entry of `workspace` in the class of `entry`. */
+  findLatestOf(entry: QueueEntry, workspace: WorkspaceName): T | undefined {
+    const queue = this.#classes.get(buildClassKey(entry));
+    return queue && findLatest(queue, workspace);
+  }
+
+  dropIdle(): void {
+    for (const [key, queue] of this.#classes) {
+      queue.dropIdle();
+      if (queue.size === 0 && !this.#isRemembered(queue)) {
+        this.#classes.delete(key);
+      }
+    }
+  }
+
+  #isRemembered(queue: ClassQueue<T>): boolean {
+    for (const lane of queue.lanes.values()) if (lane.hasDebt()) return true;
+    return false;
+  }
+
+  #listPromoted(now: number): Promoted<T>[] {
+    const promoted: Promoted<T>[] = [];
+    for (const queue of this.#classes.values()) {
+      if (queue.size === 0) continue;
+      const dueAt = queue.getDueAt();
+      if (dueAt <= now) promoted.push({ queue, dueAt });
+      else if (queue.isOwed()) promoted.push({ queue, dueAt: Infinity });
+    }
+    return promoted.sort(comparePromoted);
+  }
+
+  #listCandidates(now: number): Candidate<T>[] {
+    const candidates: Candidate<T>[] = [];
+    for (const queue of this.#classes.values()) {
+      if (queue.size === 0) continue;
+      for (const lane of queue.lanes.values()) {
+        const key = lane.findKey(now);
+        if (key === undefined) continue;
+        candidates.push({ lane, rank: queue.rank, key });
+      }
+    }
+    const isStrict = this.#decisions.tiers;
+    return candidates.sort((left, right) =>
+      (isStrict ? left.rank - right.rank : 0) ||
+      compareHeads(left.key, right.key)
+    );
+  }
+}
+
+/** Due heads first, by when they became due; then by tier. */
+function comparePromoted<T extends QueueEntry>(
+  left: Promoted<T>,
+  right: Promoted<T>,
+): number {
+  if (left.dueAt !== right.dueAt) return left.dueAt < right.dueAt ? -1 : 1;
+  return left.queue.rank - right.queue.rank;
+}
+
+function buildClassKey(entry: { rank: number; className: string }): string {
+  return `${entry.rank}/${entry.className}`;
+}
+
+function findLatest<T extends QueueEntry>(
+  queue: ClassQueue<T>,
+  workspace: WorkspaceName | undefined,
+): T | undefined {
+  let latest: T | undefined;
+  for (const entry of queue.list()) {
+    if (entry.workspace !== workspace) continue;
+    if (latest === undefined || entry.order > latest.order) latest = entry;
+  }
+  return latest;
+}
