--- a/lint/verb_list.ts
+++ b/lint/verb_list.ts
@@ -88,6 +88,14 @@
   "load",
   "unload",
   "plan",
+  "withdraw",
+  "hold",
+  "pause",
+  "restart",
+  "replace",
+  "cut",
+  "heal",
+  "silence",
 ];
 
 /**
--- a/src/tool/burn_command.ts
+++ b/src/tool/burn_command.ts
@@ -127,10 +127,11 @@
   records: Snapshot | undefined,
 ): number | undefined {
   const sent = answer.objectives?.find((candidate) =>
-    candidate.workspace === entry.workspace &&
     candidate.class === entry.className
   );
-  if (sent !== undefined) return sent.objective;
+  if (sent !== undefined) {
+    return sent.workspaces[entry.workspace] ?? sent.objective;
+  }
   const workspace = [...records?.workspaces.values() ?? []]
     .find(({ name }) => name === entry.workspace);
   const requestClass = [...records?.classes.values() ?? []]
@@ -144,10 +145,13 @@
       formatDuration(series.reachMs)
     }`,
   ];
+  for (const { vm, why } of answer.missing) {
+    lines.push(`Not reached: ${vm}: ${why}`);
+  }
   if (answer.missing.length > 0) {
     lines.push(
-      `Not reached: ${answer.missing.join(", ")}. Requests that they served ` +
-        "are in none of these figures, so both missed and met are too low",
+      "What they served is in none of these figures: the shares below are of " +
+        "the other VMs alone",
     );
   }
   return lines.map((line) => `${line}\n`).join("") + "\n";
--- a/src/tool/fate_story.ts
+++ b/src/tool/fate_story.ts
@@ -128,7 +128,7 @@
   if (page.why) unknowns.push(page.why);
   if (page.dropped_steps) {
     unknowns.push(
-      `${page.dropped_steps} steps are missing: the record had reached its ` +
+      `${page.dropped_steps} steps left out: the record had reached its ` +
         "bound",
     );
   }
--- a/src/tool/fleet_commands.ts
+++ b/src/tool/fleet_commands.ts
@@ -164,13 +164,13 @@
   );
   if (status.shards.length === 0) return head + members;
   const shards = renderTable(
-    ["SHARD", "OWNER", "ROOM", "SLOTS", "WAITING", "EXPECTED WAIT"],
+    ["SHARD", "OWNER", "ROOM", "SLOTS", "WAITING BY RANK", "EXPECTED WAIT"],
     status.shards.map((shard) => [
       shard.shard,
       shard.owner ?? NONE,
       formatNumber(shard.room),
       formatNumber(shard.slots),
-      formatNumber(shard.waiting),
+      formatWaiting(shard.waiting_by_rank),
       shard.expected_wait_ms == null
         ? NONE
         : formatDuration(shard.expected_wait_ms),
@@ -179,6 +179,12 @@
   return `${head}${members}\n${shards}`;
 }
 
+function formatWaiting(byRank: Record<string, number>): string {
+  const parts = Object.entries(byRank).filter(([, count]) => count > 0)
+    .map(([rank, count]) => `${rank}: ${count}`);
+  return parts.join(", ") || NONE;
+}
+
 function formatNumber(value: number | null | undefined): string {
   return value == null ? NONE : String(value);
 }
--- a/src/tool/operator_answers.ts
+++ b/src/tool/operator_answers.ts
@@ -17,7 +17,8 @@
   owner: z.string().nullish(),
   room: z.number().nullish(),
   slots: z.number().nullish(),
-  waiting: z.number().nullish(),
+  /** Requests that wait, by the rank of their tier. */
+  waiting_by_rank: z.record(z.string(), z.number()).default({}),
   expected_wait_ms: z.number().nullish(),
 });
 
@@ -50,8 +51,7 @@
   in_flight: z.number().optional(),
 });
 
-/** `GET /v1/requests/ID`, of operators and callers alike. */
-export const FATE_ANSWER = z.looseObject({
+const FATE_PAGE = z.looseObject({
   request_id: z.string(),
   outcome: z.string(),
   code: z.string().nullish(),
@@ -72,16 +72,24 @@
   dropped_steps: z.number().nullish(),
 });
 
+/**
+ * `GET /v1/requests/ID`. Operators get the VM's own record, callers a page of
+ * it; they differ in how their keys are written.
+ */
+export const FATE_ANSWER = z.preprocess(convertKeys, FATE_PAGE);
+
 /** `GET /v1/burn`. */
 export const BURN_ANSWER = z.looseObject({
-  vms: z.array(z.string()),
-  missing: z.array(z.string()),
+  vms: z.array(z.looseObject({ vm: z.string() })),
+  /** VMs that gave no figures, and why. */
+  missing: z.array(z.looseObject({ vm: z.string(), why: z.string() })),
   /** Read by `parseSeries` of src/process/burn_stats.ts. */
   series: z.unknown(),
   objectives: z.array(z.looseObject({
-    workspace: z.string(),
     class: z.string(),
-    objective: z.number().gt(0).lt(1),
+    objective: z.number(),
+    /** Objectives of workspaces that differ from the class's. */
+    workspaces: z.record(z.string(), z.number()).default({}),
   })).optional(),
 });
 
@@ -101,8 +109,24 @@
 /** Which VM has which configuration. */
 export type VersionsAnswer = z.infer<typeof VERSIONS_ANSWER>;
 /** What became of one request. */
-export type FatePage = z.infer<typeof FATE_ANSWER>;
+export type FatePage = z.infer<typeof FATE_PAGE>;
 /** The figures of all VMs that could be reached. */
 export type BurnAnswer = z.infer<typeof BURN_ANSWER>;
 /** Addresses for callers. */
 export type EntriesPage = z.infer<typeof ENTRIES_ANSWER>;
+
+/** Keys in snake_case; `className` is `class` on every page. */
+function convertKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(convertKeys);
+  if (typeof value !== "object" || value === null) return value;
+  return Object.fromEntries(
+    Object.entries(value).map(([key, item]) => [
+      key === "className" ? "class" : toSnakeCase(key),
+      convertKeys(item),
+    ]),
+  );
+}
+
+function toSnakeCase(key: string): string {
+  return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+}
