Speak tRPC between VMs on Node's own objects

tRPC's adapter for Node and its httpLink go through the fetch API's shapes. The protocol is unchanged.

--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -6,13 +6,14 @@
 import http from "node:http";
 import https from "node:https";
 import type { TRPCClient } from "@trpc/client";
-import { createTRPCClient, httpLink } from "@trpc/client";
+import { createTRPCClient } from "@trpc/client";
 import { StepError, toError } from "../errors.ts";
 import type { VmId } from "../ids.ts";
 import type { Clock } from "../process/clock.ts";
 import type * as Peer from "../process/peer_api.ts";
 import { PeerApi, PeerDirectory } from "../process/peer_api.ts";
-import { createNodeFetch } from "./node_fetch.ts";
+import type { PeerCallContext } from "./peer_link.ts";
+import { createPeerLink, PeerDeadlineError } from "./peer_link.ts";
 import type { PeerRouter } from "./peer_router.ts";
 import { PEER_SECRET_HEADER } from "./peer_server.ts";
 import type { ClientTls } from "./tls_material.ts";
@@ -207,30 +208,21 @@
     deadlineMs: number,
     send: (
       client: TRPCClient<PeerRouter>,
-      options: { signal: AbortSignal },
+      options: { context: PeerCallContext },
     ) => Promise<unknown>,
   ): Promise<T> {
     const channel = this.#openChannel(step);
-    const controller = new AbortController();
-    let isLate = false;
-    const cancelTimer = this.#options.clock.startTimer(deadlineMs, () => {
-      isLate = true;
-      controller.abort();
-      closeIdleConnections(channel.agent);
-    });
     try {
-      const answer = await send(channel.client, {
-        signal: controller.signal,
-      });
+      const answer = await send(channel.client, { context: { deadlineMs } });
       // JSON leaves out what is undefined; reading gives undefined again.
       return answer as T;
     } catch (thrown) {
+      const cause = toError(thrown);
+      const isLate = cause.cause instanceof PeerDeadlineError;
       throw new StepError(
-        { step, peer: this.#vm, cause: toError(thrown) },
+        { step, peer: this.#vm, cause },
         isLate ? "VM did not answer in time" : "Call to the VM failed",
       );
-    } finally {
-      cancelTimer();
     }
   }
 
@@ -263,17 +255,18 @@
   const agent = options.tls === undefined
     ? new http.Agent(settings)
     : new https.Agent(settings);
-  const scheme = options.tls === undefined ? "http" : "https";
-  const tls = options.tls && buildTlsOptions(options.tls, endpoint);
-  const host = endpoint.address.includes(":")
-    ? `[${endpoint.address}]`
-    : endpoint.address;
   const client = createTRPCClient<PeerRouter>({
     links: [
-      httpLink({
-        url: `${scheme}://${host}:${endpoint.port}`,
-        headers: { [PEER_SECRET_HEADER]: options.secret },
-        fetch: createNodeFetch({ agent, tls }),
+      createPeerLink({
+        clock: options.clock,
+        agent,
+        endpoint,
+        headers: {
+          "content-type": "application/json",
+          [PEER_SECRET_HEADER]: options.secret,
+        },
+        tls: options.tls && buildTlsOptions(options.tls, endpoint),
+        onLate: () => closeIdleConnections(agent),
       }),
     ],
   });
--- a/src/connection/peer_server.ts
+++ b/src/connection/peer_server.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
+import { type Clock, SystemClock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
 import type { PeerApi } from "../process/peer_api.ts";
 import type { ServerLimits } from "./http_server.ts";
 import { HttpServer } from "./http_server.ts";
-import { PEER_ROUTER } from "./peer_router.ts";
+import { answerPeerCall, isPeerProcedure } from "./peer_answer.ts";
+import { readRequestBody } from "./request_body.ts";
 import { SharedSecret } from "./secret.ts";
 import type { ServerTls } from "./tls_material.ts";
 
@@ -18,6 +19,7 @@
 
 const MAX_CALL_BYTES = 33_554_432;
 const UNAUTHORIZED = 401;
+const NOT_FOUND = 404;
 /** Longer than a client keeps an idle connection, so that it closes first. */
 const KEEP_ALIVE_MS = 60_000;
 
@@ -31,6 +33,8 @@
 
 /** What a listener for peers is made of. */
 export interface PeerListenerOptions {
+  /** The machine's own time unless given. */
+  clock?: Clock;
   /** The fleet's shared secret. */
   secret: string;
   api: PeerApi;
@@ -41,11 +45,13 @@
 /** Answers the calls of other entry VMs. */
 export class PeerListener {
   readonly #options: PeerListenerOptions;
+  readonly #clock: Clock;
   readonly #secret: SharedSecret;
   readonly #server: HttpServer;
 
   constructor(options: PeerListenerOptions) {
     this.#options = options;
+    this.#clock = options.clock ?? SystemClock.create();
     this.#secret = SharedSecret.create(options.secret);
     this.#server = HttpServer.create({
       name: "peers",
@@ -97,21 +103,30 @@
       response.writeHead(UNAUTHORIZED, { connection: "close" }).end();
       return;
     }
-    await nodeHTTPRequestHandler({
-      req: request,
-      res: response,
-      path: getProcedure(request.url ?? "/"),
-      router: PEER_ROUTER,
-      createContext: () => ({ api: this.#options.api }),
-      maxBodySize: MAX_CALL_BYTES,
-      onError: ({ error, path }) => {
-        this.#options.log.warn("peer_call_failed", {
-          step: path,
-          peer: request.socket.remoteAddress,
-          error: error.message,
-        });
-      },
+    const path = getProcedure(request.url ?? "/");
+    if (request.method !== "POST" || !isPeerProcedure(path)) {
+      response.writeHead(NOT_FOUND).end();
+      return;
+    }
+    const body = await readRequestBody(request, {
+      clock: this.#clock,
+      maxBodyBytes: MAX_CALL_BYTES,
+      bodyTimeoutMs: LIMITS.bodyTimeoutMs,
+    });
+    const { api } = this.#options;
+    const answer = await answerPeerCall(path, body, { api });
+    if (answer.error !== undefined) {
+      this.#options.log.warn("peer_call_failed", {
+        step: path,
+        peer: request.socket.remoteAddress,
+        error: answer.error.message,
+      });
+    }
+    response.writeHead(answer.status, {
+      "content-type": "application/json",
+      "content-length": Buffer.byteLength(answer.text),
     });
+    response.end(answer.text);
   }
 }
 
--- a/test/connection/peers_test.ts
+++ b/test/connection/peers_test.ts
@@ -208,7 +208,9 @@
   it("refuses a wrong secret and runs nothing", async () => {
     const { api, listener } = await startPeer();
     const peer = createPeer(listener.port, { secret: "guess" });
-    await expect(peer.claimRun(CLAIM)).rejects.toBeInstanceOf(StepError);
+    const error = await peer.claimRun(CLAIM).catch((thrown) => thrown);
+    expect(error).toBeInstanceOf(StepError);
+    expect(error.message).toContain("refused the credential");
     expect(api.calls).toEqual([]);
   });
 
