--- a/test/support/request_fakes.ts
+++ b/test/support/request_fakes.ts
@@ -267,7 +267,7 @@
     seed?: number;
     random?: Random;
     peers?: FakePeers;
-    upstreams?: FakeUpstreams;
+    upstreams?: UpstreamTransport;
     log?: Log;
   } = {},
 ): Environment {
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { UpstreamTransport } from "../../src/connection/upstream_transport.ts";
 import { type ModelName, type PoolName, toId } from "../../src/ids.ts";
 import type { ClassName, TierName, WorkspaceName } from "../../src/ids.ts";
 import { AnswerStore } from "../../src/process/answer_store.ts";
@@ -65,6 +66,8 @@
       peers?: FakePeers;
       upstreams?: string[];
       retryShare?: number;
+      /** Real upstreams in the place of the fakes. */
+      transport?: UpstreamTransport;
     } = {},
   ) {
     this.clock = clock;
@@ -76,7 +79,7 @@
     const environment = buildEnvironment(clock, {
       ...options,
       peers: this.peers,
-      upstreams: this.upstreams,
+      upstreams: options.transport ?? this.upstreams,
       log: this.log,
     });
     this.claims = ProcessRunClaims.create(environment);
