Join the parts into one VM's runtime and its daemon

Cause: the parts stood alone. VmRuntime is a VM without sockets, so that the same code runs in virtual time; the daemon puts its listeners before it and drains on SIGTERM or on an operator's word.

--- /dev/null
+++ b/src/bin/persimmonslipd.ts
@@ -0,0 +1,53 @@
+#!/usr/bin/env node
+/**
+ * The daemon that runs on every entry VM.
+ *
+ * @module
+ */
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { toError } from "../errors.ts";
+import { Daemon } from "../process/daemon.ts";
+import { readSettings } from "../process/settings.ts";
+
+const EXIT_FAILED = 1;
+
+await runDaemon();
+
+async function runDaemon(): Promise<void> {
+  const { settings } = await yargs(hideBin(process.argv))
+    .scriptName("persimmonslipd")
+    .usage("$0 --settings FILE")
+    .option("settings", {
+      type: "string",
+      demandOption: true,
+      describe: "JSON file with the daemon's settings",
+    })
+    .strict()
+    .parseAsync();
+  try {
+    const daemon = Daemon.create(
+      readSettings(settings),
+      () => process.exit(0),
+    );
+    onSignals(daemon);
+    await daemon.start();
+  } catch (thrown) {
+    process.stderr.write(`persimmonslipd: ${toError(thrown).message}\n`);
+    process.exit(EXIT_FAILED);
+  }
+}
+
+/** The first SIGTERM drains, a second one ends at once. */
+function onSignals(daemon: Daemon): void {
+  let isEnding = false;
+  const end = () => {
+    if (isEnding) process.exit(EXIT_FAILED);
+    isEnding = true;
+    void daemon.drain();
+  };
+  process.on("SIGTERM", end);
+  process.on("SIGINT", end);
+  process.on("SIGHUP", () => daemon.updateTls());
+}
--- /dev/null
+++ b/src/process/fleet_operator.ts
@@ -0,0 +1,203 @@
+/**
+ * What operators see of a VM and, through it, of the fleet.
+ *
+ * @module
+ */
+import { type HealthAnswer, OperatorApi } from "../connection/index.ts";
+import { toError } from "../errors.ts";
+import type { RequestId, VmId } from "../ids.ts";
+import { parseSeries } from "./burn_stats.ts";
+import type { Environment } from "./environment.ts";
+import type { VmRuntime } from "./runtime.ts";
+
+/** What the operators' side of a process needs. */
+export interface FleetOperatorOptions {
+  environment: Environment;
+  runtime: VmRuntime;
+  /** Begins the drain that ends the process. */
+  startDrain: () => void;
+}
+
+/** A VM that gave no figures, and why. */
+interface MissingVm {
+  vm: VmId;
+  why: string;
+}
+
+/** Answers operators from one process. */
+export class FleetOperator extends OperatorApi {
+  readonly #environment: Environment;
+  readonly #runtime: VmRuntime;
+  readonly #startDrain: () => void;
+
+  constructor(options: FleetOperatorOptions) {
+    super();
+    this.#environment = options.environment;
+    this.#runtime = options.runtime;
+    this.#startDrain = options.startDrain;
+  }
+
+  static create(options: FleetOperatorOptions): FleetOperator {
+    return new FleetOperator(options);
+  }
+
+  override getStatus(): Promise<object> {
+    const { vm, incarnation, dataCentre } = this.#environment;
+    const runtime = this.#runtime;
+    return Promise.resolve({
+      vm,
+      incarnation,
+      data_centre: dataCentre,
+      uptime_ms: Math.round(runtime.upMs),
+      config_version: runtime.getSnapshot()?.version ?? 0,
+      list_revision: runtime.membership.getList().revision,
+      draining: runtime.isDraining,
+      in_flight: runtime.inFlight,
+      members: this.#listMembers(),
+      shards: runtime.prober.summaries.list().map((summary) => ({
+        shard: summary.shard,
+        owner: summary.owner,
+        slots: summary.slots,
+        room: summary.room,
+        waiting_by_rank: summary.waitingByRank,
+        expected_wait_ms: summary.expectedWaitMs,
+      })),
+    });
+  }
+
+  override listVersions(): Promise<object> {
+    const report = this.#runtime.follower.listVersions();
+    const newest = report.history.findLast(({ version }) =>
+      version === report.version
+    );
+    const own = {
+      vm: report.vm,
+      version: report.version,
+      since_ms: newest?.ageMs ?? null,
+      from: newest?.from ?? null,
+      list_revision: report.listRevision,
+      is_watcher: report.isWatcher,
+    };
+    const others = report.peers.map((peer) => ({
+      vm: peer.vm,
+      version: peer.version,
+      since_ms: peer.sinceMs,
+      from: null,
+      list_revision: peer.listRevision,
+    }));
+    return Promise.resolve({
+      vms: [own, ...others],
+      history: report.history,
+      view_age_ms: Number.isFinite(report.viewAgeMs) ? report.viewAgeMs : null,
+    });
+  }
+
+  override startDrain(): Promise<object> {
+    this.#startDrain();
+    const { vm } = this.#environment;
+    return Promise.resolve({
+      vm,
+      draining: true,
+      in_flight: this.#runtime.inFlight,
+    });
+  }
+
+  override async findFate(requestId: RequestId): Promise<object | undefined> {
+    try {
+      const { fate } = await this.#runtime.fateFinder.findFate(requestId);
+      return fate;
+    } catch (thrown) {
+      // The VM that would know cannot be asked. That is an answer of its own:
+      // "nothing is known" would read as if the request had never come.
+      return {
+        requestId,
+        outcome: "unknown",
+        why: toError(thrown).message,
+        steps: [],
+      };
+    }
+  }
+
+  override async collectBurn(): Promise<object> {
+    const listed = this.#runtime.membership.listEntryVms();
+    const missing: MissingVm[] = [];
+    const vms: object[] = [];
+    await Promise.all(listed.map(async ({ id }) => {
+      try {
+        const stats = id === this.#environment.vm
+          ? this.#runtime.collectStats()
+          : await this.#environment.peers.getPeer(id).collectStats();
+        const parsed = parseSeries(stats.series);
+        if (parsed === undefined) throw new Error("Unreadable figures");
+        vms.push({
+          vm: stats.vm,
+          incarnation: stats.incarnation,
+          up_ms: stats.upMs,
+          config_version: stats.configVersion,
+          // Each VM's own: merged figures of two answers could not be put
+          // together without counting a request twice.
+          series: parsed,
+        });
+      } catch (thrown) {
+        missing.push({ vm: id, why: toError(thrown).message });
+      }
+    }));
+    return {
+      vms,
+      missing,
+      objectives: this.#listObjectives(),
+    };
+  }
+
+  override renderMetrics(): Promise<string> {
+    return this.#runtime.metrics.renderPrometheus();
+  }
+
+  override checkHealth(): HealthAnswer {
+    return { ok: true, detail: "The process answers" };
+  }
+
+  override checkReadiness(): HealthAnswer {
+    if (!this.#runtime.follower.isReady()) {
+      return { ok: false, detail: "No configuration yet" };
+    }
+    if (this.#runtime.isDraining) return { ok: false, detail: "Draining" };
+    return { ok: true, detail: "Serving" };
+  }
+
+  #listMembers(): object[] {
+    const { membership, follower } = this.#runtime;
+    const peers = follower.listVersions().peers;
+    return membership.listEntryVms().map(({ id, dataCentre, state }) => ({
+      vm: id,
+      data_centre: dataCentre,
+      listed: state,
+      state: this.#formatState(id),
+      config_version: id === this.#environment.vm
+        ? this.#runtime.getSnapshot()?.version ?? 0
+        : peers.find(({ vm }) => vm === id)?.version ?? null,
+    }));
+  }
+
+  #formatState(vm: VmId): string {
+    const { membership } = this.#runtime;
+    if (!membership.isReachable(vm)) return "unreachable";
+    return membership.isDraining(vm) ? "draining" : "alive";
+  }
+
+  #listObjectives(): object[] {
+    const snapshot = this.#runtime.getSnapshot();
+    if (snapshot === undefined) return [];
+    return [...snapshot.classes.values()].map((requestClass) => ({
+      class: requestClass.name,
+      tier: requestClass.tier,
+      objective: requestClass.objective,
+      workspaces: Object.fromEntries(
+        [...snapshot.workspaces.values()].flatMap((workspace) => {
+          const objective = workspace.objectives[requestClass.name];
+          return objective === undefined ? [] : [[workspace.name, objective]];
+        }),
+      ),
+    }));
+  }
+}
--- /dev/null
+++ b/src/process/runtime.ts
@@ -0,0 +1,295 @@
+/**
+ * One entry VM without its sockets: every part, joined.
+ *
+ * @module
+ */
+import type { DataCentre, RequestId, VmId } from "../ids.ts";
+import { toId } from "../ids.ts";
+import type { CallerRequest, CallerSink } from "../request/index.ts";
+import { CallerHandler, RequestRouter } from "../request/index.ts";
+import type { ListedVm, Snapshot } from "../version/index.ts";
+import { AnswerStore } from "./answer_store.ts";
+import { ConfigurationFollower } from "./configuration_follower.ts";
+import type { ConfigurationSource } from "./configuration_source.ts";
+import { chooseEntries, type EntriesAnswer } from "./entries.ts";
+import type { Environment } from "./environment.ts";
+import { FateFinder } from "./fate_finder.ts";
+import { FateStore } from "./fate_store.ts";
+import { FleetMembership } from "./fleet_membership.ts";
+import { WorkspaceLimits } from "./limits/index.ts";
+import { LocalPeer } from "./local_peer.ts";
+import { OrderGiver } from "./orders/index.ts";
+import type { PeerApi, StatsAnswer } from "./peer_api.ts";
+import { Prober } from "./prober.ts";
+import { ProcessMetrics } from "./request_metrics.ts";
+import { WindowRetryBudget } from "./retry_budget.ts";
+import { ProcessRunClaims } from "./run_claims.ts";
+import {
+  buildShardId,
+  LeaseClient,
+  listShardUpstreams,
+  type SchedulerDecisions,
+  ShardOwners,
+} from "./scheduler/index.ts";
+
+/** How often the owned shards' summaries are announced, in milliseconds. */
+const SUMMARY_EVERY_MS = 500;
+/** Retries that a fleet without a configuration may make: none. */
+const NO_RETRIES = 0;
+
+/** What one VM is made of. */
+export interface RuntimeOptions {
+  environment: Environment;
+  /** This VM as it would be listed. */
+  self: ListedVm;
+  source: ConfigurationSource;
+  /** VMs to ask for a configuration before any list is known. */
+  seeds: readonly VmId[];
+  /** How long callers may keep an answer of `GET /v1/entries`. */
+  entriesTtlMs?: number;
+  retainedAnswersBytes?: number;
+  /** Decisions that a bench switches off; all are on by default. */
+  decisions?: Partial<SchedulerDecisions>;
+}
+
+/** One entry VM: answers callers through `handle`, and peers through `api`. */
+export class VmRuntime extends CallerHandler {
+  readonly api: PeerApi;
+  readonly membership: FleetMembership;
+  readonly follower: ConfigurationFollower;
+  readonly prober: Prober;
+  readonly owners: ShardOwners;
+  readonly leases: LeaseClient;
+  readonly limits: WorkspaceLimits;
+  readonly claims: ProcessRunClaims;
+  readonly fates: FateStore;
+  readonly fateFinder: FateFinder;
+  readonly metrics: ProcessMetrics;
+  readonly #environment: Environment;
+  readonly #entriesTtlMs: number | undefined;
+  readonly #answers: AnswerStore;
+  readonly #orders: OrderGiver;
+  readonly #router: RequestRouter;
+  readonly #stopped = new AbortController();
+  readonly #startedAt: number;
+  #inFlight = 0;
+  #isDraining = false;
+
+  constructor(options: RuntimeOptions) {
+    super();
+    const { environment, self, source, seeds } = options;
+    const getSnapshot = () => this.getSnapshot();
+    const getLocal = () => this.api;
+    this.#environment = environment;
+    this.#entriesTtlMs = options.entriesTtlMs;
+    this.#startedAt = environment.clock.now();
+    this.membership = FleetMembership.create({ environment, self });
+    const membership = this.membership;
+    this.follower = ConfigurationFollower.create({
+      environment,
+      source,
+      membership,
+      seeds,
+    });
+    this.prober = Prober.create({
+      environment,
+      membership,
+      versions: this.follower,
+    });
+    this.owners = ShardOwners.create({
+      environment,
+      membership,
+      getSnapshot,
+      decisions: options.decisions,
+      onUpstreamLeaving: (vm, isLeaving) =>
+        membership.noteUpstreamLeaving(vm, isLeaving),
+    });
+    this.leases = LeaseClient.create({
+      environment,
+      membership,
+      getSnapshot,
+      getLocal,
+      findSummary: (shard) => this.prober.summaries.find(shard),
+    });
+    this.limits = WorkspaceLimits.create({
+      environment,
+      membership,
+      getSnapshot,
+      getLocal,
+    });
+    this.claims = ProcessRunClaims.create(environment);
+    this.fates = FateStore.create();
+    this.#answers = AnswerStore.create(
+      options.retainedAnswersBytes === undefined
+        ? {}
+        : { maxBytes: options.retainedAnswersBytes },
+    );
+    this.fateFinder = FateFinder.create({
+      environment,
+      fates: this.fates,
+      answers: this.#answers,
+      claims: this.claims,
+    });
+    this.metrics = ProcessMetrics.create(environment.clock);
+    this.#orders = OrderGiver.create({
+      environment,
+      membership,
+      getSnapshot,
+      getViewAgeMs: () => membership.getViewAgeMs(),
+      listUpstreams: (pool, index) => {
+        const record = this.getSnapshot()?.pools.get(pool);
+        if (record === undefined) return [];
+        const vms = membership.listUpstreams(pool);
+        const shard = buildShardId(pool, index);
+        return listShardUpstreams(shard, { pool: record, vms })
+          .map(({ id }) => id);
+      },
+    });
+    this.#router = RequestRouter.create({
+      environment,
+      getSnapshot,
+      leases: this.leases,
+      limits: this.limits,
+      claims: this.claims,
+      fates: this.fates,
+      budget: WindowRetryBudget.create({
+        clock: environment.clock,
+        getShare: () => this.getSnapshot()?.policy.retryShare ?? NO_RETRIES,
+      }),
+      metrics: this.metrics,
+      answers: this.#answers,
+      isDraining: () => this.#isDraining,
+      entries: (query) => formatEntries(this.#chooseEntries(query)),
+      findFate: (requestId, find) => this.fateFinder.findFate(requestId, find),
+    });
+    this.api = LocalPeer.create(() => ({
+      owners: this.owners,
+      prober: this.prober,
+      follower: this.follower,
+      limits: this.limits,
+      claims: this.claims,
+      fateFinder: this.fateFinder,
+      collectStats: () => this.collectStats(),
+    }));
+  }
+
+  static create(options: RuntimeOptions): VmRuntime {
+    return new VmRuntime(options);
+  }
+
+  /** Starts every task of the process. */
+  start(): void {
+    this.membership.start();
+    this.follower.start();
+    this.prober.start();
+    this.owners.start();
+    this.leases.start();
+    void this.#orders.run(this.#stopped.signal);
+    void this.#announceSummaries();
+  }
+
+  /** Stops every task; requests in flight are left to their listeners. */
+  stop(): void {
+    this.#stopped.abort();
+    this.leases.stop();
+    this.owners.stop();
+    this.prober.stop();
+    this.follower.stop();
+    this.limits.close();
+    this.membership.stop();
+  }
+
+  override async handle(
+    request: CallerRequest,
+    sink: CallerSink,
+  ): Promise<void> {
+    this.#inFlight++;
+    try {
+      await this.#router.handle(request, sink);
+    } finally {
+      this.#inFlight--;
+    }
+  }
+
+  /**
+   * Announces the drain and hands the owned queues on. Requests are served as
+   * before, so that callers that hold this VM's address lose nothing.
+   */
+  async startDraining(): Promise<void> {
+    if (this.#isDraining) return;
+    this.#isDraining = true;
+    this.prober.startDraining();
+    await this.owners.handOverAll();
+  }
+
+  /** The configuration in force; undefined before the first. */
+  getSnapshot(): Snapshot | undefined {
+    return this.follower.getSnapshot();
+  }
+
+  /** Whether the VM drains. */
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Requests that are being answered. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Time since the process started, in milliseconds. */
+  get upMs(): number {
+    return this.#environment.clock.now() - this.#startedAt;
+  }
+
+  /** This VM's own figures for the report on service-level burn. */
+  collectStats(): StatsAnswer {
+    return {
+      vm: this.#environment.vm,
+      incarnation: this.#environment.incarnation,
+      upMs: this.upMs,
+      configVersion: this.getSnapshot()?.version ?? 0,
+      series: this.metrics.collectSeries(),
+    };
+  }
+
+  /** An id for a request that is refused before a task begins. */
+  issueId(): RequestId {
+    return this.claims.issueId();
+  }
+
+  #chooseEntries(query: URLSearchParams): EntriesAnswer {
+    const wanted = query.get("data_centre");
+    const limit = Number(query.get("limit") ?? NaN);
+    const answer = chooseEntries({
+      view: this.membership,
+      random: this.#environment.random,
+      dataCentre: wanted === null ? undefined : toId<DataCentre>(wanted),
+      limit: Number.isInteger(limit) ? limit : undefined,
+    });
+    return { ...answer, ttlMs: this.#entriesTtlMs ?? answer.ttlMs };
+  }
+
+  async #announceSummaries(): Promise<void> {
+    const { clock } = this.#environment;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      for (const summary of this.owners.listSummaries()) {
+        this.prober.announceSummary(summary);
+      }
+      await clock.sleep(SUMMARY_EVERY_MS, signal);
+    }
+  }
+}
+
+function formatEntries(answer: EntriesAnswer): object {
+  return {
+    entries: answer.entries.map((entry) => ({
+      vm: entry.vm,
+      data_centre: entry.dataCentre,
+      address: entry.address,
+      port: entry.port,
+    })),
+    ttl_ms: answer.ttlMs,
+  };
+}
