--- a/src/process/settings_schema.ts
+++ b/src/process/settings_schema.ts
@@ -128,6 +128,3 @@
     .describe("Memory for answers kept for resubmitted requests"),
   seeds: z.array(SEED, "a list of entry VMs").default([]),
 });
-
-/** Settings as written in the file, after the defaults. */
-export type WrittenSettings = z.output<typeof SETTINGS_SCHEMA>;
--- a/src/tool/fate_from_logs.ts
+++ b/src/tool/fate_from_logs.ts
@@ -57,7 +57,7 @@
 }
 
 /** Puts a fate together line by line. */
-export class LogFateBuilder {
+class LogFateBuilder {
   readonly #requestId: string;
   readonly #steps: FatePage["steps"] = [];
   #arrivedAt: string | undefined;
--- a/src/tool/http_client.ts
+++ b/src/tool/http_client.ts
@@ -77,7 +77,7 @@
 }
 
 /** The headers of an answer, each with one text. */
-export function toPlainHeaders(
+function toPlainHeaders(
   incoming: IncomingMessage,
 ): Record<string, string> {
   const headers: Record<string, string> = {};
