--- a/src/request/completion_stream.ts
+++ b/src/request/completion_stream.ts
@@ -210,16 +210,27 @@
 function readAddition(chunk: Chunk): Addition {
   const choices = Array.isArray(chunk.choices) ? chunk.choices : [];
   const choice = choices[0];
-  const { role, content, ...others } = choice?.delta ?? {};
+  const delta = choice?.delta;
+  const content = delta?.["content"];
   const text = typeof content === "string" ? content : choice?.text ?? "";
-  const hasOthers = Object.values(others).some((value) => value != null);
+  const hasOthers = delta != null && hasOtherParts(delta);
   const isFinish = choice?.finish_reason != null;
   return {
     text,
     tokens: text !== "" || hasOthers ? 1 : 0,
     isFinish,
-    isOpening: role !== undefined && text === "" && !hasOthers && !isFinish,
+    isOpening: delta?.["role"] !== undefined && text === "" && !hasOthers &&
+      !isFinish,
     isPlainText: !hasOthers && choices.length <= 1 &&
       (choice?.index ?? 0) === 0,
   };
 }
+
+/** Whether a delta holds more than its role and its text. */
+function hasOtherParts(delta: Record<string, unknown>): boolean {
+  for (const name in delta) {
+    if (name === "role" || name === "content") continue;
+    if (delta[name] != null) return true;
+  }
+  return false;
+}
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -3,19 +3,15 @@
  *
  * @module
  */
-import { match } from "ts-pattern";
-import {
-  type CallLimits,
-  UpstreamError,
-  type UpstreamErrorKind,
-} from "../connection/upstream_transport.ts";
+import type { CallLimits } from "../connection/upstream_transport.ts";
 import { toError } from "../errors.ts";
 import type { VmId } from "../ids.ts";
-import { type Refusal, type RefusalCode, RefusalError } from "../outcome.ts";
+import { type Refusal, RefusalError } from "../outcome.ts";
 import type { HeldLease, LeaseProgress } from "../process/services.ts";
 import type { RequestRun } from "./request_run.ts";
+import { toFailure, type TryFailure } from "./try_failure.ts";
 import { TryProgress } from "./try_progress.ts";
-import { BrokenAnswerError, type UpstreamWork } from "./upstream_work.ts";
+import type { UpstreamWork } from "./upstream_work.ts";
 
 /** Sends that may fail for one request, the first one included. */
 const MAX_SENDS = 4;
@@ -37,16 +33,6 @@
   | { kind: "preempted" }
   | { kind: "failed"; failure: TryFailure };
 
-interface TryFailure {
-  upstream: VmId;
-  code: RefusalCode;
-  message: string;
-  /** False only when this send surely did nothing. */
-  mayHaveRun: boolean;
-  /** Whether a byte of the request was written. */
-  wasSent: boolean;
-}
-
 /**
  * Gets the work done. Resolves when the caller has the whole answer; throws
  * `RefusalError`, whose outcome holds for all sends together.
@@ -247,39 +233,6 @@
   return { kind: "failed", failure };
 }
 
-function toFailure(error: Error, upstream: VmId): TryFailure {
-  if (error instanceof UpstreamError) {
-    return {
-      upstream,
-      code: chooseCode(error.kind),
-      message: error.message,
-      mayHaveRun: error.mayHaveRun,
-      wasSent: error.mayHaveRun,
-    };
-  }
-  const notStarted = error instanceof BrokenAnswerError && error.notStarted;
-  return {
-    upstream,
-    code: "upstream_failed",
-    message: error.message,
-    mayHaveRun: !notStarted,
-    wasSent: true,
-  };
-}
-
-function chooseCode(kind: UpstreamErrorKind): RefusalCode {
-  return match(kind)
-    .returnType<RefusalCode>()
-    .with(
-      "first_byte_timeout",
-      "between_bytes_timeout",
-      "total_timeout",
-      () => "upstream_timeout",
-    )
-    .with("connect", "write", "broken", "aborted", () => "upstream_failed")
-    .exhaustive();
-}
-
 /** Throws unless the work may and can be sent once more. */
 function checkRetry(
   run: RequestRun,
--- /dev/null
+++ b/src/request/try_failure.ts
@@ -0,0 +1,58 @@
+/**
+ * What a failed try says of the work.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import {
+  UpstreamError,
+  type UpstreamErrorKind,
+} from "../connection/upstream_transport.ts";
+import type { VmId } from "../ids.ts";
+import type { RefusalCode } from "../outcome.ts";
+import { BrokenAnswerError } from "./upstream_work.ts";
+
+/** A try that gave the caller no whole answer. */
+export interface TryFailure {
+  upstream: VmId;
+  code: RefusalCode;
+  message: string;
+  /** False only when this send surely did nothing. */
+  mayHaveRun: boolean;
+  /** Whether a byte of the request was written. */
+  wasSent: boolean;
+}
+
+/** Says what an error of a try means. */
+export function toFailure(error: Error, upstream: VmId): TryFailure {
+  if (error instanceof UpstreamError) {
+    return {
+      upstream,
+      code: chooseCode(error.kind),
+      message: error.message,
+      mayHaveRun: error.mayHaveRun,
+      wasSent: error.mayHaveRun,
+    };
+  }
+  const notStarted = error instanceof BrokenAnswerError && error.notStarted;
+  return {
+    upstream,
+    code: "upstream_failed",
+    message: error.message,
+    mayHaveRun: !notStarted,
+    wasSent: true,
+  };
+}
+
+function chooseCode(kind: UpstreamErrorKind): RefusalCode {
+  return match(kind)
+    .returnType<RefusalCode>()
+    .with(
+      "first_byte_timeout",
+      "between_bytes_timeout",
+      "total_timeout",
+      () => "upstream_timeout",
+    )
+    .with("connect", "write", "broken", "aborted", () => "upstream_failed")
+    .exhaustive();
+}
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
-import type { VmId } from "../ids.ts";
 import type { Refusal } from "../outcome.ts";
 import type { HeldLease, LeaseRequest } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
@@ -75,8 +74,3 @@
    */
   abstract endCut(refusal: Refusal): Promise<void>;
 }
-
-/** An upstream's name in messages. */
-export function formatUpstream(upstream: VmId): string {
-  return `upstream ${upstream}`;
-}
