Let the demo's callers renew their addresses and say why they are refused

An answer that is cut with no fate told counts as unaccounted, unless its VM was killed. VMs end before the stand-ins that they drain into.

--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -40,7 +40,9 @@
   readonly accounts: Account[] = [];
   /** Tries on an address where nobody listens any more. */
   failedConnects = 0;
+  readonly #gonePorts = new Set<number>();
   #ports: number[] = [];
+  #expiresAt = 0;
   #next = 0;
 
   static create(): Callers {
@@ -52,9 +54,15 @@
     const call = { port, method: "GET", path: "/v1/entries" };
     const answer = await fetchJson<EntriesAnswer>(call);
     this.#ports = answer.entries.map((entry) => entry.port);
+    this.#expiresAt = performance.now() + answer.ttl_ms;
     return this.#ports.length;
   }
 
+  /** A VM that was killed: what it had in hand may be lost, and so told. */
+  noteGone(port: number): void {
+    this.#gonePorts.add(port);
+  }
+
   /** Sends every request at its time; resolves when all have come to an end. */
   async run(requests: readonly PlannedRequest[]): Promise<void> {
     const startedAt = performance.now();
@@ -62,11 +70,24 @@
     for (const request of requests) {
       const waitMs = startedAt + request.atMs - performance.now();
       if (waitMs > 0) await sleep(waitMs);
+      if (performance.now() > this.#expiresAt) await this.#renewEntries();
       tasks.push(this.#runRequest(request));
     }
     await Promise.all(tasks);
   }
 
+  /** Keeps the old answer where no VM gives a new one. */
+  async #renewEntries(): Promise<void> {
+    for (const port of this.#ports) {
+      try {
+        await this.fetchEntries(port);
+        return;
+      } catch {
+        this.failedConnects++;
+      }
+    }
+  }
+
   async #runRequest(request: PlannedRequest): Promise<void> {
     if (request.behaviour === "resubmits") {
       await this.#runResubmitted(request);
@@ -151,25 +172,24 @@
     request: PlannedRequest,
     broken: { requestId: string | undefined; port: number; message: string },
   ): Promise<Outcome> {
-    if (broken.requestId === undefined) {
-      return { kind: "lost", outcome: "unknown" };
-    }
+    const isGone = this.#gonePorts.has(broken.port);
+    const unknown: Outcome = isGone
+      ? { kind: "lost", outcome: "unknown" }
+      : buildUnaccounted(`Cut and no fate is told: ${broken.message}`);
+    if (broken.requestId === undefined) return unknown;
     await sleep(FATE_WAIT_MS);
-    const port = this.#getPort(broken.port);
     const result = await sendCall({
-      port,
+      port: this.#getPort(broken.port),
       method: "GET",
       path: `/v1/requests/${encodeURIComponent(broken.requestId)}`,
       headers: { authorization: `Bearer ${request.key}` },
     });
-    if (result.kind === "whole" && result.status === 200) {
-      const fate = JSON.parse(result.body) as FateAnswer;
-      if (isRunOutcome(fate.outcome)) {
-        return { kind: "lost", outcome: fate.outcome };
-      }
-      return buildUnaccounted(`Cut, though its fate is ${fate.outcome}`);
+    if (result.kind !== "whole" || result.status !== 200) return unknown;
+    const fate = JSON.parse(result.body) as FateAnswer;
+    if (isRunOutcome(fate.outcome)) {
+      return { kind: "lost", outcome: fate.outcome };
     }
-    return { kind: "lost", outcome: "unknown" };
+    return buildUnaccounted(`Cut, though its fate is ${fate.outcome}`);
   }
 
   /** Entry ports in turn. */
--- a/demo/child_process_group.ts
+++ b/demo/child_process_group.ts
@@ -79,12 +79,15 @@
   }
 
   /**
-   * Ends every child by SIGTERM, the last started first; names those that
-   * had to be killed after `timeoutMs`.
+   * Ends `children` by SIGTERM; names those that had to be killed after
+   * `timeoutMs`.
    */
-  async stopAll(timeoutMs: number): Promise<string[]> {
+  async stop(
+    children: readonly Child[],
+    timeoutMs: number,
+  ): Promise<string[]> {
     const killed: string[] = [];
-    const alive = this.listAlive().reverse();
+    const alive = children.filter((child) => isAlive(child));
     for (const child of alive) child.process.kill("SIGTERM");
     await Promise.all(alive.map(async (child) => {
       if (await waitForExit(child, timeoutMs)) return;
--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -102,7 +102,11 @@
 
   /** Ends everything; gives what went wrong in it. */
   async stop(): Promise<string[]> {
-    const killed = await this.#children.stopAll(STOP_TIMEOUT_MS);
+    // The VMs first: while they drain they still need what they stand on.
+    const vms = this.entryVms.map((vm) => vm.child);
+    const killed = await this.#children.stop(vms, STOP_TIMEOUT_MS);
+    const rest = this.#children.listAlive();
+    killed.push(...await this.#children.stop(rest, STOP_TIMEOUT_MS));
     const alive = this.#children.listAlive();
     return [
       ...killed.map((name) => `${name} did not end by SIGTERM`),
--- a/demo/outcome_table.ts
+++ b/demo/outcome_table.ts
@@ -44,6 +44,20 @@
   return formatRows(rows);
 }
 
+/** Refusals by class and code, the most frequent first; empty without any. */
+export function renderRefusals(accounts: readonly Account[]): string {
+  const counts = new Map<string, number>();
+  for (const { request, outcome } of accounts) {
+    if (outcome.kind !== "refused") continue;
+    const cause = `${request.className} ${outcome.code} (${outcome.outcome})`;
+    counts.set(cause, (counts.get(cause) ?? 0) + 1);
+  }
+  return [...counts]
+    .sort(([, left], [, right]) => right - left)
+    .map(([cause, count]) => `${count} ${cause}`)
+    .join(", ");
+}
+
 /** Late answers count as answered too. */
 function listColumns(account: Account, targetMs: number): Column[] {
   return match(account.outcome)
--- a/demo/user_demo.ts
+++ b/demo/user_demo.ts
@@ -7,7 +7,7 @@
 import { type Account, Callers } from "./callers.ts";
 import { listTotalTargets, readExample } from "./example_records.ts";
 import { DemoFleet } from "./fleet.ts";
-import { renderOutcomes } from "./outcome_table.ts";
+import { renderOutcomes, renderRefusals } from "./outcome_table.ts";
 import { checkPromises } from "./promises.ts";
 import { buildWorkload } from "./workload.ts";
 
@@ -41,6 +41,7 @@
     const callers = await runLoad(fleet, options);
     faults.push(...listUnaccounted(callers.accounts));
     print(renderOutcomes(callers.accounts, listTotalTargets(example)));
+    print(`refused: ${renderRefusals(callers.accounts) || "none"}`);
     const report = await checkPromises(fleet, callers.accounts);
     faults.push(...report.broken);
     print(
@@ -76,6 +77,7 @@
     await sleep(options.seconds * 500);
     const vm = fleet.entryVms.at(-1)!;
     options.print(`killing ${vm.id}`);
+    callers.noteGone(vm.port);
     await fleet.destroy(vm);
   }
   await load;
