--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -10,7 +10,10 @@
 import { RefusalError } from "../outcome.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
-import type { CallerHandler, CallerRequest } from "./caller_handler.ts";
+import type {
+  CallerHandler,
+  CallerRequest,
+} from "../request/caller_request.ts";
 import type { ServerLimits } from "./http_server.ts";
 import { HttpServer } from "./http_server.ts";
 import { HttpSink } from "./http_sink.ts";
--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -1,5 +1,5 @@
-export { CallerHandler } from "./caller_handler.ts";
-export type { CallerRequest } from "./caller_handler.ts";
+export { CallerHandler } from "../request/caller_request.ts";
+export type { CallerRequest } from "../request/caller_request.ts";
 export { CallerListener, DEFAULT_CALLER_LIMITS } from "./caller_listener.ts";
 export type { CallerLimits, CallerListenerOptions } from "./caller_listener.ts";
 export { HttpSink } from "./http_sink.ts";
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -121,10 +121,12 @@
       this.#mayHaveRun = true;
       return;
     }
-    const event = this.#route.tls === undefined ? "connect" : "secureConnect";
-    socket.once(event, () => {
-      this.#mayHaveRun = true;
+    // Under TLS too the TCP connection decides: once the handshake is under
+    // way, the request's bytes may leave with its last message.
+    socket.once("connect", () => {
       this.#cancelConnectTimer?.();
+      if (this.#call.canSend?.() === false) return this.#cancel("not_sent");
+      this.#mayHaveRun = true;
     });
     this.#cancelConnectTimer = this.#route.clock.startTimer(
       Math.min(CONNECT_LIMIT_MS, this.#call.limits.firstByteMs),
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -31,6 +31,12 @@
   limits: CallLimits;
   /** Aborting cancels the work at the upstream. */
   signal: AbortSignal;
+  /**
+   * Asked once more when a new connection stands, right before the first byte:
+   * a process may be paused while it connects, and wake without the authority
+   * to send. False ends the call with the kind `not_sent`.
+   */
+  canSend?: () => boolean;
 }
 
 /** An upstream's answer, its body not yet read. */
@@ -44,6 +50,7 @@
 /** What went wrong between the router and an upstream. */
 export type UpstreamErrorKind =
   | "connect"
+  | "not_sent"
   | "write"
   | "first_byte_timeout"
   | "between_bytes_timeout"
