Start the fair order's mean at its first sample, and test minimum shares

The mean request began at 0, so the slack of two requests was almost nothing for the first twenty grants and the deadline order had no effect. Found when a changed slack went unnoticed by the differential test; a crowded variant of the test now notices it.

--- a/src/process/scheduler/fair_order.ts
+++ b/src/process/scheduler/fair_order.ts
@@ -136,9 +136,7 @@
     options: { tokens: number; weight: number },
   ): void {
     const cost = options.tokens / options.weight;
-    if (cost > 0) {
-      this.#meanCost += MEAN_COST_WEIGHT * (cost - this.#meanCost);
-    }
+    if (cost > 0) this.#noteCost(cost);
     const flow = this.#flows.get(workspace);
     if (flow === undefined) return;
     flow.served += cost;
@@ -237,6 +235,11 @@
     this.#ahead.remove(flow);
   }
 
+  #noteCost(cost: number): void {
+    const weight = this.#meanCost === 0 ? 1 : MEAN_COST_WEIGHT;
+    this.#meanCost += weight * (cost - this.#meanCost);
+  }
+
   #updateFloor(): void {
     const least = this.#byServed.getFirst()?.served ?? this.#mostServed;
     this.#floor = Math.max(this.#floor, least);
--- a/test/process/scheduler/naive_queue.ts
+++ b/test/process/scheduler/naive_queue.ts
@@ -82,7 +82,11 @@
   noteServed(entry: QueueEntry, tokens: number): void {
     const lane = this.#getLane(entry);
     const cost = tokens / entry.weight;
-    if (cost > 0) lane.mean += MEAN_WEIGHT * (cost - lane.mean);
+    if (cost > 0) {
+      lane.mean = lane.mean === 0
+        ? cost
+        : lane.mean + MEAN_WEIGHT * (cost - lane.mean);
+    }
     const served = getServed(lane, entry) + cost;
     lane.served.set(entry.workspace, served);
     lane.most = Math.max(lane.most, served);
--- a/test/process/scheduler/waiting_queue_test.ts
+++ b/test/process/scheduler/waiting_queue_test.ts
@@ -86,6 +86,15 @@
   },
 );
 
+/** The same step in one class and lane, with nothing that keeps grants out. */
+function buildCrowdedStep(step: Step): Step {
+  if (step.kind === "add") {
+    return { kind: "add", seed: { ...step.seed, kind: 0, lane: 0 } };
+  }
+  if (step.kind !== "grant") return step;
+  return { kind: "grant", lanes: [true, true], closedRank: -1, promote: true };
+}
+
 function buildEntry(seed: EntrySeed, now: number, order: number): QueueEntry {
   const kind = CLASSES[seed.kind]!;
   return {
@@ -183,6 +192,19 @@
     );
   });
 
+  test("shares between workspaces that all have much waiting", () => {
+    const crowded = fc.array(
+      STEP.map((step) => buildCrowdedStep(step)),
+      { minLength: 60, maxLength: 160 },
+    );
+    fc.assert(
+      fc.property(crowded, (run) => {
+        runBoth(run, { fairShare: true, progress: false });
+      }),
+      { seed: 5, numRuns: RUNS },
+    );
+  });
+
   test("lets due and owed classes go first", () => {
     fc.assert(
       fc.property(steps, (run) => {
@@ -264,4 +286,46 @@
     const dueMs = DUE_SHARE * 10_000;
     expect(grantedAt).toEqual([dueMs, 2 * dueMs, 3 * dueMs]);
   });
+
+  test("gives a low class its minimum share and no more", () => {
+    const queue = WaitingQueue.create<QueueEntry>(buildDecisions());
+    const seed = {
+      workspace: 0,
+      lane: 0,
+      startsIn: 1_000_000,
+      agedMs: 0,
+      cost: 10,
+      slotMs: 1_000,
+    };
+    const grants = 800;
+    let order = 0;
+    let low = 0;
+    for (let count = 0; count < grants; count++) {
+      queue.add(buildEntry({ ...seed, kind: 0 }, 0, order++), 0);
+      queue.add(
+        {
+          ...buildEntry({ ...seed, kind: 2 }, 0, order++),
+          requestClass: buildClass("summary", {
+            minShare: 0.1,
+            maxWaitMs: 1e9,
+          }),
+        },
+        0,
+      );
+    }
+    // Four slots of a second each: a grant every 250 ms.
+    for (let count = 0; count < grants; count++) {
+      const now = count * 250;
+      queue.addShare(now, SLOTS);
+      const next = queue.findNext(now, {
+        isOpen: () => true,
+        canPromote: () => true,
+        accepts: () => true,
+      })!;
+      queue.takeGranted(next.entry, now);
+      if (next.entry.rank === 1) low++;
+    }
+    expect(low / grants).toBeGreaterThan(0.095);
+    expect(low / grants).toBeLessThan(0.105);
+  });
 });
