Ask for the authority again when the connection stands

Cause: claim and lease were checked before the connect, and a process paused while it connects woke and wrote with lapsed authority. The transport now asks once more right before the first byte; a no ends the call as not_sent, and the work counts as not run. Ruled out on the way: deciding at the TCP connect under TLS as well, which two tests refused, since a handshake that fails sends nothing of the request.

--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -6,9 +6,8 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import http from "node:http";
 import https from "node:https";
-import type { Socket } from "node:net";
 import { isIP } from "node:net";
-import type { CancelTimer, Clock } from "../process/clock.ts";
+import type { Clock } from "../process/clock.ts";
 import { AnswerBody } from "./answer_body.ts";
 import { CallWatch } from "./call_watch.ts";
 import { copyEndToEndHeaders } from "./headers.ts";
@@ -20,14 +19,11 @@
 } from "./upstream_transport.ts";
 import { UpstreamError } from "./upstream_transport.ts";
 
-const CONNECT_LIMIT_MS = 1_000;
-
 /** What a call goes out on. */
 export interface CallRoute {
   clock: Clock;
   endpoint: { address: string; port: number };
-  /** Undefined for a new connection that is closed after the call. */
-  agent: http.Agent | undefined;
+  agent: http.Agent;
   tls: ClientTls | undefined;
   /** Called when a connection that was kept open gave no first byte. */
   onSilent: () => void;
@@ -46,11 +42,11 @@
   readonly #route: CallRoute;
   #request: ClientRequest | undefined;
   #watch: CallWatch | undefined;
-  #cancelConnectTimer: CancelTimer | undefined;
   /** The first reason for which this side gave the call up. */
   #given: UpstreamErrorKind | undefined;
   #mayHaveRun = false;
   #isSent = false;
+  #fail: (cause: Error) => void = () => {};
   readonly #onAbort = () => this.#cancel("aborted");
 
   constructor(call: UpstreamCall, route: CallRoute) {
@@ -70,12 +66,13 @@
       this.#watch = CallWatch.create(this.#route.clock, this.#call.limits, {
         onPassed: (kind) => this.#cancel(kind),
       });
-      request.on("socket", (socket) => this.#noteSocket(socket));
+      request.on("socket", () => this.#handleSocket());
       request.on("finish", () => this.#isSent = true);
-      request.on("error", (cause) => {
+      this.#fail = (cause) => {
         this.#end();
         reject(this.#createError(cause));
-      });
+      };
+      request.on("error", this.#fail);
       request.on("response", (message) => {
         try {
           resolve(this.#readAnswer(message));
@@ -95,7 +92,7 @@
       method: this.#call.method,
       path: this.#call.path,
       headers: this.#buildHeaders(),
-      agent: agent ?? false,
+      agent,
     };
     if (tls === undefined) return http.request(options);
     return https.request({ ...options, ...buildTlsOptions(tls, endpoint) });
@@ -111,27 +108,17 @@
   }
 
   /**
-   * Marks the moment from which the request may have been read. On a new
-   * connection nothing is written before it stands. On a kept one the write
-   * may follow at once, and the other side may have closed it already: then
-   * nobody can tell whether the request was read.
+   * Runs once the call has a connection that stands, right before the first
+   * byte is written. From here on the request may have been read. On a kept
+   * connection the other side may have closed it already: then a failed write
+   * does not tell, either.
    */
-  #noteSocket(socket: Socket): void {
-    if (this.#request?.reusedSocket || !socket.connecting) {
-      this.#mayHaveRun = true;
+  #handleSocket(): void {
+    if (this.#call.canSend?.() === false) {
+      this.#cancel("not_sent");
       return;
     }
-    // Under TLS too the TCP connection decides: once the handshake is under
-    // way, the request's bytes may leave with its last message.
-    socket.once("connect", () => {
-      this.#cancelConnectTimer?.();
-      if (this.#call.canSend?.() === false) return this.#cancel("not_sent");
-      this.#mayHaveRun = true;
-    });
-    this.#cancelConnectTimer = this.#route.clock.startTimer(
-      Math.min(CONNECT_LIMIT_MS, this.#call.limits.firstByteMs),
-      () => this.#cancel("connect"),
-    );
+    this.#mayHaveRun = true;
   }
 
   #readAnswer(message: IncomingMessage): UpstreamAnswer {
@@ -156,15 +143,21 @@
   }
 
   #cancel(kind: UpstreamErrorKind): void {
-    this.#given ??= kind;
-    const isKept = this.#request?.reusedSocket ?? false;
-    if (kind === "first_byte_timeout" && isKept) this.#route.onSilent();
-    this.#request?.destroy(new Error(`Gave up: ${kind}`));
+    const request = this.#request;
+    const isConnecting = request?.socket == null;
+    const isTimeout = kind !== "aborted" && kind !== "not_sent";
+    this.#given ??= isConnecting && isTimeout ? "connect" : kind;
+    if (kind === "first_byte_timeout" && request?.reusedSocket) {
+      this.#route.onSilent();
+    }
+    const cause = new Error(`Gave up: ${kind}`);
+    request?.destroy(cause);
+    // Without a socket Node keeps the error until there is one.
+    if (isConnecting) this.#fail(cause);
   }
 
   #end(): void {
     this.#watch?.stop();
-    this.#cancelConnectTimer?.();
     this.#call.signal.removeEventListener("abort", this.#onAbort);
   }
 
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -32,7 +32,7 @@
   /** Aborting cancels the work at the upstream. */
   signal: AbortSignal;
   /**
-   * Asked once more when a new connection stands, right before the first byte:
+   * Asked once more when the connection stands, right before the first byte:
    * a process may be paused while it connects, and wake without the authority
    * to send. False ends the call with the kind `not_sent`.
    */
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -170,6 +170,7 @@
       freshConnection: !run.start.idempotent,
       limits: computeLimits(run, work),
       signal: cancel.signal,
+      canSend: () => run.start.isClaimStanding() && lease.isValid(),
     });
     await work.handleAnswer(answer, {
       signal: cancel.signal,
--- a/src/request/try_failure.ts
+++ b/src/request/try_failure.ts
@@ -53,6 +53,13 @@
       "total_timeout",
       () => "upstream_timeout",
     )
-    .with("connect", "write", "broken", "aborted", () => "upstream_failed")
+    .with(
+      "connect",
+      "not_sent",
+      "write",
+      "broken",
+      "aborted",
+      () => "upstream_failed",
+    )
     .exhaustive();
 }
