Hand a connection over only once it stands

Node gives a request its socket while it still connects, with the request's bytes waiting in it. The agents now connect, shake hands, and then give the socket to the request, so canSend and mayHaveRun are decided at one moment for TCP and TLS.

--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -3,9 +3,7 @@
  *
  * @module
  */
-import type { AgentOptions } from "node:http";
-import http from "node:http";
-import https from "node:https";
+import type http from "node:http";
 import { StepError, toError } from "../errors.ts";
 import type { VmId } from "../ids.ts";
 import type { Clock } from "../process/clock.ts";
@@ -17,6 +15,7 @@
   parseLoadReport,
 } from "./engine_reports.ts";
 import type { ClientTls } from "./tls_material.ts";
+import { createUpstreamAgent } from "./upstream_agent.ts";
 import { runUpstreamCall } from "./upstream_call.ts";
 import type {
   CacheEvent,
@@ -98,7 +97,7 @@
       return await runUpstreamCall(call, {
         clock: this.#options.clock,
         endpoint,
-        agent: call.freshConnection ? undefined : agent,
+        agent: call.freshConnection ? this.#createAgent({}) : agent,
         tls: this.#options.tls,
         onSilent: () => closeIdleConnections(agent),
       });
@@ -203,19 +202,21 @@
     const key = formatEndpoint(endpoint);
     const known = this.#agents.get(key);
     if (known !== undefined) return known;
-    const settings: AgentOptions = {
+    const agent = this.#createAgent({
       keepAlive: true,
       maxFreeSockets: MAX_IDLE_CONNECTIONS,
       timeout: IDLE_CONNECTION_MS,
       scheduling: "lifo",
-    };
-    const agent = this.#options.tls === undefined
-      ? new http.Agent(settings)
-      : new https.Agent(settings);
+    });
     this.#agents.set(key, agent);
     return agent;
   }
 
+  #createAgent(agent: http.AgentOptions): http.Agent {
+    const { clock, tls } = this.#options;
+    return createUpstreamAgent({ clock, tls, agent });
+  }
+
   async #fetchWhole(upstream: VmId, call: ReportCall): Promise<WholeAnswer> {
     const answer = await this.send({
       upstream,
--- /dev/null
+++ b/src/connection/upstream_agent.ts
@@ -0,0 +1,95 @@
+/**
+ * Agents that hand a connection over only once it stands, the TLS handshake
+ * included.
+ *
+ * Node's own agents give a request its socket while it still connects, and the
+ * request's bytes wait in the socket. What goes wrong with that: nobody can say
+ * when the first byte leaves, so that a request which surely did not run cannot
+ * be told from one that may have; and a process that was paused while it
+ * connected sends what it has no more right to send.
+ *
+ * @module
+ */
+import http from "node:http";
+import https from "node:https";
+import type { Socket } from "node:net";
+import net from "node:net";
+import type { Duplex } from "node:stream";
+import type { Clock } from "../process/clock.ts";
+import type { ClientTls } from "./tls_material.ts";
+
+const CONNECT_LIMIT_MS = 1_000;
+
+type OnCreated = (error: Error | null, stream: Duplex) => void;
+
+/** What an agent is made of. */
+export interface UpstreamAgentOptions {
+  clock: Clock;
+  tls: ClientTls | undefined;
+  /** How it keeps connections. */
+  agent: http.AgentOptions;
+}
+
+/**
+ * Creates an agent whose connections stand before they are used. One that does
+ * not come about within a second fails.
+ */
+export function createUpstreamAgent(options: UpstreamAgentOptions): http.Agent {
+  return options.tls === undefined
+    ? new PlainAgent(options)
+    : new TlsAgent(options);
+}
+
+class PlainAgent extends http.Agent {
+  readonly #clock: Clock;
+
+  constructor(options: UpstreamAgentOptions) {
+    super(options.agent);
+    this.#clock = options.clock;
+  }
+
+  override createConnection(
+    options: http.ClientRequestArgs,
+    onCreated?: OnCreated,
+  ): undefined {
+    const socket = net.connect(options as net.NetConnectOpts);
+    waitStanding(this.#clock, socket, { event: "connect", onCreated });
+  }
+}
+
+class TlsAgent extends https.Agent {
+  readonly #clock: Clock;
+
+  constructor(options: UpstreamAgentOptions) {
+    super(options.agent);
+    this.#clock = options.clock;
+  }
+
+  override createConnection(
+    options: https.RequestOptions,
+    onCreated?: OnCreated,
+  ): undefined {
+    const socket = super.createConnection(options) as Socket;
+    waitStanding(this.#clock, socket, { event: "secureConnect", onCreated });
+  }
+}
+
+function waitStanding(
+  clock: Clock,
+  socket: Socket,
+  options: { event: string; onCreated: OnCreated | undefined },
+): void {
+  const cancelTimer = clock.startTimer(CONNECT_LIMIT_MS, () => {
+    socket.destroy(new Error("Connection did not come about in time"));
+  });
+  // It stays for the moment between the handing over and the request's own
+  // listener, in which an error would end the process.
+  socket.on("error", (error) => {
+    cancelTimer();
+    options.onCreated?.(error, socket);
+  });
+  socket.once(options.event, () => {
+    cancelTimer();
+    options.onCreated?.(null, socket);
+  });
+}
--- a/test/connection/http_transport_test.ts
+++ b/test/connection/http_transport_test.ts
@@ -187,11 +187,33 @@
     expect(await failed).toMatchObject({ kind: "connect", mayHaveRun: false });
   });
 
-  it("reaches an upstream over TLS, and none of another authority", async () => {
-    const server = https.createServer(
-      readTls("a"),
-      (_, response) => response.end("ok"),
+  it("says that a call aborted while it connects ran nothing", async () => {
+    let sockets = 0;
+    const port = await startRawServer((socket) => {
+      sockets += 1;
+      socket.on("data", () => {});
+    });
+    const transport = HttpUpstreamTransport.create({
+      clock: CountingClock.create(),
+      log: SilentLog.create(),
+      findAddress: () => ({ address: LOOPBACK, port }),
+      tls: { ca: readTls("a").cert },
+    });
+    const controller = new AbortController();
+    const failed = findError(
+      transport.send(buildCall({ signal: controller.signal })),
     );
+    await waitUntil(() => sockets === 1);
+    controller.abort();
+    expect(await failed).toMatchObject({ kind: "aborted", mayHaveRun: false });
+  });
+
+  it("reaches an upstream over TLS, and none of another authority", async () => {
+    let requests = 0;
+    const server = https.createServer(readTls("a"), (_, response) => {
+      requests += 1;
+      response.end("ok");
+    });
     await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
     onTestFinished(() => {
       server.closeAllConnections();
@@ -212,6 +234,13 @@
     }
     const error = await findError(other!.send(buildCall()));
     expect(error).toMatchObject({ kind: "connect", mayHaveRun: false });
+    for (const freshConnection of [false, true]) {
+      const lapsed = await findError(
+        trusting!.send(buildCall({ freshConnection, canSend: () => false })),
+      );
+      expect(lapsed).toMatchObject({ kind: "not_sent", mayHaveRun: false });
+    }
+    expect(requests).toBe(3);
     trusting!.close();
   });
 
