Report burn by multi-window rates, in a terminal, JSON and a page

The burn command took its rates from figures that one VM had merged, so two saved answers could not be put together without counting a request twice, and a VM that had been idle looked as if it held nothing. GET /v1/burn now gives each VM's own figures (the merged ones had no other reader), the recorder says how far back it holds all, idle time included, and where its slots begin.

--- a/src/process/burn_recorder.ts
+++ b/src/process/burn_recorder.ts
@@ -42,6 +42,8 @@
   readonly #depth: number;
   readonly #slots = new Map<number, Map<EntryState, BurnCounts>>();
   #size = 0;
+  /** The oldest slot of which all is held. */
+  #oldestHeld = -Infinity;
 
   constructor(widthMs: number, depth: number) {
     this.#widthMs = widthMs;
@@ -88,10 +90,12 @@
     return true;
   }
 
-  /** How far back the slots reach, in milliseconds. */
-  getReach(now: number): number {
-    const [slot] = this.#slots.keys();
-    return slot === undefined ? 0 : now - slot * this.#widthMs;
+  /** How far back all is held, in milliseconds. An idle time counts as held:
+   * that nothing came is known of it. */
+  getReach(now: number, startedAt: number): number {
+    const inDepth = this.getSlot(now) - this.#depth + 1;
+    const oldest = Math.max(this.#oldestHeld, inDepth);
+    return now - Math.max(startedAt, oldest * this.#widthMs);
   }
 
   /** Each entry's counts by how many slots ago they were. */
@@ -111,6 +115,7 @@
   #dropSlot(slot: number): void {
     this.#size -= this.#slots.get(slot)?.size ?? 0;
     this.#slots.delete(slot);
+    this.#oldestHeld = slot + 1;
   }
 }
 
@@ -178,7 +183,9 @@
     return {
       ...createSeries(),
       gatheredMs: now - this.#startedAt,
-      reachMs: this.#coarse.getReach(now),
+      reachMs: this.#coarse.getReach(now, this.#startedAt),
+      fineReachMs: this.#fine.getReach(now, this.#startedAt),
+      phaseMs: now % COARSE_BUCKET_MS,
       entries: [...this.#entries.values()].map((entry): BurnEntry => ({
         workspace: entry.workspace,
         className: entry.className,
--- a/src/process/burn_stats.ts
+++ b/src/process/burn_stats.ts
@@ -72,6 +72,11 @@
   /** How far back the buckets reach: less than `gatheredMs` where some fell
    * to the bound on memory. */
   reachMs: z.number().nonnegative(),
+  /** As `reachMs`, for the buckets of the last hour; of one VM only. */
+  fineReachMs: z.number().nonnegative().optional(),
+  /** Age of the start of the coarse bucket that was not over yet: tells which
+   * buckets of two gatherings of one VM are the same; of one VM only. */
+  phaseMs: z.number().nonnegative().optional(),
   entries: z.array(ENTRY_SCHEMA),
 });
 
--- /dev/null
+++ b/src/tool/burn/burn_causes.ts
@@ -0,0 +1,104 @@
+/**
+ * Why budgets burn: causes ranked, and summed by one of their properties.
+ *
+ * @module
+ */
+import type { BurnCause, BurnEntry } from "../../process/burn_stats.ts";
+import { compareTexts } from "../../version/record_problem.ts";
+import type { ClassObjective } from "./burn_sources.ts";
+
+/** A cause with the row that it burns. */
+export interface RankedCause extends BurnCause {
+  className: string;
+  workspace: string;
+  tier: string;
+}
+
+/** How much of what is bad falls to one value of a dimension. */
+export interface BlameShare {
+  value: string;
+  lastHour: number;
+  total: number;
+  byResult: Record<BurnCause["result"], { lastHour: number; total: number }>;
+}
+
+/** Ways to sort what is bad. */
+export const BLAME_DIMENSIONS = [
+  "result",
+  "tier",
+  "step",
+  "pool",
+  "upstream",
+] as const;
+/** A way to sort what is bad. */
+export type BlameDimension = typeof BLAME_DIMENSIONS[number];
+
+/** All causes, the worst first: by all that is held where reports of many
+ * moments were folded, else by the last hour. */
+export function listCauses(
+  entries: readonly BurnEntry[],
+  options: { objectives: readonly ClassObjective[]; isFolded: boolean },
+): RankedCause[] {
+  const tiers = new Map(
+    options.objectives.map(({ className, tier }) => [className, tier]),
+  );
+  return entries.flatMap((entry) =>
+    entry.causes.map((cause) => ({
+      ...cause,
+      className: entry.className,
+      workspace: entry.workspace,
+      tier: tiers.get(entry.className) ?? "",
+    }))
+  ).sort((left, right) =>
+    (options.isFolded ? 0 : right.lastHour - left.lastHour) ||
+    right.total - left.total || compareCauseNames(left, right)
+  );
+}
+
+function compareCauseNames(left: RankedCause, right: RankedCause): number {
+  const toKey = (cause: RankedCause) =>
+    JSON.stringify([
+      cause.className,
+      cause.workspace,
+      cause.result,
+      cause.step,
+      cause.pool,
+      cause.upstream,
+    ]);
+  return compareTexts(toKey(left), toKey(right));
+}
+
+/** Sums the causes by one property, the worst first. */
+export function computeBlame(
+  causes: readonly RankedCause[],
+  dimension: BlameDimension,
+): BlameShare[] {
+  const shares = new Map<string, BlameShare>();
+  for (const cause of causes) {
+    const value = cause[dimension];
+    const share = shares.get(value) ?? createShare(value);
+    shares.set(value, share);
+    share.lastHour += cause.lastHour;
+    share.total += cause.total;
+    share.byResult[cause.result].lastHour += cause.lastHour;
+    share.byResult[cause.result].total += cause.total;
+  }
+  return [...shares.values()].sort((left, right) =>
+    right.lastHour - left.lastHour || right.total - left.total ||
+    compareTexts(left.value, right.value)
+  );
+}
+
+function createShare(value: string): BlameShare {
+  const createPart = () => ({ lastHour: 0, total: 0 });
+  return {
+    value,
+    lastHour: 0,
+    total: 0,
+    byResult: {
+      late: createPart(),
+      refused: createPart(),
+      lost: createPart(),
+    },
+  };
+}
--- /dev/null
+++ b/src/tool/burn/burn_terminal.ts
@@ -0,0 +1,236 @@
+/**
+ * The burn report as text, with colour where a person reads it.
+ *
+ * @module
+ */
+import type { BurnCounts } from "../../process/burn_stats.ts";
+import { formatDuration, formatShare, renderTable } from "../table.ts";
+import { BLAME_DIMENSIONS, type BlameShare } from "./burn_causes.ts";
+import { toPlainText } from "./clean_text.ts";
+import { formatWorkspace, listFindings, listLimits } from "./burn_notes.ts";
+import type { BurnReport } from "./burn_report.ts";
+import {
+  type BurnRow,
+  computeSeverity,
+  type TimelinePoint,
+} from "./burn_rows.ts";
+import {
+  BURN_RULES,
+  computeBad,
+  computeCounted,
+  type WindowBurn,
+} from "./burn_rules.ts";
+
+const UNKNOWN = "-";
+const SHOWN_CAUSES = 12;
+const SHOWN_SHARES = 5;
+const BAR_WIDTH = 24;
+const CHART_STEPS = 30;
+const LEVELS = ["▁", "▂", "▃", "▄", "▅", "▆", "▇", "█"];
+/** A minute in which nothing counted. */
+const EMPTY_LEVEL = "·";
+const BAR = "█";
+
+const STYLES = {
+  alert: "\u001b[1;31m",
+  warning: "\u001b[33m",
+  good: "\u001b[32m",
+  head: "\u001b[1m",
+  faint: "\u001b[2m",
+} as const;
+const RESET = "\u001b[0m";
+
+type Style = keyof typeof STYLES;
+
+/** How the text is shown. */
+export interface TextOptions {
+  hasColour: boolean;
+}
+
+/** Renders the report. */
+export function renderText(report: BurnReport, options: TextOptions): string {
+  const paint = (text: string, style: Style | undefined) =>
+    options.hasColour && style !== undefined
+      ? `${STYLES[style]}${text}${RESET}`
+      : text;
+  const sections = [
+    renderHead(report, paint),
+    renderRows(report, paint),
+    renderFindings(report, paint),
+    renderBlame(report, paint),
+    renderCauses(report, paint),
+  ];
+  return sections.filter((section) => section !== "").join("\n");
+}
+
+type Paint = (text: string, style: Style | undefined) => string;
+
+function renderHead(report: BurnReport, paint: Paint): string {
+  const when = new Date(report.atMs).toISOString();
+  const lines = [paint(`Service-level burn at ${when}`, "head")];
+  lines.push(
+    report.isFolded
+      ? `Folded: ${report.gatherings} reports of ${report.vms.length} VM ` +
+        `lives, and ${report.logRequests} requests from logs`
+      : `Figures of ${report.vms.length} VMs`,
+  );
+  for (const limit of listLimits(report)) {
+    const style = limit.isGrave ? "warning" : "faint";
+    lines.push(paint(toPlainText(limit.text), style));
+  }
+  return toLines(lines);
+}
+
+function renderRows(report: BurnReport, paint: Paint): string {
+  if (report.rows.length === 0) return "No class has had a request\n";
+  const heads = [
+    "CLASS",
+    "WORKSPACE",
+    "OBJECTIVE",
+    "COUNTED",
+    "BAD",
+    ...report.windows.map(({ name, isWhole }) =>
+      `BURN ${name}${isWhole ? "" : "*"}`
+    ),
+    "LEFT",
+    "P95",
+    "LAST HOUR",
+  ];
+  const cells = report.rows.map((row) => [
+    row.className,
+    formatWorkspace(row, report),
+    row.objective === undefined ? UNKNOWN : formatShare(row.objective),
+    String(row.windows.at(-1)!.counted),
+    String(row.windows.at(-1)!.bad),
+    ...row.windows.map(formatRate),
+    row.budget?.left === undefined ? UNKNOWN : formatShare(row.budget.left),
+    row.total === undefined ? UNKNOWN : formatDuration(row.total.p95),
+    renderChart(row.recent),
+  ]);
+  const [head, ...lines] = renderTable(heads, cells.map(toPlainCells))
+    .trimEnd().split("\n");
+  const notes = report.windows.every(({ isWhole }) => isWhole)
+    ? []
+    : [paint("* The window is longer than what is held", "faint")];
+  return toLines([
+    paint(head!, "head"),
+    ...lines.map((line, index) => paint(line, getStyle(report.rows[index]!))),
+    ...notes,
+    paint(
+      "COUNTED, BAD and LEFT are of the longest window; LAST HOUR is the " +
+        "share of bad requests, two minutes a step",
+      "faint",
+    ),
+  ]);
+}
+
+function renderFindings(report: BurnReport, paint: Paint): string {
+  const findings = listFindings(report);
+  if (findings.length === 0) {
+    return toLines([paint("No budget burns above a threshold", "good")]);
+  }
+  return toLines(
+    findings.map(({ text, isGrave }) =>
+      paint(toPlainText(text), isGrave ? "alert" : "warning")
+    ),
+  );
+}
+
+function renderBlame(report: BurnReport, paint: Paint): string {
+  if (report.causes.length === 0) return "";
+  const span = report.isFolded ? "all that is held" : "the last hour";
+  const count = (share: BlameShare) =>
+    report.isFolded ? share.total : share.lastHour;
+  const lines = [paint(`Where the budgets went in ${span}`, "head")];
+  for (const dimension of BLAME_DIMENSIONS) {
+    const shares = report.blame[dimension].filter((share) => count(share) > 0)
+      .toSorted((left, right) => count(right) - count(left));
+    const sum = shares.reduce((total, share) => total + count(share), 0);
+    const rows = shares.slice(0, SHOWN_SHARES).map((share, index) => [
+      index === 0 ? dimension : "",
+      share.value || "(none)",
+      String(count(share)),
+      renderBar(count(share) / sum),
+    ]);
+    if (rows.length === 0) continue;
+    lines.push(
+      ...renderTable(["BY", "", "BAD", ""], rows.map(toPlainCells)).trimEnd()
+        .split("\n").slice(1),
+    );
+  }
+  return lines.length === 1 ? "" : toLines(lines);
+}
+
+function renderCauses(report: BurnReport, paint: Paint): string {
+  const causes = report.causes
+    .filter(({ lastHour, total }) => (report.isFolded ? total : lastHour) > 0)
+    .slice(0, SHOWN_CAUSES);
+  if (causes.length === 0) return "";
+  const heads = [
+    "CLASS",
+    "WORKSPACE",
+    "RESULT",
+    "STEP",
+    "POOL",
+    "UPSTREAM",
+    "LAST HOUR",
+    "HELD",
+    "EXAMPLE",
+  ];
+  const rows = causes.map((cause) => [
+    cause.className,
+    cause.workspace,
+    cause.result,
+    cause.step,
+    cause.pool || UNKNOWN,
+    cause.upstream || UNKNOWN,
+    String(cause.lastHour),
+    String(cause.total),
+    cause.examples[0] ?? UNKNOWN,
+  ]);
+  const title =
+    "Why, worst first; `persimmonslip fate EXAMPLE` tells each step";
+  return `${paint(title, "head")}\n${
+    renderTable(heads, rows.map(toPlainCells))
+  }`;
+}
+
+function formatRate({ burnRate }: WindowBurn): string {
+  return burnRate === undefined ? UNKNOWN : burnRate.toFixed(1);
+}
+
+function getStyle(row: BurnRow): Style | undefined {
+  const severity = computeSeverity(row);
+  if (severity === 0) return "alert";
+  return severity < BURN_RULES.length ? "warning" : undefined;
+}
+
+/** The share of bad requests, oldest step first. */
+function renderChart(points: readonly TimelinePoint[]): string {
+  const steps: string[] = [];
+  const size = Math.ceil(points.length / CHART_STEPS);
+  for (let from = 0; from < points.length; from += size) {
+    const counts = points.slice(from, from + size).map((point) => point.counts);
+    steps.unshift(renderLevel(counts));
+  }
+  return steps.join("");
+}
+
+function renderLevel(parts: readonly BurnCounts[]): string {
+  const counted = parts.reduce((sum, part) => sum + computeCounted(part), 0);
+  const bad = parts.reduce((sum, part) => sum + computeBad(part), 0);
+  if (counted === 0) return EMPTY_LEVEL;
+  return LEVELS[Math.ceil(bad / counted * (LEVELS.length - 1))]!;
+}
+
+function renderBar(share: number): string {
+  return BAR.repeat(Math.max(1, Math.round(share * BAR_WIDTH)));
+}
+
+function toPlainCells(cells: readonly string[]): string[] {
+  return cells.map(toPlainText);
+}
+
+function toLines(lines: readonly string[]): string {
+  return lines.map((line) => `${line}\n`).join("");
+}
--- a/src/tool/command_line.ts
+++ b/src/tool/command_line.ts
@@ -134,19 +134,40 @@
   parser.command(
     "burn",
     "Show how fast error budgets burn, and why",
-    (builder) =>
-      withOperatorOptions(builder).option("records", {
-        type: "string",
-        describe: "Directory of records, for objectives the VM does not send",
-      }),
+    withBurnOptions,
     async (given) => {
-      const client = createOperatorClient(context, given);
-      const records = await readRecords(given.records);
-      takeResult(await runBurn(client, { records }));
+      takeResult(
+        await runBurn(context, {
+          client: () => createOperatorClient(context, given),
+          fold: given.fold,
+          html: given.html,
+          records: await readRecords(given.records),
+        }),
+      );
     },
   );
 }
 
+function withBurnOptions<T>(builder: Argv<T>) {
+  return withOperatorOptions(builder)
+    .option("html", {
+      type: "string",
+      requiresArg: true,
+      describe: "Write the report as a page to this file, too",
+    })
+    .option("fold", {
+      type: "string",
+      array: true,
+      default: [] as string[],
+      describe: "Fold reports saved by --json and log files in place of " +
+        "asking a VM",
+    })
+    .option("records", {
+      type: "string",
+      describe: "Directory of records, for objectives that no report gives",
+    });
+}
+
 function addFateCommand(parser: Argv, setting: CommandSetting): void {
   const { context, takeResult } = setting;
   parser.command(
--- a/src/tool/operator_answers.ts
+++ b/src/tool/operator_answers.ts
@@ -80,17 +80,20 @@
 
 /** `GET /v1/burn`. */
 export const BURN_ANSWER = z.looseObject({
-  vms: z.array(z.looseObject({ vm: z.string() })),
-  /** VMs that gave no figures, and why. */
+  vms: z.array(z.looseObject({
+    vm: z.string(),
+    incarnation: z.string(),
+    /** Read by `parseSeries` of src/process/burn_stats.ts. */
+    series: z.unknown(),
+  })),
   missing: z.array(z.looseObject({ vm: z.string(), why: z.string() })),
-  /** Read by `parseSeries` of src/process/burn_stats.ts. */
-  series: z.unknown(),
   objectives: z.array(z.looseObject({
     class: z.string(),
-    objective: z.number(),
-    /** Objectives of workspaces that differ from the class's. */
-    workspaces: z.record(z.string(), z.number()).default({}),
-  })).optional(),
+    tier: z.string(),
+    objective: z.number().gt(0).lt(1),
+    /** Objectives of single workspaces, by name. */
+    workspaces: z.record(z.string(), z.number().gt(0).lt(1)),
+  })),
 });
 
 /** `GET /v1/entries` of the callers' listener. */
--- a/src/tool/terminal.ts
+++ b/src/tool/terminal.ts
@@ -11,6 +11,8 @@
 export abstract class Terminal {
   /** Whether a person watches, so that progress is worth showing. */
   abstract readonly isInteractive: boolean;
+  /** Whether the output goes to a screen that shows colour. */
+  abstract readonly hasColour: boolean;
   abstract writeOutput(text: string): void;
   abstract writeError(text: string): void;
 }
@@ -28,6 +30,10 @@
     return process.stderr.isTTY === true;
   }
 
+  get hasColour(): boolean {
+    return process.stdout.isTTY === true;
+  }
+
   writeOutput(text: string): void {
     process.stdout.write(text);
   }
--- a/test/tool/burn_and_load_test.ts
+++ b/test/tool/load_test.ts
@@ -1,10 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { afterEach, describe, expect, test } from "vitest";
-import { flushTasks, VirtualClock } from "../../standin/virtual_clock.ts";
+import { flushTasks } from "../../standin/virtual_clock.ts";
 import { SystemClock } from "../../src/process/clock.ts";
-import { toId } from "../../src/ids.ts";
-import { BurnRecorder } from "../../src/process/burn_recorder.ts";
-import type { FinishedRequest } from "../../src/process/services.ts";
 import { FakeVm, sendJson } from "./fake_vm.ts";
 import { runWords } from "./recording_terminal.ts";
 
@@ -14,84 +11,6 @@
   for (const vm of started.splice(0)) await vm.stop();
 });
 
-function buildFinished(result: FinishedRequest["result"]): FinishedRequest {
-  return {
-    requestId: toId("r-1"),
-    workspace: toId("booking-web"),
-    className: toId("chat"),
-    pool: toId("assist"),
-    upstream: toId("engine-1"),
-    result,
-    step: "queued",
-    firstTokenMs: 10,
-    betweenTokensMs: 10,
-    totalMs: 100,
-    tokens: 5,
-    wastedTokens: 0,
-  };
-}
-
-async function startBurn(extra: object): Promise<string[]> {
-  const recorder = BurnRecorder.create(VirtualClock.create());
-  for (let index = 0; index < 90; index++) {
-    recorder.record(buildFinished("met"));
-  }
-  for (let index = 0; index < 10; index++) {
-    recorder.record(buildFinished("late"));
-  }
-  recorder.record(buildFinished("cancelled"));
-  const vm = await FakeVm.startFixed({
-    "/v1/burn": {
-      vms: [{ vm: "entry-1", up_ms: 5 }],
-      missing: [{ vm: "entry-2", why: "Timed out" }],
-      series: recorder.collect(),
-      ...extra,
-    },
-  });
-  started.push(vm);
-  return ["burn", "--url", vm.url, "--token", "t"];
-}
-
-describe("burn", () => {
-  test("shows missed shares, burn rates, causes and missing VMs", async () => {
-    const words = await startBurn({
-      objectives: [
-        { class: "chat", objective: 0.5, workspaces: { "booking-web": 0.95 } },
-      ],
-    });
-    const { output, exitCode } = await runWords(words);
-    expect(output).toContain("Not reached: entry-2: Timed out");
-    expect(output).toMatch(
-      /^booking-web +chat +95\.0%( +10\.0%){4}( +2\.0){4}$/m,
-    );
-    expect(output).toMatch(
-      /^booking-web +chat +late +queued +assist +engine-1 +10 +r-1$/m,
-    );
-    expect(exitCode).toBe(0);
-  });
-
-  test("takes objectives from records where the VM sends none", async () => {
-    const words = await startBurn({});
-    const without = JSON.parse((await runWords([...words, "--json"])).output);
-    expect(without.entries[0].objective).toBeNull();
-    expect(without.entries[0].windows[0]).toMatchObject({
-      counts: { met: 90, late: 10, cancelled: 1 },
-      missed_share: 0.1,
-      burn_rate: null,
-    });
-    const records = ["--records", "examples/kontrola_sever"];
-    const run = await runWords([...words, ...records, "--json"]);
-    expect(JSON.parse(run.output).entries[0].objective).toBe(0.95);
-  });
-
-  test("refuses figures of another release", async () => {
-    const words = await startBurn({ series: { formatVersion: 99 } });
-    const run = await runWords(words);
-    expect(run.error).toContain("figures of another form");
-    expect(run.exitCode).toBe(4);
-  });
-});
-
 function writeEvent(response: ServerResponse, data: unknown): void {
   response.write(`data: ${JSON.stringify(data)}\n\n`);
 }
--- a/test/tool/recording_terminal.ts
+++ b/test/tool/recording_terminal.ts
@@ -17,9 +17,15 @@
 
 class RecordingTerminal extends Terminal {
   readonly isInteractive = false;
+  readonly hasColour: boolean;
   output = "";
   error = "";
 
+  constructor(hasColour: boolean) {
+    super();
+    this.hasColour = hasColour;
+  }
+
   writeOutput(text: string): void {
     this.output += text;
   }
@@ -32,9 +38,13 @@
 /** Runs the tool with `words` as its arguments. */
 export async function runWords(
   words: string[],
-  options: { variables?: Record<string, string>; clock?: Clock } = {},
+  options: {
+    variables?: Record<string, string>;
+    clock?: Clock;
+    hasColour?: boolean;
+  } = {},
 ): Promise<ToolRun> {
-  const terminal = new RecordingTerminal();
+  const terminal = new RecordingTerminal(options.hasColour ?? false);
   const exitCode = await runTool(words, {
     terminal,
     clock: options.clock ?? EagerClock.create(),
