Check look-ups too against what callers were told

A look-up told not_run after its 'sent' step made one ask; the service counted posts alone, so the demo could not have seen that lie. It counts every call now.

--- a/demo/fleet.ts
+++ b/demo/fleet.ts
@@ -7,6 +7,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { EngineOptions } from "../standin/engine_options.ts";
 import {
   type Child,
   ChildProcessGroup,
@@ -40,6 +41,8 @@
 export interface FleetOptions {
   root: string;
   directory: string;
+  /** Makes the engines other than the stand-in's default. */
+  engineOptions?: Partial<EngineOptions>;
 }
 
 interface VmPorts {
@@ -56,7 +59,8 @@
   readonly #example: Example;
   readonly #options: FleetOptions;
   readonly #children: ChildProcessGroup;
-  readonly #secret = randomBytes(16).toString("hex");
+  /** The peers' secret and the operators' token. */
+  readonly secret = randomBytes(16).toString("hex");
 
   constructor(example: Example, options: FleetOptions) {
     this.#example = example;
@@ -120,7 +124,10 @@
     for (const pool of listRecords(this.#example, "upstream_pool")) {
       const members = upstreams.filter((vm) => vm.pool === pool.name);
       const kind = pool.type === "model" ? "engine" : "service";
-      const options = { models: pool.models ?? [] };
+      const options = {
+        models: pool.models ?? [],
+        ...this.#options.engineOptions,
+      };
       const ports = await this.#startStandIns(kind, members.length, options);
       const known = kind === "engine" ? this.enginePorts : this.servicePorts;
       known.push(...ports);
@@ -182,8 +189,8 @@
       address: vm.address,
       listeners: {
         callers: { port: ports.callers, host },
-        peers: { port: ports.peers, host, secret: this.#secret },
-        operators: { port: ports.operators, host, token: this.#secret },
+        peers: { port: ports.peers, host, secret: this.secret },
+        operators: { port: ports.operators, host, token: this.secret },
       },
       source: { kind: "service", urls: [`http://127.0.0.1:${platformPort}`] },
       drain: { grace_ms: DRAIN_GRACE_MS, entries_ttl_ms: ENTRIES_TTL_MS },
--- a/demo/promises.ts
+++ b/demo/promises.ts
@@ -5,16 +5,23 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Account } from "./callers.ts";
-import type { DemoFleet } from "./fleet.ts";
 import { fetchJson } from "./http_call.ts";
 
 const CANCEL_WAIT_MS = 3_000;
 const CANCEL_POLL_MS = 100;
 
+/** Where the stand-ins listen. */
+export interface UpstreamPorts {
+  enginePorts: readonly number[];
+  servicePorts: readonly number[];
+}
+
 /** What the stand-ins saw. */
 interface Seen {
   /** Runs at the engines by request id. */
   runs: Map<string, RunBody[]>;
+  /** Calls that a service worked on, look-ups too, by request id. */
+  calls: Map<string, number>;
   /** Posts carried out by request id. */
   executions: Map<string, number>;
 }
@@ -37,7 +44,7 @@
 
 /** Asks every stand-in and compares. */
 export async function checkPromises(
-  fleet: DemoFleet,
+  fleet: UpstreamPorts,
   accounts: readonly Account[],
 ): Promise<PromiseReport> {
   const cancelled = accounts
@@ -73,6 +80,7 @@
   const name = `${request.className} ${requestId}`;
   const executions = seen.executions.get(requestId) ?? 0;
   const runs = seen.runs.get(requestId)?.length ?? 0;
+  const calls = seen.calls.get(requestId) ?? 0;
   const isPost = request.expected.kind === "post";
   const broken: string[] = [];
   if (executions > 1) {
@@ -84,7 +92,7 @@
   const wasTold = outcome.kind === "refused" || outcome.kind === "lost";
   const wasToldNotRun = wasTold && outcome.outcome === "not_run";
   // A request that was not run may be sent again under its id, and run then.
-  if (wasToldNotRun && !answered.has(requestId) && executions + runs > 0) {
+  if (wasToldNotRun && !answered.has(requestId) && calls + runs > 0) {
     broken.push(`${name} was told not_run and ran`);
   }
   return broken;
@@ -105,7 +113,7 @@
 
 /** Waits a while for the work of callers that left to end. */
 async function collectSettled(
-  fleet: DemoFleet,
+  fleet: UpstreamPorts,
   cancelled: readonly Account[],
 ): Promise<Seen> {
   let seen = await collectSeen(fleet);
@@ -120,8 +128,12 @@
   return seen;
 }
 
-async function collectSeen(fleet: DemoFleet): Promise<Seen> {
-  const seen: Seen = { runs: new Map(), executions: new Map() };
+async function collectSeen(fleet: UpstreamPorts): Promise<Seen> {
+  const seen: Seen = {
+    runs: new Map(),
+    calls: new Map(),
+    executions: new Map(),
+  };
   for (const port of fleet.enginePorts) {
     const call = { port, method: "GET", path: "/control/runs" };
     const { runs } = await fetchJson<{ runs: RunBody[] }>(call);
@@ -131,13 +143,22 @@
     }
   }
   for (const port of fleet.servicePorts) {
-    const call = { port, method: "GET", path: "/control/executions" };
-    const { executions } = await fetchJson<{
+    const call = { port, method: "GET", path: "/control/counts" };
+    const body = await fetchJson<{
+      calls: Record<string, number>;
       executions: Record<string, number>;
     }>(call);
-    for (const [id, count] of Object.entries(executions)) {
-      seen.executions.set(id, (seen.executions.get(id) ?? 0) + count);
-    }
+    addCounts(seen.calls, body.calls);
+    addCounts(seen.executions, body.executions);
   }
   return seen;
 }
+
+function addCounts(
+  sums: Map<string, number>,
+  counts: Record<string, number>,
+): void {
+  for (const [id, count] of Object.entries(counts)) {
+    sums.set(id, (sums.get(id) ?? 0) + count);
+  }
+}
--- a/standin/service_core.ts
+++ b/standin/service_core.ts
@@ -40,6 +40,7 @@
 
 /** Holds and look-ups in memory. */
 export class ServiceCore {
+  readonly #calls = new Map<string, number>();
   readonly #executions = new Map<string, number>();
   #faults: ServiceFault[] = [];
   #holds = 0;
@@ -58,6 +59,11 @@
     return this.#executions.get(requestId) ?? 0;
   }
 
+  /** Calls that did any work, look-ups too, by request id. */
+  listCalls(): Record<string, number> {
+    return Object.fromEntries(this.#calls);
+  }
+
   /** Executions of every request id. */
   listExecutions(): Record<string, number> {
     return Object.fromEntries(this.#executions);
@@ -78,6 +84,8 @@
   }
 
   #runCall(call: ServiceCall): ServiceAnswer {
+    const count = this.#calls.get(call.requestId) ?? 0;
+    this.#calls.set(call.requestId, count + 1);
     return match([call.method, call.path.split("?")[0]] as const)
       .with(["POST", P.string], () => this.#addHold(call))
       .with(
--- a/standin/service_server.ts
+++ b/standin/service_server.ts
@@ -57,8 +57,11 @@
 
   #handleControl(call: StandInCall, response: ServerResponse): void {
     if (call.method === "GET") {
-      const executions = this.core.listExecutions();
-      sendJson(response, { status: 200, body: { executions } });
+      const body = {
+        calls: this.core.listCalls(),
+        executions: this.core.listExecutions(),
+      };
+      sendJson(response, { status: 200, body });
       return;
     }
     const body = CONTROL_BODY.parse(readJsonBody(call));
--- /dev/null
+++ b/test/demo/promises_test.ts
@@ -0,0 +1,91 @@
+/**
+ * The demo's comparison of what callers were told with what upstreams did.
+ *
+ * @module
+ */
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { Account } from "../../demo/callers.ts";
+import { sendCall } from "../../demo/http_call.ts";
+import type { Outcome } from "../../demo/outcomes.ts";
+import { checkPromises, type PromiseReport } from "../../demo/promises.ts";
+import type { Expectation } from "../../demo/workload.ts";
+import { EngineServer } from "../../standin/engine_server.ts";
+import { ServiceServer } from "../../standin/service_server.ts";
+
+const POST: Expectation = { kind: "post", echo: "{}" };
+const LOOKUP: Expectation = { kind: "lookup", body: "" };
+const NOT_RUN: Outcome = { kind: "refused", outcome: "not_run", code: "shed" };
+const ANSWERED: Outcome = { kind: "answered", totalMs: 1 };
+
+const engine = EngineServer.create();
+const service = ServiceServer.create({ delayMs: 0 });
+
+function check(
+  outcome: Outcome,
+  expected: Expectation = POST,
+): Promise<PromiseReport> {
+  const account: Account = {
+    request: {
+      number: 0,
+      atMs: 0,
+      className: "c",
+      key: "k",
+      method: "POST",
+      path: "/",
+      body: undefined,
+      expected,
+      behaviour: "plain",
+      leaveAfterBytes: undefined,
+    },
+    requestId: "r1",
+    port: 1,
+    outcome,
+  };
+  const ports = { enginePorts: [engine.port], servicePorts: [service.port] };
+  return checkPromises(ports, [account]);
+}
+
+function sendToService(method: string, path: string) {
+  const headers = { "x-request-id": "r1" };
+  return sendCall({ port: service.port, method, path, headers });
+}
+
+describe("checkPromises", () => {
+  beforeEach(async () => {
+    await engine.start();
+    await service.start();
+  });
+
+  afterEach(async () => {
+    await engine.stop();
+    await service.stop();
+  });
+
+  it("finds lies and doubles at the service as they come about", async () => {
+    expect((await check(NOT_RUN)).broken).toEqual([]);
+    expect((await check(ANSWERED)).broken).toHaveLength(1);
+    await sendToService("GET", "/lookup/a");
+    expect((await check(NOT_RUN, LOOKUP)).broken).toHaveLength(1);
+    await sendToService("POST", "/holds");
+    expect((await check(ANSWERED)).broken).toEqual([]);
+    await sendToService("POST", "/holds");
+    expect((await check(ANSWERED)).broken).toHaveLength(1);
+  });
+
+  it("finds work that went on after its caller left", async () => {
+    const body = {
+      model: "m",
+      messages: [{ role: "user", content: "[[tokens=2]]" }],
+    };
+    await sendCall({
+      port: engine.port,
+      method: "POST",
+      path: "/v1/chat/completions",
+      headers: { "x-request-id": "r1" },
+      body: JSON.stringify(body),
+    });
+    const report = await check({ kind: "cancelled" });
+    expect(report.broken).toHaveLength(1);
+    expect(report.generatedTokens).toBe(2);
+  });
+});
