Fuzz whole VMs in virtual time against an oracle of the promises

A fast-check model run drives three to five VmRuntimes with both users' small records: arrivals, bursts, resubmissions, cancels, failures of VMs, links, upstreams and the platform. After each run the faults end and the oracle checks what callers, upstreams and VMs saw.

--- /dev/null
+++ b/test/fuzz/fuzz_faults.ts
@@ -0,0 +1,379 @@
+/**
+ * Failures of VMs, links, upstreams and the platform, as events.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import { match } from "ts-pattern";
+import type { EngineCore } from "../../standin/engine_core.ts";
+import type { ServiceFault } from "../../standin/service_core.ts";
+import type { ListedVm } from "../../src/version/index.ts";
+import type { Disturbance } from "./disturbances.ts";
+import type { FuzzWorld } from "./fuzz_world.ts";
+import type { FuzzService } from "./fuzz_upstreams.ts";
+
+/** A failure, or its end. */
+export type FaultEvent =
+  | { kind: "engine"; index: number; fault: EngineFault }
+  | { kind: "plain_service"; index: number; fault: PlainFault }
+  | { kind: "vm"; index: number; fault: VmFault }
+  | { kind: "link"; from: number; to: number; fault: LinkFault }
+  | { kind: "platform"; fault: PlatformFault }
+  | { kind: "listed"; index: number; fault: ListFault };
+
+const ENGINE_FAULTS = [
+  "crash",
+  "crash_soon",
+  "start_again",
+  "stall",
+  "silence",
+  "silent_next",
+  "refuse",
+  "slow",
+  "fast",
+  "late_reports",
+  "no_reports",
+  "reports",
+  "leaving",
+  "staying",
+] as const;
+type EngineFault = typeof ENGINE_FAULTS[number];
+
+const PLAIN_FAULTS = [
+  "not_started",
+  "cut_before",
+  "cut_after",
+  "hang",
+  "failed",
+  "slow",
+  "fast",
+  "down",
+  "up",
+] as const;
+type PlainFault = typeof PLAIN_FAULTS[number];
+
+const VM_FAULTS = ["pause", "resume", "kill", "replace", "drain"] as const;
+type VmFault = typeof VM_FAULTS[number];
+
+const LINK_FAULTS = [
+  "cut",
+  "heal",
+  "heal_all",
+  "slow",
+  "loss",
+  "duplicates",
+  "clean",
+] as const;
+type LinkFault = typeof LINK_FAULTS[number];
+
+const PLATFORM_FAULTS = [
+  "new_version",
+  "invalid_version",
+  "old_version",
+  "down",
+  "up",
+] as const;
+type PlatformFault = typeof PLATFORM_FAULTS[number];
+
+const LIST_FAULTS = ["leaving", "live", "same"] as const;
+type ListFault = typeof LIST_FAULTS[number];
+
+const SLOW_FACTOR = 8;
+const SLOW_WORK_MS = 1_200;
+const STALL_MS = 4_000;
+const LATE_REPORTS_MS = 6_000;
+const CRASH_TOKENS = 7;
+const SLOW_LINK_MS = 300;
+const LOSS_RATE = 0.2;
+const DUPLICATE_RATE = 0.5;
+
+const INDEX = fc.nat({ max: 9 });
+
+/** Arbitrary failures. */
+export const FAULTS: fc.Arbitrary<FaultEvent>[] = [
+  fc.record({
+    kind: fc.constant("engine" as const),
+    index: INDEX,
+    fault: fc.constantFrom(...ENGINE_FAULTS),
+  }),
+  fc.record({
+    kind: fc.constant("plain_service" as const),
+    index: INDEX,
+    fault: fc.constantFrom(...PLAIN_FAULTS),
+  }),
+  fc.record({
+    kind: fc.constant("vm" as const),
+    index: INDEX,
+    fault: fc.constantFrom(...VM_FAULTS),
+  }),
+  fc.record({
+    kind: fc.constant("link" as const),
+    from: INDEX,
+    to: INDEX,
+    fault: fc.constantFrom(...LINK_FAULTS),
+  }),
+  fc.record({
+    kind: fc.constant("platform" as const),
+    fault: fc.constantFrom(...PLATFORM_FAULTS),
+  }),
+  fc.record({
+    kind: fc.constant("listed" as const),
+    index: INDEX,
+    fault: fc.constantFrom(...LIST_FAULTS),
+  }),
+];
+
+/** Lets one failure begin or end. */
+export async function applyFault(
+  event: FaultEvent,
+  world: FuzzWorld,
+): Promise<void> {
+  await match(event)
+    .with({ kind: "engine" }, ({ index, fault }) => {
+      applyEngineFault(world, index, fault);
+    })
+    .with({ kind: "plain_service" }, ({ index, fault }) => {
+      applyPlainFault(world, index, fault);
+    })
+    .with({ kind: "vm" }, ({ index, fault }) => {
+      return applyVmFault(world, index, fault);
+    })
+    .with({ kind: "link" }, (link) => applyLinkFault(world, link))
+    .with({ kind: "platform" }, ({ fault }) => {
+      applyPlatformFault(world, fault);
+    })
+    .with({ kind: "listed" }, ({ index, fault }) => {
+      applyListFault(world, index, fault);
+    })
+    .exhaustive();
+}
+
+/** Ends every failure; paused VMs go on, ended ones are replaced. */
+export function removeAllFaults(world: FuzzWorld): void {
+  world.upstreams.removeFaults();
+  world.network.heal();
+  world.network.setLossRate(0);
+  world.network.setDuplicateRate(0);
+  setAllDelays(world, 0.5);
+  world.service.isDown = false;
+  world.putList(world.list.vms.map((vm) => ({ ...vm, state: "live" })));
+  world.putVersion(Math.max(...world.versions.keys()));
+  for (const life of world.listLives()) resume(world, life.vm);
+  world.leavingSince.clear();
+  world.disturbances.clear();
+  for (const kind of EVERY_KIND) world.disturbances.note(kind);
+}
+
+const EVERY_KIND: readonly Disturbance[] = ["upstream", "list", "version"];
+
+function applyEngineFault(
+  world: FuzzWorld,
+  index: number,
+  fault: EngineFault,
+): void {
+  const { engines, unreported } = world.upstreams;
+  const [id, core] = [...engines][index % engines.size]!;
+  world.disturbances.note("upstream");
+  if (fault !== "start_again" && fault !== "fast" && fault !== "reports") {
+    world.disturbances.add("upstream");
+  }
+  match(fault)
+    .with("crash", () => core.setCrashAfter(0))
+    .with("crash_soon", () => core.setCrashAfter(CRASH_TOKENS))
+    .with("start_again", () => startAgain(core))
+    .with("stall", () => core.setStall(STALL_MS))
+    .with("silence", () => core.dropListeners())
+    .with("silent_next", () => core.setSilentNext(1))
+    .with("refuse", () => core.setRefuseNext(2))
+    .with("slow", () => setSpeed(core, SLOW_FACTOR))
+    .with("fast", () => setSpeed(core, 1))
+    .with("late_reports", () => {
+      core.options.loadLagMs = LATE_REPORTS_MS;
+    })
+    .with("no_reports", () => unreported.add(id))
+    .with("reports", () => unreported.delete(id))
+    .with("leaving", () => {
+      if (!core.isCrashed) noteLeaving(world, id);
+      core.setLeaving(true);
+    })
+    .with("staying", () => {
+      core.setLeaving(false);
+      world.leavingSince.delete(id);
+    })
+    .exhaustive();
+}
+
+function startAgain(core: EngineCore): void {
+  if (core.isCrashed) core.startAgain();
+}
+
+function setSpeed(core: EngineCore, factor: number): void {
+  core.options.speedFactor = factor;
+}
+
+function noteLeaving(world: FuzzWorld, id: ListedVm["id"]): void {
+  if (world.leavingSince.has(id)) return;
+  world.leavingSince.set(id, world.clock.now());
+}
+
+function applyPlainFault(
+  world: FuzzWorld,
+  index: number,
+  fault: PlainFault,
+): void {
+  const { services } = world.upstreams;
+  const service = [...services.values()][index % services.size]!;
+  if (fault === "fast" || fault === "up") world.disturbances.note("upstream");
+  else world.disturbances.add("upstream");
+  match(fault)
+    .with("slow", () => {
+      service.workMs = SLOW_WORK_MS;
+    })
+    .with("fast", () => {
+      service.workMs = 20;
+    })
+    .with("down", () => {
+      service.isDown = true;
+    })
+    .with("up", () => {
+      service.isDown = false;
+    })
+    .otherwise((next) => addServiceFault(service, next));
+}
+
+function addServiceFault(service: FuzzService, fault: ServiceFault): void {
+  service.faults.push(fault);
+}
+
+async function applyVmFault(
+  world: FuzzWorld,
+  index: number,
+  fault: VmFault,
+): Promise<void> {
+  const entries = world.listEntries();
+  const listed = entries[index % entries.length]!;
+  const life = world.findLife(listed.id);
+  if (fault === "replace") {
+    if (life !== undefined) endLife(world, listed.id);
+    world.startLife(listed);
+    return;
+  }
+  if (life === undefined) return;
+  await match(fault)
+    .with("pause", () => {
+      if (life.isPaused) return;
+      life.isPaused = true;
+      world.network.pause(life.vm);
+      world.disturbances.add("paused");
+    })
+    .with("resume", () => resume(world, life.vm))
+    .with("kill", () => endLife(world, life.vm))
+    .with("drain", async () => {
+      if (!life.isUp) return;
+      world.disturbances.note("drain");
+      void life.runtime.startDraining();
+      await world.run(1);
+    })
+    .exhaustive();
+}
+
+function resume(world: FuzzWorld, vm: ListedVm["id"]): void {
+  const life = world.findLife(vm);
+  if (life === undefined || !life.isPaused) return;
+  life.isPaused = false;
+  world.network.resume(vm);
+  world.disturbances.remove("paused");
+}
+
+function endLife(world: FuzzWorld, vm: ListedVm["id"]): void {
+  const life = world.findLife(vm)!;
+  if (life.isPaused) world.disturbances.remove("paused");
+  life.isPaused = false;
+  life.destroy();
+  world.disturbances.note("killed");
+}
+
+function applyLinkFault(
+  world: FuzzWorld,
+  link: Extract<FaultEvent, { kind: "link" }>,
+): void {
+  const entries = world.listEntries();
+  const from = entries[link.from % entries.length]!.id;
+  const to = entries[link.to % entries.length]!.id;
+  const { network, disturbances } = world;
+  match(link.fault)
+    .with("cut", () => {
+      if (from === to) return;
+      network.cut(from, to);
+      disturbances.add("link");
+    })
+    .with("heal", () => {
+      network.heal(from, to);
+      disturbances.note("link");
+    })
+    .with("heal_all", () => {
+      network.heal();
+      disturbances.note("link");
+    })
+    .with("slow", () => {
+      network.setDelay(from, to, SLOW_LINK_MS);
+      disturbances.add("link");
+    })
+    .with("loss", () => {
+      network.setLossRate(LOSS_RATE);
+      disturbances.add("loss");
+    })
+    .with("duplicates", () => network.setDuplicateRate(DUPLICATE_RATE))
+    .with("clean", () => {
+      network.setLossRate(0);
+      network.setDuplicateRate(0);
+      setAllDelays(world, 0.5);
+      disturbances.note("loss");
+    })
+    .exhaustive();
+}
+
+function setAllDelays(world: FuzzWorld, ms: number): void {
+  const entries = world.listEntries();
+  for (const from of entries) {
+    for (const to of entries) world.network.setDelay(from.id, to.id, ms);
+  }
+}
+
+function applyPlatformFault(world: FuzzWorld, fault: PlatformFault): void {
+  const highest = Math.max(...world.versions.keys());
+  match(fault)
+    .with("new_version", () => {
+      world.disturbances.note("version");
+      world.putVersion(highest + 1);
+    })
+    .with("invalid_version", () => world.putVersion(highest + 1, false))
+    .with("old_version", () => world.putVersion(Math.max(1, highest - 1)))
+    .with("down", () => {
+      world.service.isDown = true;
+      world.disturbances.add("service");
+    })
+    .with("up", () => {
+      world.service.isDown = false;
+      world.disturbances.remove("service");
+    })
+    .exhaustive();
+}
+
+/** Upstreams leave by the list; entry VMs only get another revision. */
+function applyListFault(
+  world: FuzzWorld,
+  index: number,
+  fault: ListFault,
+): void {
+  const upstreams = world.list.vms.filter(({ role }) => role === "upstream");
+  const chosen = upstreams[index % upstreams.length]!;
+  world.disturbances.note("list");
+  const isLeaving = fault === "leaving";
+  if (isLeaving) noteLeaving(world, chosen.id);
+  if (fault === "live") world.leavingSince.delete(chosen.id);
+  world.putList(world.list.vms.map((vm) => {
+    if (fault === "same" || vm.id !== chosen.id) return vm;
+    return { ...vm, state: isLeaving ? "leaving" : "live" };
+  }));
+}
--- /dev/null
+++ b/test/fuzz/fuzz_records.ts
@@ -0,0 +1,114 @@
+/**
+ * The users' records made small: few replicas, slots and places in queues, so
+ * that short runs meet every bound.
+ *
+ * @module
+ */
+import {
+  type ExampleRecords,
+  readExampleRecords,
+  type User,
+} from "../../bench/support/example_records.ts";
+import type { ListedVm, MembershipList } from "../../src/version/index.ts";
+
+const ENGINES = 3;
+const SERVICES = 2;
+const QUEUE_LIMIT = 4;
+const MAX_WAIT_MS = 8_000;
+const MAX_TOTAL_MS = 20_000;
+/** Each version caps answers otherwise, so that the version kept shows. */
+const BASE_CAP = 40;
+const CAP_STEPS = 8;
+const SLOTS = { initial: 2, min: 1, max: 3 };
+const TIMEOUTS = {
+  first_byte_ms: 3_000,
+  between_bytes_ms: 1_500,
+  total_ms: 20_000,
+};
+
+type RawRecord = Record<string, unknown> & { kind: string };
+
+const EXAMPLES = new Map<User, ExampleRecords>();
+
+/** The examples of a user, read once a process. */
+export function getExamples(user: User): ExampleRecords {
+  const known = EXAMPLES.get(user);
+  if (known !== undefined) return known;
+  const examples = readExampleRecords(user);
+  EXAMPLES.set(user, examples);
+  return examples;
+}
+
+/** The cap on the answers of model classes under `version`. */
+export function getOutputCap(version: number): number {
+  return BASE_CAP + version % CAP_STEPS;
+}
+
+/** The records of one version. */
+export function buildFuzzRecords(user: User, version: number): unknown[] {
+  return getExamples(user).records
+    .map((record) => convertRecord(record as RawRecord, version));
+}
+
+/** Records that no VM may take: a class names a tier that is not there. */
+export function buildInvalidRecords(user: User, version: number): unknown[] {
+  return buildFuzzRecords(user, version)
+    .filter((record) => (record as RawRecord).kind !== "tier");
+}
+
+/** Entry VMs, engines and service replicas of a small fleet. */
+export function buildFuzzList(user: User, entries: number): MembershipList {
+  const { vms } = getExamples(user).list;
+  const upstreams = vms.filter(({ role }) => role === "upstream");
+  const { snapshot } = getExamples(user);
+  const isOf = (type: string) => (vm: ListedVm) =>
+    vm.pool !== undefined && snapshot.pools.get(vm.pool)?.type === type;
+  return {
+    revision: 1,
+    vms: [
+      ...vms.filter(({ role }) => role === "entry").slice(0, entries),
+      ...upstreams.filter(isOf("model")).slice(0, ENGINES),
+      ...upstreams.filter(isOf("service")).slice(0, SERVICES),
+    ],
+  };
+}
+
+function convertRecord(record: RawRecord, version: number): RawRecord {
+  if (record.kind === "request_class") return convertClass(record, version);
+  if (record.kind === "upstream_pool") return convertPool(record);
+  return record;
+}
+
+function convertClass(record: RawRecord, version: number): RawRecord {
+  const isModel = Number(record["max_output_tokens"]) > 1;
+  const targets = (record["targets"] ?? record) as Record<string, number>;
+  const total = Math.min(targets["total_ms"]!, MAX_TOTAL_MS);
+  return {
+    ...record,
+    ...(record["targets"] === undefined
+      ? { total_ms: total }
+      : { targets: { ...targets, total_ms: total } }),
+    queue_limit: QUEUE_LIMIT,
+    max_wait_ms: Math.min(Number(record["max_wait_ms"]), MAX_WAIT_MS),
+    max_output_tokens: isModel ? getOutputCap(version) : 1,
+  };
+}
+
+function convertPool(record: RawRecord): RawRecord {
+  if (record["slots"] === undefined) {
+    return {
+      ...record,
+      initial_slots: SLOTS.initial,
+      min_slots: SLOTS.min,
+      max_slots: SLOTS.max,
+      ...TIMEOUTS,
+    };
+  }
+  const models = record["models"] as { replicas: number }[];
+  return {
+    ...record,
+    models: models.map((model) => ({ ...model, replicas: ENGINES })),
+    slots: SLOTS,
+    timeouts: TIMEOUTS,
+  };
+}
--- /dev/null
+++ b/test/fuzz/fuzz_upstreams.ts
@@ -0,0 +1,272 @@
+/**
+ * Engines and service replicas in virtual time, with faults, and a record of
+ * every request that one of them began.
+ *
+ * @module
+ */
+import {
+  AnswerPipe,
+  createUpstreamError,
+} from "../../bench/support/answer_pipe.ts";
+import { findTag } from "../../bench/support/tags.ts";
+import {
+  type CacheEvent,
+  type EngineOrder,
+  type LoadReport,
+  type UpstreamAnswer,
+  type UpstreamCall,
+  UpstreamTransport,
+} from "../../src/connection/upstream_transport.ts";
+import { StepError } from "../../src/errors.ts";
+import type { VmId } from "../../src/ids.ts";
+import type { Clock } from "../../src/process/clock.ts";
+import type { Random } from "../../src/process/random.ts";
+import type { MembershipList } from "../../src/version/index.ts";
+import { handleEngineCall } from "../../standin/engine_calls.ts";
+import { EngineCore } from "../../standin/engine_core.ts";
+import { ServiceCore, type ServiceFault } from "../../standin/service_core.ts";
+import type { VirtualClock } from "../../standin/virtual_clock.ts";
+import { getExamples } from "./fuzz_records.ts";
+import type { User } from "../../bench/support/example_records.ts";
+
+const DELAY_MS = 0.5;
+const ENGINE = {
+  baseMs: 20,
+  perRunningMs: 2,
+  maxBatch: 3,
+  cachedPrefixes: 4,
+  loadLagMs: 500,
+};
+
+/** One request as it reached an upstream. */
+export interface SendRecord {
+  tag: number;
+  requestId: string;
+  upstream: VmId;
+  /** The life that sent it. */
+  incarnation: string;
+  at: number;
+  /** Whether the upstream did anything of it. */
+  began: boolean;
+}
+
+/** A plain service's replica. */
+export interface FuzzService {
+  core: ServiceCore;
+  workMs: number;
+  isDown: boolean;
+  faults: ServiceFault[];
+}
+
+/** Who sends. */
+export interface Sender {
+  readonly incarnation: string;
+  readonly clock: Clock;
+}
+
+/** Every upstream of a run. */
+export class FuzzUpstreams {
+  readonly engines = new Map<VmId, EngineCore>();
+  readonly services = new Map<VmId, FuzzService>();
+  readonly sends: SendRecord[] = [];
+  /** Engines whose reports nobody gets. */
+  readonly unreported = new Set<VmId>();
+  readonly clock: VirtualClock;
+
+  constructor(
+    options: {
+      clock: VirtualClock;
+      random: Random;
+      user: User;
+      list: MembershipList;
+    },
+  ) {
+    this.clock = options.clock;
+    const { snapshot } = getExamples(options.user);
+    for (const vm of options.list.vms) {
+      const pool = vm.pool && snapshot.pools.get(vm.pool);
+      if (!pool) continue;
+      if (pool.type === "service") {
+        const core = ServiceCore.create();
+        const service = { core, workMs: 20, isDown: false, faults: [] };
+        this.services.set(vm.id, service);
+        continue;
+      }
+      const models = pool.models
+        .map(({ model, version, adapters }) => ({ model, version, adapters }));
+      const { clock, random } = options;
+      const engine = { ...ENGINE, fencing: pool.fencing, models };
+      this.engines.set(vm.id, EngineCore.create(clock, random, engine));
+    }
+  }
+
+  createTransport(sender: Sender): FuzzTransport {
+    return new FuzzTransport(this, sender);
+  }
+
+  /** Ends every fault, and lets crashed upstreams come back. */
+  removeFaults(): void {
+    this.unreported.clear();
+    for (const core of this.engines.values()) {
+      if (core.isCrashed) core.startAgain();
+      core.setCrashAfter(Infinity);
+      core.setSilentNext(0);
+      core.setRefuseNext(0);
+      core.setLeaving(false);
+      Object.assign(core.options, { speedFactor: 1, loadLagMs: 500 });
+    }
+    for (const service of this.services.values()) {
+      Object.assign(service, { workMs: 20, isDown: false, faults: [] });
+    }
+  }
+}
+
+/** One VM's way to the upstreams; what it hears waits while it is paused. */
+export class FuzzTransport extends UpstreamTransport {
+  readonly #upstreams: FuzzUpstreams;
+  readonly #sender: Sender;
+  readonly #closed = new AbortController();
+
+  constructor(upstreams: FuzzUpstreams, sender: Sender) {
+    super();
+    this.#upstreams = upstreams;
+    this.#sender = sender;
+  }
+
+  /** Ends every connection, as the end of the process does. */
+  close(): void {
+    this.#closed.abort();
+  }
+
+  override async send(call: UpstreamCall): Promise<UpstreamAnswer> {
+    const { clock, engines, services } = this.#upstreams;
+    const signal = AbortSignal.any([call.signal, this.#closed.signal]);
+    if (signal.aborted) throw createUpstreamError(call, "aborted", false);
+    await clock.sleep(DELAY_MS);
+    const core = engines.get(call.upstream);
+    const service = services.get(call.upstream);
+    const isUp = core === undefined
+      ? service?.isDown === false
+      : !core.isCrashed;
+    if (!isUp) {
+      await this.#sender.clock.sleep(DELAY_MS);
+      throw createUpstreamError(call, "connect", false);
+    }
+    const body = new TextDecoder().decode(call.body);
+    const record: SendRecord = {
+      tag: findTag(`${call.path} ${body}`),
+      requestId: call.headers["x-request-id"] ?? "",
+      upstream: call.upstream,
+      incarnation: this.#sender.incarnation,
+      at: clock.now(),
+      began: false,
+    };
+    this.#upstreams.sends.push(record);
+    const sent = { ...call, signal };
+    return core === undefined
+      ? this.#sendToService(service!, sent, { body, record })
+      : this.#sendToEngine(core, sent, record);
+  }
+
+  override async fetchLoad(upstream: VmId): Promise<LoadReport> {
+    return (await this.#fetchEngine(upstream)).getLoad();
+  }
+
+  override async fetchCacheEvents(
+    upstream: VmId,
+    after: number,
+  ): Promise<CacheEvent[]> {
+    return (await this.#fetchEngine(upstream)).listCacheEvents(after);
+  }
+
+  override async sendOrder(
+    upstream: VmId,
+    order: EngineOrder,
+  ): Promise<boolean> {
+    return (await this.#fetchEngine(upstream)).applyOrder(order);
+  }
+
+  override async copyCache(
+    from: VmId,
+    to: VmId,
+    prefixes: string[],
+  ): Promise<number> {
+    const source = await this.#fetchEngine(from);
+    const target = await this.#fetchEngine(to);
+    return target.addCached(source.listCached(prefixes));
+  }
+
+  async #fetchEngine(upstream: VmId): Promise<EngineCore> {
+    await this.#sender.clock.sleep(2 * DELAY_MS);
+    const core = this.#upstreams.engines.get(upstream);
+    const isSilent = this.#upstreams.unreported.has(upstream);
+    if (core !== undefined && !core.isCrashed && !isSilent) return core;
+    const place = { step: "upstream_report", peer: upstream };
+    throw new StepError(place, "The upstream does not answer");
+  }
+
+  #sendToEngine(
+    core: EngineCore,
+    call: UpstreamCall,
+    record: SendRecord,
+  ): Promise<UpstreamAnswer> {
+    let cancel = () => {};
+    const pipe = this.#createPipe(call, () => cancel());
+    const before = core.counts.accepted;
+    cancel = handleEngineCall(core, call, pipe);
+    record.began = core.counts.accepted > before;
+    if (call.signal.aborted) cancel();
+    return pipe.answer;
+  }
+
+  #sendToService(
+    service: FuzzService,
+    call: UpstreamCall,
+    sent: { body: string; record: SendRecord },
+  ): Promise<UpstreamAnswer> {
+    const pipe = this.#createPipe(call, () => {});
+    void this.#runService(service, call, { ...sent, pipe });
+    return pipe.answer;
+  }
+
+  async #runService(
+    service: FuzzService,
+    call: UpstreamCall,
+    sent: { body: string; record: SendRecord; pipe: AnswerPipe },
+  ): Promise<void> {
+    const { body, record, pipe } = sent;
+    const fault = service.faults.shift();
+    await this.#upstreams.clock.sleep(service.workMs);
+    if (service.isDown) return pipe.destroy();
+    service.core.setFaults(fault === undefined ? [] : [fault]);
+    record.began = fault !== "not_started" && fault !== "cut_before";
+    const answer = service.core.handleCall({
+      method: call.method,
+      path: call.path,
+      requestId: record.requestId,
+      body,
+    });
+    if (answer.kind === "cut") return pipe.destroy();
+    if (answer.kind === "silent") return;
+    const type = { "content-type": "application/json" };
+    pipe.writeHead(answer.status, { ...answer.headers, ...type });
+    pipe.write(JSON.stringify(answer.body));
+    pipe.end();
+  }
+
+  #createPipe(call: UpstreamCall, onCancel: () => void): AnswerPipe {
+    const pipe = AnswerPipe.create({
+      clock: this.#sender.clock,
+      call,
+      delayMs: DELAY_MS,
+      onCancel,
+    });
+    // Nobody awaits the head of a call whose sender is gone.
+    pipe.answer.catch(() => {});
+    if (call.signal.aborted) {
+      const error = createUpstreamError(call, "aborted", true);
+      return Object.assign(pipe, { answer: Promise.reject(error) });
+    }
+    return pipe;
+  }
+}
--- /dev/null
+++ b/test/fuzz/main.ts
@@ -0,0 +1,28 @@
+/**
+ * Long fuzz runs: `npm run fuzz -- --seed N --runs N`.
+ *
+ * @module
+ */
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { checkFleet, PROFILES } from "./fleet_property.ts";
+
+const arguments_ = await yargs(hideBin(process.argv))
+  .option("seed", { type: "number", default: 1 })
+  .option("runs", { type: "number", default: 500 })
+  .option("profile", { choices: Object.keys(PROFILES), default: "all" })
+  .option("path", { type: "string", describe: "Repeats one failing run" })
+  .strict()
+  .parseAsync();
+const startedAt = Date.now();
+const { seed, runs, profile, path } = arguments_;
+const report = await checkFleet({ seed, runs, profile, path });
+const seconds = (Date.now() - startedAt) / 1_000;
+process.stdout.write(`${report.text}\n`);
+process.stdout.write(
+  `${report.runs} runs in ${seconds.toFixed(1)} s, ` +
+    `${(report.runs / seconds).toFixed(1)} runs a second\n`,
+);
+process.stdout.write(`Met: ${JSON.stringify(report.met)}\n`);
+process.exitCode = report.isBroken ? 1 : 0;
