--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type http from "node:http";
-import { StepError, toError } from "../errors.ts";
 import type { VmId } from "../ids.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
@@ -25,6 +24,8 @@
   UpstreamCall,
 } from "./upstream_transport.ts";
 import { UpstreamError, UpstreamTransport } from "./upstream_transport.ts";
+import type { WholeAnswer, WholeCall } from "./whole_call.ts";
+import { checkStatus, fetchWhole, readJson, readReport } from "./whole_call.ts";
 
 const REPORT_LIMIT_MS = 2_000;
 const ORDER_LIMIT_MS = 5_000;
@@ -34,7 +35,6 @@
 const IDLE_CONNECTION_MS = 15_000;
 const MAX_IDLE_CONNECTIONS = 256;
 const CONFLICT = 409;
-const NO_BODY = new Uint8Array();
 
 /** An IP address and a port. */
 export interface Endpoint {
@@ -51,21 +51,6 @@
   tls?: ClientTls | undefined;
 }
 
-interface ReportCall {
-  step: string;
-  method: string;
-  path: string;
-  headers?: Record<string, string>;
-  body?: Uint8Array;
-  limitMs: number;
-  maxBytes: number;
-}
-
-interface WholeAnswer {
-  status: number;
-  body: Buffer;
-}
-
 /** Reaches upstreams through agents that keep connections open. */
 export class HttpUpstreamTransport extends UpstreamTransport {
   readonly #options: HttpTransportOptions;
@@ -130,7 +115,7 @@
       limitMs: REPORT_LIMIT_MS,
       maxBytes: MAX_REPORT_BYTES,
     });
-    return this.#readReport(answer, {
+    return readReport(answer, {
       step: "fetch_load",
       upstream,
       parse: parseLoadReport,
@@ -148,7 +133,7 @@
       limitMs: REPORT_LIMIT_MS,
       maxBytes: MAX_REPORT_BYTES,
     });
-    return this.#readReport(answer, {
+    return readReport(answer, {
       step: "fetch_cache_events",
       upstream,
       parse: parseCacheEvents,
@@ -217,57 +202,8 @@
     return createUpstreamAgent({ clock, tls, agent });
   }
 
-  async #fetchWhole(upstream: VmId, call: ReportCall): Promise<WholeAnswer> {
-    const answer = await this.send({
-      upstream,
-      method: call.method,
-      path: call.path,
-      headers: call.headers ?? {},
-      body: call.body ?? NO_BODY,
-      freshConnection: false,
-      limits: {
-        firstByteMs: call.limitMs,
-        betweenBytesMs: call.limitMs,
-        totalMs: call.limitMs,
-      },
-      signal: new AbortController().signal,
-    });
-    const chunks: Uint8Array[] = [];
-    let length = 0;
-    for await (const chunk of answer.body) {
-      length += chunk.length;
-      if (length > call.maxBytes) {
-        throw new StepError(
-          { step: call.step, peer: upstream },
-          "Answer is too large",
-        );
-      }
-      chunks.push(chunk);
-    }
-    return { status: answer.status, body: Buffer.concat(chunks) };
-  }
-
-  #readReport<T>(
-    answer: WholeAnswer,
-    options: {
-      step: string;
-      upstream: VmId;
-      parse: (value: unknown) => T;
-    },
-  ): T {
-    checkStatus(answer, options);
-    try {
-      return options.parse(JSON.parse(answer.body.toString()));
-    } catch (thrown) {
-      throw new StepError(
-        {
-          step: options.step,
-          peer: options.upstream,
-          cause: toError(thrown),
-        },
-        "Report is not as documented",
-      );
-    }
+  #fetchWhole(upstream: VmId, call: WholeCall): Promise<WholeAnswer> {
+    return fetchWhole(this, upstream, call);
   }
 
   #noteFailure(call: UpstreamCall, thrown: unknown): void {
@@ -291,25 +227,6 @@
   }
 }
 
-function checkStatus(
-  answer: WholeAnswer,
-  place: { step: string; upstream: VmId },
-): void {
-  if (answer.status >= 200 && answer.status < 300) return;
-  throw new StepError(
-    { step: place.step, peer: place.upstream },
-    `Upstream answered ${answer.status}`,
-  );
-}
-
-function readJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString());
-  } catch {
-    return undefined;
-  }
-}
-
 function formatEndpoint(endpoint: Endpoint): string {
   return `${endpoint.address}|${endpoint.port}`;
 }
--- a/src/connection/json_body.ts
+++ b/src/connection/json_body.ts
@@ -25,7 +25,7 @@
 }
 
 /** Bounds that fit the calls of docs/CALLING.md. */
-export const DEFAULT_JSON_LIMITS: JsonLimits = {
+const DEFAULT_JSON_LIMITS: JsonLimits = {
   maxDepth: 64,
   maxKeys: 100_000,
 };
--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -34,7 +34,7 @@
 }
 
 /** Deadlines that fit data centres of one region. */
-export const DEFAULT_PEER_DEADLINES: PeerDeadlines = {
+const DEFAULT_PEER_DEADLINES: PeerDeadlines = {
   acquireMargin: 500,
   probe: 500,
   probeVia: 1_200,
