--- a/test/demo/promises_test.ts
+++ b/test/demo/promises_test.ts
@@ -17,8 +17,8 @@
 const NOT_RUN: Outcome = { kind: "refused", outcome: "not_run", code: "shed" };
 const ANSWERED: Outcome = { kind: "answered", totalMs: 1 };
 
-const engine = EngineServer.create();
-const service = ServiceServer.create({ delayMs: 0 });
+let engine: EngineServer;
+let service: ServiceServer;
 
 function check(
   outcome: Outcome,
@@ -52,6 +52,8 @@
 
 describe("checkPromises", () => {
   beforeEach(async () => {
+    engine = EngineServer.create();
+    service = ServiceServer.create({ delayMs: 0 });
     await engine.start();
     await service.start();
   });
