--- a/src/tool/burn/burn_rules.ts
+++ b/src/tool/burn/burn_rules.ts
@@ -11,6 +11,7 @@
  */
 import {
   type BurnCounts,
+  COARSE_BUCKET_MS,
   FINE_BUCKET_MS,
   FINE_BUCKETS,
 } from "../../process/burn_stats.ts";
@@ -137,22 +138,34 @@
   const isLong = computeHeld(all, Infinity) > HELD_WINDOWS.at(-1)!.ms;
   const windows = isLong ? [...HELD_WINDOWS, ...LONG_WINDOWS] : HELD_WINDOWS;
   return windows.map((window) => {
-    const isHeld = (heldMs: number) => heldMs >= window.ms - FINE_BUCKET_MS;
     const fineMs = computeFineReach(fold, window);
     const heldMs = Math.min(computeHeld(all, window.ms), fineMs);
     return {
       ...window,
       heldMs,
-      isWhole: isHeld(heldMs),
-      shortVms: byVm.filter((spans) => !isHeld(computeHeld(spans, window.ms)))
+      isWhole: isHeldWhole(window, heldMs),
+      shortVms: byVm.filter((spans) =>
+        !isHeldWhole(window, computeHeld(spans, window.ms))
+      )
         .length,
     };
   });
 }
 
+/** The bucket in which a window begins need not be held to its start: a VM
+ * gives up a bucket as soon as part of it is too old. */
+function isHeldWhole(window: BurnWindow, heldMs: number): boolean {
+  return heldMs >=
+    window.ms - (isFine(window) ? FINE_BUCKET_MS : COARSE_BUCKET_MS);
+}
+
+function isFine(window: BurnWindow): boolean {
+  return window.ms <= FINE_BUCKETS * FINE_BUCKET_MS;
+}
+
 /** A busy VM may have given up fine buckets for want of memory. */
 function computeFineReach(fold: BurnFold, window: BurnWindow): number {
-  if (window.ms > FINE_BUCKETS * FINE_BUCKET_MS) return Infinity;
+  if (!isFine(window)) return Infinity;
   const reaches = fold.sources.flatMap(({ series }) => {
     const { fineReachMs, reachMs } = series;
     const isCut = fineReachMs !== undefined && fineReachMs < reachMs;
--- /dev/null
+++ b/test/tool/burn/burn_fold_test.ts
@@ -0,0 +1,250 @@
+import fc from "fast-check";
+import { describe, expect, test } from "vitest";
+import {
+  type BurnCounts,
+  countWindow,
+  createCounts,
+} from "../../../src/process/burn_stats.ts";
+import {
+  type BurnFold,
+  mergeGatherings,
+} from "../../../src/tool/burn/burn_fold.ts";
+import {
+  buildSavedReport,
+  parseSavedReport,
+} from "../../../src/tool/burn/burn_files.ts";
+import type { LogRequest } from "../../../src/tool/burn/burn_logs.ts";
+import {
+  buildSpans,
+  type BurnGathering,
+  computeHeld,
+} from "../../../src/tool/burn/burn_sources.ts";
+import { EXAMPLE_CLASSES, ExampleVm } from "../../support/burn_examples.ts";
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 60 * MINUTE_MS;
+const DAY_MS = 24 * HOUR_MS;
+const EPOCH_MS = Date.UTC(2030, 0, 1);
+
+function collectGathering(
+  vms: readonly ExampleVm[],
+  atMs: number,
+): BurnGathering {
+  return {
+    gatheredAtMs: EPOCH_MS + atMs,
+    sources: vms.map((vm) => {
+      const series = vm.collect();
+      return {
+        vm: vm.vm,
+        incarnation: vm.incarnation,
+        gatheredAtMs: EPOCH_MS + atMs,
+        series,
+        spans: buildSpans(series),
+      };
+    }),
+    missing: [],
+    objectives: [],
+  };
+}
+
+function countAll(fold: BurnFold, windowMs: number): BurnCounts {
+  const sum = createCounts();
+  for (const entry of fold.series.entries) {
+    const counts = countWindow(entry, windowMs);
+    for (const result of Object.keys(sum) as (keyof BurnCounts)[]) {
+      sum[result] += counts[result];
+    }
+  }
+  return sum;
+}
+
+function countServed(vms: readonly ExampleVm[]): BurnCounts {
+  const sum = createCounts();
+  for (const { result } of vms.flatMap(({ served }) => served)) sum[result]++;
+  return sum;
+}
+
+/** Two VMs, the second replaced on the way, gathered after each step. */
+async function collectHistory(
+  seed: number,
+  steps: readonly number[],
+): Promise<{ vms: ExampleVm[]; gatherings: BurnGathering[] }> {
+  const lasting = ExampleVm.create({ vm: "a", incarnation: "a1", seed });
+  const first = ExampleVm.create({
+    vm: "b",
+    incarnation: "b1",
+    seed: seed + 1,
+  });
+  const second = ExampleVm.create({
+    vm: "b",
+    incarnation: "b2",
+    seed: seed + 2,
+  });
+  const gatherings: BurnGathering[] = [];
+  let minutes = 0;
+  for (const [index, step] of steps.entries()) {
+    const running = [lasting, index < steps.length / 2 ? first : second];
+    for (const vm of running) {
+      await vm.runMinutes(step, { classes: LIGHT_CLASSES });
+    }
+    minutes += step;
+    gatherings.push(collectGathering(running, minutes * MINUTE_MS));
+  }
+  return { vms: [lasting, first, second], gatherings };
+}
+
+/** Few requests, so that hours of many histories take little time. */
+const LIGHT_CLASSES = EXAMPLE_CLASSES.slice(0, 2)
+  .map((example) => ({ ...example, perMinute: 1, badShare: 0.5 }));
+const STEPS = fc.array(fc.integer({ min: 1, max: 50 }), {
+  minLength: 2,
+  maxLength: 4,
+});
+const RUNS = { seed: 11, numRuns: 15 };
+
+describe("mergeGatherings", () => {
+  test("counts each request once, whatever was saved how often", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 0, max: 1_000 }),
+        STEPS,
+        fc.infiniteStream(fc.nat()),
+        async (seed, steps, picks) => {
+          const { vms, gatherings } = await collectHistory(seed, steps);
+          const repeated = [...gatherings];
+          for (let count = 0; count < 3; count++) {
+            const pick: number = picks.next().value!;
+            repeated.push(gatherings[pick % gatherings.length]!);
+          }
+          const fold = mergeGatherings(repeated);
+          expect(countAll(fold, 30 * DAY_MS)).toEqual(countServed(vms));
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  test("gives the same for every order", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 0, max: 1_000 }),
+        STEPS,
+        fc.infiniteStream(fc.nat()),
+        async (seed, steps, picks) => {
+          const { gatherings } = await collectHistory(seed, steps);
+          const shuffled = gatherings
+            .map((gathering) => ({ gathering, key: picks.next().value! }))
+            .sort((left, right) => left.key - right.key)
+            .map(({ gathering }) => gathering);
+          expect(mergeGatherings(shuffled)).toEqual(
+            mergeGatherings(gatherings),
+          );
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  test("gives the same when it is saved and folded on", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer({ min: 0, max: 1_000 }),
+        STEPS,
+        async (seed, steps) => {
+          const { gatherings } = await collectHistory(seed, steps);
+          const early = mergeGatherings(gatherings.slice(0, -1));
+          const text = JSON.stringify(buildSavedReport(early));
+          const onward = mergeGatherings([
+            parseSavedReport(text, "early"),
+            gatherings.at(-1)!,
+          ]);
+          const atOnce = mergeGatherings(gatherings);
+          expect(onward.series).toEqual(atOnce.series);
+          expect(onward.spansByVm).toEqual(atOnce.spansByVm);
+        },
+      ),
+      RUNS,
+    );
+  });
+
+  // Symptom: a fold shows twice the requests around the time of a report.
+  // Sequence: two machines save reports of one VM; one's clock is 7 min ahead.
+  // Cause: buckets matched by calendar time fall one beside the other.
+  test("counts once though the machines that saved disagree", async () => {
+    const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 5 });
+    await vm.runMinutes(33);
+    const early = collectGathering([vm], 40 * MINUTE_MS);
+    await vm.runMinutes(31);
+    const late = collectGathering([vm], 64 * MINUTE_MS);
+    const fold = mergeGatherings([early, late]);
+    expect(countAll(fold, DAY_MS)).toEqual(countServed([vm]));
+    expect(countAll(fold, HOUR_MS))
+      .toEqual(countAll(mergeGatherings([late]), HOUR_MS));
+  });
+
+  // Symptom: what a VM served last week is gone from a fold of last week's and
+  // today's report. Sequence: the VM held three days, then gave them up. Cause:
+  // the newest report alone was taken of each VM.
+  test("keeps what a VM has given up since", async () => {
+    const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 6 });
+    await vm.runMinutes(60);
+    const early = collectGathering([vm], HOUR_MS);
+    await vm.clock.run(4 * DAY_MS);
+    await vm.runMinutes(60);
+    const late = collectGathering([vm], 2 * HOUR_MS + 4 * DAY_MS);
+    const fold = mergeGatherings([late, early]);
+    expect(countAll(fold, 30 * DAY_MS)).toEqual(countServed([vm]));
+    const held = computeHeld(fold.spansByVm.get("a")!, 30 * DAY_MS);
+    expect(held).toBeLessThanOrEqual(3 * DAY_MS + HOUR_MS);
+    expect(held).toBeGreaterThan(3 * DAY_MS);
+  });
+});
+
+describe("mergeGatherings with logs", () => {
+  function toLogged(
+    vm: ExampleVm,
+    startedMs: number,
+  ): LogRequest[] {
+    return vm.served.map((request) => ({
+      requestId: request.requestId,
+      vm: vm.vm,
+      incarnation: vm.incarnation,
+      atMs: EPOCH_MS + startedMs + request.endedMs,
+      workspace: request.workspace,
+      className: request.className,
+      result: request.result,
+      step: request.step,
+      pool: request.pool ?? "",
+      upstream: request.upstream ?? "",
+      totalMs: request.totalMs,
+      tokens: request.tokens,
+      wastedTokens: request.wastedTokens,
+      line: request.requestId,
+    }));
+  }
+
+  test("takes from logs what no report covers, each line once", async () => {
+    const gone = ExampleVm.create({ vm: "b", incarnation: "b1", seed: 2 });
+    const lasting = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
+    for (const vm of [gone, lasting]) await vm.runMinutes(45);
+    const logged = [gone, lasting].flatMap((vm) => toLogged(vm, 0));
+    const gathering = collectGathering([lasting], 45 * MINUTE_MS);
+    const fold = mergeGatherings([gathering], [...logged, ...logged]);
+    expect(countAll(fold, DAY_MS)).toEqual(countServed([gone, lasting]));
+    expect(fold.logRequests).toBe(gone.served.length);
+    expect(fold.coveredLogRequests).toBe(lasting.served.length);
+    expect(mergeGatherings([gathering], logged.toReversed()))
+      .toEqual(mergeGatherings([gathering], logged));
+  });
+
+  test("takes from logs what came after the last report", async () => {
+    const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
+    await vm.runMinutes(30);
+    const gathering = collectGathering([vm], 30 * MINUTE_MS);
+    const before = vm.served.length;
+    await vm.runMinutes(15);
+    const fold = mergeGatherings([gathering], toLogged(vm, 0));
+    expect(countAll(fold, DAY_MS)).toEqual(countServed([vm]));
+    expect(fold.logRequests).toBe(vm.served.length - before);
+  });
+});
