--- a/src/process/scheduler/fair_order.ts
+++ b/src/process/scheduler/fair_order.ts
@@ -63,7 +63,10 @@
   /** What a workspace that comes back counts as served at least. */
   #floor = 0;
   #mostServed = 0;
+  /** Mean tokens of a finished request divided by its weight. */
   #meanCost = 0;
+  #meanTokens = 0;
+  #finished = 0;
   #size = 0;
 
   constructor(options: FairOrderOptions) {
@@ -135,16 +138,38 @@
     workspace: WorkspaceName,
     options: { tokens: number; weight: number },
   ): void {
-    const cost = options.tokens / options.weight;
-    if (cost > 0) this.#noteCost(cost);
     const flow = this.#flows.get(workspace);
     if (flow === undefined) return;
-    flow.served += cost;
+    flow.served += options.tokens / options.weight;
     this.#mostServed = Math.max(this.#mostServed, flow.served);
     this.#byServed.update(flow);
     this.#ahead.update(flow);
   }
 
+  /**
+   * What to count for `entry` when it is granted. A cap as the guess would be
+   * many times too high, and a workspace that comes meanwhile would be taken
+   * for one that had been served as much; so before anything is learnt the
+   * mean of the finished requests counts, and before the first one the least.
+   */
+  computeCharge(entry: T): number {
+    if (entry.isCostLearnt) return entry.cost;
+    return Math.min(entry.cost, this.#finished > 0 ? this.#meanTokens : 1);
+  }
+
+  /**
+   * Takes in what a finished request cost in the end. Only finished ones
+   * count: guesses made before anything is learnt may be many times too high,
+   * and would let one workspace run far ahead.
+   */
+  noteFinished(options: { tokens: number; weight: number }): void {
+    this.#finished++;
+    const weight = Math.max(MEAN_COST_WEIGHT, 1 / this.#finished);
+    const cost = options.tokens / options.weight;
+    this.#meanCost += weight * (cost - this.#meanCost);
+    this.#meanTokens += weight * (options.tokens - this.#meanTokens);
+  }
+
   /** Forgets idle workspaces that are owed and owe nothing. */
   dropIdle(): void {
     this.#updateFloor();
@@ -235,11 +260,6 @@
     this.#ahead.remove(flow);
   }
 
-  #noteCost(cost: number): void {
-    const weight = this.#meanCost === 0 ? 1 : MEAN_COST_WEIGHT;
-    this.#meanCost += weight * (cost - this.#meanCost);
-  }
-
   #updateFloor(): void {
     const least = this.#byServed.getFirst()?.served ?? this.#mostServed;
     this.#floor = Math.max(this.#floor, least);
--- a/src/process/scheduler/granter.ts
+++ b/src/process/scheduler/granter.ts
@@ -109,8 +109,9 @@
 
   #grant(waiter: Waiter, replica: Replica, now: number): void {
     const { queue, accounts, onGranted } = this.#options;
-    queue.takeGranted(waiter, now);
-    onGranted(waiter, accounts.grant(waiter, replica, now));
+    const chargedCost = queue.takeGranted(waiter, now);
+    const lease = accounts.grant(waiter, { replica, chargedCost, now });
+    onGranted(waiter, lease);
   }
 
   #buildPreemption(first: Waiter, now: number): PreemptionWish {
--- a/src/process/scheduler/lease_accounts.ts
+++ b/src/process/scheduler/lease_accounts.ts
@@ -14,7 +14,11 @@
 import type { ReplicaSet } from "./replica_set.ts";
 import type { ServiceSpeed } from "./service_speed.ts";
 import type { Waiter } from "./waiter.ts";
-import { UNKNOWN_RANK, type WaiterFactory } from "./waiter_factory.ts";
+import {
+  PROMPT_COST,
+  UNKNOWN_RANK,
+  type WaiterFactory,
+} from "./waiter_factory.ts";
 
 /** How long a renewed lease stands, in milliseconds. */
 export const LEASE_TTL_MS = 6_000;
@@ -33,8 +37,8 @@
   lengths: OutputLengths;
   speed: ServiceSpeed;
   decisions: SchedulerDecisions;
-  /** Corrects what fair sharing charged for a lease. */
-  onServed: (entry: LeaseEntry, tokens: number) => void;
+  /** Hears what a returned lease cost in the end, as fair sharing counts. */
+  onClosed: (entry: LeaseEntry, cost: number) => void;
 }
 
 /** The leases of one shard. */
@@ -55,8 +59,12 @@
   }
 
   /** Opens a lease for `waiter` on `replica`. */
-  grant(waiter: Waiter, replica: Replica, now: number): SlotLease {
+  grant(
+    waiter: Waiter,
+    options: { replica: Replica; chargedCost: number; now: number },
+  ): SlotLease {
     const { call } = waiter;
+    const { replica, chargedCost, now } = options;
     const { enginePriority } = this.#options.decisions;
     const lease = toId<LeaseId>(
       `${this.#options.shard}:${this.#prefix}:${this.#counter++}`,
@@ -79,7 +87,7 @@
       grantedAt: now,
       deadlineAt: waiter.deadlineAt,
       isPromoted: waiter.isPromoted,
-      chargedTokens: waiter.cost,
+      chargedCost,
       expectedTokens: waiter.cost,
       priority: enginePriority ? waiter.rank : 0,
       expiresAt: now + FIRST_TTL_MS,
@@ -208,7 +216,7 @@
       grantedAt: options.now,
       deadlineAt: Infinity,
       isPromoted: false,
-      chargedTokens: 0,
+      chargedCost: 0,
       expectedTokens: 0,
       priority: 0,
       expiresAt: options.now + LEASE_TTL_MS,
@@ -249,8 +257,9 @@
       this.#recordFinished(entry, now);
     }
     this.#close(entry, now, { isFailed: news.state === "failed" });
-    const served = news.state === "unused" ? 0 : entry.tokens;
-    this.#options.onServed(entry, served);
+    if (!entry.granted) return;
+    const cost = news.state === "unused" ? 0 : computeServedCost(entry);
+    this.#options.onClosed(entry, cost);
   }
 
   #recordFinished(entry: LeaseEntry, now: number): void {
@@ -312,6 +321,12 @@
   }
 }
 
+/** Work without tokens counts one for each call. */
+function computeServedCost(entry: LeaseEntry): number {
+  if (entry.lane === "") return 1;
+  return Math.max(1, entry.tokens) + PROMPT_COST * entry.promptTokens;
+}
+
 function toNews(entry: LeaseEntry): LeaseNews {
   return {
     lease: entry.lease,
--- a/src/process/scheduler/lease_ledger.ts
+++ b/src/process/scheduler/lease_ledger.ts
@@ -38,8 +38,8 @@
   readonly grantedAt: number;
   /** Until when the request should end; infinite where not known. */
   readonly deadlineAt: number;
-  /** Tokens that fair sharing was charged for. */
-  readonly chargedTokens: number;
+  /** What fair sharing counted at the grant. */
+  readonly chargedCost: number;
   readonly expectedTokens: number;
   /** The engine's priority, repeated to a holder that asks again. */
   readonly priority: number;
--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -96,8 +96,10 @@
       lengths,
       speed,
       decisions,
-      onServed: (entry, tokens) =>
-        this.#queue.noteServed(entry, tokens - entry.chargedTokens),
+      onClosed: (entry, cost) => {
+        this.#queue.noteServed(entry, cost - entry.chargedCost);
+        if (cost > 0) this.#queue.noteFinished(entry, cost);
+      },
     });
     this.#admission = ShardAdmission.create({
       clock: environment.clock,
--- a/src/process/scheduler/waiter.ts
+++ b/src/process/scheduler/waiter.ts
@@ -29,6 +29,8 @@
   readonly wasStarted: boolean;
   /** Expected tokens, the unit of fair sharing. */
   readonly cost: number;
+  /** Whether `cost` rests on finished requests and not on a cap. */
+  readonly isCostLearnt: boolean;
   /** Expected time in a slot. */
   readonly slotMs: number;
 }
--- a/src/process/scheduler/waiter_factory.ts
+++ b/src/process/scheduler/waiter_factory.ts
@@ -14,8 +14,10 @@
 export const UNKNOWN_RANK = 1_000;
 /** Price of reading a prompt token against generating one. */
 export const PROMPT_COST = 0.1;
-/** Times the mean slot time that makes a request a long one. */
+/** Times the mean slot time of the shortest class that makes it a long one. */
 const LONG_RATIO = 4;
+/** How long a class counts as present after its last request. */
+const CLASS_LIFE_MS = 60_000;
 const MEAN_WEIGHT = 0.05;
 const UNKNOWN_CLASS_WAIT_MS = 60_000;
 const UNKNOWN_CLASS_QUEUE = 64;
@@ -44,6 +46,7 @@
   readonly #speed: ServiceSpeed;
   #order = 0;
   #meanSlotMs: number | undefined;
+  readonly #classes = new Map<ClassName, { slotMs: number; at: number }>();
 
   constructor(
     getSnapshot: () => Snapshot | undefined,
@@ -108,7 +111,7 @@
     const arrivedAt = now - call.ageMs;
     const deadlineAt = now + call.deadlineInMs;
     const slotMs = Math.max(1, size.service.totalMs);
-    this.#noteSlotMs(slotMs);
+    this.#noteSlotMs(call.className, { slotMs, now });
     // The caller of a started stream has a part of its answer: giving up would
     // waste that part, so it waits however late it is.
     const wasStarted = call.doneTokens > 0;
@@ -128,10 +131,11 @@
         : computeGiveUp(deadlineAt, requestClass, size),
       wasStarted,
       cost: computeCost(call, size),
+      isCostLearnt: size.length.learnt || call.model === undefined,
       slotMs,
       call,
       deadlineAt,
-      isLong: slotMs > LONG_RATIO * this.meanSlotMs,
+      isLong: slotMs > LONG_RATIO * this.#findShortest(now),
       isPromoted: false,
       unservedSince: undefined,
       renewBy: 0,
@@ -139,13 +143,37 @@
     };
   }
 
-  #noteSlotMs(slotMs: number): void {
-    this.#meanSlotMs = this.#meanSlotMs === undefined
-      ? slotMs
-      : this.#meanSlotMs + MEAN_WEIGHT * (slotMs - this.#meanSlotMs);
+  #noteSlotMs(
+    className: ClassName,
+    sample: { slotMs: number; now: number },
+  ): void {
+    const { slotMs, now } = sample;
+    this.#meanSlotMs = mergeSample(this.#meanSlotMs, slotMs);
+    const known = this.#classes.get(className);
+    this.#classes.set(className, {
+      slotMs: mergeSample(known?.slotMs, slotMs),
+      at: now,
+    });
+  }
+
+  /**
+   * The mean slot time of the class with the shortest requests. A mean over
+   * all would rise with a burst of long ones, until none of them counted as
+   * long any more.
+   */
+  #findShortest(now: number): number {
+    let shortest = Infinity;
+    for (const { slotMs, at } of this.#classes.values()) {
+      if (now - at <= CLASS_LIFE_MS) shortest = Math.min(shortest, slotMs);
+    }
+    return shortest;
   }
 }
 
+function mergeSample(mean: number | undefined, sample: number): number {
+  return mean === undefined ? sample : mean + MEAN_WEIGHT * (sample - mean);
+}
+
 /**
  * The latest start that meets both the first-token target and the total one.
  * A resumed stream has had its first token; its caller waits for the next one
--- a/src/process/scheduler/waiting_queue.ts
+++ b/src/process/scheduler/waiting_queue.ts
@@ -36,6 +36,12 @@
   accepts: (entry: T) => boolean;
 }
 
+/** What tells whose share a request counts against. */
+export type ServedEntry = Pick<
+  QueueEntry,
+  "className" | "rank" | "workspace" | "weight" | "lane"
+>;
+
 /** The entry to grant next. */
 export interface NextGrant<T extends QueueEntry> {
   entry: T;
@@ -119,27 +125,25 @@
     return first?.lane.findFirst(now, () => true);
   }
 
-  /** Counts a grant to `entry`, which leaves the queue. */
-  takeGranted(entry: T, now: number): void {
+  /** Takes out a granted entry; gives what its workspace was charged. */
+  takeGranted(entry: T, now: number): number {
     const queue = this.#classes.get(buildClassKey(entry));
+    const charge = this.#findLane(entry)?.computeCharge(entry) ?? entry.cost;
     this.remove(entry, now);
     queue?.settleGrant(entry);
-    this.noteServed(entry, entry.cost);
+    this.noteServed(entry, charge);
+    return charge;
   }
 
   /** Counts `tokens` as served to the workspace of `entry`. */
-  noteServed(
-    entry: Pick<
-      QueueEntry,
-      "className" | "rank" | "workspace" | "weight" | "lane"
-    >,
-    tokens: number,
-  ): void {
-    const queue = this.#classes.get(buildClassKey(entry));
-    queue?.lanes.get(entry.lane)?.noteServed(entry.workspace, {
-      tokens,
-      weight: entry.weight,
-    });
+  noteServed(entry: ServedEntry, tokens: number): void {
+    const { workspace, weight } = entry;
+    this.#findLane(entry)?.noteServed(workspace, { tokens, weight });
+  }
+
+  /** Takes in what a finished request of the kind of `entry` cost. */
+  noteFinished(entry: ServedEntry, tokens: number): void {
+    this.#findLane(entry)?.noteFinished({ tokens, weight: entry.weight });
   }
 
   /** Adds each class's minimum share; shares above 1 in sum are scaled. */
@@ -226,6 +230,10 @@
     }
   }
 
+  #findLane(entry: ServedEntry): FairOrder<T> | undefined {
+    return this.#classes.get(buildClassKey(entry))?.lanes.get(entry.lane);
+  }
+
   #findPromoted(
     now: number,
     filter: GrantFilter<T>,
--- a/test/process/scheduler/fixtures.ts
+++ b/test/process/scheduler/fixtures.ts
@@ -15,6 +15,7 @@
   AcquireCall,
   LeaseNews,
   PeerApi,
+  ShardSummary,
 } from "../../../src/process/peer_api.ts";
 import { PeerDirectory } from "../../../src/process/peer_api.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
@@ -83,7 +84,7 @@
     type: "model",
     models: [],
     shards: 1,
-    slots: { initial: 1, min: 1, max: 8 },
+    slots: { initial: 1, min: 1, max: 1 },
     fencing: "checked",
     timeouts: { firstByteMs: 5_000, betweenBytesMs: 5_000, totalMs: 60_000 },
     defaultClass: undefined,
@@ -340,6 +341,10 @@
   decisions?: Partial<SchedulerDecisions>;
   queueBound?: number;
   settle?: boolean;
+  /** Entry VMs whose announcements end settling. */
+  holders?: string[];
+  /** Summaries of the pool's other shards. */
+  others?: ShardSummary[];
 }
 
 export async function createOwnerBench(
@@ -360,6 +365,8 @@
     listUpstreams: () => upstreams,
     decisions: parts.decisions,
     queueBound: parts.queueBound,
+    listHolders: () => (parts.holders ?? []).map((vm) => toId<VmId>(vm)),
+    listOthers: () => parts.others ?? [],
   });
   if (parts.settle !== false) await clock.run(2_100);
   const bench: OwnerBench = {
--- a/test/process/scheduler/naive_queue.ts
+++ b/test/process/scheduler/naive_queue.ts
@@ -20,6 +20,8 @@
   floor: number;
   most: number;
   mean: number;
+  meanTokens: number;
+  finished: number;
 }
 
 interface ClassState {
@@ -72,26 +74,35 @@
     if (wasHead) this.#classes.get(entry.className)!.headSince = now;
   }
 
-  takeGranted(entry: QueueEntry, now: number): void {
+  takeGranted(entry: QueueEntry, now: number): number {
+    const lane = this.#getLane(entry);
+    const unlearnt = lane.finished > 0 ? lane.meanTokens : 1;
+    const charge = entry.isCostLearnt
+      ? entry.cost
+      : Math.min(entry.cost, unlearnt);
     this.remove(entry, now);
     const state = this.#classes.get(entry.className)!;
     state.credit = Math.max(0, state.credit - entry.slotMs);
-    this.noteServed(entry, entry.cost);
+    this.noteServed(entry, charge);
+    return charge;
   }
 
   noteServed(entry: QueueEntry, tokens: number): void {
     const lane = this.#getLane(entry);
     const cost = tokens / entry.weight;
-    if (cost > 0) {
-      lane.mean = lane.mean === 0
-        ? cost
-        : lane.mean + MEAN_WEIGHT * (cost - lane.mean);
-    }
     const served = getServed(lane, entry) + cost;
     lane.served.set(entry.workspace, served);
     lane.most = Math.max(lane.most, served);
   }
 
+  noteFinished(entry: QueueEntry, tokens: number): void {
+    const lane = this.#getLane(entry);
+    lane.finished++;
+    const weight = Math.max(MEAN_WEIGHT, 1 / lane.finished);
+    lane.mean += weight * (tokens / entry.weight - lane.mean);
+    lane.meanTokens += weight * (tokens - lane.meanTokens);
+  }
+
   addShare(now: number, slots: number): void {
     const waiting = [...this.#classes].filter(([name]) =>
       this.#entries.some((entry) => entry.className === name)
@@ -193,7 +204,14 @@
     const key = `${entry.className}/${entry.lane}`;
     let lane = this.#lanes.get(key);
     if (lane === undefined) {
-      lane = { served: new Map(), floor: 0, most: 0, mean: 0 };
+      lane = {
+        served: new Map(),
+        floor: 0,
+        most: 0,
+        mean: 0,
+        meanTokens: 0,
+        finished: 0,
+      };
       this.#lanes.set(key, lane);
     }
     return lane;
--- a/test/process/scheduler/waiting_queue_test.ts
+++ b/test/process/scheduler/waiting_queue_test.ts
@@ -28,6 +28,7 @@
   startsIn: number;
   agedMs: number;
   cost: number;
+  isLearnt: boolean;
   slotMs: number;
 }
 
@@ -45,6 +46,7 @@
   startsIn: fc.integer({ min: -500, max: 3_000 }),
   agedMs: fc.nat(500),
   cost: fc.integer({ min: 1, max: 300 }),
+  isLearnt: fc.boolean(),
   slotMs: fc.integer({ min: 1, max: 2_000 }),
 });
 
@@ -111,6 +113,7 @@
     giveUpAt: Infinity,
     wasStarted: false,
     cost: seed.cost,
+    isCostLearnt: seed.isLearnt,
     slotMs: seed.slotMs,
   };
 }
@@ -153,6 +156,9 @@
       if (entry === undefined) continue;
       queue.noteServed(entry, step.tokens);
       naive.noteServed(entry, step.tokens);
+      const cost = Math.max(1, entry.cost + step.tokens);
+      queue.noteFinished(entry, cost);
+      naive.noteFinished(entry, cost);
     } else {
       queue.addShare(now, SLOTS);
       naive.addShare(now, SLOTS);
@@ -162,8 +168,8 @@
       expect(next?.entry.ticket).toBe(expected?.entry.ticket);
       expect(next?.isPromoted).toBe(expected?.isPromoted);
       if (next === undefined) continue;
-      queue.takeGranted(next.entry, now);
-      naive.takeGranted(next.entry, now);
+      const charge = queue.takeGranted(next.entry, now);
+      expect(naive.takeGranted(next.entry, now)).toBe(charge);
       granted.push(next.entry);
     }
     expect(queue.size).toBe(naive.size);
@@ -241,6 +247,7 @@
       startsIn: 0,
       agedMs: 0,
       cost: 1,
+      isLearnt: true,
       slotMs: 1,
     };
     const only = buildEntry({ ...seed, kind: 0 }, 0, 5);
@@ -263,6 +270,7 @@
       startsIn: 100_000,
       agedMs: 0,
       cost: 10,
+      isLearnt: true,
       slotMs: 100_000,
     };
     let order = 0;
@@ -295,6 +303,7 @@
       startsIn: 1_000_000,
       agedMs: 0,
       cost: 10,
+      isLearnt: true,
       slotMs: 1_000,
     };
     const grants = 800;
