Call a VM ready only once its shards grant slots

Cause: a shard's owner settles for two seconds after its process started and grants nothing meanwhile. `/readyz` answered 200 as soon as a configuration was there, so callers came in that time, and a look-up with a target of one second was refused as `deadline_passed` though every upstream idled. Ruled out: the local share (it is not used while an owner answers `queued`) and the probes (all VMs saw each other alive).

The wait itself stays; ending it earlier is a matter for the scheduler.

--- a/src/process/fleet_operator.ts
+++ b/src/process/fleet_operator.ts
@@ -8,6 +8,7 @@
 import type { RequestId, VmId } from "../ids.ts";
 import { parseSeries } from "./burn_stats.ts";
 import type { Environment } from "./environment.ts";
+import { Readiness } from "./readiness.ts";
 import type { VmRuntime } from "./runtime.ts";
 
 /** What the operators' side of a process needs. */
@@ -28,12 +29,14 @@
 export class FleetOperator extends OperatorApi {
   readonly #environment: Environment;
   readonly #runtime: VmRuntime;
+  readonly #readiness: Readiness;
   readonly #startDrain: () => void;
 
   constructor(options: FleetOperatorOptions) {
     super();
     this.#environment = options.environment;
     this.#runtime = options.runtime;
+    this.#readiness = Readiness.create(options.environment, options.runtime);
     this.#startDrain = options.startDrain;
   }
 
@@ -158,11 +161,7 @@
   }
 
   override checkReadiness(): HealthAnswer {
-    if (!this.#runtime.follower.isReady()) {
-      return { ok: false, detail: "No configuration yet" };
-    }
-    if (this.#runtime.isDraining) return { ok: false, detail: "Draining" };
-    return { ok: true, detail: "Serving" };
+    return this.#readiness.check();
   }
 
   #listMembers(): object[] {
