Ask the issuer before not_run is told from one VM's record

A not_run record is now the last word only for an id of one submission; otherwise the issuer is asked who holds the id, and where it no longer knows, the fate is unknown. FateAnswer gains isFree.

--- a/src/process/fate_finder.ts
+++ b/src/process/fate_finder.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import { StepError } from "../errors.ts";
 import type { RequestId, VmId } from "../ids.ts";
+import type { FateRecord } from "../request/fate.ts";
 import type { AnswerStore } from "./answer_store.ts";
 import type { Environment } from "./environment.ts";
 import type { FateStore } from "./fate_store.ts";
@@ -33,13 +35,17 @@
 
   /**
    * Answers another VM. The issuer of an id passes the question on to the VM
-   * that runs it; the runner never does, so a question makes at most one hop.
+   * that runs it; no other VM knows a runner, so a question makes two hops at
+   * most: to the issuer, and from it to the runner.
    */
   async answerFate(call: FateCall): Promise<FateAnswer> {
+    const { claims } = this.#sources;
     const own = this.#findHere(call);
-    if (own.fate !== undefined) return own;
-    const runner = this.#sources.claims.findRunner(call.requestId);
-    if (runner === undefined || this.#isSelf(runner)) return own;
+    if (isLastWord(own.fate)) return own;
+    const runner = claims.findRunner(call.requestId);
+    if (runner === undefined || this.#isSelf(runner)) {
+      return { ...own, isFree: claims.isFree(call.requestId) };
+    }
     return await this.#sources.environment.peers.getPeer(runner).findFate(call);
   }
 
@@ -54,9 +60,16 @@
     const call: FateCall = { requestId, withAnswer: options.withAnswer };
     const own = await this.answerFate(call);
     const issuer = parseRequestId(requestId)?.vm;
-    if (own.fate !== undefined || issuer === undefined) return own;
+    if (isLastWord(own.fate) || issuer === undefined) return own;
     if (this.#isSelf(issuer)) return own;
-    return await this.#sources.environment.peers.getPeer(issuer).findFate(call);
+    const peer = this.#sources.environment.peers.getPeer(issuer);
+    const asked = await peer.findFate(call);
+    if (asked.fate !== undefined || own.fate === undefined) return asked;
+    if (asked.isFree) return own;
+    throw new StepError(
+      { step: "find_fate", peer: issuer },
+      "The VM that issued the id no longer knows whether it ran elsewhere",
+    );
   }
 
   #findHere(call: FateCall): FateAnswer {
@@ -71,3 +84,15 @@
     return vm === this.#sources.environment.vm;
   }
 }
+
+/**
+ * Whether no other VM can know better. What goes wrong without it: a VM that
+ * refused a request gave its id back, so another VM may have run it since;
+ * telling "not run" from the first VM's record is then a lie, seen by a caller
+ * that has the whole answer. An id for one submission is never given back.
+ */
+function isLastWord(fate: FateRecord | undefined): boolean {
+  if (fate === undefined) return false;
+  return fate.outcome !== "not_run" ||
+    parseRequestId(fate.requestId)?.isSingle === true;
+}
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -253,6 +253,8 @@
 export interface FateAnswer {
   fate: FateRecord | undefined;
   answer: RetainedAnswer | undefined;
+  /** Said by the VM that issued the id: nobody holds it now. */
+  isFree?: boolean;
 }
 
 /** Hands a shard's queue on when its owner drains. */
--- a/src/process/run_claims.ts
+++ b/src/process/run_claims.ts
@@ -159,6 +159,12 @@
     return this.#claims.get(requestId)?.holder?.vm;
   }
 
+  /** Whether the id was issued here, is remembered, and nobody holds it. */
+  isFree(requestId: RequestId): boolean {
+    return this.#checkOwnId(requestId) !== undefined &&
+      this.findRunner(requestId) === undefined;
+  }
+
   #formatNextId(options: { isSingle: boolean }): RequestId {
     const { vm, incarnation, clock } = this.#environment;
     const issuedAt = Math.floor(clock.now());
