--- a/src/process/scheduler/lease_ledger.ts
+++ b/src/process/scheduler/lease_ledger.ts
@@ -162,13 +162,6 @@
     return expired;
   }
 
-  /** Gives every lease at least until `until`. */
-  renewAll(until: number): void {
-    for (const entry of this.#leases.values()) {
-      entry.expiresAt = Math.max(entry.expiresAt, until);
-    }
-  }
-
   dropOldClosed(now: number): void {
     // A map lists its keys in order of insertion, the oldest first.
     for (const [id, until] of this.#closed) {
--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -409,9 +409,9 @@
   #noteAlive(): number {
     const now = this.#getNow();
     if (!this.#authority.noteAlive(now)) return now;
-    // Renewals could not come in while the process stood still: leases that
-    // ran out meanwhile are kept until their holders have had time to renew.
-    this.#accounts.ledger.renewAll(this.#authority.settledAt);
+    // Renewals and calls could not come in while the process stood still:
+    // leases that ran out meanwhile stay until the end of settling, and
+    // tickets get their whole time anew.
     this.#calls.renewAll(now);
     this.#environment.log.warn("owner_paused", { shard: this.shard });
     return now;
--- /dev/null
+++ b/test/process/scheduler/replica_test.ts
@@ -0,0 +1,250 @@
+import { describe, expect, test } from "vitest";
+import { type ClassName, toId } from "../../../src/ids.ts";
+import { CacheIndex } from "../../../src/process/scheduler/cache_index.ts";
+import {
+  noteProbeFailed,
+  updateEjections,
+} from "../../../src/process/scheduler/ejection.ts";
+import {
+  MAX_REPORT_AGE_MS,
+  Replica,
+} from "../../../src/process/scheduler/replica.ts";
+import {
+  chooseReplica,
+  type ReplicaWish,
+} from "../../../src/process/scheduler/replica_choice.ts";
+import { SlotLimit } from "../../../src/process/scheduler/slot_limit.ts";
+import { buildReport } from "./fixtures.ts";
+
+const SLOTS = { initial: 4, min: 2, max: 8 };
+const CHAT = toId<ClassName>("chat");
+const DOCUMENT = toId<ClassName>("document");
+
+const WISH: ReplicaWish = {
+  model: "model",
+  adapter: undefined,
+  prefixes: [],
+  avoid: [],
+  mayProbe: true,
+  prefixAffinity: true,
+};
+
+function buildReplica(name: string): Replica {
+  return Replica.create(toId(name), {
+    slots: SLOTS,
+    adaptive: true,
+    useReports: true,
+    now: 0,
+  });
+}
+
+function buildReplicas(count: number): Replica[] {
+  return Array.from(
+    { length: count },
+    (_, index) => buildReplica(`upstream-${index}`),
+  );
+}
+
+function noteLatency(replica: Replica, ratio: number): void {
+  for (let sample = 0; sample < 10; sample++) {
+    replica.latency.noteFirstToken(ratio);
+  }
+}
+
+describe("SlotLimit", () => {
+  test("adds a slot while full and comfortable", () => {
+    const limit = SlotLimit.create(SLOTS, { adaptive: true });
+    limit.noteFull();
+    limit.noteRatio(CHAT, { ratio: 0.5, now: 1_000 });
+    limit.update(1_000);
+    expect(limit.slots).toBe(5);
+  });
+
+  test("adds nothing while slots stay free", () => {
+    const limit = SlotLimit.create(SLOTS, { adaptive: true });
+    limit.noteRatio(CHAT, { ratio: 0.5, now: 1_000 });
+    limit.update(1_000);
+    expect(limit.slots).toBe(4);
+  });
+
+  test("takes slots while the class that is worst off misses", () => {
+    const limit = SlotLimit.create(SLOTS, { adaptive: true });
+    limit.noteFull();
+    limit.noteRatio(CHAT, { ratio: 1.5, now: 1_000 });
+    for (let sample = 0; sample < 50; sample++) {
+      limit.noteRatio(DOCUMENT, { ratio: 0.1, now: 1_000 });
+    }
+    limit.update(1_000);
+    expect(limit.slots).toBe(3);
+  });
+
+  test("takes slots while cache memory runs out, never below the least", () => {
+    const limit = SlotLimit.create(SLOTS, { adaptive: true });
+    limit.noteReport({ cacheUsed: 0.99, waiting: 0 });
+    for (let now = 1_000; now < 20_000; now += 1_000) limit.update(now);
+    expect(limit.slots).toBe(SLOTS.min);
+  });
+});
+
+describe("Replica", () => {
+  // Symptom: slots stay empty. Sequence: work ends, then a report arrives that
+  // was made before. Cause: the report is compared with the ledger of now, and
+  // the work that ended counts as somebody else's.
+  test("does not count work that ended since a lagging report", () => {
+    const replica = buildReplica("upstream-0");
+    replica.setInUse(3, 1_000);
+    replica.setInUse(0, 2_000);
+    const report = buildReport({ running: 3 });
+    replica.noteReport(report, { ageMs: 1_500, now: 3_000 });
+    expect(replica.foreign).toBe(0);
+    expect(replica.room).toBe(4);
+  });
+
+  test("leaves room for work that the ledger does not know", () => {
+    const replica = buildReplica("upstream-0");
+    replica.setInUse(1, 1_000);
+    const report = buildReport({ running: 3 });
+    replica.noteReport(report, { ageMs: 100, now: 2_000 });
+    expect(replica.room).toBe(1);
+    replica.update(2_000 + MAX_REPORT_AGE_MS + 1);
+    expect(replica.room).toBe(3);
+  });
+
+  test("ignores a report older than its bound", () => {
+    const replica = buildReplica("upstream-0");
+    const report = buildReport({ running: 4 });
+    const ageMs = MAX_REPORT_AGE_MS + 1;
+    replica.noteReport(report, { ageMs, now: 10_000 });
+    expect(replica.room).toBe(4);
+  });
+
+  test("believes the upstream's own word that it leaves, not an older one", () => {
+    const replica = buildReplica("upstream-0");
+    const leaving = buildReport({ leaving: true });
+    replica.noteReport(leaving, { ageMs: 0, now: 1_000 });
+    replica.noteReport(buildReport(), { ageMs: 500, now: 1_100 });
+    expect(replica.leaving).toBe(true);
+    expect(chooseReplica([replica], { wish: WISH, now: 1_100 }))
+      .toBeUndefined();
+  });
+});
+
+describe("CacheIndex", () => {
+  // Symptom: slow first tokens on one replica. Sequence: an eviction event is
+  // lost, requests with that prefix go on to the replica. Cause: the index is
+  // trusted over a gap.
+  test("is built anew after a gap", () => {
+    const index = CacheIndex.create();
+    index.applyEvents([
+      { sequence: 1, prefix: "a", change: "stored" },
+      { sequence: 2, prefix: "b", change: "stored" },
+    ]);
+    expect(index.computeOverlap(["a", "b"])).toBe(1);
+    index.applyEvents([{ sequence: 4, prefix: "c", change: "stored" }]);
+    expect(index.gaps).toBe(1);
+    expect(index.computeOverlap(["a", "b"])).toBe(0);
+    expect(index.computeOverlap(["c"])).toBe(1);
+  });
+
+  test("takes late and repeated events in once, in order", () => {
+    const index = CacheIndex.create();
+    const stored = { sequence: 1, prefix: "a", change: "stored" } as const;
+    const evicted = { sequence: 2, prefix: "a", change: "evicted" } as const;
+    index.applyEvents([evicted, stored]);
+    index.applyEvents([stored]);
+    expect(index.computeOverlap(["a"])).toBe(0);
+    expect(index.gaps).toBe(0);
+  });
+
+  test("is emptied when the engine has started again", () => {
+    const index = CacheIndex.create();
+    index.applyEvents([{ sequence: 50, prefix: "a", change: "stored" }]);
+    index.noteLatest(40);
+    expect(index.computeOverlap(["a"])).toBe(1);
+    for (let report = 0; report < 8; report++) index.noteLatest(3);
+    expect(index.computeOverlap(["a"])).toBe(0);
+  });
+});
+
+describe("chooseReplica", () => {
+  test("prefers the replica that holds the prefix", () => {
+    const replicas = buildReplicas(3);
+    replicas[2]!.cache.noteRouted(["a", "b"]);
+    const wish = { ...WISH, prefixes: ["a", "b"] };
+    expect(chooseReplica(replicas, { wish, now: 0 })).toBe(replicas[2]);
+  });
+
+  // Symptom: one replica is full while others idle. Sequence: one prompt
+  // prefix becomes popular. Cause: affinity without a bound on load.
+  test("leaves a replica that is loaded far above the mean", () => {
+    const replicas = buildReplicas(3);
+    replicas[2]!.cache.noteRouted(["a"]);
+    replicas[2]!.setInUse(3, 0);
+    const wish = { ...WISH, prefixes: ["a"] };
+    expect(chooseReplica(replicas, { wish, now: 0 })).not.toBe(replicas[2]);
+  });
+
+  test("asks for the model, the adapter and a replica not to be avoided", () => {
+    const replicas = buildReplicas(3);
+    const other = buildReport({
+      models: [{ model: "other", version: "1", adapters: [] }],
+    });
+    replicas[0]!.noteReport(other, { ageMs: 0, now: 0 });
+    const wish = { ...WISH, avoid: [replicas[1]!.id] };
+    expect(chooseReplica(replicas, { wish, now: 0 })).toBe(replicas[2]);
+    const adapted = { ...wish, adapter: "adapter" };
+    replicas[2]!.noteReport(buildReport(), { ageMs: 0, now: 0 });
+    expect(chooseReplica(replicas, { wish: adapted, now: 0 }))
+      .toBeUndefined();
+  });
+});
+
+describe("updateEjections", () => {
+  // Symptom: one class in four misses its target. Sequence: a replica slows
+  // down and stays in the rotation. Cause: nothing compares replicas.
+  test("ejects a straggler, probes it and lets it return", () => {
+    const replicas = buildReplicas(4);
+    for (const replica of replicas) noteLatency(replica, 0.3);
+    noteLatency(replicas[0]!, 3);
+    updateEjections(replicas, 0);
+    expect(replicas[0]!.ejected).toBe(true);
+    expect(chooseReplica(replicas, { wish: WISH, now: 100 }))
+      .not.toBe(replicas[0]);
+    expect(chooseReplica(replicas, { wish: WISH, now: 3_000 }))
+      .toBe(replicas[0]);
+    noteLatency(replicas[0]!, 0.3);
+    updateEjections(replicas, 4_000);
+    expect(replicas[0]!.ejected).toBe(false);
+  });
+
+  test("waits longer after each probe that fails", () => {
+    const replicas = buildReplicas(4);
+    for (const replica of replicas) noteLatency(replica, 0.3);
+    replicas[0]!.latency.noteFailure();
+    replicas[0]!.latency.noteFailure();
+    updateEjections(replicas, 0);
+    const first = replicas[0]!.probeAt;
+    noteProbeFailed(replicas[0]!, first);
+    expect(replicas[0]!.probeAt - first).toBeGreaterThan(first);
+  });
+
+  test("keeps a floor of replicas in service", () => {
+    const replicas = buildReplicas(4);
+    for (const replica of replicas) {
+      replica.latency.noteFailure();
+      replica.latency.noteFailure();
+    }
+    updateEjections(replicas, 0);
+    expect(replicas.filter((replica) => !replica.ejected).length).toBe(2);
+  });
+
+  test("goes below the floor for replicas that are silent too", () => {
+    const replicas = buildReplicas(3);
+    for (const replica of replicas) {
+      replica.latency.noteFailure();
+      replica.missedPolls = 2;
+    }
+    updateEjections(replicas, 0);
+    expect(replicas.filter((replica) => !replica.ejected).length).toBe(1);
+  });
+});
