Give the virtual clock's test numbers that need the least timer

With the numbers before, the test passed without the change that it was written for. It now fails without it (tried on a copy): 1,000 rounds at the same virtual time.

--- a/test/standin/virtual_clock_test.ts
+++ b/test/standin/virtual_clock_test.ts
@@ -8,13 +8,14 @@
 // Cause: time stood still for a timer with time left.
 test("a wait for the rest of a limit comes to its end", async () => {
   const clock = VirtualClock.create();
-  await clock.run(100_000.1);
+  await clock.run(100_000 + 1 / 7);
   const since = clock.now();
+  const limitMs = 10_000 + 1 / 3;
   let rounds = 0;
   const wait = async () => {
-    while (clock.now() - since < 10_000.3 && rounds < 1_000) {
+    while (clock.now() - since < limitMs && rounds < 1_000) {
       rounds += 1;
-      await clock.sleep(10_000.3 - (clock.now() - since));
+      await clock.sleep(limitMs - (clock.now() - since));
     }
   };
   void wait();
