Make two tests of the burn report fail for the faults they name

The rule's example now has a long window above the threshold (14.7 against 14.4) and nothing bad in the short one; a new test folds the two lines in both orders.

--- a/test/tool/burn/burn_fold_test.ts
+++ b/test/tool/burn/burn_fold_test.ts
@@ -237,6 +237,31 @@
       .toEqual(mergeGatherings([gathering], logged));
   });
 
+  test("takes the newest of two lines of one request, in any order", () => {
+    const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
+    const line = {
+      requestId: "r-1",
+      vm: vm.vm,
+      incarnation: vm.incarnation,
+      atMs: EPOCH_MS,
+      workspace: "north",
+      className: "chat",
+      result: "lost" as const,
+      step: "sent",
+      pool: "",
+      upstream: "",
+      totalMs: 1,
+      tokens: 0,
+      wastedTokens: 0,
+      line: "early",
+    };
+    const newer = { ...line, atMs: EPOCH_MS + 1, result: "met" as const };
+    for (const logged of [[line, newer], [newer, line]]) {
+      expect(countAll(mergeGatherings([], logged), DAY_MS))
+        .toEqual({ ...createCounts(), met: 1 });
+    }
+  });
+
   test("takes from logs what came after the last report", async () => {
     const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
     await vm.runMinutes(30);
--- a/test/tool/burn/burn_report_test.ts
+++ b/test/tool/burn/burn_report_test.ts
@@ -131,7 +131,8 @@
     // Rate 15 over both windows, then 15 over one of them.
     { early: [850, 150], late: [85, 15], fast: "burning" },
     { early: [1_000, 0], late: [85, 15], fast: "quiet" },
-    { early: [850, 150], late: [100, 0], fast: "quiet" },
+    // 150 of 1,020 is a rate of 14.7 over 1 h, but nothing is bad now.
+    { early: [850, 150], late: [20, 0], fast: "quiet" },
     // Rate 14 over both: below 14.4, above 6.
     { early: [860, 140], late: [86, 14], fast: "quiet" },
   ])(
