--- a/src/process/configuration_follower.ts
+++ b/src/process/configuration_follower.ts
@@ -17,6 +17,10 @@
   VersionExchange,
 } from "./configuration_exchange.ts";
 import { ConfigurationGroups } from "./configuration_groups.ts";
+import {
+  PeerVersionBook,
+  type PeerVersionEntry,
+} from "./configuration_peers.ts";
 import { PeerPuller } from "./configuration_puller.ts";
 import { SourceReader } from "./configuration_reader.ts";
 import {
@@ -43,16 +47,6 @@
   sourceName?: string;
 }
 
-/** What a VM was last heard to have. */
-export interface PeerVersionEntry {
-  vm: VmId;
-  version: number;
-  digest: string | undefined;
-  listRevision: number;
-  /** Time since it was first heard to have that version. */
-  sinceMs: number;
-}
-
 /** Which version this VM has, since when and from whom, and the others. */
 export interface VersionReport {
   vm: VmId;
@@ -76,7 +70,7 @@
   readonly #reader: SourceReader;
   readonly #puller: PeerPuller;
   readonly #sourceName: string;
-  readonly #peers = new Map<VmId, PeerVersionEntry & { heardAt: number }>();
+  readonly #peers: PeerVersionBook;
   readonly #snapshotCallbacks: ((snapshot: Snapshot) => void)[] = [];
   readonly #listCallbacks: ((list: MembershipList) => void)[] = [];
   readonly #newVersionCallbacks: (() => void)[] = [];
@@ -89,6 +83,7 @@
     this.#membership = membership;
     this.#sourceName = options.sourceName ?? "service";
     this.#store = ConfigurationStore.create(environment.clock);
+    this.#peers = PeerVersionBook.create({ environment, membership });
     this.#groups = ConfigurationGroups.create(source);
     this.#puller = PeerPuller.create({
       environment,
@@ -161,12 +156,13 @@
   }
 
   async notePeerVersions(vm: VmId, versions: PeerVersions): Promise<void> {
-    this.#notePeer(vm, versions);
+    this.#peers.note(vm, versions);
     if (versions.listAgeMs !== undefined) {
-      this.#membership.noteListNewest(
+      const isFresher = this.#membership.noteListNewest(
         versions.listRevision,
         versions.listAgeMs,
       );
+      if (isFresher) this.#reader.noteOtherRead();
     }
     if (this.#isBehind(versions)) await this.#puller.fetchFrom(vm);
   }
@@ -187,7 +183,6 @@
 
   /** Which VM has which version, since when and from whom. */
   listVersions(): VersionReport {
-    const now = this.#environment.clock.now();
     return {
       vm: this.#environment.vm,
       version: this.#store.getVersion(),
@@ -196,10 +191,7 @@
       viewAgeMs: this.#membership.getViewAgeMs(),
       isWatcher: this.#reader.isWatcher(),
       history: this.#store.listHistory(),
-      peers: [...this.#peers.values()].map(({ heardAt, ...entry }) => ({
-        ...entry,
-        sinceMs: now - heardAt,
-      })),
+      peers: this.#peers.list(),
     };
   }
 
@@ -239,7 +231,7 @@
       const list = parseMembershipList(value);
       if (!this.#membership.applyList(list)) return;
       this.#rawList = value;
-      this.#removeUnlistedPeers();
+      this.#peers.removeUnlisted();
       log.info("list_accepted", { revision: list.revision, from });
       for (const callback of this.#listCallbacks) callback(list);
       this.#announceNewVersion();
@@ -297,25 +289,4 @@
       versions.configDigest !== undefined &&
       versions.configDigest > this.#store.getDigest();
   }
-
-  #removeUnlistedPeers(): void {
-    for (const vm of this.#peers.keys()) {
-      if (this.#membership.findVm(vm) === undefined) this.#peers.delete(vm);
-    }
-  }
-
-  #notePeer(vm: VmId, versions: PeerVersions): void {
-    if (this.#membership.findVm(vm) === undefined) return;
-    const known = this.#peers.get(vm);
-    const isSame = known?.version === versions.configVersion &&
-      known.digest === versions.configDigest;
-    this.#peers.set(vm, {
-      vm,
-      version: versions.configVersion,
-      digest: versions.configDigest,
-      listRevision: versions.listRevision,
-      sinceMs: 0,
-      heardAt: isSame ? known.heardAt : this.#environment.clock.now(),
-    });
-  }
 }
--- a/src/process/configuration_reader.ts
+++ b/src/process/configuration_reader.ts
@@ -24,7 +24,9 @@
 /** The view's age from which nobody seems to reach the source. */
 const STALE_VIEW_MS = 15_000;
 /** How long a VM watches that got through where the watchers did not. */
-const VOLUNTEER_MS = 120_000;
+const VOLUNTEER_MS = 60_000;
+/** It goes on when no other VM showed in this time that it gets through. */
+const ALONE_MS = 20_000;
 /** Intervals grow with the fleet from this size on, so that the sum does not. */
 const FLEET_UNIT = 8;
 const ROLE_CHECK_MS = 1_000;
@@ -49,6 +51,7 @@
   /** The highest index handled, rejected ones too. */
   #indexVersion = 0;
   #volunteerUntil = -Infinity;
+  #otherReadAt = -Infinity;
 
   constructor(options: ReaderOptions) {
     this.#options = options;
@@ -82,6 +85,14 @@
     return watchers.includes(self);
   }
 
+  /**
+   * Notes that another VM got through to the source on its own: its word of
+   * the list is fresher than this VM's, so it cannot come from this VM.
+   */
+  noteOtherRead(): void {
+    this.#otherReadAt = this.#options.environment.clock.now();
+  }
+
   /** Reads the list once, before peers are known; gives up after some tries. */
   async readListFirst(): Promise<void> {
     for (let tries = 1; tries <= FIRST_LIST_TRIES; tries += 1) {
@@ -137,13 +148,13 @@
   async #readList(waitMs: number): Promise<void> {
     const { environment, membership, source, onList } = this.#options;
     const after = membership.getList().revision;
-    const wasStale = this.#isViewStale();
+    const isNeeded = this.#isNeeded();
     const askedAt = environment.clock.now();
     const { signal } = this.#stopped;
     const value = await source.fetchMembership(after, waitMs, signal);
     if (this.#stopped.signal.aborted) return;
     if (value !== undefined) onList(value);
-    if (wasStale) {
+    if (isNeeded) {
       this.#volunteerUntil = environment.clock.now() + VOLUNTEER_MS;
     }
     // The answer may have been on its way for long: what it says was true when
@@ -173,6 +184,14 @@
     return units * (this.#isViewStale() ? STALE_FALLBACK_MS : FALLBACK_MS);
   }
 
+  /** Whether the fleet has nobody but this VM to reach the source. */
+  #isNeeded(): boolean {
+    const now = this.#options.environment.clock.now();
+    const isVolunteer = now < this.#volunteerUntil;
+    const isAlone = now - this.#otherReadAt > ALONE_MS;
+    return this.#isViewStale() || (isVolunteer && isAlone);
+  }
+
   /** Whether nobody seems to reach the source, who did once. */
   #isViewStale(): boolean {
     const ageMs = this.#options.membership.getViewAgeMs();
--- a/src/process/fleet_membership.ts
+++ b/src/process/fleet_membership.ts
@@ -32,6 +32,7 @@
   readonly #pauses: PauseDetector;
   readonly #upstreamWords: UpstreamWords;
   readonly #callbacks: (() => void)[] = [];
+  readonly #urgentCallbacks: (() => void)[] = [];
   readonly #orders = new Map<string, VmId[]>();
   #list: MembershipList;
   #vms = new Map<VmId, ListedVm>();
@@ -87,11 +88,16 @@
     return true;
   }
 
-  /** Notes that `revision` was the newest published, `ageMs` ago. */
-  noteListNewest(revision: number, ageMs: number): void {
-    if (revision !== this.#list.revision) return;
+  /**
+   * Notes that `revision` was the newest published, `ageMs` ago; returns
+   * whether that is fresher than what was known.
+   */
+  noteListNewest(revision: number, ageMs: number): boolean {
+    if (revision !== this.#list.revision) return false;
     const at = this.#environment.clock.now() - ageMs;
-    this.#listedAt = Math.max(this.#listedAt, at);
+    if (at <= this.#listedAt) return false;
+    this.#listedAt = at;
+    return true;
   }
 
   /**
@@ -118,9 +124,7 @@
   /** Takes in an upstream's own word on whether it is leaving. */
   noteUpstreamLeaving(vm: VmId, isLeaving = true): void {
     const news = this.#upstreamWords.noteWord(vm, isLeaving);
-    if (news === undefined) return;
-    this.gossip.putNews(news);
-    this.#announceChange();
+    if (news !== undefined) this.#handleNews(news);
   }
 
   isReachable(vm: VmId): boolean {
@@ -159,6 +163,11 @@
     this.#callbacks.push(callback);
   }
 
+  /** Calls `callback` when others should know of a change at once. */
+  onUrgentNews(callback: () => void): void {
+    this.#urgentCallbacks.push(callback);
+  }
+
   /** Calls `callback` with the length of each pause of this process. */
   onPause(callback: (gapMs: number) => void): void {
     this.#pauses.onPause(callback);
@@ -220,14 +229,15 @@
   }
 
   #noteUpstreamNews(news: MemberNews): void {
-    if (!this.#upstreamWords.noteNews(news)) return;
-    this.gossip.putNews(news);
-    this.#announceChange();
+    if (this.#upstreamWords.noteNews(news)) this.#handleNews(news);
   }
 
   #handleNews(news: MemberNews): void {
     this.gossip.putNews(news);
     this.#announceChange();
+    const isGone = news.state === "dead" || news.state === "draining";
+    if (!isGone && news.vm !== this.#self.id) return;
+    for (const callback of this.#urgentCallbacks) callback();
   }
 
   #handlePause(gapMs: number): void {
--- a/src/process/member_beliefs.ts
+++ b/src/process/member_beliefs.ts
@@ -101,12 +101,10 @@
     const { vm, incarnation } = contact.from;
     if (vm === this.#self.vm) return;
     const belief = this.#beliefs.get(vm);
+    // A late duplicate of an old message must not undo a newer belief, and a
+    // doubt is cleared only by the counter that its refutation raised.
     const isSameLife = belief?.incarnation === incarnation;
-    // A late duplicate of an old message must not undo a newer belief.
-    if (isSameLife && contact.counter < belief.counter) return;
-    const isKnown = isSameLife && contact.counter === belief.counter;
-    if (isKnown && belief.state !== "alive") return;
-    if (isKnown && belief.draining === contact.draining) return;
+    if (isSameLife && contact.counter <= belief.counter) return;
     const isOldNews = belief === undefined && !contact.draining &&
       contact.counter === 0;
     this.#put(vm, {
--- a/src/process/prober.ts
+++ b/src/process/prober.ts
@@ -18,11 +18,12 @@
 const INDIRECT_TIMEOUT_MS = 250;
 const INDIRECT_PROBES = 2;
 const LEAST_SUSPICION_PERIODS = 3;
-const SUSPICION_FACTOR = 1.5;
 /** Each so many periods a VM that counts as dead is probed as well. */
 const DEAD_PROBE_PERIODS = 4;
-/** Others told at once of a new version. */
+/** Others told at once of a new version, or of a VM that is gone. */
 const FAN_OUT = 2;
+/** Between two such calls for VMs that are gone, so that many cost no more. */
+const URGENT_EVERY_MS = 1_000;
 /** Others asked at once after a pause, and how often before giving up. */
 const REFRESH_PROBES = 3;
 const REFRESH_ROUNDS = 3;
@@ -47,6 +48,8 @@
   readonly #rotation: MemberRotation;
   readonly #stopped = new AbortController();
   #pauseCount = 0;
+  #urgentAt = -Infinity;
+  readonly #ownSuspects = new Set<VmId>();
 
   constructor(options: ProberOptions) {
     this.#environment = options.environment;
@@ -64,6 +67,7 @@
   /** Starts the task that probes one member in each period. */
   start(): void {
     this.#versions.onNewVersion(() => this.#probeSome(FAN_OUT));
+    this.#membership.onUrgentNews(() => this.#sendUrgentNews());
     this.#membership.onPause(() => {
       this.#pauseCount += 1;
       void this.#updateView();
@@ -85,7 +89,6 @@
   /** Announces at once that this VM drains. */
   startDraining(): void {
     this.#membership.startDraining();
-    this.#probeSome(FAN_OUT);
   }
 
   /** Answers a probe, with this VM's own news. */
@@ -110,6 +113,7 @@
     for (let period = 1; !signal.aborted; period += 1) {
       const periodOver = clock.sleep(this.#periodMs, signal);
       if (period % DEAD_PROBE_PERIODS === 0) this.#probeDead();
+      this.#probeSuspects();
       const target = this.#rotation.takeNext(this.#listMembers());
       if (target !== undefined) await this.#probeMember(target);
       this.#applySuspicions();
@@ -129,6 +133,7 @@
       return;
     }
     this.#membership.noteSilence(target);
+    this.#ownSuspects.add(target);
     this.#environment.log.info("member_suspected", { peer: target });
   }
 
@@ -205,7 +210,7 @@
     const memberCount = this.#membership.listEntryVms().length;
     const periods = Math.max(
       LEAST_SUSPICION_PERIODS,
-      SUSPICION_FACTOR * Math.log2(memberCount + 1),
+      Math.log2(memberCount + 1),
     );
     const dead = this.#membership.applySuspicions(periods * this.#periodMs);
     for (const vm of dead) {
@@ -235,6 +240,25 @@
     if (target !== undefined) void this.#probeDirect(target);
   }
 
+  /**
+   * A suspect that is well hears of it only by a message that is not lost.
+   * Whoever suspects goes on trying, or lost messages would make dead VMs.
+   */
+  #probeSuspects(): void {
+    for (const vm of this.#ownSuspects) {
+      const doubt = this.#membership.findDoubt(vm);
+      if (doubt?.state === "suspect") void this.#probeDirect(vm);
+      else this.#ownSuspects.delete(vm);
+    }
+  }
+
+  #sendUrgentNews(): void {
+    const now = this.#environment.clock.now();
+    if (now - this.#urgentAt < URGENT_EVERY_MS) return;
+    this.#urgentAt = now;
+    this.#probeSome(FAN_OUT);
+  }
+
   #probeSome(count: number): void {
     if (this.#stopped.signal.aborted) return;
     for (const vm of this.#pickSome(this.#listMembers(), count)) {
