--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -8,6 +8,7 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
+import { parseRequestId } from "../process/request_ids.ts";
 import { ID_TTL_MS } from "../process/run_claims.ts";
 import type { Snapshot } from "../version/records.ts";
 import { checkCaller } from "./authenticate.ts";
@@ -140,7 +141,8 @@
   #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
     const { log } = this.#services.environment;
     if (thrown instanceof RefusalError) {
-      const { code, outcome, message } = thrown.refusal;
+      const refusal = toTruth(thrown.refusal, request);
+      const { code, outcome, message } = refusal;
       log.info("request_refused", {
         request_id: request.headers[REQUEST_ID_HEADER],
         path: request.path,
@@ -148,7 +150,7 @@
         outcome,
         detail: message,
       });
-      return thrown.refusal;
+      return refusal;
     }
     const error = toError(thrown);
     log.error("request_failed", { error: error.stack ?? error.message });
@@ -160,6 +162,22 @@
   }
 }
 
+/**
+ * What goes wrong without it: a caller that resubmits a request which ran, to
+ * a VM without a configuration, would read "not run", because this submission
+ * reached no upstream. Of an id that was not asked about, nothing is known;
+ * `already_submitted` is what its issuer said.
+ */
+function toTruth(refusal: Refusal, request: CallerRequest): Refusal {
+  const given = request.headers[REQUEST_ID_HEADER];
+  const isAsked = refusal.code === "already_submitted";
+  if (refusal.outcome !== "not_run" || isAsked) return refusal;
+  if (given === undefined || parseRequestId(given) === undefined) {
+    return refusal;
+  }
+  return { ...refusal, outcome: "unknown" };
+}
+
 async function writeJson(
   sink: CallerSink,
   status: number,
--- /dev/null
+++ b/test/failures/resubmitted_to_fresh_vm_test.ts
@@ -0,0 +1,79 @@
+/**
+ * Symptom: a caller resubmitted a request that had run, and was told
+ * `not_ready` with "not run".
+ *
+ * Sequence: a caller took an id and submitted it; an engine began the work, and
+ * the VM's process ended. Its successor had no configuration yet when the
+ * caller submitted the id again there.
+ *
+ * Cause: what is refused before the id's issuer is asked was told as "not run"
+ * because this submission reached no upstream. The word is about the request,
+ * and an earlier submission of the same id may have run.
+ */
+import { expect, it } from "vitest";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+import {
+  buildRequest,
+  FakePeers,
+  type FakeSink,
+} from "../support/request_fakes.ts";
+import { RequestVm } from "../support/request_vm.ts";
+import { answerJson } from "../support/scripted_engine.ts";
+
+const clock = VirtualClock.create();
+
+it("does not say not_run of a taken id that nobody was asked about", async () => {
+  const { vm, id, fresh } = await runAndReplace();
+  expect(vm.upstreams.calls).toHaveLength(1);
+  const refused = await submit(fresh, id);
+  expect(refused.json.error).toMatchObject({
+    code: "not_ready",
+    outcome: "unknown",
+    retry_after: 1,
+  });
+  expect(refused.headers["x-should-retry"]).toBe("false");
+});
+
+it("does not say so for a wrong key either", async () => {
+  const { vm, id } = await runAndReplace();
+  const refused = await submit(vm, id, "nobody");
+  expect(refused.json.error).toMatchObject({
+    code: "unauthorized",
+    outcome: "unknown",
+  });
+});
+
+it("still says not_run without an id, and of what is no id", async () => {
+  const { fresh } = await runAndReplace();
+  const plain = await submit(fresh, undefined);
+  expect(plain.json.error.outcome).toBe("not_run");
+  expect((await submit(fresh, "mine")).json.error.outcome).toBe("not_run");
+});
+
+async function runAndReplace() {
+  const peers = new FakePeers();
+  const vm = new RequestVm(clock, { vm: "vm-a", incarnation: "1", peers });
+  vm.upstreams.answer = () => Promise.resolve(answerJson(200, { done: true }));
+  const id = vm.claims.issueId();
+  await submit(vm, id);
+  const fresh = new RequestVm(clock, { vm: "vm-a", incarnation: "2", peers });
+  fresh.snapshot = undefined;
+  return { vm, id, fresh };
+}
+
+async function submit(
+  vm: RequestVm,
+  id: string | undefined,
+  key = "key-1",
+): Promise<FakeSink> {
+  const { sink, done } = vm.send(buildRequest("POST", "/services/booking/x", {
+    headers: {
+      authorization: `Bearer ${key}`,
+      ...(id === undefined ? {} : { "x-request-id": id }),
+    },
+    body: {},
+  }));
+  await clock.run(1_000);
+  await done;
+  return sink;
+}
--- a/test/fuzz/fuzz_sink.ts
+++ b/test/fuzz/fuzz_sink.ts
@@ -16,6 +16,8 @@
   headers: Record<string, string> = {};
   text = "";
   state: SinkEnd = "open";
+  /** When the answer's head, or the whole refusal, was given out. */
+  headAt: number | undefined;
   endedAt: number | undefined;
   /** Writes and ends that came after the answer's end. */
   strays = 0;
@@ -49,6 +51,7 @@
 
   override writeHead(status: number, headers: Record<string, string>): void {
     if (this.headWritten || !this.isOpen) return this.#noteStray();
+    this.headAt = this.#clock.now();
     this.status = status;
     this.headers = headers;
   }
