Read what came during a pause before an upstream counts as silent

Cause: after a pause of the process its timers run before its sockets are read, so the limit on an upstream's silence was found passed although the answer lay in the socket's buffer. Ruled out: a lapsed lease (it bears on sends only) and the relay of the bytes (the buffers held the whole answer).

A check that runs 100 ms or more after its time now gives the sockets 100 ms first.

--- a/src/connection/call_watch.ts
+++ b/src/connection/call_watch.ts
@@ -6,6 +6,11 @@
 import type { CancelTimer, Clock } from "../process/clock.ts";
 import type { CallLimits, UpstreamErrorKind } from "./upstream_transport.ts";
 
+/** A check that runs so much later than it was set for tells of a pause. */
+const LATE_MS = 100;
+/** How long after a pause the bytes that came meanwhile may take to be read. */
+const GRACE_MS = 100;
+
 /** Which limit was passed. */
 export type LimitKind = Extract<
   UpstreamErrorKind,
@@ -24,6 +29,7 @@
   readonly #endsAt: number;
   #waitingSince: number | undefined;
   #hasByte = false;
+  #checkAt = Infinity;
   #cancelTimer: CancelTimer | undefined;
 
   constructor(
@@ -68,6 +74,13 @@
 
   #check(): void {
     const now = this.#clock.now();
+    // After a pause of this process its timers run before its sockets are
+    // read: a whole answer that waits in a buffer would be given up as
+    // silence, seen as work done twice or as a hold whose fate is unknown.
+    if (now - this.#checkAt >= LATE_MS) {
+      this.#startTimer(now + GRACE_MS, now);
+      return;
+    }
     if (now >= this.#endsAt) {
       this.#onPassed("total_timeout");
       return;
@@ -82,8 +95,12 @@
       );
       return;
     }
-    const checkAt = Math.min(this.#endsAt, since + limitMs);
+    this.#startTimer(Math.min(this.#endsAt, since + limitMs), now);
+  }
+
+  #startTimer(checkAt: number, now: number): void {
     this.#cancelTimer?.();
+    this.#checkAt = checkAt;
     this.#cancelTimer = this.#clock.startTimer(
       checkAt - now,
       () => this.#check(),
