Go on with a new ticket where the owner closed the old one

Cause: a request waits at VM A, A is stopped (SIGSTOP), the owner grants to A's ticket, nobody takes the lease up, it lapses after 3 s and closes its ticket. When A wakes and asks again it was told "The ticket is closed" and told its caller, who still waited, `cancelled` with status 499. Ruled out: a withdrawal by A itself (its log has none) and the caller's own signal.

The lease client now takes a new ticket; the request's age keeps its place.

test/failures/processes/paused_vm_test.ts pauses real daemons at seven points of a request.

--- a/demo/http_call.ts
+++ b/demo/http_call.ts
@@ -17,6 +17,8 @@
   body?: string;
   /** Goes away after so many bytes of the body. */
   leaveAfterBytes?: number;
+  /** Goes away when it aborts. */
+  signal?: AbortSignal;
 }
 
 /** How a call ended. Times count from when it was sent, in milliseconds. */
@@ -55,6 +57,7 @@
       agent: false,
       timeout: CALL_TIMEOUT_MS,
       headers: buildHeaders(call),
+      ...(call.signal !== undefined && { signal: call.signal }),
     });
     request.on("error", onError);
     request.on("timeout", () => request.destroy(new Error("Timeout")));
--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -179,11 +179,24 @@
         wait.shard = shard;
       })
       .with({ kind: "refused" }, ({ refusal }) => {
-        throw new RefusalError(refusal);
+        if (refusal.code !== "cancelled") throw new RefusalError(refusal);
+        this.#renewTicket(wait);
       })
       .exhaustive();
   }
 
+  /**
+   * Goes on with a new ticket. The owner closes a ticket whose grant lapsed
+   * before this VM took it up, as when this process was paused. The caller
+   * still waits: it would be told that it had gone away. The request's age
+   * keeps its place in the queue.
+   */
+  #renewTicket(wait: Wait): void {
+    this.#activeTickets.delete(wait.ticket);
+    wait.ticket = this.#createTicket();
+    this.#activeTickets.add(wait.ticket);
+  }
+
   /**
    * No owner answers, or none knows that it is. Tries again shortly, and after
    * a bounded silence uses this VM's own share of the shard.
@@ -299,7 +312,7 @@
       options,
       pool,
       shard,
-      ticket: toId(`${this.#prefix}.${this.#tickets++}`),
+      ticket: this.#createTicket(),
       rank: getClassRank(snapshot, request.className),
       hops: 0,
       queuedCount: 0,
@@ -307,6 +320,10 @@
     };
   }
 
+  #createTicket(): TicketId {
+    return toId<TicketId>(`${this.#prefix}.${this.#tickets++}`);
+  }
+
   #noteStep(
     wait: Wait,
     step: FateStep["step"],
--- /dev/null
+++ b/test/failures/processes/paused_vm_test.ts
@@ -0,0 +1,249 @@
+/**
+ * Symptom: an engine runs more requests than it has slots, a slot is held
+ * twice, or a request is lost, after a VM stood still for some seconds.
+ *
+ * Sequence: a VM's process is stopped (SIGSTOP) at some point of a request and
+ * continued after its leases have lapsed and others have taken over from it.
+ *
+ * Cause: the process wakes in the middle of what it was doing and still
+ * believes in leases, claims and shards that it no longer has.
+ *
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { afterAll, afterEach, beforeAll, expect, inject, it } from "vitest";
+import {
+  countExecutions,
+  type Ended,
+  fetchRequestId,
+  listRuns,
+  PeakWatch,
+  sendChat,
+  sendHold,
+} from "../../support/process_calls.ts";
+import {
+  ProcessFleet,
+  waitUntil,
+  waitUntilReady,
+} from "../../support/process_fleet.ts";
+import type { ProcessVm } from "../../support/process_vm.ts";
+
+/** Longer than a lease that was never renewed stands (3 s). */
+const PAST_FIRST_LEASE_MS = 4_000;
+/** Longer than any lease (6 s) and any silence that the pools allow. */
+const PAST_LEASES_MS = 8_000;
+const EVENT_MS = 20_000;
+
+let fleet: ProcessFleet;
+
+beforeAll(async () => {
+  // One slot in all: whoever sends without a slot of its own is seen.
+  fleet = await ProcessFleet.create({
+    program: inject("daemonProgram"),
+    vms: 4,
+    engines: 1,
+    engine: { baseMs: 20, perRunningMs: 0 },
+    serviceDelayMs: 3_000,
+    records: { engineSlots: 1, engines: 1 },
+  });
+});
+
+afterEach(async () => {
+  for (const vm of fleet.vms) vm.resume();
+  await waitUntilReady(fleet.vms);
+  await waitUntil("an idle engine", EVENT_MS, () => getRunning() === 0);
+});
+
+afterAll(() => fleet?.close());
+
+function getRunning(): number {
+  const { core } = fleet.engines[0]!;
+  return core.running + core.waiting;
+}
+
+function countTokens(name: string): number {
+  const { core } = fleet.engines[0]!;
+  const runs = core.listRequestIds().flatMap((id) => [...core.listRuns(id)]);
+  return runs.filter((run) => run.requestId === name)
+    .reduce((sum, run) => sum + run.tokens, 0);
+}
+
+/** The engines' owner, and others that are not. */
+async function findRoles() {
+  const owner = await fleet.findOwner("engines");
+  const others = fleet.vms.filter((vm) => vm !== owner);
+  return { owner, paused: others[0]!, other: others[1]! };
+}
+
+async function waitForWaiter(owner: ProcessVm): Promise<void> {
+  await waitUntil("a request in the queue", EVENT_MS, async () => {
+    const { shards } = await owner.fetchStatus();
+    const shard = shards.find(({ shard }) => shard.startsWith("engines"))!;
+    return Object.values(shard.waiting_by_rank).some((count) => count > 0);
+  });
+}
+
+function checkOneRun(ended: Ended): void {
+  const found = JSON.stringify(ended.outcome);
+  expect(ended.outcome, found).toMatchObject({ kind: "answered" });
+  expect(listRuns(fleet.engines, ended.requestId!)).toHaveLength(1);
+}
+
+it("a VM paused with a request in the queue sends it in its turn", async () => {
+  const { owner, paused, other } = await findRoles();
+  const peak = PeakWatch.create(fleet.engines);
+  const first = sendChat(other.port, { tokens: 100, name: "first" });
+  await waitUntil("the first to run", EVENT_MS, () => getRunning() === 1);
+  const queued = sendChat(paused.port, { tokens: 20, name: "queued" });
+  await waitForWaiter(owner);
+  paused.stop();
+  await first;
+  const second = sendChat(other.port, { tokens: 300, name: "second" });
+  await sleep(PAST_FIRST_LEASE_MS);
+  expect(getRunning()).toBe(1);
+  paused.resume();
+  checkOneRun(await queued);
+  checkOneRun(await second);
+  checkOneRun(await first);
+  peak.stop();
+  expect(peak.peak).toBe(1);
+});
+
+it("a VM paused after the grant does not send on the lapsed lease", async () => {
+  const { owner, paused, other } = await findRoles();
+  const peak = PeakWatch.create(fleet.engines);
+  const leave = new AbortController();
+  const first = sendChat(other.port, {
+    tokens: 1_500,
+    name: "leaver",
+    signal: leave.signal,
+  });
+  await waitUntil("the first to run", EVENT_MS, () => getRunning() === 1);
+  const granted = sendChat(paused.port, { tokens: 20, name: "granted" });
+  await waitForWaiter(owner);
+  // The owner holds the paused VM's call and answers it with the grant, which
+  // then lies in the socket's buffer until the VM wakes.
+  paused.stop();
+  leave.abort();
+  await first;
+  const second = sendChat(other.port, { tokens: 300, name: "after-lapse" });
+  await sleep(PAST_FIRST_LEASE_MS);
+  await waitUntil("the second to run", EVENT_MS, () => getRunning() === 1);
+  paused.resume();
+  checkOneRun(await granted);
+  checkOneRun(await second);
+  peak.stop();
+  expect(peak.peak).toBe(1);
+});
+
+it("a VM paused while it streams gives the whole answer", async () => {
+  const { paused } = await findRoles();
+  const requestId = await fetchRequestId(paused.port);
+  const streamed = sendChat(paused.port, {
+    tokens: 300,
+    name: "streamed",
+    requestId,
+  });
+  await waitUntil(
+    "the stream's middle",
+    EVENT_MS,
+    () => countTokens(requestId) > 50,
+  );
+  paused.stop();
+  await sleep(PAST_LEASES_MS);
+  paused.resume();
+  const ended = await streamed;
+  // What the engine generated meanwhile lies in the buffers: work done again
+  // would be wasted.
+  checkOneRun(ended);
+});
+
+it("a VM paused while a hold runs tells its true fate", async () => {
+  const { paused, other } = await findRoles();
+  const requestId = await fetchRequestId(other.port);
+  const held = sendHold(paused.port, { name: "vehicle-1", requestId });
+  await waitUntil("the hold to be sent", EVENT_MS, async () => {
+    return (await paused.fetchStatus()).in_flight > 0 &&
+      paused.readLog().includes("step=sent");
+  });
+  await sleep(500);
+  paused.stop();
+  const meanwhile = await sendHold(other.port, {
+    name: "vehicle-1",
+    requestId,
+  });
+  await sleep(PAST_LEASES_MS);
+  paused.resume();
+  const ended = await held;
+  const again = await sendHold(other.port, { name: "vehicle-1", requestId });
+  expect(countExecutions(fleet.services, requestId)).toBe(1);
+  for (const { outcome } of [meanwhile, ended, again]) {
+    expect(outcome.kind).toMatch(/answered|refused/);
+    expect(outcome).not.toMatchObject({ outcome: "not_run" });
+  }
+  expect(ended.outcome).toMatchObject({ kind: "answered" });
+});
+
+it("a shard's owner that was paused grants nothing that is taken", async () => {
+  const { owner, other } = await findRoles();
+  owner.stop();
+  const others = fleet.vms.filter((vm) => vm !== owner);
+  const next = await fleet.findOwner(
+    "engines",
+    others,
+    (found) => found !== owner,
+  );
+  const peak = PeakWatch.create(fleet.engines);
+  const long = sendChat(other.port, { tokens: 300, name: "long" });
+  await waitUntil("the next owner's grant", EVENT_MS, () => getRunning() === 1);
+  expect(next).not.toBe(owner);
+  owner.resume();
+  const ended = await Promise.all(
+    ["woken-1", "woken-2"].map((name) =>
+      sendChat(owner.port, { tokens: 10, name })
+    ),
+  );
+  for (const one of [...ended, await long]) checkOneRun(one);
+  peak.stop();
+  expect(peak.peak).toBe(1);
+});
+
+it("an issuer of ids that was paused lets each id run once", async () => {
+  const { owner: issuer, paused: left, other: right } = await findRoles();
+  const requestId = await fetchRequestId(issuer.port);
+  issuer.stop();
+  const first = await sendHold(left.port, { name: "vehicle-2", requestId });
+  expect(first.outcome).toMatchObject({ kind: "refused", outcome: "unknown" });
+  expect(countExecutions(fleet.services, requestId)).toBe(0);
+  await sleep(PAST_FIRST_LEASE_MS);
+  issuer.resume();
+  const kinds = new Set<string>();
+  await waitUntil("an answer", 60_000, async () => {
+    const both = await Promise.all(
+      [left, right].map((vm) =>
+        sendHold(vm.port, { name: "vehicle-2", requestId })
+      ),
+    );
+    for (const { outcome } of both) kinds.add(outcome.kind);
+    return both.some(({ outcome }) => outcome.kind === "answered");
+  });
+  expect(countExecutions(fleet.services, requestId)).toBe(1);
+  expect(kinds).not.toContain("unaccounted");
+});
+
+it("a VM that was paused takes no older configuration anywhere", async () => {
+  const { paused } = await findRoles();
+  paused.stop();
+  const version = fleet.announceRecords({ requestsPerMinute: 999_999 });
+  await sleep(PAST_LEASES_MS);
+  paused.resume();
+  await waitUntil("the version on every VM", EVENT_MS, async () => {
+    const all = await Promise.all(fleet.vms.map((vm) => vm.fetchStatus()));
+    return all.every((status) => status.config_version === version);
+  });
+  for (const vm of fleet.vms) {
+    const { history } = await vm.fetchVersions();
+    const versions = history.map((one) => one.version);
+    expect(versions).toEqual([...versions].sort((a, b) => a - b));
+  }
+});
--- a/test/support/process_calls.ts
+++ b/test/support/process_calls.ts
@@ -11,6 +11,7 @@
 import type { EngineServer, ServiceServer } from "../../standin/index.ts";
 import { CALLER_KEY, MODEL } from "./process_records.ts";
 
+const PEAK_POLL_MS = 5;
 const AUTHORIZATION = { authorization: `Bearer ${CALLER_KEY}` };
 
 /** One request's end. */
@@ -27,6 +28,8 @@
   /** Makes the prompt its own. */
   name: string;
   requestId?: string;
+  /** The caller goes away when it aborts. */
+  signal?: AbortSignal;
 }
 
 /** Takes a request id at the VM that listens on `port`. */
@@ -77,7 +80,14 @@
   });
   const path = "/v1/chat/completions";
   return await send(
-    { port, method: "POST", path, body, requestId: options.requestId },
+    {
+      port,
+      method: "POST",
+      path,
+      body,
+      requestId: options.requestId,
+      signal: options.signal,
+    },
     { className: "chat", expected: { kind: "streamed_chat", text, tokens } },
   );
 }
@@ -131,10 +141,11 @@
     path: string;
     body: string | undefined;
     requestId: string | undefined;
+    signal?: AbortSignal | undefined;
   },
   check: { className: string; expected: Expectation },
 ): Promise<Ended> {
-  const { requestId: givenId, body, ...rest } = call;
+  const { requestId: givenId, body, signal, ...rest } = call;
   const result = await sendCall({
     ...rest,
     headers: {
@@ -143,6 +154,7 @@
       ...(givenId !== undefined && { "x-request-id": givenId }),
     },
     ...(body !== undefined && { body }),
+    ...(signal !== undefined && { signal }),
   });
   const requestId = givenId ?? findRequestId(result);
   if (result.kind === "whole") {
@@ -157,3 +169,34 @@
   if (result.kind === "not_connected") return undefined;
   return result.headers["x-request-id"];
 }
+
+/** Notes the most requests that an engine ever ran at once. */
+export class PeakWatch {
+  readonly #engines: readonly EngineServer[];
+  readonly #timer: NodeJS.Timeout;
+  #peak = 0;
+
+  constructor(engines: readonly EngineServer[]) {
+    this.#engines = engines;
+    this.#timer = setInterval(() => this.#note(), PEAK_POLL_MS);
+  }
+
+  static create(engines: readonly EngineServer[]): PeakWatch {
+    return new PeakWatch(engines);
+  }
+
+  get peak(): number {
+    return this.#peak;
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  #note(): void {
+    const running = this.#engines.map(({ core }) =>
+      core.running + core.waiting
+    );
+    this.#peak = Math.max(this.#peak, ...running);
+  }
+}
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -19,7 +19,7 @@
   PlatformServer,
   ServiceServer,
 } from "../../standin/index.ts";
-import { buildGroups, type RecordOptions } from "./process_records.ts";
+import { buildGroups, MODEL, type RecordOptions } from "./process_records.ts";
 import { ProcessVm, type VmPorts } from "./process_vm.ts";
 import { Relay } from "./relay.ts";
 
@@ -111,7 +111,11 @@
   }
 
   /** The VM that owns a pool's only shard, as all running VMs see it. */
-  async findOwner(pool: string, among = this.vms): Promise<ProcessVm> {
+  async findOwner(
+    pool: string,
+    among = this.vms,
+    isWanted: (owner: ProcessVm) => boolean = () => true,
+  ): Promise<ProcessVm> {
     let found: ProcessVm | undefined;
     await waitUntil(`one owner of ${pool}`, READY_MS, async () => {
       const owners = new Set<string | undefined>();
@@ -123,7 +127,7 @@
       const [owner] = owners;
       if (owners.size !== 1 || owner === undefined) return false;
       found = this.getVm(owner);
-      return found !== undefined;
+      return found !== undefined && isWanted(found);
     });
     return found!;
   }
@@ -203,6 +207,7 @@
     const listed: PublishedVm[] = [];
     for (let index = 0; index < engines; index++) {
       const engine = EngineServer.create({
+        models: [{ model: MODEL, version: "1", adapters: [] }],
         ...this.#options.engine,
         seed: index + 1,
       });
