Probe an ejected replica with any work that nothing else could take

Work that may not be repeated is now a probe where nothing in service could take it, and a waiter that only ejected replicas not due for a probe could serve is refused (no_upstream, not_run) after the same 3 s as one that nothing serves.

--- a/src/process/scheduler/replica_choice.ts
+++ b/src/process/scheduler/replica_choice.ts
@@ -34,7 +34,11 @@
 ): Replica | undefined {
   const { wish, now } = options;
   const fitting = replicas.filter((replica) => canServe(replica, wish));
-  if (wish.mayProbe) {
+  // Work that may not be repeated is no probe while anything in service could
+  // take it; without that rule's exception it would wait for good for a
+  // replica that only a probe can bring back.
+  const isLastResort = fitting.every((replica) => replica.ejected);
+  if (wish.mayProbe || isLastResort) {
     const probed = fitting.find((replica) => canProbe(replica, now));
     if (probed !== undefined) return probed;
   }
@@ -53,6 +57,17 @@
   return replicas.some((replica) => canServe(replica, wish));
 }
 
+/** Whether a replica in service, or due for a probe, could serve it now. */
+export function hasServingNow(
+  replicas: readonly Replica[],
+  options: { wish: ReplicaWish; now: number },
+): boolean {
+  const { wish, now } = options;
+  return replicas.some((replica) =>
+    canServe(replica, wish) && (!replica.ejected || canProbe(replica, now))
+  );
+}
+
 /** Whether `replica` could serve the request, with room or not. */
 export function canServe(replica: Replica, wish: ReplicaWish): boolean {
   return !replica.leaving &&
--- a/src/process/scheduler/shard_admission.ts
+++ b/src/process/scheduler/shard_admission.ts
@@ -18,7 +18,11 @@
 } from "./admission.ts";
 import type { SchedulerDecisions } from "./decisions.ts";
 import type { LeaseLedger } from "./lease_ledger.ts";
-import { hasServing } from "./replica_choice.ts";
+import {
+  hasServing,
+  hasServingNow,
+  type ReplicaWish,
+} from "./replica_choice.ts";
 import type { ReplicaSet } from "./replica_set.ts";
 import type { Waiter } from "./waiter.ts";
 import type { WaiterFactory } from "./waiter_factory.ts";
@@ -123,15 +127,13 @@
 
   /** Whether an upstream of the shard could serve the waiter. */
   hasServing(waiter: Waiter): boolean {
-    const { model, adapter, avoid } = waiter.call;
-    return hasServing(this.#options.replicas.list(), {
-      model,
-      adapter,
-      avoid,
-      prefixes: [],
-      mayProbe: false,
-      prefixAffinity: false,
-    });
+    return hasServing(this.#options.replicas.list(), buildBareWish(waiter));
+  }
+
+  /** Whether one that is in service, or due for a probe, could serve it. */
+  hasServingNow(waiter: Waiter, now: number): boolean {
+    const wish = buildBareWish(waiter);
+    return hasServingNow(this.#options.replicas.list(), { wish, now });
   }
 
   /** The answer to a waiter that no upstream serves. */
@@ -336,3 +338,16 @@
     slotMs: waiter.slotMs,
   };
 }
+
+/** What a waiter needs of a replica, whichever of those it gets. */
+function buildBareWish(waiter: Waiter): ReplicaWish {
+  const { model, adapter, avoid } = waiter.call;
+  return {
+    model,
+    adapter,
+    avoid,
+    prefixes: [],
+    mayProbe: false,
+    prefixAffinity: false,
+  };
+}
--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -372,10 +372,10 @@
     this.#grantAll(now);
   }
 
-  /** Refuses waiters whose model or last upstream went away meanwhile. */
+  /** Refuses waiters whose model or last upstream went out of service. */
   #refuseUnserved(now: number): void {
     for (const waiter of [...this.#queue.list()]) {
-      if (this.#admission.hasServing(waiter)) {
+      if (this.#admission.hasServingNow(waiter, now)) {
         waiter.unservedSince = undefined;
         continue;
       }
