Test the only reader of the service, and an address that changed hands

Mutants of a scratch copy showed that nothing failed when a VM stopped watching although no other reached the service, nor when another VM's answer was taken for the one probed.

--- a/src/process/member_upstream_words.ts
+++ b/src/process/member_upstream_words.ts
@@ -7,7 +7,6 @@
 import { UNKNOWN_INCARNATION } from "./member_beliefs.ts";
 import type { MemberNews } from "./peer_api.ts";
 
-
 interface Word {
   isLeaving: boolean;
   counter: number;
--- a/test/failures/service_down_test.ts
+++ b/test/failures/service_down_test.ts
@@ -36,6 +36,27 @@
   }
 });
 
+it("and goes on doing so for as long as it is the only one", async () => {
+  const fleet = await startFleet({ count: 16 });
+  const reader = fleet.list().find((vm) =>
+    !vm.follower.listVersions().isWatcher
+  )!;
+  fleet.service.reachableBy = new Set([reader.listed.id]);
+  await fleet.clock.run(40_000);
+  for (let version = 2; version < 40; version += 1) {
+    fleet.service.putVersion(version, buildRecords(version));
+    const took = await fleet.runUntil(
+      () => isEverywhere(fleet, version),
+      30_000,
+    );
+    expect(took).toBeLessThan(2_000);
+    await fleet.clock.run(7_000);
+  }
+  fleet.service.reachableBy = undefined;
+  await fleet.clock.run(120_000);
+  expect(reader.follower.listVersions().isWatcher).toBe(false);
+});
+
 it("a long outage leaves the version in force, and is over at once", async () => {
   const fleet = await startFleet({ count: 8 });
   fleet.service.isDown = true;
--- a/test/failures/vm_dead_test.ts
+++ b/test/failures/vm_dead_test.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import { expect, it } from "vitest";
+import type { PeerApi, ProbeCall } from "../../src/process/peer_api.ts";
 import {
   getVm,
   listOwners,
@@ -70,6 +71,20 @@
   expect(getVm(fleet, 1).membership.isReachable(toVmId(0))).toBe(true);
 });
 
+it("another VM that answers at the address does not stand for it", async () => {
+  const fleet = await startFleet({ count: 8 });
+  const gone = toVmId(3);
+  fleet.stopVm(gone);
+  const other = getVm(fleet, 4);
+  fleet.network.register(gone, {
+    probe: async (call: ProbeCall) => await other.prober.answerProbe(call),
+  } as PeerApi);
+  await fleet.clock.run(10_000);
+  for (const vm of fleet.list()) {
+    expect(vm.membership.isReachable(gone)).toBe(false);
+  }
+});
+
 it("a VM that comes back under its id is taken in at once", async () => {
   const fleet = await startFleet({ count: 8 });
   const { listed } = getVm(fleet, 4);
