--- a/bench/overhead/main.ts
+++ b/bench/overhead/main.ts
@@ -19,10 +19,10 @@
 import {
   type CpuFigures,
   type FirstTokenFigures,
-  measureCpu,
-  measureFirstToken,
-  measureMemory,
   type MemoryFigures,
+  runCpu,
+  runFirstToken,
+  runMemory,
   type Way,
 } from "./measures.ts";
 import { buildOverheadExample, KEY, MODEL } from "./overhead_records.ts";
@@ -68,27 +68,27 @@
     .option("save", { type: "string", describe: "File for the figures" })
     .strict()
     .parseAsync();
-  const report = await measureAll();
+  const report = await runAll();
   const text = JSON.stringify(report, undefined, 2);
   if (args.save !== undefined) writeFileSync(args.save, `${text}\n`);
   process.stdout.write(args.json ? `${text}\n` : formatReport(report));
 }
 
-async function measureAll(): Promise<OverheadReport> {
+async function runAll(): Promise<OverheadReport> {
   const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"])
     .toString().trim();
   const fast = await runWithRig(1, FAST_ENGINE, async (rig) => ({
-    firstToken: await measureFirstToken(
+    firstToken: await runFirstToken(
       [rig.direct, rig.pipe, rig.owner, rig.other],
       FIRST_TOKEN_SAMPLES,
     ),
-    cpuLongStreams: await measureCpu([rig.pipe, rig.owner], STREAM_LOAD),
-    cpuShortStreams: await measureCpu([rig.pipe, rig.owner], SHORT_LOAD),
+    cpuLongStreams: await runCpu([rig.pipe, rig.owner], STREAM_LOAD),
+    cpuShortStreams: await runCpu([rig.pipe, rig.owner], SHORT_LOAD),
   }));
   const memory = await runWithRig(
     2,
     SLOW_ENGINE,
-    (rig) => measureMemory(rig.other, STREAM_COUNTS),
+    (rig) => runMemory(rig.other, STREAM_COUNTS),
   );
   return { commit, ...fast, memory };
 }
--- a/bench/overhead/measures.ts
+++ b/bench/overhead/measures.ts
@@ -10,7 +10,7 @@
 
 const MICROSECONDS = 1_000;
 const SETTLE_MS = 1_500;
-const OPENING_AT_ONCE = 50;
+const OPENING_AT_ONCE = 500;
 
 /** One way from a caller to an engine. */
 export interface Way {
@@ -43,7 +43,7 @@
 }
 
 /** Short streams one after the other, the ways taking turns. */
-export async function measureFirstToken(
+export async function runFirstToken(
   ways: readonly Way[],
   samples: number,
 ): Promise<FirstTokenFigures[]> {
@@ -70,7 +70,7 @@
 }
 
 /** Processor time of each way's process over `rounds` rounds of streams. */
-export async function measureCpu(
+export async function runCpu(
   ways: readonly Way[],
   load: { streams: number; tokens: number; rounds: number },
 ): Promise<CpuFigures[]> {
@@ -101,7 +101,7 @@
 }
 
 /** Resident memory of the way's process at each number of open streams. */
-export async function measureMemory(
+export async function runMemory(
   way: Way,
   counts: readonly number[],
 ): Promise<MemoryFigures[]> {
