Keep the shard of each upstream with its pool's record

Every VM asks for the shard of every upstream for each request and once a second for its duties, and each answer hashed all shards of the pool: the processor time of each VM grew with upstreams times shards.

--- a/src/process/scheduler/shards.ts
+++ b/src/process/scheduler/shards.ts
@@ -8,12 +8,16 @@
  *
  * @module
  */
-import type { PoolName, ShardId } from "../../ids.ts";
+import type { PoolName, ShardId, VmId } from "../../ids.ts";
 import { toId } from "../../ids.ts";
 import type { ListedVm } from "../../version/membership_list.ts";
 import type { UpstreamPool } from "../../version/records.ts";
 import { pickRendezvousFirst } from "../rendezvous.ts";
 
+/** Upstreams whose shard is kept for one pool; replaced ones add up. */
+const MAX_CHOSEN = 20_000;
+const CHOSEN = new WeakMap<UpstreamPool, Map<VmId, ShardId>>();
+
 /** The shard `index` of `pool`, written `POOL/INDEX`. */
 export function buildShardId(pool: PoolName, index: number): ShardId {
   return toId<ShardId>(`${pool}/${index}`);
@@ -44,15 +48,36 @@
   return shards;
 }
 
-/** The shard of `pool` that `upstream` belongs to. */
+/**
+ * The shard of `pool` that `upstream` belongs to.
+ *
+ * Each VM asks this of every upstream for each request and in each round of
+ * its duties, and each answer hashes every shard of the pool. Computed anew,
+ * the processor time would grow with upstreams times shards on every VM, so
+ * the answers are kept with the pool's record, which never changes.
+ */
 export function chooseShardOfUpstream(
   pool: UpstreamPool,
   upstream: ListedVm["id"],
 ): ShardId {
-  const first = buildShardId(pool.name, 0);
-  if (pool.shards <= 1) return first;
-  return pickRendezvousFirst(`upstream:${upstream}`, listPoolShards(pool)) ??
-    first;
+  const chosen = getChosen(pool);
+  const known = chosen.get(upstream);
+  if (known !== undefined) return known;
+  const shard =
+    pickRendezvousFirst(`upstream:${upstream}`, listPoolShards(pool)) ??
+      buildShardId(pool.name, 0);
+  if (chosen.size >= MAX_CHOSEN) chosen.clear();
+  chosen.set(upstream, shard);
+  return shard;
+}
+
+function getChosen(pool: UpstreamPool): Map<VmId, ShardId> {
+  let chosen = CHOSEN.get(pool);
+  if (chosen === undefined) {
+    chosen = new Map();
+    CHOSEN.set(pool, chosen);
+  }
+  return chosen;
 }
 
 /** The upstreams in `vms` that belong to `shard` of `pool`. */
