Mend what the burn page showed badly for a young fleet

Seen in a headless browser with a fleet of 8 daemons a minute old: one plot a row was blown up to half the page, the shaded time had stripes, it was called "no requests" where nothing was held, and VMs half a second apart in age were listed as holding less. One plot a row stands three abreast now, the shade is whole and named "none known", and a VM is named when it holds a bucket (5 min) less.

--- a/src/tool/burn/burn_html.ts
+++ b/src/tool/burn/burn_html.ts
@@ -178,8 +178,9 @@
 function renderTimelines(report: BurnReport): string {
   const used = report.rows.filter((row) => row.windows.at(-1)!.counted > 0);
   if (used.length === 0) return "";
+  const pastMs = report.windows.at(-1)!.heldMs;
   const cards = used.slice(0, MAX_PLOTTED_ROWS).map((row) =>
-    renderRowCards(row, report)
+    renderRowCards(row, pastMs)
   );
   const more = used.length > MAX_PLOTTED_ROWS
     ? `<p class="faint">Plots of the worst ${MAX_PLOTTED_ROWS} of ` +
@@ -188,9 +189,9 @@
   return `<h2>Burn over time</h2>
 <p class="faint">A rate of 1 spends a budget exactly; dashed lines are the
 thresholds ${BURN_RULES.map(({ threshold }) => threshold).join(", ")} where
-they fit.</p>
+they fit. Where none is known, no request ended or nothing is held.</p>
 ${renderLegend(true)}
-<div class="pairs">
+<div class="${pastMs > HOUR_MS ? "pairs" : "cards"}">
 ${cards.join("\n")}
 </div>
 ${more}`;
@@ -199,14 +200,12 @@
 function renderLegend(hasEmpty: boolean): string {
   return `<ul class="legend"><li class="late">late</li>
 <li class="refused">refused</li><li class="lost">lost</li>${
-    hasEmpty ? '\n<li class="empty">no requests</li>' : ""
+    hasEmpty ? '\n<li class="empty">none known</li>' : ""
   }</ul>`;
 }
 
-function renderRowCards(row: BurnRow, report: BurnReport): string {
-  const longest = report.windows.at(-1)!;
+function renderRowCards(row: BurnRow, pastMs: number): string {
   const name = toHtmlText(formatRowName(row));
-  const pastMs = Math.max(HOUR_MS, longest.heldMs);
   const cards = [renderCard(`${name}, last hour`, row, {
     points: row.recent,
     spanMs: HOUR_MS,
--- a/src/tool/burn/burn_notes.ts
+++ b/src/tool/burn/burn_notes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { COARSE_BUCKET_MS } from "../../process/burn_stats.ts";
 import { formatDuration } from "../table.ts";
 import type { BurnReport } from "./burn_report.ts";
 import type { BurnRow } from "./burn_rows.ts";
@@ -36,6 +37,7 @@
     ...listMissingNotes(report),
     ...listWindowNotes(report),
     ...listYoungNotes(report),
+    ...listHistoryNotes(report),
     ...listFoldNotes(report),
     ...listReachNotes(report),
   ];
@@ -99,7 +101,7 @@
   const longest = Math.max(0, ...report.windows.map(({ heldMs }) => heldMs));
   const young = report.isFolded
     ? []
-    : report.vms.filter(({ reachMs }) => reachMs < longest);
+    : report.vms.filter(({ reachMs }) => reachMs < longest - COARSE_BUCKET_MS);
   if (young.length === 0) return [];
   const shown = young.slice(0, SHOWN_NAMES).map(({ vm, reachMs }) =>
     `${vm} ${formatDuration(reachMs)}`
@@ -108,9 +110,17 @@
     ? ` and ${young.length - SHOWN_NAMES} more`
     : "";
   return [{
-    text: `Held for less than the longest: ${shown.join(", ")}${more}. No VM ` +
-      "keeps history: what a replaced VM served is lost but for saved " +
-      "reports and logs (--fold)",
+    text: `Held for less than the longest: ${shown.join(", ")}${more}`,
+    isGrave: false,
+  }];
+}
+
+function listHistoryNotes(report: BurnReport): BurnNote[] {
+  const isWhole = report.windows.every(({ shortVms }) => shortVms === 0);
+  if (isWhole) return [];
+  return [{
+    text: "No VM keeps history: what a replaced VM served is lost, but for " +
+      "saved reports and logs (--fold)",
     isGrave: false,
   }];
 }
--- a/src/tool/burn/burn_plots.ts
+++ b/src/tool/burn/burn_plots.ts
@@ -86,6 +86,8 @@
         y1: 0,
         y2: top,
         fill: EMPTY_COLOUR,
+        // Without it the seams between neighbours show as stripes.
+        shapeRendering: "crispEdges",
       }),
       Plot.rectY(
         bars,
--- a/src/tool/burn/burn_rules.ts
+++ b/src/tool/burn/burn_rules.ts
@@ -111,7 +111,7 @@
 }
 
 /** The burn rate of counts; undefined without requests. */
-export function computeBurnRate(
+function computeBurnRate(
   counts: BurnCounts,
   objective: number,
 ): number | undefined {
--- a/src/tool/burn/index.ts
+++ b/src/tool/burn/index.ts
@@ -7,6 +7,5 @@
 export { mergeGatherings } from "./burn_fold.ts";
 export { buildJson } from "./burn_json.ts";
 export { computeReport } from "./burn_report.ts";
-export type { BurnReport } from "./burn_report.ts";
 export type { BurnGathering, ClassObjective } from "./burn_sources.ts";
 export { renderText } from "./burn_terminal.ts";
--- a/test/tool/burn/burn_command_test.ts
+++ b/test/tool/burn/burn_command_test.ts
@@ -7,6 +7,11 @@
 import { BurnRecorder } from "../../../src/process/burn_recorder.ts";
 import { formatLogLine } from "../../../src/process/log_line.ts";
 import type { FinishedRequest } from "../../../src/process/services.ts";
+import {
+  buildObjectives,
+  buildVmAnswer,
+  ExampleVm,
+} from "../../support/burn_examples.ts";
 import { FakeVm } from "../fake_vm.ts";
 import { runWords } from "../recording_terminal.ts";
 
@@ -86,6 +91,27 @@
     expect(exitCode).toBe(0);
   });
 
+  test("names the budgets that burn, and where they went", async () => {
+    const vms = ["entry-1", "entry-3"].map((vm, index) =>
+      ExampleVm.create({ vm, incarnation: "i1", seed: index + 1 })
+    );
+    for (const vm of vms) {
+      await vm.runMinutes(70);
+      await vm.runMinutes(30, { isFailing: true });
+    }
+    const words = await startBurn({
+      vms: vms.map(buildVmAnswer),
+      objectives: buildObjectives({ chat: { garages: 0.999 } }),
+    });
+    const { output } = await runWords(words);
+    expect(output).toMatch(
+      /^chat of garages burns its budget fast: [\d.]+ over 5min and [\d.]+ over 1h, both above 14\.4$/m,
+    );
+    expect(output).not.toMatch(/^summary burns/m);
+    expect(output).toMatch(/^upstream +\(none\) +\d+ +█+$/m);
+    expect(output).toMatch(/^tier +interactive +\d+ +█+$/m);
+  });
+
   test("counts late, refused and lost, and none that was cancelled", async () => {
     const { output } = await runWords([...await startBurn(), "--json"]);
     const { rows } = JSON.parse(output);
--- a/test/tool/burn/burn_report_test.ts
+++ b/test/tool/burn/burn_report_test.ts
@@ -247,6 +247,9 @@
         "Held for less than the longest: entry-2 10.0min",
       ),
     );
+    expect(texts).toContainEqual(
+      expect.stringContaining("what a replaced VM served is lost"),
+    );
     expect(report.windows.map(({ shortVms }) => shortVms))
       .toEqual([0, 1, 1, 1, 2]);
   });
