--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -41,6 +41,8 @@
   records?: RecordOptions;
   graceMs?: number;
   entriesTtlMs?: number;
+  /** The daemons' `limits` settings. */
+  limits?: Record<string, number>;
   /** Where connections go through relays. */
   relays?: ("peers" | "upstreams" | "platform")[];
 }
@@ -178,6 +180,7 @@
         sourceUrl: `http://127.0.0.1:${platformPort}`,
         graceMs: this.#options.graceMs ?? 30_000,
         entriesTtlMs: this.#options.entriesTtlMs ?? 1_000,
+        limits: this.#options.limits ?? {},
         seeds: others.map((other) => ({
           vm: other.id,
           address: other.address,
--- a/test/support/process_vm.ts
+++ b/test/support/process_vm.ts
@@ -32,6 +32,8 @@
   sourceUrl: string;
   graceMs: number;
   entriesTtlMs: number;
+  /** The settings' `limits`. */
+  limits: Record<string, number>;
   seeds: { vm: string; address: string; peer_port: number }[];
 }
 
@@ -194,6 +196,7 @@
         grace_ms: this.#options.graceMs,
         entries_ttl_ms: this.#options.entriesTtlMs,
       },
+      limits: this.#options.limits,
       log_level: "debug",
       seeds,
     };
