End a cut stream by a cut, and name an id in every answer

Cause: a stream that could not go on ended in order behind its error event, so a caller that passes over the event could take half an answer for a whole one. The event is now followed by a cut, once it has gone out. Entries, models, new ids and fates carried no request id; they have one of their own now. The stream property asks for more than before: whole answers and refusals end in order, a cut one never does. Without the wait for the last part the new listener test fails; test/request, test/connection and test/demo pass.

--- a/src/connection/http_sink.ts
+++ b/src/connection/http_sink.ts
@@ -8,6 +8,7 @@
 import { CallerSink } from "../request/caller_sink.ts";
 
 const RESOLVED = Promise.resolve();
+const LAST_PART_OUT = "last_part_out";
 
 /** What a sink needs. */
 export interface HttpSinkOptions {
@@ -77,6 +78,16 @@
     return this.#waitFor("finish");
   }
 
+  override async destroyAfter(bytes: Uint8Array): Promise<void> {
+    if (this.isClosed) return;
+    // Destroying drops what still waits in this process, so it comes only
+    // after the last part has gone out.
+    const out = this.#waitFor(LAST_PART_OUT);
+    this.#response.write(bytes, () => this.#response.emit(LAST_PART_OUT));
+    await out;
+    this.destroy();
+  }
+
   destroy(): void {
     this.#response.destroy();
     this.#noteGone();
@@ -91,7 +102,7 @@
    * reading but keeps its connection would hold its work, its slot and its
    * buffers for ever; nothing else tells of it, so a timer cuts it.
    */
-  #waitFor(event: "drain" | "finish"): Promise<void> {
+  #waitFor(event: "drain" | "finish" | typeof LAST_PART_OUT): Promise<void> {
     const response = this.#response;
     if (response.destroyed) return RESOLVED;
     return new Promise((resolve) => {
--- a/src/request/caller_sink.ts
+++ b/src/request/caller_sink.ts
@@ -16,4 +16,10 @@
   abstract end(): Promise<void>;
   /** Cuts the answer so that the caller cannot take it for a whole one. */
   abstract destroy(): void;
+
+  /** Writes a last part, which the caller still gets, and then destroys. */
+  async destroyAfter(bytes: Uint8Array): Promise<void> {
+    await this.write(bytes);
+    this.destroy();
+  }
 }
--- a/src/request/completion_stream_work.ts
+++ b/src/request/completion_stream_work.ts
@@ -88,8 +88,9 @@
     const { run } = this.start;
     const { body } = buildRefusal(refusal, { requestId: run.id });
     const event = `event: error\ndata: ${body.toString("utf8")}\n\n`;
-    await run.start.sink.write(Buffer.from(event));
-    await run.start.sink.end();
+    // An orderly end would look like a whole answer to a caller that passes
+    // over the error event and does not wait for `[DONE]`.
+    await run.start.sink.destroyAfter(Buffer.from(event));
   }
 
   async #sendStream(
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -60,7 +60,7 @@
     await match(route)
       .with({ kind: "entries" }, () => {
         const query = new URLSearchParams(request.query);
-        return writeJson(sink, OK, this.#services.entries(query));
+        return this.#writeJson(sink, OK, this.#services.entries(query));
       })
       .with({ kind: "models" }, () => this.#writeModels(exchange))
       .with({ kind: "issue_id" }, () => this.#writeNewId(exchange))
@@ -108,7 +108,7 @@
       created: 0,
       owned_by: pools[0]?.name,
     }));
-    await writeJson(sink, OK, { object: "list", data });
+    await this.#writeJson(sink, OK, { object: "list", data });
   }
 
   async #writeNewId(
@@ -116,7 +116,7 @@
   ): Promise<void> {
     checkCaller(this.#getSnapshot(), request.headers);
     const requestId = this.#services.claims.issueId();
-    await writeJson(sink, CREATED, {
+    await this.#writeJson(sink, CREATED, {
       request_id: requestId,
       valid_for_ms: ID_TTL_MS,
     });
@@ -128,7 +128,23 @@
   ): Promise<void> {
     const workspace = checkCaller(this.#getSnapshot(), request.headers);
     const page = await buildFatePage(this.#services, requestId, workspace);
-    await writeJson(sink, OK, page);
+    await this.#writeJson(sink, OK, page);
+  }
+
+  /** Writes an answer that is no request's own, under an id of its own. */
+  async #writeJson(
+    sink: CallerSink,
+    status: number,
+    value: unknown,
+  ): Promise<void> {
+    const body = Buffer.from(JSON.stringify(value));
+    sink.writeHead(status, {
+      "content-type": "application/json",
+      "content-length": String(body.length),
+      [REQUEST_ID_HEADER]: this.#services.claims.issueSingleId(),
+    });
+    await sink.write(body);
+    await sink.end();
   }
 
   /** The id that a refusal names: the caller's, else one to ask us about. */
@@ -177,17 +193,3 @@
   }
   return { ...refusal, outcome: "unknown" };
 }
-
-async function writeJson(
-  sink: CallerSink,
-  status: number,
-  value: unknown,
-): Promise<void> {
-  const body = Buffer.from(JSON.stringify(value));
-  sink.writeHead(status, {
-    "content-type": "application/json",
-    "content-length": String(body.length),
-  });
-  await sink.write(body);
-  await sink.end();
-}
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -273,6 +273,23 @@
     await expect(answer.text()).rejects.toThrow();
   });
 
+  it("lets the caller have the last part before it cuts", async () => {
+    // Symptom: a broken stream ends as an orderly one does, or without the
+    // event that says why.
+    // Sequence: bytes, an error event, and then the end or the cut at once.
+    // Cause: an end writes the last chunk; a cut drops what still waits.
+    const listener = await startListener(async (_request, sink) => {
+      sink.writeHead(200, { "content-type": "text/event-stream" });
+      for (let part = 0; part < 8; part++) await sink.write(CHUNK);
+      await sink.destroyAfter(Buffer.from("event: error\n\n"));
+    });
+    const client = RawClient.create(listener.port);
+    client.socket.write(GET);
+    await client.waitClosed();
+    expect(client.received).toContain("event: error\n\n");
+    expect(client.received).not.toMatch(/\r\n0\r\n\r\n$/);
+  });
+
   it("keeps a bounded amount for a slow reader, and cuts it in the end", async () => {
     // Symptom: memory grows until the process is killed.
     // Sequence: a caller asks for a long answer, stops reading, stays.
--- a/test/request/stream_property_test.ts
+++ b/test/request/stream_property_test.ts
@@ -85,7 +85,9 @@
         const path = plan.isChat ? "/v1/chat/completions" : "/v1/completions";
         const { sink, done } = vm.send(buildRequest("POST", path, { body }));
         await done;
-        expect(sink.isEnded).toBe(true);
+        const isWhole = sink.status !== 200 || sink.text.includes("[DONE]");
+        expect(sink.isEnded).toBe(isWhole);
+        expect(sink.isDestroyed).toBe(!isWhole);
         if (sink.status !== 200) {
           counts.refused++;
           expect(sink.json.error.outcome).toMatch(/^(not_run|unknown|ran)$/);
