Log the VM, step, pool and upstream of each finished request

Cause: the burn report folds log lines where a VM is gone, and found no step, no replica, and the issuing VM in place of the one that ran the request.

--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -165,11 +165,16 @@
     if (isCounted(end)) this.services.metrics.noteFinished(figures);
     environment.log.info("request_finished", {
       request_id: this.id,
+      vm: environment.vm,
+      incarnation: environment.incarnation,
       workspace: figures.workspace,
       class: figures.className,
       outcome,
       code,
       result: figures.result,
+      step: figures.step,
+      pool: figures.pool,
+      upstream: figures.upstream,
       total_ms: Math.round(figures.totalMs),
       tokens: figures.tokens,
       wasted_tokens: figures.wastedTokens,
--- a/test/request/completion_test.ts
+++ b/test/request/completion_test.ts
@@ -84,6 +84,22 @@
     expect(actual).toBe(7 + vm.leases.leases[0]!.request.promptTokens);
   });
 
+  // Symptom: a burn report folded from log files blames no step and no replica.
+  // Sequence: a VM is replaced, and only its log lines are left.
+  // Cause: the line of a finished request lacks what the figures hold.
+  it("logs what a report needs when the VM is gone", async () => {
+    const vm = createVm();
+    await runStream(vm);
+    const line = vm.log.lines.find(({ event }) => event === "request_finished");
+    expect(line?.fields).toMatchObject({
+      vm: vm.environment.vm,
+      incarnation: vm.environment.incarnation,
+      step: vm.metrics.finished[0]!.step,
+      pool: vm.metrics.finished[0]!.pool,
+      upstream: vm.leases.leases[0]!.upstream,
+    });
+  });
+
   it("tells the lease how it goes", async () => {
     const clock = VirtualClock.create();
     const vm = new RequestVm(clock);
