--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -24,12 +24,10 @@
 } from "../peer_api.ts";
 import { type HeldLease, type LeaseRequest, LeaseSource } from "../services.ts";
 import { HeldSlot } from "./held_slot.ts";
-import { FIRST_TTL_MS } from "./lease_accounts.ts";
 import { LeaseSync, SYNC_EVERY_MS } from "./lease_sync.ts";
-import { computeLocalShare, LocalShare } from "./local_share.ts";
-import { OwnerCalls } from "./owner_calls.ts";
+import { LocalSlots, type LocalWish } from "./local_slots.ts";
+import { HOLD_MS, OwnerCalls } from "./owner_calls.ts";
 import { chooseShard } from "./shard_choice.ts";
-import { listShardUpstreams } from "./shards.ts";
 
 /** Silence of an owner after which the VM's own share is used. */
 const OWNER_SILENCE_MS = 1_500;
@@ -81,12 +79,11 @@
   readonly #environment: Environment;
   readonly #calls: OwnerCalls;
   readonly #syncs = new Map<ShardId, LeaseSync>();
-  readonly #shares = new Map<ShardId, LocalShare>();
+  readonly #local: LocalSlots;
   readonly #activeTickets = new Set<TicketId>();
   readonly #stopped = new AbortController();
   readonly #prefix: string;
   #tickets = 0;
-  #localLeases = 0;
 
   constructor(options: LeaseClientOptions) {
     super();
@@ -100,6 +97,7 @@
       getLocal: options.getLocal,
       onStrayGrant: (slot, ticket) => this.#releaseStray(slot, ticket),
     });
+    this.#local = LocalSlots.create(options);
     options.membership.onChange(() => this.#onMembershipChange());
   }
 
@@ -122,10 +120,12 @@
   ): Promise<HeldLease> {
     const wait = this.#buildWait(request, options);
     this.#activeTickets.add(wait.ticket);
+    this.#local.addWaiting(wait.shard, wait.rank);
     try {
       return await this.#waitForSlot(wait);
     } finally {
       this.#activeTickets.delete(wait.ticket);
+      this.#local.removeWaiting(wait.shard, wait.rank);
     }
   }
 
@@ -134,16 +134,19 @@
     while (true) {
       this.#checkCancelled(wait);
       const askedAt = clock.now();
-      const answer = await this.#calls.acquire(
-        { ...wait, signal: wait.options.signal },
-      );
+      const answer = await this.#calls.acquire({
+        ...wait,
+        signal: wait.options.signal,
+        // While the owner is silent a call only tests whether it is back.
+        holdMs: wait.silentSince === undefined ? HOLD_MS : 0,
+      });
       // A grant is taken even when the caller has gone: it must be returned.
       if (answer?.kind === "granted") {
         return this.#openSlot(wait, answer.lease, askedAt);
       }
       this.#checkCancelled(wait);
       if (answer === undefined || answer.kind === "not_owner") {
-        const local = await this.#waitWithoutOwner(wait);
+        const local = await this.#waitWithoutOwner(wait, askedAt);
         if (local !== undefined) return local;
         continue;
       }
@@ -176,7 +179,7 @@
         this.#noteStep(wait, "passed_on", {
           detail: `from ${wait.shard} to ${shard}, which serves a lower tier`,
         });
-        wait.shard = shard;
+        this.#setShard(wait, shard);
       })
       .with({ kind: "refused" }, ({ refusal }) => {
         if (refusal.code !== "cancelled") throw new RefusalError(refusal);
@@ -197,57 +200,52 @@
     this.#activeTickets.add(wait.ticket);
   }
 
+  #setShard(wait: Wait, shard: ShardId): void {
+    this.#local.removeWaiting(wait.shard, wait.rank);
+    this.#local.addWaiting(shard, wait.rank);
+    wait.shard = shard;
+  }
+
   /**
    * No owner answers, or none knows that it is. Tries again shortly, and after
    * a bounded silence uses this VM's own share of the shard.
    */
-  async #waitWithoutOwner(wait: Wait): Promise<HeldLease | undefined> {
+  async #waitWithoutOwner(
+    wait: Wait,
+    askedAt: number,
+  ): Promise<HeldLease | undefined> {
     const { clock } = this.#environment;
     const now = clock.now();
-    wait.silentSince ??= now;
+    // The silence began with the call that was not answered, or, if this
+    // process was paused meanwhile, as late as that call can explain.
+    wait.silentSince ??= Math.max(askedAt, now - OWNER_SILENCE_MS);
     const silentMs = now - wait.silentSince;
     if (silentMs >= OWNER_SILENCE_MS) {
       const slot = this.#takeLocal(wait);
       if (slot !== undefined) return slot;
-      const hasShare = this.#computeShare(wait) > 0;
-      if (!hasShare || silentMs >= OWNER_SILENCE_MS + LOCAL_WAIT_MS) {
+      const mayWait = silentMs < OWNER_SILENCE_MS + LOCAL_WAIT_MS;
+      if (!mayWait || !this.#local.hasShare(buildLocalWish(wait))) {
         this.#cancelTicket(wait);
         throw new RefusalError(buildUnreachable());
       }
     }
-    const share = this.#getShare(wait.shard);
-    share.addWaiting(wait.rank);
     await clock.sleep(RETRY_MS, wait.options.signal);
-    share.removeWaiting(wait.rank);
     return undefined;
   }
 
   #takeLocal(wait: Wait): HeldLease | undefined {
-    const { vm, clock } = this.#environment;
-    const share = this.#getShare(wait.shard);
-    const upstreams = this.#listUpstreams(wait)
-      .map((upstream) => upstream.id)
-      .filter((upstream) => !wait.request.avoid.includes(upstream));
-    const upstream = share.take(wait.rank, {
-      share: this.#computeShare(wait),
-      upstreams,
-    });
-    if (upstream === undefined) return undefined;
+    const slot = this.#local.take(buildLocalWish(wait));
+    if (slot === undefined) return undefined;
     this.#cancelTicket(wait);
+    // The owner releases whatever it has granted to a withdrawn ticket; the
+    // local slot must not be taken for that.
+    this.#renewTicket(wait);
     this.#environment.log.warn("local_share_used", {
       request: wait.request.requestId,
       shard: wait.shard,
-      peer: upstream,
+      peer: slot.upstream,
     });
-    const slot: SlotLease = {
-      lease: toId(`${wait.shard}:${vm}:local-${this.#localLeases++}`),
-      shard: wait.shard,
-      upstream,
-      ttlMs: FIRST_TTL_MS,
-      priority: wait.rank,
-      byOwner: false,
-    };
-    return this.#openSlot(wait, slot, clock.now());
+    return this.#openSlot(wait, slot, this.#environment.clock.now());
   }
 
   #openSlot(wait: Wait, slot: SlotLease, askedAt: number): HeldLease {
@@ -263,9 +261,7 @@
       promptTokens: request.promptTokens,
       askedAt,
       onRelease: (released) => {
-        if (!released.byOwner) {
-          this.#shares.get(released.shard)?.release(released.upstream);
-        }
+        if (!released.byOwner) this.#local.release(released);
         sync.addReturn(released.buildNews());
       },
     });
@@ -342,21 +338,6 @@
     );
   }
 
-  #listUpstreams(wait: Wait) {
-    const vms = this.#options.membership.listUpstreams(wait.pool.name);
-    return listShardUpstreams(wait.shard, { pool: wait.pool, vms });
-  }
-
-  #computeShare(wait: Wait): number {
-    return computeLocalShare({
-      vm: this.#environment.vm,
-      shard: wait.shard,
-      pool: wait.pool,
-      upstreams: this.#listUpstreams(wait),
-      entryVms: this.#options.membership.listEntryVms(),
-    });
-  }
-
   #getSync(shard: ShardId): LeaseSync {
     let sync = this.#syncs.get(shard);
     if (sync === undefined) {
@@ -367,15 +348,6 @@
     return sync;
   }
 
-  #getShare(shard: ShardId): LocalShare {
-    let share = this.#shares.get(shard);
-    if (share === undefined) {
-      share = LocalShare.create();
-      this.#shares.set(shard, share);
-    }
-    return share;
-  }
-
   #onMembershipChange(): void {
     if (this.#stopped.signal.aborted) return;
     this.#calls.onMembershipChange();
@@ -397,12 +369,14 @@
     for (const [shard, sync] of this.#syncs) {
       if (sync.isIdle && sync.usedAt < oldest) this.#syncs.delete(shard);
     }
-    for (const [shard, share] of this.#shares) {
-      if (share.isIdle) this.#shares.delete(shard);
-    }
   }
 }
 
+function buildLocalWish(wait: Wait): LocalWish {
+  const { shard, pool, rank, request } = wait;
+  return { shard, pool, rank, avoid: request.avoid };
+}
+
 function isPowerOfTwo(count: number): boolean {
   return (count & (count - 1)) === 0;
 }
--- a/src/process/scheduler/owner_calls.ts
+++ b/src/process/scheduler/owner_calls.ts
@@ -38,6 +38,8 @@
   ticket: TicketId;
   shard: ShardId;
   signal: AbortSignal;
+  /** How long the owner may hold the call. */
+  holdMs: number;
 }
 
 interface OpenCall {
@@ -100,7 +102,8 @@
         resolve(answer);
       };
       const giveUp = () => end(undefined);
-      const cancelTimer = clock.startTimer(HOLD_MS + ANSWER_MARGIN_MS, giveUp);
+      const limitMs = call.holdMs + ANSWER_MARGIN_MS;
+      const cancelTimer = clock.startTimer(limitMs, giveUp);
       const open: OpenCall = { shard: call.shard, owner, giveUp };
       this.#open.add(open);
       call.signal.addEventListener("abort", giveUp, { once: true });
@@ -154,7 +157,7 @@
       idempotent: request.idempotent,
       prefixes: request.prefixes,
       avoid: request.avoid,
-      holdMs: HOLD_MS,
+      holdMs: call.holdMs,
     };
   }
 }
--- a/src/process/scheduler/shard_owners.ts
+++ b/src/process/scheduler/shard_owners.ts
@@ -50,6 +50,8 @@
   membership: MembershipView;
   getSnapshot: () => Snapshot | undefined;
   decisions?: Partial<SchedulerDecisions> | undefined;
+  /** Requests that may wait in a shard beside the first of each class. */
+  queueBound?: number | undefined;
   /** What the owner of a shard last let the fleet know of it. */
   findSummary?: (shard: ShardId) => ShardSummary | undefined;
   /** Hears an upstream's own word, from each load report. */
@@ -63,6 +65,8 @@
   readonly #owners = new Map<ShardId, ShardOwner>();
   readonly #stopped = new AbortController();
   readonly #createdAt: number;
+  /** Shards that are being handed over. */
+  readonly #handOvers = new Set<Promise<void>>();
   #draining = false;
 
   constructor(options: ShardOwnersOptions) {
@@ -120,8 +124,8 @@
   /** Hands every queue on, for a drain; resolves when all has been tried. */
   async handOverAll(): Promise<void> {
     this.#draining = true;
-    const owners = this.listOwners();
-    await Promise.all(owners.map((owner) => this.#handOverShard(owner)));
+    for (const owner of this.listOwners()) this.#startHandOver(owner);
+    await Promise.all(this.#handOvers);
   }
 
   /** The owner of `shard` on this VM, made when there is none yet. */
@@ -137,13 +141,14 @@
   }
 
   #createOwner(shard: ShardId, pool: UpstreamPool): ShardOwner {
-    const { environment, getSnapshot, decisions } = this.#options;
+    const { environment, getSnapshot, decisions, queueBound } = this.#options;
     return ShardOwner.create({
       environment,
       shard,
       pool,
       getSnapshot,
       decisions,
+      queueBound,
       listUpstreams: () => this.#listUpstreams(shard, pool),
       listHolders: () => this.#listHolders(),
       listOthers: () => this.#listOthers(shard, pool),
@@ -199,11 +204,17 @@
       if (this.#findPool(shard) !== undefined && this.#isMine(shard)) {
         owner.onTopologyChange();
       } else {
-        void this.#handOverShard(owner);
+        this.#startHandOver(owner);
       }
     }
   }
 
+  #startHandOver(owner: ShardOwner): void {
+    const handOver = this.#handOverShard(owner);
+    this.#handOvers.add(handOver);
+    void handOver.finally(() => this.#handOvers.delete(handOver));
+  }
+
   /**
    * Ends an owner and hands its queue and ledger to the next one. Grants stop
    * first: a slot granted after the ledger was read would be granted twice.
