--- a/test/request/completion_test.ts
+++ b/test/request/completion_test.ts
@@ -2,6 +2,7 @@
 import { toId } from "../../src/ids.ts";
 import type { ModelName, RequestId } from "../../src/ids.ts";
 import { RefusalError } from "../../src/outcome.ts";
+import { parseRequestId } from "../../src/process/request_ids.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { buildRequest } from "../support/request_fakes.ts";
 import { RequestVm } from "../support/request_vm.ts";
@@ -89,11 +90,12 @@
   // Cause: the line of a finished request lacks what the figures hold.
   it("logs what a report needs when the VM is gone", async () => {
     const vm = createVm();
-    await runStream(vm);
+    const sink = await runStream(vm);
+    const ran = parseRequestId(toId(sink.headers["x-request-id"]!))!;
     const line = vm.log.lines.find(({ event }) => event === "request_finished");
     expect(line?.fields).toMatchObject({
-      vm: vm.environment.vm,
-      incarnation: vm.environment.incarnation,
+      vm: ran.vm,
+      incarnation: ran.incarnation,
       step: vm.metrics.finished[0]!.step,
       pool: vm.metrics.finished[0]!.pool,
       upstream: vm.leases.leases[0]!.upstream,
