Let the tests of pauses fail where the code is left out

Two mutants had passed: no check for a pause in the middle of an indirect probe, and acting as an owner before the newer version was fetched.

--- a/test/failures/vm_paused_test.ts
+++ b/test/failures/vm_paused_test.ts
@@ -57,14 +57,16 @@
   const owner = toVmId(0);
   const others = [1, 2, 3].map(toVmId);
   const { membership } = fleet.vms.get(owner)!;
-  // Long links, so that most pauses come while a probe is on its way.
+  // Long links, and one that is cut, so that many pauses come while probes
+  // through others are on their way.
   for (const vm of others) fleet.network.setDelay(owner, vm, 90);
+  fleet.network.cut(owner, others[0]!);
   let doubts = 0;
   membership.onChange(() => {
     const isDoubt = (vm: VmId) => membership.findDoubt(vm) !== undefined;
     if (others.some(isDoubt)) doubts += 1;
   });
-  for (let pause = 0; pause < 20; pause += 1) {
+  for (let pause = 0; pause < 40; pause += 1) {
     fleet.network.pause(owner);
     await fleet.clock.run(5_000);
     fleet.network.resume(owner);
@@ -89,11 +91,21 @@
 
 it("has the newer configuration before it acts as an owner", async () => {
   const fleet = await startFleet({ count: 8 });
-  const owner = await pauseOwner(fleet, 5_000);
+  const [owner] = listOwners(fleet, KEY);
+  const others = fleet.list().map((vm) => vm.listed.id).filter((vm) =>
+    vm !== owner
+  );
+  // Nothing waits for it that would tell it of the version at once.
+  fleet.network.cutBetween([owner!], others);
+  await pauseOwner(fleet, 5_000);
+  fleet.service.reachableBy = new Set(others);
   fleet.service.putVersion(2, buildRecords(2));
   await fleet.clock.run(5_000);
-  const { membership, follower } = fleet.vms.get(owner)!;
-  fleet.network.resume(owner);
+  const { membership, follower } = fleet.vms.get(owner!)!;
+  // Long links, so that a fetch takes far more than a step of this test.
+  for (const vm of others) fleet.network.setDelay(owner!, vm, 50);
+  fleet.network.heal();
+  fleet.network.resume(owner!);
   await fleet.runUntil(() => !membership.isRecovering(), 2_000);
   expect(follower.getSnapshot()!.version).toBe(2);
 });
