Tell a VM's shard owners of the pool's other shards

Found while the fuzzer's records were given two shards. Owners in a VM also take the bound of their queue, which the fuzzer sets to 3 so that bursts shed.

--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -50,6 +50,8 @@
   retainedAnswersBytes?: number;
   /** Decisions that a bench switches off; all are on by default. */
   decisions?: Partial<SchedulerDecisions>;
+  /** Requests that may wait in a shard; a test sets it low. */
+  queueBound?: number;
 }
 
 /** One entry VM: answers callers through `handle`, and peers through `api`. */
@@ -101,6 +103,8 @@
       membership,
       getSnapshot,
       decisions: options.decisions,
+      queueBound: options.queueBound,
+      findSummary: (shard) => this.prober.summaries.find(shard),
       onUpstreamLeaving: (vm, isLeaving) =>
         membership.noteUpstreamLeaving(vm, isLeaving),
     });
--- a/test/fuzz/fuzz_records.ts
+++ b/test/fuzz/fuzz_records.ts
@@ -19,13 +19,17 @@
 /** Each version caps answers otherwise, so that the version kept shows. */
 const BASE_CAP = 40;
 const CAP_STEPS = 8;
-const SLOTS = { initial: 2, min: 1, max: 3 };
+/** Near enough to what a slot takes that preemption may pay. */
+const FIRST_TOKEN_MS = 1_000;
+const SLOTS = { initial: 1, min: 1, max: 2 };
 const TIMEOUTS = {
   first_byte_ms: 3_000,
   between_bytes_ms: 1_500,
   total_ms: 20_000,
 };
 
+const CAPPED_TIERS = ["documents", "lookups"];
+
 type RawRecord = Record<string, unknown> & { kind: string };
 
 const EXAMPLES = new Map<User, ExampleRecords>();
@@ -76,18 +80,29 @@
 function convertRecord(record: RawRecord, version: number): RawRecord {
   if (record.kind === "request_class") return convertClass(record, version);
   if (record.kind === "upstream_pool") return convertPool(record);
+  if (record.kind === "tier") return convertTier(record);
   return record;
 }
 
+/** With so few slots a cap would leave one free, and nothing to preempt. */
+function convertTier(record: RawRecord): RawRecord {
+  return CAPPED_TIERS.includes(String(record["name"]))
+    ? record
+    : { ...record, max_slot_share: 1 };
+}
+
 function convertClass(record: RawRecord, version: number): RawRecord {
   const isModel = Number(record["max_output_tokens"]) > 1;
   const targets = (record["targets"] ?? record) as Record<string, number>;
-  const total = Math.min(targets["total_ms"]!, MAX_TOTAL_MS);
+  const changed = {
+    first_token_ms: Math.min(targets["first_token_ms"]!, FIRST_TOKEN_MS),
+    total_ms: Math.min(targets["total_ms"]!, MAX_TOTAL_MS),
+  };
   return {
     ...record,
     ...(record["targets"] === undefined
-      ? { total_ms: total }
-      : { targets: { ...targets, total_ms: total } }),
+      ? changed
+      : { targets: { ...targets, ...changed } }),
     queue_limit: QUEUE_LIMIT,
     max_wait_ms: Math.min(Number(record["max_wait_ms"]), MAX_WAIT_MS),
     max_output_tokens: isModel ? getOutputCap(version) : 1,
@@ -107,6 +122,8 @@
   const models = record["models"] as { replicas: number }[];
   return {
     ...record,
+    // More than one owner, so that requests are passed on between shards.
+    shards: record["name"] === "assist" ? 2 : 1,
     models: models.map((model) => ({ ...model, replicas: ENGINES })),
     slots: SLOTS,
     timeouts: TIMEOUTS,
--- a/test/fuzz/fuzz_upstreams.ts
+++ b/test/fuzz/fuzz_upstreams.ts
@@ -31,7 +31,7 @@
 
 const DELAY_MS = 0.5;
 const ENGINE = {
-  baseMs: 20,
+  baseMs: 40,
   perRunningMs: 2,
   maxBatch: 3,
   cachedPrefixes: 4,
--- a/test/fuzz/vm_life.ts
+++ b/test/fuzz/vm_life.ts
@@ -16,6 +16,9 @@
 import type { FuzzSink } from "./fuzz_sink.ts";
 import type { FuzzTransport, FuzzUpstreams } from "./fuzz_upstreams.ts";
 
+/** Small, so that bursts shed. */
+const QUEUE_BOUND = 3;
+
 /** What a life begins with. */
 export interface LifeOptions {
   self: ListedVm;
@@ -64,6 +67,7 @@
       self,
       source: options.buildSource(this.clock),
       seeds,
+      queueBound: QUEUE_BOUND,
     });
     network.register(self.id, stopAfterEnd(this.runtime.api, isDead));
   }
