Keep serving when TLS files cannot be read at SIGHUP

Cause: the error of reading a key went up to the signal's handler and ended the process with its requests. Trial: a daemon whose key file held half a key ended with status 1 at SIGHUP; now it logs tls_not_reloaded and keeps what it has. All files are checked before the first listener changes.

--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { readFileSync } from "node:fs";
+import { createSecureContext } from "node:tls";
 import {
   CallerListener,
   type ClientTls,
@@ -14,6 +15,7 @@
   type ServerTls,
   TrpcPeerDirectory,
 } from "../connection/index.ts";
+import { toError } from "../errors.ts";
 import { type Incarnation, toId, type VmId } from "../ids.ts";
 import type { ListedVm } from "../version/index.ts";
 import { SystemClock } from "./clock.ts";
@@ -71,6 +73,7 @@
       environment: this.environment,
       self: buildSelf(settings),
       source: createSource(settings, this.environment),
+      sourceName: settings.source.kind,
       seeds: settings.seeds.map(({ vm }) => vm),
       entriesTtlMs: settings.drain.entriesTtlMs,
       retainedAnswersBytes: settings.retainedAnswersBytes,
@@ -155,16 +158,34 @@
     ]);
   }
 
-  /** Reads the TLS files again, for connections from now on. */
+  /**
+   * Reads the TLS files again, for connections from now on. What goes wrong
+   * without the catch: a file that is half written or cannot be read ends the
+   * daemon with every request in flight, at a signal that should change
+   * nothing for them. The listeners keep what they have, and the log says so.
+   */
   updateTls(): void {
+    try {
+      this.#readAndUpdateTls();
+      this.environment.log.info("tls_reloaded");
+    } catch (thrown) {
+      const error = toError(thrown).message;
+      this.environment.log.error("tls_not_reloaded", { error });
+    }
+  }
+
+  /** Reads and checks everything before the first listener changes. */
+  #readAndUpdateTls(): void {
     const { callers, peers, operators } = this.#settings.listeners;
     const callersTls = readServerTls(callers.tls);
     const peersTls = readServerTls(peers.tls);
     const operatorsTls = readServerTls(operators.tls);
+    for (const tls of [callersTls, peersTls, operatorsTls]) {
+      if (tls) createSecureContext({ cert: tls.cert, key: tls.key });
+    }
     if (callersTls) this.#callers.updateTls(callersTls);
     if (peersTls) this.#peers.updateTls(peersTls);
     if (operatorsTls) this.#operators.updateTls(operatorsTls);
-    this.environment.log.info("tls_reloaded");
   }
 
   async #runDrain(): Promise<void> {
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -43,6 +43,8 @@
   /** This VM as it would be listed. */
   self: ListedVm;
   source: ConfigurationSource;
+  /** What the source is called in reports. */
+  sourceName?: string;
   /** VMs to ask for a configuration before any list is known. */
   seeds: readonly VmId[];
   /** How long callers may keep an answer of `GET /v1/entries`. */
@@ -92,6 +94,7 @@
       source,
       membership,
       seeds,
+      sourceName: options.sourceName,
     });
     this.prober = Prober.create({
       environment,
