Give operators fates, versions and gauges in one form

The operators' fate was camelCase and the callers' snake_case; the tool turned one into the other. Both are the page of src/request/fate_page.ts now, and the tool reads it as it is.

--- a/src/process/fleet_operator.ts
+++ b/src/process/fleet_operator.ts
@@ -6,11 +6,14 @@
 import { type HealthAnswer, OperatorApi } from "../connection/index.ts";
 import { toError } from "../errors.ts";
 import type { RequestId, VmId } from "../ids.ts";
+import { buildUnaskedPage, formatFatePage } from "../request/fate_page.ts";
 import { parseSeries } from "./burn_stats.ts";
 import type { Environment } from "./environment.ts";
 import { Readiness } from "./readiness.ts";
 import type { VmRuntime } from "./runtime.ts";
 
+const MS_PER_SECOND = 1_000;
+
 /** What the operators' side of a process needs. */
 export interface FleetOperatorOptions {
   environment: Environment;
@@ -38,6 +41,7 @@
     this.#runtime = options.runtime;
     this.#readiness = Readiness.create(options.environment, options.runtime);
     this.#startDrain = options.startDrain;
+    this.#addGauges();
   }
 
   static create(options: FleetOperatorOptions): FleetOperator {
@@ -90,7 +94,10 @@
     }));
     return Promise.resolve({
       vms: [own, ...others],
-      history: report.history,
+      history: report.history.map(({ ageMs, ...decision }) => ({
+        ...decision,
+        age_ms: ageMs,
+      })),
       view_age_ms: Number.isFinite(report.viewAgeMs) ? report.viewAgeMs : null,
     });
   }
@@ -108,16 +115,11 @@
   override async findFate(requestId: RequestId): Promise<object | undefined> {
     try {
       const { fate } = await this.#runtime.fateFinder.findFate(requestId);
-      return fate;
+      return fate && formatFatePage(fate);
     } catch (thrown) {
       // The VM that would know cannot be asked. That is an answer of its own:
       // "nothing is known" would read as if the request had never come.
-      return {
-        requestId,
-        outcome: "unknown",
-        why: toError(thrown).message,
-        steps: [],
-      };
+      return buildUnaskedPage(requestId, thrown);
     }
   }
 
@@ -164,6 +166,42 @@
     return this.#readiness.check();
   }
 
+  /** What an alert on one VM's view of the fleet needs. */
+  #addGauges(): void {
+    const { metrics, membership, follower } = this.#runtime;
+    metrics.addGauge("configuration_version", {
+      help: "Version of the configuration in force; 0 before the first",
+      read: () => follower.getSnapshot()?.version ?? 0,
+    });
+    metrics.addGauge("membership_revision", {
+      help: "Revision of the membership list in force",
+      read: () => membership.getList().revision,
+    });
+    metrics.addGauge("view_age_seconds", {
+      help: "Time since the membership list was last known to be the newest",
+      read: () => membership.getViewAgeMs() / MS_PER_SECOND,
+    });
+    metrics.addGauge("requests_in_flight", {
+      help: "Requests that this VM is answering",
+      read: () => this.#runtime.inFlight,
+    });
+    metrics.addGauge("unreachable_vms", {
+      help: "Listed entry VMs that this VM believes to be dead",
+      read: () =>
+        membership.listEntryVms().filter(({ id }) => {
+          return !membership.isReachable(id);
+        }).length,
+    });
+    metrics.addGauge("draining", {
+      help: "1 while this VM drains",
+      read: () => Number(this.#runtime.isDraining),
+    });
+    metrics.addGauge("ready", {
+      help: "1 while /readyz says that callers should come here",
+      read: () => Number(this.#readiness.check().ok),
+    });
+  }
+
   #listMembers(): object[] {
     const { membership, follower } = this.#runtime;
     const peers = follower.listVersions().peers;
--- a/src/request/fate_page.ts
+++ b/src/request/fate_page.ts
@@ -11,7 +11,7 @@
 import type { FateRecord } from "./fate.ts";
 import type { RequestServices } from "./request_services.ts";
 
-/** A fate as callers read it, or why it is not known. */
+/** A fate as callers and operators read it, or why it is not known. */
 export type FatePage = Record<string, unknown>;
 
 /**
@@ -27,17 +27,16 @@
   try {
     found = await services.findFate(requestId, { withAnswer: false });
   } catch (thrown) {
-    const why = `The VM that would know cannot be asked: ${
-      toError(thrown).message
-    }`;
-    return buildUnknown(requestId, why);
+    return buildUnaskedPage(requestId, thrown);
   }
   if (found.fate === undefined) {
     const why = "No VM that could know keeps a record of it: it was never " +
       "submitted, its VM was replaced, or the record had to make room";
     return buildUnknown(requestId, why);
   }
-  if (found.fate.workspace === workspace.name) return toPage(found.fate);
+  if (found.fate.workspace === workspace.name) {
+    return formatFatePage(found.fate);
+  }
   throw new RefusalError({
     code: "not_found",
     message: "The workspace has no such request",
@@ -45,11 +44,19 @@
   });
 }
 
-function buildUnknown(requestId: RequestId, why: string): FatePage {
-  return { request_id: requestId, outcome: "unknown", why, steps: [] };
+/** The page of a request whose VM cannot be asked, with the reason. */
+export function buildUnaskedPage(
+  requestId: RequestId,
+  thrown: unknown,
+): FatePage {
+  const why = `The VM that would know cannot be asked: ${
+    toError(thrown).message
+  }`;
+  return buildUnknown(requestId, why);
 }
 
-function toPage(fate: FateRecord): FatePage {
+/** Writes a record as a page. */
+export function formatFatePage(fate: FateRecord): FatePage {
   return {
     request_id: fate.requestId,
     outcome: fate.outcome,
@@ -69,3 +76,7 @@
     dropped_steps: fate.droppedSteps,
   };
 }
+
+function buildUnknown(requestId: RequestId, why: string): FatePage {
+  return { request_id: requestId, outcome: "unknown", why, steps: [] };
+}
--- a/src/tool/fleet_commands.ts
+++ b/src/tool/fleet_commands.ts
@@ -11,6 +11,7 @@
   FATE_ANSWER,
   STATUS_ANSWER,
   type StatusAnswer,
+  type VersionDecision,
   VERSIONS_ANSWER,
 } from "./operator_answers.ts";
 import { formatDuration, renderTable } from "./table.ts";
@@ -38,7 +39,8 @@
     vm.from ?? NONE,
   ]);
   return {
-    text: renderTable(["VM", "VERSION", "SINCE", "FROM"], rows),
+    text: renderTable(["VM", "VERSION", "SINCE", "FROM"], rows) +
+      renderFaults(answer.history),
     json: answer,
     exitCode: EXIT_OK,
   };
@@ -179,6 +181,18 @@
   return `${head}${members}\n${shards}`;
 }
 
+/** What the VM was offered and did not take, with the reasons. */
+function renderFaults(history: readonly VersionDecision[]): string {
+  const faults = history.filter(({ result }) => result !== "accepted");
+  if (faults.length === 0) return "";
+  const lines = faults.flatMap((fault) => [
+    `Version ${fault.version} from ${fault.from} was ${fault.result} ` +
+    `${formatDuration(fault.age_ms)} ago (content ${fault.digest})`,
+    ...fault.problems.map((problem) => `  ${problem}`),
+  ]);
+  return `\n${lines.join("\n")}\n`;
+}
+
 function formatWaiting(byRank: Record<string, number>): string {
   const parts = Object.entries(byRank).filter(([, count]) => count > 0)
     .map(([rank, count]) => `${rank}: ${count}`);
--- a/src/tool/index.ts
+++ b/src/tool/index.ts
@@ -5,4 +5,3 @@
  */
 export { runTool } from "./run_tool.ts";
 export { ProcessTerminal, Terminal } from "./terminal.ts";
-export type { ToolContext } from "./terminal.ts";
--- a/src/tool/operator_answers.ts
+++ b/src/tool/operator_answers.ts
@@ -44,6 +44,15 @@
     since_ms: z.number().nullish(),
     from: z.string().nullish(),
   })),
+  /** The answering VM's latest decisions, oldest first. */
+  history: z.array(z.looseObject({
+    version: z.number(),
+    digest: z.string(),
+    from: z.string(),
+    result: z.string(),
+    problems: z.array(z.string()),
+    age_ms: z.number(),
+  })).default([]),
 });
 
 /** `POST /v1/drain`. */
@@ -51,7 +60,8 @@
   in_flight: z.number().optional(),
 });
 
-const FATE_PAGE = z.looseObject({
+/** `GET /v1/requests/ID`. */
+export const FATE_ANSWER = z.looseObject({
   request_id: z.string(),
   outcome: z.string(),
   code: z.string().nullish(),
@@ -72,12 +82,6 @@
   dropped_steps: z.number().nullish(),
 });
 
-/**
- * `GET /v1/requests/ID`. Operators get the VM's own record, callers a page of
- * it; they differ in how their keys are written.
- */
-export const FATE_ANSWER = z.preprocess(convertKeys, FATE_PAGE);
-
 /** `GET /v1/burn`. */
 export const BURN_ANSWER = z.looseObject({
   vms: z.array(z.looseObject({
@@ -109,27 +113,9 @@
 
 /** A VM and the fleet as it sees it. */
 export type StatusAnswer = z.infer<typeof STATUS_ANSWER>;
-/** Which VM has which configuration. */
-export type VersionsAnswer = z.infer<typeof VERSIONS_ANSWER>;
+/** One decision of a VM on a version that it was offered. */
+export type VersionDecision = z.infer<typeof VERSIONS_ANSWER>["history"][0];
 /** What became of one request. */
-export type FatePage = z.infer<typeof FATE_PAGE>;
+export type FatePage = z.infer<typeof FATE_ANSWER>;
 /** The figures of all VMs that could be reached. */
 export type BurnAnswer = z.infer<typeof BURN_ANSWER>;
-/** Addresses for callers. */
-export type EntriesPage = z.infer<typeof ENTRIES_ANSWER>;
-
-/** Keys in snake_case; `className` is `class` on every page. */
-function convertKeys(value: unknown): unknown {
-  if (Array.isArray(value)) return value.map(convertKeys);
-  if (typeof value !== "object" || value === null) return value;
-  return Object.fromEntries(
-    Object.entries(value).map(([key, item]) => [
-      key === "className" ? "class" : toSnakeCase(key),
-      convertKeys(item),
-    ]),
-  );
-}
-
-function toSnakeCase(key: string): string {
-  return key.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
-}
--- a/test/tool/fleet_commands_test.ts
+++ b/test/tool/fleet_commands_test.ts
@@ -128,6 +128,32 @@
   expect(run.output).toMatch(/^entry-3 +- +- +-$/m);
 });
 
+test("versions says which versions were not taken, and why", async () => {
+  const decision = { digest: "d1", from: "service", age_ms: 2_000 };
+  const vm = await startFixed({
+    "/v1/versions": {
+      vms: [{ vm: "entry-1", version: 7, since_ms: 4_200, from: "service" }],
+      history: [
+        { ...decision, version: 7, result: "accepted", problems: [] },
+        {
+          ...decision,
+          version: 8,
+          result: "rejected",
+          problems: ["tier fast: $.rank: Expected a number"],
+        },
+        { ...decision, version: 7, result: "outranked", problems: [] },
+      ],
+    },
+  });
+  const run = await runWords(["versions", ...getOptions(vm)]);
+  expect(run.output).not.toContain("accepted");
+  expect(run.output).toContain(
+    "Version 8 from service was rejected 2.0s ago (content d1)\n" +
+      "  tier fast: $.rank: Expected a number\n",
+  );
+  expect(run.output).toContain("Version 7 from service was outranked");
+});
+
 test("entries asks the callers' listener, without a credential", async () => {
   const vm = await startFixed({
     "/v1/entries": {
