Compare ages with clock times between VMs whose clocks differ

The claim that ages and durations keep the queue's order was never measured. The experiment stands before the owners of eight VMs and turns the ages of each acquire call into what clock times under offset would have made of them; it counts grants out of order, targets met and refusals for want of time.

--- /dev/null
+++ b/bench/experiments/ages.ts
@@ -0,0 +1,169 @@
+/**
+ * Ages against clock times between VMs whose clocks differ: the order of
+ * grants, targets met, refusals for want of time.
+ *
+ * @module
+ */
+import type { VmId } from "../../src/ids.ts";
+import type { Random } from "../../src/process/random.ts";
+import { SeededRandom } from "../../src/process/random.ts";
+import type { SchedulerDecisions } from "../../src/process/scheduler/decisions.ts";
+import { type BuildRouter, runScenario } from "../run_scenario.ts";
+import type { User } from "../support/example_records.ts";
+import { RuntimeFleet } from "../support/runtime_fleet.ts";
+import { AcquireWatch, type TimeForm } from "./acquire_watch.ts";
+import { countPairs, type PairCount } from "./grant_order.ts";
+
+const SCENARIO = "overload";
+const DURATION_MS = 45_000;
+/** By then the first-come queues stand full for most of the run. */
+const FIRST_COME_MS: Record<User, number> = {
+  lectura_llana: 45_000,
+  kontrola_sever: 20_000,
+};
+/** Only these wait in the scenario. */
+const MODEL_CLASSES: Record<User, string[]> = {
+  lectura_llana: ["adaptation", "glossary"],
+  kontrola_sever: ["clerk_summary", "chat"],
+};
+const DELAY_SEED = 100;
+const OFFSET_SEED = 200;
+
+/** One-way delays between VMs in milliseconds, one drawn for each link. */
+export interface DelayRange {
+  fromMs: number;
+  toMs: number;
+}
+
+/** Which order the owner keeps within a class. */
+export type OrderMode =
+  /** As in production. */
+  | "production"
+  /** First come, first served: out of order only by the clocks. */
+  | "first_come";
+
+/** One run. */
+export interface AgesOptions {
+  user: User;
+  seed: number;
+  mode: OrderMode;
+  delay: DelayRange;
+  /** Largest clock offset in milliseconds; "ages" exchanges no clock times. */
+  form: "ages" | number;
+  /** Shorter runs for tests. */
+  durationMs?: number;
+}
+
+/** What one run came to. */
+export interface AgesFigures {
+  options: AgesOptions;
+  /** Within a class. */
+  byClass: PairCount;
+  /** Within a class and a workspace. */
+  byWorkspace: PairCount;
+  classes: Record<
+    string,
+    { offered: number; met: number; late: number; lateRefusals: number }
+  >;
+  lateRefusals: AcquireWatch["refusals"];
+  goodput: number;
+  wastedShare: number;
+  broken: Record<string, number>;
+}
+
+const DECISIONS: Record<OrderMode, Partial<SchedulerDecisions>> = {
+  production: {},
+  first_come: { deadlineOrder: false, fairShare: false },
+};
+
+/** Runs once; the same options give the same figures. */
+export async function runAges(options: AgesOptions): Promise<AgesFigures> {
+  const { user, seed, mode } = options;
+  let watch: AcquireWatch | undefined;
+  const buildRouter: BuildRouter = (parts) => {
+    const fleet = RuntimeFleet.create({ ...parts, decisions: DECISIONS[mode] });
+    watch = watchFleet(fleet, { clock: parts.clock, options });
+    return fleet;
+  };
+  const run = await runScenario({
+    scenario: SCENARIO,
+    user,
+    seed,
+    router: mode,
+    buildRouter,
+    durationMs: options.durationMs ??
+      (mode === "production" ? DURATION_MS : FIRST_COME_MS[user]),
+  });
+  const tickets = watch!.listTickets();
+  const classes = MODEL_CLASSES[user].map((name) => {
+    const { offered, met, late, refused } = run.classes[name]!;
+    const lateRefusals = refused["deadline_unreachable"] ?? 0;
+    return [name, { offered, met, late, lateRefusals }];
+  });
+  return {
+    options,
+    byClass: countPairs(tickets, "class"),
+    byWorkspace: countPairs(tickets, "workspace"),
+    classes: Object.fromEntries(classes),
+    lateRefusals: watch!.refusals,
+    goodput: run.goodput,
+    wastedShare: run.wastedTokens / Math.max(1, run.generatedTokens),
+    broken: run.broken,
+  };
+}
+
+function watchFleet(
+  fleet: RuntimeFleet,
+  { clock, options }: {
+    clock: Parameters<BuildRouter>[0]["clock"];
+    options: AgesOptions;
+  },
+): AcquireWatch {
+  const vms = fleet.listVms();
+  const delays = buildDelays(fleet, options);
+  const watch = AcquireWatch.create({
+    clock,
+    form: buildForm(vms, options),
+    getDelay: (from, to) => delays.get(formatLink(from, to))!,
+  });
+  for (const vm of vms) watch.watch(vm, fleet.getRuntime(vm).owners);
+  return watch;
+}
+
+/** Delays even over the logarithm, the same both ways. */
+function buildDelays(
+  fleet: RuntimeFleet,
+  { delay, seed }: AgesOptions,
+): Map<string, number> {
+  const random = SeededRandom.create(seed + DELAY_SEED);
+  const delays = new Map<string, number>();
+  const vms = fleet.listVms();
+  for (const [index, from] of vms.entries()) {
+    for (const to of vms.slice(index + 1)) {
+      const ms = delay.fromMs *
+        Math.pow(delay.toMs / delay.fromMs, random.next());
+      delays.set(formatLink(from, to), ms);
+      delays.set(formatLink(to, from), ms);
+      fleet.network.setDelay(from, to, ms);
+    }
+  }
+  return delays;
+}
+
+function buildForm(
+  vms: readonly VmId[],
+  { form, seed }: AgesOptions,
+): TimeForm {
+  if (form === "ages") return { kind: "ages" };
+  const random = SeededRandom.create(seed + OFFSET_SEED);
+  const offsets = new Map(vms.map((vm) => [vm, pickOffset(form, random)]));
+  return { kind: "clock_times", offsets };
+}
+
+function pickOffset(mostMs: number, random: Random): number {
+  return mostMs * (2 * random.next() - 1);
+}
+
+function formatLink(from: VmId, to: VmId): string {
+  return `${from}>${to}`;
+}
