Refuse ca_file where no listener asks for certificates

Cause: listeners.callers.tls.ca_file and listeners.operators.tls.ca_file were taken, and the page said that the other side must show a certificate of that authority, but no listener asks for one: an operator would have thought callers without a certificate turned away.

--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -27,7 +27,7 @@
 import { SystemRandom } from "./random.ts";
 import { RoarrLog } from "./roarr_log.ts";
 import { VmRuntime } from "./runtime.ts";
-import type { Settings, TlsSettings } from "./settings.ts";
+import type { PeerTlsSettings, Settings, TlsSettings } from "./settings.ts";
 
 const INCARNATION_LENGTH = 8;
 const IN_FLIGHT_CHECK_MS = 100;
@@ -259,7 +259,9 @@
   };
 }
 
-function readClientTls(tls: TlsSettings | undefined): ClientTls | undefined {
+function readClientTls(
+  tls: PeerTlsSettings | undefined,
+): ClientTls | undefined {
   if (tls === undefined) return undefined;
   return { ca: readFileSync(tls.caFile ?? tls.certFile, "utf8") };
 }
--- a/src/process/settings.ts
+++ b/src/process/settings.ts
@@ -21,7 +21,11 @@
 export interface TlsSettings {
   certFile: string;
   keyFile: string;
-  /** Where set, the other side must show a certificate of this authority. */
+}
+
+/** The peers' files; VMs check each other's listeners. */
+export interface PeerTlsSettings extends TlsSettings {
+  /** The authority that vouches for the VMs; `certFile` without it. */
   caFile?: string;
 }
 
@@ -63,7 +67,7 @@
   address: string;
   listeners: {
     callers: ListenerSettings;
-    peers: ListenerSettings & { secret: string };
+    peers: ListenerSettings & { secret: string; tls?: PeerTlsSettings };
     operators: ListenerSettings & { token: string };
   };
   source: SourceSettings;
--- a/src/process/settings_schema.ts
+++ b/src/process/settings_schema.ts
@@ -37,16 +37,20 @@
 const TLS = z.strictObject({
   cert_file: NAME.describe("PEM file of the certificate chain"),
   key_file: NAME.describe("PEM file of the private key"),
+});
+
+// No other listener asks for certificates. A `ca_file` there would read as if
+// callers without one were turned away, so it is refused as unknown.
+const PEER_TLS = TLS.extend({
   ca_file: NAME.optional().describe(
-    "PEM file of the authority that the other side's certificate must have",
+    "PEM file of the authority of the VMs' certificates; else `cert_file`",
   ),
 });
 
 const HOST = IP_ADDRESS.default(DEFAULT_HOST)
   .describe("IP address to listen on");
 
-const TLS_OR_NONE = TLS.optional()
-  .describe("Plain HTTP where this is left out");
+const PLAIN_WITHOUT = "Plain HTTP where this is left out";
 
 const HTTP_URL = z.url({ protocol: /^https?$/, error: "an http or https URL" });
 
@@ -54,19 +58,19 @@
   callers: z.strictObject({
     port: PORT.describe("Port for callers"),
     host: HOST,
-    tls: TLS_OR_NONE,
+    tls: TLS.optional().describe(PLAIN_WITHOUT),
   }),
   peers: z.strictObject({
     port: PORT.describe("Port for the other entry VMs"),
     host: HOST,
     secret: SECRET.describe("Secret that all entry VMs share"),
-    tls: TLS_OR_NONE,
+    tls: PEER_TLS.optional().describe(PLAIN_WITHOUT),
   }),
   operators: z.strictObject({
     port: PORT.describe("Port for operators and the tool"),
     host: HOST,
     token: SECRET.describe("Bearer token of the operator API"),
-    tls: TLS_OR_NONE,
+    tls: TLS.optional().describe(PLAIN_WITHOUT),
   }),
 });
 
--- a/test/process/settings_test.ts
+++ b/test/process/settings_test.ts
@@ -94,6 +94,12 @@
       "$.listeners.callers.prot",
       "no such",
     ],
+    [
+      ["listeners", "callers", "tls", "ca_file"],
+      "ca.pem",
+      "$.listeners.callers.tls.ca_file",
+      "no such",
+    ],
     [["colour"], "red", "$.colour", "There is no such setting"],
     [["source"], { kind: "disk" }, "$.source.kind", '"service" or "directory"'],
     [
@@ -112,6 +118,15 @@
     expect(error.message).toContain(expected);
   });
 
+  test("takes the authority of the VMs' certificates", () => {
+    const tls = { cert_file: "c.pem", key_file: "k.pem", ca_file: "ca.pem" };
+    const written = buildWith(["listeners", "peers", "tls"], tls);
+    const settings = parseSettings(JSON.stringify(written), "s.json", {
+      secrets: SECRETS,
+    });
+    expect(settings.listeners.peers.tls?.caFile).toBe("ca.pem");
+  });
+
   test("lists every fault, not only the first", () => {
     const error = findError({});
     for (const path of ["vm", "data_centre", "address", "listeners"]) {
