--- a/test/failures/processes/silent_connections_test.ts
+++ b/test/failures/processes/silent_connections_test.ts
@@ -136,7 +136,9 @@
 it("a watch that goes silent is replaced, and the news arrives", async () => {
   // Past the first reads, so that what is open is the watch.
   await sleep(1_000);
-  fleet.relays.get("platform")!.setModeOfOpen("swallow");
+  for (const vm of fleet.vms) {
+    fleet.relays.get(`platform:${vm.id}`)!.setModeOfOpen("swallow");
+  }
   const version = fleet.announceRecords({ requestsPerMinute: 777_777 });
   const inForce = await waitUntil(
     "the version on every VM",
--- a/test/support/process_fleet.ts
+++ b/test/support/process_fleet.ts
@@ -43,6 +43,7 @@
   entriesTtlMs?: number;
   /** The daemons' `limits` settings. */
   limits?: Record<string, number>;
+  logLevel?: "debug" | "info" | "warn";
   /** Where connections go through relays. */
   relays?: ("peers" | "upstreams" | "platform")[];
 }
@@ -65,7 +66,10 @@
   readonly engines: EngineServer[] = [];
   readonly services: ServiceServer[] = [];
   readonly vms: ProcessVm[] = [];
-  /** By name of the VM or upstream behind it; `platform` for the service. */
+  /**
+   * By name of the VM or upstream behind it; `platform:VM` for the service as
+   * one VM reaches it.
+   */
   readonly relays = new Map<string, Relay>();
   list: PublishedVm[] = [];
   readonly #options: ProcessFleetOptions;
@@ -154,11 +158,7 @@
 
   async #start(): Promise<void> {
     const upstreams = await this.#startUpstreams();
-    const platformPort = await this.#findWay(
-      "platform",
-      "platform",
-      await this.platform.start(),
-    );
+    const platformPort = await this.platform.start();
     const ports = await findVmPorts(this.#options.vms);
     const entries: PublishedVm[] = [];
     for (const [index, vmPorts] of ports.entries()) {
@@ -169,6 +169,8 @@
     this.platform.core.addList(this.list);
     for (const [index, entry] of entries.entries()) {
       const others = entries.filter((other) => other !== entry);
+      const way = `platform:${entry.id}`;
+      const sourcePort = await this.#findWay("platform", way, platformPort);
       this.vms.push(ProcessVm.create({
         id: entry.id,
         dataCentre: entry.data_centre,
@@ -177,10 +179,11 @@
         directory: this.#directory,
         children: this.#children,
         secret: SECRET,
-        sourceUrl: `http://127.0.0.1:${platformPort}`,
+        sourceUrl: `http://127.0.0.1:${sourcePort}`,
         graceMs: this.#options.graceMs ?? 30_000,
         entriesTtlMs: this.#options.entriesTtlMs ?? 1_000,
         limits: this.#options.limits ?? {},
+        logLevel: this.#options.logLevel ?? "debug",
         seeds: others.map((other) => ({
           vm: other.id,
           address: other.address,
--- a/test/support/process_vm.ts
+++ b/test/support/process_vm.ts
@@ -34,6 +34,7 @@
   entriesTtlMs: number;
   /** The settings' `limits`. */
   limits: Record<string, number>;
+  logLevel: string;
   seeds: { vm: string; address: string; peer_port: number }[];
 }
 
@@ -197,7 +198,7 @@
         entries_ttl_ms: this.#options.entriesTtlMs,
       },
       limits: this.#options.limits,
-      log_level: "debug",
+      log_level: this.#options.logLevel,
       seeds,
     };
   }
--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -29,6 +29,7 @@
   #modeForNew: RelayMode = "pass";
   #delayMs = 0;
   #accepted = 0;
+  #bytes = 0;
 
   constructor(target: { host: string; port: number }) {
     this.#target = target;
@@ -55,6 +56,11 @@
     return this.#accepted;
   }
 
+  /** Bytes taken from both sides so far. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
   /** Connections open now. */
   get open(): number {
     return this.#pairs.size;
@@ -112,6 +118,7 @@
 
   #copyBytes(from: Socket, to: Socket, pair: Pair): void {
     from.on("data", (chunk) => {
+      this.#bytes += chunk.length;
       if (pair.mode === "swallow") return;
       this.#runLater(() => {
         if (pair.mode === "swallow" || to.destroyed) return;
