--- a/src/bin/persimmonslipd.ts
+++ b/src/bin/persimmonslipd.ts
@@ -9,6 +9,7 @@
 import { hideBin } from "yargs/helpers";
 import { toError } from "../errors.ts";
 import { Daemon } from "../process/daemon.ts";
+import { readPackageVersion } from "../process/package_version.ts";
 import { readSettings } from "../process/settings.ts";
 
 const EXIT_FAILED = 1;
@@ -19,6 +20,7 @@
   const { settings } = await yargs(hideBin(process.argv))
     .scriptName("persimmonslipd")
     .usage("$0 --settings FILE")
+    .version(readPackageVersion())
     .option("settings", {
       type: "string",
       demandOption: true,
--- a/src/tool/command_line.ts
+++ b/src/tool/command_line.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import yargs, { type Argv } from "yargs";
+import { readPackageVersion } from "../process/package_version.ts";
 import { createCallerClient, createOperatorClient } from "./arguments.ts";
 import { runBurn } from "./burn_command.ts";
 import { readSnapshot, runCheck, runDiff } from "./check_command.ts";
@@ -31,6 +32,7 @@
   const parser = yargs()
     .scriptName("persimmonslip")
     .usage("$0 COMMAND\n\nOperates and examines a fleet of persimmonslipd.")
+    .version(readPackageVersion())
     .wrap(HELP_WIDTH)
     .exitProcess(false)
     .strict()
--- a/test/tool/offline_test.ts
+++ b/test/tool/offline_test.ts
@@ -135,6 +135,12 @@
     expect(run.exitCode).toBe(0);
   });
 
+  test("gives the version of the package", async () => {
+    const { version } = JSON.parse(readFileSync("package.json", "utf8"));
+    const run = await runWords(["--version"]);
+    expect(run.output).toBe(`${version}\n`);
+  });
+
   test("suggests a command for a mistyped one", async () => {
     const run = await runWords(["stauts"]);
     expect(run.error).toContain("Did you mean status?");
