Measure handing a leaving engine's cached prefixes on

The engines can export and import prefixes, and copyCache exists; whether its use pays was open. The experiment lets one engine leave and copies the shared prefixes that it holds to one engine, to all, or to none, free or at the cost of wire and device. It counts prompt tokens worked through, first tokens and targets met in the 25 s after.

--- /dev/null
+++ b/bench/experiments/cache_handover_main.ts
@@ -0,0 +1,137 @@
+/**
+ * Measures handing cached prefixes on for both users, prints the table and
+ * saves the figures.
+ *
+ * @module
+ */
+import { writeFileSync } from "node:fs";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { USERS } from "../support/example_records.ts";
+import {
+  type CopyCost,
+  type HandOverFigures,
+  type HandOverOptions,
+  runHandOver,
+} from "./cache_handover.ts";
+import { LEAST_SHARED_TOKENS } from "./shared_prompts.ts";
+
+/** 32 layers of 8 key and 8 value heads of 128 values of 2 bytes. */
+const BYTES_PER_TOKEN = 32 * (8 + 8) * 128 * 2;
+/** 10 Gbit/s between upstreams. */
+const WIRE_BYTES_PER_MS = 1_250_000;
+/** Ten times that from memory to the device. */
+const DEVICE_BYTES_PER_MS = 12_500_000;
+const FREE: CopyCost = { transferMs: 0, stallMs: 0 };
+const PLAUSIBLE: CopyCost = {
+  transferMs: BYTES_PER_TOKEN / WIRE_BYTES_PER_MS,
+  stallMs: BYTES_PER_TOKEN / DEVICE_BYTES_PER_MS,
+};
+/** Just within what the prefix hashes of one prompt cover. */
+const LONG_SHARED_TOKENS = 3_840;
+const USUAL_PREFILL_MS = 0.05;
+const SLOW_PREFILL_MS = 0.2;
+
+const CASES: Pick<
+  HandOverOptions,
+  "sharedTokens" | "prefillMsPerToken" | "load"
+>[] = [
+  {
+    sharedTokens: LEAST_SHARED_TOKENS,
+    prefillMsPerToken: USUAL_PREFILL_MS,
+    load: 0.5,
+  },
+  {
+    sharedTokens: LONG_SHARED_TOKENS,
+    prefillMsPerToken: USUAL_PREFILL_MS,
+    load: 0.5,
+  },
+  {
+    sharedTokens: LONG_SHARED_TOKENS,
+    prefillMsPerToken: SLOW_PREFILL_MS,
+    load: 0.25,
+  },
+];
+const COPIES: Pick<HandOverOptions, "handOverTo" | "cost">[] = [
+  { handOverTo: "none", cost: FREE },
+  { handOverTo: "one", cost: FREE },
+  { handOverTo: "all", cost: FREE },
+  { handOverTo: "all", cost: PLAUSIBLE },
+];
+const HEAD = [
+  "user",
+  "shared",
+  "prefill, ms/token",
+  "load",
+  "copied to",
+  "tokens copied",
+  "MB copied",
+  "tokens prefilled",
+  "first token, mean",
+  "p99, worst seed",
+  "met",
+];
+const BYTES_PER_MB = 1_000_000;
+
+async function main(): Promise<void> {
+  const args = await yargs(hideBin(process.argv))
+    .option("seed", { type: "number", array: true, default: [1, 2, 3] })
+    .option("commit", {
+      type: "string",
+      default: "",
+      describe: "The commit that is measured, for the saved figures",
+    })
+    .option("save", { type: "string", describe: "File for the figures" })
+    .strict()
+    .parseAsync();
+  const runs: HandOverFigures[] = [];
+  writeRow(HEAD);
+  writeRow(HEAD.map(() => "---"));
+  for (const user of USERS) {
+    for (const one of CASES) {
+      for (const copy of COPIES) {
+        const group: HandOverFigures[] = [];
+        for (const seed of args.seed) {
+          group.push(await runHandOver({ ...one, ...copy, user, seed }));
+        }
+        runs.push(...group);
+        writeRow(buildRow(group));
+      }
+    }
+  }
+  if (args.save === undefined) return;
+  const command = `npx tsx bench/experiments/cache_handover_main.ts ` +
+    `--seed ${args.seed.join(" ")}`;
+  const saved = { command, commit: args.commit, seeds: args.seed, runs };
+  writeFileSync(args.save, `${JSON.stringify(saved, null, 2)}\n`);
+}
+
+function buildRow(group: readonly HandOverFigures[]): string[] {
+  const { options } = group[0]!;
+  const { handOverTo, cost } = options;
+  const sum = (get: (run: HandOverFigures) => number) =>
+    group.reduce((total, run) => total + get(run), 0);
+  const copied = sum((run) => run.copiedTokens);
+  const offered = sum((run) => run.window.offered);
+  const worst = Math.max(...group.map((run) => run.window.firstTokenP99Ms));
+  const mean = sum((run) => run.window.firstTokenMeanMs) / group.length;
+  return [
+    options.user,
+    String(options.sharedTokens),
+    String(options.prefillMsPerToken),
+    String(options.load),
+    cost === FREE ? handOverTo : `${handOverTo}, at a cost`,
+    String(copied),
+    String(Math.round(copied * BYTES_PER_TOKEN / BYTES_PER_MB)),
+    String(sum((run) => run.window.prefillTokens)),
+    `${mean.toFixed(1)} ms`,
+    `${Math.round(worst)} ms`,
+    `${sum((run) => run.window.met)} of ${offered}`,
+  ];
+}
+
+function writeRow(cells: readonly string[]): void {
+  process.stdout.write(`| ${cells.join(" | ")} |\n`);
+}
+
+await main();
