Never tell not run from logs of an id that another VM may have run

An id that one VM refused and another ran was told as not run where the first VM's log was named last, and where it was named alone. Now the line that says most counts, and not_run is told only of ids for one submission; of others the fate is unknown, with the reason. Lines that two files share count once (a file given twice showed each step twice).

--- a/src/tool/fate_from_logs.ts
+++ b/src/tool/fate_from_logs.ts
@@ -24,6 +24,10 @@
   "resumed",
   "retried",
 ]);
+/** What a line of the end says; of two the earlier of these is told. */
+const OUTCOMES: readonly string[] = ["answered", "ran", "unknown", "not_run"];
+const GIVEN_BACK = "These logs say that it did not run, and that its id was " +
+  "free again: another VM may have run it, whose log is not here";
 const UNENDED = "The logs end before the request did: its VM was lost, or " +
   "the lines are in another file";
 
@@ -59,6 +63,8 @@
 /** Puts a fate together line by line. */
 class LogFateBuilder {
   readonly #requestId: string;
+  /** A copied or rotated file holds lines that another one has, too. */
+  readonly #seen = new Set<string>();
   readonly #steps: FatePage["steps"] = [];
   #arrivedAt: string | undefined;
   #finished: Record<string, string> | undefined;
@@ -71,9 +77,10 @@
     // Most lines are of other requests; this spares reading them in full.
     if (!line.includes(this.#requestId)) return;
     const pairs = parseLogLine(line);
-    if (pairs?.request_id !== this.#requestId) return;
+    if (pairs?.request_id !== this.#requestId || this.#seen.has(line)) return;
+    this.#seen.add(line);
     if (pairs.event === STEP_EVENT) this.#addStep(pairs);
-    if (pairs.event === FINISHED_EVENT) this.#finished = pairs;
+    if (pairs.event === FINISHED_EVENT) this.#addEnd(pairs);
   }
 
   /** Undefined where no line was of the request. */
@@ -82,28 +89,53 @@
     const steps = this.#steps.toSorted((left, right) =>
       left.age_ms - right.age_ms
     );
-    const hasBeenSent = steps.some((step) => STEPS_PAST_SENDING.has(step.step));
     const finished = this.#finished;
+    const why = this.#findDoubt(steps);
     // Without its last line nothing proves that the request did not run, not
     // even where no line says that it was sent: that line may be lost too.
-    const outcome = finished?.outcome ?? "unknown";
+    const outcome = why === undefined ? finished?.outcome : undefined;
     return {
       request_id: this.#requestId,
-      outcome,
+      outcome: outcome ?? "unknown",
       code: finished?.code,
-      vm: parseRequestId(this.#requestId)?.vm,
+      vm: finished?.vm ?? parseRequestId(this.#requestId)?.vm,
       workspace: finished?.workspace,
       class: finished?.class,
       arrived_at: this.#arrivedAt,
       tokens: finished?.tokens === undefined
         ? undefined
         : Number(finished.tokens),
-      why: finished ? undefined : `${UNENDED}${formatSent(hasBeenSent)}`,
+      why,
       steps,
       dropped_steps: 0,
     };
   }
 
+  /**
+   * A request that one VM refused without running it may have run at another,
+   * under the same id. Taking the line that is read last would tell a caller
+   * "not run" of work that ran, by the order in which files are named.
+   */
+  #addEnd(pairs: Record<string, string>): void {
+    const known = this.#finished;
+    if (known === undefined || computeEndRank(pairs) < computeEndRank(known)) {
+      this.#finished = pairs;
+    }
+  }
+
+  /** Why the outcome is not known; undefined where a line says it. */
+  #findDoubt(steps: FatePage["steps"]): string | undefined {
+    if (this.#finished === undefined) {
+      const hasBeenSent = steps.some(({ step }) => {
+        return STEPS_PAST_SENDING.has(step);
+      });
+      return `${UNENDED}${formatSent(hasBeenSent)}`;
+    }
+    const isLastWord = this.#finished.outcome !== "not_run" ||
+      parseRequestId(this.#requestId)?.isSingle === true;
+    return isLastWord ? undefined : GIVEN_BACK;
+  }
+
   #addStep(pairs: Record<string, string>): void {
     const ageMs = Number(pairs.age_ms);
     if (!Number.isFinite(ageMs) || pairs.step === undefined) return;
@@ -117,6 +149,11 @@
   }
 }
 
+function computeEndRank(pairs: Record<string, string>): number {
+  const rank = OUTCOMES.indexOf(pairs.outcome ?? "");
+  return rank < 0 ? OUTCOMES.indexOf("unknown") : rank;
+}
+
 function formatSent(hasBeenSent: boolean): string {
   return hasBeenSent
     ? ". It had been sent to an upstream by then"
--- a/test/tool/fate_test.ts
+++ b/test/tool/fate_test.ts
@@ -196,6 +196,52 @@
     expect(page.why).toContain("The logs end before the request did");
   });
 
+  // Symptom: a hold is told as not run, and the customer has two. Sequence: one
+  // VM refuses the hold, it is submitted again under its id and runs at another
+  // VM, and the log of the first is named last. Cause: the end that was read
+  // last was taken; with one log alone, a refusal was taken for the last word.
+  test("never says not run of an id that another VM may have run", async () => {
+    const refused = writeLogs([["request_finished", {
+      request_id: ID,
+      outcome: "not_run",
+      code: "queue_full",
+      vm: "entry-1",
+    }]]);
+    const ran = writeLogs([["request_finished", {
+      request_id: ID,
+      outcome: "ran",
+      vm: "entry-2",
+    }]]);
+    for (const logs of [[ran, refused], [refused, ran]]) {
+      const run = await runWords(["fate", ID, "--logs", ...logs, "--json"]);
+      expect(JSON.parse(run.output)).toMatchObject({
+        outcome: "ran",
+        vm: "entry-2",
+      });
+    }
+    const alone = await runWords(["fate", ID, "--logs", refused, "--json"]);
+    const page = JSON.parse(alone.output);
+    expect(page).toMatchObject({ outcome: "unknown", code: "queue_full" });
+    expect(page.why).toContain("another VM may have run it");
+  });
+
+  test("says not run of an id that went with one submission", async () => {
+    const id = ID.replace("r~", "s~");
+    const file = writeLogs([["request_finished", {
+      request_id: id,
+      outcome: "not_run",
+      code: "queue_full",
+    }]]);
+    const run = await runWords(["fate", id, "--logs", file, "--json"]);
+    expect(JSON.parse(run.output).outcome).toBe("not_run");
+  });
+
+  test("takes lines once that several files have", async () => {
+    const file = writeLogs(STEPS);
+    const run = await runWords(["fate", ID, "--logs", file, file, "--json"]);
+    expect(JSON.parse(run.output).steps).toHaveLength(3);
+  });
+
   test("ends with 1 where no line is of the request", async () => {
     const file = writeLogs(STEPS);
     const run = await runWords(["fate", "r~none", "--logs", file]);
