--- a/test/process/orders/order_giver_test.ts
+++ b/test/process/orders/order_giver_test.ts
@@ -25,6 +25,7 @@
   MembershipList,
   PoolModel,
   Snapshot,
+  UpstreamPool,
 } from "../../../src/version/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { buildPool, buildReport, MODEL_A, MODEL_B } from "./fixtures.ts";
@@ -96,6 +97,7 @@
 class Giver {
   viewAt = 0;
   models: PoolModel[] = [MODEL_A];
+  shards = 1;
   readonly membership: FakeMembership;
   readonly orders: OrderGiver;
 
@@ -123,13 +125,17 @@
       },
       membership: this.membership,
       getSnapshot: () => ({
-        pools: new Map([["pool", { ...buildPool(this.models), fencing }]]),
+        pools: new Map([["pool", this.#buildPool(fencing)]]),
         policy: { weightStoreOrdersPerMinute: 600 },
       } as unknown as Snapshot),
       getViewAgeMs: () => clock.now() - this.viewAt,
       listUpstreams: () => UPSTREAMS,
     });
   }
+
+  #buildPool(fencing: "checked" | "ignored"): UpstreamPool {
+    return { ...buildPool(this.models), fencing, shards: this.shards };
+  }
 }
 
 function buildList(revision: number, ids: string[]): MembershipList {
@@ -250,6 +256,28 @@
   });
 });
 
+// Symptom: an engine that checks the number carries out two givers' orders.
+// Sequence: a change of records splits the pool into more shards; for some
+// seconds two VMs with one list have different records.
+// Cause: the giver follows from the records, and equal numbers then no longer
+// mean equal givers.
+describe("VMs whose records differ under one revision", () => {
+  it("name one giver of each upstream", async () => {
+    const clock = VirtualClock.create();
+    const engines = new FakeEngines();
+    const list = buildList(1, ["a", "b", "c", "d"]);
+    const givers = list.vms.map(({ id }, index) => {
+      const options = { clock, engines, list, fencing: "checked" as const };
+      const giver = new Giver(id, options);
+      giver.shards = index + 1;
+      return giver;
+    });
+    await runFor(clock, givers, 10_000);
+    expect(engines.given.length).toBeGreaterThan(0);
+    expect(new Set(engines.given.map(({ giver }) => giver)).size).toBe(1);
+  });
+});
+
 // Symptom: the weight store answers slowly to everyone after a change of
 // records.
 // Sequence: one record asks for models on every upstream at once.
