Hand changes of the configuration on as steps, and check only what changed

Peers handed on all records at each change. A message without the new fields means the same as before.

Each VM also checked every record anew. Records that did not change now stay the objects that they were, with their text and parsed form.

--- a/src/process/configuration_follower.ts
+++ b/src/process/configuration_follower.ts
@@ -75,6 +75,8 @@
   readonly #listCallbacks: ((list: MembershipList) => void)[] = [];
   readonly #newVersionCallbacks: (() => void)[] = [];
   #rawList: unknown | undefined;
+  /** False once steps did not fit, until records were taken in. */
+  #takesSteps = true;
 
   constructor(options: FollowerOptions) {
     super();
@@ -90,6 +92,7 @@
       membership,
       seeds,
       getVersions: () => this.getVersions(),
+      takesSteps: () => this.#takesSteps,
       onAnswer: (vm, answer) => this.#handleAnswer(vm, answer),
     });
     this.#reader = SourceReader.create({
@@ -174,9 +177,13 @@
       call.digest !== this.#store.getDigest();
     const isNewer = version > call.after || isConflict;
     const listRevision = this.#membership.getList().revision;
+    const steps = isNewer && call.takesSteps === true
+      ? this.#store.listSteps(call.digest ?? "")
+      : undefined;
     return {
       version,
-      records: isNewer ? this.#store.getRecords() : undefined,
+      records: isNewer && !steps ? this.#store.getRecords() : undefined,
+      ...(steps && { steps }),
       list: listRevision > call.listAfter ? this.#rawList : undefined,
     };
   }
@@ -220,8 +227,21 @@
     if (answer.list !== undefined && answer.list !== null) {
       this.#handleList(answer.list, vm);
     }
-    if (!Array.isArray(answer.records)) return;
-    this.#apply({ version: answer.version, records: answer.records, from: vm });
+    const records = this.#readRecords(answer);
+    if (!Array.isArray(records)) return;
+    this.#apply({ version: answer.version, records, from: vm });
+  }
+
+  #readRecords(answer: SnapshotAnswer): unknown[] | undefined {
+    if (answer.steps === undefined) {
+      if (Array.isArray(answer.records)) this.#takesSteps = true;
+      return answer.records;
+    }
+    const records = this.#store.buildRecords(answer.steps);
+    // Steps that do not fit would be fetched again and again, and this VM
+    // would stay behind for good; the whole records settle it.
+    this.#takesSteps = records !== undefined;
+    return records;
   }
 
   #handleList(value: unknown, from: string): void {
--- a/src/process/configuration_puller.ts
+++ b/src/process/configuration_puller.ts
@@ -21,6 +21,8 @@
   membership: FleetMembership;
   seeds: readonly VmId[];
   getVersions: () => PeerVersions;
+  /** Whether steps will do in place of all records. */
+  takesSteps: () => boolean;
   onAnswer: (vm: VmId, answer: SnapshotAnswer) => void;
 }
 
@@ -70,7 +72,7 @@
   }
 
   async #fetchOne(vm: VmId): Promise<void> {
-    const { environment, getVersions, onAnswer } = this.#options;
+    const { environment, getVersions, takesSteps, onAnswer } = this.#options;
     if (this.#isStopped) return;
     const own = getVersions();
     try {
@@ -79,6 +81,7 @@
         after: own.configVersion,
         digest: own.configDigest,
         listAfter: own.listRevision,
+        takesSteps: takesSteps(),
       });
       if (!this.#isStopped) onAnswer(vm, answer);
     } catch (error) {
--- a/src/process/configuration_store.ts
+++ b/src/process/configuration_store.ts
@@ -3,13 +3,18 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import { match } from "ts-pattern";
 import { buildSnapshot, formatProblem } from "../version/index.ts";
 import type { RecordProblem, Snapshot } from "../version/index.ts";
 import type { Clock } from "./clock.ts";
+import { RecordMemory } from "./configuration_records.ts";
+import {
+  applySteps,
+  mergeRecords,
+  StepHistory,
+} from "./configuration_steps.ts";
+import type { ConfigurationStep } from "./peer_api.ts";
 
-const DIGEST_LENGTH = 16;
 const MAX_HISTORY = 32;
 const MAX_REJECTED = 32;
 const MAX_PROBLEMS_KEPT = 10;
@@ -62,6 +67,8 @@
  */
 export class ConfigurationStore {
   readonly #clock: Clock;
+  readonly #steps = StepHistory.create();
+  readonly #memory = RecordMemory.create();
   #accepted: Accepted | undefined;
   #history: StoredEntry[] = [];
   #rejected = new Map<string, RecordProblem[]>();
@@ -94,13 +101,33 @@
     return this.#accepted?.records;
   }
 
+  /** The steps from the content of `digest` to the one in force. */
+  listSteps(digest: string): ConfigurationStep[] | undefined {
+    return this.#steps.listFrom(digest);
+  }
+
+  /**
+   * The records that `steps` of another VM lead to from those in force;
+   * undefined where they do not fit or lead elsewhere than they say.
+   */
+  buildRecords(steps: unknown): unknown[] | undefined {
+    if (this.#accepted === undefined) return undefined;
+    const content = applySteps(this.#accepted, steps);
+    if (content === undefined) return undefined;
+    const isWhole =
+      this.#memory.computeDigest(content.records) === content.digest;
+    return isWhole ? content.records : undefined;
+  }
+
   /** Takes `offer` if the rules say so; never throws. */
   apply(offer: Offer): OfferResult {
     if (!Number.isSafeInteger(offer.version) || offer.version < 1) {
       return { kind: "older" };
     }
     if (offer.version < this.getVersion()) return { kind: "older" };
-    const digest = computeDigest(offer.records);
+    // Records that did not change stay the objects that they were.
+    const records = mergeRecords(this.#accepted?.records ?? [], offer.records);
+    const digest = this.#memory.computeDigest(records);
     const isConflict = offer.version === this.getVersion();
     if (isConflict && digest === this.getDigest()) return { kind: "same" };
     if (isConflict && digest < this.getDigest()) {
@@ -111,13 +138,16 @@
     if (known !== undefined) {
       return { kind: "rejected", problems: known, isNew: false };
     }
-    return match(buildSnapshot(offer.version, offer.records))
+    const parse = (record: unknown) => this.#memory.parse(record);
+    return match(buildSnapshot(offer.version, records, { parse }))
       .with({ kind: "rejected" }, ({ problems }): OfferResult => {
         this.#noteRejected(offer, digest, problems);
         return { kind: "rejected", problems, isNew: true };
       })
       .with({ kind: "accepted" }, ({ snapshot }): OfferResult => {
-        this.#accepted = { snapshot, records: offer.records, digest };
+        const accepted = { snapshot, records, digest };
+        if (this.#accepted) this.#steps.add(this.#accepted, accepted);
+        this.#accepted = accepted;
         this.#addHistory(offer, { digest, result: "accepted", problems: [] });
         return isConflict
           ? { kind: "conflict", replaced: true, isNew: true, digest }
@@ -172,12 +202,6 @@
   }
 }
 
-/** A short digest of records as published, in their published order. */
-export function computeDigest(records: readonly unknown[]): string {
-  const hash = createHash("sha256").update(JSON.stringify(records));
-  return hash.digest("hex").slice(0, DIGEST_LENGTH);
-}
-
 function toKey(version: number, digest: string): string {
   return `${version}/${digest}`;
 }
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -175,13 +175,32 @@
   digest?: string;
   /** The asker's list revision; a newer list comes along. */
   listAfter: number;
+  /** Whether steps from `digest` will do in place of all records. */
+  takesSteps?: boolean;
+}
+
+/** Records to take out at a place, and others to put there. */
+export interface RecordSplice {
+  at: number;
+  remove: number;
+  add: unknown[];
+}
+
+/** What turns the records of one digest into those of another. */
+export interface ConfigurationStep {
+  from: string;
+  to: string;
+  /** One after the other; each place counts after the ones before it. */
+  splices: RecordSplice[];
 }
 
 /** Raw records as published, so that every VM validates them itself. */
 export interface SnapshotAnswer {
   version: number;
-  /** Undefined where there is nothing newer. */
+  /** Undefined where there is nothing newer, or where steps lead to it. */
   records: unknown[] | undefined;
+  /** From what the asker has, oldest first, where it takes them. */
+  steps?: ConfigurationStep[];
   list: unknown | undefined;
 }
 
--- a/src/version/snapshot.ts
+++ b/src/version/snapshot.ts
@@ -7,7 +7,7 @@
 import type { ModelName } from "../ids.ts";
 import { findCrossProblems } from "./cross_checks.ts";
 import type { RecordsByKind } from "./cross_checks.ts";
-import { parseRecord } from "./parse_record.ts";
+import { type ParsedRecord, parseRecord } from "./parse_record.ts";
 import { compareProblems, compareTexts } from "./record_problem.ts";
 import type { RecordProblem } from "./record_problem.ts";
 import type {
@@ -43,6 +43,8 @@
  * VM that decided otherwise would keep an older version that the others have
  * left, which would show as one request treated differently by two VMs.
  *
+ * `parse` may keep the results of `parseRecord` for records seen before.
+ *
  * Records are checked one by one first, and against each other only when each
  * is valid by itself: a reference to a record that could not be read would
  * otherwise be reported as unknown too.
@@ -50,10 +52,12 @@
 export function buildSnapshot(
   version: number,
   records: readonly unknown[],
+  options: { parse?: (record: unknown) => ParsedRecord } = {},
 ): SnapshotResult {
   const bound = findCountProblem(records);
   if (bound) return buildRejected(version, [bound]);
-  const parsed = records.map(parseRecord);
+  const { parse = parseRecord } = options;
+  const parsed = records.map((record) => parse(record));
   const problems = parsed.flatMap((result) =>
     result.kind === "invalid" ? result.problems : []
   );
--- a/test/process/configuration_store_test.ts
+++ b/test/process/configuration_store_test.ts
@@ -5,10 +5,8 @@
  */
 import fc from "fast-check";
 import { describe, expect, it } from "vitest";
-import {
-  computeDigest,
-  ConfigurationStore,
-} from "../../src/process/configuration_store.ts";
+import { computeDigest } from "../../src/process/configuration_records.ts";
+import { ConfigurationStore } from "../../src/process/configuration_store.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { buildBadRecords, buildRecords } from "../support/fleet_records.ts";
 
