--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -129,6 +129,8 @@
   workspaces: number;
   requestsPerSecond: number;
   callsPerSecond: number;
+  /** Microseconds, with the bench's own share. */
+  processorPerRequest: number;
   /** Largest count of one VM. */
   heldPerVm: number;
   bucketsPerVm: number;
@@ -138,12 +140,13 @@
   leftAfterIdle: number;
 }
 
-/** Runs a little traffic of 3,400 workspaces through 8 VMs. */
+/** Runs a little traffic of many workspaces through 8 VMs. */
 export async function runManyWorkspaces(
   seed: number,
+  workspaces = MANY_WORKSPACES,
 ): Promise<ManyWorkspacesFigures> {
   const names = Array.from(
-    { length: MANY_WORKSPACES },
+    { length: workspaces },
     (_, index) => toId<WorkspaceName>(`workspace-${index}`),
   );
   const heapBefore = readHeap();
@@ -154,6 +157,7 @@
   });
   const vms = fleet.listVms();
   const rounds = 6;
+  const processorBefore = process.cpuUsage();
   for (let round = 0; round < rounds; round++) {
     names.forEach((name, index) => {
       const vm = vms[(index + round) % VMS]!;
@@ -162,6 +166,7 @@
     });
     await fleet.clock.run(5_000);
   }
+  const processor = process.cpuUsage(processorBefore);
   const calls = countCalls(fleet, vms);
   const figures = vms.map((vm) => fleet.getLimits(vm).figures);
   fleet.admissions.length = 0;
@@ -170,9 +175,11 @@
   const left = vms.map((vm) => fleet.getLimits(vm).figures);
   fleet.close();
   return {
-    workspaces: MANY_WORKSPACES,
-    requestsPerSecond: MANY_WORKSPACES / 5,
+    workspaces,
+    requestsPerSecond: workspaces / 5,
     callsPerSecond: calls / (rounds * 5),
+    processorPerRequest: (processor.user + processor.system) /
+      (rounds * workspaces),
     heldPerVm: Math.max(...figures.map(({ held }) => held)),
     bucketsPerVm: Math.max(...figures.map(({ buckets }) => buckets)),
     bytesPerVm: Math.round(bytes / VMS),
--- a/bench/recovery/losses.ts
+++ b/bench/recovery/losses.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import { toId, type VmId } from "../../src/ids.ts";
+import { computeRendezvousOrder } from "../../src/process/rendezvous.ts";
 import { sendChat } from "../../test/support/process_calls.ts";
 import {
   type ProcessFleet,
@@ -15,6 +17,7 @@
 import { computeSummary, type Summary } from "./summary.ts";
 import { waitForLogs } from "./vm_log.ts";
 
+const SHARD_KEY = "shard:engines/0";
 const REQUEST_EVERY_MS = 50;
 const REQUESTS = 120;
 const NOTICED_MS = 30_000;
@@ -71,7 +74,7 @@
   fleet: ProcessFleet,
   trial: number,
 ): Promise<LossTimes> {
-  const owner = await fleet.findOwner("engines");
+  const [owner, next] = listOwners(fleet);
   const others = fleet.vms.filter((vm) => vm !== owner);
   const killedAt = Date.now();
   void owner.destroy();
@@ -95,7 +98,8 @@
   }
   await Promise.all(sent);
   const noticed = await noticing;
-  const takenAt = await findTaken(fleet, killedAt);
+  const taken = "event=shard_taken shard=engines/0";
+  const [takenAt] = await waitForLogs([next], taken, killedAt);
   owner.start();
   await waitUntilReady(fleet.vms);
   await sleep(CALM_MS);
@@ -103,7 +107,7 @@
   return {
     noticedFirst: Math.min(...noticed),
     noticedByAll: Math.max(...noticed),
-    shardTaken: takenAt - killedAt,
+    shardTaken: takenAt! - killedAt,
     firstAnswer: Math.min(...answered.map(({ at }) => at)) - killedAt,
     longestWait: Math.max(...ends.map(({ waitMs }) => waitMs)),
     notAnswered: ends.length - answered.length,
@@ -120,15 +124,9 @@
   });
 }
 
-async function findTaken(
-  fleet: ProcessFleet,
-  killedAt: number,
-): Promise<number> {
-  const next = await fleet.findOwner(
-    "engines",
-    fleet.vms.filter((vm) => !vm.hasEnded),
-  );
-  const text = "event=shard_taken shard=engines/0";
-  const [at] = await waitForLogs([next], text, killedAt);
-  return at!;
+/** The owner of the engines' shard, and who is next, while all VMs live. */
+function listOwners(fleet: ProcessFleet): [ProcessVm, ProcessVm] {
+  const ids = fleet.vms.map(({ id }) => toId<VmId>(id));
+  const [first, second] = computeRendezvousOrder(SHARD_KEY, ids);
+  return [fleet.getVm(first!), fleet.getVm(second!)];
 }
--- a/bench/run_scenario.ts
+++ b/bench/run_scenario.ts
@@ -6,7 +6,7 @@
 import type { VmId } from "../src/ids.ts";
 import { SeededRandom } from "../src/process/random.ts";
 import type { SchedulerDecisions } from "../src/process/scheduler/decisions.ts";
-import { VirtualClock } from "../standin/virtual_clock.ts";
+import { BenchClock } from "./support/bench_clock.ts";
 import { computeGoodputBound } from "./clairvoyant.ts";
 import { NaiveFleet } from "./naive/naive_fleet.ts";
 import { computeFigures, type RunFigures } from "./report.ts";
@@ -31,7 +31,7 @@
 
 /** Builds a router over the upstreams of a run. */
 export type BuildRouter = (parts: {
-  clock: VirtualClock;
+  clock: BenchClock;
   seed: number;
   examples: ExampleRecords;
   upstreams: VirtualUpstreams;
@@ -73,7 +73,7 @@
   const durationMs = options.durationMs ?? DURATION_MS[user];
   const engine = { ...BENCH_ENGINE, ...scenario.engine };
   const examples = readExampleRecords(user);
-  const clock = VirtualClock.create();
+  const clock = BenchClock.create();
   const upstreams = VirtualUpstreams.create({
     clock,
     random: SeededRandom.create(seed + 1),
@@ -139,7 +139,7 @@
 async function sendRequests(
   requests: readonly BenchRequest[],
   options: {
-    clock: VirtualClock;
+    clock: BenchClock;
     router: BenchRouter;
     random: SeededRandom;
     startMs: number;
@@ -158,7 +158,7 @@
 }
 
 async function waitForEnds(
-  clock: VirtualClock,
+  clock: BenchClock,
   traces: readonly RequestTrace[],
 ): Promise<void> {
   const endMs = clock.now() + GRACE_MS;
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -6,7 +6,7 @@
 import type { VmId } from "../src/ids.ts";
 import type { EngineOptions } from "../standin/engine_options.ts";
 import { DEFAULT_ENGINE_OPTIONS } from "../standin/engine_options.ts";
-import type { VirtualClock } from "../standin/virtual_clock.ts";
+import type { BenchClock } from "./support/bench_clock.ts";
 import type { BenchRouter } from "./support/bench_router.ts";
 import type { User } from "./support/example_records.ts";
 import type { VirtualUpstreams } from "./support/virtual_upstreams.ts";
@@ -40,7 +40,7 @@
 
 /** What a fault acts on. */
 export interface FaultOptions {
-  clock: VirtualClock;
+  clock: BenchClock;
   upstreams: VirtualUpstreams;
   router: BenchRouter;
   durationMs: number;
--- a/standin/virtual_clock.ts
+++ b/standin/virtual_clock.ts
@@ -5,14 +5,6 @@
  */
 import { type CancelTimer, Clock } from "../src/process/clock.ts";
 
-/**
- * A timer with any time left fires this much later at least. Without it, a
- * task that sleeps for the rest of a limit can find a rest of less than the
- * rounding of `now`: it would wake at the same time again and again, and the
- * run would never end.
- */
-const LEAST_TIMER_MS = 1e-6;
-
 interface Timer {
   at: number;
   order: number;
@@ -39,7 +31,7 @@
 
   startTimer(ms: number, callback: () => void): CancelTimer {
     const timer: Timer = {
-      at: this.#now + (ms > 0 ? Math.max(ms, LEAST_TIMER_MS) : 0),
+      at: this.#now + Math.max(0, ms),
       order: this.#order++,
       callback,
     };
--- a/test/standin/virtual_clock_test.ts
+++ b/test/bench/bench_clock_test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { BenchClock } from "../../bench/support/bench_clock.ts";
 
 // Symptom: a bench never ended, with one core busy.
 // Sequence: a task waits for a limit by sleeping for the rest of it; after the
@@ -7,7 +7,7 @@
 // next sleep ends at the same time.
 // Cause: time stood still for a timer with time left.
 test("a wait for the rest of a limit comes to its end", async () => {
-  const clock = VirtualClock.create();
+  const clock = BenchClock.create();
   await clock.run(100_000 + 1 / 7);
   const since = clock.now();
   const limitMs = 10_000 + 1 / 3;
@@ -25,7 +25,7 @@
 });
 
 test("timers of the same time fire in the order of their start", async () => {
-  const clock = VirtualClock.create();
+  const clock = BenchClock.create();
   const fired: number[] = [];
   for (const number of [1, 2, 3]) {
     clock.startTimer(5, () => fired.push(number));
