Look for the paused giver under the key of its pool's orders

Cause: the change of the giver's key left the test with real processes and the design page behind; the test then paused a VM that gives no orders.

--- a/test/failures/processes/paused_order_giver_test.ts
+++ b/test/failures/processes/paused_order_giver_test.ts
@@ -2,7 +2,7 @@
  * Symptom: an engine unloads the model that was just loaded, or two VMs load
  * different versions on it by turns.
  *
- * Sequence: the VM that gives a shard's orders is stopped (SIGSTOP) with an
+ * Sequence: the VM that gives a pool's orders is stopped (SIGSTOP) with an
  * order due; the list names another giver and the records another version; the
  * new giver loads it; the old one is continued.
  *
@@ -22,7 +22,7 @@
 const AFTER_WAKING_MS = 6_000;
 /** The quiet time for engines that ignore the number is 15 s. */
 const NEXT_GIVER_MS = 40_000;
-const SHARD_KEY = "shard:engines/0";
+const ORDERS_KEY = "orders:engines";
 
 let fleet: ProcessFleet | undefined;
 
@@ -41,7 +41,7 @@
     const listOrders = () =>
       core.listOrders().filter(({ order }) => order.action === "load");
     const vms = fleet.vms.map(({ id }) => toId<VmId>(id));
-    const [giverId] = computeRendezvousOrder(SHARD_KEY, vms);
+    const [giverId] = computeRendezvousOrder(ORDERS_KEY, vms);
     const giver = fleet.getVm(giverId!);
     // Past the quiet time, so that the giver's next round would order.
     if (fencing === "ignored") await sleep(16_000);
