Make the process tests' order and log checks exact

Three checks were weaker or less steady than meant. "The hold was sent" looked for any request's step in a log that all tests of the file share; it now looks for this request's.

--- a/test/failures/processes/drain_test.ts
+++ b/test/failures/processes/drain_test.ts
@@ -44,8 +44,10 @@
     const { core } = fleet.engines[0]!;
     const leaving = await fleet.findOwner("engines");
     const others = fleet.vms.filter((vm) => vm !== leaving);
-    const streams = ["stream-1", "stream-2"].map((name) =>
-      sendChat(leaving.port, { tokens: 300, name })
+    // One slot comes free well before the other, so that the waiters run one
+    // after another and their ends tell their order.
+    const streams = [300, 500].map((tokens) =>
+      sendChat(leaving.port, { tokens, name: `stream-${tokens}` })
     );
     await waitUntil("the streams", EVENT_MS, () => core.running === 2);
 
--- a/test/failures/processes/killed_vms_test.ts
+++ b/test/failures/processes/killed_vms_test.ts
@@ -10,7 +10,7 @@
  *
  * @module
  */
-import { afterEach, beforeEach, expect, inject, it } from "vitest";
+import { afterAll, afterEach, beforeAll, expect, inject, it } from "vitest";
 import { sendCall } from "../../../demo/http_call.ts";
 import {
   countExecutions,
@@ -32,7 +32,7 @@
 
 let fleet: ProcessFleet;
 
-beforeEach(async () => {
+beforeAll(async () => {
   fleet = await ProcessFleet.create({
     program: inject("daemonProgram"),
     vms: 4,
@@ -41,7 +41,13 @@
   });
 });
 
-afterEach(() => fleet?.close());
+afterEach(async () => {
+  fleet.platform.core.setFault("none");
+  for (const vm of fleet.vms) if (vm.hasEnded) vm.start();
+  await waitUntilReady(fleet.vms);
+});
+
+afterAll(() => fleet?.close());
 
 async function destroyAll(vms: readonly ProcessVm[]): Promise<void> {
   await Promise.all(vms.map((vm) => vm.destroy()));
@@ -129,7 +135,7 @@
   const requestId = await fetchRequestId(issuer!.port);
   const held = sendHold(runner!.port, { name: "in-hand", requestId });
   await waitUntil("the hold to be sent", EVENT_MS, () => {
-    return runner!.readLog().includes("step=sent");
+    return runner!.readLog().includes(`request_id=${requestId} step=sent`);
   });
   await runner!.destroy();
   expect((await held).outcome.kind).toBe("unaccounted");
--- a/test/failures/processes/paused_vm_test.ts
+++ b/test/failures/processes/paused_vm_test.ts
@@ -162,9 +162,8 @@
   const { paused, other } = await findRoles();
   const requestId = await fetchRequestId(other.port);
   const held = sendHold(paused.port, { name: "vehicle-1", requestId });
-  await waitUntil("the hold to be sent", EVENT_MS, async () => {
-    return (await paused.fetchStatus()).in_flight > 0 &&
-      paused.readLog().includes("step=sent");
+  await waitUntil("the hold to be sent", EVENT_MS, () => {
+    return paused.readLog().includes(`request_id=${requestId} step=sent`);
   });
   await sleep(500);
   paused.stop();
