Let the cost of a copied prefix follow the size of the model

A model whose prefill is slow has a larger cache for each token, so a copy at the small model's cost flattered handing prefixes on. Each case has its own bytes a token now, and the cases can be run by themselves.

--- a/bench/experiments/cache_handover_main.ts
+++ b/bench/experiments/cache_handover_main.ts
@@ -12,51 +12,70 @@
   type CopyCost,
   type HandOverFigures,
   type HandOverOptions,
+  type HandOverTo,
   runHandOver,
 } from "./cache_handover.ts";
 import { LEAST_SHARED_TOKENS } from "./shared_prompts.ts";
 
 /** 32 layers of 8 key and 8 value heads of 128 values of 2 bytes. */
-const BYTES_PER_TOKEN = 32 * (8 + 8) * 128 * 2;
+const SMALL_MODEL_BYTES = 32 * (8 + 8) * 128 * 2;
+/** The same with 80 layers. */
+const LARGE_MODEL_BYTES = 80 * (8 + 8) * 128 * 2;
 /** 10 Gbit/s between upstreams. */
 const WIRE_BYTES_PER_MS = 1_250_000;
 /** Ten times that from memory to the device. */
 const DEVICE_BYTES_PER_MS = 12_500_000;
 const FREE: CopyCost = { transferMs: 0, stallMs: 0 };
-const PLAUSIBLE: CopyCost = {
-  transferMs: BYTES_PER_TOKEN / WIRE_BYTES_PER_MS,
-  stallMs: BYTES_PER_TOKEN / DEVICE_BYTES_PER_MS,
-};
 /** Just within what the prefix hashes of one prompt cover. */
 const LONG_SHARED_TOKENS = 3_840;
 const USUAL_PREFILL_MS = 0.05;
 const SLOW_PREFILL_MS = 0.2;
 
-const CASES: Pick<
-  HandOverOptions,
-  "sharedTokens" | "prefillMsPerToken" | "load"
->[] = [
+interface Case {
+  name: string;
+  /** Of the cache, for each prompt token. */
+  bytesPerToken: number;
+  engines: Pick<
+    HandOverOptions,
+    "sharedTokens" | "prefillMsPerToken" | "load"
+  >;
+}
+
+const CASES: Case[] = [
   {
-    sharedTokens: LEAST_SHARED_TOKENS,
-    prefillMsPerToken: USUAL_PREFILL_MS,
-    load: 0.5,
+    name: "usual",
+    bytesPerToken: SMALL_MODEL_BYTES,
+    engines: {
+      sharedTokens: LEAST_SHARED_TOKENS,
+      prefillMsPerToken: USUAL_PREFILL_MS,
+      load: 0.5,
+    },
   },
   {
-    sharedTokens: LONG_SHARED_TOKENS,
-    prefillMsPerToken: USUAL_PREFILL_MS,
-    load: 0.5,
+    name: "long_prompts",
+    bytesPerToken: SMALL_MODEL_BYTES,
+    engines: {
+      sharedTokens: LONG_SHARED_TOKENS,
+      prefillMsPerToken: USUAL_PREFILL_MS,
+      load: 0.5,
+    },
   },
   {
-    sharedTokens: LONG_SHARED_TOKENS,
-    prefillMsPerToken: SLOW_PREFILL_MS,
-    load: 0.25,
+    name: "slow_prefill",
+    bytesPerToken: LARGE_MODEL_BYTES,
+    engines: {
+      sharedTokens: LONG_SHARED_TOKENS,
+      prefillMsPerToken: SLOW_PREFILL_MS,
+      load: 0.25,
+    },
   },
 ];
-const COPIES: Pick<HandOverOptions, "handOverTo" | "cost">[] = [
-  { handOverTo: "none", cost: FREE },
-  { handOverTo: "one", cost: FREE },
-  { handOverTo: "all", cost: FREE },
-  { handOverTo: "all", cost: PLAUSIBLE },
+const COPIES: { handOverTo: HandOverTo; isFree: boolean }[] = [
+  { handOverTo: "none", isFree: true },
+  { handOverTo: "one", isFree: true },
+  { handOverTo: "all", isFree: true },
+  { handOverTo: "one", isFree: false },
+  { handOverTo: "all", isFree: false },
 ];
 const HEAD = [
   "user",
@@ -76,6 +95,12 @@
 async function main(): Promise<void> {
   const args = await yargs(hideBin(process.argv))
     .option("seed", { type: "number", array: true, default: [1, 2, 3] })
+    .option("case", {
+      type: "string",
+      array: true,
+      choices: CASES.map(({ name }) => name),
+      default: CASES.map(({ name }) => name),
+    })
     .option("commit", {
       type: "string",
       default: "",
@@ -89,24 +114,37 @@
   writeRow(HEAD.map(() => "---"));
   for (const user of USERS) {
     for (const one of CASES) {
-      for (const copy of COPIES) {
+      if (!args.case.includes(one.name)) continue;
+      for (const { handOverTo, isFree } of COPIES) {
+        const cost = isFree ? FREE : buildCost(one.bytesPerToken);
         const group: HandOverFigures[] = [];
         for (const seed of args.seed) {
-          group.push(await runHandOver({ ...one, ...copy, user, seed }));
+          const options = { ...one.engines, handOverTo, cost, user, seed };
+          group.push(await runHandOver(options));
         }
         runs.push(...group);
-        writeRow(buildRow(group));
+        writeRow(buildRow(group, one.bytesPerToken));
       }
     }
   }
   if (args.save === undefined) return;
-  const command = `npx tsx bench/experiments/cache_handover_main.ts ` +
-    `--seed ${args.seed.join(" ")}`;
+  const command = ["npx tsx bench/experiments/cache_handover_main.ts"]
+    .concat(hideBin(process.argv)).join(" ");
   const saved = { command, commit: args.commit, seeds: args.seed, runs };
   writeFileSync(args.save, `${JSON.stringify(saved, null, 2)}\n`);
 }
 
-function buildRow(group: readonly HandOverFigures[]): string[] {
+function buildCost(bytesPerToken: number): CopyCost {
+  return {
+    transferMs: bytesPerToken / WIRE_BYTES_PER_MS,
+    stallMs: bytesPerToken / DEVICE_BYTES_PER_MS,
+  };
+}
+
+function buildRow(
+  group: readonly HandOverFigures[],
+  bytesPerToken: number,
+): string[] {
   const { options } = group[0]!;
   const { handOverTo, cost } = options;
   const sum = (get: (run: HandOverFigures) => number) =>
@@ -122,7 +160,7 @@
     String(options.load),
     cost === FREE ? handOverTo : `${handOverTo}, at a cost`,
     String(copied),
-    String(Math.round(copied * BYTES_PER_TOKEN / BYTES_PER_MB)),
+    String(Math.round(copied * bytesPerToken / BYTES_PER_MB)),
     String(sum((run) => run.window.prefillTokens)),
     `${mean.toFixed(1)} ms`,
     `${Math.round(worst)} ms`,
