Measure the slopes of every role

npm run slopes measures processor time, heap and bytes on the wire of each role at four sizes or more, fits a line by least squares and tells the residual: calls between VMs and load reports over loopback with each end in a process of its own, shard owners, limits, configuration, lists, stores, figures, orders, whole requests and open streams of daemons, and fleets of up to 380 VMs in virtual time. It reuses the benches of control, limits and overhead.

--- /dev/null
+++ b/bench/slopes/duties.ts
@@ -0,0 +1,401 @@
+/**
+ * What each role costs one VM at the target's size, from the slopes.
+ *
+ * @module
+ */
+import { computeAt, type Slope } from "./slope.ts";
+import type { SlopeFile } from "./slope_file.ts";
+import { computeShare, type Share, TARGET } from "./target.ts";
+
+const US_PER_MS = 1_000;
+const KIB_PER_MIB = 1_024;
+const POLLS_PER_SECOND = 1;
+/** Reports that the giver of a pool's orders asks for at most. */
+const ORDER_POLLS_PER_SECOND = 20;
+const ORDER_ROUNDS_PER_SECOND = 0.5;
+const SUMMARIES_PER_SECOND = 2;
+const SUMMARIES_PER_MESSAGE = 6;
+const PREFIXES = 4;
+/** Stored and evicted prefixes for each request. */
+const EVENTS_PER_REQUEST = 2 * PREFIXES;
+/** Probes sent at once at each new version. */
+const FAN_OUT = 2;
+/** Part of the requests whose id was issued before. */
+const CLAIMED_SHARE = 0.1;
+const LIMIT_LIFE_S = 60;
+const MAX_FATES = 20_000;
+const MAX_ANSWERS_MIB = 32;
+const MAX_CLAIMS = 50_000;
+const MAX_ENTRIES = 1_000;
+/** Both ends of a call lie on VMs of the fleet. */
+const ENDS = 2;
+
+/** What one VM spends in a second, and holds. */
+export interface Cost {
+  /** Calls sent; as many come in where the other end is a VM too. */
+  calls: number;
+  /** Milliseconds of processor time a second; 10 are 1% of a core. */
+  processorMs: number;
+  bytes: number;
+  memoryMib: number;
+}
+
+/** One role at the target's size. */
+export interface Duty {
+  role: string;
+  mechanism: string;
+  /** The average VM. */
+  mean: Cost;
+  /** The VM that owns the most replicas. */
+  most: Cost;
+}
+
+/** Every role of control. */
+export function listDuties(file: SlopeFile): Duty[] {
+  const slopes = new Slopes(file);
+  const share = computeShare();
+  return [
+    buildAcquires(slopes, share),
+    buildSyncs(slopes, share),
+    buildPolls(slopes, share),
+    buildOrders(slopes),
+    buildProbing(slopes, file),
+    buildConfiguration(slopes, share),
+    buildLists(slopes, share),
+    buildLimits(slopes, share),
+    buildClaims(slopes, share),
+    buildOwnership(slopes, share),
+    buildFigures(slopes, share),
+    buildFates(slopes),
+  ];
+}
+
+/** The way of callers' bytes, which is not control. */
+export function buildDataPath(file: SlopeFile): Duty {
+  const slopes = new Slopes(file);
+  const { requests, tokens, streams } = computeShare();
+  const request = slopes.get("request at another VM: processor");
+  const memory = slopes.get("open streams: resident memory");
+  const processorUs = requests * request.start + tokens * request.slope;
+  const mean: Cost = {
+    calls: requests,
+    processorMs: processorUs / US_PER_MS,
+    bytes: 0,
+    memoryMib: computeAt(memory, streams) / KIB_PER_MIB,
+  };
+  return {
+    role: "Requests and tokens",
+    mechanism: "a task for each request",
+    mean,
+    most: mean,
+  };
+}
+
+/** Adds the costs of several roles. */
+export function computeTotal(costs: readonly Cost[]): Cost {
+  const total = { calls: 0, processorMs: 0, bytes: 0, memoryMib: 0 };
+  for (const cost of costs) {
+    total.calls += cost.calls;
+    total.processorMs += cost.processorMs;
+    total.bytes += cost.bytes;
+    total.memoryMib += cost.memoryMib;
+  }
+  return total;
+}
+
+class Slopes {
+  readonly #byName: ReadonlyMap<string, Slope>;
+
+  constructor(file: SlopeFile) {
+    this.#byName = new Map(file.slopes.map((slope) => [slope.name, slope]));
+  }
+
+  get(name: string): Slope {
+    const slope = this.#byName.get(name);
+    if (slope === undefined) throw new Error(`No slope named ${name}`);
+    return slope;
+  }
+
+  /** A size that was measured stands for itself, any other for the line. */
+  getAt(name: string, size: number): number {
+    const slope = this.get(name);
+    const point = slope.points.find(([one]) => one === size);
+    return point?.[1] ?? computeAt(slope, size);
+  }
+
+  /** A call's cost with its two ends apart, in µs and bytes. */
+  getCall(
+    name: string,
+    size: number,
+  ): { client: number; server: number; bytes: number } {
+    return {
+      client: this.getAt(`${name}: client`, size),
+      server: this.getAt(`${name}: server`, size),
+      bytes: this.getAt(`${name}: bytes`, size),
+    };
+  }
+}
+
+/** Calls between VMs: `sent` by a VM, `answered` by it. */
+function buildCalls(
+  call: { client: number; server: number; bytes: number },
+  counts: { sent: number; answered: number; ownUs?: number },
+): Cost {
+  const { sent, answered, ownUs = 0 } = counts;
+  return {
+    calls: sent,
+    processorMs: (sent * call.client + answered * (call.server + ownUs)) /
+      US_PER_MS,
+    bytes: (sent + answered) * call.bytes,
+    memoryMib: 0,
+  };
+}
+
+function buildAcquires(slopes: Slopes, share: Share): Duty {
+  const call = slopes.getCall("acquire", PREFIXES);
+  const ownUs = slopes.getAt("owner, a grant: processor", 0);
+  const sent = share.requests;
+  const answered = computeOwned(share) * TARGET.requestsPerSecond;
+  return {
+    role: "Slots: acquire and grant",
+    mechanism: "one owner for each shard, by rendezvous hashing",
+    mean: buildCalls(call, { sent, answered: sent, ownUs }),
+    most: buildCalls(call, { sent, answered, ownUs }),
+  };
+}
+
+function buildSyncs(slopes: Slopes, share: Share): Duty {
+  const call = slopes.getCall("sync", 1);
+  const renewal = slopes.get("owner, leases: processor");
+  const heap = slopes.get("owner, leases: heap");
+  const sent = share.requests * share.syncs;
+  const answered = computeOwned(share) * TARGET.requestsPerSecond *
+    share.syncs;
+  const build = (calls: number, replicas: number): Cost => {
+    const cost = buildCalls(call, { sent, answered: calls });
+    return {
+      ...cost,
+      processorMs: cost.processorMs + renewal.slope * replicas / US_PER_MS,
+      memoryMib: heap.slope * replicas / KIB_PER_MIB,
+    };
+  };
+  return {
+    role: "Slots: renew and return",
+    mechanism: "batches for each shard that a VM holds leases of",
+    mean: build(sent, share.replicas),
+    most: build(answered, share.mostReplicas),
+  };
+}
+
+function buildPolls(slopes: Slopes, share: Share): Duty {
+  const load = slopes.getCall("load report", 1);
+  const events = EVENTS_PER_REQUEST * TARGET.requestsPerSecond /
+    TARGET.replicas;
+  const cache = slopes.getCall("cache events", events);
+  const ownUs = slopes.get("owner, reports: processor").slope;
+  const build = (replicas: number): Cost => ({
+    calls: replicas * 2 * POLLS_PER_SECOND,
+    processorMs: replicas * POLLS_PER_SECOND *
+      (load.client + cache.client + ownUs) / US_PER_MS,
+    bytes: replicas * POLLS_PER_SECOND * (load.bytes + cache.bytes),
+    memoryMib: 0,
+  });
+  return {
+    role: "Load reports and cache events",
+    mechanism: "a shard's owner alone polls its replicas, once a second",
+    mean: build(share.replicas),
+    most: build(share.mostReplicas),
+  };
+}
+
+function buildOrders(slopes: Slopes): Duty {
+  const load = slopes.getCall("load report", 1);
+  const round = slopes.getAt("orders, a round: processor", TARGET.vms);
+  const build = (polls: number): Cost => ({
+    calls: polls,
+    processorMs: (polls * load.client + round * ORDER_ROUNDS_PER_SECOND) /
+      US_PER_MS,
+    bytes: polls * load.bytes,
+    memoryMib: 0,
+  });
+  return {
+    role: "Orders to engines",
+    mechanism: "one giver a pool, by the list; 20 reports a second at most",
+    mean: build(TARGET.models * ORDER_POLLS_PER_SECOND / TARGET.vms),
+    most: build(ORDER_POLLS_PER_SECOND),
+  };
+}
+
+function buildProbing(slopes: Slopes, file: SlopeFile): Duty {
+  const size = `at ${TARGET.vms} VMs`;
+  const messages = file.checks[`probing: messages ${size}`]!;
+  const ownUs = file.checks[`probing: processor ${size}`]!;
+  const heap = file.checks[`probing: heap ${size}`]!;
+  // A call is two messages sent and two received, over both ends.
+  const sent = messages / 4;
+  const cost = buildCalls(
+    slopes.getCall("probe", SUMMARIES_PER_MESSAGE),
+    { sent, answered: sent },
+  );
+  const summaries = slopes.getAt("owner, summary: processor", 0) *
+    SUMMARIES_PER_SECOND;
+  const mean: Cost = {
+    ...cost,
+    processorMs: cost.processorMs + (ownUs + summaries) / US_PER_MS,
+    memoryMib: heap / KIB_PER_MIB,
+  };
+  return {
+    role: "Membership, summaries",
+    mechanism: "SWIM: one probe in 500 ms, news and summaries on it",
+    mean,
+    most: mean,
+  };
+}
+
+function buildConfiguration(slopes: Slopes, share: Share): Duty {
+  const rate = share.changesPerSecond;
+  const probe = slopes.getCall("probe", SUMMARIES_PER_MESSAGE);
+  const fetch = slopes.getCall("limit call", 1);
+  const step = slopes.getAt(
+    "configuration: bytes of a step",
+    TARGET.workspaces,
+  );
+  const probes = buildCalls(probe, {
+    sent: rate * FAN_OUT,
+    answered: rate * FAN_OUT,
+  });
+  const fetches = buildCalls(
+    { ...fetch, bytes: fetch.bytes + step },
+    { sent: rate, answered: rate },
+  );
+  const applyUs = slopes.getAt(
+    "configuration: a change by steps",
+    TARGET.workspaces,
+  );
+  const heap = slopes.getAt("configuration: heap", TARGET.workspaces);
+  const mean: Cost = {
+    calls: probes.calls + fetches.calls,
+    processorMs: probes.processorMs + fetches.processorMs +
+      rate * applyUs / US_PER_MS,
+    bytes: probes.bytes + fetches.bytes,
+    memoryMib: heap / KIB_PER_MIB,
+  };
+  return {
+    role: "Configuration",
+    mechanism: "2 watchers a data centre; steps from VM to VM",
+    mean,
+    most: mean,
+  };
+}
+
+function buildLists(slopes: Slopes, share: Share): Duty {
+  const rate = share.listsPerSecond;
+  const bytes = slopes.getAt("membership list: bytes", TARGET.replicas);
+  const readUs = slopes.getAt("membership list: processor", TARGET.replicas);
+  const heap = slopes.getAt("membership list: heap", TARGET.replicas);
+  const mean: Cost = {
+    calls: rate,
+    processorMs: rate * readUs / US_PER_MS,
+    bytes: rate * ENDS * bytes,
+    memoryMib: heap / KIB_PER_MIB,
+  };
+  return {
+    role: "Membership list",
+    mechanism: "the watchers read it; whole lists from VM to VM",
+    mean,
+    most: mean,
+  };
+}
+
+function buildLimits(slopes: Slopes, share: Share): Duty {
+  const sent = share.requests;
+  const ownUs = slopes.getAt("limits: processor", TARGET.workspaces);
+  const held = Math.min(TARGET.workspaces, sent * LIMIT_LIFE_S);
+  const cost = buildCalls(slopes.getCall("limit call", 1), {
+    sent,
+    answered: sent,
+    ownUs,
+  });
+  const memoryMib = slopes.get("limits: heap").slope * held / KIB_PER_MIB;
+  const mean: Cost = { ...cost, memoryMib };
+  return {
+    role: "Workspaces' limits",
+    mechanism: "an owner for each workspace leases chunks",
+    mean,
+    most: mean,
+  };
+}
+
+function buildClaims(slopes: Slopes, share: Share): Duty {
+  const sent = 2 * CLAIMED_SHARE * share.requests;
+  const ownUs = slopes.getAt("run claims: processor", MAX_CLAIMS);
+  // A claim and a settlement are calls of the length of a limit's.
+  const cost = buildCalls(slopes.getCall("limit call", 1), {
+    sent,
+    answered: sent,
+    ownUs,
+  });
+  const heap = slopes.getAt("run claims: heap", MAX_CLAIMS);
+  const mean: Cost = { ...cost, memoryMib: heap / KIB_PER_MIB };
+  return {
+    role: "Run claims",
+    mechanism: "the VM that issued an id, 50,000 claims at most",
+    mean,
+    most: mean,
+  };
+}
+
+function buildOwnership(slopes: Slopes, share: Share): Duty {
+  const rounds = slopes.getAt("ownership rounds: processor", TARGET.replicas);
+  const choice = slopes.getAt("shard choice: processor", TARGET.replicas);
+  const mean: Cost = {
+    calls: 0,
+    processorMs: (rounds + share.requests * choice) / US_PER_MS,
+    bytes: 0,
+    memoryMib: 0,
+  };
+  return {
+    role: "Finding shards and owners",
+    mechanism: "each VM works them out from the list, with no word",
+    mean,
+    most: mean,
+  };
+}
+
+function buildFigures(slopes: Slopes, share: Share): Duty {
+  const finished = slopes.getAt("figures: processor", MAX_ENTRIES);
+  const heap = slopes.getAt("figures: heap", MAX_ENTRIES);
+  const mean: Cost = {
+    calls: 0,
+    processorMs: share.requests * finished / US_PER_MS,
+    bytes: 0,
+    memoryMib: heap / KIB_PER_MIB,
+  };
+  return {
+    role: "Figures and burn series",
+    mechanism: "each VM its own, 1,000 classes of workspaces at most",
+    mean,
+    most: mean,
+  };
+}
+
+function buildFates(slopes: Slopes): Duty {
+  const fates = slopes.getAt("fate store: heap", MAX_FATES);
+  const mean: Cost = {
+    calls: 0,
+    processorMs: 0,
+    bytes: 0,
+    memoryMib: fates / KIB_PER_MIB + MAX_ANSWERS_MIB,
+  };
+  return {
+    role: "Fates and kept answers",
+    mechanism: "20,000 records and 32 MiB of answers at each VM",
+    mean,
+    most: mean,
+  };
+}
+
+/** The part of all replicas that the VM with most of them owns. */
+function computeOwned(share: Share): number {
+  return share.mostReplicas / TARGET.replicas;
+}
--- /dev/null
+++ b/bench/slopes/stream_slopes.ts
@@ -0,0 +1,134 @@
+/**
+ * Slopes of requests through whole daemons on loopback: processor time for a
+ * request and a token, and memory for an open stream.
+ *
+ * @module
+ */
+import { mkdirSync, mkdtempSync, rmSync, symlinkSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
+import { DemoFleet, type EntryVm } from "../../demo/fleet.ts";
+import { fetchJson } from "../../demo/http_call.ts";
+import type { EngineOptions } from "../../standin/engine_options.ts";
+import { buildDaemon } from "../../test/support/daemon_build.ts";
+import { runCpu, runMemory, type Way } from "../overhead/measures.ts";
+import {
+  buildOverheadExample,
+  KEY,
+  MODEL,
+} from "../overhead/overhead_records.ts";
+import { buildSlope, type Point, type Slope } from "./slope.ts";
+
+const TOKENS = [1, 100, 400, 1_600];
+const STREAMS = 40;
+const ROUNDS = 5;
+const OPEN_STREAMS = [100, 200, 400, 800];
+const SETTLED_MS = 4_000;
+const BYTES_PER_KILOBYTE = 1_024;
+
+const FAST_ENGINE: Partial<EngineOptions> = {
+  baseMs: 1,
+  perRunningMs: 0,
+  prefillMsPerToken: 0,
+  maxBatch: 4_096,
+  memoryTokens: 1_000_000_000,
+};
+const SLOW_ENGINE: Partial<EngineOptions> = { ...FAST_ENGINE, baseMs: 1_000 };
+
+interface Rig {
+  owner: Way;
+  other: Way;
+}
+
+/** Measures the VM that owns the shard, and the other one. */
+export async function collectStreamSlopes(): Promise<Slope[]> {
+  const build = await buildDaemon();
+  const parent = join(dirname(build.program), "../../..");
+  mkdirSync(parent, { recursive: true });
+  const root = mkdtempSync(join(parent, "slopes-"));
+  symlinkSync(join(dirname(build.program), "../.."), join(root, "dist"));
+  try {
+    const processor = await runWithRig(root, FAST_ENGINE, collectProcessor);
+    const memory = await runWithRig(root, SLOW_ENGINE, collectMemory);
+    return [...processor, ...memory];
+  } finally {
+    rmSync(root, { recursive: true });
+    build.remove();
+  }
+}
+
+async function collectProcessor({ owner, other }: Rig): Promise<Slope[]> {
+  const points = new Map<string, Point[]>();
+  for (const tokens of TOKENS) {
+    const load = { streams: STREAMS, tokens, rounds: ROUNDS };
+    const figures = await runCpu([owner, other], load);
+    for (const { way, cpuMs, requests } of figures) {
+      const point: Point = [tokens, cpuMs * 1_000 / requests];
+      points.set(way, [...points.get(way) ?? [], point]);
+    }
+  }
+  return [...points].map(([way, list]) =>
+    buildSlope(`request at ${way}: processor`, list, {
+      size: "tokens of an answer",
+      unit: "µs a request",
+    })
+  );
+}
+
+async function collectMemory({ other }: Rig): Promise<Slope[]> {
+  const figures = await runMemory(other, OPEN_STREAMS);
+  const points = figures.map(({ streams, residentBytes }): Point => [
+    streams,
+    residentBytes / BYTES_PER_KILOBYTE,
+  ]);
+  return [
+    buildSlope("open streams: resident memory", points, {
+      size: "open streams",
+      unit: "KiB of the whole process",
+    }),
+  ];
+}
+
+async function runWithRig(
+  root: string,
+  engineOptions: Partial<EngineOptions>,
+  collect: (rig: Rig) => Promise<Slope[]>,
+): Promise<Slope[]> {
+  const fleet = DemoFleet.create(buildOverheadExample(1), {
+    root,
+    directory: join(root, "run"),
+    engineOptions,
+  });
+  try {
+    await fleet.start();
+    await sleep(SETTLED_MS);
+    const owner = await findOwner(fleet);
+    const other = fleet.entryVms.find((vm) => vm !== owner)!;
+    return await collect({
+      owner: buildWay("the owner", owner),
+      other: buildWay("another VM", other),
+    });
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function findOwner(fleet: DemoFleet): Promise<EntryVm> {
+  const status = await fetchJson<{ shards: { owner: string }[] }>({
+    port: fleet.entryVms[0]!.operatorPort,
+    method: "GET",
+    path: "/v1/status",
+    headers: { authorization: `Bearer ${fleet.secret}` },
+  });
+  const owner = fleet.entryVms.find(({ id }) => id === status.shards[0]?.owner);
+  if (owner === undefined) throw new Error("No VM owns the shard");
+  return owner;
+}
+
+function buildWay(name: string, vm: EntryVm): Way {
+  return {
+    name,
+    target: { port: vm.port, model: MODEL, key: KEY },
+    pid: vm.child.pid,
+  };
+}
