Give up what would miss its first token where late is useless

The latest start that meets both targets decides now; guesses not learnt yet still refuse nothing. Tests: two of the old ones named a class whose first-token target was shorter than the waits they allow; that class's first-token target is its total one now, their expectations are untouched. A new test holds the first-token rule.

--- a/src/process/scheduler/shard_admission.ts
+++ b/src/process/scheduler/shard_admission.ts
@@ -233,7 +233,7 @@
     const { decisions, factory } = this.#options;
     const { requestClass, call } = waiter;
     if (requestClass.lateIsUseful || !decisions.admission) return undefined;
-    if (waiter.deadlineAt <= now) return this.buildLateAnswer(waiter);
+    if (waiter.giveUpAt <= now) return this.buildLateAnswer(waiter);
     if (!factory.computeSize(call, { requestClass, now }).learnt) {
       return undefined;
     }
@@ -241,7 +241,7 @@
     // With no wait, starting is the only way to learn that it would have been
     // in time.
     if (waitMs === 0) return undefined;
-    if (now + waitMs + waiter.slotMs <= waiter.deadlineAt) return undefined;
+    if (now + waitMs <= waiter.giveUpAt) return undefined;
     return this.#handOn(waiter) ?? this.buildLateAnswer(waiter);
   }
 
@@ -284,9 +284,9 @@
     };
   }
 
-  /** When a new request of the class could finish within its target. */
+  /** When a new request of the class could be served within its targets. */
   #computeLateRetry(waiter: Waiter): number {
-    const slack = waiter.requestClass.targets.totalMs - waiter.slotMs;
+    const slack = waiter.startBy - waiter.arrivedAt;
     return Math.max(0, this.#computeWait(waiter) - Math.max(0, slack));
   }
 
--- a/src/process/scheduler/waiter_factory.ts
+++ b/src/process/scheduler/waiter_factory.ts
@@ -111,6 +111,7 @@
     const arrivedAt = now - call.ageMs;
     const deadlineAt = now + call.deadlineInMs;
     const slotMs = Math.max(1, size.service.totalMs);
+    const startBy = computeStartBy(call, { requestClass, size, now });
     this.#noteSlotMs(call.className, { slotMs, now });
     // The caller of a started stream has a part of its answer: giving up would
     // waste that part, so it waits however late it is.
@@ -125,10 +126,10 @@
       weight: this.getWeight(call.workspace),
       arrivedAt,
       order: this.#order++,
-      startBy: computeStartBy(call, { requestClass, size, now }),
-      giveUpAt: wasStarted
+      startBy,
+      giveUpAt: wasStarted || requestClass.lateIsUseful
         ? Infinity
-        : computeGiveUp(deadlineAt, requestClass, size),
+        : computeGiveUp(call, { requestClass, size, now, startBy }),
       wasStarted,
       cost: computeCost(call, size),
       isCostLearnt: size.length.learnt || call.model === undefined,
@@ -191,13 +192,23 @@
   return Math.min(firstToken, whole);
 }
 
+/**
+ * Past this an answer misses a target and is useless. Guesses that are not
+ * learnt yet do not count: they would refuse work that might be in time.
+ */
 function computeGiveUp(
-  deadlineAt: number,
-  requestClass: RequestClass,
-  size: SizeGuess,
+  call: AcquireCall,
+  options: {
+    requestClass: RequestClass;
+    size: SizeGuess;
+    now: number;
+    startBy: number;
+  },
 ): number {
-  if (requestClass.lateIsUseful) return Infinity;
-  return size.learnt ? deadlineAt - size.service.totalMs : deadlineAt;
+  const { requestClass, size, now, startBy } = options;
+  if (size.learnt) return startBy;
+  const firstToken = now - call.ageMs + requestClass.targets.firstTokenMs;
+  return Math.min(firstToken, now + call.deadlineInMs);
 }
 
 function computeCost(call: AcquireCall, size: SizeGuess): number {
--- a/test/process/scheduler/admission_test.ts
+++ b/test/process/scheduler/admission_test.ts
@@ -18,7 +18,9 @@
   runSlots,
 } from "./fixtures.ts";
 
+/** A class whose whole answer, not its first token, sets the pace. */
 const CHAT = buildClass("chat", { lateIsUseful: false });
+CHAT.targets.firstTokenMs = 5_000;
 CHAT.targets.totalMs = 5_000;
 const HOLD_MS = 1_000;
 
@@ -86,11 +88,37 @@
     expect(refused.refusal.retryAfterMs).toBeLessThan(5_000);
   });
 
+  // Symptom: in overload nearly every chat reply comes late, and the slots
+  // that made them serve nobody.
+  // Sequence: the wait grows past the first-token target, far within the total.
+  // Cause: only the total target decides whether a late answer is useless.
+  test("refuses what would miss its first token", async () => {
+    const chat = buildClass("chat", { lateIsUseful: false });
+    chat.targets.firstTokenMs = 2_500;
+    chat.targets.totalMs = 60_000;
+    const bench = await createOwnerBench({ classes: [chat] });
+    await runSamples(bench);
+    const buildLong = () => buildCall("chat", { deadlineInMs: 60_000 });
+    const calls = Array.from({ length: 8 }, buildLong);
+    for (const call of calls) bench.ask(call);
+    await bench.clock.run(1);
+    // One runs and two wait at a second each; a third would start after 3 s.
+    const refused = calls.filter(({ ticket }) => bench.refused.has(ticket));
+    expect(refused).toHaveLength(5);
+    expect(bench.refused.get(refused[0]!.ticket)).toBe(
+      "deadline_unreachable",
+    );
+    // The clock goes on without a free slot: those that wait give up in time.
+    await bench.clock.run(2_500);
+    expect(bench.owner.waitingCount).toBe(0);
+  });
+
   test("counts the backlog of higher tiers in the time to come back", async () => {
     const low = buildClass("chat", {
       lateIsUseful: false,
       tier: toId("bronze"),
     });
+    low.targets.firstTokenMs = 5_000;
     low.targets.totalMs = 5_000;
     const bench = await createOwnerBench({
       classes: [low, buildClass("documents")],
