--- a/test/failures/resubmitted_to_fresh_vm_test.ts
+++ b/test/failures/resubmitted_to_fresh_vm_test.ts
@@ -25,7 +25,7 @@
 it("does not say not_run of a taken id that nobody was asked about", async () => {
   const { vm, id, fresh } = await runAndReplace();
   expect(vm.upstreams.calls).toHaveLength(1);
-  const refused = await submit(fresh, id);
+  const refused = await sendService(fresh, id);
   expect(refused.json.error).toMatchObject({
     code: "not_ready",
     outcome: "unknown",
@@ -36,7 +36,7 @@
 
 it("does not say so for a wrong key either", async () => {
   const { vm, id } = await runAndReplace();
-  const refused = await submit(vm, id, "nobody");
+  const refused = await sendService(vm, id, "nobody");
   expect(refused.json.error).toMatchObject({
     code: "unauthorized",
     outcome: "unknown",
@@ -45,9 +45,9 @@
 
 it("still says not_run without an id, and of what is no id", async () => {
   const { fresh } = await runAndReplace();
-  const plain = await submit(fresh, undefined);
+  const plain = await sendService(fresh, undefined);
   expect(plain.json.error.outcome).toBe("not_run");
-  expect((await submit(fresh, "mine")).json.error.outcome).toBe("not_run");
+  expect((await sendService(fresh, "mine")).json.error.outcome).toBe("not_run");
 });
 
 async function runAndReplace() {
@@ -55,13 +55,13 @@
   const vm = new RequestVm(clock, { vm: "vm-a", incarnation: "1", peers });
   vm.upstreams.answer = () => Promise.resolve(answerJson(200, { done: true }));
   const id = vm.claims.issueId();
-  await submit(vm, id);
+  await sendService(vm, id);
   const fresh = new RequestVm(clock, { vm: "vm-a", incarnation: "2", peers });
   fresh.snapshot = undefined;
   return { vm, id, fresh };
 }
 
-async function submit(
+async function sendService(
   vm: RequestVm,
   id: string | undefined,
   key = "key-1",
--- a/test/failures/shed_beside_lower_shard_test.ts
+++ b/test/failures/shed_beside_lower_shard_test.ts
@@ -10,29 +10,31 @@
  */
 import { expect, it } from "vitest";
 import { Log, type LogFields, type LogLevel } from "../../src/process/log.ts";
+import { listClasses } from "../fuzz/fuzz_request.ts";
 import { FuzzWorld } from "../fuzz/fuzz_world.ts";
 
-const CHAT = 3;
-const SUMMARY = 1;
+const USER = "kontrola_sever";
 const BURST = 20;
 
 it("passes requests on to the shard that serves a lower tier", async () => {
   const log = new PassOnLog();
   const world = await FuzzWorld.create({
-    user: "kontrola_sever",
+    user: USER,
     vms: 3,
     seed: 1,
     log,
   });
-  sendBurst(world, CHAT);
+  sendBurst(world, "chat");
   await world.run(1_000);
-  sendBurst(world, SUMMARY);
+  sendBurst(world, "clerk_summary");
   await world.run(1_000);
   world.close();
   expect(log.count).toBeGreaterThan(0);
 });
 
-function sendBurst(world: FuzzWorld, classIndex: number): void {
+function sendBurst(world: FuzzWorld, className: string): void {
+  const classIndex = listClasses(USER)
+    .findIndex(({ name }) => name === className);
   for (let index = 0; index < BURST; index++) {
     const life = world.listLives()[index % 3]!;
     const request = world.buildRequest({
--- a/test/fuzz/fleet_property.ts
+++ b/test/fuzz/fleet_property.ts
@@ -29,7 +29,14 @@
 
 /** Runs `runs` sequences; a failing one is shrunk. */
 export async function checkFleet(
-  options: { seed: number; runs: number; profile: Profile; path?: string },
+  options: {
+    seed: number;
+    runs: number;
+    profile: Profile;
+    path?: string;
+    /** How long a failing run may be shrunk, in milliseconds. */
+    shrinkMs: number;
+  },
 ): Promise<FleetReport> {
   const met: Record<string, number> = {};
   const property = fc.asyncProperty(
@@ -44,16 +51,24 @@
       noteMet(met, world);
     },
   );
-  const details = await fc.check(property, {
+  const first = await fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
     path: options.path,
-    endOnFailure: false,
+    // Shrinking takes hundreds of runs: it has a time of its own.
+    endOnFailure: true,
   });
+  const details = first.failed
+    ? await fc.check(property, {
+      seed: options.seed,
+      path: first.counterexamplePath ?? "",
+      interruptAfterTimeLimit: options.shrinkMs,
+    })
+    : first;
   return {
-    isBroken: details.failed,
-    runs: details.numRuns,
-    text: details.failed
+    isBroken: first.failed,
+    runs: first.numRuns,
+    text: first.failed
       ? `${details.errorInstance}\n${fc.defaultReportMessage(details)}`
       : "No broken promise",
     met,
--- a/test/fuzz/fuzz_commands.ts
+++ b/test/fuzz/fuzz_commands.ts
@@ -7,12 +7,15 @@
 import fc from "fast-check";
 import { match } from "ts-pattern";
 import { applyFault, type FaultEvent, FAULTS } from "./fuzz_faults.ts";
-import type { RequestShape } from "./fuzz_request.ts";
+import { getRank, listClasses, type RequestShape } from "./fuzz_request.ts";
 import type { FuzzWorld, Submission } from "./fuzz_world.ts";
 import type { VmLife } from "./vm_life.ts";
 
 const MAX_SUBMISSIONS = 60;
 const CREATED = 201;
+/** Requests of each of two classes that contend. */
+const CONTENDING = 6;
+const LONG_TOKENS = 60;
 
 /** A choice of events; a key of `PROFILES`. */
 export type Profile = string;
@@ -28,6 +31,8 @@
     writeMs: number;
   }
   | { kind: "burst"; vm: number; shape: RequestShape; count: number }
+  /** A burst, and while it runs one of a higher tier. */
+  | { kind: "contend"; vm: number; shape: RequestShape; waitMs: number }
   | { kind: "leave"; index: number }
   | { kind: "submit_again"; index: number; vm: number };
 
@@ -56,6 +61,10 @@
         { kind: "burst" },
         ({ count }) => model.submissions + count <= MAX_SUBMISSIONS,
       )
+      .with(
+        { kind: "contend" },
+        () => model.submissions + 2 * CONTENDING <= MAX_SUBMISSIONS,
+      )
       .with({ kind: "leave" }, () => model.submissions > 0)
       .with(
         { kind: "submit_again" },
@@ -95,6 +104,8 @@
       return await sendNew(world, event);
     case "burst":
       return await sendMany(world, event);
+    case "contend":
+      return await sendContending(world, event);
     case "leave":
       pickOne(world.submissions, event.index)?.sink.cancel();
       return;
@@ -137,6 +148,12 @@
   shape: SHAPE,
   count: fc.integer({ min: 3, max: 20 }),
 });
+const CONTEND = fc.record({
+  kind: fc.constant("contend" as const),
+  vm: VM,
+  shape: SHAPE,
+  waitMs: fc.constantFrom(100, 300, 600, 1_200),
+});
 const LEAVE = fc.record({ kind: fc.constant("leave" as const), index: INDEX });
 const SUBMIT_AGAIN = fc.record({
   kind: fc.constant("submit_again" as const),
@@ -160,6 +177,7 @@
   BURST,
   BURST,
   BURST,
+  CONTEND,
   LEAVE,
   SUBMIT_AGAIN,
   SUBMIT_AGAIN,
@@ -210,6 +228,22 @@
   }
 }
 
+async function sendContending(
+  world: FuzzWorld,
+  event: Extract<CallerEvent, { kind: "contend" }>,
+): Promise<void> {
+  const classes = listClasses(world.user)
+    .map((one, index) => ({ ...one, index, rank: getRank(world.user, one) }))
+    .filter(({ maxOutputTokens }) => maxOutputTokens > 1)
+    .sort((left, right) => right.rank - left.rank);
+  for (const { index } of classes) {
+    const shape = { ...event.shape, classIndex: index, tokens: LONG_TOKENS };
+    const { vm } = event;
+    sendMany(world, { kind: "burst", vm, shape, count: CONTENDING });
+    await world.run(event.waitMs);
+  }
+}
+
 function sendAgain(
   world: FuzzWorld,
   event: Extract<CallerEvent, { kind: "submit_again" }>,
--- a/test/fuzz/fuzz_faults.ts
+++ b/test/fuzz/fuzz_faults.ts
@@ -158,7 +158,7 @@
   world.service.isDown = false;
   world.putList(world.list.vms.map((vm) => ({ ...vm, state: "live" })));
   world.putVersion(Math.max(...world.versions.keys()));
-  for (const life of world.listLives()) resume(world, life.vm);
+  for (const life of world.listLives()) resumeLife(world, life.vm);
   world.leavingSince.clear();
   world.disturbances.clear();
   for (const kind of EVERY_KIND) world.disturbances.note(kind);
@@ -262,11 +262,10 @@
   await match(fault)
     .with("pause", () => {
       if (life.isPaused) return;
-      life.isPaused = true;
-      world.network.pause(life.vm);
+      life.pause();
       world.disturbances.add("paused");
     })
-    .with("resume", () => resume(world, life.vm))
+    .with("resume", () => resumeLife(world, life.vm))
     .with("kill", () => endLife(world, life.vm))
     .with("drain", async () => {
       if (!life.isUp) return;
@@ -277,18 +276,16 @@
     .exhaustive();
 }
 
-function resume(world: FuzzWorld, vm: ListedVm["id"]): void {
+function resumeLife(world: FuzzWorld, vm: ListedVm["id"]): void {
   const life = world.findLife(vm);
   if (life === undefined || !life.isPaused) return;
-  life.isPaused = false;
-  world.network.resume(vm);
+  life.resume();
   world.disturbances.remove("paused");
 }
 
 function endLife(world: FuzzWorld, vm: ListedVm["id"]): void {
   const life = world.findLife(vm)!;
   if (life.isPaused) world.disturbances.remove("paused");
-  life.isPaused = false;
   life.destroy();
   world.disturbances.note("killed");
 }
--- a/test/fuzz/fuzz_oracle.ts
+++ b/test/fuzz/fuzz_oracle.ts
@@ -21,6 +21,7 @@
   | "version_not_in_force"
   | "version_not_kept"
   | "work_while_leaving"
+  | "sent_after_pause"
   | "false_fate";
 
 /** One broken promise. */
@@ -38,6 +39,7 @@
     ...world.witness.faults,
     ...world.submissions.flatMap((one) => checkSubmission(world, one)),
     ...findDoubled(world),
+    ...findSentAfterPause(world),
     ...findReverted(world),
     ...findOutdated(world),
     ...findLeaks(world),
@@ -108,6 +110,15 @@
   });
 }
 
+/** A VM that was paused past its leases wakes without one to send under. */
+function findSentAfterPause(world: FuzzWorld): BrokenPromise[] {
+  return world.upstreams.sends.filter(({ wasLate }) => wasLate)
+    .map(({ tag, upstream, at }) => ({
+      promise: "sent_after_pause",
+      detail: `Request ${tag} was sent to ${upstream} at ${at}`,
+    }));
+}
+
 function findReverted(world: FuzzWorld): BrokenPromise[] {
   return world.lives.flatMap((life) => {
     const at = life.versions.findIndex((version, index) =>
--- a/test/fuzz/fuzz_records.ts
+++ b/test/fuzz/fuzz_records.ts
@@ -20,7 +20,7 @@
 const BASE_CAP = 40;
 const CAP_STEPS = 8;
 /** Near enough to what a slot takes that preemption may pay. */
-const FIRST_TOKEN_MS = 1_000;
+const FIRST_TOKEN_MS = 1_800;
 const SLOTS = { initial: 1, min: 1, max: 2 };
 const TIMEOUTS = {
   first_byte_ms: 3_000,
--- a/test/fuzz/fuzz_request.ts
+++ b/test/fuzz/fuzz_request.ts
@@ -48,6 +48,11 @@
   return [...getExamples(user).snapshot.classes.values()];
 }
 
+/** The rank of a class's tier. */
+export function getRank(user: User, requestClass: RequestClass): number {
+  return getClassRank(getExamples(user).snapshot, requestClass.name);
+}
+
 /** Makes a request of a shape. */
 export function buildRequest(
   user: User,
@@ -66,7 +71,7 @@
     shape,
     kind,
     className: requestClass.name,
-    rank: getClassRank(snapshot, requestClass.name),
+    rank: getRank(user, requestClass),
     workspace: workspaces[shape.workspaceIndex % workspaces.length]!.name,
     pool: pool.name,
     model: pool.models[0]?.model ?? "",
--- a/test/fuzz/fuzz_upstreams.ts
+++ b/test/fuzz/fuzz_upstreams.ts
@@ -48,6 +48,8 @@
   at: number;
   /** Whether the upstream did anything of it. */
   began: boolean;
+  /** Whether it was sent at the end of a pause past all leases. */
+  wasLate: boolean;
 }
 
 /** A plain service's replica. */
@@ -62,6 +64,8 @@
 export interface Sender {
   readonly incarnation: string;
   readonly clock: Clock;
+  /** Whether it goes on at this moment, past all of its leases. */
+  readonly hasLostLeases: boolean;
 }
 
 /** Every upstream of a run. */
@@ -142,6 +146,7 @@
     const { clock, engines, services } = this.#upstreams;
     const signal = AbortSignal.any([call.signal, this.#closed.signal]);
     if (signal.aborted) throw createUpstreamError(call, "aborted", false);
+    const wasLate = this.#sender.hasLostLeases;
     await clock.sleep(DELAY_MS);
     const core = engines.get(call.upstream);
     const service = services.get(call.upstream);
@@ -160,6 +165,7 @@
       incarnation: this.#sender.incarnation,
       at: clock.now(),
       began: false,
+      wasLate,
     };
     this.#upstreams.sends.push(record);
     const sent = { ...call, signal };
--- a/test/fuzz/fuzz_world.ts
+++ b/test/fuzz/fuzz_world.ts
@@ -4,12 +4,12 @@
  *
  * @module
  */
+import { BenchClock } from "../../bench/support/bench_clock.ts";
 import type { User } from "../../bench/support/example_records.ts";
 import type { VmId } from "../../src/ids.ts";
 import { type Log, SilentLog } from "../../src/process/log.ts";
 import { SeededRandom } from "../../src/process/random.ts";
 import type { ListedVm, MembershipList } from "../../src/version/index.ts";
-import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { VirtualNetwork } from "../../standin/virtual_network.ts";
 import { VirtualService } from "../../standin/virtual_service.ts";
 import { Disturbances } from "./disturbances.ts";
@@ -61,7 +61,9 @@
 /** The fleet, its upstreams, its platform and its callers. */
 export class FuzzWorld {
   readonly user: User;
-  readonly clock = VirtualClock.create();
+  // Its least timer: a rest below the rounding of the time would be waited for
+  // again and again at one moment, and the run would never end.
+  readonly clock = BenchClock.create();
   readonly network: VirtualNetwork;
   readonly service: VirtualService;
   readonly upstreams: FuzzUpstreams;
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -12,12 +12,13 @@
   .option("seed", { type: "number", default: 1 })
   .option("runs", { type: "number", default: 500 })
   .option("profile", { choices: Object.keys(PROFILES), default: "all" })
+  .option("shrink-ms", { type: "number", default: 60_000 })
   .option("path", { type: "string", describe: "Repeats one failing run" })
   .strict()
   .parseAsync();
 const startedAt = Date.now();
-const { seed, runs, profile, path } = arguments_;
-const report = await checkFleet({ seed, runs, profile, path });
+const { seed, runs, profile, path, shrinkMs } = arguments_;
+const report = await checkFleet({ seed, runs, profile, path, shrinkMs });
 const seconds = (Date.now() - startedAt) / 1_000;
 process.stdout.write(`${report.text}\n`);
 process.stdout.write(
--- a/test/fuzz/vm_life.ts
+++ b/test/fuzz/vm_life.ts
@@ -10,6 +10,7 @@
 import type { Log } from "../../src/process/log.ts";
 import { type PeerApi, PeerDirectory } from "../../src/process/peer_api.ts";
 import { SeededRandom } from "../../src/process/random.ts";
+import { LEASE_TTL_MS } from "../../src/process/scheduler/lease_accounts.ts";
 import { VmRuntime } from "../../src/process/runtime.ts";
 import type { ListedVm } from "../../src/version/index.ts";
 import type { VirtualNetwork } from "../../standin/virtual_network.ts";
@@ -41,7 +42,9 @@
   readonly sinks = new Set<FuzzSink>();
   /** Versions in force, each as it was first seen. */
   readonly versions: number[] = [];
-  isPaused = false;
+  #pausedAt: number | undefined;
+  #resumedAt = -1;
+  #pausedMs = 0;
   #isDead = false;
   readonly #network: VirtualNetwork;
 
@@ -84,6 +87,31 @@
     return this.#isDead;
   }
 
+  get isPaused(): boolean {
+    return this.#pausedAt !== undefined;
+  }
+
+  /** Whether the process goes on at this moment, past all of its leases. */
+  get hasLostLeases(): boolean {
+    return this.#resumedAt === this.clock.now() &&
+      this.#pausedMs > LEASE_TTL_MS;
+  }
+
+  /** Stops the process as SIGSTOP does. */
+  pause(): void {
+    this.#pausedAt = this.clock.now();
+    this.#network.pause(this.vm);
+  }
+
+  /** Lets it go on; what waited happens now. */
+  resume(): void {
+    if (this.#pausedAt === undefined) return;
+    this.#resumedAt = this.clock.now();
+    this.#pausedMs = this.#resumedAt - this.#pausedAt;
+    this.#pausedAt = undefined;
+    this.#network.resume(this.vm);
+  }
+
   /** Whether the process runs now. */
   get isUp(): boolean {
     return !this.#isDead && !this.isPaused;
@@ -98,6 +126,7 @@
   /** Ends the process at once, with all of its connections. */
   destroy(): void {
     this.#isDead = true;
+    this.#pausedAt = undefined;
     this.#network.removeVm(this.vm);
     for (const sink of this.sinks) sink.closeBroken();
     this.transport.close();
