--- a/bench/slopes/large_records.ts
+++ b/bench/slopes/large_records.ts
@@ -15,7 +15,7 @@
 const TIERS = 5;
 const DATA_CENTRES = 13;
 /** Upstreams of one shard; the records allow 32, and hashing is uneven. */
-export const REPLICAS_PER_SHARD = 16;
+const REPLICAS_PER_SHARD = 16;
 
 /** Published records with `workspaces` workspaces and six models. */
 export function buildLargeRecords(
--- a/bench/slopes/slope.ts
+++ b/bench/slopes/slope.ts
@@ -124,7 +124,7 @@
 }
 
 /** Bytes on the heap after a full collection. */
-export function readHeap(): number {
+function readHeap(): number {
   if (globalThis.gc === undefined) throw new Error("Run with --expose-gc");
   globalThis.gc();
   globalThis.gc();
