Take an owner's new summaries at once, and end two endless waits

Causes: a summary was taken for old by its number alone, so a restarted owner's figures, or those of an owner that got its shard back, were ignored for up to 10 s; a call's watch compared a difference with its limit but set its timer by the sum, and where the two round apart it checked without end in virtual time; a caller was told to come back to a VM whose issuing process is gone for good. Summaries carry their incarnation and follow the process's clock, the watch uses one sum, and no time to come back is named there.

--- a/src/connection/call_watch.ts
+++ b/src/connection/call_watch.ts
@@ -88,14 +88,16 @@
     const limitMs = this.#hasByte
       ? this.#limits.betweenBytesMs
       : this.#limits.firstByteMs;
-    const since = this.#waitingSince ?? now;
-    if (now - since >= limitMs) {
+    // The timer is set by the same sum: another one could round to a moment
+    // just after it, and the check would be set to now again without end.
+    const passesAt = (this.#waitingSince ?? now) + limitMs;
+    if (now >= passesAt) {
       this.#onPassed(
         this.#hasByte ? "between_bytes_timeout" : "first_byte_timeout",
       );
       return;
     }
-    this.#startTimer(Math.min(this.#endsAt, since + limitMs), now);
+    this.#startTimer(Math.min(this.#endsAt, passesAt), now);
   }
 
   #startTimer(checkAt: number, now: number): void {
--- a/src/process/fleet_summaries.ts
+++ b/src/process/fleet_summaries.ts
@@ -32,9 +32,11 @@
   put(summary: ShardSummary): boolean {
     const byOwner = this.#heard.get(summary.shard) ?? new Map<VmId, Heard>();
     const known = byOwner.get(summary.owner);
-    // An owner that restarted counts from 1 again: its summaries would be
-    // taken for old ones until the known one has lived out its time.
+    // An owner that restarted counts anew: without its incarnation its
+    // summaries would be taken for old ones until the known one has lived out
+    // its time, and callers would go to a shard by figures of a dead process.
     const isOld = known !== undefined && this.#isLive(known) &&
+      summary.incarnation === known.summary.incarnation &&
       summary.sequence <= known.summary.sequence;
     if (isOld) return false;
     byOwner.set(summary.owner, { summary, at: this.#clock.now() });
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -123,8 +123,10 @@
   lowestRank: number;
   /** Expected wait of a new request of the lowest tier. */
   expectedWaitMs: number;
-  /** Increases with each summary of one owner's life. */
+  /** Increases with each summary of one incarnation. */
   sequence: number;
+  /** The life of the owner's process that `sequence` counts in. */
+  incarnation?: Incarnation | undefined;
 }
 
 /** A change in what a VM believes of another. */
--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -72,7 +72,7 @@
   readonly #granter: Granter;
   #cancelTick: CancelTimer | undefined;
   #ticks = 0;
-  #summaries = 0;
+  #sequence = 0;
   #stopped = false;
 
   constructor(options: ShardOwnerOptions) {
@@ -234,10 +234,20 @@
         this.#queue.findLowestRank() ?? 0,
       ),
       expectedWaitMs: this.#admission.computeLowestWait(),
-      sequence: ++this.#summaries,
+      sequence: this.#takeSequence(now),
+      incarnation: this.#environment.incarnation,
     };
   }
 
+  /**
+   * Follows the process's clock, so that an owner that comes back to this
+   * process goes on above the numbers of its predecessor.
+   */
+  #takeSequence(now: number): number {
+    this.#sequence = Math.max(this.#sequence + 1, Math.floor(now));
+    return this.#sequence;
+  }
+
   /** Takes the queue and the ledger of the previous owner over. */
   takeHandOver(call: HandOverCall): void {
     const now = this.#noteAlive();
--- a/src/request/resubmission.ts
+++ b/src/request/resubmission.ts
@@ -46,9 +46,12 @@
       );
     })
     .with({ kind: "unreachable" }, ({ issuer, why }) => {
+      // Where this VM itself issued the id, an earlier process of it did, and
+      // that one does not come back.
+      const mayAnswerLater = issuer !== services.environment.vm;
       throw createUnknown(
         `VM ${issuer}, which issued the request id, cannot tell: ${why}`,
-        UNREACHABLE_RETRY_MS,
+        mayAnswerLater ? UNREACHABLE_RETRY_MS : undefined,
       );
     })
     .exhaustive();
--- /dev/null
+++ b/test/connection/call_watch_test.ts
@@ -0,0 +1,32 @@
+import { expect, it } from "vitest";
+import { CallWatch } from "../../src/connection/call_watch.ts";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+
+// Symptom: a run in virtual time stands still for ever at one moment.
+// Sequence: a call begins at a time whose sum with the limit is rounded down;
+// the timer fires at that sum.
+// Cause: the check takes the difference, which is a hair below the limit, and
+// sets the timer to the present again.
+it("passes a limit at the very moment that its timer was set to", async () => {
+  const clock = VirtualClock.create();
+  const since = 991.0373855340468;
+  const limitMs = 365;
+  // The numbers are of the kind that round apart.
+  expect(since + limitMs - since).toBeLessThan(limitMs);
+  await clock.run(since);
+  expect(clock.now()).toBe(since);
+  const passed: string[] = [];
+  const limits = { firstByteMs: limitMs, betweenBytesMs: 1, totalMs: 10_000 };
+  const watch = CallWatch.create(clock, limits, {
+    onPassed: (kind) => passed.push(kind),
+  });
+  let timers = 0;
+  const startTimer = clock.startTimer.bind(clock);
+  clock.startTimer = (ms, callback) => {
+    if (++timers > 10) throw new Error("The watch checks without end");
+    return startTimer(ms, callback);
+  };
+  await clock.run(limitMs + 1);
+  watch.stop();
+  expect(passed).toEqual(["first_byte_timeout"]);
+});
--- /dev/null
+++ b/test/failures/owner_back_within_seconds_test.ts
@@ -0,0 +1,71 @@
+/**
+ * Symptom: callers go on to a shard by figures of a process that is gone, for
+ * up to ten seconds.
+ *
+ * Sequence: a shard's owner restarts, or loses the shard and gets it back; its
+ * new summaries arrive while the old ones are still held.
+ *
+ * Cause: a summary is taken for old by its number alone, and the new owner
+ * counts from the start.
+ */
+import { expect, it } from "vitest";
+import {
+  type Incarnation,
+  type ShardId,
+  toId,
+  type VmId,
+} from "../../src/ids.ts";
+import { SummaryBoard } from "../../src/process/fleet_summaries.ts";
+import type { ShardSummary } from "../../src/process/peer_api.ts";
+import { ShardOwner } from "../../src/process/scheduler/shard_owner.ts";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { buildPool } from "../process/orders/fixtures.ts";
+import { buildEnvironment } from "../support/request_fakes.ts";
+
+const SHARD = toId<ShardId>("pool/0");
+
+function buildSummary(incarnation: string, sequence: number): ShardSummary {
+  return {
+    shard: SHARD,
+    owner: toId<VmId>("vm-a"),
+    room: sequence,
+    slots: 8,
+    waitingByRank: {},
+    lowestRank: 0,
+    expectedWaitMs: 0,
+    sequence,
+    incarnation: toId<Incarnation>(incarnation),
+  };
+}
+
+it("takes the first summary of an owner that restarted", () => {
+  const board = SummaryBoard.create(VirtualClock.create());
+  board.put(buildSummary("one", 5_000));
+  expect(board.put(buildSummary("two", 1))).toBe(true);
+  expect(board.find(SHARD)?.room).toBe(1);
+  expect(board.put(buildSummary("two", 1))).toBe(false);
+});
+
+it("takes the summaries of an owner that got its shard back", async () => {
+  const clock = VirtualClock.create();
+  const environment = buildEnvironment(clock, { vm: "vm-a" });
+  const board = SummaryBoard.create(clock);
+  const createOwner = () =>
+    ShardOwner.create({
+      environment,
+      shard: SHARD,
+      pool: buildPool([]),
+      getSnapshot: () => undefined,
+      listUpstreams: () => [],
+    });
+  const first = createOwner();
+  for (let count = 0; count < 8; count++) {
+    await clock.run(500);
+    board.put(first.buildSummary());
+  }
+  first.stop();
+  const second = createOwner();
+  await clock.run(500);
+  expect(board.put(second.buildSummary())).toBe(true);
+  second.stop();
+});
--- a/test/failures/resubmitted_to_fresh_vm_test.ts
+++ b/test/failures/resubmitted_to_fresh_vm_test.ts
@@ -43,6 +43,17 @@
   });
 });
 
+it("names no time to come back once the issuing process is gone", async () => {
+  const { id, fresh } = await runAndReplace({ hasConfiguration: true });
+  const refused = await sendService(fresh, id);
+  expect(refused.json.error).toMatchObject({
+    code: "fate_unknown",
+    outcome: "unknown",
+  });
+  expect(refused.json.error.retry_after ?? null).toBeNull();
+  expect(fresh.upstreams.calls).toHaveLength(0);
+});
+
 it("still says not_run without an id, and of what is no id", async () => {
   const { fresh } = await runAndReplace();
   const plain = await sendService(fresh, undefined);
@@ -50,14 +61,14 @@
   expect((await sendService(fresh, "mine")).json.error.outcome).toBe("not_run");
 });
 
-async function runAndReplace() {
+async function runAndReplace(options = { hasConfiguration: false }) {
   const peers = new FakePeers();
   const vm = new RequestVm(clock, { vm: "vm-a", incarnation: "1", peers });
   vm.upstreams.answer = () => Promise.resolve(answerJson(200, { done: true }));
   const id = vm.claims.issueId();
   await sendService(vm, id);
   const fresh = new RequestVm(clock, { vm: "vm-a", incarnation: "2", peers });
-  fresh.snapshot = undefined;
+  if (!options.hasConfiguration) fresh.snapshot = undefined;
   return { vm, id, fresh };
 }
 
