--- a/bench/support/workload.ts
+++ b/bench/support/workload.ts
@@ -104,7 +104,7 @@
 };
 
 /** Tokens a millisecond of the whole model pool with every batch full. */
-export function computeCapacity(
+function computeCapacity(
   examples: ExampleRecords,
   engine: EngineOptions,
 ): number {
--- a/src/process/entries.ts
+++ b/src/process/entries.ts
@@ -9,7 +9,7 @@
 import type { Random } from "./random.ts";
 
 /** How long a caller may hold an answer. */
-export const ENTRIES_TTL_MS = 10_000;
+const ENTRIES_TTL_MS = 10_000;
 
 const DEFAULT_LIMIT = 4;
 /** A VM in the caller's data centre against one elsewhere. */
--- a/src/process/fleet_pause.ts
+++ b/src/process/fleet_pause.ts
@@ -6,7 +6,7 @@
 import type { CancelTimer, Clock } from "./clock.ts";
 
 /** A gap that counts as a pause; below every lease and suspicion timeout. */
-export const PAUSE_GAP_MS = 1_000;
+const PAUSE_GAP_MS = 1_000;
 
 const TICK_MS = 250;
 
--- a/src/process/member_gossip.ts
+++ b/src/process/member_gossip.ts
@@ -6,9 +6,9 @@
 import type { MemberNews, ShardSummary } from "./peer_api.ts";
 
 /** Bounds on what one message carries. */
-export const MAX_NEWS_PER_MESSAGE = 8;
+const MAX_NEWS_PER_MESSAGE = 8;
 /** Summaries are larger than news, so fewer fit. */
-export const MAX_SUMMARIES_PER_MESSAGE = 6;
+const MAX_SUMMARIES_PER_MESSAGE = 6;
 
 const SENDS_FACTOR = 3;
 const MAX_WAITING = 2_000;
--- a/src/process/scheduler/authority.ts
+++ b/src/process/scheduler/authority.ts
@@ -11,11 +11,11 @@
  * `RENEW_EVERY_MS`, so in this time each that can reach the owner has named
  * every lease that it holds.
  */
-export const SETTLE_MS = 2_000;
+const SETTLE_MS = 2_000;
 /** The least settling, even when every entry VM has announced. */
 const MIN_SETTLE_MS = 100;
 /** A gap of the monotonic clock that counts as a pause, in milliseconds. */
-export const OWNER_PAUSE_MS = 1_000;
+const OWNER_PAUSE_MS = 1_000;
 
 /**
  * Guards grants after a takeover and after a pause of this process.
--- a/src/process/scheduler/index.ts
+++ b/src/process/scheduler/index.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-export { ALL_DECISIONS, buildDecisions } from "./decisions.ts";
 export type { SchedulerDecisions } from "./decisions.ts";
 export { LeaseClient } from "./lease_client.ts";
 export type { LeaseClientOptions } from "./lease_client.ts";
@@ -18,5 +17,4 @@
   listPoolShards,
   listShards,
   listShardUpstreams,
-  parseShardId,
 } from "./shards.ts";
--- a/src/process/scheduler/lease_sync.ts
+++ b/src/process/scheduler/lease_sync.ts
@@ -16,7 +16,7 @@
 /** How often news is looked for, in milliseconds. */
 export const SYNC_EVERY_MS = 500;
 /** How often a running lease is renewed, in milliseconds. */
-export const RENEW_EVERY_MS = 1_500;
+const RENEW_EVERY_MS = 1_500;
 /** How long returns to another VM wait for others, in milliseconds. */
 const RETURN_DELAY_MS = 10;
 const SYNC_DEADLINE_MS = 1_000;
--- a/src/process/scheduler/ticket_calls.ts
+++ b/src/process/scheduler/ticket_calls.ts
@@ -10,7 +10,7 @@
 import type { WaitingQueue } from "./waiting_queue.ts";
 
 /** How long a ticket may stay away between two calls, in milliseconds. */
-export const TICKET_TTL_MS = 2_000;
+const TICKET_TTL_MS = 2_000;
 
 /** What the calls need of their owner. */
 export interface TicketCallsOptions {
--- a/src/request/service_call.ts
+++ b/src/request/service_call.ts
@@ -6,7 +6,7 @@
 import { CLASS_HEADER } from "./authenticate.ts";
 
 /** `false` marks work as not idempotent, `true` a POST as idempotent. */
-export const IDEMPOTENT_HEADER = "x-idempotent";
+const IDEMPOTENT_HEADER = "x-idempotent";
 
 const NOT_PASSED_ON = new Set([
   // The workspace's key is for the router alone.
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -12,12 +12,7 @@
 export type { ParsedRecord } from "./parse_record.ts";
 export { readRecordDirectory } from "./record_directory.ts";
 export type { RecordDirectory } from "./record_directory.ts";
-export {
-  buildRecordGroups,
-  MAX_GROUP_BYTES,
-  parseGroup,
-  parseIndex,
-} from "./record_groups.ts";
+export { buildRecordGroups, parseGroup, parseIndex } from "./record_groups.ts";
 export type { RecordGroup, RecordIndex } from "./record_groups.ts";
 export { formatProblem } from "./record_problem.ts";
 export type { RecordProblem } from "./record_problem.ts";
--- a/standin/engine_answer.ts
+++ b/standin/engine_answer.ts
@@ -90,7 +90,7 @@
 }
 
 /** Tokens of the answer without a cap: `[[tokens=N]]` in the prompt, or a hash. */
-export function computeAnswerLength(prompt: string): number {
+function computeAnswerLength(prompt: string): number {
   const marked = LENGTH_MARKER.exec(prompt)?.[1];
   if (marked !== undefined) return Math.max(1, Number(marked));
   return LEAST_HASHED_LENGTH + computeHash(prompt) % HASHED_LENGTHS;
--- a/test/process/scheduler/fixtures.ts
+++ b/test/process/scheduler/fixtures.ts
@@ -232,7 +232,7 @@
 }
 
 /** Channels to fake VMs; a VM in `silent` never answers. */
-export class FakePeers extends PeerDirectory {
+class FakePeers extends PeerDirectory {
   readonly peers = new Map<VmId, PeerApi>();
   readonly silent = new Set<VmId>();
 
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -132,7 +132,7 @@
 const HOLD = toId<ClassName>("hold");
 
 /** One workspace with key `key-1`, one with `key-2`, two classes, two pools. */
-export function buildTestSnapshot(): Snapshot {
+function buildTestSnapshot(): Snapshot {
   const classes = [
     buildClass(CHAT, { idempotent: true }),
     buildClass(HOLD, { idempotent: false }),
