Give the three listeners one base class

HttpListener has them once; a listener is now its limits and how it answers. The 161 tests of test/connection pass as before.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -14,8 +14,8 @@
   CallerHandler,
   CallerRequest,
 } from "../request/caller_request.ts";
+import { HttpListener } from "./http_listener.ts";
 import type { ServerLimits } from "./http_server.ts";
-import { HttpServer } from "./http_server.ts";
 import { HttpSink } from "./http_sink.ts";
 import { writeRefusal } from "./refusal_body.ts";
 import { readRequestBody, SlowBodyError } from "./request_body.ts";
@@ -53,60 +53,21 @@
 }
 
 /** Accepts callers and hands their requests to a `CallerHandler`. */
-export class CallerListener {
+export class CallerListener extends HttpListener {
   readonly #options: CallerListenerOptions;
-  readonly #server: HttpServer;
 
   constructor(options: CallerListenerOptions) {
+    const { log, limits, tls, issueId } = options;
+    const buildHeaders = () => buildIdHeader(issueId?.());
+    super({ name: "callers", log, limits, tls, buildHeaders });
     this.#options = options;
-    this.#server = HttpServer.create({
-      name: "callers",
-      log: options.log,
-      limits: options.limits,
-      tls: options.tls,
-      handle: (request, response) => this.#handle(request, response),
-      buildHeaders: () => this.#buildIdHeader(),
-    });
   }
 
   static create(options: CallerListenerOptions): CallerListener {
     return new CallerListener(options);
   }
 
-  /** The port that is listened on; 0 before `start`. */
-  get port(): number {
-    return this.#server.port;
-  }
-
-  /** Open connections. */
-  get connections(): number {
-    return this.#server.connections;
-  }
-
-  /** Resolves once callers are accepted; rejects `StepError`. */
-  start(host: string, port: number): Promise<void> {
-    return this.#server.start(host, port);
-  }
-
-  /**
-   * Accepts no more connections, closes idle ones, and resolves when the last
-   * request in flight has been answered. Bound it by `closeAll`.
-   */
-  stop(): Promise<void> {
-    return this.#server.stop();
-  }
-
-  /** Cuts every connection at once; requests in flight are cancelled. */
-  closeAll(): void {
-    this.#server.closeAll();
-  }
-
-  /** Shows `tls` to callers that connect from now on. */
-  updateTls(tls: ServerTls): void {
-    this.#server.updateTls(tls);
-  }
-
-  async #handle(
+  protected override async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -155,11 +116,6 @@
       outcome: isHandled ? "unknown" : "not_run",
     };
   }
-
-  #buildIdHeader(): Record<string, string> {
-    const id = this.#options.issueId?.();
-    return id === undefined ? {} : { "x-request-id": id };
-  }
 }
 
 /**
@@ -194,6 +150,10 @@
   };
 }
 
+function buildIdHeader(id: RequestId | undefined): Record<string, string> {
+  return id === undefined ? {} : { "x-request-id": id };
+}
+
 function toSingleHeaders(incoming: IncomingMessage): Record<string, string> {
   const headers: Record<string, string> = Object.create(null);
   for (const [name, value] of Object.entries(incoming.headers)) {
--- a/src/connection/operator_listener.ts
+++ b/src/connection/operator_listener.ts
@@ -11,7 +11,7 @@
 import { RefusalError } from "../outcome.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
-import { HttpServer } from "./http_server.ts";
+import { HttpListener } from "./http_listener.ts";
 import type { ServerLimits } from "./http_server.ts";
 import { buildRefusal } from "./refusal_body.ts";
 import { readRequestBody } from "./request_body.ts";
@@ -76,53 +76,22 @@
 }
 
 /** Answers operators. */
-export class OperatorListener {
+export class OperatorListener extends HttpListener {
   readonly #options: OperatorListenerOptions;
   readonly #token: SharedSecret;
-  readonly #server: HttpServer;
 
   constructor(options: OperatorListenerOptions) {
+    const { log, tls } = options;
+    super({ name: "operators", log, limits: LIMITS, tls });
     this.#options = options;
     this.#token = SharedSecret.create(options.token);
-    this.#server = HttpServer.create({
-      name: "operators",
-      log: options.log,
-      limits: LIMITS,
-      tls: options.tls,
-      handle: (request, response) => this.#handle(request, response),
-    });
   }
 
   static create(options: OperatorListenerOptions): OperatorListener {
     return new OperatorListener(options);
   }
 
-  /** The port that is listened on; 0 before `start`. */
-  get port(): number {
-    return this.#server.port;
-  }
-
-  /** Resolves once operators are accepted; rejects `StepError`. */
-  start(host: string, port: number): Promise<void> {
-    return this.#server.start(host, port);
-  }
-
-  /** Resolves when the last call in flight has been answered. */
-  stop(): Promise<void> {
-    return this.#server.stop();
-  }
-
-  /** Cuts every connection at once. */
-  closeAll(): void {
-    this.#server.closeAll();
-  }
-
-  /** Shows `tls` to operators that connect from now on. */
-  updateTls(tls: ServerTls): void {
-    this.#server.updateTls(tls);
-  }
-
-  async #handle(
+  protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
--- a/src/connection/peer_server.ts
+++ b/src/connection/peer_server.ts
@@ -7,8 +7,8 @@
 import { type Clock, SystemClock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
 import type { PeerApi } from "../process/peer_api.ts";
+import { HttpListener } from "./http_listener.ts";
 import type { ServerLimits } from "./http_server.ts";
-import { HttpServer } from "./http_server.ts";
 import { answerPeerCall, isPeerProcedure } from "./peer_answer.ts";
 import { readRequestBody } from "./request_body.ts";
 import { SharedSecret } from "./secret.ts";
@@ -43,55 +43,24 @@
 }
 
 /** Answers the calls of other entry VMs. */
-export class PeerListener {
+export class PeerListener extends HttpListener {
   readonly #options: PeerListenerOptions;
   readonly #clock: Clock;
   readonly #secret: SharedSecret;
-  readonly #server: HttpServer;
 
   constructor(options: PeerListenerOptions) {
+    const { log, tls } = options;
+    super({ name: "peers", log, limits: LIMITS, tls });
     this.#options = options;
     this.#clock = options.clock ?? SystemClock.create();
     this.#secret = SharedSecret.create(options.secret);
-    this.#server = HttpServer.create({
-      name: "peers",
-      log: options.log,
-      limits: LIMITS,
-      tls: options.tls,
-      handle: (request, response) => this.#handle(request, response),
-    });
   }
 
   static create(options: PeerListenerOptions): PeerListener {
     return new PeerListener(options);
   }
 
-  /** The port that is listened on; 0 before `start`. */
-  get port(): number {
-    return this.#server.port;
-  }
-
-  /** Resolves once peers are accepted; rejects `StepError`. */
-  start(host: string, port: number): Promise<void> {
-    return this.#server.start(host, port);
-  }
-
-  /** Resolves when the last call in flight has been answered. */
-  stop(): Promise<void> {
-    return this.#server.stop();
-  }
-
-  /** Cuts every connection at once. */
-  closeAll(): void {
-    this.#server.closeAll();
-  }
-
-  /** Shows `tls` to peers that connect from now on. */
-  updateTls(tls: ServerTls): void {
-    this.#server.updateTls(tls);
-  }
-
-  async #handle(
+  protected override async handle(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
