Name the needs of a lease and a probe's answer once

The same six field names stood in three files of src/request, and ProbeAnswer listed the fields of ProbeCall again, so that one could be changed without the other. Types only: no code that runs is changed.

--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -154,20 +154,8 @@
   listAgeMs?: number;
 }
 
-/** The answer to a probe. */
-export interface ProbeAnswer {
-  from: CallFrom;
-  counter: number;
-  draining: boolean;
-  members: MemberNews[];
-  summaries: ShardSummary[];
-  configVersion: number;
-  /** Tells two contents under one version number apart. */
-  configDigest?: string;
-  listRevision: number;
-  /** Time since the list was last known to be the newest published. */
-  listAgeMs?: number;
-}
+/** The answer to a probe: what the prober sent, of the one that answers. */
+export type ProbeAnswer = ProbeCall;
 
 /** Asks for a configuration newer than `after`. */
 export interface SnapshotCall {
--- a/src/request/completion_work.ts
+++ b/src/request/completion_work.ts
@@ -3,11 +3,15 @@
  *
  * @module
  */
-import type { HeldLease, LeaseRequest } from "../process/services.ts";
+import type { HeldLease } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
 import type { Completion } from "./completion_body.ts";
 import type { RequestRun } from "./request_run.ts";
-import { UpstreamWork, type WorkCall } from "./upstream_work.ts";
+import {
+  type LeaseNeeds,
+  UpstreamWork,
+  type WorkCall,
+} from "./upstream_work.ts";
 
 /** What a completion's work begins with. */
 export interface CompletionWorkStart {
@@ -30,15 +34,7 @@
     return this.start.completion.pool;
   }
 
-  override buildLeaseNeeds(): Pick<
-    LeaseRequest,
-    | "model"
-    | "adapter"
-    | "promptTokens"
-    | "maxTokens"
-    | "doneTokens"
-    | "prefixes"
-  > {
+  override buildLeaseNeeds(): LeaseNeeds {
     const { model, adapter, promptTokens, maxTokens, prefixes } =
       this.start.completion;
     return {
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -5,7 +5,7 @@
  */
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
-import type { HeldLease, LeaseRequest } from "../process/services.ts";
+import type { HeldLease } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
 import { AnswerCollector } from "./answer_collector.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
@@ -14,6 +14,7 @@
 import { copyServiceHeaders } from "./service_call.ts";
 import {
   BrokenAnswerError,
+  type LeaseNeeds,
   type RelayOptions,
   UpstreamWork,
   type WorkCall,
@@ -52,15 +53,7 @@
     return this.#start.pool;
   }
 
-  override buildLeaseNeeds(): Pick<
-    LeaseRequest,
-    | "model"
-    | "adapter"
-    | "promptTokens"
-    | "maxTokens"
-    | "doneTokens"
-    | "prefixes"
-  > {
+  override buildLeaseNeeds(): LeaseNeeds {
     return {
       model: undefined,
       adapter: undefined,
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -43,19 +43,22 @@
   onWhole: () => void;
 }
 
+/** What a lease is asked for with that depends on the kind of work. */
+export type LeaseNeeds = Pick<
+  LeaseRequest,
+  | "model"
+  | "adapter"
+  | "promptTokens"
+  | "maxTokens"
+  | "doneTokens"
+  | "prefixes"
+>;
+
 /** Work that may take several tries, all for one answer. */
 export abstract class UpstreamWork {
   abstract readonly pool: UpstreamPool;
   /** What a lease for the next try is asked for with. */
-  abstract buildLeaseNeeds(): Pick<
-    LeaseRequest,
-    | "model"
-    | "adapter"
-    | "promptTokens"
-    | "maxTokens"
-    | "doneTokens"
-    | "prefixes"
-  >;
+  abstract buildLeaseNeeds(): LeaseNeeds;
   /** What the next try sends. */
   abstract buildCall(lease: HeldLease): WorkCall;
   /**
