Take flows and the choice of whom to shed out of the queue's files

fair_order.ts (320 lines) held both a workspace's flow and the turns between flows, and wrote twice how an entry is put into a flow; waiting_queue.ts (336) held the queue and whom it gives up. They are 257 and 310 lines now, beside workspace_flow.ts and shed_victim.ts. The 95 tests of test/process/scheduler pass.

--- a/src/process/scheduler/fair_order.ts
+++ b/src/process/scheduler/fair_order.ts
@@ -8,6 +8,16 @@
  * @module
  */
 import type { WorkspaceName } from "../../ids.ts";
+import {
+  buildHeadKey,
+  compareHeads,
+  createFlow,
+  type Flow,
+  getHead,
+  type HeadKey,
+  isEmpty,
+  isServedLess,
+} from "./workspace_flow.ts";
 import { Heap } from "./heap.ts";
 import type { QueueEntry } from "./waiter.ts";
 
@@ -26,30 +36,6 @@
   deadlineOrder: boolean;
 }
 
-interface Flow<T extends QueueEntry> {
-  workspace: WorkspaceName;
-  /** Tokens served divided by weight. */
-  served: number;
-  /** Can still meet their targets, the earliest start first. */
-  feasible: Heap<T>;
-  /** Cannot any more, the first come first. */
-  late: Heap<T>;
-}
-
-/** Where the head of an order stands against those of other orders. */
-export interface HeadKey {
-  late: boolean;
-  /** The latest start, or the time of arrival of a late one. */
-  at: number;
-  order: number;
-}
-
-/** Compares heads: feasible before late, then the earlier time. */
-export function compareHeads(left: HeadKey, right: HeadKey): number {
-  if (left.late !== right.late) return left.late ? 1 : -1;
-  return left.at - right.at || left.order - right.order;
-}
-
 /** One class's requests for one model. */
 export class FairOrder<T extends QueueEntry> {
   readonly #options: FairOrderOptions;
@@ -88,15 +74,11 @@
 
   add(entry: T, now: number): void {
     const flow = this.#getFlow(entry.workspace);
-    const wasEmpty = isEmpty(flow);
     // A workspace that was idle gets no credit for the time that it did not
     // ask, or its burst would keep all others waiting.
     this.#updateFloor();
-    if (wasEmpty) flow.served = Math.max(flow.served, this.#floor);
-    this.#size++;
-    this.#addToHeap(flow, entry, now);
-    if (wasEmpty) this.#addActive(flow);
-    else this.#inTurn.update(flow);
+    if (isEmpty(flow)) flow.served = Math.max(flow.served, this.#floor);
+    this.#addToFlow(flow, entry, now);
   }
 
   remove(entry: T): boolean {
@@ -129,7 +111,9 @@
         this.remove(head);
       }
     }
-    for (const entry of skipped) this.#putBack(entry, now);
+    for (const entry of skipped) {
+      this.#addToFlow(this.#getFlow(entry.workspace), entry, now);
+    }
     return found;
   }
 
@@ -188,26 +172,16 @@
   #getFlow(workspace: WorkspaceName): Flow<T> {
     let flow = this.#flows.get(workspace);
     if (flow !== undefined) return flow;
-    flow = {
-      workspace,
-      served: this.#floor,
-      feasible: Heap.create<T>(isStartedSooner),
-      late: Heap.create<T>(isArrivedSooner),
-    };
+    flow = createFlow<T>(workspace, this.#floor);
     this.#flows.set(workspace, flow);
     return flow;
   }
 
-  #addToHeap(flow: Flow<T>, entry: T, now: number): void {
+  #addToFlow(flow: Flow<T>, entry: T, now: number): void {
+    const wasEmpty = isEmpty(flow);
     const feasible = this.#options.deadlineOrder && entry.startBy >= now;
     (feasible ? flow.feasible : flow.late).push(entry);
-  }
-
-  #putBack(entry: T, now: number): void {
-    const flow = this.#getFlow(entry.workspace);
-    const wasEmpty = isEmpty(flow);
     this.#size++;
-    this.#addToHeap(flow, entry, now);
     if (wasEmpty) this.#addActive(flow);
     else this.#inTurn.update(flow);
   }
@@ -281,40 +255,3 @@
     return flow.served > least + SLACK_REQUESTS * this.#meanCost;
   }
 }
-
-function getHead<T extends QueueEntry>(flow: Flow<T>): T | undefined {
-  return flow.feasible.getFirst() ?? flow.late.getFirst();
-}
-
-function buildHeadKey<T extends QueueEntry>(flow: Flow<T>): HeadKey {
-  const feasible = flow.feasible.getFirst();
-  if (feasible !== undefined) {
-    return { late: false, at: feasible.startBy, order: feasible.order };
-  }
-  const late = flow.late.getFirst()!;
-  return { late: true, at: late.arrivedAt, order: late.order };
-}
-
-function isEmpty<T extends QueueEntry>(flow: Flow<T>): boolean {
-  return flow.feasible.size === 0 && flow.late.size === 0;
-}
-
-function isServedLess(
-  left: { served: number; workspace: string },
-  right: { served: number; workspace: string },
-): boolean {
-  if (left.served !== right.served) return left.served < right.served;
-  return left.workspace < right.workspace;
-}
-
-function isStartedSooner(left: QueueEntry, right: QueueEntry): boolean {
-  if (left.startBy !== right.startBy) return left.startBy < right.startBy;
-  return left.order < right.order;
-}
-
-function isArrivedSooner(left: QueueEntry, right: QueueEntry): boolean {
-  if (left.arrivedAt !== right.arrivedAt) {
-    return left.arrivedAt < right.arrivedAt;
-  }
-  return left.order < right.order;
-}
--- a/src/process/scheduler/waiting_queue.ts
+++ b/src/process/scheduler/waiting_queue.ts
@@ -10,8 +10,10 @@
 import type { TicketId, WorkspaceName } from "../../ids.ts";
 import { ClassQueue } from "./class_queue.ts";
 import type { SchedulerDecisions } from "./decisions.ts";
-import { compareHeads, type FairOrder, type HeadKey } from "./fair_order.ts";
+import type { FairOrder } from "./fair_order.ts";
+import { compareHeads, type HeadKey } from "./workspace_flow.ts";
 import { Heap } from "./heap.ts";
+import { chooseShedVictim, findLatest } from "./shed_victim.ts";
 import type { QueueEntry } from "./waiter.ts";
 
 /** Classes that go before their tier's turn, the first due first. */
@@ -197,22 +199,12 @@
    * when its tier has nothing else.
    */
   findVictim(): T | undefined {
+    const isTierBound = this.#decisions.tiers;
     const lowest = this.findLowestRank();
-    let victim: T | undefined;
-    let isHead = true;
-    for (const queue of this.#classes.values()) {
-      if (queue.size === 0) continue;
-      if (this.#decisions.tiers && queue.rank !== lowest) continue;
-      const entry = findLatest(queue, queue.findLargestBacklog());
-      if (entry === undefined) continue;
-      const entryIsHead = queue.getOldest() === entry;
-      const better = victim === undefined || (isHead && !entryIsHead) ||
-        (isHead === entryIsHead && entry.order > victim.order);
-      if (!better) continue;
-      victim = entry;
-      isHead = entryIsHead;
-    }
-    return victim;
+    const candidates = [...this.#classes.values()].filter((queue) =>
+      queue.size > 0 && (!isTierBound || queue.rank === lowest)
+    );
+    return chooseShedVictim(candidates);
   }
 
   /** The last entry of `workspace` in the class of `entry`. */
@@ -316,21 +308,3 @@
 function buildClassKey(entry: { rank: number; className: string }): string {
   return `${entry.rank}/${entry.className}`;
 }
-
-/** The last entry of `workspace`; a started one only if there is no other. */
-function findLatest<T extends QueueEntry>(
-  queue: ClassQueue<T>,
-  workspace: WorkspaceName | undefined,
-): T | undefined {
-  let latest: T | undefined;
-  for (const entry of queue.list()) {
-    if (entry.workspace !== workspace) continue;
-    if (latest === undefined || isBetterVictim(entry, latest)) latest = entry;
-  }
-  return latest;
-}
-
-function isBetterVictim(entry: QueueEntry, than: QueueEntry): boolean {
-  if (entry.wasStarted !== than.wasStarted) return than.wasStarted;
-  return entry.order > than.order;
-}
