Split the shard's owner and admission by job

shard_owner.ts (428 lines) answered tickets beside leading the whole, and shard_admission.ts (353) worked out waits and kept last answers beside letting requests in. Now ShardTickets answers, refuses and withdraws tickets, ShardWaits works out waits and tier caps, TicketVerdicts keeps answers between two calls. The owner has 350 lines, of which a third are options and wiring; it keeps what binds the parts: settling, ticks, summary, hand-over. Nothing but the place of the code is changed: the 150 tests of test/process/scheduler and test/failures (modules) pass as before.

--- a/src/process/scheduler/granter.ts
+++ b/src/process/scheduler/granter.ts
@@ -14,7 +14,7 @@
 import type { Replica } from "./replica.ts";
 import { canServe, chooseReplica, type ReplicaWish } from "./replica_choice.ts";
 import type { ReplicaSet } from "./replica_set.ts";
-import type { ShardAdmission } from "./shard_admission.ts";
+import type { ShardWaits } from "./shard_waits.ts";
 import type { Waiter } from "./waiter.ts";
 import type { WaiterFactory } from "./waiter_factory.ts";
 import type { WaitingQueue } from "./waiting_queue.ts";
@@ -38,7 +38,7 @@
   replicas: ReplicaSet;
   accounts: LeaseAccounts;
   factory: WaiterFactory;
-  admission: ShardAdmission;
+  waits: ShardWaits;
   decisions: SchedulerDecisions;
   getPolicy: () => Policy | undefined;
   onGranted: (waiter: Waiter, lease: SlotLease) => void;
@@ -146,9 +146,9 @@
 
   /** Whether the tier holds fewer slots than its cap. */
   #isTierOpen(rank: number): boolean {
-    const { accounts, admission, decisions } = this.#options;
+    const { accounts, waits, decisions } = this.#options;
     if (!decisions.crowding) return true;
-    return accounts.ledger.countRank(rank) < admission.getTierCap({ rank });
+    return accounts.ledger.countRank(rank) < waits.getTierCap({ rank });
   }
 
   /** Whether fewer slots than their share went before a higher tier. */
--- a/src/process/scheduler/shard_admission.ts
+++ b/src/process/scheduler/shard_admission.ts
@@ -6,32 +6,25 @@
  */
 import type { TicketId } from "../../ids.ts";
 import type { RefusalCode } from "../../outcome.ts";
-import type { Snapshot } from "../../version/records.ts";
 import type { Clock } from "../clock.ts";
 import type { AcquireAnswer, ShardSummary } from "../peer_api.ts";
-import {
-  computeExpectedWait,
-  computeUsableSlots,
-  RetryTimes,
-  type ShardLoad,
-  type WaitQuestion,
-} from "./admission.ts";
+import { RetryTimes } from "./admission.ts";
 import type { SchedulerDecisions } from "./decisions.ts";
-import type { LeaseLedger } from "./lease_ledger.ts";
 import {
   hasServing,
   hasServingNow,
   type ReplicaWish,
 } from "./replica_choice.ts";
 import type { ReplicaSet } from "./replica_set.ts";
+import type { ShardWaits } from "./shard_waits.ts";
 import type { Waiter } from "./waiter.ts";
 import type { WaiterFactory } from "./waiter_factory.ts";
 import type { WaitingQueue } from "./waiting_queue.ts";
 
 /** Requests that may wait in a shard, beside the first of each class. */
 const QUEUE_BOUND = 4_096;
-/** How long the answer to a ticket between two calls is kept. */
-const VERDICT_LIFE_MS = 10_000;
+/** How long it is remembered that a ticket was passed on. */
+const PASSED_ON_MS = 10_000;
 /** When to come back where no upstream serves the model yet. */
 const NO_UPSTREAM_RETRY_MS = 5_000;
 
@@ -40,24 +33,18 @@
   clock: Clock;
   queue: WaitingQueue<Waiter>;
   replicas: ReplicaSet;
-  ledger: LeaseLedger;
+  /** How long the shard's requests will wait. */
+  waits: ShardWaits;
   factory: WaiterFactory;
   decisions: SchedulerDecisions;
-  getSnapshot: () => Snapshot | undefined;
   listOthers: () => ShardSummary[];
   queueBound?: number | undefined;
 }
 
-interface Verdict {
-  answer: AcquireAnswer;
-  until: number;
-}
-
 /** Admission to one shard's queue. */
 export class ShardAdmission {
   readonly #options: ShardAdmissionOptions;
   readonly #retryTimes = RetryTimes.create();
-  readonly #verdicts = new Map<TicketId, Verdict>();
   /** Tickets that were passed on, which must not be passed on again. */
   readonly #passedOn = new Map<TicketId, number>();
 
@@ -107,13 +94,17 @@
   /** The answer where the class's own queue is full. */
   buildFullAnswer(waiter: Waiter): AcquireAnswer {
     return this.#handOn(waiter) ??
-      this.#refuse(waiter, "queue_full", this.#computeWait(waiter));
+      this.#refuse(
+        waiter,
+        "queue_full",
+        this.#options.waits.computeWait(waiter),
+      );
   }
 
   /** Passes a victim on to a shard that serves a lower tier, or refuses it. */
   buildShedAnswer(waiter: Waiter): AcquireAnswer {
     return this.#handOn(waiter) ??
-      this.#refuse(waiter, "shed", this.#computeWait(waiter));
+      this.#refuse(waiter, "shed", this.#options.waits.computeWait(waiter));
   }
 
   /** The answer to a waiter that can no longer be served in time. */
@@ -121,7 +112,7 @@
     return this.#refuse(
       waiter,
       "deadline_unreachable",
-      this.#computeLateRetry(waiter),
+      this.#options.waits.computeLateRetry(waiter),
     );
   }
 
@@ -154,68 +145,14 @@
     };
   }
 
-  /** Keeps the answer to a ticket whose next call has not come yet. */
-  putVerdict(ticket: TicketId, answer: AcquireAnswer): void {
-    const until = this.#options.clock.now() + VERDICT_LIFE_MS;
-    this.#verdicts.set(ticket, { answer, until });
-  }
-
-  takeVerdict(ticket: TicketId): AcquireAnswer | undefined {
-    const verdict = this.#verdicts.get(ticket);
-    this.#verdicts.delete(ticket);
-    return verdict?.answer;
-  }
-
-  dropOldVerdicts(): void {
+  /** Forgets tickets that were passed on long ago. */
+  dropOldTickets(): void {
     const now = this.#options.clock.now();
-    for (const [ticket, verdict] of this.#verdicts) {
-      if (verdict.until <= now) this.#verdicts.delete(ticket);
-    }
     for (const [ticket, until] of this.#passedOn) {
       if (until <= now) this.#passedOn.delete(ticket);
     }
   }
 
-  /** The slots that the waiter's tier may hold at once; at least one. */
-  getTierCap(waiter: { rank: number }): number {
-    const { replicas, decisions } = this.#options;
-    const slots = replicas.slots;
-    if (!decisions.crowding) return slots;
-    return Math.max(1, Math.floor(this.#getSlotShare(waiter.rank) * slots));
-  }
-
-  /** Where a waiter stands: how many go before it, and who they are. */
-  buildPlace(
-    waiter: Waiter,
-  ): { ahead: number; behind: string; expectedMs: number } {
-    let ahead = 0;
-    const groups: string[] = [];
-    for (const queue of this.#options.queue.listClasses()) {
-      if (queue.rank > waiter.rank) continue;
-      const isOwn = queue.className === waiter.className;
-      const count = queue.size - (isOwn ? 1 : 0);
-      if (count <= 0) continue;
-      ahead += count;
-      groups.push(`${count} of class ${queue.className}`);
-    }
-    return {
-      ahead,
-      behind: groups.join(", "),
-      expectedMs: Math.round(this.#computeWait(waiter)),
-    };
-  }
-
-  /** The expected wait of a new request of the lowest tier. */
-  computeLowestWait(): number {
-    const { queue, factory, replicas } = this.#options;
-    if (replicas.room > 0 && queue.size === 0) return 0;
-    let ahead = 0;
-    for (const waiting of queue.listClasses()) ahead += waiting.slotMs;
-    return Math.round(
-      (ahead + factory.meanSlotMs) / Math.max(1, replicas.slots),
-    );
-  }
-
   #checkClassLimit(waiter: Waiter): AcquireAnswer | undefined {
     if (!this.#isClassFull(waiter)) return undefined;
     if (this.findCrowding(waiter) !== undefined) return undefined;
@@ -237,7 +174,7 @@
     if (!factory.computeSize(call, { requestClass, now }).learnt) {
       return undefined;
     }
-    const waitMs = this.#computeWait(waiter);
+    const waitMs = this.#options.waits.computeWait(waiter);
     // With no wait, starting is the only way to learn that it would have been
     // in time.
     if (waitMs === 0) return undefined;
@@ -259,7 +196,7 @@
       }
     }
     if (best === undefined) return undefined;
-    this.#passedOn.set(waiter.ticket, clock.now() + VERDICT_LIFE_MS);
+    this.#passedOn.set(waiter.ticket, clock.now() + PASSED_ON_MS);
     return { kind: "pass_on", shard: best.shard };
   }
 
@@ -271,7 +208,7 @@
     const retryAfterMs = this.#retryTimes.take(waiter.className, {
       now: this.#options.clock.now(),
       waitMs,
-      everyMs: this.#computeEvery(waiter),
+      everyMs: this.#options.waits.computeGrantInterval(waiter),
     });
     return {
       kind: "refused",
@@ -283,42 +220,6 @@
       },
     };
   }
-
-  /** When a new request of the class could be served within its targets. */
-  #computeLateRetry(waiter: Waiter): number {
-    const slack = waiter.startBy - waiter.arrivedAt;
-    return Math.max(0, this.#computeWait(waiter) - Math.max(0, slack));
-  }
-
-  /** Mean time between two grants to the waiter's tier. */
-  #computeEvery(waiter: Waiter): number {
-    return waiter.slotMs / computeUsableSlots(this.#buildLoad(waiter.rank));
-  }
-
-  #computeWait(waiter: Waiter): number {
-    return computeExpectedWait(
-      buildQuestion(waiter),
-      this.#buildLoad(waiter.rank),
-    );
-  }
-
-  #buildLoad(rank: number): ShardLoad {
-    const { queue, replicas, ledger } = this.#options;
-    return {
-      slots: replicas.slots,
-      room: replicas.room,
-      usedAbove: ledger.countAbove(rank),
-      tierCap: this.getTierCap({ rank }),
-      usedByTier: ledger.countRank(rank),
-      classes: queue.listClasses(),
-    };
-  }
-
-  #getSlotShare(rank: number): number {
-    const tiers = this.#options.getSnapshot()?.tiers.values() ?? [];
-    for (const tier of tiers) if (tier.rank === rank) return tier.maxSlotShare;
-    return 1;
-  }
 }
 
 const MESSAGES: Partial<Record<RefusalCode, string>> = {
@@ -328,17 +229,6 @@
   deadline_unreachable: "The request could not be finished within its target",
 };
 
-function buildQuestion(waiter: Waiter): WaitQuestion {
-  return {
-    rank: waiter.rank,
-    className: waiter.className,
-    workspace: waiter.workspace,
-    weight: waiter.weight,
-    requestClass: waiter.requestClass,
-    slotMs: waiter.slotMs,
-  };
-}
-
 /** What a waiter needs of a replica, whichever of those it gets. */
 function buildBareWish(waiter: Waiter): ReplicaWish {
   const { model, adapter, avoid } = waiter.call;
--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -7,7 +7,7 @@
   CacheEvent,
   LoadReport,
 } from "../../connection/upstream_transport.ts";
-import type { ShardId, TicketId, VmId } from "../../ids.ts";
+import type { ShardId, VmId } from "../../ids.ts";
 import type { ListedVm } from "../../version/membership_list.ts";
 import type { Snapshot, UpstreamPool } from "../../version/records.ts";
 import type { CancelTimer } from "../clock.ts";
@@ -27,8 +27,7 @@
 import { Granter } from "./granter.ts";
 import { ReplicaSet } from "./replica_set.ts";
 import { ServiceSpeed } from "./service_speed.ts";
-import { ShardAdmission } from "./shard_admission.ts";
-import { TicketCalls } from "./ticket_calls.ts";
+import { ShardTickets } from "./shard_tickets.ts";
 import type { Waiter } from "./waiter.ts";
 import { WaiterFactory } from "./waiter_factory.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
@@ -36,8 +35,7 @@
 const TICK_MS = 100;
 /** Ticks between the slower rounds of upkeep. */
 const UPKEEP_TICKS = 10;
-/** How long a waiter that no upstream serves is kept, in milliseconds. */
-const UNSERVED_MS = 3_000;
+
 /** What an owner is made of. */
 export interface ShardOwnerOptions {
   environment: Environment;
@@ -61,14 +59,11 @@
   readonly shard: ShardId;
   readonly #options: ShardOwnerOptions;
   readonly #environment: Environment;
-  readonly #decisions: SchedulerDecisions;
   readonly #replicas: ReplicaSet;
   readonly #queue: WaitingQueue<Waiter>;
   readonly #accounts: LeaseAccounts;
-  readonly #factory: WaiterFactory;
-  readonly #admission: ShardAdmission;
   readonly #authority: Authority;
-  readonly #calls: TicketCalls;
+  readonly #tickets: ShardTickets;
   readonly #granter: Granter;
   #cancelTick: CancelTimer | undefined;
   #ticks = 0;
@@ -81,18 +76,17 @@
     const decisions = buildDecisions(options.decisions);
     const lengths = OutputLengths.create(decisions.learntLengths);
     const speed = ServiceSpeed.create();
+    const factory = WaiterFactory.create(getSnapshot, { lengths, speed });
     this.shard = shard;
     this.#options = options;
     this.#environment = environment;
-    this.#decisions = decisions;
     this.#replicas = ReplicaSet.create(decisions);
     this.#queue = WaitingQueue.create(decisions);
-    this.#factory = WaiterFactory.create(getSnapshot, { lengths, speed });
     this.#accounts = LeaseAccounts.create({
       shard,
       random: environment.random,
       replicas: this.#replicas,
-      factory: this.#factory,
+      factory,
       lengths,
       speed,
       decisions,
@@ -101,22 +95,18 @@
         if (cost > 0) this.#queue.noteFinished(entry, cost);
       },
     });
-    this.#admission = ShardAdmission.create({
+    this.#authority = Authority.create(now);
+    this.#tickets = ShardTickets.create({
       clock: environment.clock,
       queue: this.#queue,
       replicas: this.#replicas,
-      ledger: this.#accounts.ledger,
-      factory: this.#factory,
+      accounts: this.#accounts,
+      factory,
       decisions,
       getSnapshot,
       listOthers: options.listOthers ?? (() => []),
       queueBound: options.queueBound,
-    });
-    this.#authority = Authority.create(now);
-    this.#calls = TicketCalls.create({
-      clock: environment.clock,
-      queue: this.#queue,
-      admission: this.#admission,
+      onWaiting: (at) => this.#grantAll(at),
     });
     this.#granter = Granter.create({
       shard,
@@ -124,11 +114,11 @@
       queue: this.#queue,
       replicas: this.#replicas,
       accounts: this.#accounts,
-      factory: this.#factory,
-      admission: this.#admission,
+      factory,
+      waits: this.#tickets.waits,
       decisions,
       getPolicy: () => getSnapshot()?.policy,
-      onGranted: (waiter, lease) => this.#calls.grant(waiter, lease),
+      onGranted: (waiter, lease) => this.#tickets.grant(waiter, lease),
     });
     this.onTopologyChange();
     this.#startTick();
@@ -160,22 +150,7 @@
     if (this.#stopped) {
       return Promise.resolve({ kind: "not_owner", owner: undefined });
     }
-    const now = this.#noteAlive();
-    const { ledger } = this.#accounts;
-    const held = ledger.findByTicket(call.ticket);
-    if (held !== undefined) {
-      const lease = this.#accounts.buildSlotLease(held);
-      return Promise.resolve({ kind: "granted", lease });
-    }
-    if (ledger.isClosed(call.ticket, now)) {
-      return Promise.resolve(this.#admission.buildClosedAnswer());
-    }
-    const verdict = this.#admission.takeVerdict(call.ticket);
-    if (verdict !== undefined) return Promise.resolve(verdict);
-    const known = this.#queue.get(call.ticket);
-    if (known === undefined) return this.#acquireNew(call, now);
-    known.call = call;
-    return this.#startCall(known, now);
+    return this.#tickets.acquire(call, this.#noteAlive());
   }
 
   /** Renews, returns and adopts leases, and takes withdrawn tickets out. */
@@ -185,7 +160,7 @@
     for (const news of call.news) {
       this.#accounts.applyNews(news, { holder, now });
     }
-    for (const ticket of call.withdrawn) this.#cancelTicket(ticket, now);
+    for (const ticket of call.withdrawn) this.#tickets.cancel(ticket, now);
     this.#authority.noteAnnounced(holder, now);
     this.#endSettlingEarly(now);
     this.#grantAll(now);
@@ -233,7 +208,7 @@
         ledger.findLowestRank() ?? 0,
         this.#queue.findLowestRank() ?? 0,
       ),
-      expectedWaitMs: this.#admission.computeLowestWait(),
+      expectedWaitMs: this.#tickets.waits.computeLowestWait(),
       sequence: this.#takeSequence(now),
       incarnation: this.#environment.incarnation,
     };
@@ -254,7 +229,9 @@
     for (const news of call.leases) {
       this.#accounts.applyNews(news, { holder: call.from.vm, now });
     }
-    for (const waiting of call.waiters) this.#addHandedOver(waiting, now);
+    for (const waiting of call.waiters) {
+      this.#tickets.addHandedOver(waiting, now);
+    }
     this.#authority.endSettling(now);
     this.#grantAll(now);
   }
@@ -293,59 +270,7 @@
     if (this.#stopped) return;
     this.#stopped = true;
     this.#cancelTick?.();
-    for (const waiter of [...this.#queue.list()]) {
-      this.#calls.settle(waiter, { kind: "not_owner", owner: nextOwner });
-    }
-  }
-
-  #acquireNew(call: AcquireCall, now: number): Promise<AcquireAnswer> {
-    const waiter = this.#factory.build(call, now);
-    const refused = this.#admission.check(waiter, now);
-    if (refused !== undefined) return Promise.resolve(refused);
-    const crowding = this.#admission.findCrowding(waiter);
-    if (crowding !== undefined) {
-      const answer = this.#admission.buildFullAnswer(crowding);
-      this.#calls.settle(crowding, answer);
-    }
-    this.#queue.add(waiter, now);
-    const answer = this.#startCall(waiter, now);
-    this.#dropVictims();
-    return answer;
-  }
-
-  #startCall(waiter: Waiter, now: number): Promise<AcquireAnswer> {
-    const answer = this.#calls.wait(waiter, now);
-    this.#grantAll(now);
-    return answer;
-  }
-
-  #addHandedOver(call: AcquireCall, now: number): void {
-    const { ledger } = this.#accounts;
-    const isKnown = this.#queue.get(call.ticket) !== undefined ||
-      ledger.findByTicket(call.ticket) !== undefined ||
-      ledger.isClosed(call.ticket, now);
-    if (isKnown) return;
-    const waiter = this.#factory.build(call, now);
-    this.#queue.add(waiter, now);
-    this.#calls.addUncalled(waiter, now);
-  }
-
-  #cancelTicket(ticket: TicketId, now: number): void {
-    const waiter = this.#queue.get(ticket);
-    if (waiter !== undefined) {
-      this.#calls.settle(waiter, this.#admission.buildClosedAnswer());
-    }
-    const lease = this.#accounts.ledger.findByTicket(ticket);
-    if (lease !== undefined) this.#accounts.releaseTicket(lease, now);
-    this.#accounts.ledger.noteClosed(ticket, now);
-  }
-
-  #dropVictims(): void {
-    let victim = this.#admission.findVictim();
-    while (victim !== undefined) {
-      this.#calls.settle(victim, this.#admission.buildShedAnswer(victim));
-      victim = this.#admission.findVictim();
-    }
+    this.#tickets.settleAll({ kind: "not_owner", owner: nextOwner });
   }
 
   #grantAll(now: number): void {
@@ -365,11 +290,9 @@
     const now = this.#noteAlive();
     this.#endSettlingEarly(now);
     this.#grantAll(now);
-    this.#calls.dropGone(now);
+    this.#tickets.dropGone(now);
     if (!this.#authority.isSettled(now)) return;
-    for (const waiter of this.#queue.takeHopeless(now)) {
-      this.#calls.settle(waiter, this.#admission.buildLateAnswer(waiter));
-    }
+    this.#tickets.refuseHopeless(now);
     const expired = this.#accounts.closeExpired(now);
     if (expired.length > 0) {
       this.#environment.log.warn("leases_expired", {
@@ -382,22 +305,8 @@
     this.#grantAll(now);
   }
 
-  /** Refuses waiters whose model or last upstream went out of service. */
-  #refuseUnserved(now: number): void {
-    for (const waiter of [...this.#queue.list()]) {
-      if (this.#admission.hasServingNow(waiter, now)) {
-        waiter.unservedSince = undefined;
-        continue;
-      }
-      waiter.unservedSince ??= now;
-      if (now - waiter.unservedSince < UNSERVED_MS) continue;
-      const answer = this.#admission.buildUnservedAnswer(waiter);
-      this.#calls.settle(waiter, answer);
-    }
-  }
-
   #runUpkeep(now: number): void {
-    this.#refuseUnserved(now);
+    this.#tickets.refuseUnserved(now);
     for (const change of this.#replicas.update(now)) {
       this.#environment.log.warn(`replica_${change.change}`, {
         shard: this.shard,
@@ -407,7 +316,7 @@
     }
     this.#queue.dropIdle();
     this.#accounts.ledger.dropOldClosed(now);
-    this.#admission.dropOldVerdicts();
+    this.#tickets.dropOld();
   }
 
   #endSettlingEarly(now: number): void {
@@ -422,7 +331,7 @@
     // Renewals and calls could not come in while the process stood still:
     // leases that ran out meanwhile stay until the end of settling, and
     // tickets get their whole time anew.
-    this.#calls.renewAll(now);
+    this.#tickets.renewAll(now);
     this.#environment.log.warn("owner_paused", { shard: this.shard });
     return now;
   }
--- /dev/null
+++ b/src/process/scheduler/shard_waits.ts
@@ -0,0 +1,129 @@
+/**
+ * How long requests of a shard will wait, from what holds its slots now.
+ *
+ * @module
+ */
+import type { Snapshot } from "../../version/records.ts";
+import {
+  computeExpectedWait,
+  computeUsableSlots,
+  type ShardLoad,
+  type WaitQuestion,
+} from "./admission.ts";
+import type { SchedulerDecisions } from "./decisions.ts";
+import type { LeaseLedger } from "./lease_ledger.ts";
+import type { ReplicaSet } from "./replica_set.ts";
+import type { Waiter } from "./waiter.ts";
+import type { WaiterFactory } from "./waiter_factory.ts";
+import type { WaitingQueue } from "./waiting_queue.ts";
+
+/** What the waits of a shard are worked out from. */
+export interface ShardWaitsOptions {
+  queue: WaitingQueue<Waiter>;
+  replicas: ReplicaSet;
+  ledger: LeaseLedger;
+  factory: WaiterFactory;
+  decisions: SchedulerDecisions;
+  getSnapshot: () => Snapshot | undefined;
+}
+
+/** Expected waits in one shard, in milliseconds. */
+export class ShardWaits {
+  readonly #options: ShardWaitsOptions;
+
+  constructor(options: ShardWaitsOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ShardWaitsOptions): ShardWaits {
+    return new ShardWaits(options);
+  }
+
+  /** When a new request of the class could be served within its targets. */
+  computeLateRetry(waiter: Waiter): number {
+    const slack = waiter.startBy - waiter.arrivedAt;
+    return Math.max(0, this.computeWait(waiter) - Math.max(0, slack));
+  }
+
+  /** Mean time between two grants to the waiter's tier. */
+  computeGrantInterval(waiter: Waiter): number {
+    return waiter.slotMs / computeUsableSlots(this.#buildLoad(waiter.rank));
+  }
+
+  /** The expected wait of `waiter`, in milliseconds. */
+  computeWait(waiter: Waiter): number {
+    return computeExpectedWait(
+      buildWaitQuestion(waiter),
+      this.#buildLoad(waiter.rank),
+    );
+  }
+
+  /** The expected wait of a new request of the lowest tier. */
+  computeLowestWait(): number {
+    const { queue, factory, replicas } = this.#options;
+    if (replicas.room > 0 && queue.size === 0) return 0;
+    let ahead = 0;
+    for (const waiting of queue.listClasses()) ahead += waiting.slotMs;
+    return Math.round(
+      (ahead + factory.meanSlotMs) / Math.max(1, replicas.slots),
+    );
+  }
+
+  /** Where a waiter stands: how many go before it, and who they are. */
+  buildPlace(
+    waiter: Waiter,
+  ): { ahead: number; behind: string; expectedMs: number } {
+    let ahead = 0;
+    const groups: string[] = [];
+    for (const queue of this.#options.queue.listClasses()) {
+      if (queue.rank > waiter.rank) continue;
+      const isOwn = queue.className === waiter.className;
+      const count = queue.size - (isOwn ? 1 : 0);
+      if (count <= 0) continue;
+      ahead += count;
+      groups.push(`${count} of class ${queue.className}`);
+    }
+    return {
+      ahead,
+      behind: groups.join(", "),
+      expectedMs: Math.round(this.computeWait(waiter)),
+    };
+  }
+
+  /** The slots that the waiter's tier may hold at once; at least one. */
+  getTierCap(waiter: { rank: number }): number {
+    const { replicas, decisions } = this.#options;
+    const slots = replicas.slots;
+    if (!decisions.crowding) return slots;
+    return Math.max(1, Math.floor(this.#getSlotShare(waiter.rank) * slots));
+  }
+
+  #buildLoad(rank: number): ShardLoad {
+    const { queue, replicas, ledger } = this.#options;
+    return {
+      slots: replicas.slots,
+      room: replicas.room,
+      usedAbove: ledger.countAbove(rank),
+      tierCap: this.getTierCap({ rank }),
+      usedByTier: ledger.countRank(rank),
+      classes: queue.listClasses(),
+    };
+  }
+
+  #getSlotShare(rank: number): number {
+    const tiers = this.#options.getSnapshot()?.tiers.values() ?? [];
+    for (const tier of tiers) if (tier.rank === rank) return tier.maxSlotShare;
+    return 1;
+  }
+}
+
+function buildWaitQuestion(waiter: Waiter): WaitQuestion {
+  return {
+    rank: waiter.rank,
+    className: waiter.className,
+    workspace: waiter.workspace,
+    weight: waiter.weight,
+    requestClass: waiter.requestClass,
+    slotMs: waiter.slotMs,
+  };
+}
--- a/src/process/scheduler/ticket_calls.ts
+++ b/src/process/scheduler/ticket_calls.ts
@@ -5,7 +5,8 @@
  */
 import type { Clock } from "../clock.ts";
 import type { AcquireAnswer, SlotLease } from "../peer_api.ts";
-import type { ShardAdmission } from "./shard_admission.ts";
+import type { ShardWaits } from "./shard_waits.ts";
+import type { TicketVerdicts } from "./ticket_verdicts.ts";
 import type { Waiter } from "./waiter.ts";
 import type { WaitingQueue } from "./waiting_queue.ts";
 
@@ -16,7 +17,8 @@
 export interface TicketCallsOptions {
   clock: Clock;
   queue: WaitingQueue<Waiter>;
-  admission: ShardAdmission;
+  waits: ShardWaits;
+  verdicts: TicketVerdicts;
 }
 
 /** Answers the calls of one shard's tickets. */
@@ -71,7 +73,7 @@
   settle(waiter: Waiter, answer: AcquireAnswer): void {
     this.#drop(waiter);
     if (waiter.answer !== undefined) waiter.answer(answer);
-    else this.#options.admission.putVerdict(waiter.ticket, answer);
+    else this.#options.verdicts.put(waiter.ticket, answer);
   }
 
   /**
@@ -97,6 +99,6 @@
   }
 
   #buildQueued(waiter: Waiter): AcquireAnswer {
-    return { kind: "queued", ...this.#options.admission.buildPlace(waiter) };
+    return { kind: "queued", ...this.#options.waits.buildPlace(waiter) };
   }
 }
