Take ledger entries and load polls out of longer files

lease_accounts.ts (344 lines) spelled a ledger entry's 25 fields out twice; lease_entries.ts builds both kinds from one beginning. shard_owners.ts (329) polled upstreams beside making, feeding and handing over its owners; LoadPolls does that. The 150 tests of test/process/scheduler and test/failures (modules) pass as before.

--- a/src/process/scheduler/lease_accounts.ts
+++ b/src/process/scheduler/lease_accounts.ts
@@ -8,17 +8,19 @@
 import type { Random } from "../random.ts";
 import type { SchedulerDecisions } from "./decisions.ts";
 import { noteProbeDone, noteProbeFailed } from "./ejection.ts";
+import {
+  buildAnnouncedEntry,
+  buildGrantedEntry,
+  computeServedCost,
+  toNews,
+} from "./lease_entries.ts";
 import { type LeaseEntry, LeaseLedger } from "./lease_ledger.ts";
 import type { OutputLengths } from "./output_lengths.ts";
 import type { Replica } from "./replica.ts";
 import type { ReplicaSet } from "./replica_set.ts";
 import type { ServiceSpeed } from "./service_speed.ts";
 import type { Waiter } from "./waiter.ts";
-import {
-  PROMPT_COST,
-  UNKNOWN_RANK,
-  type WaiterFactory,
-} from "./waiter_factory.ts";
+import { UNKNOWN_RANK, type WaiterFactory } from "./waiter_factory.ts";
 
 /** How long a renewed lease stands, in milliseconds. */
 export const LEASE_TTL_MS = 6_000;
@@ -63,41 +65,18 @@
     waiter: Waiter,
     options: { replica: Replica; chargedCost: number; now: number },
   ): SlotLease {
-    const { call } = waiter;
     const { replica, chargedCost, now } = options;
     const { enginePriority } = this.#options.decisions;
-    const lease = toId<LeaseId>(
-      `${this.#options.shard}:${this.#prefix}:${this.#counter++}`,
-    );
-    const entry: LeaseEntry = {
-      lease,
-      ticket: waiter.ticket,
-      holder: call.from.vm,
+    const entry = buildGrantedEntry(waiter, {
+      lease: this.#createLeaseId(),
       upstream: replica.id,
-      className: waiter.className,
-      workspace: waiter.workspace,
-      rank: waiter.rank,
-      weight: waiter.weight,
-      lane: waiter.lane,
-      idempotent: call.idempotent,
-      isLong: waiter.isLong,
-      granted: true,
-      doneTokens: call.doneTokens,
-      promptTokens: call.promptTokens,
-      grantedAt: now,
-      deadlineAt: waiter.deadlineAt,
-      isPromoted: waiter.isPromoted,
       chargedCost,
-      expectedTokens: waiter.cost,
       priority: enginePriority ? waiter.rank : 0,
       expiresAt: now + FIRST_TTL_MS,
-      tokens: 0,
-      firstTokenMs: undefined,
-      betweenTokensMs: undefined,
-      preempted: false,
-    };
+      now,
+    });
     this.#open(entry, now);
-    replica.cache.noteRouted(call.prefixes);
+    replica.cache.noteRouted(waiter.call.prefixes);
     if (replica.ejected) replica.probing = true;
     return this.buildSlotLease(entry);
   }
@@ -190,41 +169,26 @@
     return service.totalMs - (isStarted ? service.firstTokenMs : 0);
   }
 
+  #createLeaseId(): LeaseId {
+    const { shard } = this.#options;
+    return toId<LeaseId>(`${shard}:${this.#prefix}:${this.#counter++}`);
+  }
+
   #addAnnounced(
     news: LeaseNews,
     options: { holder: VmId; now: number },
   ): LeaseEntry {
     const { factory } = this.#options;
     const requestClass = factory.findClass(news);
-    const entry: LeaseEntry = {
-      lease: news.lease,
-      ticket: news.ticket,
+    const entry = buildAnnouncedEntry(news, {
       holder: options.holder,
-      upstream: news.upstream,
-      className: news.className,
-      workspace: news.workspace,
       rank: requestClass === undefined
         ? UNKNOWN_RANK
         : factory.getRank(requestClass),
       weight: factory.getWeight(news.workspace),
-      lane: "",
-      idempotent: news.idempotent,
-      isLong: false,
-      granted: false,
-      doneTokens: 0,
-      promptTokens: news.promptTokens,
-      grantedAt: options.now,
-      deadlineAt: Infinity,
-      isPromoted: false,
-      chargedCost: 0,
-      expectedTokens: 0,
-      priority: 0,
       expiresAt: options.now + LEASE_TTL_MS,
-      tokens: 0,
-      firstTokenMs: undefined,
-      betweenTokensMs: undefined,
-      preempted: false,
-    };
+      now: options.now,
+    });
     this.#open(entry, options.now);
     return entry;
   }
@@ -320,25 +284,3 @@
     return Math.max(1, requestClass?.targets[target] ?? Infinity);
   }
 }
-
-/** Work without tokens counts one for each call. */
-function computeServedCost(entry: LeaseEntry): number {
-  if (entry.lane === "") return 1;
-  return Math.max(1, entry.tokens) + PROMPT_COST * entry.promptTokens;
-}
-
-function toNews(entry: LeaseEntry): LeaseNews {
-  return {
-    lease: entry.lease,
-    ticket: entry.ticket,
-    upstream: entry.upstream,
-    className: entry.className,
-    workspace: entry.workspace,
-    idempotent: entry.idempotent,
-    state: "running",
-    promptTokens: entry.promptTokens,
-    tokens: entry.tokens,
-    firstTokenMs: entry.firstTokenMs,
-    betweenTokensMs: entry.betweenTokensMs,
-  };
-}
--- /dev/null
+++ b/src/process/scheduler/load_polls.ts
@@ -0,0 +1,82 @@
+/**
+ * Polls of upstreams for their load and their cache events.
+ *
+ * @module
+ */
+import type { LoadReport } from "../../connection/upstream_transport.ts";
+import type { VmId } from "../../ids.ts";
+import type { Environment } from "../environment.ts";
+import { waitAtMost } from "../member_wait.ts";
+import type { ShardOwner } from "./shard_owner.ts";
+
+/** How long a poll may take, in milliseconds. */
+const POLL_DEADLINE_MS = 900;
+
+/** What the polls need. */
+export interface LoadPollsOptions {
+  environment: Environment;
+  /** Hears an upstream's own word, from each load report. */
+  onUpstreamLeaving?:
+    | ((upstream: VmId, isLeaving: boolean) => void)
+    | undefined;
+}
+
+/** Asks a shard's upstreams and tells the shard's owner. */
+export class LoadPolls {
+  readonly #options: LoadPollsOptions;
+
+  constructor(options: LoadPollsOptions) {
+    this.#options = options;
+  }
+
+  static create(options: LoadPollsOptions): LoadPolls {
+    return new LoadPolls(options);
+  }
+
+  /** Asks all of `upstreams` once; resolves when each has answered or not. */
+  async fetchLoads(
+    owner: ShardOwner,
+    upstreams: readonly VmId[],
+  ): Promise<void> {
+    await Promise.all(
+      upstreams.map((upstream) => this.#fetchLoad(owner, upstream)),
+    );
+  }
+
+  async #fetchLoad(owner: ShardOwner, upstream: VmId): Promise<void> {
+    const { clock, upstreams } = this.#options.environment;
+    try {
+      const report = await waitAtMost(
+        upstreams.fetchLoad(upstream),
+        POLL_DEADLINE_MS,
+        clock,
+      );
+      if (report === undefined) {
+        owner.noteLoadMissing(upstream);
+        return;
+      }
+      owner.noteLoad(upstream, report, 0);
+      this.#options.onUpstreamLeaving?.(upstream, report.leaving);
+      await this.#fetchCacheEvents(owner, { upstream, report });
+    } catch {
+      // The count of missed polls is what tells of a silent upstream.
+      owner.noteLoadMissing(upstream);
+    }
+  }
+
+  async #fetchCacheEvents(
+    owner: ShardOwner,
+    polled: { upstream: VmId; report: LoadReport },
+  ): Promise<void> {
+    const { upstream, report } = polled;
+    const known = owner.getCacheSequence(upstream);
+    if (report.cacheSequence <= known) return;
+    const { clock, upstreams } = this.#options.environment;
+    const events = await waitAtMost(
+      upstreams.fetchCacheEvents(upstream, known),
+      POLL_DEADLINE_MS,
+      clock,
+    ).catch(() => undefined);
+    if (events !== undefined) owner.noteCacheEvents(upstream, events);
+  }
+}
--- a/src/process/scheduler/shard_owners.ts
+++ b/src/process/scheduler/shard_owners.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type { LoadReport } from "../../connection/upstream_transport.ts";
 import { toError } from "../../errors.ts";
 import type { ShardId, VmId } from "../../ids.ts";
 import type { ListedVm } from "../../version/membership_list.ts";
@@ -20,6 +19,7 @@
   SyncCall,
 } from "../peer_api.ts";
 import type { SchedulerDecisions } from "./decisions.ts";
+import { LoadPolls } from "./load_polls.ts";
 import { ShardOwner } from "./shard_owner.ts";
 import {
   buildShardKey,
@@ -31,8 +31,6 @@
 
 /** How often the load of each owned upstream is asked for, in milliseconds. */
 const POLL_EVERY_MS = 1_000;
-/** How long a poll may take, in milliseconds. */
-const POLL_DEADLINE_MS = 900;
 /** Tries to hand a queue over, and the time between them. */
 const HAND_OVER_TRIES = 5;
 const HAND_OVER_RETRY_MS = 200;
@@ -62,6 +60,7 @@
 export class ShardOwners {
   readonly #options: ShardOwnersOptions;
   readonly #environment: Environment;
+  readonly #polls: LoadPolls;
   readonly #owners = new Map<ShardId, ShardOwner>();
   readonly #stopped = new AbortController();
   readonly #createdAt: number;
@@ -72,6 +71,7 @@
   constructor(options: ShardOwnersOptions) {
     this.#options = options;
     this.#environment = options.environment;
+    this.#polls = LoadPolls.create(options);
     this.#createdAt = options.environment.clock.now();
     options.membership.onChange(() => this.#updateOwners());
   }
@@ -285,45 +285,6 @@
     const pool = this.#findPool(owner.shard);
     if (pool === undefined || pool.type !== "model") return;
     const upstreams = this.#listUpstreams(owner.shard, pool);
-    await Promise.all(
-      upstreams.map(({ id }) => this.#fetchUpstreamLoad(owner, id)),
-    );
-  }
-
-  async #fetchUpstreamLoad(owner: ShardOwner, upstream: VmId): Promise<void> {
-    const { clock, upstreams } = this.#environment;
-    try {
-      const report = await waitAtMost(
-        upstreams.fetchLoad(upstream),
-        POLL_DEADLINE_MS,
-        clock,
-      );
-      if (report === undefined) {
-        owner.noteLoadMissing(upstream);
-        return;
-      }
-      owner.noteLoad(upstream, report, 0);
-      this.#options.onUpstreamLeaving?.(upstream, report.leaving);
-      await this.#fetchCacheEvents(owner, { upstream, report });
-    } catch {
-      // The count of missed polls is what tells of a silent upstream.
-      owner.noteLoadMissing(upstream);
-    }
-  }
-
-  async #fetchCacheEvents(
-    owner: ShardOwner,
-    polled: { upstream: VmId; report: LoadReport },
-  ): Promise<void> {
-    const { upstream, report } = polled;
-    const known = owner.getCacheSequence(upstream);
-    if (report.cacheSequence <= known) return;
-    const { clock, upstreams } = this.#environment;
-    const events = await waitAtMost(
-      upstreams.fetchCacheEvents(upstream, known),
-      POLL_DEADLINE_MS,
-      clock,
-    ).catch(() => undefined);
-    if (events !== undefined) owner.noteCacheEvents(upstream, events);
+    await this.#polls.fetchLoads(owner, upstreams.map(({ id }) => id));
   }
 }
