Take the syncs and the wait's parts out of the lease client

lease_client.ts (414 lines) kept the syncs of all shards, and spelled out the refusals, beside the loop that waits for a slot. LeaseSyncs keeps the syncs; slot_wait.ts has what a wait is and how it may be refused. The 318 lines left are the one way of a request to its slot, in the order in which it happens.

--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -7,13 +7,9 @@
 import { match } from "ts-pattern";
 import type { ShardId, TicketId, VmId } from "../../ids.ts";
 import { toId } from "../../ids.ts";
-import { type Refusal, RefusalError } from "../../outcome.ts";
+import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
-import {
-  getClassRank,
-  type Snapshot,
-  type UpstreamPool,
-} from "../../version/records.ts";
+import { getClassRank, type Snapshot } from "../../version/records.ts";
 import type { Environment } from "../environment.ts";
 import type { MembershipView } from "../membership_view.ts";
 import type {
@@ -24,11 +20,18 @@
 } from "../peer_api.ts";
 import { type HeldLease, type LeaseRequest, LeaseSource } from "../services.ts";
 import { HeldSlot } from "./held_slot.ts";
-import { LeaseSync, SYNC_EVERY_MS } from "./lease_sync.ts";
-import { LocalSlots, type LocalWish } from "./local_slots.ts";
+import { LeaseSyncs } from "./lease_syncs.ts";
+import { LocalSlots } from "./local_slots.ts";
 import { ANSWER_MARGIN_MS, HOLD_MS, OwnerCalls } from "./owner_calls.ts";
 import { chooseShard } from "./shard_choice.ts";
-import { listShards } from "./shards.ts";
+import {
+  type AcquireOptions,
+  buildCancelled,
+  buildLocalWish,
+  buildNoUpstream,
+  buildUnreachable,
+  type SlotWait,
+} from "./slot_wait.ts";
 
 /** Silence of an owner after which the VM's own share is used: one call. */
 const OWNER_SILENCE_MS = HOLD_MS + ANSWER_MARGIN_MS;
@@ -40,10 +43,6 @@
 const RETRY_MS = 100;
 /** Shards that a request is passed on to at most. */
 const MAX_HOPS = 3;
-/** A shard without leases is forgotten after this. */
-const IDLE_SHARD_MS = 60_000;
-const NO_UPSTREAM_RETRY_MS = 5_000;
-const UNREACHABLE_RETRY_MS = 1_000;
 
 /** What the client is made of. */
 export interface LeaseClientOptions {
@@ -56,34 +55,12 @@
   findSummary?: (shard: ShardId) => ShardSummary | undefined;
 }
 
-interface AcquireOptions {
-  signal: AbortSignal;
-  onStep: (step: FateStep) => void;
-}
-
-/** One request on its way to a slot. */
-interface Wait {
-  request: LeaseRequest;
-  options: AcquireOptions;
-  ticket: TicketId;
-  pool: UpstreamPool;
-  rank: number;
-  shard: ShardId;
-  hops: number;
-  /** `queued` answers so far. */
-  queuedCount: number;
-  /** Since when no owner has answered. */
-  silentSince: number | undefined;
-}
-
 /** Acquires slots from the owners of shards. */
 export class LeaseClient extends LeaseSource {
   readonly #options: LeaseClientOptions;
   readonly #environment: Environment;
   readonly #calls: OwnerCalls;
-  readonly #syncs = new Map<ShardId, LeaseSync>();
-  /** The owner of each shard, as this VM last saw it. */
-  readonly #owners = new Map<ShardId, VmId>();
+  readonly #syncs: LeaseSyncs;
   readonly #local: LocalSlots;
   readonly #stopped = new AbortController();
   readonly #prefix: string;
@@ -100,6 +77,7 @@
       membership: options.membership,
       getLocal: options.getLocal,
     });
+    this.#syncs = LeaseSyncs.create(options);
     this.#local = LocalSlots.create(options);
     options.membership.onChange(() => this.#onMembershipChange());
   }
@@ -110,7 +88,7 @@
 
   /** Starts to renew and return leases. */
   start(): void {
-    void this.#runSyncs();
+    void this.#syncs.run(this.#stopped.signal);
   }
 
   stop(): void {
@@ -130,7 +108,7 @@
     }
   }
 
-  async #waitForSlot(wait: Wait): Promise<HeldLease> {
+  async #waitForSlot(wait: SlotWait): Promise<HeldLease> {
     const { clock } = this.#environment;
     while (true) {
       this.#checkCancelled(wait);
@@ -157,7 +135,7 @@
   }
 
   #applyAnswer(
-    wait: Wait,
+    wait: SlotWait,
     answer: Exclude<AcquireAnswer, { kind: "granted" | "not_owner" }>,
   ): void {
     match(answer)
@@ -195,11 +173,11 @@
    * still waits: it would be told that it had gone away. The request's age
    * keeps its place in the queue.
    */
-  #renewTicket(wait: Wait): void {
+  #renewTicket(wait: SlotWait): void {
     wait.ticket = this.#createTicket();
   }
 
-  #setShard(wait: Wait, shard: ShardId): void {
+  #setShard(wait: SlotWait, shard: ShardId): void {
     this.#local.removeWaiting(wait.shard, wait.rank);
     this.#local.addWaiting(shard, wait.rank);
     wait.shard = shard;
@@ -210,7 +188,7 @@
    * a bounded silence uses this VM's own share of the shard.
    */
   async #waitWithoutOwner(
-    wait: Wait,
+    wait: SlotWait,
     askedAt: number,
   ): Promise<HeldLease | undefined> {
     const { clock } = this.#environment;
@@ -235,7 +213,7 @@
     return undefined;
   }
 
-  #takeLocal(wait: Wait): HeldLease | undefined {
+  #takeLocal(wait: SlotWait): HeldLease | undefined {
     const slot = this.#local.take(buildLocalWish(wait));
     if (slot === undefined) return undefined;
     this.#cancelTicket(wait);
@@ -250,9 +228,9 @@
     return this.#openSlot(wait, slot, this.#environment.clock.now());
   }
 
-  #openSlot(wait: Wait, slot: SlotLease, askedAt: number): HeldLease {
+  #openSlot(wait: SlotWait, slot: SlotLease, askedAt: number): HeldLease {
     const { request } = wait;
-    const sync = this.#getSync(slot.shard);
+    const sync = this.#syncs.get(slot.shard);
     const held = HeldSlot.create({
       clock: this.#environment.clock,
       slot,
@@ -271,21 +249,17 @@
     return held;
   }
 
-  #cancelTicket(wait: Wait): void {
-    this.#getSync(wait.shard).addWithdrawn(wait.ticket);
+  #cancelTicket(wait: SlotWait): void {
+    this.#syncs.get(wait.shard).addWithdrawn(wait.ticket);
   }
 
-  #checkCancelled(wait: Wait): void {
+  #checkCancelled(wait: SlotWait): void {
     if (!wait.options.signal.aborted) return;
     this.#cancelTicket(wait);
-    throw new RefusalError({
-      code: "cancelled",
-      message: "The caller went away while the request waited",
-      outcome: "not_run",
-    });
+    throw new RefusalError(buildCancelled());
   }
 
-  #buildWait(request: LeaseRequest, options: AcquireOptions): Wait {
+  #buildWait(request: LeaseRequest, options: AcquireOptions): SlotWait {
     const { membership, getSnapshot, findSummary } = this.#options;
     const snapshot = getSnapshot();
     const pool = snapshot?.pools.get(request.pool);
@@ -315,7 +289,7 @@
   }
 
   #noteStep(
-    wait: Wait,
+    wait: SlotWait,
     step: FateStep["step"],
     fields: { detail: string },
   ): void {
@@ -332,83 +306,13 @@
     );
   }
 
-  #getSync(shard: ShardId): LeaseSync {
-    let sync = this.#syncs.get(shard);
-    if (sync === undefined) {
-      const { environment, membership, getLocal } = this.#options;
-      sync = LeaseSync.create({ environment, membership, getLocal, shard });
-      this.#syncs.set(shard, sync);
-    }
-    return sync;
-  }
-
   #onMembershipChange(): void {
     if (this.#stopped.signal.aborted) return;
     this.#calls.onMembershipChange();
-    this.#announceToNewOwners();
+    this.#syncs.announceToNewOwners();
   }
-
-  /**
-   * Tells the new owner of each shard of this VM's leases, also that it has
-   * none: the owner waits for every VM's word before it grants.
-   */
-  #announceToNewOwners(): void {
-    const { membership, getSnapshot } = this.#options;
-    for (const pool of getSnapshot()?.pools.values() ?? []) {
-      const vms = membership.listUpstreams(pool.name);
-      for (const shard of listShards(pool, vms)) {
-        const owner = this.#calls.findOwner(shard);
-        const before = this.#owners.get(shard);
-        if (owner === undefined || owner === before) continue;
-        this.#owners.set(shard, owner);
-        if (before !== undefined) this.#getSync(shard).announce();
-      }
-    }
-  }
-
-  async #runSyncs(): Promise<void> {
-    const { clock } = this.#environment;
-    const { signal } = this.#stopped;
-    while (!signal.aborted) {
-      if (this.#owners.size === 0) this.#announceToNewOwners();
-      for (const sync of this.#syncs.values()) void sync.run();
-      await clock.sleep(SYNC_EVERY_MS, signal);
-      this.#dropIdle();
-    }
-  }
-
-  #dropIdle(): void {
-    const oldest = this.#environment.clock.now() - IDLE_SHARD_MS;
-    for (const [shard, sync] of this.#syncs) {
-      if (sync.isIdle && sync.usedAt < oldest) this.#syncs.delete(shard);
-    }
-  }
-}
-
-function buildLocalWish(wait: Wait): LocalWish {
-  const { shard, pool, rank, request } = wait;
-  return { shard, pool, rank, avoid: request.avoid };
 }
 
 function isPowerOfTwo(count: number): boolean {
   return (count & (count - 1)) === 0;
 }
-
-function buildNoUpstream(request: LeaseRequest): Refusal {
-  return {
-    code: "no_upstream",
-    message: `No upstream of pool ${request.pool} may get the request`,
-    outcome: "not_run",
-    retryAfterMs: NO_UPSTREAM_RETRY_MS,
-  };
-}
-
-function buildUnreachable(): Refusal {
-  return {
-    code: "owner_unreachable",
-    message: "The owner of the queue does not answer, and this VM's own " +
-      "share of the slots is used up",
-    outcome: "not_run",
-    retryAfterMs: UNREACHABLE_RETRY_MS,
-  };
-}
