Take the local limit and the refusals out of a held limit

held_limit.ts (345 lines) also held the bucket that is used while no owner answers and the two refusals. LocalLimit and limit_refusals.ts have these; the 311 lines left are what one VM does with chunks and waiters, one state that reads worse in two. The 22 tests of test/process/limits pass as before.

--- a/src/process/limits/held_limit.ts
+++ b/src/process/limits/held_limit.ts
@@ -3,17 +3,14 @@
  *
  * @module
  */
-import { RefusalError } from "../../outcome.ts";
 import type { Workspace } from "../../version/records.ts";
 import type { Clock } from "../clock.ts";
 import type { LimitAnswer } from "../peer_api.ts";
 import { ChunkStore } from "./chunk_store.ts";
 import { DemandMeter } from "./demand_meter.ts";
-import {
-  computeLimitRate,
-  type LimitAmount,
-  LimitBucket,
-} from "./limit_bucket.ts";
+import { computeLimitRate, type LimitAmount } from "./limit_bucket.ts";
+import { buildLimitRefusal, checkPossible } from "./limit_refusals.ts";
+import { LocalLimit } from "./local_limit.ts";
 
 /** The longest that a request waits for the owner's answer. */
 const OWNER_WAIT_MS = 50;
@@ -64,6 +61,7 @@
   readonly #options: HeldLimitOptions;
   readonly #chunks = ChunkStore.create();
   readonly #demand: DemandMeter;
+  readonly #local: LocalLimit;
   #waiters: Waiter[] = [];
   #isAsking = false;
   /**
@@ -75,14 +73,13 @@
   #owed: LimitAmount = { requests: 0, tokens: 0 };
   #deniedUntil = -Infinity;
   #silentUntil = -Infinity;
-  #local: LimitBucket | undefined;
-  #localDebtUntil = -Infinity;
   #usedAt: number;
 
   constructor(options: HeldLimitOptions) {
     this.#options = options;
     const now = options.clock.now();
     this.#demand = DemandMeter.create(now);
+    this.#local = LocalLimit.create(options);
     this.#usedAt = now;
   }
 
@@ -101,9 +98,9 @@
       return;
     }
     if (now < this.#deniedUntil) {
-      throw refuseForLimit(workspace, this.#deniedUntil - now);
+      throw buildLimitRefusal(workspace, this.#deniedUntil - now);
     }
-    if (now < this.#silentUntil) this.#takeLocalShare(workspace, amount);
+    if (now < this.#silentUntil) this.#takeLocal(workspace, amount);
     else if (this.#canGoAhead(workspace, amount)) this.#addOwed(amount);
     else await this.#takeFromOwner(workspace, amount);
     this.#noteAdmitted(workspace, amount);
@@ -118,7 +115,7 @@
   /** Whether dropping this state loses nothing that still counts. */
   isIdle(): boolean {
     const now = this.#options.clock.now();
-    return !this.#isAsking && now >= this.#localDebtUntil &&
+    return !this.#isAsking && !this.#local.isInDebt() &&
       now - this.#usedAt > IDLE_MS;
   }
 
@@ -157,9 +154,9 @@
   ): Promise<void> {
     const verdict = await this.#waitForChunk(workspace, amount);
     if (verdict.kind === "denied") {
-      throw refuseForLimit(workspace, verdict.retryAfterMs);
+      throw buildLimitRefusal(workspace, verdict.retryAfterMs);
     }
-    if (verdict.kind === "silent") this.#takeLocalShare(workspace, amount);
+    if (verdict.kind === "silent") this.#takeLocal(workspace, amount);
   }
 
   #noteAdmitted(workspace: Workspace, amount: LimitAmount): void {
@@ -303,43 +300,12 @@
   }
 
   /**
-   * This VM's part of the rate, for when no owner answers. The owner may be
-   * alive and only its answer lost; were the use not owed, it would come on
-   * top of the whole rate, which shows as overshoot on a lossy network.
+   * The owner may be alive and only its answer lost; were the use not owed, it
+   * would come on top of the whole rate, which shows as overshoot on a lossy
+   * network.
    */
-  #takeLocalShare(workspace: Workspace, amount: LimitAmount): void {
-    const { clock, countEntryVms } = this.#options;
-    const now = clock.now();
-    const rate = computeLimitRate(workspace, 1 / Math.max(1, countEntryVms()));
-    this.#local ??= LimitBucket.create(now);
-    this.#local.update(now, rate);
-    const waitMs = this.#local.computeWaitMs(amount, rate);
-    if (waitMs > 0) throw refuseForLimit(workspace, waitMs);
-    this.#local.take(amount);
+  #takeLocal(workspace: Workspace, amount: LimitAmount): void {
+    this.#local.take(workspace, amount);
     this.#addOwed(amount);
-    this.#localDebtUntil = now + this.#local.computeWaitMs(amount, rate);
   }
 }
-
-/** Refuses for good what no waiting helps. */
-function checkPossible(workspace: Workspace, tokens: number): void {
-  const { requestsPerMinute, tokensPerMinute } = workspace.limits;
-  if (requestsPerMinute > 0 && tokens <= tokensPerMinute) return;
-  throw new RefusalError({
-    code: "rate_limited",
-    message: `The request needs ${tokens} tokens, more than workspace ` +
-      `${workspace.name} may use in a minute`,
-    outcome: "not_run",
-  });
-}
-
-function refuseForLimit(workspace: Workspace, waitMs: number): RefusalError {
-  const { requestsPerMinute, tokensPerMinute } = workspace.limits;
-  return new RefusalError({
-    code: "rate_limited",
-    message: `Workspace ${workspace.name} is over its limit of ` +
-      `${requestsPerMinute} requests and ${tokensPerMinute} tokens a minute`,
-    outcome: "not_run",
-    retryAfterMs: Math.ceil(waitMs),
-  });
-}
