Order engines' roles from the records, and tell from whom others have a version

Pools have an optional role (schema 2), ordered until the reports show it; probes carry the sender of the version, some 20 bytes each. The new expectations failed to compile or to hold before; test/version, test/process/orders and configuration_propagation pass.

--- a/src/process/configuration_exchange.ts
+++ b/src/process/configuration_exchange.ts
@@ -9,6 +9,8 @@
 export interface PeerVersions {
   configVersion: number;
   configDigest?: string | undefined;
+  /** From whom the VM has that version. */
+  configFrom?: string | undefined;
   listRevision: number;
   /** Time since that list was last known to be the newest published. */
   listAgeMs?: number | undefined;
--- a/src/process/configuration_follower.ts
+++ b/src/process/configuration_follower.ts
@@ -153,6 +153,7 @@
     return {
       configVersion: this.#store.getVersion(),
       configDigest: this.#store.getDigest() || undefined,
+      configFrom: this.#store.getSender(),
       listRevision: this.#membership.getList().revision,
       listAgeMs: Number.isFinite(viewAgeMs) ? Math.ceil(viewAgeMs) : undefined,
     };
--- a/src/process/configuration_peers.ts
+++ b/src/process/configuration_peers.ts
@@ -13,6 +13,8 @@
   vm: VmId;
   version: number;
   digest: string | undefined;
+  /** From whom it has that version; undefined where it did not say. */
+  from: string | undefined;
   listRevision: number;
   /** Time since it was first heard to have that version. */
   sinceMs: number;
@@ -49,6 +51,7 @@
       vm,
       version: versions.configVersion,
       digest: versions.configDigest,
+      from: versions.configFrom,
       listRevision: versions.listRevision,
       heardAt: isSame ? known.heardAt : this.#environment.clock.now(),
     });
--- a/src/process/configuration_store.ts
+++ b/src/process/configuration_store.ts
@@ -96,6 +96,13 @@
     return this.#accepted?.digest ?? "";
   }
 
+  /** From whom the records in force came; undefined before the first. */
+  getSender(): string | undefined {
+    return this.#history.findLast(({ version, result }) =>
+      result === "accepted" && version === this.getVersion()
+    )?.from;
+  }
+
   /** The records in force, as published. */
   getRecords(): unknown[] | undefined {
     return this.#accepted?.records;
--- a/src/process/fleet_operator.ts
+++ b/src/process/fleet_operator.ts
@@ -89,7 +89,7 @@
       vm: peer.vm,
       version: peer.version,
       since_ms: peer.sinceMs,
-      from: null,
+      from: peer.from ?? null,
       list_revision: peer.listRevision,
     }));
     return Promise.resolve({
--- a/src/process/orders/order_giver.ts
+++ b/src/process/orders/order_giver.ts
@@ -131,6 +131,7 @@
       model: planned.order.model,
       version: planned.order.version,
       adapter: planned.order.adapter,
+      role: planned.order.role,
       fencing,
     };
     try {
--- a/src/process/orders/placement.ts
+++ b/src/process/orders/placement.ts
@@ -31,15 +31,17 @@
  */
 export function planOrders(input: PlacementInput): PlannedOrder[] {
   const desired = chooseModels(input);
+  const roles: PlannedOrder[] = [];
   const loads: PlannedOrder[] = [];
   const unloads: PlannedOrder[] = [];
   for (const [upstream, models] of desired) {
     const report = input.reports.get(upstream);
     if (report === undefined) continue;
+    roles.push(...listRoleChanges(upstream, input.pool.role, report));
     loads.push(...listMissingLoads(upstream, models, report));
     unloads.push(...listUnloads(upstream, models, report));
   }
-  return loads.length > 0 ? loads : unloads;
+  return [...roles, ...(loads.length > 0 ? loads : unloads)];
 }
 
 /** The models that each upstream of the shard should hold. */
@@ -120,6 +122,24 @@
   return orders;
 }
 
+function listRoleChanges(
+  upstream: VmId,
+  role: string | undefined,
+  report: LoadReport,
+): PlannedOrder[] {
+  if (role === undefined || report.role === role) return [];
+  return [{
+    upstream,
+    order: {
+      action: "role",
+      model: "",
+      version: "",
+      adapter: undefined,
+      role,
+    },
+  }];
+}
+
 function listUnloads(
   upstream: VmId,
   models: PoolModel[],
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -149,6 +149,8 @@
   configVersion: number;
   /** Tells two contents under one version number apart. */
   configDigest?: string;
+  /** From whom the sender has that version. */
+  configFrom?: string;
   listRevision: number;
   /** Time since the list was last known to be the newest published. */
   listAgeMs?: number;
--- a/src/version/convert.ts
+++ b/src/version/convert.ts
@@ -101,6 +101,7 @@
         max: record.max_slots,
       }
       : record.slots,
+    ...(!isFlat && record.role !== undefined && { role: record.role }),
     fencing: isFlat ? V1_FENCING : record.fencing,
     timeouts: {
       firstByteMs: timeouts.first_byte_ms,
--- a/src/version/records.ts
+++ b/src/version/records.ts
@@ -90,6 +90,8 @@
     min: number;
     max: number;
   };
+  /** The role that the engines should have; undefined leaves it to them. */
+  role?: string | undefined;
   /** Whether the engines refuse an order with an old fencing number. */
   fencing: "checked" | "ignored";
   timeouts: {
--- a/src/version/schemas.ts
+++ b/src/version/schemas.ts
@@ -185,6 +185,7 @@
     min: buildCountField(1, MAX_SLOTS),
     max: buildCountField(1, MAX_SLOTS),
   }, { error: "an object with initial, min and max" }),
+  role: buildLabelField().optional(),
   fencing: buildChoiceField(["checked", "ignored"]),
   timeouts: z.strictObject({
     first_byte_ms: buildDurationField(),
@@ -196,6 +197,9 @@
     const message = pool.type === "model" ? "at least one model" : NO_MODEL;
     context.addIssue({ code: "custom", path: ["models"], message });
   }
+  if (pool.role !== undefined && pool.type === "service") {
+    context.addIssue({ code: "custom", path: ["role"], message: NO_MODEL });
+  }
   checkModelVersions(
     pool.models,
     (index, message) =>
--- a/test/process/configuration_propagation_test.ts
+++ b/test/process/configuration_propagation_test.ts
@@ -54,6 +54,12 @@
       expect(report.peers).toHaveLength(15);
       expect(report.peers.every((peer) => peer.version === 2)).toBe(true);
     }
+    const senders = new Map(
+      reports.map(({ vm, history }) => [vm, history.at(-1)!.from]),
+    );
+    for (const { peers } of reports) {
+      for (const peer of peers) expect(peer.from).toBe(senders.get(peer.vm));
+    }
     const sources = new Set(reports.map(({ history }) => history.at(-1)!.from));
     expect(sources).toContain("service");
     expect([...sources].some((from) => from.startsWith("vm-"))).toBe(true);
--- a/test/process/orders/placement_test.ts
+++ b/test/process/orders/placement_test.ts
@@ -88,6 +88,22 @@
     expect(holders).toHaveLength(MODEL_A.replicas);
   });
 
+  it("orders a role that the records ask for, until it is reported", () => {
+    const pool = { ...buildPool([MODEL_A]), role: "prefill" };
+    const report = buildReport([MODEL_A]);
+    const reports = new Map(VMS.map((vm) => [vm, { ...report }]));
+    const input = { pool, shardIndex: 0, upstreams: VMS, reports };
+    const listRoles = () =>
+      planOrders(input).filter(({ order }) => order.action === "role");
+    expect(listRoles().map(({ upstream }) => upstream)).toEqual(VMS);
+    expect(listRoles()[0]!.order.role).toBe("prefill");
+    reports.get(VMS[0]!)!.role = "prefill";
+    expect(listRoles()).toHaveLength(VMS.length - 1);
+    const open = { ...input, pool: { ...pool, role: undefined } };
+    expect(planOrders(open).some(({ order }) => order.action === "role"))
+      .toBe(false);
+  });
+
   it("unloads only after every load has been seen to stand", () => {
     const pool = buildPool([MODEL_A]);
     const reports = new Map(VMS.map((vm) => [vm, buildReport([MODEL_B])]));
--- a/test/version/conversion_test.ts
+++ b/test/version/conversion_test.ts
@@ -187,6 +187,8 @@
   it("for an upstream pool", () => {
     const timeouts = { first_byte_ms: 1, between_bytes_ms: 2, total_ms: 3 };
     const { engines } = buildRawSet();
+    expect(parseRecord({ ...engines, timeouts, role: "prefill" }))
+      .toMatchObject({ kind: "valid", record: { role: "prefill" } });
     expect(parseRecord({ ...engines, timeouts })).toStrictEqual({
       kind: "valid",
       record: {
