Call the burn report's parts samples, causes and a breakdown

Blame and gathering are not terms of the field. The figures of one moment are a sample, and the causes summed by a property are shares of a breakdown. The report's JSON keeps its keys (blame, gathered_at), so that saved reports fold as before; a test now holds the key blame.

--- a/src/process/burn_stats.ts
+++ b/src/process/burn_stats.ts
@@ -1,7 +1,7 @@
 /**
  * The figures behind the report on service-level burn: what each VM gathers,
  * sends and merges. Times are ages, counted in buckets back from the moment of
- * gathering: the VMs' clocks need not agree. Merging VMs is therefore off by up
+ * sampling: the VMs' clocks need not agree. Merging VMs is therefore off by up
  * to one bucket.
  *
  * @module
@@ -75,7 +75,7 @@
   /** As `reachMs`, for the buckets of the last hour; of one VM only. */
   fineReachMs: z.number().nonnegative().optional(),
   /** Age of the start of the coarse bucket that was not over yet: tells which
-   * buckets of two gatherings of one VM are the same; of one VM only. */
+   * buckets of two samples of one VM are the same; of one VM only. */
   phaseMs: z.number().nonnegative().optional(),
   entries: z.array(ENTRY_SCHEMA),
 });
--- a/src/tool/burn/burn_causes.ts
+++ b/src/tool/burn/burn_causes.ts
@@ -15,7 +15,7 @@
 }
 
 /** How much of what is bad falls to one value of a dimension. */
-export interface BlameShare {
+export interface CauseShare {
   value: string;
   lastHour: number;
   total: number;
@@ -23,7 +23,7 @@
 }
 
 /** Ways to sort what is bad. */
-export const BLAME_DIMENSIONS = [
+export const CAUSE_DIMENSIONS = [
   "result",
   "tier",
   "step",
@@ -31,7 +31,7 @@
   "upstream",
 ] as const;
 /** A way to sort what is bad. */
-export type BlameDimension = typeof BLAME_DIMENSIONS[number];
+export type CauseDimension = typeof CAUSE_DIMENSIONS[number];
 
 /** All causes, the worst first: by all that is held where reports of many
  * moments were folded, else by the last hour. */
@@ -69,11 +69,11 @@
 }
 
 /** Sums the causes by one property, the worst first. */
-export function computeBlame(
+export function computeCauseShares(
   causes: readonly RankedCause[],
-  dimension: BlameDimension,
-): BlameShare[] {
-  const shares = new Map<string, BlameShare>();
+  dimension: CauseDimension,
+): CauseShare[] {
+  const shares = new Map<string, CauseShare>();
   for (const cause of causes) {
     const value = cause[dimension];
     const share = shares.get(value) ?? createShare(value);
@@ -89,7 +89,7 @@
   );
 }
 
-function createShare(value: string): BlameShare {
+function createShare(value: string): CauseShare {
   const createPart = () => ({ lastHour: 0, total: 0 });
   return {
     value,
--- a/src/tool/burn/burn_files.ts
+++ b/src/tool/burn/burn_files.ts
@@ -16,7 +16,7 @@
 import { type LogRequest, parseFinishedLine } from "./burn_logs.ts";
 import {
   buildSpans,
-  type BurnGathering,
+  type BurnSample,
   type BurnSource,
   type PastSpan,
 } from "./burn_sources.ts";
@@ -54,15 +54,15 @@
 
 /** What files hold for a fold. */
 export interface FoldInput {
-  gatherings: BurnGathering[];
+  samples: BurnSample[];
   logged: LogRequest[];
 }
 
-/** The gathering in a VM's answer. Throws a `ToolError`. */
+/** The sample in a VM's answer. Throws a `ToolError`. */
 export function convertAnswer(
   answer: BurnAnswer,
   gatheredAtMs: number,
-): BurnGathering {
+): BurnSample {
   return {
     gatheredAtMs,
     sources: answer.vms.map(({ vm, incarnation, series }) => {
@@ -117,12 +117,12 @@
 export async function readFoldFiles(
   files: readonly string[],
 ): Promise<FoldInput> {
-  const input: FoldInput = { gatherings: [], logged: [] };
+  const input: FoldInput = { samples: [], logged: [] };
   for (const file of files) {
     try {
       if (await isSavedReport(file)) {
         const text = await readFile(file, "utf8");
-        input.gatherings.push(parseSavedReport(text, file));
+        input.samples.push(parseSavedReport(text, file));
       } else {
         await readLog(file, input.logged);
       }
@@ -136,7 +136,7 @@
       });
     }
   }
-  if (input.gatherings.length === 0 && input.logged.length === 0) {
+  if (input.samples.length === 0 && input.logged.length === 0) {
     throw new ToolError("The files hold no report and no finished request", {
       exitCode: EXIT_UNREADABLE,
       step: "read_fold",
@@ -147,7 +147,7 @@
 }
 
 /** Reads a saved report. Throws a `ToolError`; `name` stands in it. */
-export function parseSavedReport(text: string, name: string): BurnGathering {
+export function parseSavedReport(text: string, name: string): BurnSample {
   const saved = SAVED_REPORT.safeParse(parseJson(text)).data;
   const sources = saved?.vms.map(convertSource);
   if (saved === undefined || sources?.includes(undefined)) {
@@ -223,7 +223,7 @@
 
 function convertObjectives(
   sent: BurnAnswer["objectives"],
-): BurnGathering["objectives"] {
+): BurnSample["objectives"] {
   return sent.map((objective) => ({
     className: objective.class,
     tier: objective.tier,
--- a/src/tool/burn/burn_fold.ts
+++ b/src/tool/burn/burn_fold.ts
@@ -1,11 +1,11 @@
 /**
- * Puts gatherings of many moments, and log lines, into one set of figures as
+ * Puts samples of many moments, and log lines, into one set of figures as
  * seen from the newest moment.
  *
- * Overlaps. Two gatherings of one incarnation are joined bucket by bucket
- * (`mergeLife`). A log line's request is left out where a gathering of the same
+ * Overlaps. Two samples of one incarnation are joined bucket by bucket
+ * (`mergeLife`). A log line's request is left out where a sample of the same
  * incarnation covers its time; the line's time is the VM's clock and the
- * gathering's is that of the tool's machine, so requests at the edge of the
+ * sample's is that of the tool's machine, so requests at the edge of the
  * span may be counted twice or not at all where those clocks differ. Summing
  * whole reports would count each bucket once a report; taking only the newest
  * would lose what replaced VMs served.
@@ -24,7 +24,7 @@
 import {
   applyBucketShift,
   applySpanShift,
-  type BurnGathering,
+  type BurnSample,
   type BurnSource,
   type ClassObjective,
   formatLifeKey,
@@ -39,7 +39,7 @@
 
 /** Figures of all sources, as seen from `atMs`. */
 export interface BurnFold {
-  /** Calendar time of the newest gathering or log line. */
+  /** Calendar time of the newest sample or log line. */
   atMs: number;
   /** All figures merged. */
   series: BurnSeries;
@@ -51,22 +51,22 @@
   objectives: ClassObjective[];
   /** Requests taken from log lines. */
   logRequests: number;
-  /** Requests of log lines that a gathering had counted already. */
+  /** Requests of log lines that a sample had counted already. */
   coveredLogRequests: number;
-  /** How many gatherings went in. */
-  gatherings: number;
+  /** How many samples went in. */
+  samples: number;
 }
 
-/** Folds gatherings and requests from logs. Needs at least one of either. */
-export function mergeGatherings(
-  gatherings: readonly BurnGathering[],
+/** Folds samples and requests from logs. Needs at least one of either. */
+export function mergeSamples(
+  samples: readonly BurnSample[],
   logged: readonly LogRequest[] = [],
 ): BurnFold {
-  const sources = mergeLives(gatherings.flatMap(({ sources }) => sources));
+  const sources = mergeLives(samples.flatMap(({ sources }) => sources));
   const distinct = dropRepeated(logged);
   const uncovered = distinct.filter((request) => !isCovered(request, sources));
   const atMs = computeNewest([
-    ...gatherings.map(({ gatheredAtMs }) => gatheredAtMs),
+    ...samples.map(({ gatheredAtMs }) => gatheredAtMs),
     ...distinct.map((request) => request.atMs),
   ]);
   const parts = sources.map((source) => applySeriesShift(source, atMs));
@@ -76,11 +76,11 @@
     series: mergeSeries(parts),
     sources,
     spansByVm: collectSpans({ sources, uncovered, atMs }),
-    missing: listMissing(gatherings),
-    objectives: findNewest(gatherings)?.objectives ?? [],
+    missing: listMissing(samples),
+    objectives: findNewest(samples)?.objectives ?? [],
     logRequests: uncovered.length,
     coveredLogRequests: distinct.length - uncovered.length,
-    gatherings: gatherings.length,
+    samples: samples.length,
   };
 }
 
@@ -127,14 +127,14 @@
 }
 
 function findNewest(
-  gatherings: readonly BurnGathering[],
-): BurnGathering | undefined {
-  const toText = ({ objectives }: BurnGathering) =>
+  samples: readonly BurnSample[],
+): BurnSample | undefined {
+  const toText = ({ objectives }: BurnSample) =>
     JSON.stringify(objectives.map((objective) => ({
       ...objective,
       workspaces: [...objective.workspaces],
     })));
-  return gatherings.reduce<BurnGathering | undefined>((newest, next) => {
+  return samples.reduce<BurnSample | undefined>((newest, next) => {
     if (newest === undefined) return next;
     const byTime = next.gatheredAtMs - newest.gatheredAtMs;
     if (byTime !== 0) return byTime > 0 ? next : newest;
@@ -206,9 +206,9 @@
   return byVm;
 }
 
-function listMissing(gatherings: readonly BurnGathering[]): MissingVm[] {
+function listMissing(samples: readonly BurnSample[]): MissingVm[] {
   const distinct = new Map<string, MissingVm>();
-  for (const missing of gatherings.flatMap(({ missing }) => missing)) {
+  for (const missing of samples.flatMap(({ missing }) => missing)) {
     distinct.set(JSON.stringify(missing), missing);
   }
   return [...distinct.values()].sort((left, right) =>
--- a/src/tool/burn/burn_html.ts
+++ b/src/tool/burn/burn_html.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { formatDuration, formatShare } from "../table.ts";
-import { BLAME_DIMENSIONS } from "./burn_causes.ts";
+import { CAUSE_DIMENSIONS } from "./burn_causes.ts";
 import {
   type BurnNote,
   formatRowName,
@@ -13,7 +13,7 @@
   listFindings,
   listLimits,
 } from "./burn_notes.ts";
-import { renderBlame, renderTimeline } from "./burn_plots.ts";
+import { renderBreakdown, renderTimeline } from "./burn_plots.ts";
 import type { BurnReport } from "./burn_report.ts";
 import type { BurnRow } from "./burn_rows.ts";
 import { BURN_RULES, type WindowBurn } from "./burn_rules.ts";
@@ -58,7 +58,7 @@
 
 function renderSources(report: BurnReport): string {
   return report.isFolded
-    ? `Folded from ${report.gatherings} reports of ${report.vms.length} VM ` +
+    ? `Folded from ${report.samples} reports of ${report.vms.length} VM ` +
       `lives and ${report.logRequests} requests of logs.`
     : `Figures of ${report.vms.length} VMs.`;
 }
@@ -231,10 +231,10 @@
   const causes = report.causes.filter((cause) => cause[span] > 0);
   if (causes.length === 0) return "";
   const title = report.isFolded ? "all that is held" : "the last hour";
-  const cards = BLAME_DIMENSIONS.filter((dimension) => dimension !== "result")
+  const cards = CAUSE_DIMENSIONS.filter((dimension) => dimension !== "result")
     .map((dimension) =>
       `<section class="card"><h3>By ${dimension}</h3>
-${renderBlame(report.blame[dimension], span)}</section>`
+${renderBreakdown(report.breakdown[dimension], span)}</section>`
     );
   return `<h2>Why, in ${title}</h2>
 ${renderLegend(false)}
--- a/src/tool/burn/burn_json.ts
+++ b/src/tool/burn/burn_json.ts
@@ -24,7 +24,7 @@
       short_vms: window.shortVms,
     })),
     rows: report.rows.map(toJsonRow),
-    blame: report.blame,
+    blame: report.breakdown,
     causes: report.causes.map((cause) => ({
       class: cause.className,
       workspace: cause.workspace,
--- a/src/tool/burn/burn_plots.ts
+++ b/src/tool/burn/burn_plots.ts
@@ -7,7 +7,7 @@
 import * as Plot from "@observablehq/plot";
 import { parseHTML } from "linkedom";
 import type { BurnCause } from "../../process/burn_stats.ts";
-import type { BlameShare } from "./burn_causes.ts";
+import type { CauseShare } from "./burn_causes.ts";
 import type { BurnRow, TimelinePoint } from "./burn_rows.ts";
 import { BURN_RULES, computeCounted } from "./burn_rules.ts";
 import { toPlainText } from "./clean_text.ts";
@@ -107,8 +107,8 @@
 }
 
 /** Draws what is bad by one property, the worst on top. */
-export function renderBlame(
-  found: readonly BlameShare[],
+export function renderBreakdown(
+  found: readonly CauseShare[],
   span: "lastHour" | "total",
 ): string {
   const shares = found.filter((share) => share[span] > 0)
@@ -143,9 +143,9 @@
         }),
       ),
       Plot.text(shares, {
-        x: (share: BlameShare) => share[span],
-        y: (_: BlameShare, index: number) => labels[index]!,
-        text: (share: BlameShare) => String(share[span]),
+        x: (share: CauseShare) => share[span],
+        y: (_: CauseShare, index: number) => labels[index]!,
+        text: (share: CauseShare) => String(share[span]),
         textAnchor: "start",
         dx: 4,
       }),
@@ -199,7 +199,7 @@
 }
 
 /** Two long names may be cut to the same label; a bar each needs its own. */
-function listLabels(shares: readonly BlameShare[]): string[] {
+function listLabels(shares: readonly CauseShare[]): string[] {
   const labels: string[] = [];
   for (const { value } of shares) {
     const text = toPlainText(value) || "(none)";
--- a/src/tool/burn/burn_report.ts
+++ b/src/tool/burn/burn_report.ts
@@ -5,9 +5,9 @@
  */
 import type { BurnFold } from "./burn_fold.ts";
 import {
-  type BlameDimension,
-  type BlameShare,
-  computeBlame,
+  type CauseDimension,
+  type CauseShare,
+  computeCauseShares,
   listCauses,
   type RankedCause,
 } from "./burn_causes.ts";
@@ -34,7 +34,7 @@
 export interface BurnReport {
   atMs: number;
   isFolded: boolean;
-  gatherings: number;
+  samples: number;
   logRequests: number;
   coveredLogRequests: number;
   vms: VmPart[];
@@ -44,14 +44,14 @@
   rows: BurnRow[];
   /** The worst first. */
   causes: RankedCause[];
-  blame: Record<BlameDimension, BlameShare[]>;
+  breakdown: Record<CauseDimension, CauseShare[]>;
 }
 
 /** Computes the report. */
 export function computeReport(fold: BurnFold): BurnReport {
   const windows = listWindows(fold);
   const entries = fold.series.entries;
-  const isFolded = fold.gatherings !== 1 || fold.logRequests > 0;
+  const isFolded = fold.samples !== 1 || fold.logRequests > 0;
   const causes = listCauses(entries, {
     objectives: fold.objectives,
     isFolded,
@@ -59,7 +59,7 @@
   return {
     atMs: fold.atMs,
     isFolded,
-    gatherings: fold.gatherings,
+    samples: fold.samples,
     logRequests: fold.logRequests,
     coveredLogRequests: fold.coveredLogRequests,
     vms: fold.sources.map(({ vm, incarnation, series }) => ({
@@ -74,12 +74,12 @@
       .map((group) => computeRow(group, windows))
       .sort(compareRows),
     causes,
-    blame: {
-      result: computeBlame(causes, "result"),
-      tier: computeBlame(causes, "tier"),
-      step: computeBlame(causes, "step"),
-      pool: computeBlame(causes, "pool"),
-      upstream: computeBlame(causes, "upstream"),
+    breakdown: {
+      result: computeCauseShares(causes, "result"),
+      tier: computeCauseShares(causes, "tier"),
+      step: computeCauseShares(causes, "step"),
+      pool: computeCauseShares(causes, "pool"),
+      upstream: computeCauseShares(causes, "upstream"),
     },
   };
 }
--- a/src/tool/burn/burn_sources.ts
+++ b/src/tool/burn/burn_sources.ts
@@ -1,6 +1,6 @@
 /**
  * What a burn report is made of: the figures of VMs, each with the life of the
- * process that they come from, and how two gatherings of one life are joined.
+ * process that they come from, and how two samples of one life are joined.
  *
  * @module
  */
@@ -31,7 +31,7 @@
 export interface BurnSource {
   vm: string;
   incarnation: string;
-  /** Calendar time of the gathering, by the clock of the tool's machine. */
+  /** Calendar time of the sample, by the clock of the tool's machine. */
   gatheredAtMs: number;
   series: BurnSeries;
   /** What the figures cover, before `gatheredAtMs`. */
@@ -55,7 +55,7 @@
 }
 
 /** The figures of one moment. */
-export interface BurnGathering {
+export interface BurnSample {
   gatheredAtMs: number;
   sources: BurnSource[];
   missing: MissingVm[];
@@ -75,10 +75,10 @@
 }
 
 /**
- * Joins gatherings of the same incarnation. The counts of a bucket only grow
+ * Joins samples of the same incarnation. The counts of a bucket only grow
  * during a process's life, so the larger of two counts of the same bucket holds
  * all that the smaller does: nothing is counted twice, in whatever order and
- * however often sources are joined. Histograms are the newest gathering's alone,
+ * however often sources are joined. Histograms are the newest sample's alone,
  * since two of them cannot be told apart by time.
  */
 export function mergeLife(sources: readonly BurnSource[]): BurnSource {
@@ -157,7 +157,7 @@
   return buildBuckets(buckets.widthMs, byAgo);
 }
 
-/** How much older one gathering of a life is than another. */
+/** How much older one sample of a life is than another. */
 interface LifeShift {
   exactMs: number;
   fineSlots: number;
@@ -182,7 +182,7 @@
 /**
  * Slots start at multiples of their width on the VM's own clock, so the time
  * that a slot began, counted in the process's life, is the same in every
- * gathering. Calendar time would not do: the clocks of two machines that save
+ * sample. Calendar time would not do: the clocks of two machines that save
  * reports may differ by more than a bucket.
  */
 function computeLifeShift(newest: BurnSource, older: BurnSource): LifeShift {
@@ -272,7 +272,7 @@
       const { result, step, pool, upstream } = cause;
       const key = JSON.stringify([result, step, pool, upstream]);
       const known = joined.get(key);
-      // The last hour of an older gathering is not that of the newest.
+      // The last hour of an older sample is not that of the newest.
       const lastHour = isNewest ? cause.lastHour : known?.lastHour ?? 0;
       const examples = new Set([...known?.examples ?? [], ...cause.examples]);
       joined.set(key, {
--- a/src/tool/burn/burn_terminal.ts
+++ b/src/tool/burn/burn_terminal.ts
@@ -5,7 +5,7 @@
  */
 import type { BurnCounts } from "../../process/burn_stats.ts";
 import { formatDuration, formatShare, renderTable } from "../table.ts";
-import { BLAME_DIMENSIONS, type BlameShare } from "./burn_causes.ts";
+import { CAUSE_DIMENSIONS, type CauseShare } from "./burn_causes.ts";
 import { toPlainText } from "./clean_text.ts";
 import { formatWorkspace, listFindings, listLimits } from "./burn_notes.ts";
 import type { BurnReport } from "./burn_report.ts";
@@ -57,7 +57,7 @@
     renderHead(report, paint),
     renderRows(report, paint),
     renderFindings(report, paint),
-    renderBlame(report, paint),
+    renderBreakdown(report, paint),
     renderCauses(report, paint),
   ];
   return sections.filter((section) => section !== "").join("\n");
@@ -70,7 +70,7 @@
   const lines = [paint(`Service-level burn at ${when}`, "head")];
   lines.push(
     report.isFolded
-      ? `Folded: ${report.gatherings} reports of ${report.vms.length} VM ` +
+      ? `Folded: ${report.samples} reports of ${report.vms.length} VM ` +
         `lives, and ${report.logRequests} requests from logs`
       : `Figures of ${report.vms.length} VMs`,
   );
@@ -136,14 +136,16 @@
   );
 }
 
-function renderBlame(report: BurnReport, paint: Paint): string {
+function renderBreakdown(report: BurnReport, paint: Paint): string {
   if (report.causes.length === 0) return "";
   const span = report.isFolded ? "all that is held" : "the last hour";
-  const count = (share: BlameShare) =>
+  const count = (share: CauseShare) =>
     report.isFolded ? share.total : share.lastHour;
   const lines = [paint(`Where the budgets went in ${span}`, "head")];
-  for (const dimension of BLAME_DIMENSIONS) {
-    const shares = report.blame[dimension].filter((share) => count(share) > 0)
+  for (const dimension of CAUSE_DIMENSIONS) {
+    const shares = report.breakdown[dimension].filter((share) =>
+      count(share) > 0
+    )
       .toSorted((left, right) => count(right) - count(left));
     const sum = shares.reduce((total, share) => total + count(share), 0);
     const rows = shares.slice(0, SHOWN_SHARES).map((share, index) => [
--- a/src/tool/burn_command.ts
+++ b/src/tool/burn_command.ts
@@ -8,11 +8,11 @@
 import type { Snapshot } from "../version/index.ts";
 import {
   buildJson,
-  type BurnGathering,
+  type BurnSample,
   type ClassObjective,
   computeReport,
   convertAnswer,
-  mergeGatherings,
+  mergeSamples,
   readFoldFiles,
   renderText,
 } from "./burn/index.ts";
@@ -39,10 +39,10 @@
   options: BurnOptions,
 ): Promise<ToolResult> {
   const { records } = options;
-  const { gatherings, logged } = options.fold.length > 0
+  const { samples, logged } = options.fold.length > 0
     ? await readFoldFiles(options.fold)
-    : { gatherings: [await fetchGathering(context, options)], logged: [] };
-  const merged = mergeGatherings(gatherings, logged);
+    : { samples: [await fetchSample(context, options)], logged: [] };
+  const merged = mergeSamples(samples, logged);
   const fold = merged.objectives.length === 0 && records !== undefined
     ? { ...merged, objectives: listObjectives(records) }
     : merged;
@@ -59,10 +59,10 @@
   };
 }
 
-async function fetchGathering(
+async function fetchSample(
   context: ToolContext,
   options: BurnOptions,
-): Promise<BurnGathering> {
+): Promise<BurnSample> {
   const answer = await options.client().fetch("/v1/burn", BURN_ANSWER);
   return convertAnswer(answer, context.clock.wallTime());
 }
--- a/test/tool/burn/burn_command_test.ts
+++ b/test/tool/burn/burn_command_test.ts
@@ -126,6 +126,15 @@
     });
   });
 
+  // Scripts read reports by this key: it stays, whatever the code calls it.
+  test("sums the causes by each property under the key blame", async () => {
+    const { output } = await runWords([...await startBurn(), "--json"]);
+    const { blame } = JSON.parse(output);
+    expect(Object.keys(blame))
+      .toEqual(["result", "tier", "step", "pool", "upstream"]);
+    expect(blame.result[0]).toMatchObject({ value: "late", total: 10 });
+  });
+
   test("takes objectives from records where the VM sends none", async () => {
     const words = await startBurn({ objectives: [] });
     const without = JSON.parse((await runWords([...words, "--json"])).output);
--- a/test/tool/burn/burn_fold_test.ts
+++ b/test/tool/burn/burn_fold_test.ts
@@ -7,7 +7,7 @@
 } from "../../../src/process/burn_stats.ts";
 import {
   type BurnFold,
-  mergeGatherings,
+  mergeSamples,
 } from "../../../src/tool/burn/burn_fold.ts";
 import {
   buildSavedReport,
@@ -16,7 +16,7 @@
 import type { LogRequest } from "../../../src/tool/burn/burn_logs.ts";
 import {
   buildSpans,
-  type BurnGathering,
+  type BurnSample,
   computeHeld,
 } from "../../../src/tool/burn/burn_sources.ts";
 import { EXAMPLE_CLASSES, ExampleVm } from "../../support/burn_examples.ts";
@@ -26,10 +26,10 @@
 const DAY_MS = 24 * HOUR_MS;
 const EPOCH_MS = Date.UTC(2030, 0, 1);
 
-function collectGathering(
+function collectSample(
   vms: readonly ExampleVm[],
   atMs: number,
-): BurnGathering {
+): BurnSample {
   return {
     gatheredAtMs: EPOCH_MS + atMs,
     sources: vms.map((vm) => {
@@ -68,7 +68,7 @@
 async function collectHistory(
   seed: number,
   steps: readonly number[],
-): Promise<{ vms: ExampleVm[]; gatherings: BurnGathering[] }> {
+): Promise<{ vms: ExampleVm[]; samples: BurnSample[] }> {
   const lasting = ExampleVm.create({ vm: "a", incarnation: "a1", seed });
   const first = ExampleVm.create({
     vm: "b",
@@ -80,7 +80,7 @@
     incarnation: "b2",
     seed: seed + 2,
   });
-  const gatherings: BurnGathering[] = [];
+  const samples: BurnSample[] = [];
   let minutes = 0;
   for (const [index, step] of steps.entries()) {
     const running = [lasting, index < steps.length / 2 ? first : second];
@@ -88,9 +88,9 @@
       await vm.runMinutes(step, { classes: LIGHT_CLASSES });
     }
     minutes += step;
-    gatherings.push(collectGathering(running, minutes * MINUTE_MS));
+    samples.push(collectSample(running, minutes * MINUTE_MS));
   }
-  return { vms: [lasting, first, second], gatherings };
+  return { vms: [lasting, first, second], samples };
 }
 
 /** Few requests, so that hours of many histories take little time. */
@@ -102,7 +102,7 @@
 });
 const RUNS = { seed: 11, numRuns: 15 };
 
-describe("mergeGatherings", () => {
+describe("mergeSamples", () => {
   test("counts each request once, whatever was saved how often", async () => {
     await fc.assert(
       fc.asyncProperty(
@@ -110,13 +110,13 @@
         STEPS,
         fc.infiniteStream(fc.nat()),
         async (seed, steps, picks) => {
-          const { vms, gatherings } = await collectHistory(seed, steps);
-          const repeated = [...gatherings];
+          const { vms, samples } = await collectHistory(seed, steps);
+          const repeated = [...samples];
           for (let count = 0; count < 3; count++) {
             const pick: number = picks.next().value!;
-            repeated.push(gatherings[pick % gatherings.length]!);
+            repeated.push(samples[pick % samples.length]!);
           }
-          const fold = mergeGatherings(repeated);
+          const fold = mergeSamples(repeated);
           expect(countAll(fold, 30 * DAY_MS)).toEqual(countServed(vms));
         },
       ),
@@ -131,13 +131,13 @@
         STEPS,
         fc.infiniteStream(fc.nat()),
         async (seed, steps, picks) => {
-          const { gatherings } = await collectHistory(seed, steps);
-          const shuffled = gatherings
-            .map((gathering) => ({ gathering, key: picks.next().value! }))
+          const { samples } = await collectHistory(seed, steps);
+          const shuffled = samples
+            .map((sample) => ({ sample, key: picks.next().value! }))
             .sort((left, right) => left.key - right.key)
-            .map(({ gathering }) => gathering);
-          expect(mergeGatherings(shuffled)).toEqual(
-            mergeGatherings(gatherings),
+            .map(({ sample }) => sample);
+          expect(mergeSamples(shuffled)).toEqual(
+            mergeSamples(samples),
           );
         },
       ),
@@ -151,14 +151,14 @@
         fc.integer({ min: 0, max: 1_000 }),
         STEPS,
         async (seed, steps) => {
-          const { gatherings } = await collectHistory(seed, steps);
-          const early = mergeGatherings(gatherings.slice(0, -1));
+          const { samples } = await collectHistory(seed, steps);
+          const early = mergeSamples(samples.slice(0, -1));
           const text = JSON.stringify(buildSavedReport(early));
-          const onward = mergeGatherings([
+          const onward = mergeSamples([
             parseSavedReport(text, "early"),
-            gatherings.at(-1)!,
+            samples.at(-1)!,
           ]);
-          const atOnce = mergeGatherings(gatherings);
+          const atOnce = mergeSamples(samples);
           expect(onward.series).toEqual(atOnce.series);
           expect(onward.spansByVm).toEqual(atOnce.spansByVm);
         },
@@ -173,13 +173,13 @@
   test("counts once though the machines that saved disagree", async () => {
     const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 5 });
     await vm.runMinutes(33);
-    const early = collectGathering([vm], 40 * MINUTE_MS);
+    const early = collectSample([vm], 40 * MINUTE_MS);
     await vm.runMinutes(31);
-    const late = collectGathering([vm], 64 * MINUTE_MS);
-    const fold = mergeGatherings([early, late]);
+    const late = collectSample([vm], 64 * MINUTE_MS);
+    const fold = mergeSamples([early, late]);
     expect(countAll(fold, DAY_MS)).toEqual(countServed([vm]));
     expect(countAll(fold, HOUR_MS))
-      .toEqual(countAll(mergeGatherings([late]), HOUR_MS));
+      .toEqual(countAll(mergeSamples([late]), HOUR_MS));
   });
 
   // Symptom: what a VM served last week is gone from a fold of last week's and
@@ -188,11 +188,11 @@
   test("keeps what a VM has given up since", async () => {
     const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 6 });
     await vm.runMinutes(60);
-    const early = collectGathering([vm], HOUR_MS);
+    const early = collectSample([vm], HOUR_MS);
     await vm.clock.run(4 * DAY_MS);
     await vm.runMinutes(60);
-    const late = collectGathering([vm], 2 * HOUR_MS + 4 * DAY_MS);
-    const fold = mergeGatherings([late, early]);
+    const late = collectSample([vm], 2 * HOUR_MS + 4 * DAY_MS);
+    const fold = mergeSamples([late, early]);
     expect(countAll(fold, 30 * DAY_MS)).toEqual(countServed([vm]));
     const held = computeHeld(fold.spansByVm.get("a")!, 30 * DAY_MS);
     expect(held).toBeLessThanOrEqual(3 * DAY_MS + HOUR_MS);
@@ -200,7 +200,7 @@
   });
 });
 
-describe("mergeGatherings with logs", () => {
+describe("mergeSamples with logs", () => {
   function toLogged(
     vm: ExampleVm,
     startedMs: number,
@@ -228,13 +228,13 @@
     const lasting = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
     for (const vm of [gone, lasting]) await vm.runMinutes(45);
     const logged = [gone, lasting].flatMap((vm) => toLogged(vm, 0));
-    const gathering = collectGathering([lasting], 45 * MINUTE_MS);
-    const fold = mergeGatherings([gathering], [...logged, ...logged]);
+    const sample = collectSample([lasting], 45 * MINUTE_MS);
+    const fold = mergeSamples([sample], [...logged, ...logged]);
     expect(countAll(fold, DAY_MS)).toEqual(countServed([gone, lasting]));
     expect(fold.logRequests).toBe(gone.served.length);
     expect(fold.coveredLogRequests).toBe(lasting.served.length);
-    expect(mergeGatherings([gathering], logged.toReversed()))
-      .toEqual(mergeGatherings([gathering], logged));
+    expect(mergeSamples([sample], logged.toReversed()))
+      .toEqual(mergeSamples([sample], logged));
   });
 
   test("takes the newest of two lines of one request, in any order", () => {
@@ -257,7 +257,7 @@
     };
     const newer = { ...line, atMs: EPOCH_MS + 1, result: "met" as const };
     for (const logged of [[line, newer], [newer, line]]) {
-      expect(countAll(mergeGatherings([], logged), DAY_MS))
+      expect(countAll(mergeSamples([], logged), DAY_MS))
         .toEqual({ ...createCounts(), met: 1 });
     }
   });
@@ -265,10 +265,10 @@
   test("takes from logs what came after the last report", async () => {
     const vm = ExampleVm.create({ vm: "a", incarnation: "a1", seed: 1 });
     await vm.runMinutes(30);
-    const gathering = collectGathering([vm], 30 * MINUTE_MS);
+    const sample = collectSample([vm], 30 * MINUTE_MS);
     const before = vm.served.length;
     await vm.runMinutes(15);
-    const fold = mergeGatherings([gathering], toLogged(vm, 0));
+    const fold = mergeSamples([sample], toLogged(vm, 0));
     expect(countAll(fold, DAY_MS)).toEqual(countServed([vm]));
     expect(fold.logRequests).toBe(vm.served.length - before);
   });
--- a/test/tool/burn/burn_render_test.ts
+++ b/test/tool/burn/burn_render_test.ts
@@ -1,7 +1,7 @@
 import { parseHTML } from "linkedom";
 import { describe, expect, test } from "vitest";
 import { toId } from "../../../src/ids.ts";
-import { mergeGatherings } from "../../../src/tool/burn/burn_fold.ts";
+import { mergeSamples } from "../../../src/tool/burn/burn_fold.ts";
 import { renderPage } from "../../../src/tool/burn/burn_html.ts";
 import {
   type BurnReport,
@@ -33,7 +33,7 @@
   });
   const series = vm.collect();
   const gatheredAtMs = Date.UTC(2030, 0, 1);
-  return computeReport(mergeGatherings([{
+  return computeReport(mergeSamples([{
     gatheredAtMs,
     sources: [{
       vm: HOSTILE,
--- a/test/tool/burn/burn_report_test.ts
+++ b/test/tool/burn/burn_report_test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from "vitest";
 import { toId } from "../../../src/ids.ts";
 import type { BurnResult } from "../../../src/process/burn_stats.ts";
-import { mergeGatherings } from "../../../src/tool/burn/burn_fold.ts";
+import { mergeSamples } from "../../../src/tool/burn/burn_fold.ts";
 import { listLimits } from "../../../src/tool/burn/burn_notes.ts";
 import {
   type BurnReport,
@@ -62,7 +62,7 @@
   missing: { vm: string; why: string }[] = [],
 ): BurnReport {
   const gatheredAtMs = Date.UTC(2030, 0, 1);
-  return computeReport(mergeGatherings([{
+  return computeReport(mergeSamples([{
     gatheredAtMs,
     sources: vms.map((vm) => {
       const series = vm.collect();
@@ -216,7 +216,7 @@
     expect(old.windows[0]).toMatchObject({ bad: 1, burnRate: undefined });
   });
 
-  test("sums VMs and blames by each property", () => {
+  test("sums VMs and breaks the causes down by each property", () => {
     const [first, second] = [createVm("entry-1"), createVm("entry-2")];
     recordMany(first, { result: "late", count: 3, upstream: "engine-1" });
     recordMany(second, { result: "late", count: 2, upstream: "engine-1" });
@@ -225,7 +225,9 @@
     expect(report.rows[0]!.windows[0]!.counts)
       .toMatchObject({ late: 5, refused: 4 });
     const list = (dimension: "upstream" | "tier" | "result") =>
-      report.blame[dimension].map(({ value, lastHour }) => [value, lastHour]);
+      report.breakdown[dimension].map((
+        { value, lastHour },
+      ) => [value, lastHour]);
     expect(list("upstream")).toEqual([["engine-1", 5], ["engine-2", 4]]);
     expect(list("result")).toEqual([["late", 5], ["refused", 4]]);
     expect(list("tier")).toEqual([["interactive", 9]]);
