--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -41,6 +41,12 @@
   | { kind: "refused"; refusal: Refusal }
   | { kind: "cancelled" };
 
+/** What targets are held against, in milliseconds. */
+type RunTimes = Pick<
+  FinishedRequest,
+  "firstTokenMs" | "betweenTokensMs" | "totalMs"
+>;
+
 /** One admitted request, from its claim to its end. */
 export class RequestRun {
   readonly services: RequestServices;
@@ -144,7 +150,7 @@
   end(end: RunEnd): void {
     if (this.#ended) return;
     this.#ended = true;
-    const { claims, fates, environment } = this.services;
+    const { claims, fates } = this.services;
     const outcome = end.kind === "answered" ? "answered" : this.getOutcome();
     const code = match(end)
       .with({ kind: "answered" }, () => undefined)
@@ -163,14 +169,21 @@
     claims.settleRun(this.id, outcome);
     const figures = this.#buildFigures(end, lastPhase);
     if (isCounted(end)) this.services.metrics.noteFinished(figures);
+    this.#writeFinished(figures, { outcome, code });
+  }
+
+  #writeFinished(
+    figures: FinishedRequest,
+    end: { outcome: FateRecord["outcome"]; code: FateRecord["code"] },
+  ): void {
+    const { environment } = this.services;
     environment.log.info("request_finished", {
       request_id: this.id,
       vm: environment.vm,
       incarnation: environment.incarnation,
       workspace: figures.workspace,
       class: figures.className,
-      outcome,
-      code,
+      ...end,
       result: figures.result,
       step: figures.step,
       pool: figures.pool,
@@ -188,35 +201,16 @@
       ? undefined
       : this.#firstTokenAt - arrivedAt;
     const betweenTokensMs = this.#computeBetweenTokens();
-    const totalMs = now - arrivedAt;
-    const result = match(end)
-      .with(
-        { kind: "answered" },
-        () =>
-          this.#isMet({ firstTokenMs, betweenTokensMs, totalMs })
-            ? "met" as const
-            : "late" as const,
-      )
-      .with({ kind: "cancelled" }, () => "cancelled" as const)
-      .with(
-        { kind: "refused" },
-        () =>
-          this.getOutcome() === "not_run"
-            ? "refused" as const
-            : "lost" as const,
-      )
-      .exhaustive();
+    const times = { firstTokenMs, betweenTokensMs, totalMs: now - arrivedAt };
     return {
       requestId: this.id,
       workspace: this.start.workspace.name,
       className: this.start.requestClass.name,
       pool: this.pool?.name,
       upstream: this.upstream,
-      result,
+      result: this.#computeResult(end, times),
       step: end.kind === "refused" ? lastPhase : this.#phases.slowest,
-      firstTokenMs,
-      betweenTokensMs,
-      totalMs,
+      ...times,
       tokens: this.tokens,
       wastedTokens: this.wastedTokens,
     };
@@ -227,12 +221,20 @@
     return (this.#lastTokenAt! - this.#firstTokenAt) / (this.tokens - 1);
   }
 
-  #isMet(
-    times: Pick<
-      FinishedRequest,
-      "firstTokenMs" | "betweenTokensMs" | "totalMs"
-    >,
-  ): boolean {
+  /** How the end counts against the class's objective. */
+  #computeResult(end: RunEnd, times: RunTimes): FinishedRequest["result"] {
+    return match(end)
+      .returnType<FinishedRequest["result"]>()
+      .with({ kind: "answered" }, () => this.#isMet(times) ? "met" : "late")
+      .with({ kind: "cancelled" }, () => "cancelled")
+      .with(
+        { kind: "refused" },
+        () => this.getOutcome() === "not_run" ? "refused" : "lost",
+      )
+      .exhaustive();
+  }
+
+  #isMet(times: RunTimes): boolean {
     const targets = this.start.requestClass.targets;
     return (times.firstTokenMs ?? 0) <= targets.firstTokenMs &&
       (times.betweenTokensMs ?? 0) <= targets.betweenTokensMs &&
