Refuse truthfully where the limit's owner is silent or an id was taken

Causes: with no answering owner and its share used up, a VM said that the workspace was over its limit, which only the owner knows; it says now that the owner does not answer. The callers' listener said not_run of a taken id whose body it refused, though an earlier submission may have run: the router's rule stands in a module of its own and serves both.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { toError } from "../errors.ts";
-import type { RequestId } from "../ids.ts";
+import { type RequestId, toId } from "../ids.ts";
 import type { Refusal } from "../outcome.ts";
 import { RefusalError } from "../outcome.ts";
 import type { Clock } from "../process/clock.ts";
@@ -14,6 +14,8 @@
   CallerHandler,
   CallerRequest,
 } from "../request/caller_request.ts";
+import { REQUEST_ID_HEADER } from "../request/caller_request.ts";
+import { toTrueRefusal } from "../request/refusal_truth.ts";
 import { HttpListener } from "./http_listener.ts";
 import type { ServerLimits } from "./http_server.ts";
 import { HttpSink } from "./http_sink.ts";
@@ -87,17 +89,27 @@
       await handler.handle(request, sink);
       if (!sink.isClosed) throw new Error("Handler did not end its answer");
     } catch (thrown) {
-      await this.#refuse(thrown, { sink, isHandled });
+      await this.#refuse(thrown, { incoming, sink, isHandled });
     }
   }
 
   async #refuse(
     thrown: unknown,
-    exchange: { sink: HttpSink; isHandled: boolean },
+    exchange: {
+      incoming: IncomingMessage;
+      sink: HttpSink;
+      isHandled: boolean;
+    },
   ): Promise<void> {
-    const refusal = this.#toRefusal(thrown, exchange.isHandled);
+    const givenId = toSingleHeaders(exchange.incoming)[REQUEST_ID_HEADER];
+    const refusal = toTrueRefusal(
+      this.#toRefusal(thrown, exchange.isHandled),
+      givenId,
+    );
     const options = {
-      requestId: this.#options.issueId?.(),
+      requestId: givenId === undefined
+        ? this.#options.issueId?.()
+        : toId<RequestId>(givenId),
       ...(thrown instanceof SlowBodyError
         ? { status: SLOW_BODY_STATUS, headers: { connection: "close" } }
         : {}),
@@ -151,7 +163,7 @@
 }
 
 function buildIdHeader(id: RequestId | undefined): Record<string, string> {
-  return id === undefined ? {} : { "x-request-id": id };
+  return id === undefined ? {} : { [REQUEST_ID_HEADER]: id };
 }
 
 function toSingleHeaders(incoming: IncomingMessage): Record<string, string> {
--- a/src/process/limits/limit_refusals.ts
+++ b/src/process/limits/limit_refusals.ts
@@ -32,3 +32,21 @@
     retryAfterMs: Math.ceil(waitMs),
   });
 }
+
+/**
+ * The refusal of a request that found no answering owner and this VM's share
+ * used up. The workspace may well be within its limit, so nothing else is said.
+ */
+export function buildShareRefusal(
+  workspace: Workspace,
+  waitMs: number,
+): RefusalError {
+  return new RefusalError({
+    code: "owner_unreachable",
+    message:
+      `The VM that keeps the limit of workspace ${workspace.name} does ` +
+      "not answer, and this VM's own share of the limit is used up",
+    outcome: "not_run",
+    retryAfterMs: Math.ceil(waitMs),
+  });
+}
--- a/src/process/limits/local_limit.ts
+++ b/src/process/limits/local_limit.ts
@@ -10,7 +10,7 @@
   type LimitAmount,
   LimitBucket,
 } from "./limit_bucket.ts";
-import { buildLimitRefusal } from "./limit_refusals.ts";
+import { buildShareRefusal } from "./limit_refusals.ts";
 
 /** What a local limit needs. */
 export interface LocalLimitOptions {
@@ -40,7 +40,7 @@
     this.#bucket ??= LimitBucket.create(now);
     this.#bucket.update(now, rate);
     const waitMs = this.#bucket.computeWaitMs(amount, rate);
-    if (waitMs > 0) throw buildLimitRefusal(workspace, waitMs);
+    if (waitMs > 0) throw buildShareRefusal(workspace, waitMs);
     this.#bucket.take(amount);
     this.#debtUntil = now + this.#bucket.computeWaitMs(amount, rate);
   }
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -5,6 +5,9 @@
  */
 import type { CallerSink } from "./caller_sink.ts";
 
+/** Names an id taken beforehand, and in answers the request's id. */
+export const REQUEST_ID_HEADER = "x-request-id";
+
 /** One request from a caller, read whole. */
 export interface CallerRequest {
   method: string;
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -10,7 +10,7 @@
 import { type Refusal, RefusalError } from "../outcome.ts";
 import { parseRequestId } from "../process/request_ids.ts";
 import type { RequestClass, Snapshot, Workspace } from "../version/records.ts";
-import type { CallerRequest } from "./caller_request.ts";
+import { type CallerRequest, REQUEST_ID_HEADER } from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
 import type { RequestServices } from "./request_services.ts";
 import { RequestRun } from "./request_run.ts";
@@ -19,7 +19,6 @@
 import type { UpstreamWork } from "./upstream_work.ts";
 
 /** Carries an id that the caller took from `POST /v1/requests`. */
-export const REQUEST_ID_HEADER = "x-request-id";
 
 /** Nobody else can run an id that goes with this submission alone. */
 const OWN_CLAIM = { kind: "granted" as const, isStanding: () => true };
--- a/src/request/router.ts
+++ b/src/request/router.ts
@@ -8,16 +8,19 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
-import { parseRequestId } from "../process/request_ids.ts";
 import { ID_TTL_MS } from "../process/run_claims.ts";
 import type { Snapshot } from "../version/records.ts";
 import { checkCaller } from "./authenticate.ts";
-import { CallerHandler, type CallerRequest } from "./caller_request.ts";
+import {
+  CallerHandler,
+  type CallerRequest,
+  REQUEST_ID_HEADER,
+} from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
 import { runCompletion } from "./completion_task.ts";
 import { buildFatePage } from "./fate_page.ts";
+import { toTrueRefusal } from "./refusal_truth.ts";
 import type { RequestServices } from "./request_services.ts";
-import { REQUEST_ID_HEADER } from "./request_task.ts";
 import { parseRoute, type Route } from "./routes.ts";
 import { runService } from "./service_task.ts";
 
@@ -157,7 +160,10 @@
   #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
     const { log } = this.#services.environment;
     if (thrown instanceof RefusalError) {
-      const refusal = toTruth(thrown.refusal, request);
+      const refusal = toTrueRefusal(
+        thrown.refusal,
+        request.headers[REQUEST_ID_HEADER],
+      );
       const { code, outcome, message } = refusal;
       log.info("request_refused", {
         request_id: request.headers[REQUEST_ID_HEADER],
@@ -177,19 +183,3 @@
     };
   }
 }
-
-/**
- * What goes wrong without it: a caller that resubmits a request which ran, to
- * a VM without a configuration, would read "not run", because this submission
- * reached no upstream. Of an id that was not asked about, nothing is known;
- * `already_submitted` is what its issuer said.
- */
-function toTruth(refusal: Refusal, request: CallerRequest): Refusal {
-  const given = request.headers[REQUEST_ID_HEADER];
-  const isAsked = refusal.code === "already_submitted";
-  if (refusal.outcome !== "not_run" || isAsked) return refusal;
-  if (given === undefined || parseRequestId(given) === undefined) {
-    return refusal;
-  }
-  return { ...refusal, outcome: "unknown" };
-}
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -12,11 +12,12 @@
   CallerListener,
   DEFAULT_CALLER_LIMITS,
 } from "../../src/connection/index.ts";
-import type { RequestId } from "../../src/ids.ts";
+import type { Incarnation, RequestId, VmId } from "../../src/ids.ts";
 import { toId } from "../../src/ids.ts";
 import { RefusalError } from "../../src/outcome.ts";
 import type { Clock } from "../../src/process/clock.ts";
 import { SystemClock } from "../../src/process/clock.ts";
+import { formatRequestId } from "../../src/process/request_ids.ts";
 import { SilentLog } from "../../src/process/log.ts";
 import type { CallerSink } from "../../src/request/caller_sink.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
@@ -147,6 +148,37 @@
     expect(text).not.toContain("Secret");
   });
 
+  // Symptom: a caller reads "not run" of work that ran.
+  // Sequence: it takes an id and submits it, and the work runs; it submits the
+  // id again with a body that is past the bound.
+  // Cause: the listener refuses before anybody asks about the id.
+  it("does not say not_run of a taken id that it refuses", async () => {
+    const listener = await startListener(answerEcho, {
+      limits: { maxBodyBytes: 1_000 },
+    });
+    const url = `http://${LOOPBACK}:${listener.port}/`;
+    const parts = {
+      vm: toId<VmId>("vm-a"),
+      incarnation: toId<Incarnation>("1"),
+      sequence: 1,
+      issuedAt: 1,
+      isSingle: false,
+    };
+    const id = formatRequestId(parts, "secret");
+    const send = async (headers: Record<string, string>) => {
+      const init = { method: "POST", body: CHUNK, headers };
+      const answer = await fetch(url, init);
+      const { error } = await answer.json() as {
+        error: { outcome: string };
+      };
+      return { answer, error };
+    };
+    const taken = await send({ "x-request-id": id });
+    expect(taken.error.outcome).toBe("unknown");
+    expect(taken.answer.headers.get("x-request-id")).toBe(id);
+    expect((await send({})).error.outcome).toBe("not_run");
+  });
+
   it("refuses a body past its bound, announced or not", async () => {
     const listener = await startListener(answerEcho, {
       limits: { maxBodyBytes: 1_000 },
--- a/test/process/limits/held_limit_test.ts
+++ b/test/process/limits/held_limit_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { buildWorkspace } from "../../../bench/support/limit_fleet.ts";
+import type { RefusalError } from "../../../src/outcome.ts";
 import { HeldLimit } from "../../../src/process/limits/held_limit.ts";
 import type { LimitAmount } from "../../../src/process/limits/limit_bucket.ts";
 import type { LimitAnswer } from "../../../src/process/peer_api.ts";
@@ -48,6 +49,30 @@
   expect(admitted.length).toBe(8);
 });
 
+// Symptom: a workspace far below its limit is told that it is over it.
+// Sequence: the limit's owner is lost; the first requests use the VM's share up
+// before the next owner answers.
+// Cause: the refusal of the share says what only the owner could know.
+test("does not call a workspace over its limit on a share's account", async () => {
+  const clock = VirtualClock.create();
+  const held = HeldLimit.create({
+    clock,
+    countEntryVms: () => 8,
+    fetchChunk: () => Promise.resolve(undefined),
+  });
+  const workspace = buildWorkspace("clinic", LIMITS);
+  const codes: string[] = [];
+  for (let count = 0; count < 20; count++) {
+    const outcome = held.admit(workspace, 10).catch((thrown: unknown) => {
+      codes.push((thrown as RefusalError).refusal.code);
+    });
+    await clock.run(1);
+    await outcome;
+  }
+  expect(codes.length).toBeGreaterThan(0);
+  expect(new Set(codes)).toEqual(new Set(["owner_unreachable"]));
+});
+
 // Symptom: a workspace went on for seconds on a chunk granted long ago.
 // Sequence: the answer to a call is held up on the way; it arrives when its
 // chunk is no longer counted by the owner.
