Write test records of fates and silent sinks once

A record of a running fate stood in two test files, and a sink that swallows an answer twice in one.

--- a/test/bench/oracle_test.ts
+++ b/test/bench/oracle_test.ts
@@ -65,6 +65,14 @@
   }
 }
 
+/** A sink for `sink`'s request that takes an answer and passes nothing on. */
+function buildSilentSink(sink: CallerSink): CallerSink {
+  const silent = new ChangedSink(sink, () => "");
+  silent.writeHead = () => {};
+  silent.end = () => Promise.resolve();
+  return silent;
+}
+
 /** The naive router with `wrap` around what it does for one request. */
 function buildBroken(
   wrap: (
@@ -107,10 +115,7 @@
     const figures = await runShort(
       "unloaded",
       buildBroken(async (router, [vm, request, sink]) => {
-        const silent = new ChangedSink(sink, () => "");
-        silent.writeHead = () => {};
-        silent.end = () => Promise.resolve();
-        await router.handle(vm, request, silent);
+        await router.handle(vm, request, buildSilentSink(sink));
         await router.handle(vm, request, sink);
       }),
     );
@@ -121,10 +126,7 @@
     const figures = await runShort(
       "unloaded",
       buildBroken(async (router, [vm, request, sink]) => {
-        const silent = new ChangedSink(sink, () => "");
-        silent.writeHead = () => {};
-        silent.end = () => Promise.resolve();
-        await router.handle(vm, request, silent);
+        await router.handle(vm, request, buildSilentSink(sink));
         sink.writeHead(503, {});
         const error = { code: "shed", outcome: "not_run" };
         await sink.write(Buffer.from(JSON.stringify({ error })));
--- a/test/failures/run_elsewhere_after_refusal_test.ts
+++ b/test/failures/run_elsewhere_after_refusal_test.ts
@@ -12,9 +12,9 @@
  * VM that issued the id knows who holds it since.
  */
 import { expect, it } from "vitest";
-import { type RequestId, toId } from "../../src/ids.ts";
-import type { FateRecord } from "../../src/request/fate.ts";
+import type { RequestId } from "../../src/ids.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { buildRunningRecord } from "../support/fate_examples.ts";
 import { FakePeers } from "../support/request_fakes.ts";
 import { RequestVm } from "../support/request_vm.ts";
 
@@ -75,7 +75,7 @@
 ): Promise<void> {
   const claim = await vm.claims.claimRun(id);
   expect(claim.kind).toBe("granted");
-  vm.fates.start(buildRecord(id));
+  vm.fates.start(buildRunningRecord(id));
   vm.fates.end(id, { outcome, code: undefined, tokens: 0 });
   vm.claims.settleRun(id, outcome);
   await clock.run(1);
@@ -85,19 +85,3 @@
   const { fate } = await vm.finder.findFate(id);
   return fate?.outcome;
 }
-
-function buildRecord(requestId: RequestId): FateRecord {
-  return {
-    requestId,
-    vm: toId("vm"),
-    workspace: undefined,
-    className: undefined,
-    arrivedAt: "",
-    configVersion: 1,
-    outcome: "running",
-    code: undefined,
-    steps: [],
-    droppedSteps: 0,
-    tokens: 0,
-  };
-}
--- a/test/process/request_stores_test.ts
+++ b/test/process/request_stores_test.ts
@@ -1,27 +1,16 @@
 import { describe, expect, it } from "vitest";
-import { type RequestId, toId, type VmId } from "../../src/ids.ts";
+import { type RequestId, toId } from "../../src/ids.ts";
 import { AnswerStore } from "../../src/process/answer_store.ts";
 import { FateStore } from "../../src/process/fate_store.ts";
 import { WindowRetryBudget } from "../../src/process/retry_budget.ts";
 import type { FateRecord } from "../../src/request/fate.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
+import { buildRunningRecord } from "../support/fate_examples.ts";
 
 const END = { outcome: "answered" as const, code: undefined, tokens: 3 };
 
 function buildRecord(id: string): FateRecord {
-  return {
-    requestId: toId<RequestId>(id),
-    vm: toId<VmId>("vm-a"),
-    workspace: undefined,
-    className: undefined,
-    arrivedAt: "",
-    configVersion: 1,
-    outcome: "running",
-    code: undefined,
-    steps: [],
-    droppedSteps: 0,
-    tokens: 0,
-  };
+  return buildRunningRecord(toId<RequestId>(id));
 }
 
 describe("the fate store", () => {
--- /dev/null
+++ b/test/support/fate_examples.ts
@@ -0,0 +1,24 @@
+/**
+ * Records of fates for tests.
+ *
+ * @module
+ */
+import { type RequestId, toId, type VmId } from "../../src/ids.ts";
+import type { FateRecord } from "../../src/request/fate.ts";
+
+/** The record of a request that runs and has taken no step yet. */
+export function buildRunningRecord(requestId: RequestId): FateRecord {
+  return {
+    requestId,
+    vm: toId<VmId>("vm-a"),
+    workspace: undefined,
+    className: undefined,
+    arrivedAt: "",
+    configVersion: 1,
+    outcome: "running",
+    code: undefined,
+    steps: [],
+    droppedSteps: 0,
+    tokens: 0,
+  };
+}
