--- a/src/tool/burn/burn_plots.ts
+++ b/src/tool/burn/burn_plots.ts
@@ -52,8 +52,6 @@
   const unit = pickUnit(spanMs);
   const budget = row.objective === undefined ? 1 : 1 - row.objective;
   const shown = points.filter(({ toAgoMs }) => toAgoMs < spanMs);
-  const bars = shown.flatMap((point) => listBars(point, { budget, unit }));
-  const empty = shown.filter(({ counts }) => computeCounted(counts) === 0);
   const top = computeTop(shown, budget);
   const thresholds = row.objective === undefined
     ? []
@@ -80,32 +78,45 @@
     },
     color: COLOURS,
     marks: [
-      Plot.rectY(empty, {
-        x1: (point: TimelinePoint) => -point.fromAgoMs / unit.ms,
-        x2: (point: TimelinePoint) => -point.toAgoMs / unit.ms,
-        y1: 0,
-        y2: top,
-        fill: EMPTY_COLOUR,
-        // Without it the seams between neighbours show as stripes.
-        shapeRendering: "crispEdges",
-      }),
-      Plot.rectY(
-        bars,
-        Plot.stackY({
-          x1: "from",
-          x2: "to",
-          y: "value",
-          fill: "result",
-          order: [...BAD_RESULTS],
-          insetLeft: 0.5,
-        }),
-      ),
+      buildEmptyMark(shown, { unit, top }),
+      buildBarMark(shown.flatMap((point) => listBars(point, { budget, unit }))),
       Plot.ruleY(thresholds, { stroke: PACE_COLOUR, strokeDasharray: "4 3" }),
       Plot.ruleY([0]),
     ],
   });
 }
 
+/** Shades the steps in which no request was counted. */
+function buildEmptyMark(
+  points: readonly TimelinePoint[],
+  { unit, top }: { unit: { ms: number }; top: number },
+): Plot.Markish {
+  const empty = points.filter(({ counts }) => computeCounted(counts) === 0);
+  return Plot.rectY(empty, {
+    x1: (point: TimelinePoint) => -point.fromAgoMs / unit.ms,
+    x2: (point: TimelinePoint) => -point.toAgoMs / unit.ms,
+    y1: 0,
+    y2: top,
+    fill: EMPTY_COLOUR,
+    // Without it the seams between neighbours show as stripes.
+    shapeRendering: "crispEdges",
+  });
+}
+
+function buildBarMark(bars: readonly TimelineBar[]): Plot.Markish {
+  return Plot.rectY(
+    bars,
+    Plot.stackY({
+      x1: "from",
+      x2: "to",
+      y: "value",
+      fill: "result",
+      order: [...BAD_RESULTS],
+      insetLeft: 0.5,
+    }),
+  );
+}
+
 /** Draws what is bad by one property, the worst on top. */
 export function renderBreakdown(
   found: readonly CauseShare[],
