Name the causes of an ejection, and correct two comments

findIllness was a metaphor and gave any string; the causes are a closed set. A preemption's now was described as a limit, and computeUsableSlots named an argument that it does not have.

--- a/src/process/scheduler/admission.ts
+++ b/src/process/scheduler/admission.ts
@@ -49,7 +49,7 @@
   slotMs: number;
 }
 
-/** The slots that the tier of `question` can count on. */
+/** The slots that the tier whose load it is can count on. */
 export function computeUsableSlots(load: ShardLoad): number {
   const least = Math.max(1, MIN_SLOT_SHARE * load.slots);
   const left = Math.max(least, load.slots - load.usedAbove);
--- a/src/process/scheduler/ejection.ts
+++ b/src/process/scheduler/ejection.ts
@@ -20,11 +20,14 @@
 /** Replicas that a median needs to mean anything. */
 const MIN_COMPARED = 3;
 
+/** Why a replica leaves service. */
+type EjectionCause = "silent" | "failures" | "straggler";
+
 /** A change to log. */
 export interface EjectionChange {
   replica: Replica;
   change: "ejected" | "returned";
-  why: string;
+  why: EjectionCause | "probe_met_median";
 }
 
 /**
@@ -96,7 +99,7 @@
     now: number;
   },
 ): EjectionChange | undefined {
-  const why = findIllness(replica, options.median);
+  const why = findEjectionCause(replica, options.median);
   if (why === undefined) return undefined;
   const inService = options.replicas.filter((other) => !other.ejected).length;
   const share = why === "silent" ? 0 : FLOOR_SHARE;
@@ -109,10 +112,10 @@
   return { replica, change: "ejected", why };
 }
 
-function findIllness(
+function findEjectionCause(
   replica: Replica,
   median: number | undefined,
-): string | undefined {
+): EjectionCause | undefined {
   const isFailing = replica.latency.failures >= MAX_FAILURES;
   const isMissing = replica.missedPolls >= MAX_MISSED_POLLS;
   // Failing work and missing reports together are proof enough to go below
--- a/src/process/scheduler/preemption.ts
+++ b/src/process/scheduler/preemption.ts
@@ -21,7 +21,7 @@
   rank: number;
   /** Granted later than this, it misses its target. */
   startBy: number;
-  /** Granted later than this, not even a slot of its own would help. */
+  /** The owner's time at which the question is asked. */
   now: number;
   /** Expected time until a slot is free without preemption. */
   expectedWaitMs: number;
