Split the runtime's constructor, which took 100 lines

What requests use of the process, and an order giver's upstreams, are methods of their own; the constructor has 72 lines, one statement for each part.

--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -3,9 +3,13 @@
  *
  * @module
  */
-import type { DataCentre, RequestId, VmId } from "../ids.ts";
+import type { DataCentre, PoolName, RequestId, VmId } from "../ids.ts";
 import { toId } from "../ids.ts";
-import type { CallerRequest, CallerSink } from "../request/index.ts";
+import type {
+  CallerRequest,
+  CallerSink,
+  RequestServices,
+} from "../request/index.ts";
 import { CallerHandler, RequestRouter } from "../request/index.ts";
 import type { ListedVm, Snapshot } from "../version/index.ts";
 import { AnswerStore } from "./answer_store.ts";
@@ -143,32 +147,9 @@
       membership,
       getSnapshot,
       getViewAgeMs: () => membership.getViewAgeMs(),
-      listUpstreams: (pool, index) => {
-        const record = this.getSnapshot()?.pools.get(pool);
-        if (record === undefined) return [];
-        const vms = membership.listUpstreams(pool);
-        const shard = buildShardId(pool, index);
-        return listShardUpstreams(shard, { pool: record, vms })
-          .map(({ id }) => id);
-      },
-    });
-    this.#router = RequestRouter.create({
-      environment,
-      getSnapshot,
-      leases: this.leases,
-      limits: this.limits,
-      claims: this.claims,
-      fates: this.fates,
-      budget: WindowRetryBudget.create({
-        clock: environment.clock,
-        getShare: () => this.getSnapshot()?.policy.retryShare ?? NO_RETRIES,
-      }),
-      metrics: this.metrics,
-      answers: this.#answers,
-      isDraining: () => this.#isDraining,
-      entries: (query) => formatEntries(this.#chooseEntries(query)),
-      findFate: (requestId, find) => this.fateFinder.findFate(requestId, find),
+      listUpstreams: (pool, index) => this.#listUpstreams(pool, index),
     });
+    this.#router = RequestRouter.create(this.#buildServices());
     this.api = LocalPeer.create(() => ({
       owners: this.owners,
       prober: this.prober,
@@ -265,6 +246,38 @@
     return this.claims.issueId();
   }
 
+  /** What requests use of the process. */
+  #buildServices(): RequestServices {
+    const environment = this.#environment;
+    return {
+      environment,
+      getSnapshot: () => this.getSnapshot(),
+      leases: this.leases,
+      limits: this.limits,
+      claims: this.claims,
+      fates: this.fates,
+      budget: WindowRetryBudget.create({
+        clock: environment.clock,
+        getShare: () => this.getSnapshot()?.policy.retryShare ?? NO_RETRIES,
+      }),
+      metrics: this.metrics,
+      answers: this.#answers,
+      isDraining: () => this.#isDraining,
+      entries: (query) => formatEntries(this.#chooseEntries(query)),
+      findFate: (requestId, find) => this.fateFinder.findFate(requestId, find),
+    };
+  }
+
+  /** The upstreams of one shard of a pool, for orders. */
+  #listUpstreams(pool: PoolName, index: number): VmId[] {
+    const record = this.getSnapshot()?.pools.get(pool);
+    if (record === undefined) return [];
+    const vms = this.membership.listUpstreams(pool);
+    const shard = buildShardId(pool, index);
+    return listShardUpstreams(shard, { pool: record, vms })
+      .map(({ id }) => id);
+  }
+
   #chooseEntries(query: URLSearchParams): EntriesAnswer {
     const wanted = query.get("data_centre");
     const limit = Number(query.get("limit") ?? NaN);
