Write two module constants and a return type as the others are

completion_body.ts had two module constants in lower case, and a type was asked of a method where LeaseNeeds names it. No code that runs is changed; the tests of test/request pass.

--- a/src/request/completion_body.ts
+++ b/src/request/completion_body.ts
@@ -17,23 +17,23 @@
 const ADAPTER_SEPARATOR = ":";
 const MESSAGE_SEPARATOR = "\n";
 
-const tokenCount = z.int().min(1).nullish();
+const TOKEN_COUNT = z.int().min(1).nullish();
 
 /** The fields that the router reads; engines check the others. */
-const bodySchema = z.looseObject({
+const BODY_SCHEMA = z.looseObject({
   model: z.string().min(1).max(256),
   stream: z.boolean().nullish(),
   stream_options: z.looseObject({ include_usage: z.boolean().nullish() })
     .nullish(),
-  max_tokens: tokenCount,
-  max_completion_tokens: tokenCount,
+  max_tokens: TOKEN_COUNT,
+  max_completion_tokens: TOKEN_COUNT,
   n: z.literal(1, "Only one answer at a time is supported").nullish(),
   messages: z.array(z.looseObject({ role: z.string(), content: z.unknown() }))
     .min(1).optional(),
   prompt: z.union([z.string(), z.array(z.string()).length(1)]).optional(),
 });
 
-type Body = z.infer<typeof bodySchema>;
+type Body = z.infer<typeof BODY_SCHEMA>;
 
 /** One checked completion. */
 export interface Completion {
@@ -77,7 +77,7 @@
 }
 
 function checkBody(value: unknown, path: string): Body {
-  const result = bodySchema.safeParse(value);
+  const result = BODY_SCHEMA.safeParse(value);
   if (!result.success) {
     const issue = result.error.issues[0];
     const field = issue?.path.join(".") || "body";
--- a/src/request/completion_stream_work.ts
+++ b/src/request/completion_stream_work.ts
@@ -17,6 +17,7 @@
 import { listEvents } from "./sse_events.ts";
 import {
   BrokenAnswerError,
+  type LeaseNeeds,
   type RelayOptions,
   type WorkCall,
 } from "./upstream_work.ts";
@@ -42,7 +43,7 @@
     return new CompletionStreamWork(start);
   }
 
-  override buildLeaseNeeds(): ReturnType<CompletionWork["buildLeaseNeeds"]> {
+  override buildLeaseNeeds(): LeaseNeeds {
     return { ...super.buildLeaseNeeds(), doneTokens: this.#stream.tokens };
   }
 
