Split the daemon's constructor and the step metrics

The constructor of Daemon took 68 lines, a third of them the environment; the two counters of a step's durations were written twice. The 17 tests of the daemon and of the metrics pass as before.

--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -46,29 +46,8 @@
   constructor(settings: Settings, onEnd: () => void) {
     this.#settings = settings;
     this.#onEnd = onEnd;
-    const clock = SystemClock.create();
-    const random = SystemRandom.create();
-    const log = RoarrLog.create({ clock, level: settings.logLevel });
-    this.environment = {
-      vm: settings.vm,
-      incarnation: toId<Incarnation>(random.nextHex(INCARNATION_LENGTH)),
-      dataCentre: settings.dataCentre,
-      clock,
-      random,
-      log,
-      peers: TrpcPeerDirectory.create({
-        clock,
-        secret: settings.listeners.peers.secret,
-        from: settings.vm,
-        findAddress: (vm) => this.#findPeerAddress(vm),
-        tls: readClientTls(settings.listeners.peers.tls),
-      }),
-      upstreams: HttpUpstreamTransport.create({
-        clock,
-        log,
-        findAddress: (vm) => this.runtime.membership.findVm(vm),
-      }),
-    };
+    this.environment = this.#createEnvironment();
+    const { clock, log } = this.environment;
     this.runtime = VmRuntime.create({
       environment: this.environment,
       self: buildSelf(settings),
@@ -78,21 +57,7 @@
       entriesTtlMs: settings.drain.entriesTtlMs,
       retainedAnswersBytes: settings.retainedAnswersBytes,
     });
-    this.#callers = CallerListener.create({
-      clock,
-      log,
-      limits: {
-        ...DEFAULT_CALLER_LIMITS,
-        maxHeaderBytes: settings.limits.maxHeaderBytes,
-        maxBodyBytes: settings.limits.maxBodyBytes,
-        maxConnections: settings.limits.maxConnections,
-        headersTimeoutMs: settings.limits.headerTimeoutMs,
-        bodyTimeoutMs: settings.limits.bodyTimeoutMs,
-      },
-      handler: this.runtime,
-      issueId: () => this.runtime.issueId(),
-      tls: readServerTls(settings.listeners.callers.tls),
-    });
+    this.#callers = this.#createCallerListener();
     this.#peers = PeerListener.create({
       secret: settings.listeners.peers.secret,
       api: this.runtime.api,
@@ -212,6 +177,53 @@
     return this.runtime.inFlight > 0 || this.runtime.claims.unsettledCount > 0;
   }
 
+  #createEnvironment(): Environment {
+    const settings = this.#settings;
+    const clock = SystemClock.create();
+    const random = SystemRandom.create();
+    const log = RoarrLog.create({ clock, level: settings.logLevel });
+    return {
+      vm: settings.vm,
+      incarnation: toId<Incarnation>(random.nextHex(INCARNATION_LENGTH)),
+      dataCentre: settings.dataCentre,
+      clock,
+      random,
+      log,
+      peers: TrpcPeerDirectory.create({
+        clock,
+        secret: settings.listeners.peers.secret,
+        from: settings.vm,
+        findAddress: (vm) => this.#findPeerAddress(vm),
+        tls: readClientTls(settings.listeners.peers.tls),
+      }),
+      upstreams: HttpUpstreamTransport.create({
+        clock,
+        log,
+        findAddress: (vm) => this.runtime.membership.findVm(vm),
+      }),
+    };
+  }
+
+  #createCallerListener(): CallerListener {
+    const { clock, log } = this.environment;
+    const { limits, listeners } = this.#settings;
+    return CallerListener.create({
+      clock,
+      log,
+      limits: {
+        ...DEFAULT_CALLER_LIMITS,
+        maxHeaderBytes: limits.maxHeaderBytes,
+        maxBodyBytes: limits.maxBodyBytes,
+        maxConnections: limits.maxConnections,
+        headersTimeoutMs: limits.headerTimeoutMs,
+        bodyTimeoutMs: limits.bodyTimeoutMs,
+      },
+      handler: this.runtime,
+      issueId: () => this.runtime.issueId(),
+      tls: readServerTls(listeners.callers.tls),
+    });
+  }
+
   #findPeerAddress(
     vm: VmId,
   ): { address: string; port: number } | undefined {
--- a/src/process/request_metrics.ts
+++ b/src/process/request_metrics.ts
@@ -132,12 +132,11 @@
 
   #addStepGauges(): void {
     const steps = this.#steps;
-    const registers = [this.#registry];
     new Gauge({
       name: `${PREFIX}step_seconds`,
       help: "Quantiles of durations over the last minutes, by class and step",
       labelNames: ["class", "step", "quantile"],
-      registers,
+      registers: [this.#registry],
       collect() {
         for (const { className, step, recent } of steps.values()) {
           const histogram = recent.collect();
@@ -149,27 +148,31 @@
         }
       },
     });
-    new Counter({
-      name: `${PREFIX}step_seconds_sum`,
+    this.#addStepCounter("step_seconds_sum", {
       help: "Sum of durations by class and step",
-      labelNames: ["class", "step"],
-      registers,
-      collect() {
-        this.reset();
-        for (const { className, step, sumMs } of steps.values()) {
-          this.inc({ class: className, step }, sumMs / MS_PER_SECOND);
-        }
-      },
+      read: ({ sumMs }) => sumMs / MS_PER_SECOND,
     });
-    new Counter({
-      name: `${PREFIX}step_seconds_count`,
+    this.#addStepCounter("step_seconds_count", {
       help: "Number of durations by class and step",
+      read: ({ count }) => count,
+    });
+  }
+
+  #addStepCounter(
+    name: string,
+    options: { help: string; read: (step: StepFigures) => number },
+  ): void {
+    const steps = this.#steps;
+    new Counter({
+      name: PREFIX + name,
+      help: options.help,
       labelNames: ["class", "step"],
-      registers,
+      registers: [this.#registry],
       collect() {
         this.reset();
-        for (const { className, step, count } of steps.values()) {
-          this.inc({ class: className, step }, count);
+        for (const step of steps.values()) {
+          const labels = { class: step.className, step: step.step };
+          this.inc(labels, options.read(step));
         }
       },
     });
