Join a shard's parts in a module of its own

shard_owner.ts (350 lines) still spent its constructor (53) and seven imports on wiring. shard_parts.ts joins queue, replicas, accounts, tickets and granter; the owner has 297 lines and a constructor of 15. The 150 tests of test/process/scheduler and test/failures (modules) pass as before.

--- a/src/process/scheduler/shard_owner.ts
+++ b/src/process/scheduler/shard_owner.ts
@@ -9,7 +9,7 @@
 } from "../../connection/upstream_transport.ts";
 import type { ShardId, VmId } from "../../ids.ts";
 import type { ListedVm } from "../../version/membership_list.ts";
-import type { Snapshot, UpstreamPool } from "../../version/records.ts";
+import type { UpstreamPool } from "../../version/records.ts";
 import type { CancelTimer } from "../clock.ts";
 import type { Environment } from "../environment.ts";
 import type {
@@ -21,37 +21,26 @@
   SyncCall,
 } from "../peer_api.ts";
 import { Authority } from "./authority.ts";
-import { buildDecisions, type SchedulerDecisions } from "./decisions.ts";
-import { LeaseAccounts } from "./lease_accounts.ts";
-import { OutputLengths } from "./output_lengths.ts";
-import { Granter } from "./granter.ts";
-import { ReplicaSet } from "./replica_set.ts";
-import { ServiceSpeed } from "./service_speed.ts";
-import { ShardTickets } from "./shard_tickets.ts";
+import type { Granter } from "./granter.ts";
+import type { LeaseAccounts } from "./lease_accounts.ts";
+import type { ReplicaSet } from "./replica_set.ts";
+import { createShardParts, type ShardPartsOptions } from "./shard_parts.ts";
+import type { ShardTickets } from "./shard_tickets.ts";
 import type { Waiter } from "./waiter.ts";
-import { WaiterFactory } from "./waiter_factory.ts";
-import { WaitingQueue } from "./waiting_queue.ts";
+import type { WaitingQueue } from "./waiting_queue.ts";
 
 const TICK_MS = 100;
 /** Ticks between the slower rounds of upkeep. */
 const UPKEEP_TICKS = 10;
 
 /** What an owner is made of. */
-export interface ShardOwnerOptions {
-  environment: Environment;
-  shard: ShardId;
+export interface ShardOwnerOptions extends ShardPartsOptions {
   /** The pool as it is when the owner begins. */
   pool: UpstreamPool;
-  getSnapshot: () => Snapshot | undefined;
   /** The shard's upstreams that may get new work. */
   listUpstreams: () => ListedVm[];
   /** The entry VMs whose announcements end the settling time early. */
   listHolders?: () => VmId[];
-  /** What is known of the pool's other shards. */
-  listOthers?: () => ShardSummary[];
-  decisions?: Partial<SchedulerDecisions> | undefined;
-  /** Requests that may wait beside the first of each class. */
-  queueBound?: number | undefined;
 }
 
 /** One shard's owner. Every method may be called late or twice. */
@@ -71,55 +60,16 @@
   #stopped = false;
 
   constructor(options: ShardOwnerOptions) {
-    const { environment, getSnapshot, shard } = options;
-    const now = environment.clock.now();
-    const decisions = buildDecisions(options.decisions);
-    const lengths = OutputLengths.create(decisions.learntLengths);
-    const speed = ServiceSpeed.create();
-    const factory = WaiterFactory.create(getSnapshot, { lengths, speed });
-    this.shard = shard;
+    this.shard = options.shard;
     this.#options = options;
-    this.#environment = environment;
-    this.#replicas = ReplicaSet.create(decisions);
-    this.#queue = WaitingQueue.create(decisions);
-    this.#accounts = LeaseAccounts.create({
-      shard,
-      random: environment.random,
-      replicas: this.#replicas,
-      factory,
-      lengths,
-      speed,
-      decisions,
-      onClosed: (entry, cost) => {
-        this.#queue.noteServed(entry, cost - entry.chargedCost);
-        if (cost > 0) this.#queue.noteFinished(entry, cost);
-      },
-    });
-    this.#authority = Authority.create(now);
-    this.#tickets = ShardTickets.create({
-      clock: environment.clock,
-      queue: this.#queue,
-      replicas: this.#replicas,
-      accounts: this.#accounts,
-      factory,
-      decisions,
-      getSnapshot,
-      listOthers: options.listOthers ?? (() => []),
-      queueBound: options.queueBound,
-      onWaiting: (at) => this.#grantAll(at),
-    });
-    this.#granter = Granter.create({
-      shard,
-      log: environment.log,
-      queue: this.#queue,
-      replicas: this.#replicas,
-      accounts: this.#accounts,
-      factory,
-      waits: this.#tickets.waits,
-      decisions,
-      getPolicy: () => getSnapshot()?.policy,
-      onGranted: (waiter, lease) => this.#tickets.grant(waiter, lease),
-    });
+    this.#environment = options.environment;
+    this.#authority = Authority.create(this.#getNow());
+    const parts = createShardParts(options, (now) => this.#grantAll(now));
+    this.#replicas = parts.replicas;
+    this.#queue = parts.queue;
+    this.#accounts = parts.accounts;
+    this.#tickets = parts.tickets;
+    this.#granter = parts.granter;
     this.onTopologyChange();
     this.#startTick();
   }
