--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,7 +11,8 @@
   ALL_DECISIONS,
   type SchedulerDecisions,
 } from "../src/process/scheduler/decisions.ts";
-import { renderComparison, renderFigures, type RunFigures } from "./report.ts";
+import type { RunFigures } from "./figures.ts";
+import { renderComparison, renderFigures } from "./report.ts";
 import {
   buildNaive,
   buildOurs,
--- a/bench/run_scenario.ts
+++ b/bench/run_scenario.ts
@@ -9,7 +9,7 @@
 import { BenchClock } from "./support/bench_clock.ts";
 import { computeGoodputBound } from "./clairvoyant.ts";
 import { NaiveFleet } from "./naive/naive_fleet.ts";
-import { computeFigures, type RunFigures } from "./report.ts";
+import { computeFigures, type RunFigures } from "./figures.ts";
 import { BENCH_ENGINE, DURATION_MS, SCENARIOS } from "./scenarios.ts";
 import { BenchSink } from "./support/bench_sink.ts";
 import type { BenchRouter } from "./support/bench_router.ts";
--- a/test/bench/oracle_test.ts
+++ b/test/bench/oracle_test.ts
@@ -5,7 +5,7 @@
   type BuildRouter,
   runScenario,
 } from "../../bench/run_scenario.ts";
-import type { RunFigures } from "../../bench/report.ts";
+import type { RunFigures } from "../../bench/figures.ts";
 import { computeLongestStall } from "../../bench/oracle.ts";
 import type { RequestTrace } from "../../bench/support/caller_result.ts";
 import type { CallerRequest } from "../../src/request/caller_request.ts";
