--- a/src/process/prober.ts
+++ b/src/process/prober.ts
@@ -181,7 +181,7 @@
     return this.#versions.notePeerVersions(target, versions);
   }
 
-  #handleMessage(message: ProbeCall | ProbeAnswer): void {
+  #handleMessage(message: ProbeCall): void {
     this.#membership.noteContact(message);
     this.#membership.noteNews(message.members);
     for (const summary of message.summaries) {
