--- a/src/tool/command_line.ts
+++ b/src/tool/command_line.ts
@@ -63,6 +63,7 @@
     });
   addOfflineCommands(parser, { context, takeResult });
   addOperatorCommands(parser, { context, takeResult });
+  addBurnCommand(parser, { context, takeResult });
   addFateCommand(parser, { context, takeResult });
   addCallerCommands(parser, { context, takeResult });
   return parser;
@@ -133,6 +134,10 @@
       takeResult(await runDrain(context, client, given));
     },
   );
+}
+
+function addBurnCommand(parser: Argv, setting: CommandSetting): void {
+  const { context, takeResult } = setting;
   parser.command(
     "burn",
     "Show how fast error budgets burn, and why",
