--- a/bench/overhead/main.ts
+++ b/bench/overhead/main.ts
@@ -13,8 +13,7 @@
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
 import { ChildProcessGroup } from "../../demo/child_process_group.ts";
-import { DemoFleet, type EntryVm } from "../../demo/fleet.ts";
-import { fetchJson } from "../../demo/http_call.ts";
+import { DemoFleet } from "../../demo/fleet.ts";
 import type { EngineOptions } from "../../standin/engine_options.ts";
 import {
   type CpuFigures,
@@ -25,7 +24,8 @@
   runMemory,
   type Way,
 } from "./measures.ts";
-import { buildOverheadExample, KEY, MODEL } from "./overhead_records.ts";
+import { buildOverheadExample, MODEL } from "./overhead_records.ts";
+import { buildVmWay, findOwner } from "./rig.ts";
 
 const ROOT = process.cwd();
 const FIRST_TOKEN_SAMPLES = 1_500;
@@ -139,26 +139,6 @@
   };
 }
 
-async function findOwner(fleet: DemoFleet): Promise<EntryVm> {
-  const status = await fetchJson<{ shards: { owner: string }[] }>({
-    port: fleet.entryVms[0]!.operatorPort,
-    method: "GET",
-    path: "/v1/status",
-    headers: { authorization: `Bearer ${fleet.secret}` },
-  });
-  const owner = fleet.entryVms.find(({ id }) => id === status.shards[0]?.owner);
-  if (owner === undefined) throw new Error("No VM owns the shard");
-  return owner;
-}
-
-function buildVmWay(name: string, vm: EntryVm): Way {
-  return {
-    name,
-    target: { port: vm.port, model: MODEL, key: KEY },
-    pid: vm.child.pid,
-  };
-}
-
 function buildWay(name: string, at: { port: number; pid?: number }): Way {
   return {
     name,
--- a/bench/slopes/stream_slopes.ts
+++ b/bench/slopes/stream_slopes.ts
@@ -7,16 +7,12 @@
 import { mkdirSync, mkdtempSync, rmSync, symlinkSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
-import { DemoFleet, type EntryVm } from "../../demo/fleet.ts";
-import { fetchJson } from "../../demo/http_call.ts";
+import { DemoFleet } from "../../demo/fleet.ts";
 import type { EngineOptions } from "../../standin/engine_options.ts";
 import { buildDaemon } from "../../test/support/daemon_build.ts";
 import { runCpu, runMemory, type Way } from "../overhead/measures.ts";
-import {
-  buildOverheadExample,
-  KEY,
-  MODEL,
-} from "../overhead/overhead_records.ts";
+import { buildOverheadExample } from "../overhead/overhead_records.ts";
+import { buildVmWay, findOwner } from "../overhead/rig.ts";
 import { buildSlope, type Point, type Slope } from "./slope.ts";
 
 const TOKENS = [1, 100, 400, 1_600];
@@ -105,30 +101,10 @@
     const owner = await findOwner(fleet);
     const other = fleet.entryVms.find((vm) => vm !== owner)!;
     return await collect({
-      owner: buildWay("the owner", owner),
-      other: buildWay("another VM", other),
+      owner: buildVmWay("the owner", owner),
+      other: buildVmWay("another VM", other),
     });
   } finally {
     await fleet.stop();
   }
 }
-
-async function findOwner(fleet: DemoFleet): Promise<EntryVm> {
-  const status = await fetchJson<{ shards: { owner: string }[] }>({
-    port: fleet.entryVms[0]!.operatorPort,
-    method: "GET",
-    path: "/v1/status",
-    headers: { authorization: `Bearer ${fleet.secret}` },
-  });
-  const owner = fleet.entryVms.find(({ id }) => id === status.shards[0]?.owner);
-  if (owner === undefined) throw new Error("No VM owns the shard");
-  return owner;
-}
-
-function buildWay(name: string, vm: EntryVm): Way {
-  return {
-    name,
-    target: { port: vm.port, model: MODEL, key: KEY },
-    pid: vm.child.pid,
-  };
-}
--- a/test/fuzz/fleet_load_test.ts
+++ b/test/fuzz/fleet_load_test.ts
@@ -1,22 +1,12 @@
-import { expect, it } from "vitest";
-import { checkFleet } from "./fleet_property.ts";
+import { it } from "vitest";
+import { checkPromises, FUZZ_TIMEOUT_MS } from "./expect_promises.ts";
 
 const SEED = 404;
-const RUNS = 500;
-const SHRINK_MS = 30_000;
-const TIMEOUT_MS = 300_000;
 
 it("keeps every promise under load alone", async () => {
-  const report = await checkFleet({
+  await checkPromises({
     seed: SEED,
-    runs: RUNS,
-    shrinkMs: SHRINK_MS,
     profile: "load",
+    met: ["whole", "granted", "shed", "preempted"],
   });
-  expect(report.isBroken, report.text).toBe(false);
-  expect(report.runs).toBe(RUNS);
-  // A run that met nothing would keep every promise.
-  for (const what of ["whole", "granted", "shed", "preempted"]) {
-    expect(report.met[what], what).toBeGreaterThan(0);
-  }
-}, TIMEOUT_MS);
+}, FUZZ_TIMEOUT_MS);
