Keep a version's origin with the version, and the benches' engines once

Cause: from whom a version came was looked up in the bounded history of decisions, in two places and for each probe; after 32 refusals the accepted entry had gone, and versions said nothing of the version in force. The origin stands with the accepted records now and both places read it. The new test, asked of the old look-up, failed on a scratch copy (undefined for vm-2). The whole suite was not run again, nor the two benches.

--- a/bench/overhead/main.ts
+++ b/bench/overhead/main.ts
@@ -25,7 +25,7 @@
   type Way,
 } from "./measures.ts";
 import { buildOverheadExample, MODEL } from "./overhead_records.ts";
-import { buildVmWay, findOwner } from "./rig.ts";
+import { buildVmWay, FAST_ENGINE, findOwner, SLOW_ENGINE } from "./rig.ts";
 
 const ROOT = process.cwd();
 const FIRST_TOKEN_SAMPLES = 1_500;
@@ -35,15 +35,6 @@
 const SETTLED_MS = 4_000;
 const STOP_MS = 10_000;
 
-const FAST_ENGINE: Partial<EngineOptions> = {
-  baseMs: 1,
-  perRunningMs: 0,
-  prefillMsPerToken: 0,
-  maxBatch: 4_096,
-  memoryTokens: 1_000_000_000,
-};
-const SLOW_ENGINE: Partial<EngineOptions> = { ...FAST_ENGINE, baseMs: 1_000 };
-
 /** Everything that one run measured. */
 interface OverheadReport {
   commit: string;
--- a/bench/slopes/stream_slopes.ts
+++ b/bench/slopes/stream_slopes.ts
@@ -12,7 +12,12 @@
 import { buildDaemon } from "../../test/support/daemon_build.ts";
 import { runCpu, runMemory, type Way } from "../overhead/measures.ts";
 import { buildOverheadExample } from "../overhead/overhead_records.ts";
-import { buildVmWay, findOwner } from "../overhead/rig.ts";
+import {
+  buildVmWay,
+  FAST_ENGINE,
+  findOwner,
+  SLOW_ENGINE,
+} from "../overhead/rig.ts";
 import { buildSlope, type Point, type Slope } from "./slope.ts";
 
 const TOKENS = [1, 100, 400, 1_600];
@@ -22,15 +27,6 @@
 const SETTLED_MS = 4_000;
 const BYTES_PER_KILOBYTE = 1_024;
 
-const FAST_ENGINE: Partial<EngineOptions> = {
-  baseMs: 1,
-  perRunningMs: 0,
-  prefillMsPerToken: 0,
-  maxBatch: 4_096,
-  memoryTokens: 1_000_000_000,
-};
-const SLOW_ENGINE: Partial<EngineOptions> = { ...FAST_ENGINE, baseMs: 1_000 };
-
 interface Rig {
   owner: Way;
   other: Way;
--- a/src/process/configuration_follower.ts
+++ b/src/process/configuration_follower.ts
@@ -31,6 +31,7 @@
   ConfigurationStore,
   type Offer,
   type VersionEntry,
+  type VersionOrigin,
 } from "./configuration_store.ts";
 import type { Environment } from "./environment.ts";
 import type { FleetMembership } from "./fleet_membership.ts";
@@ -53,6 +54,8 @@
   /** 0 before the first. */
   version: number;
   digest: string;
+  /** Undefined before the first. */
+  origin: VersionOrigin | undefined;
   listRevision: number;
   viewAgeMs: number;
   isWatcher: boolean;
@@ -153,7 +156,7 @@
     return {
       configVersion: this.#store.getVersion(),
       configDigest: this.#store.getDigest() || undefined,
-      configFrom: this.#store.getSender(),
+      configFrom: this.#store.getOrigin()?.from,
       listRevision: this.#membership.getList().revision,
       listAgeMs: Number.isFinite(viewAgeMs) ? Math.ceil(viewAgeMs) : undefined,
     };
@@ -195,6 +198,7 @@
       vm: this.#environment.vm,
       version: this.#store.getVersion(),
       digest: this.#store.getDigest(),
+      origin: this.#store.getOrigin(),
       listRevision: this.#membership.getList().revision,
       viewAgeMs: this.#membership.getViewAgeMs(),
       isWatcher: this.#reader.isWatcher(),
--- a/src/process/configuration_store.ts
+++ b/src/process/configuration_store.ts
@@ -54,6 +54,14 @@
   snapshot: Snapshot;
   records: unknown[];
   digest: string;
+  from: string;
+  decidedAt: number;
+}
+
+/** From whom the records in force came, and the time since then. */
+export interface VersionOrigin {
+  from: string;
+  ageMs: number;
 }
 
 /**
@@ -96,11 +104,14 @@
     return this.#accepted?.digest ?? "";
   }
 
-  /** From whom the records in force came; undefined before the first. */
-  getSender(): string | undefined {
-    return this.#history.findLast(({ version, result }) =>
-      result === "accepted" && version === this.getVersion()
-    )?.from;
+  /**
+   * Where the records in force came from; undefined before the first. The
+   * history may have lost that decision to later refusals.
+   */
+  getOrigin(): VersionOrigin | undefined {
+    if (this.#accepted === undefined) return undefined;
+    const { from, decidedAt } = this.#accepted;
+    return { from, ageMs: this.#clock.now() - decidedAt };
   }
 
   /** The records in force, as published. */
@@ -152,7 +163,13 @@
         return { kind: "rejected", problems, isNew: true };
       })
       .with({ kind: "accepted" }, ({ snapshot }): OfferResult => {
-        const accepted = { snapshot, records, digest };
+        const accepted: Accepted = {
+          snapshot,
+          records,
+          digest,
+          from: offer.from,
+          decidedAt: this.#clock.now(),
+        };
         if (this.#accepted) this.#steps.add(this.#accepted, accepted);
         this.#accepted = accepted;
         this.#addHistory(offer, { digest, result: "accepted", problems: [] });
--- a/src/process/fleet_operator.ts
+++ b/src/process/fleet_operator.ts
@@ -74,14 +74,11 @@
 
   override listVersions(): Promise<object> {
     const report = this.#runtime.follower.listVersions();
-    const newest = report.history.findLast(({ version, result }) =>
-      version === report.version && result === "accepted"
-    );
     const own = {
       vm: report.vm,
       version: report.version,
-      since_ms: newest?.ageMs ?? null,
-      from: newest?.from ?? null,
+      since_ms: report.origin?.ageMs ?? null,
+      from: report.origin?.from ?? null,
       list_revision: report.listRevision,
       is_watcher: report.isWatcher,
     };
--- a/test/process/configuration_store_test.ts
+++ b/test/process/configuration_store_test.ts
@@ -127,6 +127,24 @@
     expect(store.getSnapshot()).toBeUndefined();
   });
 
+  // Symptom: an operator asks from whom a version came, and is told nothing.
+  // Sequence: a good version is accepted; dozens of bad ones follow.
+  // Cause: the answer is looked up in the bounded history of decisions.
+  it("knows whence its version came after many refusals", async () => {
+    const clock = VirtualClock.create();
+    const store = ConfigurationStore.create(clock);
+    expect(store.getOrigin()).toBeUndefined();
+    store.apply({ version: 1, records: buildRecords(1), from: "vm-2" });
+    for (let version = 2; version < 100; version++) {
+      store.apply({ version, records: buildBadRecords(version), from: "vm-3" });
+    }
+    await clock.run(5_000);
+    expect(store.getVersion()).toBe(1);
+    const isKept = store.listHistory().some((one) => one.result === "accepted");
+    expect(isKept).toBe(false);
+    expect(store.getOrigin()).toEqual({ from: "vm-2", ageMs: 5_000 });
+  });
+
   it("keeps its history bounded and validates a bad version once", () => {
     const store = createStore();
     for (let version = 1; version <= 100; version += 1) {
