--- /dev/null
+++ b/src/connection/answering_listener.ts
@@ -0,0 +1,69 @@
+/**
+ * A listener whose answers are small and made at once.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Log } from "../process/log.ts";
+import { HttpListener } from "./http_listener.ts";
+import type { ServerLimits } from "./http_server.ts";
+
+const LIMITS: ServerLimits = {
+  maxHeaderBytes: 8_192,
+  maxConnections: 2_000,
+  headersTimeoutMs: 5_000,
+  bodyTimeoutMs: 5_000,
+  keepAliveMs: 20_000,
+};
+
+/** A whole answer. */
+export interface SmallAnswer {
+  status: number;
+  type: string;
+  body: string;
+}
+
+/** Answers a call from its method, path and query. */
+export type BuildAnswer = (
+  method: string,
+  url: URL,
+) => SmallAnswer | Promise<SmallAnswer>;
+
+/** Answers by a function; bodies of calls are ignored. */
+export class AnsweringListener extends HttpListener {
+  readonly #buildAnswer: BuildAnswer;
+
+  constructor(options: { name: string; log: Log; buildAnswer: BuildAnswer }) {
+    super({ name: options.name, log: options.log, limits: LIMITS });
+    this.#buildAnswer = options.buildAnswer;
+  }
+
+  static create(
+    options: { name: string; log: Log; buildAnswer: BuildAnswer },
+  ): AnsweringListener {
+    return new AnsweringListener(options);
+  }
+
+  protected override async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://vm");
+    const answer = await this.#buildAnswer(request.method ?? "GET", url);
+    response.writeHead(answer.status, {
+      "content-type": answer.type,
+      "content-length": Buffer.byteLength(answer.body),
+    });
+    response.end(answer.body);
+    request.resume();
+  }
+}
+
+/** An answer in JSON. */
+export function buildJsonAnswer(status: number, value: unknown): SmallAnswer {
+  return {
+    status,
+    type: "application/json",
+    body: JSON.stringify(value),
+  };
+}
--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -57,23 +57,32 @@
 /** Accepts callers and hands their requests to a `CallerHandler`. */
 export class CallerListener extends HttpListener {
   readonly #options: CallerListenerOptions;
+  #limits: CallerLimits;
 
   constructor(options: CallerListenerOptions) {
     const { log, limits, tls, issueId } = options;
     const buildHeaders = () => buildIdHeader(issueId?.());
     super({ name: "callers", log, limits, tls, buildHeaders });
     this.#options = options;
+    this.#limits = limits;
   }
 
   static create(options: CallerListenerOptions): CallerListener {
     return new CallerListener(options);
   }
 
+  /** Holds callers to `limits` from now on, but for the head's size. */
+  updateLimits(limits: CallerLimits): void {
+    this.#limits = limits;
+    this.updateTimes(limits);
+  }
+
   protected override async handle(
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { clock, limits, log, handler } = this.#options;
+    const { clock, log, handler } = this.#options;
+    const limits = this.#limits;
     const arrivedAt = clock.now();
     const sink = HttpSink.create(response, {
       clock,
--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { HttpServer, type HttpServerOptions } from "./http_server.ts";
+import {
+  HttpServer,
+  type HttpServerOptions,
+  type ServerLimits,
+} from "./http_server.ts";
 import type { ServerTls } from "./tls_material.ts";
 
 /** A listening socket whose exchanges a subclass answers. */
@@ -46,6 +50,11 @@
     this.#server.closeAll();
   }
 
+  /** Uses the times of `limits` for connections and requests from now on. */
+  protected updateTimes(limits: ServerLimits): void {
+    this.#server.updateTimes(limits);
+  }
+
   /** Shows `tls` to those who connect from now on. */
   updateTls(tls: ServerTls): void {
     this.#server.updateTls(tls);
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -131,6 +131,13 @@
     this.#server.setSecureContext(tls);
   }
 
+  /** Uses the times of `limits` for connections and requests from now on. */
+  updateTimes(limits: ServerLimits): void {
+    this.#server.headersTimeout = limits.headersTimeoutMs;
+    this.#server.requestTimeout = computeRequestTimeout(limits);
+    this.#server.keepAliveTimeout = limits.keepAliveMs;
+  }
+
   #noteSocket(socket: Socket): void {
     this.#inFlight.set(socket, 0);
     socket.once("close", () => this.#inFlight.delete(socket));
@@ -203,8 +210,7 @@
   const settings: http.ServerOptions = {
     maxHeaderSize: limits.maxHeaderBytes,
     headersTimeout: limits.headersTimeoutMs,
-    requestTimeout: limits.headersTimeoutMs + limits.bodyTimeoutMs +
-      REQUEST_TIMEOUT_MARGIN_MS,
+    requestTimeout: computeRequestTimeout(limits),
     keepAliveTimeout: limits.keepAliveMs,
     connectionsCheckingInterval: Math.min(
       MAX_CHECK_INTERVAL_MS,
@@ -216,6 +222,11 @@
   return https.createServer({ ...settings, ...options.tls, handshakeTimeout });
 }
 
+function computeRequestTimeout(limits: ServerLimits): number {
+  return limits.headersTimeoutMs + limits.bodyTimeoutMs +
+    REQUEST_TIMEOUT_MARGIN_MS;
+}
+
 /** The TCP socket beneath a TLS one, as the `connection` event gave it. */
 function getRawSocket(socket: Socket): Socket {
   return (socket as Socket & { _parent?: Socket })._parent ?? socket;
--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -49,6 +49,13 @@
   /** Where an upstream listens; undefined when it is not listed. */
   findAddress: (vm: VmId) => Endpoint | undefined;
   tls?: ClientTls | undefined;
+  /** A connection that takes longer fails; in milliseconds. */
+  connectLimitMs?: number;
+  /**
+   * Whether answers may end with their connection. One whose end comes as a
+   * reset still counts as broken.
+   */
+  allowsUndelimited?: boolean;
 }
 
 /** Reaches upstreams through agents that keep connections open. */
@@ -84,6 +91,7 @@
         endpoint,
         agent: call.freshConnection ? this.#createAgent({}) : agent,
         tls: this.#options.tls,
+        allowsUndelimited: this.#options.allowsUndelimited ?? false,
         onSilent: () => closeIdleConnections(agent),
       });
     } catch (thrown) {
@@ -198,8 +206,8 @@
   }
 
   #createAgent(agent: http.AgentOptions): http.Agent {
-    const { clock, tls } = this.#options;
-    return createUpstreamAgent({ clock, tls, agent });
+    const { clock, tls, connectLimitMs } = this.#options;
+    return createUpstreamAgent({ clock, tls, agent, connectLimitMs });
   }
 
   #fetchWhole(upstream: VmId, call: WholeCall): Promise<WholeAnswer> {
--- a/src/connection/refusal_body.ts
+++ b/src/connection/refusal_body.ts
@@ -104,7 +104,7 @@
     headers["x-request-id"] = options.requestId;
   }
   if (refusal.retryAfterMs !== undefined) {
-    headers["retry-after"] = String(
+    headers["retry-after"] ??= String(
       Math.ceil(refusal.retryAfterMs / MS_PER_SECOND),
     );
   }
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -18,7 +18,7 @@
 import type { Clock } from "../process/clock.ts";
 import type { ClientTls } from "./tls_material.ts";
 
-const CONNECT_LIMIT_MS = 1_000;
+const DEFAULT_CONNECT_LIMIT_MS = 1_000;
 
 type OnCreated = (error: Error | null, stream: Duplex) => void;
 
@@ -28,12 +28,11 @@
   tls: ClientTls | undefined;
   /** How it keeps connections. */
   agent: http.AgentOptions;
+  /** A connection that takes longer fails; a second without it. */
+  connectLimitMs?: number | undefined;
 }
 
-/**
- * Creates an agent whose connections stand before they are used. One that does
- * not come about within a second fails.
- */
+/** Creates an agent whose connections stand before they are used. */
 export function createUpstreamAgent(options: UpstreamAgentOptions): http.Agent {
   return options.tls === undefined
     ? new PlainAgent(options)
@@ -41,11 +40,11 @@
 }
 
 class PlainAgent extends http.Agent {
-  readonly #clock: Clock;
+  readonly #options: UpstreamAgentOptions;
 
   constructor(options: UpstreamAgentOptions) {
     super(options.agent);
-    this.#clock = options.clock;
+    this.#options = options;
   }
 
   override createConnection(
@@ -53,16 +52,16 @@
     onCreated?: OnCreated,
   ): undefined {
     const socket = net.connect(options as net.NetConnectOpts);
-    waitStanding(this.#clock, socket, { event: "connect", onCreated });
+    waitStanding(this.#options, socket, { event: "connect", onCreated });
   }
 }
 
 class TlsAgent extends https.Agent {
-  readonly #clock: Clock;
+  readonly #options: UpstreamAgentOptions;
 
   constructor(options: UpstreamAgentOptions) {
     super(options.agent);
-    this.#clock = options.clock;
+    this.#options = options;
   }
 
   override createConnection(
@@ -70,16 +69,16 @@
     onCreated?: OnCreated,
   ): undefined {
     const socket = super.createConnection(options) as Socket;
-    waitStanding(this.#clock, socket, { event: "secureConnect", onCreated });
+    waitStanding(this.#options, socket, { event: "secureConnect", onCreated });
   }
 }
 
 function waitStanding(
-  clock: Clock,
+  { clock, connectLimitMs = DEFAULT_CONNECT_LIMIT_MS }: UpstreamAgentOptions,
   socket: Socket,
   options: { event: string; onCreated: OnCreated | undefined },
 ): void {
-  const cancelTimer = clock.startTimer(CONNECT_LIMIT_MS, () => {
+  const cancelTimer = clock.startTimer(connectLimitMs, () => {
     socket.destroy(new Error("Connection did not come about in time"));
   });
   // It stays for the moment between the handing over and the request's own
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -19,12 +19,16 @@
 } from "./upstream_transport.ts";
 import { UpstreamError } from "./upstream_transport.ts";
 
+const BODILESS_METHODS: ReadonlySet<string> = new Set(["GET", "HEAD"]);
+
 /** What a call goes out on. */
 export interface CallRoute {
   clock: Clock;
   endpoint: { address: string; port: number };
   agent: http.Agent;
   tls: ClientTls | undefined;
+  /** Whether an answer may end with its connection. */
+  allowsUndelimited: boolean;
   /** Called when a connection that was kept open gave no first byte. */
   onSilent: () => void;
 }
@@ -103,7 +107,12 @@
     // The upstream's own address goes there, not the one the caller dialled.
     delete headers["host"];
     delete headers["expect"];
-    headers["content-length"] = String(this.#call.body.length);
+    if (this.#call.host !== undefined) headers["host"] = this.#call.host;
+    const { body, method } = this.#call;
+    // A length on a method that carries no body reads as one that is to come.
+    if (body.length > 0 || !BODILESS_METHODS.has(method)) {
+      headers["content-length"] = String(body.length);
+    }
     return headers;
   }
 
@@ -123,7 +132,9 @@
 
   #readAnswer(message: IncomingMessage): UpstreamAnswer {
     const watch = this.#watch!;
-    if (!isDelimited(message, this.#call.method)) {
+    const isRefused = !this.#route.allowsUndelimited &&
+      !isDelimited(message, this.#call.method);
+    if (isRefused) {
       this.#cancel("broken");
       throw this.#createError(
         new Error("Answer has neither a length nor chunks"),
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -21,6 +21,8 @@
   /** Path and query. */
   path: string;
   headers: Record<string, string>;
+  /** Goes out as the host header; the upstream's own address without it. */
+  host?: string | undefined;
   body: Uint8Array;
   /**
    * True for work that may run at most once: the call goes out on a new
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -32,6 +32,9 @@
 /** A shard of a pool, written `POOL/INDEX`. */
 export type ShardId = Brand<string, "ShardId">;
 
+/** A route's name in the records. */
+export type RouteName = Brand<string, "RouteName">;
+
 /** Every identifier that is a string. */
 export type AnyId =
   | VmId
@@ -45,7 +48,8 @@
   | RequestId
   | TicketId
   | LeaseId
-  | ShardId;
+  | ShardId
+  | RouteName;
 
 /** Brands `text` at a boundary where its kind is known. */
 export function toId<T extends AnyId>(text: string): T {
--- a/src/process/environment.ts
+++ b/src/process/environment.ts
@@ -10,14 +10,20 @@
 import type { PeerDirectory } from "./peer_api.ts";
 import type { Random } from "./random.ts";
 
-/** What the process is and what it reaches. */
-export interface Environment {
+/** What the process is and what requests reach. */
+export interface LocalEnvironment {
   vm: VmId;
   incarnation: Incarnation;
   dataCentre: DataCentre;
   clock: Clock;
   random: Random;
   log: Log;
-  peers: PeerDirectory;
   upstreams: UpstreamTransport;
+  /** Absent where ids are the callers' own and no other VM knows of them. */
+  peers?: PeerDirectory;
+}
+
+/** What a VM of a published fleet reaches. */
+export interface Environment extends LocalEnvironment {
+  peers: PeerDirectory;
 }
--- /dev/null
+++ b/src/process/placement/placement_choice.ts
@@ -0,0 +1,133 @@
+/**
+ * Which replica should get a request: the one that would begin its answer
+ * first, by what is known of loads, speeds and cached parts of prompts.
+ *
+ * @module
+ */
+import type { DataCentre, VmId } from "../../ids.ts";
+import { pickRendezvousFirst } from "../rendezvous.ts";
+import type { PrefixMemory } from "./prefix_memory.ts";
+import type { ListedReplica } from "./replica_list.ts";
+import type { ReplicaLoads } from "./replica_loads.ts";
+import type { ReplicaSpeeds } from "./replica_speed.ts";
+
+/**
+ * Reading a part again costs its own request and all that wait behind it, so
+ * it weighs more than a wait of the same length.
+ */
+const READ_WEIGHT = 1.5;
+/** One more running request slows the others by about so much, in ms. */
+const RUNNING_MS = 0.5;
+/** A full plain replica is as good as one so many milliseconds slower. */
+const FULL_MS = 100;
+/** Each way between data centres, about; also worth its price in bytes. */
+const OTHER_DATA_CENTRE_MS = 2;
+
+/** What is to be placed. */
+export interface PlacementNeeds {
+  /** The shared and the own parts of the prompt, in order. */
+  parts: string[];
+  partTokens: number[];
+  promptTokens: number;
+}
+
+/** Where a request should go, and what it finds there. */
+export interface Placement {
+  replica: ListedReplica;
+  /** Prompt tokens that the replica has to read for it. */
+  ownTokens: number;
+  /** Prompt tokens that are to be read there before it. */
+  tokensAhead: number;
+  /** Predicted time to its first output, in milliseconds. */
+  predictedMs: number;
+}
+
+/** What the choice goes by. */
+export interface PlacementKnowledge {
+  dataCentre: DataCentre;
+  loads: ReplicaLoads;
+  speeds: ReplicaSpeeds;
+  prefixes: PrefixMemory;
+}
+
+/** Chooses among `candidates`; undefined when there are none. */
+export function choosePlacement(
+  candidates: readonly ListedReplica[],
+  needs: PlacementNeeds,
+  knowledge: PlacementKnowledge,
+): Placement | undefined {
+  const home = findHome(candidates, needs, knowledge.prefixes);
+  let best: { placement: Placement; cost: number } | undefined;
+  for (const replica of candidates) {
+    const scored = needs.promptTokens > 0
+      ? computePromptScore(replica, { needs, home, knowledge })
+      : computeCallScore(replica, knowledge);
+    if (best === undefined || scored.cost < best.cost) best = scored;
+  }
+  return best?.placement;
+}
+
+/**
+ * The replica that is taken to hold a prompt that nobody was seen to send:
+ * every VM picks the same one, so that a part is read once and not once a VM.
+ */
+function findHome(
+  candidates: readonly ListedReplica[],
+  needs: PlacementNeeds,
+  prefixes: PrefixMemory,
+): VmId | undefined {
+  const key = needs.parts.at(-2) ?? needs.parts.at(-1);
+  if (key === undefined || prefixes.hasPart(key)) return undefined;
+  return pickRendezvousFirst(key, candidates.map((replica) => replica.id));
+}
+
+function computePromptScore(
+  replica: ListedReplica,
+  context: {
+    needs: PlacementNeeds;
+    home: VmId | undefined;
+    knowledge: PlacementKnowledge;
+  },
+): { placement: Placement; cost: number } {
+  const { needs, home, knowledge } = context;
+  const load = knowledge.loads.getLoad(replica.id);
+  const msPerToken = knowledge.speeds.getMsPerToken(replica.id);
+  const held = knowledge.prefixes.countHeld(replica.id, needs.parts);
+  const heldTokens = needs.partTokens.slice(0, held)
+    .reduce((sum, tokens) => sum + tokens, 0);
+  const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
+  const isHome = home === replica.id;
+  const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : ownTokens;
+  const waitMs = load.pendingTokens * msPerToken;
+  const cost = waitMs + READ_WEIGHT * readTokens * msPerToken +
+    RUNNING_MS * load.running + computeDistance(replica, knowledge);
+  return {
+    placement: {
+      replica,
+      ownTokens,
+      tokensAhead: load.pendingTokens,
+      predictedMs: waitMs + ownTokens * msPerToken,
+    },
+    cost,
+  };
+}
+
+function computeCallScore(
+  replica: ListedReplica,
+  knowledge: PlacementKnowledge,
+): { placement: Placement; cost: number } {
+  const load = knowledge.loads.getLoad(replica.id);
+  const cost = FULL_MS * load.running / replica.slots +
+    computeDistance(replica, knowledge);
+  return {
+    placement: { replica, ownTokens: 0, tokensAhead: 0, predictedMs: 0 },
+    cost,
+  };
+}
+
+function computeDistance(
+  replica: ListedReplica,
+  knowledge: PlacementKnowledge,
+): number {
+  return replica.dataCentre === knowledge.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
+}
--- /dev/null
+++ b/src/process/placement/prefix_memory.ts
@@ -0,0 +1,90 @@
+/**
+ * Which replica has read which parts of prompts, by what VMs sent there.
+ *
+ * @module
+ */
+import type { VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+
+/** Parts that are remembered; the ones used longest ago go first. */
+const MAX_PARTS = 8_000;
+/** A part that was not used for so long counts as gone, in milliseconds. */
+const KEPT_MS = 60_000;
+
+/** A prompt's shared parts, sent to a replica. */
+export type PlacementEntry = [replica: VmId, parts: string[]];
+
+/** Parts of prompts by replica. */
+export class PrefixMemory {
+  readonly #clock: Clock;
+  readonly #parts = new Map<string, Map<VmId, number>>();
+  #unsent: PlacementEntry[] = [];
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): PrefixMemory {
+    return new PrefixMemory(clock);
+  }
+
+  /** Takes in that this VM sent a prompt with these parts to `replica`. */
+  noteSent(replica: VmId, parts: string[]): void {
+    if (parts.length === 0) return;
+    this.#unsent.push([replica, parts]);
+    this.#note(replica, parts);
+  }
+
+  /** Takes in what another VM sent. */
+  notePeerPlacements(entries: readonly PlacementEntry[]): void {
+    for (const [replica, parts] of entries) this.#note(replica, parts);
+  }
+
+  /** Placements that the other VMs have not been told of yet. */
+  takeUnsent(): PlacementEntry[] {
+    const entries = this.#unsent;
+    this.#unsent = [];
+    return entries;
+  }
+
+  /** How many of a prompt's first parts `replica` should still have. */
+  countHeld(replica: VmId, parts: readonly string[]): number {
+    const oldest = this.#clock.now() - KEPT_MS;
+    let count = 0;
+    for (const part of parts) {
+      const at = this.#parts.get(part)?.get(replica);
+      if (at === undefined || at < oldest) break;
+      count += 1;
+    }
+    return count;
+  }
+
+  /** Whether any replica is known to have read the part. */
+  hasPart(part: string): boolean {
+    return this.#parts.has(part);
+  }
+
+  /** Forgets replicas that are not listed any more. */
+  dropUnlisted(isListed: (replica: VmId) => boolean): void {
+    for (const [part, holders] of this.#parts) {
+      for (const replica of holders.keys()) {
+        if (!isListed(replica)) holders.delete(replica);
+      }
+      if (holders.size === 0) this.#parts.delete(part);
+    }
+  }
+
+  #note(replica: VmId, parts: readonly string[]): void {
+    const now = this.#clock.now();
+    for (const part of parts) {
+      const holders = this.#parts.get(part) ?? new Map<VmId, number>();
+      // Set anew, so that the map's order is that of the last use.
+      this.#parts.delete(part);
+      this.#parts.set(part, holders);
+      holders.set(replica, now);
+    }
+    while (this.#parts.size > MAX_PARTS) {
+      this.#parts.delete(this.#parts.keys().next().value!);
+    }
+  }
+}
--- /dev/null
+++ b/src/process/placement/replica_list.ts
@@ -0,0 +1,74 @@
+/**
+ * The replicas of each pool, as the platform publishes them.
+ *
+ * @module
+ */
+import type { DataCentre, PoolName, VmId } from "../../ids.ts";
+
+/** One replica. Each start of its process has an id of its own. */
+export interface ListedReplica {
+  id: VmId;
+  pool: PoolName;
+  /** IP address. */
+  address: string;
+  port: number;
+  dataCentre: DataCentre;
+  /** Requests that it runs at once. */
+  slots: number;
+  /** `draining` takes no new work. */
+  state: "ready" | "draining";
+}
+
+/** All replicas at one revision; a higher revision is newer. */
+export interface ReplicaList {
+  revision: number;
+  replicas: ListedReplica[];
+}
+
+/** The newest list that this VM has, with look-ups. */
+export class ReplicaDirectory {
+  #list: ReplicaList = { revision: 0, replicas: [] };
+  #byId = new Map<VmId, ListedReplica>();
+  #ready = new Map<PoolName, ListedReplica[]>();
+
+  static create(): ReplicaDirectory {
+    return new ReplicaDirectory();
+  }
+
+  get revision(): number {
+    return this.#list.revision;
+  }
+
+  getList(): ReplicaList {
+    return this.#list;
+  }
+
+  /** Takes `list` unless an equal or newer one is there. */
+  apply(list: ReplicaList): boolean {
+    if (list.revision <= this.#list.revision) return false;
+    this.#list = list;
+    this.#byId = new Map(list.replicas.map((each) => [each.id, each]));
+    this.#ready = new Map();
+    for (const replica of list.replicas) {
+      if (replica.state !== "ready") continue;
+      const known = this.#ready.get(replica.pool) ?? [];
+      known.push(replica);
+      this.#ready.set(replica.pool, known);
+    }
+    return true;
+  }
+
+  find(id: VmId): ListedReplica | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** The pool's replicas that take new work. */
+  listReady(pool: PoolName): readonly ListedReplica[] {
+    return this.#ready.get(pool) ?? [];
+  }
+
+  /** Whether `id` still takes new work. */
+  isReady(id: VmId): boolean {
+    return this.#byId.get(id)?.state === "ready";
+  }
+}
--- /dev/null
+++ b/src/process/placement/replica_loads.ts
@@ -0,0 +1,132 @@
+/**
+ * What each replica has in hand: this VM's own work, counted as it is sent,
+ * and the other VMs', as they last told.
+ *
+ * Replicas' own reports lag by some hundred milliseconds, and VMs that read
+ * the same report all send to the same replica; what VMs tell each other of
+ * their own work is a few milliseconds old.
+ *
+ * @module
+ */
+import type { VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+
+/** What another VM told is ignored after so long, in milliseconds. */
+const PEER_LOAD_TTL_MS = 1_500;
+
+/** Work at one replica. */
+export interface ReplicaLoad {
+  /** Prompt tokens that are still to be read. */
+  pendingTokens: number;
+  /** Requests that have not ended. */
+  running: number;
+}
+
+/** One replica's load as a VM tells it. */
+export type LoadEntry = [replica: VmId, pendingTokens: number, running: number];
+
+interface PeerLoads {
+  notedAt: number;
+  entries: Map<VmId, ReplicaLoad>;
+}
+
+/** One request of this VM at a replica. */
+export class PlacedWork {
+  readonly #load: ReplicaLoad;
+  readonly #onChange: () => void;
+  #pendingTokens: number;
+  #hasEnded = false;
+
+  constructor(load: ReplicaLoad, pendingTokens: number, onChange: () => void) {
+    this.#load = load;
+    this.#onChange = onChange;
+    this.#pendingTokens = pendingTokens;
+    load.pendingTokens += pendingTokens;
+    load.running += 1;
+  }
+
+  /** The prompt has been read: the first output is there. */
+  noteFirstOutput(): void {
+    if (this.#pendingTokens === 0) return;
+    this.#load.pendingTokens -= this.#pendingTokens;
+    this.#pendingTokens = 0;
+    this.#onChange();
+  }
+
+  end(): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.noteFirstOutput();
+    this.#load.running -= 1;
+    this.#onChange();
+  }
+}
+
+/** Loads by replica. */
+export class ReplicaLoads {
+  readonly #clock: Clock;
+  readonly #own = new Map<VmId, ReplicaLoad>();
+  readonly #peers = new Map<VmId, PeerLoads>();
+  readonly #onChange: () => void;
+
+  constructor(clock: Clock, onChange: () => void) {
+    this.#clock = clock;
+    this.#onChange = onChange;
+  }
+
+  /** `onChange` hears of each change of this VM's own work. */
+  static create(clock: Clock, onChange: () => void): ReplicaLoads {
+    return new ReplicaLoads(clock, onChange);
+  }
+
+  /** Counts a request of this VM until it ends. */
+  addOwn(replica: VmId, pendingTokens: number): PlacedWork {
+    const load = this.#own.get(replica) ?? { pendingTokens: 0, running: 0 };
+    this.#own.set(replica, load);
+    const work = new PlacedWork(load, pendingTokens, () => {
+      if (load.running === 0) this.#own.delete(replica);
+      this.#onChange();
+    });
+    this.#onChange();
+    return work;
+  }
+
+  /** Replaces what `vm` told before. */
+  putPeer(vm: VmId, entries: readonly LoadEntry[]): void {
+    this.#peers.set(vm, {
+      notedAt: this.#clock.now(),
+      entries: new Map(entries.map(([replica, pendingTokens, running]) => [
+        replica,
+        { pendingTokens, running },
+      ])),
+    });
+  }
+
+  /** Everybody's work at `replica`. */
+  getLoad(replica: VmId): ReplicaLoad {
+    const total = { ...(this.#own.get(replica) ?? NO_LOAD) };
+    const oldest = this.#clock.now() - PEER_LOAD_TTL_MS;
+    for (const [vm, peer] of this.#peers) {
+      if (peer.notedAt < oldest) {
+        this.#peers.delete(vm);
+        continue;
+      }
+      const load = peer.entries.get(replica);
+      if (load === undefined) continue;
+      total.pendingTokens += load.pendingTokens;
+      total.running += load.running;
+    }
+    return total;
+  }
+
+  /** This VM's own work, to be told to the others. */
+  listOwn(): LoadEntry[] {
+    return [...this.#own].map(([replica, load]) => [
+      replica,
+      load.pendingTokens,
+      load.running,
+    ]);
+  }
+}
+
+const NO_LOAD: ReplicaLoad = { pendingTokens: 0, running: 0 };
--- a/src/process/retry_budget.ts
+++ b/src/process/retry_budget.ts
@@ -9,6 +9,7 @@
  *
  * @module
  */
+import type { PoolName } from "../ids.ts";
 import type { Clock } from "./clock.ts";
 import { RetryBudget } from "./services.ts";
 
@@ -16,7 +17,7 @@
 const BUCKETS = 10;
 const BUCKET_MS = WINDOW_MS / BUCKETS;
 /** Retries in a window that need no first tries, for a VM with few calls. */
-const RESERVE = 2;
+const DEFAULT_RESERVE = 2;
 
 interface Bucket {
   /** Which span of `BUCKET_MS` the counts are of. */
@@ -25,50 +26,56 @@
   retries: number;
 }
 
-/** The retry budget of one VM. */
+/** What a retry budget is made of. */
+export interface RetryBudgetOptions {
+  clock: Clock;
+  /** Retries allowed as a share of first tries. */
+  getShare: () => number;
+  /** Retries of a pool in a window that need no first tries; 2 by default. */
+  getReserve?: () => number;
+}
+
+/** The retry budget of one VM, each pool's by itself. */
 export class WindowRetryBudget extends RetryBudget {
-  readonly #clock: Clock;
-  readonly #getShare: () => number;
-  readonly #buckets: Bucket[] = [];
+  readonly #options: RetryBudgetOptions;
+  readonly #pools = new Map<PoolName, Bucket[]>();
 
-  constructor(clock: Clock, getShare: () => number) {
+  constructor(options: RetryBudgetOptions) {
     super();
-    this.#clock = clock;
-    this.#getShare = getShare;
+    this.#options = options;
   }
 
-  /** `getShare` gives the policy's `retryShare` in force. */
-  static create(
-    options: { clock: Clock; getShare: () => number },
-  ): WindowRetryBudget {
-    return new WindowRetryBudget(options.clock, options.getShare);
+  static create(options: RetryBudgetOptions): WindowRetryBudget {
+    return new WindowRetryBudget(options);
   }
 
-  noteFirstTry(): void {
-    this.#getBucket().firstTries++;
+  noteFirstTry(pool: PoolName): void {
+    this.#getBucket(pool).firstTries++;
   }
 
-  takeRetry(): boolean {
-    const bucket = this.#getBucket();
-    const firstTries = addAll(this.#buckets.map((each) => each.firstTries));
-    const retries = addAll(this.#buckets.map((each) => each.retries));
-    const allowed = this.#getShare() * firstTries + RESERVE;
-    if (retries + 1 > allowed) return false;
+  takeRetry(pool: PoolName): boolean {
+    const { getShare, getReserve } = this.#options;
+    const bucket = this.#getBucket(pool);
+    const buckets = this.#pools.get(pool)!;
+    const firstTries = addAll(buckets.map((each) => each.firstTries));
+    const retries = addAll(buckets.map((each) => each.retries));
+    const reserve = getReserve?.() ?? DEFAULT_RESERVE;
+    if (retries + 1 > getShare() * firstTries + reserve) return false;
     bucket.retries++;
     return true;
   }
 
-  #getBucket(): Bucket {
-    const span = Math.floor(this.#clock.now() / BUCKET_MS);
-    while (
-      this.#buckets.length > 0 && this.#buckets[0]!.span <= span - BUCKETS
-    ) {
-      this.#buckets.shift();
+  #getBucket(pool: PoolName): Bucket {
+    const span = Math.floor(this.#options.clock.now() / BUCKET_MS);
+    const buckets = this.#pools.get(pool) ?? [];
+    this.#pools.set(pool, buckets);
+    while (buckets.length > 0 && buckets[0]!.span <= span - BUCKETS) {
+      buckets.shift();
     }
-    const latest = this.#buckets.at(-1);
+    const latest = buckets.at(-1);
     if (latest?.span === span) return latest;
     const bucket = { span, firstTries: 0, retries: 0 };
-    this.#buckets.push(bucket);
+    buckets.push(bucket);
     return bucket;
   }
 }
--- /dev/null
+++ b/src/process/routed_settings.ts
@@ -0,0 +1,108 @@
+/**
+ * The settings of a VM with routes: one JSON file, checked as a whole.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { StepError, toError } from "../errors.ts";
+import type { DataCentre, VmId } from "../ids.ts";
+
+const NAME = z.string().min(1);
+const ENDPOINT = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, {
+  error: "an IP address and a port, such as 10.1.0.19:8740",
+});
+const DURATION = z.int().min(1);
+
+const SCHEMA = z.strictObject({
+  vm: NAME,
+  data_centre: NAME,
+  address: z.ipv4(),
+  /** Ports free for talk between VMs, the first and the last. */
+  peer_ports: z.tuple([z.int(), z.int()]),
+  seeds: z.array(ENDPOINT),
+  listeners: z.strictObject({
+    callers: ENDPOINT,
+    readiness: ENDPOINT,
+    state: ENDPOINT,
+    directory: ENDPOINT,
+  }),
+  metrics_port: z.int().optional(),
+  store: ENDPOINT,
+  log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
+  drain_grace_ms: DURATION,
+  directory_ttl_ms: DURATION,
+  retry_share: z.number().min(0).max(1),
+  retry_reserve: z.number().min(0),
+});
+
+/** Settings as the code uses them; times in milliseconds. */
+export interface RoutedSettings {
+  vm: VmId;
+  dataCentre: DataCentre;
+  address: string;
+  /** Takes datagrams of other VMs; the same on every VM. */
+  peerPort: number;
+  seeds: string[];
+  listeners: {
+    callers: string;
+    readiness: string;
+    state: string;
+    directory: string;
+  };
+  metricsPort: number | undefined;
+  store: string;
+  logLevel: "debug" | "info" | "warn" | "error";
+  drainGraceMs: number;
+  directoryTtlMs: number;
+  /** Retries of the whole fleet as a share of requests. */
+  retryShare: number;
+  /** Retries of the whole fleet, in a window, beyond that share. */
+  retryReserve: number;
+}
+
+/** Reads and checks the file; throws `StepError` naming each wrong field. */
+export function readRoutedSettings(path: string): RoutedSettings {
+  return parseRoutedSettings(readJson(path), path);
+}
+
+/** Checks settings that were read from `path`; throws `StepError`. */
+function parseRoutedSettings(
+  value: unknown,
+  path: string,
+): RoutedSettings {
+  const result = SCHEMA.safeParse(value);
+  if (!result.success) {
+    const problems = result.error.issues
+      .map((issue) => `${issue.path.join(".")}: ${issue.message}`);
+    throw new StepError(
+      { step: "read_settings", peer: path },
+      `Settings are not valid: ${problems.join("; ")}`,
+    );
+  }
+  const file = result.data;
+  return {
+    vm: file.vm as VmId,
+    dataCentre: file.data_centre as DataCentre,
+    address: file.address,
+    peerPort: file.peer_ports[0],
+    seeds: file.seeds,
+    listeners: file.listeners,
+    metricsPort: file.metrics_port,
+    store: file.store,
+    logLevel: file.log_level,
+    drainGraceMs: file.drain_grace_ms,
+    directoryTtlMs: file.directory_ttl_ms,
+    retryShare: file.retry_share,
+    retryReserve: file.retry_reserve,
+  };
+}
+
+function readJson(path: string): unknown {
+  try {
+    return JSON.parse(readFileSync(path, "utf8"));
+  } catch (thrown) {
+    const place = { step: "read_settings", peer: path, cause: toError(thrown) };
+    throw new StepError(place, "Settings cannot be read");
+  }
+}
--- /dev/null
+++ b/src/process/seeded_fleet/datagram_link.ts
@@ -0,0 +1,80 @@
+/**
+ * The way of datagrams between entry VMs.
+ *
+ * @module
+ */
+import { createSocket, type Socket } from "node:dgram";
+import { StepError } from "../../errors.ts";
+import type { Log } from "../log.ts";
+import type { Endpoint } from "./fleet_message.ts";
+
+/** Takes a datagram and where it came from. */
+export type HandleDatagram = (bytes: Uint8Array, from: Endpoint) => void;
+
+/** Sends and receives datagrams; none is promised to arrive. */
+export abstract class DatagramLink {
+  abstract send(to: Endpoint, bytes: Uint8Array): void;
+  abstract onDatagram(handle: HandleDatagram): void;
+  abstract close(): void;
+}
+
+/** Datagrams over UDP and IPv4. */
+export class UdpLink extends DatagramLink {
+  readonly #socket: Socket;
+  readonly #log: Log;
+
+  constructor(socket: Socket, log: Log) {
+    super();
+    this.#socket = socket;
+    this.#log = log;
+  }
+
+  /** Resolves once datagrams are received; rejects `StepError`. */
+  static open(address: string, port: number, log: Log): Promise<UdpLink> {
+    const socket = createSocket("udp4");
+    return new Promise((resolve, reject) => {
+      socket.once("error", (cause) => {
+        const place = { step: "udp_bind", peer: `${address}:${port}`, cause };
+        reject(new StepError(place, "Cannot take datagrams"));
+      });
+      socket.bind({ address, port }, () => {
+        socket.removeAllListeners("error");
+        const link = new UdpLink(socket, log);
+        socket.on("error", (error) => link.#noteError(error));
+        resolve(link);
+      });
+    });
+  }
+
+  send(to: Endpoint, bytes: Uint8Array): void {
+    const { address, port } = parseEndpoint(to);
+    this.#socket.send(bytes, port, address, (error) => {
+      if (error !== null && error !== undefined) this.#noteError(error);
+    });
+  }
+
+  onDatagram(handle: HandleDatagram): void {
+    this.#socket.on("message", (bytes, from) => {
+      handle(bytes, `${from.address}:${from.port}`);
+    });
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  #noteError(error: Error): void {
+    this.#log.debug("datagram_failed", { error: error.message });
+  }
+}
+
+/** Splits `ADDRESS:PORT`. */
+export function parseEndpoint(
+  endpoint: Endpoint,
+): { address: string; port: number } {
+  const colon = endpoint.lastIndexOf(":");
+  return {
+    address: endpoint.slice(0, colon),
+    port: Number(endpoint.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -0,0 +1,94 @@
+/**
+ * The other entry VMs, as far as they are heard.
+ *
+ * @module
+ */
+import type { VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../log.ts";
+import type { Endpoint, FleetBeat } from "./fleet_message.ts";
+
+/**
+ * A VM that was not heard for so long counts as gone, in milliseconds: several
+ * heartbeats, so that some lost datagrams take nobody out.
+ */
+const GONE_AFTER_MS = 900;
+/** A VM that was silent for so long is not tried any more. */
+const FORGOTTEN_AFTER_MS = 120_000;
+
+/** Another VM. */
+export interface FleetPeer {
+  beat: FleetBeat;
+  /** Where it takes datagrams. */
+  endpoint: Endpoint;
+  /** `Clock.now()` when it was heard last. */
+  heardAt: number;
+  isLive: boolean;
+}
+
+/** Heard VMs by name. */
+export class FleetPeers {
+  readonly #clock: Clock;
+  readonly #log: Log;
+  readonly #peers = new Map<VmId, FleetPeer>();
+
+  constructor(clock: Clock, log: Log) {
+    this.#clock = clock;
+    this.#log = log;
+  }
+
+  static create(clock: Clock, log: Log): FleetPeers {
+    return new FleetPeers(clock, log);
+  }
+
+  /** Takes in a heartbeat; says whether its life was unknown until now. */
+  noteBeat(beat: FleetBeat, endpoint: Endpoint): { isNew: boolean } {
+    const known = this.#peers.get(beat.vm);
+    const isSameLife = known?.beat.incarnation === beat.incarnation;
+    // A datagram that comes late must not undo what a newer one said.
+    if (isSameLife && beat.sequence <= known.beat.sequence) {
+      return { isNew: false };
+    }
+    if (known === undefined || !isSameLife || !known.isLive) {
+      this.#log.info("peer_heard", {
+        peer: beat.vm,
+        incarnation: beat.incarnation,
+        serving: beat.isServing,
+      });
+    }
+    this.#peers.set(beat.vm, {
+      beat,
+      endpoint,
+      heardAt: this.#clock.now(),
+      isLive: true,
+    });
+    return { isNew: !isSameLife };
+  }
+
+  /** Marks silent VMs as gone, and forgets those that were long silent. */
+  checkSilence(): void {
+    const now = this.#clock.now();
+    for (const [vm, peer] of this.#peers) {
+      const silentMs = now - peer.heardAt;
+      if (peer.isLive && silentMs > GONE_AFTER_MS) {
+        peer.isLive = false;
+        this.#log.warn("peer_silent", { peer: vm, ms: Math.round(silentMs) });
+      }
+      if (silentMs > FORGOTTEN_AFTER_MS) this.#peers.delete(vm);
+    }
+  }
+
+  find(vm: VmId): FleetPeer | undefined {
+    return this.#peers.get(vm);
+  }
+
+  /** VMs that are heard. */
+  listLive(): FleetPeer[] {
+    return [...this.#peers.values()].filter((peer) => peer.isLive);
+  }
+
+  /** VMs that were heard once and are silent. */
+  listSilent(): FleetPeer[] {
+    return [...this.#peers.values()].filter((peer) => !peer.isLive);
+  }
+}
--- /dev/null
+++ b/src/process/seeded_fleet/index.ts
@@ -0,0 +1,14 @@
+/**
+ * A fleet whose VMs know each other by seeds and follow what is published.
+ *
+ * @module
+ */
+export { DatagramLink, parseEndpoint, UdpLink } from "./datagram_link.ts";
+export type { Endpoint } from "./fleet_message.ts";
+export type { FleetPeer } from "./fleet_peers.ts";
+export { FleetTalk } from "./fleet_talk.ts";
+export type { BeatContent } from "./fleet_talk.ts";
+export { PublishedStore } from "./published_store.ts";
+export type { PublishedState, StoreNews } from "./published_store.ts";
+export { StateFollower } from "./state_follower.ts";
+export type { HandedState } from "./state_follower.ts";
--- /dev/null
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -0,0 +1,298 @@
+/**
+ * Keeps this VM at the newest configuration and list of replicas, from the
+ * store or from another VM that has newer ones; it never goes back.
+ *
+ * Reads of the store are priced and limited for the whole fleet, so a few VMs
+ * watch and the others take what these hand on. A VM that hears of nobody with
+ * a fresh view watches by itself until one is there again: a watcher may be cut
+ * off from the store and say nothing of it but the age of what it has.
+ *
+ * @module
+ */
+import { toError } from "../../errors.ts";
+import type { VmId } from "../../ids.ts";
+import {
+  buildRoutedSnapshot,
+  type PublishedConfiguration,
+} from "../../version/published.ts";
+import type { RoutedSnapshot } from "../../version/routes.ts";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../log.ts";
+import type {
+  ReplicaDirectory,
+  ReplicaList,
+} from "../placement/replica_list.ts";
+import type { Random } from "../random.ts";
+import { computeRendezvousOrder } from "../rendezvous.ts";
+import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
+import type { PublishedState, PublishedStore } from "./published_store.ts";
+import { RecentlyLapsed } from "./recently_lapsed.ts";
+
+/** VMs that watch the store: one may fail without a gap. */
+const WATCHERS = 2;
+/** Views older than this are taken as cut off from the store, in ms. */
+const STALE_AFTER_MS = 1_200;
+/** A watch waits so long for a change, in milliseconds. */
+const WATCH_WAIT_MS = 1_500;
+/**
+ * The pause between two watches, in milliseconds. Heartbeats of replicas end
+ * nearly every watch at once; each call is priced, and changes have seconds.
+ */
+const WATCH_PAUSE_MS = 350;
+const RETRY_MS = 250;
+/** How often a VM looks whether it has to watch, in milliseconds. */
+const IDLE_CHECK_MS = 200;
+/** What a VM offers that has something newer. */
+export interface HandedState {
+  configuration?: PublishedConfiguration;
+  replicas?: ReplicaList;
+}
+
+/** What a follower needs. */
+export interface StateFollowerOptions {
+  vm: VmId;
+  clock: Clock;
+  random: Random;
+  log: Log;
+  store: PublishedStore;
+  peers: FleetPeers;
+  replicas: ReplicaDirectory;
+  /** Asks another VM for what is newer than the two versions. */
+  fetchFrom: (
+    peer: FleetPeer,
+    known: { configVersion: number; listRevision: number },
+  ) => Promise<HandedState>;
+  onSnapshot: (snapshot: RoutedSnapshot) => void;
+  onReplicas: () => void;
+}
+
+/** Follows store and peers. */
+export class StateFollower {
+  readonly #options: StateFollowerOptions;
+  readonly #stopped = new AbortController();
+  readonly #lapsed: RecentlyLapsed;
+  #configuration: PublishedConfiguration | undefined;
+  #snapshot: RoutedSnapshot | undefined;
+  #confirmedAt = -Infinity;
+  #isWatching = false;
+  #isFetching = false;
+  #wasStoreLost = false;
+
+  constructor(options: StateFollowerOptions) {
+    this.#options = options;
+    this.#lapsed = RecentlyLapsed.create(options.clock);
+  }
+
+  static create(options: StateFollowerOptions): StateFollower {
+    return new StateFollower(options);
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  getSnapshot(): RoutedSnapshot | undefined {
+    return this.#snapshot;
+  }
+
+  get isWatching(): boolean {
+    return this.#isWatching;
+  }
+
+  /** How long ago the list was known to be the newest; -1 for never. */
+  getListAgeMs(): number {
+    const age = this.#options.clock.now() - this.#confirmedAt;
+    return Number.isFinite(age) ? Math.round(age) : -1;
+  }
+
+  /** What this VM has beyond what another one knows. */
+  buildHandedState(
+    known: { configVersion: number; listRevision: number },
+  ): HandedState {
+    const { replicas } = this.#options;
+    const state: HandedState = {};
+    const configuration = this.#configuration;
+    if (configuration && configuration.version > known.configVersion) {
+      state.configuration = configuration;
+    }
+    if (replicas.revision > known.listRevision) {
+      state.replicas = replicas.getList();
+    }
+    return state;
+  }
+
+  /** Takes in which versions another VM has, and fetches what is newer. */
+  notePeer(peer: FleetPeer): void {
+    const { beat } = peer;
+    const revision = this.#options.replicas.revision;
+    if (beat.listRevision === revision && beat.listAgeMs >= 0) {
+      const at = this.#options.clock.now() - beat.listAgeMs;
+      this.#confirmedAt = Math.max(this.#confirmedAt, at);
+    }
+    const isBehind = beat.listRevision > revision ||
+      beat.configVersion > (this.#configuration?.version ?? 0);
+    if (isBehind && !this.#isFetching) void this.#fetchFrom(peer);
+  }
+
+  async #fetchFrom(peer: FleetPeer): Promise<void> {
+    this.#isFetching = true;
+    try {
+      const state = await this.#options.fetchFrom(peer, {
+        configVersion: this.#configuration?.version ?? 0,
+        listRevision: this.#options.replicas.revision,
+      });
+      this.#applyHanded(state, peer.beat.vm);
+    } catch (thrown) {
+      // The next heartbeat of any VM tries again.
+      this.#options.log.info("peer_fetch_failed", {
+        peer: peer.beat.vm,
+        error: toError(thrown).message,
+      });
+    } finally {
+      this.#isFetching = false;
+    }
+  }
+
+  #applyHanded(state: HandedState, from: VmId): void {
+    if (state.configuration) {
+      this.#applyConfiguration(state.configuration, from);
+    }
+    if (state.replicas) this.#applyReplicas(state.replicas, from);
+  }
+
+  async #run(): Promise<void> {
+    const { clock, random } = this.#options;
+    const { signal } = this.#stopped;
+    while (!signal.aborted) {
+      const isNeeded = this.#isWatchNeeded();
+      if (isNeeded !== this.#isWatching) {
+        this.#isWatching = isNeeded;
+        this.#options.log.info("store_watch", {
+          watching: isNeeded,
+          list_age_ms: this.getListAgeMs(),
+        });
+      }
+      if (!isNeeded) {
+        await clock.sleep(IDLE_CHECK_MS * (0.5 + random.next()), signal);
+        continue;
+      }
+      await this.#watchOnce();
+    }
+  }
+
+  #isWatchNeeded(): boolean {
+    const { vm, peers, replicas } = this.#options;
+    if (this.#snapshot === undefined || replicas.revision === 0) return true;
+    if (this.getListAgeMs() > STALE_AFTER_MS) return true;
+    const vms = peers.listLive()
+      .filter((peer) => !peer.beat.isDraining)
+      .map((peer) => peer.beat.vm);
+    const order = computeRendezvousOrder("store-watch", [vm, ...vms]);
+    return order.slice(0, WATCHERS).includes(vm);
+  }
+
+  async #watchOnce(): Promise<void> {
+    const { clock, random, store } = this.#options;
+    const { signal } = this.#stopped;
+    try {
+      const isFirst = this.#confirmedByStoreAt === undefined;
+      const state = isFirst
+        ? await store.fetchState()
+        : await this.#watchState();
+      this.#applyState(state);
+      await clock.sleep(WATCH_PAUSE_MS, signal);
+    } catch (thrown) {
+      this.#noteStoreLost(toError(thrown));
+      await clock.sleep(RETRY_MS * (0.5 + random.next()), signal);
+    }
+  }
+
+  #confirmedByStoreAt: number | undefined;
+
+  async #watchState(): Promise<PublishedState> {
+    const news = await this.#options.store.watch(WATCH_WAIT_MS);
+    if (news.kind === "state") return news.state;
+    this.#options.log.info("store_history_lost");
+    return await this.#options.store.fetchState();
+  }
+
+  #noteStoreLost(error: Error): void {
+    if (this.#wasStoreLost) return;
+    this.#wasStoreLost = true;
+    this.#options.log.warn("store_lost", { error: error.message });
+  }
+
+  #applyState(state: PublishedState): void {
+    const { clock, log } = this.#options;
+    const now = clock.now();
+    if (this.#wasStoreLost) {
+      this.#wasStoreLost = false;
+      log.info("store_regained", { revision: state.revision });
+    }
+    const gapMs = now - Math.max(this.#confirmedAt, 0);
+    this.#confirmedByStoreAt = now;
+    if (state.configuration) {
+      this.#applyConfiguration(state.configuration, "store");
+    }
+    const replicas = this.#lapsed.apply(
+      state.replicas,
+      this.#options.replicas.getList(),
+      gapMs,
+    );
+    this.#applyReplicas(replicas, "store");
+    if (this.#options.replicas.revision === state.replicas.revision) {
+      this.#confirmedAt = now;
+    }
+  }
+
+  #applyConfiguration(
+    configuration: PublishedConfiguration,
+    from: string,
+  ): void {
+    if (configuration.version <= (this.#configuration?.version ?? 0)) return;
+    this.#configuration = configuration;
+    this.#snapshot = buildRoutedSnapshot(configuration);
+    this.#options.log.info("configuration_accepted", {
+      version: configuration.version,
+      from,
+      routes: configuration.routes.length,
+    });
+    this.#options.onSnapshot(this.#snapshot);
+  }
+
+  #applyReplicas(list: ReplicaList, from: string): void {
+    const { replicas, log } = this.#options;
+    const before = replicas.getList();
+    if (!replicas.apply(list)) return;
+    const changes = listChanges(before, list);
+    for (const { replica, change } of changes) {
+      log.info("replica_changed", {
+        replica,
+        change,
+        revision: list.revision,
+        from,
+      });
+    }
+    if (changes.length > 0) this.#options.onReplicas();
+  }
+}
+
+interface ReplicaChange {
+  replica: VmId;
+  change: string;
+}
+
+function listChanges(before: ReplicaList, after: ReplicaList): ReplicaChange[] {
+  const old = new Map(before.replicas.map((each) => [each.id, each.state]));
+  const changes: ReplicaChange[] = [];
+  for (const { id, state } of after.replicas) {
+    if (old.get(id) !== state) changes.push({ replica: id, change: state });
+    old.delete(id);
+  }
+  for (const id of old.keys()) changes.push({ replica: id, change: "gone" });
+  return changes;
+}
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -35,6 +35,10 @@
   doneTokens: number;
   idempotent: boolean;
   prefixes: string[];
+  /** Tokens of each part of the prompt, alike in order to `prefixes`. */
+  partTokens?: number[];
+  /** For the engine's own queue; 0 is the most urgent. */
+  priority?: number;
   avoid: VmId[];
 }
 
@@ -121,9 +125,9 @@
 
 /** A share of first tries that may be retried, so that retries cannot pile. */
 export abstract class RetryBudget {
-  abstract noteFirstTry(): void;
+  abstract noteFirstTry(pool: PoolName): void;
   /** Takes one retry, or returns false when the budget is spent. */
-  abstract takeRetry(): boolean;
+  abstract takeRetry(pool: PoolName): boolean;
 }
 
 /** Figures of finished requests. */
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -33,6 +33,8 @@
   isClaimStanding: () => boolean;
   /** Whether the caller took the id beforehand and so may ask again. */
   retainsAnswer: boolean;
+  /** `Clock.now()` at which the caller leaves, if before the class's target. */
+  deadlineAt?: number;
 }
 
 /** How a run ended. */
@@ -69,7 +71,8 @@
   constructor(services: RequestServices, start: RunStart) {
     this.services = services;
     this.start = start;
-    this.deadlineAt = start.arrivedAt + start.requestClass.targets.totalMs;
+    this.deadlineAt = start.deadlineAt ??
+      start.arrivedAt + start.requestClass.targets.totalMs;
     this.#phases = RunPhases.create(start.arrivedAt, (phase, ms) => {
       services.metrics.noteStep(start.requestClass.name, phase, ms);
     });
--- a/src/request/request_services.ts
+++ b/src/request/request_services.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { RequestId } from "../ids.ts";
+import type { Refusal } from "../outcome.ts";
 import type { AnswerStore } from "../process/answer_store.ts";
-import type { Environment } from "../process/environment.ts";
+import type { LocalEnvironment } from "../process/environment.ts";
 import type { FateStore } from "../process/fate_store.ts";
 import type { FateAnswer } from "../process/peer_api.ts";
 import type {
@@ -19,7 +20,7 @@
 
 /** The process-wide parts behind every request. */
 export interface RequestServices {
-  environment: Environment;
+  environment: LocalEnvironment;
   /** The configuration in force; undefined until there is one. */
   getSnapshot: () => Snapshot | undefined;
   leases: LeaseSource;
@@ -30,6 +31,10 @@
   metrics: RequestMetrics;
   answers: AnswerStore;
   isDraining: () => boolean;
+  /** How refusals are told where callers go by the status alone. */
+  buildRefusalOptions?: (
+    refusal: Refusal,
+  ) => { status: number; headers: Record<string, string> };
   /** The body of `GET /v1/entries`. */
   entries: (query: URLSearchParams) => unknown;
   /**
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -89,7 +89,8 @@
   });
 }
 
-async function runClaimed(
+/** Runs a request whose id is claimed, and tells the caller how it ended. */
+export async function runClaimed(
   run: RequestRun,
   checkWork: (run: RequestRun) => CheckedWork,
 ): Promise<void> {
@@ -136,7 +137,10 @@
     await work.endCut(refusal);
     return;
   }
-  await writeRefusal(sink, refusal, { requestId: run.id });
+  await writeRefusal(sink, refusal, {
+    requestId: run.id,
+    ...run.services.buildRefusalOptions?.(refusal),
+  });
 }
 
 function toRefusal(run: RequestRun, thrown: unknown): Refusal {
--- a/src/request/resubmission.ts
+++ b/src/request/resubmission.ts
@@ -83,7 +83,7 @@
     return { fate: fates.find(requestId), answer: answers.find(requestId) };
   }
   try {
-    return await environment.peers.getPeer(runner)
+    return await environment.peers?.getPeer(runner)
       .findFate({ requestId, withAnswer: true });
   } catch (thrown) {
     environment.log.warn("answer_not_fetched", {
--- /dev/null
+++ b/src/request/routed_handler.ts
@@ -0,0 +1,234 @@
+/**
+ * Answers routed calls: finds route, workspace and class, and runs the work.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import { getRefusalKind, writeRefusal } from "../connection/refusal_body.ts";
+import { toError } from "../errors.ts";
+import { type RequestId, toId, type WorkspaceName } from "../ids.ts";
+import { type Refusal, RefusalError } from "../outcome.ts";
+import type { Workspace } from "../version/records.ts";
+import {
+  chooseTarget,
+  isRepeatable,
+  type Route,
+  type RoutedSnapshot,
+} from "../version/routes.ts";
+import { checkCaller } from "./authenticate.ts";
+import { CallerHandler, type CallerRequest } from "./caller_request.ts";
+import type { CallerSink } from "./caller_sink.ts";
+import { RequestRun } from "./request_run.ts";
+import type { RequestServices } from "./request_services.ts";
+import { type CheckedWork, runClaimed } from "./request_task.ts";
+import { RoutedCallWork } from "./routed_call_work.ts";
+import type { RoutedCall, RoutedDialect } from "./routed_dialect.ts";
+import { ResumableStreamWork, SingleStreamWork } from "./routed_stream_work.ts";
+import type { RoutedWork, RoutedWorkStart } from "./routed_work.ts";
+
+const NOT_READY_RETRY_MS = 300;
+const MS_PER_SECOND = 1_000;
+const SERVICE_UNAVAILABLE = 503;
+const UPSTREAM_STATUSES: ReadonlySet<number> = new Set([500, 502, 504]);
+const PORT_SUFFIX = /:\d+$/;
+
+/** The workspace of calls on routes that need no key. */
+const PUBLIC_WORKSPACE: Workspace = {
+  kind: "workspace",
+  name: toId<WorkspaceName>("public"),
+  keyHashes: [],
+  defaultClass: toId("public"),
+  classes: [],
+  weight: 1,
+  limits: { requestsPerMinute: Infinity, tokensPerMinute: Infinity },
+  objectives: {},
+};
+
+/** What the handler needs. */
+export interface RoutedHandlerOptions {
+  services: RequestServices;
+  getSnapshot: () => RoutedSnapshot | undefined;
+  dialect: RoutedDialect;
+}
+
+/** A call whose route and caller are known. */
+interface CheckedCall {
+  request: CallerRequest;
+  sink: CallerSink;
+  snapshot: RoutedSnapshot;
+  route: Route;
+  workspace: Workspace;
+  call: RoutedCall;
+  requestId: RequestId;
+}
+
+/** The callers' side of a VM with routes. */
+export class RoutedHandler extends CallerHandler {
+  readonly #options: RoutedHandlerOptions;
+
+  constructor(options: RoutedHandlerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  static create(options: RoutedHandlerOptions): RoutedHandler {
+    return new RoutedHandler(options);
+  }
+
+  override async handle(
+    request: CallerRequest,
+    sink: CallerSink,
+  ): Promise<void> {
+    try {
+      await this.#run(this.#check(request, sink));
+    } catch (thrown) {
+      const refusal = this.#toRefusal(request, thrown);
+      await writeRefusal(sink, refusal, {
+        requestId: this.#findRequestId(request),
+        ...buildRoutedRefusal(refusal),
+      });
+    }
+  }
+
+  #check(request: CallerRequest, sink: CallerSink): CheckedCall {
+    const snapshot = this.#options.getSnapshot();
+    if (snapshot === undefined) throw createNotReady();
+    const host = (request.headers["host"] ?? "").toLowerCase()
+      .replace(PORT_SUFFIX, "");
+    const route = snapshot.routes.findRoute(host, request.path);
+    if (route === undefined) {
+      throw createNotRun("not_found", "No route leads there");
+    }
+    const workspace = route.isPublic
+      ? PUBLIC_WORKSPACE
+      : checkCaller(snapshot, request.headers);
+    const call = this.#options.dialect.readCall(request.headers);
+    if (call.requestId === undefined) {
+      throw createNotRun("bad_request", "A request id is needed");
+    }
+    const requestId = toId<RequestId>(call.requestId);
+    return { request, sink, snapshot, route, workspace, call, requestId };
+  }
+
+  async #run(checked: CheckedCall): Promise<void> {
+    const { request, route, snapshot, call } = checked;
+    const requestClass = snapshot.classes.get(route.className);
+    if (requestClass === undefined) {
+      throw createNotRun("internal", `Class ${route.className} is missing`);
+    }
+    const timeoutMs = Math.min(
+      call.timeoutMs ?? Infinity,
+      requestClass.targets.totalMs,
+    );
+    const run = RequestRun.create(this.#options.services, {
+      requestId: checked.requestId,
+      workspace: checked.workspace,
+      requestClass,
+      snapshot,
+      arrivedAt: request.arrivedAt,
+      deadlineAt: request.arrivedAt + timeoutMs,
+      sink: checked.sink,
+      idempotent: isRepeatable(route.kind),
+      isClaimStanding: () => true,
+      retainsAnswer: false,
+    });
+    await runClaimed(run, () => this.#buildWork(run, checked));
+  }
+
+  #buildWork(run: RequestRun, checked: CheckedCall): CheckedWork {
+    const { request, route, snapshot, call, workspace } = checked;
+    const { random } = this.#options.services.environment;
+    const target = chooseTarget(route.targets, random.next());
+    const pool = target && snapshot.pools.get(target.pool);
+    if (pool === undefined) {
+      throw createNotRun("no_upstream", "The route's service is not known");
+    }
+    const work = createWork(route, {
+      run,
+      request,
+      call,
+      route,
+      pool,
+      priority: workspace.priority ?? route.priority,
+      dialect: this.#options.dialect,
+    });
+    const promptTokens = call.prompt?.promptTokens ?? 0;
+    const expectedTokens = call.prompt?.maxTokens ?? 0;
+    return { work, promptTokens, expectedTokens };
+  }
+
+  #findRequestId(request: CallerRequest): RequestId | undefined {
+    const { requestId } = this.#options.dialect.readCall(request.headers);
+    return requestId === undefined ? undefined : toId<RequestId>(requestId);
+  }
+
+  #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
+    const { log } = this.#options.services.environment;
+    const request_id = this.#findRequestId(request);
+    if (thrown instanceof RefusalError) {
+      const { code, outcome, message } = thrown.refusal;
+      const path = request.path;
+      log.info("request_refused", {
+        request_id,
+        path,
+        code,
+        outcome,
+        detail: message,
+      });
+      return thrown.refusal;
+    }
+    const error = toError(thrown);
+    log.error("request_failed", {
+      request_id,
+      error: error.stack ?? error.message,
+    });
+    return {
+      code: "internal",
+      message: "The router failed",
+      outcome: "unknown",
+    };
+  }
+}
+
+/**
+ * How routed refusals are told: the status alone says whether the request ran,
+ * since these callers read no bodies. Work that surely did not run gets 503,
+ * which they may repeat; the time to come back may be a part of a second.
+ */
+export function buildRoutedRefusal(
+  refusal: Refusal,
+): { status: number; headers: Record<string, string> } {
+  const { status } = getRefusalKind(refusal.code);
+  const isNotRun = refusal.outcome === "not_run";
+  const headers: Record<string, string> = {};
+  if (refusal.retryAfterMs !== undefined && isNotRun) {
+    headers["retry-after"] = String(refusal.retryAfterMs / MS_PER_SECOND);
+  }
+  if (isNotRun && UPSTREAM_STATUSES.has(status)) {
+    return { status: SERVICE_UNAVAILABLE, headers };
+  }
+  const isPromise = status === SERVICE_UNAVAILABLE || status === 429;
+  return { status: isPromise && !isNotRun ? 502 : status, headers };
+}
+
+function createWork(route: Route, start: RoutedWorkStart): RoutedWork {
+  return match(route.kind)
+    .returnType<RoutedWork>()
+    .with("idempotent_call", "single_call", () => RoutedCallWork.create(start))
+    .with("single_stream", () => SingleStreamWork.create(start))
+    .with("resumable_stream", () => ResumableStreamWork.create(start))
+    .exhaustive();
+}
+
+function createNotReady(): RefusalError {
+  return new RefusalError({
+    code: "not_ready",
+    message: "This VM has no configuration yet",
+    outcome: "not_run",
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
+function createNotRun(code: Refusal["code"], message: string): RefusalError {
+  return new RefusalError({ code, message, outcome: "not_run" });
+}
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -13,8 +13,8 @@
 import { TryProgress } from "./try_progress.ts";
 import type { UpstreamWork } from "./upstream_work.ts";
 
-/** Sends that may fail for one request, the first one included. */
-const MAX_SENDS = 4;
+/** Tries that may fail for one request, the first one included. */
+const MAX_TRIES = 4;
 /** Leases that one request may use up, preempted and lapsed ones included. */
 const MAX_LEASES = 12;
 const NO_PROGRESS: LeaseProgress = {
@@ -41,9 +41,10 @@
   run: RequestRun,
   work: UpstreamWork,
 ): Promise<void> {
-  run.services.budget.noteFirstTry();
+  run.services.budget.noteFirstTry(work.pool.name);
   run.pool = work.pool;
   const avoid: VmId[] = [];
+  let tries = 0;
   let sends = 0;
   for (let attempt = 1; attempt <= MAX_LEASES; attempt++) {
     const lease = await acquireLease(run, work, { attempt, avoid });
@@ -58,9 +59,10 @@
       checkCanContinue(run, work, "The slot was taken for a higher tier");
       continue;
     }
-    sends++;
+    tries++;
+    if (end.failure.wasSent) sends++;
     avoid.push(end.failure.upstream);
-    checkRetry(run, work, { failure: end.failure, sends });
+    checkRetry(run, work, { failure: end.failure, tries, sends });
     run.note("retried", { detail: end.failure.message });
   }
   throw createRefusal(run, {
@@ -141,6 +143,9 @@
   } finally {
     preempted?.removeEventListener("abort", onPreempted);
     run.start.sink.signal.removeEventListener("abort", onCallerGone);
+    // An answer that was turned down unread would hold its connection, and
+    // the upstream its work, until a time limit.
+    cancel.abort();
     lease.release("failed", progress.getProgress());
   }
 }
@@ -238,9 +243,9 @@
 function checkRetry(
   run: RequestRun,
   work: UpstreamWork,
-  options: { failure: TryFailure; sends: number },
+  options: { failure: TryFailure; tries: number; sends: number },
 ): void {
-  const { failure, sends } = options;
+  const { failure, tries, sends } = options;
   const giveUp = (why: string): RefusalError =>
     createRefusal(run, {
       code: failure.code,
@@ -252,9 +257,13 @@
   if (!run.start.idempotent && failure.wasSent) {
     throw giveUp("work that is not idempotent is sent once");
   }
-  if (sends >= MAX_SENDS) throw giveUp("no more tries are made");
+  if (tries >= MAX_TRIES || sends >= work.maxSends) {
+    throw giveUp("no more tries are made");
+  }
   checkCanContinue(run, work, failure.message);
-  if (!run.services.budget.takeRetry()) {
+  // A try that never reached an upstream loads none of those that are left.
+  if (!failure.wasSent) return;
+  if (!run.services.budget.takeRetry(work.pool.name)) {
     throw giveUp("the retry budget is spent");
   }
 }
@@ -279,9 +288,9 @@
 }
 
 function computeLimits(run: RequestRun, work: UpstreamWork): CallLimits {
-  const limits = work.pool.timeouts;
-  if (run.start.requestClass.lateIsUseful) return limits;
   const leftMs = run.deadlineAt - run.services.environment.clock.now();
+  const limits = work.computeLimits(leftMs);
+  if (run.start.requestClass.lateIsUseful) return limits;
   return {
     ...limits,
     firstByteMs: Math.max(1, Math.min(limits.firstByteMs, leftMs)),
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
+import type {
+  CallLimits,
+  UpstreamAnswer,
+} from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
 import type { HeldLease, LeaseRequest } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
@@ -14,6 +17,8 @@
   method: string;
   /** Path and query. */
   path: string;
+  /** The host that the caller named, where the upstream is to see it. */
+  host?: string | undefined;
   headers: Record<string, string>;
   body: Uint8Array;
 }
@@ -52,11 +57,27 @@
   | "maxTokens"
   | "doneTokens"
   | "prefixes"
+  | "partTokens"
+  | "priority"
 >;
 
+/** Sends of one request that may reach upstreams, unless the work says less. */
+const MAX_SENDS = 4;
+
 /** Work that may take several tries, all for one answer. */
 export abstract class UpstreamWork {
   abstract readonly pool: UpstreamPool;
+
+  /** Sends that may reach an upstream, the first one included. */
+  get maxSends(): number {
+    return MAX_SENDS;
+  }
+
+  /** The time limits of a try for which `leftMs` are left. */
+  computeLimits(_leftMs: number): CallLimits {
+    return this.pool.timeouts;
+  }
+
   /** What a lease for the next try is asked for with. */
   abstract buildLeaseNeeds(): LeaseNeeds;
   /** What the next try sends. */
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -27,5 +27,6 @@
   UpstreamPool,
   Workspace,
 } from "./records.ts";
-export { buildSnapshot, DEFAULT_POLICY } from "./snapshot.ts";
+export { buildSnapshot } from "./snapshot.ts";
+export { DEFAULT_POLICY } from "./snapshot_maps.ts";
 export type { SnapshotResult } from "./snapshot.ts";
--- /dev/null
+++ b/src/version/published.ts
@@ -0,0 +1,33 @@
+/**
+ * A configuration in the form in which VMs hand it on: plain records that were
+ * checked where they were read.
+ *
+ * @module
+ */
+import type { ConfigRecord } from "./records.ts";
+import {
+  type CallerBounds,
+  type Route,
+  type RoutedSnapshot,
+  RouteTable,
+} from "./routes.ts";
+import { buildCheckedSnapshot } from "./snapshot_maps.ts";
+
+/** One version of the configuration, as plain data. */
+export interface PublishedConfiguration {
+  version: number;
+  records: ConfigRecord[];
+  routes: Route[];
+  callerBounds: CallerBounds;
+}
+
+/** Builds the maps that requests look things up in. */
+export function buildRoutedSnapshot(
+  published: PublishedConfiguration,
+): RoutedSnapshot {
+  return {
+    ...buildCheckedSnapshot(published.version, published.records),
+    routes: RouteTable.create(published.routes),
+    callerBounds: published.callerBounds,
+  };
+}
--- a/src/version/records.ts
+++ b/src/version/records.ts
@@ -64,6 +64,8 @@
   };
   /** Objectives that replace those of a class, for this workspace. */
   objectives: Record<string, number>;
+  /** Goes before the priority of a route; 0 is the most urgent. */
+  priority?: number;
 }
 
 /** A model that a pool should hold. */
--- a/test/process/request_stores_test.ts
+++ b/test/process/request_stores_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from "vitest";
-import { type RequestId, toId } from "../../src/ids.ts";
+import { type PoolName, type RequestId, toId } from "../../src/ids.ts";
 import { AnswerStore } from "../../src/process/answer_store.ts";
 import { FateStore } from "../../src/process/fate_store.ts";
 import { WindowRetryBudget } from "../../src/process/retry_budget.ts";
@@ -7,6 +7,7 @@
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { buildRunningRecord } from "../support/fate_examples.ts";
 
+const POOL = toId<PoolName>("pool");
 const END = { outcome: "answered" as const, code: undefined, tokens: 3 };
 
 function buildRecord(id: string): FateRecord {
@@ -87,8 +88,8 @@
     let retries = 0;
     for (let second = 0; second < 60; second++) {
       for (let tries = 0; tries < 20; tries++) {
-        budget.noteFirstTry();
-        while (budget.takeRetry()) retries++;
+        budget.noteFirstTry(POOL);
+        while (budget.takeRetry(POOL)) retries++;
       }
       await clock.run(1_000);
     }
@@ -103,7 +104,7 @@
     const budget = WindowRetryBudget.create({ clock, getShare: () => 0 });
     const takeAll = () => {
       let taken = 0;
-      while (budget.takeRetry()) taken++;
+      while (budget.takeRetry(POOL)) taken++;
       return taken;
     };
     expect(takeAll()).toBe(2);
