Order calls by workspace and route together, and bound the log's volume

Nine of ten workspaces have the same priority, which replaced the routes', so talks and documents were equal to the engines and the newest had to go. A level is given to each pair of the two priorities now, the workspace's first. A test that failed before stands in test/version.

The log is bounded in lines a second, routine lines left out first and counted, and written in batches that never wait for the reader.

--- a/src/connection/index.ts
+++ b/src/connection/index.ts
@@ -12,7 +12,7 @@
 export { buildRefusal, getRefusalKind } from "./refusal_body.ts";
 export { parseEvents, SseFramer } from "./sse_frames.ts";
 export type { ClientTls, ServerTls } from "./tls_material.ts";
-export { fetchWhole, readReport } from "./whole_call.ts";
+
 export { UpstreamError, UpstreamTransport } from "./upstream_transport.ts";
 export type {
   EngineOrder,
--- a/src/process/roarr_log.ts
+++ b/src/process/roarr_log.ts
@@ -7,6 +7,7 @@
 import process from "node:process";
 import { type Message, ROARR, Roarr } from "roarr";
 import type { Clock } from "./clock.ts";
+import { LineWriter } from "./line_writer.ts";
 import { Log, type LogFields, type LogLevel } from "./log.ts";
 import { formatLogLine } from "./log_line.ts";
 
@@ -63,10 +64,7 @@
 }
 
 function openStandardOutput(): (line: string) => void {
-  // When the reader of the log goes away, each write raises EPIPE; unhandled,
-  // that would end a daemon that serves well otherwise.
-  process.stdout.on("error", () => {});
-  return (line) => {
-    process.stdout.write(line);
-  };
+  const writer = LineWriter.create(process.stdout);
+  process.on("exit", () => writer.flush());
+  return (line) => writer.write(line);
 }
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { StepError, toError } from "../errors.ts";
 import type { DataCentre, VmId } from "../ids.ts";
 
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { DataCentre, Incarnation, VmId } from "../../ids.ts";
 import { toError } from "../../errors.ts";
 
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -9,7 +9,6 @@
 export type { FateRecord, FateStep, FateStepName } from "./fate.ts";
 export type { RequestServices } from "./request_services.ts";
 export { RequestRouter } from "./router.ts";
-export { RoutedDialect } from "./routed_dialect.ts";
 export type {
   AnswerFacts,
   PromptPart,
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -180,7 +180,11 @@
     end: { outcome: FateRecord["outcome"]; code: FateRecord["code"] },
   ): void {
     const { environment } = this.services;
-    environment.log.info("request_finished", {
+    // Where lines have to be left out, those of failures are kept longest.
+    const level = figures.result === "refused" || figures.result === "lost"
+      ? "warn"
+      : "info";
+    environment.log.write(level, "request_finished", {
       request_id: this.id,
       vm: environment.vm,
       incarnation: environment.incarnation,
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -149,7 +149,7 @@
       call,
       route,
       pool,
-      priority: workspace.priority ?? route.priority,
+      priority: snapshot.ranks.getRank(workspace, route),
       dialect: this.#options.dialect,
     });
     const promptTokens = call.prompt?.promptTokens ?? 0;
--- /dev/null
+++ b/src/version/priority_ranks.ts
@@ -0,0 +1,52 @@
+/**
+ * One order of urgency from the priorities of workspaces and routes.
+ *
+ * A workspace's priority goes before a route's, and between calls of workspaces
+ * alike the route's decides. Without the second step all calls of most
+ * workspaces would be equal: engines would preempt short talks that are urgent
+ * for long documents that are not, seen as talks that stop in their midst.
+ *
+ * @module
+ */
+import type { Workspace } from "./records.ts";
+import type { Route } from "./routes.ts";
+
+/** Engines tell apart so many levels; 0 is the most urgent. */
+const LEVELS = 10;
+/** Workspaces without a priority come after those with one. */
+const NO_PRIORITY = Number.MAX_SAFE_INTEGER;
+
+/** Levels by the pair of priorities. */
+export class PriorityRanks {
+  readonly #workspaces: number[];
+  readonly #routes: number[];
+
+  constructor(workspaces: number[], routes: number[]) {
+    this.#workspaces = workspaces;
+    this.#routes = routes;
+  }
+
+  static create(
+    workspaces: Iterable<Workspace>,
+    routes: Iterable<Route>,
+  ): PriorityRanks {
+    const own = [...workspaces].map(({ priority }) => priority ?? NO_PRIORITY);
+    return new PriorityRanks(
+      listDistinct([...own, NO_PRIORITY]),
+      listDistinct([...routes].map(({ priority }) => priority)),
+    );
+  }
+
+  /** The level of a workspace's calls on a route. */
+  getRank(workspace: Workspace, route: Route): number {
+    const own = this.#workspaces.indexOf(workspace.priority ?? NO_PRIORITY);
+    const routed = this.#routes.indexOf(route.priority);
+    const place = own * this.#routes.length + routed;
+    const places = this.#workspaces.length * this.#routes.length;
+    return places <= LEVELS ? place : Math.floor(place * LEVELS / places);
+  }
+}
+
+function listDistinct(values: number[]): number[] {
+  return [...new Set(values)].sort((a, b) => a - b);
+}
--- a/src/version/published.ts
+++ b/src/version/published.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { PriorityRanks } from "./priority_ranks.ts";
 import type { ConfigRecord } from "./records.ts";
 import {
   type CallerBounds,
@@ -25,9 +26,12 @@
 export function buildRoutedSnapshot(
   published: PublishedConfiguration,
 ): RoutedSnapshot {
+  const { version, records, routes } = published;
+  const snapshot = buildCheckedSnapshot(version, records);
   return {
-    ...buildCheckedSnapshot(published.version, published.records),
-    routes: RouteTable.create(published.routes),
+    ...snapshot,
+    routes: RouteTable.create(routes),
+    ranks: PriorityRanks.create(snapshot.workspaces.values(), routes),
     callerBounds: published.callerBounds,
   };
 }
--- a/src/version/routes.ts
+++ b/src/version/routes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ClassName, PoolName, RouteName } from "../ids.ts";
+import type { PriorityRanks } from "./priority_ranks.ts";
 import type { Snapshot } from "./records.ts";
 
 /** What may be done with a call more than once. */
@@ -54,6 +55,7 @@
 /** A configuration with routes. */
 export interface RoutedSnapshot extends Snapshot {
   routes: RouteTable;
+  ranks: PriorityRanks;
   callerBounds: CallerBounds;
 }
 
--- /dev/null
+++ b/test/process/bounded_log_test.ts
@@ -0,0 +1,84 @@
+import { Writable } from "node:stream";
+import { describe, expect, it } from "vitest";
+import { BoundedLog } from "../../src/process/bounded_log.ts";
+import { LineWriter } from "../../src/process/line_writer.ts";
+import { Log } from "../../src/process/log.ts";
+import { VirtualClock } from "../../standin/virtual_clock.ts";
+
+class RecordingLog extends Log {
+  readonly events: string[] = [];
+
+  write(_level: string, event: string): void {
+    this.events.push(event);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+describe("a bounded log", () => {
+  // Symptom: a VM slows down under a burst, most of all while it refuses.
+  // Sequence: thousands of requests a second, each with several lines.
+  // Cause: lines cost processor time without a bound.
+  it("leaves routine lines out first, and says how many", async () => {
+    const clock = VirtualClock.create();
+    const written = new RecordingLog();
+    const log = BoundedLog.create(written, clock);
+    for (let index = 0; index < 1_000; index++) log.info("step");
+    for (let index = 0; index < 50; index++) log.warn("failure");
+    expect(written.events.filter((event) => event === "step")).toHaveLength(
+      400,
+    );
+    expect(written.events.filter((event) => event === "failure"))
+      .toHaveLength(50);
+    await clock.run(1_000);
+    log.info("step");
+    expect(written.events).toContain("log_lines_left_out");
+    expect(log.leftOut).toBe(600);
+  });
+});
+
+describe("a line writer", () => {
+  // Symptom: the process stalls or its memory grows without end.
+  // Sequence: whoever reads the log stops reading.
+  // Cause: lines were written, or kept, without a bound.
+  it("keeps a bounded number of lines while nobody reads", async () => {
+    const taken: string[] = [];
+    let go: (() => void) | undefined;
+    const stream = new Writable({
+      highWaterMark: 16,
+      write(chunk, _encoding, done) {
+        taken.push(String(chunk));
+        go = done;
+      },
+    });
+    const writer = LineWriter.create(stream);
+    writer.write("first\n");
+    await sleep(40);
+    for (let index = 0; index < 10_000; index++) {
+      writer.write(`${"x".repeat(99)}\n`);
+    }
+    await sleep(40);
+    expect(taken.join("")).toBe("first\n");
+    go!();
+    await sleep(40);
+    expect(taken.join("").length).toBeLessThan(300_000);
+    expect(taken.join("")).toContain("log_lines_lost");
+  });
+
+  it("writes lines that come together at once", async () => {
+    const taken: string[] = [];
+    const stream = new Writable({
+      write(chunk, _encoding, done) {
+        taken.push(String(chunk));
+        done();
+      },
+    });
+    const writer = LineWriter.create(stream);
+    writer.write("one\n");
+    writer.write("two\n");
+    await sleep(40);
+    expect(taken).toEqual(["one\ntwo\n"]);
+  });
+});
--- /dev/null
+++ b/test/version/priority_ranks_test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from "vitest";
+import { toId } from "../../src/ids.ts";
+import { PriorityRanks } from "../../src/version/priority_ranks.ts";
+import type { Workspace } from "../../src/version/records.ts";
+import type { Route } from "../../src/version/routes.ts";
+
+function buildWorkspace(priority?: number): Workspace {
+  return {
+    kind: "workspace",
+    name: toId("w"),
+    keyHashes: [],
+    defaultClass: toId("c"),
+    classes: [],
+    weight: 1,
+    limits: { requestsPerMinute: 1, tokensPerMinute: 1 },
+    objectives: {},
+    ...(priority === undefined ? {} : { priority }),
+  };
+}
+
+function buildRoute(priority: number): Route {
+  return {
+    name: toId("r"),
+    host: "host",
+    pathPrefix: "/",
+    kind: "single_call",
+    className: toId("c"),
+    targets: [],
+    maxSends: 1,
+    isPublic: false,
+    priority,
+  };
+}
+
+describe("ranks of urgency", () => {
+  // Symptom: urgent talks are preempted while documents run on.
+  // Sequence: all workspaces but one have the same priority, and a replica's
+  // memory runs out.
+  // Cause: the workspace's priority replaced the route's, so that talks and
+  // documents of a workspace were equal, and the newest had to go.
+  it("put routes in order within workspaces alike", () => {
+    const [first, other] = [buildWorkspace(0), buildWorkspace(1)];
+    const [talk, document] = [buildRoute(0), buildRoute(1)];
+    const ranks = PriorityRanks.create([first, other], [talk, document]);
+    const order = [
+      ranks.getRank(first, talk),
+      ranks.getRank(first, document),
+      ranks.getRank(other, talk),
+      ranks.getRank(other, document),
+    ];
+    expect(order).toEqual([0, 1, 2, 3]);
+  });
+
+  it("put workspaces without a priority last", () => {
+    const [named, unnamed] = [buildWorkspace(3), buildWorkspace()];
+    const route = buildRoute(0);
+    const ranks = PriorityRanks.create([named, unnamed], [route]);
+    expect(ranks.getRank(named, route))
+      .toBeLessThan(ranks.getRank(unnamed, route));
+  });
+
+  it("stay within the engines' levels, in order", () => {
+    const workspaces = [0, 1, 2, 3, 4].map(buildWorkspace);
+    const routes = [0, 1, 2, 3].map(buildRoute);
+    const ranks = PriorityRanks.create(workspaces, routes);
+    const order = workspaces.flatMap((workspace) =>
+      routes.map((route) => ranks.getRank(workspace, route))
+    );
+    expect(order).toEqual([...order].sort((a, b) => a - b));
+    expect(order[0]).toBe(0);
+    expect(order.at(-1)).toBeLessThanOrEqual(9);
+  });
+});
