Tell a reset from an end where an answer has no length

Cause: where the last bytes and the reset come together, libuv takes the hang-up after a short read for the end of the data, and Node ends the answer. The connection's other side is asked for now: a reset connection has none.

--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -6,7 +6,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import http from "node:http";
 import https from "node:https";
-import { isIP } from "node:net";
+import { isIP, type Socket } from "node:net";
 import type { Clock } from "../process/clock.ts";
 import { AnswerBody } from "./answer_body.ts";
 import { CallWatch } from "./call_watch.ts";
@@ -134,9 +134,8 @@
 
   #readAnswer(message: IncomingMessage): UpstreamAnswer {
     const watch = this.#watch!;
-    const isRefused = !this.#route.allowsUndelimited &&
-      !isDelimited(message, this.#call.method);
-    if (isRefused) {
+    const endsWithConnection = !isDelimited(message, this.#call.method);
+    if (endsWithConnection && !this.#route.allowsUndelimited) {
       this.#cancel("broken");
       throw this.#createError(
         new Error("Answer has neither a length nor chunks"),
@@ -149,6 +148,7 @@
       onEnd: () => this.#end(),
     });
     this.#body = body;
+    if (endsWithConnection) this.#watchReset(message.socket, body);
     return {
       status: message.statusCode ?? 0,
       headers: copyEndToEndHeaders(message.headers),
@@ -156,6 +156,21 @@
     };
   }
 
+  /**
+   * Tells a reset from an orderly end, which alone makes such an answer whole.
+   *
+   * Where the last bytes and a reset come together, libuv takes the hang-up
+   * for an end without reading the error, and a caller would get a cut answer
+   * as a whole one. A connection that was closed in order still has its other
+   * side's address at that moment; one that was reset has none.
+   */
+  #watchReset(socket: Socket, body: AnswerBody): void {
+    socket.prependOnceListener("end", () => {
+      if (socket.remoteAddress !== undefined) return;
+      body.destroy(new Error("Connection was reset"));
+    });
+  }
+
   #cancel(kind: UpstreamErrorKind): void {
     const request = this.#request;
     const isConnecting = request?.socket == null;
--- a/test/connection/undelimited_answer_test.ts
+++ b/test/connection/undelimited_answer_test.ts
@@ -73,6 +73,25 @@
     await expect(readText(answer)).rejects.toThrow("broken");
   });
 
+  // Symptom: as above, now and then.
+  // Sequence: the last bytes and the reset are there at once when the process
+  // looks at the connection.
+  // Cause: libuv takes a hang-up after a short read for the end of the data.
+  it("is broken when bytes and reset come together", async () => {
+    for (let round = 0; round < 20; round++) {
+      const port = await startUpstream((socket) => {
+        socket.write(" and more", () => socket.resetAndDestroy());
+        const blockedUntil = performance.now() + 20;
+        // The caller's side is the same process: it looks only after both.
+        setImmediate(() => {
+          while (performance.now() < blockedUntil);
+        });
+      });
+      const answer = await fetchAnswer(port, true);
+      await expect(readText(answer)).rejects.toThrow("broken");
+    }
+  });
+
   it("is refused where upstreams must say how long answers are", async () => {
     const port = await startUpstream((socket) => socket.end());
     await expect(fetchAnswer(port, false)).rejects.toThrow("broken");
