--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -6,11 +6,10 @@
  */
 import type { DataCentre, VmId } from "../../ids.ts";
 import { pickRendezvousFirst } from "../rendezvous.ts";
+import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
 import type { ListedReplica } from "./replica_list.ts";
-import type { ReadingShares } from "./reading_shares.ts";
-import type { ReplicaLoad, ReplicaLoads } from "./replica_loads.ts";
-import type { ReplicaSpeeds } from "./replica_speed.ts";
+import type { ReplicaLoad } from "./replica_loads.ts";
 
 /**
  * Reading a part again costs its own request and all that wait behind it, so
@@ -69,10 +68,7 @@
 /** What the choice goes by. */
 export interface PlacementKnowledge {
   dataCentre: DataCentre;
-  loads: ReplicaLoads;
-  speeds: ReplicaSpeeds;
-  prefixes: PrefixMemory;
-  readings: ReadingShares;
+  state: Pick<PlacementState, "loads" | "speeds" | "prefixes" | "readings">;
 }
 
 /** Whether a prompt begins a talk that long prompts could make pause. */
@@ -86,7 +82,7 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): Placement | undefined {
-  const home = findHome(candidates, needs, knowledge.prefixes);
+  const home = findHome(candidates, needs, knowledge.state.prefixes);
   let best: { placement: Placement; cost: number } | undefined;
   for (const replica of candidates) {
     const scored = needs.promptTokens > 0
@@ -120,9 +116,9 @@
   },
 ): { placement: Placement; cost: number } {
   const { needs, home, knowledge } = context;
-  const load = knowledge.loads.getLoad(replica.id);
-  const msPerToken = knowledge.speeds.getMsPerToken(replica.id);
-  const held = knowledge.prefixes.countHeld(replica.id, needs.parts);
+  const load = knowledge.state.loads.getLoad(replica.id);
+  const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
+  const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
   const heldTokens = needs.partTokens.slice(0, held)
     .reduce((sum, tokens) => sum + tokens, 0);
   const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
@@ -131,7 +127,7 @@
   const waitMs = load.pendingTokens * msPerToken;
   const readMs = readTokens * msPerToken;
   const readingMs = isShortPrompt(needs.promptTokens)
-    ? READING_MS * knowledge.readings.getShare(replica.id)
+    ? READING_MS * knowledge.state.readings.getShare(replica.id)
     : 0;
   const cost = waitMs + READ_WEIGHT * readMs + readingMs +
     PAUSE_WEIGHT * readMs * load.talking +
@@ -152,7 +148,7 @@
   replica: ListedReplica,
   knowledge: PlacementKnowledge,
 ): { placement: Placement; cost: number } {
-  const load = knowledge.loads.getLoad(replica.id);
+  const load = knowledge.state.loads.getLoad(replica.id);
   const cost = FULL_MS * load.running / replica.slots +
     computeDistance(replica, knowledge);
   return {
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type LeaseId, toId, type VmId } from "../../ids.ts";
+import { type DataCentre, type LeaseId, toId, type VmId } from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
 import type { Clock } from "../clock.ts";
@@ -17,9 +17,8 @@
   choosePlacement,
   isShortPrompt,
   type Placement,
-  type PlacementKnowledge,
 } from "./placement_choice.ts";
-import type { ReplicaHealth } from "./replica_health.ts";
+import type { PlacementState } from "./placement_state.ts";
 import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
 
@@ -29,10 +28,12 @@
 const MOST_EJECTED_SHARE = 0.5;
 
 /** What placing needs. */
-export interface PlacementSourceOptions extends PlacementKnowledge {
+export interface PlacementSourceOptions {
   clock: Clock;
+  /** Where this VM stands. */
+  dataCentre: DataCentre;
   directory: ReplicaDirectory;
-  health: ReplicaHealth;
+  state: PlacementState;
 }
 
 /** Grants at once, or refuses. */
@@ -60,7 +61,7 @@
         partTokens: request.partTokens ?? [],
         promptTokens: request.promptTokens,
       },
-      this.#options,
+      { dataCentre: this.#options.dataCentre, state: this.#options.state },
     );
     if (placement === undefined) return Promise.reject(createNoReplica());
     this.#granted += 1;
@@ -74,7 +75,7 @@
   }
 
   #listCandidates(request: LeaseRequest): readonly ListedReplica[] {
-    const { directory, health } = this.#options;
+    const { directory, state: { health } } = this.#options;
     const ready = directory.listReady(request.pool);
     const untried = ready.filter(({ id }) => !request.avoid.includes(id));
     const healthy = untried.filter(({ id }) => !health.isEjected(id));
@@ -110,7 +111,8 @@
     },
   ) {
     super();
-    const { placement, request, loads, prefixes, readings, speeds } = options;
+    const { placement, request, state } = options;
+    const { loads, prefixes, readings, speeds } = state;
     this.lease = lease;
     this.upstream = placement.replica.id;
     this.priority = request.priority ?? DEFAULT_PRIORITY;
@@ -137,7 +139,7 @@
     if (this.#hasOutput || progress.tokens === 0) return;
     this.#hasOutput = true;
     this.#work.noteFirstOutput();
-    const { clock, speeds, placement } = this.#options;
+    const { clock, state: { speeds }, placement } = this.#options;
     speeds.noteFirstOutput(
       this.upstream,
       placement.ownTokens + placement.tokensAhead,
@@ -149,7 +151,7 @@
     if (this.#isReleased) return;
     this.#isReleased = true;
     this.#work.end();
-    const { health } = this.#options;
+    const { health } = this.#options.state;
     if (state === "done") health.noteResult(this.upstream, true);
     if (state === "failed") health.noteResult(this.upstream, false);
   }
--- /dev/null
+++ b/src/process/placement/placement_state.ts
@@ -0,0 +1,82 @@
+/**
+ * All that one VM knows of replicas' work, and what it tells the others of it.
+ *
+ * @module
+ */
+import type { VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import { type PlacementEntry, PrefixMemory } from "./prefix_memory.ts";
+import { ReadingShares } from "./reading_shares.ts";
+import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
+import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
+import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
+
+/** What VMs tell each other; all but the loads is told once. */
+export interface PlacementNews {
+  loads: LoadEntry[];
+  results: ResultEntry[];
+  speeds: SpeedEntry[];
+  placements: PlacementEntry[];
+}
+
+/** What a state needs. */
+export interface PlacementStateOptions {
+  clock: Clock;
+  /** Hears that there is something to tell. */
+  onNews: () => void;
+  onEjected: (replica: VmId, forMs: number) => void;
+}
+
+/** The parts that the choice of a replica goes by. */
+export class PlacementState {
+  readonly loads: ReplicaLoads;
+  readonly health: ReplicaHealth;
+  readonly speeds: ReplicaSpeeds;
+  readonly prefixes: PrefixMemory;
+  readonly readings: ReadingShares;
+
+  constructor(options: PlacementStateOptions) {
+    const { clock, onNews, onEjected } = options;
+    this.loads = ReplicaLoads.create(clock, onNews);
+    this.health = ReplicaHealth.create(clock, (replica, forMs) => {
+      onEjected(replica, forMs);
+      onNews();
+    });
+    this.speeds = ReplicaSpeeds.create(clock);
+    this.prefixes = PrefixMemory.create(clock);
+    this.readings = ReadingShares.create(clock);
+  }
+
+  static create(options: PlacementStateOptions): PlacementState {
+    return new PlacementState(options);
+  }
+
+  /** This VM's own loads, and what the others were not told yet. */
+  takeNews(): PlacementNews {
+    return {
+      loads: this.loads.listOwn(),
+      results: this.health.takeUnsent(),
+      speeds: this.speeds.takeUnsent(),
+      placements: this.prefixes.takeUnsent(),
+    };
+  }
+
+  /** Takes in what another VM told. */
+  noteNews(vm: VmId, news: PlacementNews): void {
+    this.loads.putPeer(vm, news.loads);
+    this.health.notePeerResults(news.results);
+    this.speeds.notePeerSpeeds(news.speeds);
+    this.prefixes.notePeerPlacements(news.placements);
+    for (const [replica, , readTokens] of news.placements) {
+      const msPerToken = this.speeds.getMsPerToken(replica);
+      this.readings.addReading(replica, readTokens * msPerToken);
+    }
+  }
+
+  /** Forgets replicas that are not listed any more. */
+  dropUnlisted(isListed: (replica: VmId) => boolean): void {
+    this.health.dropUnlisted(isListed);
+    this.prefixes.dropUnlisted(isListed);
+    this.readings.dropUnlisted(isListed);
+  }
+}
--- a/src/process/placement/prefix_priming.ts
+++ b/src/process/placement/prefix_priming.ts
@@ -76,13 +76,13 @@
   async #runOnce(waitedMs: number): Promise<void> {
     const { sources } = this.#options;
     const [peer] = sources.listPrimedPeers();
-    if (peer !== undefined) await this.#primeFromPeer(peer);
+    if (peer !== undefined) await this.#fetchFromPeer(peer);
     else if (sources.isFirst() || waitedMs > PATIENCE_MS) {
-      await this.#primeFromReplicas();
+      await this.#fetchFromReplicas();
     }
   }
 
-  async #primeFromPeer(peer: VmId): Promise<void> {
+  async #fetchFromPeer(peer: VmId): Promise<void> {
     const { prefixes, sources, log } = this.#options;
     try {
       const entries = await sources.fetchFromPeer(peer);
@@ -96,7 +96,7 @@
     }
   }
 
-  async #primeFromReplicas(): Promise<void> {
+  async #fetchFromReplicas(): Promise<void> {
     const replicas = this.#options.sources.listReplicas();
     const fetched = await Promise.all(
       replicas.map((replica) => this.#fetchFromReplica(replica)),
--- /dev/null
+++ b/src/process/routed_fleet.ts
@@ -0,0 +1,203 @@
+/**
+ * A routed VM's side of its fleet: talk, configuration, replicas, caches.
+ *
+ * @module
+ */
+import type { HttpUpstreamTransport } from "../connection/http_transport.ts";
+import type { Incarnation, VmId } from "../ids.ts";
+import type { RoutedSnapshot } from "../version/routes.ts";
+import type { Clock } from "./clock.ts";
+import type { Log } from "./log.ts";
+import {
+  type PlacementState,
+  PrefixPriming,
+  type ReplicaDirectory,
+} from "./placement/index.ts";
+import type { Random } from "./random.ts";
+import { pickRendezvousFirst } from "./rendezvous.ts";
+import type { RoutedSettings } from "./routed_settings.ts";
+import {
+  type BeatContent,
+  type DatagramLink,
+  type FleetPeer,
+  FleetTalk,
+  parseEndpoint,
+  PeerCalls,
+  type PublishedStore,
+  StateFollower,
+} from "./seeded_fleet/index.ts";
+
+/** Finds where a call goes; undefined where that is not known. */
+type FindAddress = (
+  vm: VmId,
+) => { address: string; port: number } | undefined;
+
+/** What the fleet's side is made of. */
+export interface RoutedFleetOptions {
+  incarnation: Incarnation;
+  clock: Clock;
+  random: Random;
+  log: Log;
+  link: DatagramLink;
+  store: PublishedStore;
+  replicas: ReplicaDirectory;
+  placement: PlacementState;
+  getSettings: () => RoutedSettings;
+  createTransport: (findAddress: FindAddress) => HttpUpstreamTransport;
+  fetchCachedParts: (replica: VmId) => Promise<string[]>;
+  isServing: () => boolean;
+  isDraining: () => boolean;
+  onSnapshot: (snapshot: RoutedSnapshot) => void;
+}
+
+/** Everything between this VM and the others, and the store. */
+export class RoutedFleet {
+  readonly follower: StateFollower;
+  readonly #options: RoutedFleetOptions;
+  readonly #talk: FleetTalk;
+  readonly #peers: HttpUpstreamTransport;
+  readonly #priming: PrefixPriming;
+  readonly #ended = new AbortController();
+
+  constructor(options: RoutedFleetOptions) {
+    const { clock, log, link, random, replicas } = options;
+    const { address, peerPort, vm } = options.getSettings();
+    this.#options = options;
+    this.#peers = options.createTransport((peer) => this.#findPeer(peer));
+    const calls = PeerCalls.create(this.#peers);
+    this.#talk = FleetTalk.create({
+      vm,
+      clock,
+      log,
+      link,
+      self: `${address}:${peerPort}`,
+      getSeeds: () => this.#listSeeds(),
+      buildBeat: () => this.#buildBeat(),
+      onBeat: (peer) => this.#notePeer(peer),
+    });
+    this.follower = StateFollower.create({
+      vm,
+      clock,
+      random,
+      log,
+      store: options.store,
+      peers: this.#talk.peers,
+      replicas,
+      fetchFrom: ({ beat }, known) => calls.fetchState(beat.vm, known),
+      onSnapshot: (snapshot) => {
+        options.onSnapshot(snapshot);
+        this.#talk.announceAtOnce();
+      },
+      onReplicas: () => this.#noteReplicas(),
+    });
+    this.#priming = this.#createPriming(calls);
+  }
+
+  static create(options: RoutedFleetOptions): RoutedFleet {
+    return new RoutedFleet(options);
+  }
+
+  start(): void {
+    this.follower.start();
+    this.#talk.start();
+    void this.#priming.run(this.#ended.signal);
+  }
+
+  stop(): void {
+    this.#ended.abort();
+    this.follower.stop();
+    this.#talk.stop();
+    this.#options.link.close();
+    this.#peers.close();
+  }
+
+  /** Other VMs that are heard. */
+  listLive(): FleetPeer[] {
+    return this.#talk.peers.listLive();
+  }
+
+  /** Tells the others soon that there is news of this VM's work. */
+  announceNews(): void {
+    this.#talk.announceNews();
+  }
+
+  /** Tells the others at once what callers depend on. */
+  announceAtOnce(): void {
+    this.#talk.announceAtOnce();
+  }
+
+  /** Seeds are named by where they listen for state; talk has its own port. */
+  #listSeeds(): string[] {
+    const { seeds, peerPort } = this.#options.getSettings();
+    return seeds.map((seed) => `${parseEndpoint(seed).address}:${peerPort}`);
+  }
+
+  #buildBeat(): BeatContent {
+    const { getSettings, replicas, placement } = this.#options;
+    const { vm, dataCentre, listeners } = getSettings();
+    return {
+      vm,
+      incarnation: this.#options.incarnation,
+      dataCentre,
+      callers: listeners.callers,
+      state: listeners.state,
+      isServing: this.#options.isServing(),
+      isDraining: this.#options.isDraining(),
+      isPrimed: this.#priming.isPrimed,
+      configVersion: this.follower.getSnapshot()?.version ?? 0,
+      listRevision: replicas.revision,
+      listAgeMs: this.follower.getListAgeMs(),
+      ...placement.takeNews(),
+    };
+  }
+
+  #notePeer(peer: FleetPeer): void {
+    this.#options.placement.noteNews(peer.beat.vm, peer.beat);
+    this.follower.notePeer(peer);
+  }
+
+  #noteReplicas(): void {
+    const { placement, replicas } = this.#options;
+    placement.dropUnlisted((id) => replicas.find(id) !== undefined);
+    this.#talk.announceAtOnce();
+  }
+
+  #createPriming(calls: PeerCalls): PrefixPriming {
+    const { clock, log, placement, fetchCachedParts } = this.#options;
+    return PrefixPriming.create({
+      clock,
+      log,
+      prefixes: placement.prefixes,
+      sources: {
+        listPrimedPeers: () => this.#listVms((beat) => beat.isPrimed),
+        fetchFromPeer: (vm) => calls.fetchPrefixes(vm),
+        listReplicas: () => this.#listModelReplicas(),
+        fetchFromReplica: fetchCachedParts,
+        isFirst: () => this.#isFirst("prefixes"),
+      },
+    });
+  }
+
+  #isFirst(duty: string): boolean {
+    const { vm } = this.#options.getSettings();
+    const vms = [vm, ...this.#listVms((beat) => !beat.isDraining)];
+    return pickRendezvousFirst(duty, vms) === vm;
+  }
+
+  #listVms(isWanted: (beat: FleetPeer["beat"]) => boolean): VmId[] {
+    return this.listLive().filter(({ beat }) => isWanted(beat))
+      .map(({ beat }) => beat.vm);
+  }
+
+  #listModelReplicas(): VmId[] {
+    const pools = [...this.follower.getSnapshot()?.pools.values() ?? []];
+    return pools.filter(({ type }) => type === "model")
+      .flatMap(({ name }) => this.#options.replicas.listReady(name))
+      .map(({ id }) => id);
+  }
+
+  #findPeer(vm: VmId): { address: string; port: number } | undefined {
+    const peer = this.#talk.peers.find(vm);
+    return peer && parseEndpoint(peer.beat.state);
+  }
+}
--- /dev/null
+++ b/src/process/routed_services.ts
@@ -0,0 +1,78 @@
+/**
+ * What routed requests use of their process.
+ *
+ * @module
+ */
+import type { RequestServices } from "../request/request_services.ts";
+import { buildRoutedRefusal } from "../request/routed_handler.ts";
+import type { RoutedSnapshot } from "../version/routes.ts";
+import { AnswerStore } from "./answer_store.ts";
+import { CallerRunClaims } from "./caller_run_claims.ts";
+import type { LocalEnvironment } from "./environment.ts";
+import type { FateStore } from "./fate_store.ts";
+import {
+  PlacementSource,
+  type PlacementState,
+  type ReplicaDirectory,
+} from "./placement/index.ts";
+import type { ProcessMetrics } from "./request_metrics.ts";
+import { WindowRetryBudget } from "./retry_budget.ts";
+import { UnlimitedSource } from "./unlimited_source.ts";
+
+/**
+ * Part of the fleet's retries that VMs use: their shares are not exact, and a
+ * VM that restarts has forgotten what it used.
+ */
+const BUDGET_SHARE = 0.75;
+/** The reserve is shared among so many VMs at least. */
+const LEAST_VMS = 4;
+
+/** The parts of a VM that requests use. */
+export interface RoutedParts extends LocalEnvironment {
+  /** The whole fleet's retries. */
+  settings: { retryShare: number; retryReserve: number };
+  replicas: ReplicaDirectory;
+  placement: PlacementState;
+  fates: FateStore;
+  metrics: ProcessMetrics;
+  getSnapshot: () => RoutedSnapshot | undefined;
+  isDraining: () => boolean;
+  listEntries: () => string[];
+  /** VMs that are heard, this one included. */
+  countVms: () => number;
+}
+
+/** Joins the parts. */
+export function buildRoutedServices(parts: RoutedParts): RequestServices {
+  const { clock, random, settings, placement, fates } = parts;
+  return {
+    environment: parts,
+    getSnapshot: parts.getSnapshot,
+    leases: PlacementSource.create({
+      clock,
+      directory: parts.replicas,
+      dataCentre: parts.dataCentre,
+      state: placement,
+    }),
+    limits: UnlimitedSource.create(),
+    claims: CallerRunClaims.create(random),
+    fates,
+    budget: WindowRetryBudget.create({
+      clock,
+      getShare: () => BUDGET_SHARE * settings.retryShare,
+      getReserve: () => {
+        const vms = Math.max(LEAST_VMS, parts.countVms());
+        return BUDGET_SHARE * settings.retryReserve / vms;
+      },
+    }),
+    metrics: parts.metrics,
+    answers: AnswerStore.create({ maxBytes: 0 }),
+    isDraining: parts.isDraining,
+    buildRefusalOptions: buildRoutedRefusal,
+    entries: parts.listEntries,
+    findFate: (requestId) => {
+      const fate = fates.find(requestId);
+      return Promise.resolve({ fate, answer: undefined });
+    },
+  };
+}
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -8,7 +8,7 @@
 export type { FleetPeer } from "./fleet_peers.ts";
 export { FleetTalk } from "./fleet_talk.ts";
 export type { BeatContent } from "./fleet_talk.ts";
+export { PeerCalls } from "./peer_calls.ts";
 export { PublishedStore } from "./published_store.ts";
 export type { PublishedState, StoreNews } from "./published_store.ts";
 export { StateFollower } from "./state_follower.ts";
-export type { HandedState } from "./state_follower.ts";
