--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -61,6 +61,8 @@
   ownTokens: number;
   /** Prompt tokens that are to be read there before it. */
   tokensAhead: number;
+  /** Requests that it has in hand, as far as is known. */
+  running: number;
   /** Predicted time to its first output, in milliseconds. */
   predictedMs: number;
 }
@@ -138,6 +140,7 @@
       replica,
       ownTokens,
       tokensAhead: load.pendingTokens,
+      running: load.running,
       predictedMs: waitMs + ownTokens * msPerToken,
     },
     cost,
@@ -152,7 +155,13 @@
   const cost = FULL_MS * load.running / replica.slots +
     computeDistance(replica, knowledge);
   return {
-    placement: { replica, ownTokens: 0, tokensAhead: 0, predictedMs: 0 },
+    placement: {
+      replica,
+      ownTokens: 0,
+      tokensAhead: 0,
+      running: load.running,
+      predictedMs: 0,
+    },
     cost,
   };
 }
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -93,6 +93,7 @@
   readonly lease: LeaseId;
   readonly upstream: VmId;
   readonly priority: number;
+  override readonly reason: string;
   readonly preempted: AbortSignal = new AbortController().signal;
   readonly #options: PlacementSourceOptions & {
     request: LeaseRequest;
@@ -117,6 +118,7 @@
     this.upstream = placement.replica.id;
     this.priority = request.priority ?? DEFAULT_PRIORITY;
     this.#options = options;
+    this.reason = formatReason(placement);
     this.#grantedAt = options.clock.now();
     const { ownTokens } = placement;
     this.#work = loads.addOwn(this.upstream, {
@@ -157,6 +159,12 @@
   }
 }
 
+function formatReason(placement: Placement): string {
+  const { ownTokens, tokensAhead, running, predictedMs } = placement;
+  return `running=${running} tokens_ahead=${tokensAhead} ` +
+    `own_tokens=${ownTokens} predicted_ms=${Math.round(predictedMs)}`;
+}
+
 function createNoReplica(): RefusalError {
   return new RefusalError({
     code: "no_upstream",
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -54,6 +54,8 @@
   abstract readonly lease: LeaseId;
   abstract readonly upstream: VmId;
   abstract readonly priority: number;
+  /** What decided for this upstream, for the log. */
+  readonly reason?: string;
   /** Aborts when the owner takes the slot back for a higher tier. */
   abstract readonly preempted: AbortSignal;
   /**
--- a/src/request/fate.ts
+++ b/src/request/fate.ts
@@ -33,7 +33,7 @@
   /** The VM or upstream on the other side. */
   peer?: string;
   /** Why, or behind whom, in plain words. */
-  detail?: string;
+  detail?: string | undefined;
 }
 
 /** Everything that a VM knows of one request. */
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -98,7 +98,7 @@
   /** Takes a step into the fate record and the log. */
   note(
     step: FateStepName,
-    options: { peer?: string; detail?: string } = {},
+    options: { peer?: string; detail?: string | undefined } = {},
   ): void {
     const { environment, fates } = this.services;
     const now = environment.clock.now();
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -101,7 +101,7 @@
         run.note(step.step, { peer: step.peer, detail: step.detail });
       },
     });
-    run.note("granted", { peer: lease.upstream });
+    run.note("granted", { peer: lease.upstream, detail: lease.reason });
     return lease;
   } catch (thrown) {
     if (!(thrown instanceof RefusalError)) throw thrown;
