--- /dev/null
+++ b/test/process/placement/placement_choice_test.ts
@@ -0,0 +1,180 @@
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import { PlacementState } from "../../../src/process/placement/index.ts";
+import {
+  choosePlacement,
+  type PlacementNeeds,
+} from "../../../src/process/placement/placement_choice.ts";
+import type { ListedReplica } from "../../../src/process/placement/replica_list.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const DATA_CENTRE = toId<ListedReplica["dataCentre"]>("dc");
+const DOCUMENT: PlacementNeeds = {
+  parts: ["shared", "subject", "own"],
+  partTokens: [2_500, 3_800, 2_900],
+  promptTokens: 9_200,
+};
+const TALK: PlacementNeeds = {
+  parts: ["greeting", "session", "words"],
+  partTokens: [120, 80, 630],
+  promptTokens: 830,
+};
+
+function buildReplicas(count: number): ListedReplica[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: toId<VmId>(`i-${index}`),
+    pool: toId("pool"),
+    address: "10.0.0.1",
+    port: 80,
+    dataCentre: DATA_CENTRE,
+    slots: 64,
+    state: "ready",
+  }));
+}
+
+function createState(clock = VirtualClock.create()): PlacementState {
+  return PlacementState.create({
+    clock,
+    onNews: () => {},
+    onEjected: () => {},
+  });
+}
+
+function choose(
+  replicas: ListedReplica[],
+  needs: PlacementNeeds,
+  state: PlacementState,
+): VmId {
+  const knowledge = { dataCentre: DATA_CENTRE, state };
+  return choosePlacement(replicas, needs, knowledge)!.replica.id;
+}
+
+describe("where a prompt goes", () => {
+  it("is the replica that has read its parts", () => {
+    const replicas = buildReplicas(6);
+    for (const { id } of replicas) {
+      const state = createState();
+      state.prefixes.noteSent(id, DOCUMENT.parts.slice(0, 2), 0);
+      expect(choose(replicas, DOCUMENT, state)).toBe(id);
+    }
+  });
+
+  it("is the same for every VM that knows nothing of it", () => {
+    const replicas = buildReplicas(6);
+    const first = choose(replicas, DOCUMENT, createState());
+    expect(choose([...replicas].reverse(), DOCUMENT, createState()))
+      .toBe(first);
+  });
+
+  it("is another one where too much is to be read before it", () => {
+    const replicas = buildReplicas(3);
+    const state = createState();
+    const [holder] = replicas;
+    state.prefixes.noteSent(holder!.id, DOCUMENT.parts.slice(0, 2), 0);
+    const added = { pendingTokens: 40_000, isTalking: false };
+    state.loads.addOwn(holder!.id, added);
+    expect(choose(replicas, DOCUMENT, state)).not.toBe(holder!.id);
+  });
+
+  // Symptom: streams pause for longer than their callers accept.
+  // Sequence: long prompts are read on replicas where many streams run.
+  // Cause: a replica reads between the tokens of all its streams.
+  it("keeps documents from where talks run, and talks from documents", () => {
+    const replicas = buildReplicas(2);
+    const state = createState();
+    const [talking, reading] = replicas.map(({ id }) => id);
+    const added = { pendingTokens: 0, isTalking: true };
+    for (let index = 0; index < 8; index++) {
+      state.loads.addOwn(talking!, added);
+    }
+    state.prefixes.noteSent(talking!, ["other"], 0);
+    expect(choose(replicas, { ...DOCUMENT, parts: ["x", "y", "z"] }, state))
+      .toBe(reading);
+    state.readings.addReading(reading!, 400);
+    expect(choose(replicas, TALK, state)).toBe(talking);
+  });
+
+  // Symptom: over a hundred requests wait at one replica, others idle.
+  // Sequence: a replica crashes; all its streams look for another at once.
+  // Cause: the emptiest was chosen however many had just chosen it.
+  it("spreads what a crash sets free", () => {
+    const replicas = buildReplicas(4);
+    const state = createState();
+    const counts = new Map<VmId, number>();
+    for (const { id } of replicas.slice(1)) {
+      state.readings.addReading(id, 1_000);
+    }
+    for (let index = 0; index < 120; index++) {
+      const id = choose(replicas, TALK, state);
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+      state.loads.addOwn(id, { pendingTokens: 0, isTalking: true });
+    }
+    expect(Math.max(...counts.values())).toBeLessThanOrEqual(64);
+  });
+
+  it("counts what other VMs told, until it is old", async () => {
+    const clock = VirtualClock.create();
+    const state = createState(clock);
+    const id = toId<VmId>("i-0");
+    state.loads.putPeer(toId("vm-2"), [[id, 5_000, 3, 1]]);
+    expect(state.loads.getLoad(id))
+      .toEqual({ pendingTokens: 5_000, running: 3, talking: 1 });
+    await clock.run(2_000);
+    expect(state.loads.getLoad(id).running).toBe(0);
+  });
+});
+
+describe("a replica's health", () => {
+  // Symptom: a replica that fails half of its requests gets its full share.
+  // Sequence: its health check is good, its entry says ready.
+  // Cause: results of requests were not looked at.
+  it("leaves it out after failures, longer each time", async () => {
+    const clock = VirtualClock.create();
+    const ejected: number[] = [];
+    const state = PlacementState.create({
+      clock,
+      onNews: () => {},
+      onEjected: (_replica, forMs) => ejected.push(forMs),
+    });
+    const id = toId<VmId>("i-0");
+    state.health.noteResult(id, false);
+    expect(state.health.isEjected(id)).toBe(false);
+    state.health.noteResult(id, false);
+    expect(state.health.isEjected(id)).toBe(true);
+    await clock.run(600);
+    expect(state.health.isEjected(id)).toBe(false);
+    state.health.noteResult(id, false);
+    expect(ejected).toEqual([500, 1_000]);
+  });
+
+  it("bears a failure among many answers", () => {
+    const state = createState();
+    const id = toId<VmId>("i-0");
+    for (let index = 0; index < 20; index++) state.health.noteResult(id, true);
+    state.health.noteResult(id, false);
+    state.health.noteResult(id, false);
+    expect(state.health.isEjected(id)).toBe(false);
+  });
+
+  it("goes by what other VMs told as well", () => {
+    const state = createState();
+    const id = toId<VmId>("i-0");
+    state.health.notePeerResults([[id, 0, 2]]);
+    expect(state.health.isEjected(id)).toBe(true);
+  });
+});
+
+describe("a replica's speed", () => {
+  it("is learnt, and forgotten where nothing more is heard", async () => {
+    const clock = VirtualClock.create();
+    const state = createState(clock);
+    const id = toId<VmId>("i-0");
+    for (let index = 0; index < 10; index++) {
+      state.speeds.noteFirstOutput(id, 9_000, 1_300);
+    }
+    const slow = state.speeds.getRatio(id);
+    expect(slow).toBeGreaterThan(3);
+    await clock.run(8_000);
+    expect(state.speeds.getRatio(id)).toBeLessThan(1 + (slow - 1) / 3);
+  });
+});
--- /dev/null
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -0,0 +1,156 @@
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import { SilentLog } from "../../../src/process/log.ts";
+import {
+  type BeatContent,
+  DatagramLink,
+  FleetTalk,
+} from "../../../src/process/seeded_fleet/index.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+type Handle = (bytes: Uint8Array, from: string) => void;
+
+/** Datagrams between VMs in virtual time; some ways may be cut. */
+class FakeNetwork {
+  readonly clock = VirtualClock.create();
+  readonly cut = new Set<string>();
+  readonly handles = new Map<string, Handle>();
+  sent = 0;
+
+  createLink(self: string): DatagramLink {
+    return new FakeLink(this, self);
+  }
+
+  deliver(from: string, to: string, bytes: Uint8Array): void {
+    this.sent += 1;
+    if (this.cut.has(`${from}>${to}`)) return;
+    this.clock.startTimer(1, () => this.handles.get(to)?.(bytes, from));
+  }
+}
+
+class FakeLink extends DatagramLink {
+  readonly #network: FakeNetwork;
+  readonly #self: string;
+
+  constructor(network: FakeNetwork, self: string) {
+    super();
+    this.#network = network;
+    this.#self = self;
+  }
+
+  send(to: string, bytes: Uint8Array): void {
+    this.#network.deliver(this.#self, to, bytes);
+  }
+
+  onDatagram(handle: Handle): void {
+    this.#network.handles.set(this.#self, handle);
+  }
+
+  close(): void {
+    this.#network.handles.delete(this.#self);
+  }
+}
+
+function startTalk(
+  network: FakeNetwork,
+  index: number,
+  options: { seeds: string[]; incarnation?: string },
+): FleetTalk {
+  const vm = toId<VmId>(`vm-${index}`);
+  const self = `10.0.0.${index}:1`;
+  const content: BeatContent = {
+    vm,
+    incarnation: toId(options.incarnation ?? "life-1"),
+    dataCentre: toId("dc"),
+    callers: `10.0.0.${index}:2`,
+    state: `10.0.0.${index}:3`,
+    isServing: true,
+    isDraining: false,
+    isPrimed: false,
+    configVersion: 1,
+    listRevision: 1,
+    listAgeMs: 0,
+    loads: [],
+    results: [],
+    speeds: [],
+    placements: [],
+  };
+  const talk = FleetTalk.create({
+    vm,
+    clock: network.clock,
+    log: SilentLog.create(),
+    link: network.createLink(self),
+    getSeeds: () => options.seeds,
+    self,
+    buildBeat: () => content,
+    onBeat: () => {},
+  });
+  talk.start();
+  return talk;
+}
+
+function listNames(talk: FleetTalk): string[] {
+  return talk.peers.listLive().map(({ beat }) => beat.vm).sort();
+}
+
+describe("VMs that talk", () => {
+  it("all hear each other by one seed that lives", async () => {
+    const network = new FakeNetwork();
+    const seeds = ["10.0.0.99:1", "10.0.0.1:1"];
+    const talks = [1, 2, 3, 4, 5].map((index) =>
+      startTalk(network, index, { seeds })
+    );
+    await network.clock.run(1_000);
+    expect(talks.map((talk) => listNames(talk).length)).toEqual([
+      4,
+      4,
+      4,
+      4,
+      4,
+    ]);
+  });
+
+  it("miss one that fell silent within a second", async () => {
+    const network = new FakeNetwork();
+    const [first, second] = [1, 2].map((index) =>
+      startTalk(network, index, { seeds: ["10.0.0.1:1"] })
+    );
+    await network.clock.run(500);
+    second!.stop();
+    await network.clock.run(1_200);
+    expect(listNames(first!)).toEqual([]);
+  });
+
+  // Symptom: half of a fleet serves without the other half for good.
+  // Sequence: a partition lasts until both sides miss each other, and heals.
+  // Cause: nobody tries a VM again that fell silent.
+  it("find each other again after a partition", async () => {
+    const network = new FakeNetwork();
+    const [first, second] = [1, 2].map((index) =>
+      startTalk(network, index, { seeds: [] })
+    );
+    const third = startTalk(network, 3, {
+      seeds: ["10.0.0.1:1", "10.0.0.2:1"],
+    });
+    await network.clock.run(1_000);
+    const ways = ["10.0.0.1:1>10.0.0.2:1", "10.0.0.2:1>10.0.0.1:1"];
+    ways.forEach((way) => network.cut.add(way));
+    await network.clock.run(3_000);
+    expect(listNames(first!)).toEqual(["vm-3"]);
+    network.cut.clear();
+    await network.clock.run(1_500);
+    expect(listNames(first!)).toEqual(["vm-2", "vm-3"]);
+    expect(listNames(second!)).toEqual(["vm-1", "vm-3"]);
+    expect(listNames(third)).toEqual(["vm-1", "vm-2"]);
+  });
+
+  it("are not misled by a datagram that is no message", async () => {
+    const network = new FakeNetwork();
+    const talk = startTalk(network, 1, { seeds: [] });
+    const handle = network.handles.get("10.0.0.1:1")!;
+    handle(Buffer.from("nonsense"), "10.0.0.7:1");
+    handle(Buffer.from('{"kind":"beat"}'), "10.0.0.7:1");
+    await network.clock.run(100);
+    expect(listNames(talk)).toEqual([]);
+  });
+});
