--- a/src/tool/fate_from_logs.ts
+++ b/src/tool/fate_from_logs.ts
@@ -14,6 +14,8 @@
 
 const STEP_EVENT = "request_step";
 const FINISHED_EVENT = "request_finished";
+/** Of a request that was refused before any work on it began. */
+const REFUSED_EVENT = "request_refused";
 const STANDARD_INPUT = "-";
 /** Steps after which bytes may have reached an upstream. */
 const STEPS_PAST_SENDING: ReadonlySet<string> = new Set([
@@ -81,6 +83,7 @@
     this.#seen.add(line);
     if (pairs.event === STEP_EVENT) this.#addStep(pairs);
     if (pairs.event === FINISHED_EVENT) this.#addEnd(pairs);
+    if (pairs.event === REFUSED_EVENT) this.#addRefusal(pairs);
   }
 
   /** Undefined where no line was of the request. */
@@ -131,11 +134,24 @@
       });
       return `${UNENDED}${formatSent(hasBeenSent)}`;
     }
+    const issued = parseRequestId(this.#requestId);
+    // An id that no VM issued is its caller's own, for one attempt at one VM.
     const isLastWord = this.#finished.outcome !== "not_run" ||
-      parseRequestId(this.#requestId)?.isSingle === true;
+      issued === undefined || issued.isSingle;
     return isLastWord ? undefined : GIVEN_BACK;
   }
 
+  #addRefusal(pairs: Record<string, string>): void {
+    this.#arrivedAt ??= pairs.time;
+    this.#addEnd(pairs);
+    this.#steps.push({
+      step: "refused",
+      age_ms: 0,
+      peer: undefined,
+      detail: pairs.detail,
+    });
+  }
+
   #addStep(pairs: Record<string, string>): void {
     const ageMs = Number(pairs.age_ms);
     if (!Number.isFinite(ageMs) || pairs.step === undefined) return;
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -21,7 +21,7 @@
     return new FakeLink(this, self);
   }
 
-  deliver(from: string, to: string, bytes: Uint8Array): void {
+  send(from: string, to: string, bytes: Uint8Array): void {
     this.sent += 1;
     if (this.cut.has(`${from}>${to}`)) return;
     this.clock.startTimer(1, () => this.handles.get(to)?.(bytes, from));
@@ -39,7 +39,7 @@
   }
 
   send(to: string, bytes: Uint8Array): void {
-    this.#network.deliver(this.#self, to, bytes);
+    this.#network.send(this.#self, to, bytes);
   }
 
   onDatagram(handle: Handle): void {
--- a/test/tool/fate_test.ts
+++ b/test/tool/fate_test.ts
@@ -255,3 +255,29 @@
     expect(run.exitCode).toBe(3);
   });
 });
+
+describe("the fate of a caller's own id, from logs", () => {
+  // Symptom: an engineer reads that nothing is known of a refused request.
+  // Sequence: a VM refuses it before any work on it began.
+  // Cause: only the lines of requests that were worked on were read.
+  test("is told where it was refused at once", async () => {
+    const folder = mkdtempSync(join(tmpdir(), "fate-"));
+    const file = join(folder, "vm.log");
+    const id = "15d3eac5c8f4186c";
+    const line = formatLogLine({
+      time: "2026-01-01T00:00:00.000Z",
+      level: "info",
+      event: "request_refused",
+      fields: {
+        request_id: id,
+        code: "not_ready",
+        outcome: "not_run",
+        detail: "This VM has no configuration yet",
+      },
+    });
+    writeFileSync(file, `${line}\n`);
+    const { output } = await runWords(["fate", id, "--logs", file]);
+    expect(output).toContain("Not run (not_ready)");
+    expect(output).toContain("it may be sent again safely");
+  });
+});
