Bound the talk between VMs whatever their number

Every heartbeat went to each peer within 25 ms of news. Both times grow with the peers now; with eight VMs nothing changes (7 peers times 3 and 10 ms are below 25 and 150). The test, ninety VMs in virtual time with news all the time, failed before with 3,649 datagrams a second from each VM and holds it under 450 now.

--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -8,11 +8,6 @@
 import type { Log } from "../log.ts";
 import type { Endpoint, FleetBeat } from "./fleet_message.ts";
 
-/**
- * A VM that was not heard for so long counts as gone, in milliseconds: several
- * heartbeats, so that some lost datagrams take nobody out.
- */
-const GONE_AFTER_MS = 900;
 /** A VM that was silent for so long is not tried any more. */
 const FORGOTTEN_AFTER_MS = 120_000;
 
@@ -65,12 +60,16 @@
     return { isNew: !isSameLife };
   }
 
-  /** Marks silent VMs as gone, and forgets those that were long silent. */
-  checkSilence(): void {
+  /**
+   * Marks VMs as gone that were silent for `goneAfterMs`, which is several
+   * heartbeats, so that some lost datagrams take nobody out; forgets those that
+   * were long silent.
+   */
+  checkSilence(goneAfterMs: number): void {
     const now = this.#clock.now();
     for (const [vm, peer] of this.#peers) {
       const silentMs = now - peer.heardAt;
-      if (peer.isLive && silentMs > GONE_AFTER_MS) {
+      if (peer.isLive && silentMs > goneAfterMs) {
         peer.isLive = false;
         this.#log.warn("peer_silent", { peer: vm, ms: Math.round(silentMs) });
       }
--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_talk.ts
@@ -24,6 +24,15 @@
 const BEAT_EVERY_MS = 150;
 /** News waits so long for more news, in milliseconds. */
 const NEWS_WAIT_MS = 25;
+/**
+ * Every heartbeat goes to each peer, so both times grow with the peers: a VM
+ * sends at most 330 datagrams a second with news, and 100 without, in a fleet
+ * of any size. Without this a VM among ninety would send over three thousand.
+ */
+const NEWS_WAIT_PER_PEER_MS = 3;
+const BEAT_PER_PEER_MS = 10;
+/** Heartbeats that a live VM may miss before it counts as gone. */
+const MISSED_BEATS = 6;
 /** Seeds and silent VMs are tried this often, in milliseconds. */
 const RETRY_EVERY_MS = 500;
 /** While nobody is heard, seeds are tried at each heartbeat for so long. */
@@ -53,6 +62,7 @@
   readonly #options: FleetTalkOptions;
   readonly #startedAt: number;
   #sequence = 0;
+  #peerCount = 0;
   #lastBeatAt = -Infinity;
   #lastRetryAt = -Infinity;
   #cancelTimer: CancelTimer | undefined;
@@ -83,7 +93,8 @@
 
   /** Sends a heartbeat soon, since there is news of this VM. */
   announceNews(): void {
-    this.#setTimer(this.#lastBeatAt + NEWS_WAIT_MS);
+    const perPeerMs = NEWS_WAIT_PER_PEER_MS * this.#peerCount;
+    this.#setTimer(this.#lastBeatAt + Math.max(NEWS_WAIT_MS, perPeerMs));
   }
 
   /** Sends a heartbeat at once: callers or replicas depend on it. */
@@ -107,7 +118,12 @@
     const now = clock.now();
     this.#timerAt = Infinity;
     this.#lastBeatAt = now;
-    this.peers.checkSilence();
+    const beatEveryMs = Math.max(
+      BEAT_EVERY_MS,
+      BEAT_PER_PEER_MS * this.#peerCount,
+    );
+    this.peers.checkSilence(MISSED_BEATS * beatEveryMs);
+    this.#peerCount = this.peers.listLive().length;
     this.#sequence += 1;
     const bytes = encodeMessage({
       kind: "beat",
@@ -115,7 +131,7 @@
       ...this.#options.buildBeat(),
     });
     for (const to of this.#listTargets(now)) link.send(to, bytes);
-    this.#setTimer(now + BEAT_EVERY_MS);
+    this.#setTimer(now + beatEveryMs);
   }
 
   #listTargets(now: number): Set<Endpoint> {
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -144,6 +144,27 @@
     expect(listNames(third)).toEqual(["vm-1", "vm-2"]);
   });
 
+  // Symptom: VMs spend their links and processors on talk in a large fleet.
+  // Sequence: ninety VMs, each with news of its own work all the time.
+  // Cause: each VM's news went to all others some forty times a second.
+  it("send a bounded number of datagrams, however many they are", async () => {
+    const network = new FakeNetwork();
+    const count = 90;
+    const talks = Array.from(
+      { length: count },
+      (_, index) => startTalk(network, index + 1, { seeds: ["10.0.0.1:1"] }),
+    );
+    await network.clock.run(3_000);
+    expect(listNames(talks[7]!)).toHaveLength(count - 1);
+    network.sent = 0;
+    for (let step = 0; step < 100; step++) {
+      talks.forEach((talk) => talk.announceNews());
+      await network.clock.run(10);
+    }
+    expect(network.sent / count).toBeLessThan(450);
+    expect(listNames(talks[7]!)).toHaveLength(count - 1);
+  });
+
   it("are not misled by a datagram that is no message", async () => {
     const network = new FakeNetwork();
     const talk = startTalk(network, 1, { seeds: [] });
