--- a/test/platform/fleet_test.ts
+++ b/test/platform/fleet_test.ts
@@ -5,6 +5,7 @@
   KEY,
   PlatformFleet,
   ROUTES,
+  sendCall,
   sendRequest,
   type TestVm,
 } from "./platform_fleet.ts";
@@ -177,6 +178,33 @@
   });
 });
 
+describe("what a VM tells engineers", () => {
+  it("names the fleet, the replicas and a request's fate", async () => {
+    const fleet = await PlatformFleet.create({ vms: 2 });
+    const [first] = fleet.vms;
+    await waitUntil(() => first!.vm.listEntries().length === 2);
+    const headers = { "x-request-id": "request-told" };
+    await sendRequest(first!, { path: "/unsafe/x", headers });
+    const { state } = first!.settings.listeners;
+    const ask = (path: string) => sendCall(state, { path, method: "GET" });
+    const status = JSON.parse((await ask("/v1/status")).body);
+    expect(status).toMatchObject({
+      vm: "vm-1",
+      serving: true,
+      configuration_version: 1,
+      peers: [{ vm: "vm-2", serving: true, configuration_version: 1 }],
+    });
+    expect(status.replicas).toHaveLength(2);
+    const fate = JSON.parse((await ask("/v1/requests/request-told")).body);
+    expect(fate.outcome).toBe("answered");
+    expect(fate.steps.map((step: { step: string }) => step.step))
+      .toEqual(["arrived", "admitted", "granted", "sent", "answered"]);
+    expect((await ask("/v1/requests/unknown")).status).toBe(404);
+    const metrics = await first!.vm.metrics.renderPrometheus();
+    expect(metrics).toContain("persimmonslip_live_peers 1");
+  });
+});
+
 describe("a new configuration", () => {
   it("moves a route to another service", async () => {
     const fleet = await PlatformFleet.create();
