--- a/src/connection/http_listener.ts
+++ b/src/connection/http_listener.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { type Endpoint, parseEndpoint } from "./endpoint.ts";
 import {
   HttpServer,
   type HttpServerOptions,
@@ -37,6 +38,12 @@
     return this.#server.start(host, port);
   }
 
+  /** As `start`, at `ADDRESS:PORT`. */
+  startAt(endpoint: Endpoint): Promise<void> {
+    const { address, port } = parseEndpoint(endpoint);
+    return this.start(address, port);
+  }
+
   /**
    * Accepts no more connections, closes idle ones, and resolves when the last
    * request in flight has been answered. Bound it by `closeAll`.
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { parseEndpoint } from "../connection/endpoint.ts";
 import type { HttpUpstreamTransport } from "../connection/http_transport.ts";
 import type { Incarnation, VmId } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
@@ -21,7 +22,6 @@
   type DatagramLink,
   type FleetPeer,
   FleetTalk,
-  parseEndpoint,
   PeerCalls,
   type PublishedStore,
   StateFollower,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -10,6 +10,7 @@
   CallerListener,
   DEFAULT_CALLER_LIMITS,
 } from "../connection/caller_listener.ts";
+import { parseEndpoint } from "../connection/endpoint.ts";
 import { HttpUpstreamTransport } from "../connection/http_transport.ts";
 import { type Incarnation, toId, type VmId } from "../ids.ts";
 import {
@@ -33,7 +34,6 @@
 import {
   type DatagramLink,
   type FleetPeer,
-  parseEndpoint,
   type PublishedStore,
   UdpLink,
 } from "./seeded_fleet/index.ts";
@@ -149,8 +149,8 @@
     const { listeners, vm, dataCentre } = this.#settings;
     this.#fleet = this.#createFleet(await this.#openLink());
     this.#fleet.start();
-    await startListener(this.#state, listeners.state);
-    await startListener(this.#callers, listeners.callers);
+    await this.#state.startAt(listeners.state);
+    await this.#callers.startAt(listeners.callers);
     this.#log.info("started", {
       vm,
       incarnation: this.#incarnation,
@@ -344,11 +344,3 @@
     });
   }
 }
-
-async function startListener(
-  listener: CallerListener | AnsweringListener,
-  endpoint: string,
-): Promise<void> {
-  const { address, port } = parseEndpoint(endpoint);
-  await listener.start(address, port);
-}
--- a/src/process/seeded_fleet/datagram_link.ts
+++ b/src/process/seeded_fleet/datagram_link.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
+import { type Endpoint, parseEndpoint } from "../../connection/endpoint.ts";
 import { StepError } from "../../errors.ts";
 import type { Log } from "../log.ts";
-import type { Endpoint } from "./fleet_message.ts";
 
 /** Takes a datagram and where it came from. */
 export type HandleDatagram = (bytes: Uint8Array, from: Endpoint) => void;
@@ -67,14 +67,3 @@
     this.#log.debug("datagram_failed", { error: error.message });
   }
 }
-
-/** Splits `ADDRESS:PORT`. */
-export function parseEndpoint(
-  endpoint: Endpoint,
-): { address: string; port: number } {
-  const colon = endpoint.lastIndexOf(":");
-  return {
-    address: endpoint.slice(0, colon),
-    port: Number(endpoint.slice(colon + 1)),
-  };
-}
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -10,9 +10,6 @@
 import type { DataCentre, Incarnation, VmId } from "../../ids.ts";
 import { toError } from "../../errors.ts";
 
-/** An IP address and a port, written `ADDRESS:PORT`. */
-export type Endpoint = string;
-
 const TEXT = z.string();
 const COUNT = z.number();
 const VM = TEXT.transform((text) => text as VmId);
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
+import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
-import type { Endpoint, FleetBeat } from "./fleet_message.ts";
+import type { FleetBeat } from "./fleet_message.ts";
 
 /** A VM that was silent for so long is not tried any more. */
 const FORGOTTEN_AFTER_MS = 120_000;
--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_talk.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { CancelTimer, Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
@@ -14,7 +15,6 @@
 import {
   decodeMessage,
   encodeMessage,
-  type Endpoint,
   type FleetBeat,
   type MembersMessage,
 } from "./fleet_message.ts";
@@ -124,12 +124,7 @@
     );
     this.peers.checkSilence(MISSED_BEATS * beatEveryMs);
     this.#peerCount = this.peers.listLive().length;
-    this.#sequence += 1;
-    const bytes = encodeMessage({
-      kind: "beat",
-      sequence: this.#sequence,
-      ...this.#options.buildBeat(),
-    });
+    const bytes = this.#encodeBeat();
     for (const to of this.#listTargets(now)) link.send(to, bytes);
     this.#setTimer(now + beatEveryMs);
   }
@@ -183,12 +178,17 @@
     known.add(this.#options.self);
     const unknown = message.endpoints.filter((each) => !known.has(each));
     if (unknown.length === 0) return;
+    const bytes = this.#encodeBeat();
+    for (const to of unknown) this.#options.link.send(to, bytes);
+  }
+
+  /** The next heartbeat of this life. */
+  #encodeBeat(): Buffer {
     this.#sequence += 1;
-    const bytes = encodeMessage({
+    return encodeMessage({
       kind: "beat",
       sequence: this.#sequence,
       ...this.#options.buildBeat(),
     });
-    for (const to of unknown) this.#options.link.send(to, bytes);
   }
 }
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-export { DatagramLink, parseEndpoint, UdpLink } from "./datagram_link.ts";
-export type { Endpoint } from "./fleet_message.ts";
+export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer } from "./fleet_peers.ts";
 export { FleetTalk } from "./fleet_talk.ts";
 export type { BeatContent } from "./fleet_talk.ts";
--- a/src/process/seeded_fleet/peer_calls.ts
+++ b/src/process/seeded_fleet/peer_calls.ts
@@ -7,7 +7,7 @@
 import { fetchWhole, readReport } from "../../connection/whole_call.ts";
 import type { VmId } from "../../ids.ts";
 import type { PlacementEntry } from "../placement/index.ts";
-import type { HandedState } from "./state_follower.ts";
+import type { HandedState, KnownVersions } from "./state_follower.ts";
 
 /** Configuration and replicas that are newer than the asker's. */
 export const STATE_PATH = "/v1/state";
@@ -16,12 +16,6 @@
 const LIMIT_MS = 1_000;
 const MAX_BYTES = 8_388_608;
 
-/** The versions that a VM has already. */
-export interface KnownVersions {
-  configVersion: number;
-  listRevision: number;
-}
-
 /** Calls of other VMs, by the addresses that they tell. */
 export class PeerCalls {
   readonly #transport: UpstreamTransport;
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -42,6 +42,13 @@
 const RETRY_MS = 250;
 /** How often a VM looks whether it has to watch, in milliseconds. */
 const IDLE_CHECK_MS = 200;
+
+/** The versions that a VM has already. */
+export interface KnownVersions {
+  configVersion: number;
+  listRevision: number;
+}
+
 /** What a VM offers that has something newer. */
 export interface HandedState {
   configuration?: PublishedConfiguration;
@@ -60,7 +67,7 @@
   /** Asks another VM for what is newer than the two versions. */
   fetchFrom: (
     peer: FleetPeer,
-    known: { configVersion: number; listRevision: number },
+    known: KnownVersions,
   ) => Promise<HandedState>;
   onSnapshot: (snapshot: RoutedSnapshot) => void;
   onReplicas: () => void;
@@ -114,7 +121,7 @@
 
   /** What this VM has beyond what another one knows. */
   buildHandedState(
-    known: { configVersion: number; listRevision: number },
+    known: KnownVersions,
   ): HandedState {
     const { replicas } = this.#options;
     const state: HandedState = {};
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -11,12 +11,13 @@
 import { type RequestId, toId } from "../ids.ts";
 import type { Log } from "./log.ts";
 import {
-  type KnownVersions,
   parseKnownVersions,
   PREFIXES_PATH,
   STATE_PATH,
 } from "./seeded_fleet/peer_calls.ts";
 
+import type { KnownVersions } from "./seeded_fleet/state_follower.ts";
+
 const STATUS_PATH = "/v1/status";
 const FATE_PATH = /^\/v1\/requests\/([^/]+)$/;
 
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -168,8 +168,7 @@
         [readiness, settings.listeners.readiness],
       ] as const
     ) {
-      const [address, port] = endpoint.split(":");
-      await listener.start(address!, Number(port));
+      await listener.startAt(endpoint);
       onTestFinished(() => listener.closeAll());
       onTestFinished(() => void listener.stop());
     }
