Tell news to all VMs when a VM makes itself known to a new one

Cause: a VM told of others by a members message sent them a heartbeat alone. buildBeat takes out what is told once, so the VMs heard already missed those results, speeds and placements. Ruled out: loss of datagrams; the test has none. Before: the new test sees no result at the second VM. After: it sees it, and one heartbeat goes to old and new VMs.

--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_talk.ts
@@ -67,6 +67,8 @@
   #lastRetryAt = -Infinity;
   #cancelTimer: CancelTimer | undefined;
   #timerAt = Infinity;
+  /** Those that were told of and not heard yet; the next heartbeat goes there too. */
+  readonly #introduced = new Set<Endpoint>();
   #isStopped = false;
 
   constructor(options: FleetTalkOptions) {
@@ -138,6 +140,8 @@
       this.peers.listSilent().forEach((peer) => targets.add(peer.endpoint));
       this.#options.getSeeds().forEach((seed) => targets.add(seed));
     }
+    this.#introduced.forEach((endpoint) => targets.add(endpoint));
+    this.#introduced.clear();
     targets.delete(this.#options.self);
     return targets;
   }
@@ -172,14 +176,18 @@
     this.announceAtOnce();
   }
 
-  /** Makes itself known to VMs that it had not heard of. */
+  /**
+   * Makes itself known to VMs that it had not heard of, by a heartbeat that
+   * goes to all: news is told in one heartbeat only, and VMs that are heard
+   * already would miss what one to the new VMs alone tells.
+   */
   #announceTo(message: MembersMessage): void {
     const known = new Set(this.peers.listLive().map((peer) => peer.endpoint));
     known.add(this.#options.self);
     const unknown = message.endpoints.filter((each) => !known.has(each));
     if (unknown.length === 0) return;
-    const bytes = this.#encodeBeat();
-    for (const to of unknown) this.#options.link.send(to, bytes);
+    unknown.forEach((endpoint) => this.#introduced.add(endpoint));
+    this.announceAtOnce();
   }
 
   /** The next heartbeat of this life. */
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -4,6 +4,7 @@
 import {
   type BeatContent,
   DatagramLink,
+  type FleetPeer,
   FleetTalk,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
@@ -54,7 +55,12 @@
 function startTalk(
   network: FakeNetwork,
   index: number,
-  options: { seeds: string[]; incarnation?: string },
+  options: {
+    seeds: string[];
+    incarnation?: string;
+    takeResults?: () => BeatContent["results"];
+    onBeat?: (peer: FleetPeer) => void;
+  },
 ): FleetTalk {
   const vm = toId<VmId>(`vm-${index}`);
   const self = `10.0.0.${index}:1`;
@@ -82,8 +88,8 @@
     link: network.createLink(self),
     getSeeds: () => options.seeds,
     self,
-    buildBeat: () => content,
-    onBeat: () => {},
+    buildBeat: () => ({ ...content, results: options.takeResults?.() ?? [] }),
+    onBeat: options.onBeat ?? (() => {}),
   });
   talk.start();
   return talk;
@@ -165,6 +171,31 @@
     expect(listNames(talks[7]!)).toHaveLength(count - 1);
   });
 
+  // Symptom: some VMs go on sending to a replica that fails for the others.
+  // Sequence: a VM has news; before its next heartbeat it is told of a VM that
+  // it has not heard of, and makes itself known there.
+  // Cause: that heartbeat took the news with it, and went to the new VM alone.
+  it("tell news to all when they make themselves known to a new one", async () => {
+    const network = new FakeNetwork();
+    let news: BeatContent["results"] = [];
+    const heard: BeatContent["results"] = [];
+    startTalk(network, 1, {
+      seeds: ["10.0.0.2:1"],
+      takeResults: () => news.splice(0),
+    });
+    startTalk(network, 2, {
+      seeds: [],
+      onBeat: ({ beat }) => heard.push(...beat.results),
+    });
+    await network.clock.run(1_000);
+    news = [[toId<VmId>("replica-1"), 0, 1]];
+    const message = { kind: "members", endpoints: ["10.0.0.3:1"] };
+    const bytes = Buffer.from(JSON.stringify(message));
+    network.handles.get("10.0.0.1:1")!(bytes, "10.0.0.2:1");
+    await network.clock.run(500);
+    expect(heard).toEqual([["replica-1", 0, 1]]);
+  });
+
   it("are not misled by a datagram that is no message", async () => {
     const network = new FakeNetwork();
     const talk = startTalk(network, 1, { seeds: [] });
