--- a/src/connection/answering_listener.ts
+++ b/src/connection/answering_listener.ts
@@ -21,6 +21,7 @@
   status: number;
   type: string;
   body: string;
+  headers?: Record<string, string>;
 }
 
 /** Answers a call from its method, path and query. */
@@ -51,6 +52,7 @@
     const url = new URL(request.url ?? "/", "http://vm");
     const answer = await this.#buildAnswer(request.method ?? "GET", url);
     response.writeHead(answer.status, {
+      ...answer.headers,
       "content-type": answer.type,
       "content-length": Buffer.byteLength(answer.body),
     });
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -16,16 +16,26 @@
   value: string | undefined;
 }
 
+interface View {
+  items: Map<string, Change>;
+  revision: number;
+}
+
 /** How the store answers. */
-export type StoreMode = "up" | "busy" | "reset" | "silent";
+export type StoreMode = "up" | "busy" | "limited" | "reset" | "silent";
+
+const REFUSED_STATUS = { busy: 503, limited: 429 };
 
 /** Keeps items in memory. */
 export class StoreStandIn extends HttpStandIn {
   mode: StoreMode = "up";
   /** Calls by path, refused ones included. */
   readonly calls: string[] = [];
+  /** Calls that allowed an answer that is seconds old. */
+  staleReads = 0;
   readonly #items = new Map<string, Change>();
   readonly #history: Change[] = [];
+  #oldView: View | undefined;
   #revision = 1;
   #oldest = 1;
   #waiting: (() => void)[] = [];
@@ -62,17 +72,24 @@
       response.destroy();
       return;
     }
-    if (this.mode === "busy") {
-      sendJson(response, { status: 503, body: {} });
+    if (this.mode === "busy" || this.mode === "limited") {
+      const status = REFUSED_STATUS[this.mode];
+      sendJson(response, { status, body: {} });
       return;
     }
     const { searchParams } = url;
+    const isStaleAllowed = searchParams.get("allow-stale") === "1";
+    if (isStaleAllowed) this.staleReads += 1;
     switch (url.pathname) {
       case "/api/kv-key":
-        this.#answerKey(searchParams.get("key")!, response);
+        this.#answerKey(searchParams.get("key")!, response, isStaleAllowed);
         return;
       case "/api/kv-range":
-        this.#answerRange(searchParams.get("prefix")!, response);
+        this.#answerRange(
+          searchParams.get("prefix")!,
+          response,
+          isStaleAllowed,
+        );
         return;
       case "/api/kv-watch":
         await this.#answerWatch(searchParams, response);
@@ -96,23 +113,41 @@
     waiting.forEach((wake) => wake());
   }
 
-  #answerKey(key: string, response: ServerResponse): void {
-    const item = this.#items.get(key);
+  #answerKey(
+    key: string,
+    response: ServerResponse,
+    isStaleAllowed: boolean,
+  ): void {
+    const { items, revision } = this.#pickView(isStaleAllowed);
+    const item = items.get(key);
     if (item === undefined) {
       sendJson(response, { status: 404, body: {} });
       return;
     }
-    const body = { ...item, "store-revision": this.#revision };
+    const body = { ...item, "store-revision": revision };
     sendJson(response, { status: 200, body });
   }
 
-  #answerRange(prefix: string, response: ServerResponse): void {
-    const items = [...this.#items.values()]
+  /** The items now, or as they were at the first read that allowed old ones. */
+  #pickView(isStaleAllowed: boolean): View {
+    const now = { items: this.#items, revision: this.#revision };
+    if (!isStaleAllowed) return now;
+    this.#oldView ??= { items: new Map(now.items), revision: now.revision };
+    return this.#oldView;
+  }
+
+  #answerRange(
+    prefix: string,
+    response: ServerResponse,
+    isStaleAllowed: boolean,
+  ): void {
+    const view = this.#pickView(isStaleAllowed);
+    const items = [...view.items.values()]
       .filter(({ key }) => key.startsWith(prefix));
     const body = {
       items,
       "more-pages": false,
-      "store-revision": this.#revision,
+      "store-revision": view.revision,
     };
     sendJson(response, { status: 200, body });
   }
