--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
+export type { Placement } from "./placement_choice.ts";
 export { PlacementSource } from "./placement_source.ts";
+export type { AskOwner } from "./placement_source.ts";
+export { ReplicaChooser } from "./replica_chooser.ts";
+export type { PlacementRequest } from "./replica_chooser.ts";
 export { PlacementState } from "./placement_state.ts";
 export type { PlacementEntry } from "./prefix_memory.ts";
 export { PrefixPriming } from "./prefix_priming.ts";
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -9,7 +9,7 @@
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
 import type { ListedReplica } from "./replica_list.ts";
-import type { ReplicaLoad } from "./replica_loads.ts";
+import type { ReplicaLoad } from "./load_totals.ts";
 
 /**
  * Reading a part again costs its own request and all that wait behind it, so
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -1,5 +1,6 @@
 /**
- * Slots by this VM's own decision, on what all VMs tell each other.
+ * Slots by the decision of a pool's owner, or by this VM's own while the owner
+ * is silent or the fleet is small.
  *
  * @module
  */
@@ -13,19 +14,19 @@
   type LeaseRequest,
   LeaseSource,
 } from "../services.ts";
-import {
-  choosePlacement,
-  isShortPrompt,
-  type Placement,
-} from "./placement_choice.ts";
+import { isShortPrompt, type Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
-import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
+import { type PlacementRequest, ReplicaChooser } from "./replica_chooser.ts";
+import type { ReplicaDirectory } from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
 
 const DEFAULT_PRIORITY = 5;
 const NO_REPLICA_RETRY_MS = 400;
-/** Never are more replicas of a pool left out for failures than this share. */
-const MOST_EJECTED_SHARE = 0.5;
+
+/** Asks a pool's owner; undefined where this VM is to decide by itself. */
+export type AskOwner = (
+  request: PlacementRequest,
+) => Promise<Placement | undefined>;
 
 /** What placing needs. */
 export interface PlacementSourceOptions {
@@ -34,57 +35,50 @@
   dataCentre: DataCentre;
   directory: ReplicaDirectory;
   state: PlacementState;
+  askOwner: AskOwner;
 }
 
-/** Grants at once, or refuses. */
+/** Grants without a queue, or refuses. */
 export class PlacementSource extends LeaseSource {
   readonly #options: PlacementSourceOptions;
+  readonly #chooser: ReplicaChooser;
   #granted = 0;
 
   constructor(options: PlacementSourceOptions) {
     super();
     this.#options = options;
+    this.#chooser = ReplicaChooser.create(options.directory, options.state);
   }
 
   static create(options: PlacementSourceOptions): PlacementSource {
     return new PlacementSource(options);
   }
 
-  override acquire(
+  override async acquire(
     request: LeaseRequest,
     _options: { signal: AbortSignal; onStep: (step: FateStep) => void },
   ): Promise<HeldLease> {
-    const placement = choosePlacement(
-      this.#listCandidates(request),
-      {
-        parts: request.prefixes,
-        partTokens: request.partTokens ?? [],
-        promptTokens: request.promptTokens,
-      },
-      { dataCentre: this.#options.dataCentre, state: this.#options.state },
-    );
-    if (placement === undefined) return Promise.reject(createNoReplica());
+    const needs = this.#buildNeeds(request);
+    const placement = await this.#options.askOwner(needs) ??
+      this.#chooser.choose(needs);
+    if (placement === undefined) throw createNoReplica();
     this.#granted += 1;
-    return Promise.resolve(
-      new PlacedLease(toId<LeaseId>(String(this.#granted)), {
-        ...this.#options,
-        request,
-        placement,
-      }),
-    );
+    return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
+      ...this.#options,
+      request,
+      placement,
+    });
   }
 
-  #listCandidates(request: LeaseRequest): readonly ListedReplica[] {
-    const { directory, state: { health } } = this.#options;
-    const ready = directory.listReady(request.pool);
-    const untried = ready.filter(({ id }) => !request.avoid.includes(id));
-    const healthy = untried.filter(({ id }) => !health.isEjected(id));
-    const least = Math.ceil(ready.length * MOST_EJECTED_SHARE);
-    const ejected = ready.filter(({ id }) => health.isEjected(id)).length;
-    // Where most fail, the cause is likely not theirs; the few that are left
-    // would break down under everybody's work.
-    const isTrusted = ready.length - ejected >= least;
-    return isTrusted && healthy.length > 0 ? healthy : untried;
+  #buildNeeds(request: LeaseRequest): PlacementRequest {
+    return {
+      pool: request.pool,
+      avoid: request.avoid,
+      dataCentre: this.#options.dataCentre,
+      parts: request.prefixes,
+      partTokens: request.partTokens ?? [],
+      promptTokens: request.promptTokens,
+    };
   }
 }
 
--- a/src/process/placement/replica_loads.ts
+++ b/src/process/placement/replica_loads.ts
@@ -10,20 +10,17 @@
  */
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
+import { AnsweredLoads } from "./answered_loads.ts";
+import {
+  addLoads,
+  LoadTotals,
+  NO_LOAD,
+  type ReplicaLoad,
+} from "./load_totals.ts";
 
 /** What another VM told is ignored after so long, in milliseconds. */
 const PEER_LOAD_TTL_MS = 1_500;
 
-/** Work at one replica. */
-export interface ReplicaLoad {
-  /** Prompt tokens that are still to be read. */
-  pendingTokens: number;
-  /** Requests that have not ended. */
-  running: number;
-  /** Streams among them that began with a short prompt and go on for long. */
-  talking: number;
-}
-
 /** One replica's load as a VM tells it. */
 export type LoadEntry = [
   replica: VmId,
@@ -40,7 +37,7 @@
 
 interface PeerLoads {
   notedAt: number;
-  entries: Map<VmId, ReplicaLoad>;
+  entries: { replica: VmId; load: ReplicaLoad }[];
 }
 
 /** One request of this VM at a replica. */
@@ -83,12 +80,17 @@
 export class ReplicaLoads {
   readonly #clock: Clock;
   readonly #own = new Map<VmId, ReplicaLoad>();
+  /** By when they were told; the oldest first. */
   readonly #peers = new Map<VmId, PeerLoads>();
+  readonly #peerTotals = LoadTotals.create();
+  /** Placed here for other VMs and not told by them yet. */
+  readonly answered: AnsweredLoads;
   readonly #onChange: () => void;
 
   constructor(clock: Clock, onChange: () => void) {
     this.#clock = clock;
     this.#onChange = onChange;
+    this.answered = AnsweredLoads.create(clock);
   }
 
   /** `onChange` hears of each change of this VM's own work. */
@@ -110,33 +112,28 @@
 
   /** Replaces what `vm` told before. */
   putPeer(vm: VmId, entries: readonly LoadEntry[]): void {
-    this.#peers.set(vm, {
+    this.#dropPeer(vm);
+    const loads: PeerLoads = {
       notedAt: this.#clock.now(),
-      entries: new Map(entries.map(
-        ([replica, pendingTokens, running, talking]) => [
-          replica,
-          { pendingTokens, running, talking },
-        ],
-      )),
-    });
+      entries: entries.map(([replica, pendingTokens, running, talking]) => ({
+        replica,
+        load: { pendingTokens, running, talking },
+      })),
+    };
+    this.#peers.set(vm, loads);
+    for (const { replica, load } of loads.entries) {
+      this.#peerTotals.add(replica, load);
+    }
   }
 
   /** Everybody's work at `replica`. */
   getLoad(replica: VmId): ReplicaLoad {
-    const total = { ...(this.#own.get(replica) ?? NO_LOAD) };
-    const oldest = this.#clock.now() - PEER_LOAD_TTL_MS;
-    for (const [vm, peer] of this.#peers) {
-      if (peer.notedAt < oldest) {
-        this.#peers.delete(vm);
-        continue;
-      }
-      const load = peer.entries.get(replica);
-      if (load === undefined) continue;
-      total.pendingTokens += load.pendingTokens;
-      total.running += load.running;
-      total.talking += load.talking;
-    }
-    return total;
+    this.#dropOldPeers();
+    const ofOthers = addLoads(
+      this.#peerTotals.get(replica),
+      this.answered.get(replica),
+    );
+    return addLoads(this.#own.get(replica) ?? NO_LOAD, ofOthers);
   }
 
   /** This VM's own work, to be told to the others. */
@@ -148,6 +145,20 @@
       load.talking,
     ]);
   }
-}
 
-const NO_LOAD: ReplicaLoad = { pendingTokens: 0, running: 0, talking: 0 };
+  #dropOldPeers(): void {
+    const oldest = this.#clock.now() - PEER_LOAD_TTL_MS;
+    for (const [vm, peer] of this.#peers) {
+      if (peer.notedAt >= oldest) return;
+      this.#dropPeer(vm);
+    }
+  }
+
+  #dropPeer(vm: VmId): void {
+    const peer = this.#peers.get(vm);
+    this.#peers.delete(vm);
+    for (const { replica, load } of peer?.entries ?? []) {
+      this.#peerTotals.remove(replica, load);
+    }
+  }
+}
--- a/src/process/random.ts
+++ b/src/process/random.ts
@@ -26,6 +26,18 @@
     return text.slice(0, length);
   }
 
+  /** `items` in an order that is as likely as any other. */
+  pickOrder<T>(items: readonly T[]): T[] {
+    const shuffled = [...items];
+    for (let last = shuffled.length - 1; last > 0; last--) {
+      const index = this.nextInt(last + 1);
+      const moved = shuffled[last]!;
+      shuffled[last] = shuffled[index]!;
+      shuffled[index] = moved;
+    }
+    return shuffled;
+  }
+
   /** One of `items`; undefined when there are none. */
   pick<T>(items: readonly T[]): T | undefined {
     return items[this.nextInt(items.length)];
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -5,24 +5,36 @@
  */
 import { parseEndpoint } from "../connection/endpoint.ts";
 import type { HttpUpstreamTransport } from "../connection/http_transport.ts";
-import type { Incarnation, VmId } from "../ids.ts";
+import type { Incarnation, PoolName, VmId } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
 import {
+  type Placement,
+  type PlacementRequest,
   type PlacementState,
   PrefixPriming,
+  ReplicaChooser,
   type ReplicaDirectory,
 } from "./placement/index.ts";
 import type { Random } from "./random.ts";
 import { pickRendezvousFirst } from "./rendezvous.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import {
+  type AnswerMessage,
+  type AskMessage,
   type BeatContent,
   type DatagramLink,
+  findDuty,
   type FleetPeer,
   FleetTalk,
+  type FleetWork,
+  isSmallFleet,
+  listDuties,
+  listPlacersOf,
+  type OwnerCandidate,
   PeerCalls,
+  PlacementAsker,
   type PublishedStore,
   StateFollower,
 } from "./seeded_fleet/index.ts";
@@ -57,6 +69,8 @@
   readonly #talk: FleetTalk;
   readonly #peers: HttpUpstreamTransport;
   readonly #priming: PrefixPriming;
+  readonly #asker: PlacementAsker;
+  readonly #chooser: ReplicaChooser;
   readonly #ended = new AbortController();
 
   constructor(options: RoutedFleetOptions) {
@@ -68,12 +82,25 @@
     this.#talk = FleetTalk.create({
       vm,
       clock,
+      random,
       log,
       link,
       self: `${address}:${peerPort}`,
       getSeeds: () => this.#listSeeds(),
       buildBeat: () => this.#buildBeat(),
+      takeWork: () => this.#takeWork(),
+      listPlacers: () => this.#listAllPlacers(),
       onBeat: (peer) => this.#notePeer(peer),
+      onAsk: (ask) => this.#answerAsk(ask),
+      onAnswer: (answer) => this.#asker.noteAnswer(answer),
+    });
+    this.#chooser = ReplicaChooser.create(replicas, options.placement);
+    this.#asker = PlacementAsker.create({
+      vm,
+      clock,
+      log,
+      listPlacers: (pool) => this.#listPlacersBefore(pool),
+      send: (to, message) => this.#talk.send(to, message),
     });
     this.follower = StateFollower.create({
       vm,
@@ -86,7 +113,7 @@
       fetchFrom: ({ beat }, known) => calls.fetchState(beat.vm, known),
       onSnapshot: (snapshot) => {
         options.onSnapshot(snapshot);
-        this.#talk.announceAtOnce();
+        this.#talk.announceState();
       },
       onReplicas: () => this.#noteReplicas(),
     });
@@ -116,6 +143,23 @@
     return this.#talk.peers.listLive();
   }
 
+  /**
+   * Asks the pool's owner where a request should go. Undefined where this VM
+   * is the owner, where there is none, and where it is silent.
+   */
+  async askOwner(request: PlacementRequest): Promise<Placement | undefined> {
+    if (this.#isSmall()) return undefined;
+    const placed = await this.#asker.ask(request);
+    if (placed === undefined) return undefined;
+    const { replicas } = this.#options;
+    const replica = replicas.find(placed.replica);
+    // One VM may have read of a replica that comes or leaves before another.
+    if (replica === undefined || !replicas.isReady(replica.id)) {
+      return undefined;
+    }
+    return { ...placed, replica };
+  }
+
   /** Tells the others soon that there is news of this VM's work. */
   announceNews(): void {
     this.#talk.announceNews();
@@ -133,8 +177,8 @@
   }
 
   #buildBeat(): BeatContent {
-    const { getSettings, replicas, placement } = this.#options;
-    const { vm, dataCentre, listeners } = getSettings();
+    const { getSettings, replicas } = this.#options;
+    const { vm, dataCentre, listeners, cores } = getSettings();
     return {
       vm,
       incarnation: this.#options.incarnation,
@@ -147,19 +191,74 @@
       configVersion: this.follower.getSnapshot()?.version ?? 0,
       listRevision: replicas.revision,
       listAgeMs: this.follower.getListAgeMs(),
-      ...placement.takeNews(),
+      cores,
     };
   }
 
+  #takeWork(): FleetWork {
+    return { ...this.#options.placement.takeNews(), ...this.#asker.numbers };
+  }
+
   #notePeer(peer: FleetPeer): void {
-    this.#options.placement.noteNews(peer.beat.vm, peer.beat);
+    const { vm, work } = peer.beat;
+    if (work !== undefined) this.#noteWork(vm, work);
     this.follower.notePeer(peer);
   }
 
+  #noteWork(vm: VmId, work: FleetWork): void {
+    const { placement } = this.#options;
+    placement.loads.answered.settle(vm, work.lastAsk, work.openAsks);
+    placement.noteNews(vm, work);
+  }
+
+  #answerAsk(message: AskMessage): AnswerMessage {
+    const { vm, ask } = message;
+    const placement = this.#chooser.chooseFor(vm, ask, message);
+    if (placement === undefined) return { kind: "answer", ask };
+    const { replica, ...placed } = placement;
+    return { kind: "answer", ask, placed: { ...placed, replica: replica.id } };
+  }
+
+  #isSmall(): boolean {
+    return isSmallFleet(1 + this.listLive().length);
+  }
+
+  /** Everybody who places requests of any pool; undefined for all VMs. */
+  #listAllPlacers(): Set<VmId> | undefined {
+    if (this.#isSmall()) return undefined;
+    const candidates = this.#listCandidates();
+    const placers = this.#listDuties()
+      .flatMap((duty) => listPlacersOf(duty, candidates));
+    return new Set(placers);
+  }
+
+  #listDuties(): string[] {
+    return listDuties(1 + this.listLive().length);
+  }
+
+  /** Who is to be asked for a pool, up to this VM itself. */
+  #listPlacersBefore(pool: PoolName): FleetPeer[] {
+    const { vm } = this.#options.getSettings();
+    const duty = findDuty(pool, this.#listDuties());
+    const placers = listPlacersOf(duty, this.#listCandidates());
+    const ownIndex = placers.indexOf(vm);
+    const before = ownIndex < 0 ? placers : placers.slice(0, ownIndex);
+    return before.map((each) => this.#talk.peers.find(each))
+      .filter((peer) => peer !== undefined);
+  }
+
+  #listCandidates(): OwnerCandidate[] {
+    const { vm, cores } = this.#options.getSettings();
+    const others = this.listLive().map(({ beat }) => beat)
+      .filter(({ isServing, isDraining }) => isServing && !isDraining);
+    if (!this.#options.isServing()) return others;
+    return [...others, { vm, cores, isPrimed: this.#priming.isPrimed }];
+  }
+
   #noteReplicas(): void {
     const { placement, replicas } = this.#options;
     placement.dropUnlisted((id) => replicas.find(id) !== undefined);
-    this.#talk.announceAtOnce();
+    this.#talk.announceState();
   }
 
   #createPriming(calls: PeerCalls): PrefixPriming {
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -11,6 +11,7 @@
 import type { LocalEnvironment } from "./environment.ts";
 import type { FateStore } from "./fate_store.ts";
 import {
+  type AskOwner,
   PlacementSource,
   type PlacementState,
   type ReplicaDirectory,
@@ -33,6 +34,7 @@
   settings: { retryShare: number; retryReserve: number };
   replicas: ReplicaDirectory;
   placement: PlacementState;
+  askOwner: AskOwner;
   fates: FateStore;
   metrics: ProcessMetrics;
   getSnapshot: () => RoutedSnapshot | undefined;
@@ -53,6 +55,7 @@
       directory: parts.replicas,
       dataCentre: parts.dataCentre,
       state: placement,
+      askOwner: parts.askOwner,
     }),
     limits: UnlimitedSource.create(),
     claims: CallerRunClaims.create(random),
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -29,6 +29,9 @@
   }),
   metrics_port: z.int().optional(),
   store: ENDPOINT,
+  /** Cores, and the share of each that is this VM's. */
+  cores: z.number().positive(),
+  core_share: z.number().positive().max(1),
   log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
   drain_grace_ms: DURATION,
   directory_ttl_ms: DURATION,
@@ -52,6 +55,8 @@
   };
   metricsPort: number | undefined;
   store: string;
+  /** Processor cores that this VM may use. */
+  cores: number;
   logLevel: "debug" | "info" | "warn" | "error";
   drainGraceMs: number;
   directoryTtlMs: number;
@@ -90,6 +95,7 @@
     listeners: file.listeners,
     metricsPort: file.metrics_port,
     store: file.store,
+    cores: file.cores * file.core_share,
     logLevel: file.log_level,
     drainGraceMs: file.drain_grace_ms,
     directoryTtlMs: file.directory_ttl_ms,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -187,12 +187,16 @@
     return this.#drain !== undefined;
   }
 
-  /** Where callers may connect now, this VM included if it serves. */
+  /**
+   * Where callers may connect now, this VM included if it serves. An answer to
+   * a caller has room for some of them only: in a fixed order the last ones
+   * would get no callers at all.
+   */
   listEntries(): string[] {
     const entries = this.#listLive().filter(({ beat }) => beat.isServing)
       .map(({ beat }) => beat.callers);
     if (this.isServing()) entries.push(this.#settings.listeners.callers);
-    return entries;
+    return this.#random.pickOrder(entries);
   }
 
   override async handle(
@@ -258,6 +262,8 @@
         settings: this.#settings,
         replicas: this.replicas,
         placement: this.#placement,
+        askOwner: (request) =>
+          this.#fleet?.askOwner(request) ?? Promise.resolve(undefined),
         fates: this.fates,
         metrics: this.metrics,
         getSnapshot: () => this.getSnapshot(),
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -7,13 +7,25 @@
  * @module
  */
 import * as z from "zod";
-import type { DataCentre, Incarnation, VmId } from "../../ids.ts";
+import type { DataCentre, Incarnation, PoolName, VmId } from "../../ids.ts";
 import { toError } from "../../errors.ts";
 
 const TEXT = z.string();
 const COUNT = z.number();
 const VM = TEXT.transform((text) => text as VmId);
 
+/** What a VM tells of its work; all but the loads is told once. */
+const WORK = z.object({
+  loads: z.array(z.tuple([VM, COUNT, COUNT, COUNT])),
+  results: z.array(z.tuple([VM, COUNT, COUNT])),
+  speeds: z.array(z.tuple([VM, COUNT])),
+  placements: z.array(z.tuple([VM, z.array(TEXT), COUNT])),
+  /** The number of the sender's last ask. */
+  lastAsk: COUNT,
+  /** Asks up to there that it has no answer to. */
+  openAsks: z.array(COUNT),
+});
+
 const BEAT = z.object({
   kind: z.literal("beat"),
   vm: VM,
@@ -34,10 +46,14 @@
   listRevision: COUNT,
   /** How long ago the list was known to be the newest; -1 for never. */
   listAgeMs: COUNT,
-  loads: z.array(z.tuple([VM, COUNT, COUNT, COUNT])),
-  results: z.array(z.tuple([VM, COUNT, COUNT])),
-  speeds: z.array(z.tuple([VM, COUNT])),
-  placements: z.array(z.tuple([VM, z.array(TEXT), COUNT])),
+  /** The receiver hears again within so many milliseconds. */
+  nextMs: COUNT,
+  /** How many other VMs it hears. */
+  heard: COUNT,
+  /** Processor cores that it may use. */
+  cores: COUNT,
+  /** Left out for VMs that do not place requests. */
+  work: WORK.optional(),
 });
 
 const MEMBERS = z.object({
@@ -46,14 +62,59 @@
   endpoints: z.array(TEXT),
 });
 
-const MESSAGE = z.discriminatedUnion("kind", [BEAT, MEMBERS]);
+/** For VMs that hear the others seldom. */
+const SILENT = z.object({
+  kind: z.literal("silent"),
+  /** VMs that the sender misses, and for how many milliseconds. */
+  vms: z.array(z.tuple([VM, COUNT])),
+});
+
+const ASK = z.object({
+  kind: z.literal("ask"),
+  vm: VM,
+  /** Counts the sender's asks. */
+  ask: COUNT,
+  dataCentre: TEXT.transform((text) => text as DataCentre),
+  pool: TEXT.transform((text) => text as PoolName),
+  avoid: z.array(VM),
+  parts: z.array(TEXT),
+  partTokens: z.array(COUNT),
+  promptTokens: COUNT,
+});
+
+const ANSWER = z.object({
+  kind: z.literal("answer"),
+  ask: COUNT,
+  /** Left out where the owner knows of none that takes work. */
+  placed: z.object({
+    replica: VM,
+    ownTokens: COUNT,
+    tokensAhead: COUNT,
+    running: COUNT,
+    predictedMs: COUNT,
+  }).optional(),
+});
+
+const MESSAGE = z.discriminatedUnion("kind", [
+  BEAT,
+  MEMBERS,
+  SILENT,
+  ASK,
+  ANSWER,
+]);
 
 /** A VM's state, sent some times a second. */
 export type FleetBeat = z.infer<typeof BEAT>;
 /** Whom the sender hears of, for a VM that it had not heard of. */
 export type MembersMessage = z.infer<typeof MEMBERS>;
+/** What a VM tells of its work. */
+export type FleetWork = z.infer<typeof WORK>;
+/** A request that the receiver is to find a replica for. */
+export type AskMessage = z.infer<typeof ASK>;
+/** Where the request of an ask should go. */
+export type AnswerMessage = z.infer<typeof ANSWER>;
 /** Any datagram. */
-export type FleetMessage = FleetBeat | MembersMessage;
+export type FleetMessage = z.infer<typeof MESSAGE>;
 
 /** A message as bytes. */
 export function encodeMessage(message: FleetMessage): Buffer {
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -11,6 +11,10 @@
 
 /** A VM that was silent for so long is not tried any more. */
 const FORGOTTEN_AFTER_MS = 120_000;
+/** Heartbeats that a live VM may miss before it counts as gone. */
+const MISSED_BEATS = 6;
+/** The last heartbeat reaches two VMs within so many milliseconds. */
+const ON_THE_WAY_MS = 100;
 
 /** Another VM. */
 export interface FleetPeer {
@@ -62,20 +66,30 @@
   }
 
   /**
-   * Marks VMs as gone that were silent for `goneAfterMs`, which is several
-   * heartbeats, so that some lost datagrams take nobody out; forgets those that
-   * were long silent.
+   * Marks VMs as gone that missed several heartbeats, so that some lost
+   * datagrams take nobody out; forgets those that were long silent. Returns
+   * those that are missed from now on, and for how many milliseconds.
    */
-  checkSilence(goneAfterMs: number): void {
+  checkSilence(): [VmId, number][] {
     const now = this.#clock.now();
+    const missed: [VmId, number][] = [];
     for (const [vm, peer] of this.#peers) {
       const silentMs = now - peer.heardAt;
-      if (peer.isLive && silentMs > goneAfterMs) {
-        peer.isLive = false;
-        this.#log.warn("peer_silent", { peer: vm, ms: Math.round(silentMs) });
+      if (peer.isLive && silentMs > MISSED_BEATS * peer.beat.nextMs) {
+        this.#setSilent(vm, peer);
+        missed.push([vm, Math.round(silentMs)]);
       }
       if (silentMs > FORGOTTEN_AFTER_MS) this.#peers.delete(vm);
     }
+    return missed;
+  }
+
+  /** Takes in that another VM misses `vm`, unless it was heard here since. */
+  noteSilent(vm: VmId, silentMs: number): void {
+    const peer = this.#peers.get(vm);
+    if (peer === undefined || !peer.isLive) return;
+    const silentHereMs = this.#clock.now() - peer.heardAt;
+    if (silentHereMs + ON_THE_WAY_MS >= silentMs) this.#setSilent(vm, peer);
   }
 
   find(vm: VmId): FleetPeer | undefined {
@@ -91,4 +105,10 @@
   listSilent(): FleetPeer[] {
     return [...this.#peers.values()].filter((peer) => !peer.isLive);
   }
+
+  #setSilent(vm: VmId, peer: FleetPeer): void {
+    peer.isLive = false;
+    const ms = Math.round(this.#clock.now() - peer.heardAt);
+    this.#log.warn("peer_silent", { peer: vm, ms });
+  }
 }
--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_talk.ts
@@ -7,53 +7,92 @@
  *
  * @module
  */
+import { match } from "ts-pattern";
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { CancelTimer, Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
+import type { Random } from "../random.ts";
 import type { DatagramLink } from "./datagram_link.ts";
 import {
+  type AnswerMessage,
+  type AskMessage,
   decodeMessage,
   encodeMessage,
   type FleetBeat,
+  type FleetMessage,
+  type FleetWork,
   type MembersMessage,
 } from "./fleet_message.ts";
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
 
 /** Without news a heartbeat goes out this often, in milliseconds. */
 const BEAT_EVERY_MS = 150;
-/** News waits so long for more news, in milliseconds. */
+/**
+ * News waits so long for more news, in milliseconds, where each VM decides by
+ * itself. In a large fleet the owner counts a request as it places it; how far
+ * it has come can wait for the next heartbeat.
+ */
 const NEWS_WAIT_MS = 25;
 /**
- * Every heartbeat goes to each peer, so both times grow with the peers: a VM
- * sends at most 330 datagrams a second with news, and 100 without, in a fleet
- * of any size. Without this a VM among ninety would send over three thousand.
+ * Where all are told of each other's work the wait grows with their number: a
+ * VM sends at most 330 such datagrams a second.
  */
 const NEWS_WAIT_PER_PEER_MS = 3;
-const BEAT_PER_PEER_MS = 10;
-/** Heartbeats that a live VM may miss before it counts as gone. */
-const MISSED_BEATS = 6;
+/**
+ * Heartbeats to all grow rarer with their number: a VM sends 10 of them a
+ * second in a large fleet of any size. Those that place requests hear each VM
+ * at every `BEAT_EVERY_MS`, and tell the others whom they miss.
+ */
+const BEAT_PER_PEER_MS = 100;
+/** Less than the heartbeats that a live VM may miss. */
+const MOST_GROWTH = 4;
+/** The same where all hear of each other's work: 100 a second at most. */
+const SMALL_FLEET_BEAT_PER_PEER_MS = 10;
+/**
+ * A newer version or list is told to so many VMs in a large fleet. All VMs see
+ * it at about the same time and each tells of it, so one that cannot read the
+ * store hears of it from several: all but one in four hundred do at once, and
+ * the others by the next heartbeats.
+ */
+const STATE_NEWS_PEERS = 6;
+/** What is new in a row is told at once, in milliseconds. */
+const STATE_WAIT_MS = 50;
+/** A VM that hears so much of what another one hears needs no list of it. */
+const FULL_SHARE = 0.8;
+/** A timer that fires so late, in ms, shows that this VM was held up. */
+const HELD_UP_MS = 300;
 /** Seeds and silent VMs are tried this often, in milliseconds. */
 const RETRY_EVERY_MS = 500;
 /** While nobody is heard, seeds are tried at each heartbeat for so long. */
 const EAGER_MS = 5_000;
 
-/** What fills in a heartbeat. */
-export type BeatContent = Omit<FleetBeat, "kind" | "sequence">;
+/** What a VM says of itself in a heartbeat. */
+export type BeatContent = Omit<
+  FleetBeat,
+  "kind" | "sequence" | "nextMs" | "heard" | "work"
+>;
 
 /** What the talk is made of. */
 export interface FleetTalkOptions {
   vm: VmId;
   clock: Clock;
+  random: Random;
   log: Log;
   link: DatagramLink;
   /** Where other VMs may take datagrams; may be stale. */
   getSeeds: () => readonly Endpoint[];
   /** Where this VM takes datagrams. */
   self: Endpoint;
-  /** What this VM says of itself; what is told once is taken out by it. */
+  /** What this VM says of itself. */
   buildBeat: () => BeatContent;
+  /** This VM's work; what is told once is taken out by it. */
+  takeWork: () => FleetWork;
+  /** Who is told of this VM's work; undefined for all. */
+  listPlacers: () => Set<VmId> | undefined;
   onBeat: (peer: FleetPeer) => void;
+  onAsk: (ask: AskMessage) => AnswerMessage;
+  onAnswer: (answer: AnswerMessage) => void;
 }
 
 /** Sends and takes in heartbeats. */
@@ -63,12 +102,18 @@
   readonly #startedAt: number;
   #sequence = 0;
   #peerCount = 0;
+  #toPlacers = new Set<Endpoint>();
+  /** Whether some VMs alone place requests, as the last heartbeat went. */
+  #isOwned = false;
+  #hasStateNews = false;
+  /** Time between heartbeats to all, in milliseconds. */
+  #allEveryMs = BEAT_EVERY_MS;
+  /** When the next one goes to all. */
+  #allDueAt = 0;
   #lastBeatAt = -Infinity;
   #lastRetryAt = -Infinity;
   #cancelTimer: CancelTimer | undefined;
   #timerAt = Infinity;
-  /** Those that were told of and not heard yet; the next heartbeat goes there too. */
-  readonly #introduced = new Set<Endpoint>();
   #isStopped = false;
 
   constructor(options: FleetTalkOptions) {
@@ -93,15 +138,33 @@
     this.#cancelTimer?.();
   }
 
-  /** Sends a heartbeat soon, since there is news of this VM. */
+  /** Tells those that place requests soon of news of this VM's work. */
   announceNews(): void {
+    if (this.#isOwned) return;
     const perPeerMs = NEWS_WAIT_PER_PEER_MS * this.#peerCount;
     this.#setTimer(this.#lastBeatAt + Math.max(NEWS_WAIT_MS, perPeerMs));
   }
 
-  /** Sends a heartbeat at once: callers or replicas depend on it. */
+  /** Tells all, or some in a large fleet, that a version or list is newer. */
+  announceState(): void {
+    if (!this.#isOwned) return this.announceAtOnce();
+    this.#hasStateNews = true;
+    this.#setTimer(this.#lastBeatAt + STATE_WAIT_MS);
+  }
+
+  /** Tells all at once what callers depend on. */
   announceAtOnce(): void {
-    this.#setTimer(this.#options.clock.now());
+    this.#setAllDue(this.#options.clock.now());
+  }
+
+  /** Sends one datagram to another VM. */
+  send(to: FleetPeer, message: FleetMessage): void {
+    this.#options.link.send(to.endpoint, encodeMessage(message));
+  }
+
+  #setAllDue(at: number): void {
+    this.#allDueAt = Math.min(this.#allDueAt, at);
+    this.#setTimer(this.#allDueAt);
   }
 
   #setTimer(at: number): void {
@@ -116,22 +179,102 @@
   }
 
   #sendBeats(): void {
-    const { clock, link } = this.#options;
-    const now = clock.now();
+    const now = this.#options.clock.now();
+    const lateMs = now - this.#timerAt;
     this.#timerAt = Infinity;
     this.#lastBeatAt = now;
-    const beatEveryMs = Math.max(
-      BEAT_EVERY_MS,
-      BEAT_PER_PEER_MS * this.#peerCount,
+    this.#checkSilence(lateMs);
+    const placers = this.#options.listPlacers();
+    this.#isOwned = placers !== undefined;
+    const toAll = this.#listTargets(now);
+    const toPlacers = placers === undefined
+      ? toAll
+      : this.#findEndpoints(placers);
+    // One that is no placer now was told to expect a heartbeat soon.
+    const others = new Set(toAll);
+    if (this.#isOwned) this.#toPlacers.forEach((to) => others.add(to));
+    toPlacers.forEach((to) => others.delete(to));
+    this.#toPlacers = toPlacers;
+    this.#sendWork(toPlacers);
+    this.#sendPlain(others);
+    this.#setTimer(
+      this.#isOwned
+        ? Math.min(this.#allDueAt, now + BEAT_EVERY_MS)
+        : this.#allDueAt,
     );
-    this.peers.checkSilence(MISSED_BEATS * beatEveryMs);
+  }
+
+  /**
+   * A VM that was held up has not read its sockets yet and would take all
+   * others for gone, and callers would be told of no other VM.
+   */
+  #checkSilence(lateMs: number): void {
+    if (lateMs < HELD_UP_MS) {
+      const missed = this.peers.checkSilence();
+      if (missed.length > 0) this.#announceSilent(missed);
+    }
     this.#peerCount = this.peers.listLive().length;
-    const bytes = this.#encodeBeat();
-    for (const to of this.#listTargets(now)) link.send(to, bytes);
-    this.#setTimer(now + beatEveryMs);
   }
 
+  /** Those that place requests hear each VM often; the others do not. */
+  #announceSilent(missed: [VmId, number][]): void {
+    const { link, listPlacers, vm } = this.#options;
+    if (!listPlacers()?.has(vm)) return;
+    const bytes = encodeMessage({ kind: "silent", vms: missed });
+    for (const peer of this.peers.listLive()) link.send(peer.endpoint, bytes);
+  }
+
+  #findEndpoints(vms: Iterable<VmId>): Set<Endpoint> {
+    const endpoints = [...vms].map((vm) => this.peers.find(vm)?.endpoint);
+    return new Set(endpoints.filter((each) => each !== undefined));
+  }
+
+  #sendWork(to: Iterable<Endpoint>): void {
+    const nextMs = this.#isOwned ? BEAT_EVERY_MS : this.#allEveryMs;
+    const work = this.#options.takeWork();
+    const bytes = encodeMessage({ ...this.#buildBeat(nextMs), work });
+    for (const each of to) this.#options.link.send(each, bytes);
+  }
+
+  /** Leaves the news to those that are told of work. */
+  #sendPlain(to: ReadonlySet<Endpoint>): void {
+    if (to.size === 0) return;
+    const bytes = encodeMessage(this.#buildBeat(this.#allEveryMs));
+    for (const each of to) this.#options.link.send(each, bytes);
+  }
+
+  /**
+   * Grows by `MOST_GROWTH` at a time: one that misses the first rarer
+   * heartbeat expects the next one at the old time, and would else take this
+   * VM for gone before it comes.
+   */
+  #updateAllEvery(): void {
+    const perPeerMs = this.#isOwned
+      ? BEAT_PER_PEER_MS
+      : SMALL_FLEET_BEAT_PER_PEER_MS;
+    const wantedMs = Math.max(BEAT_EVERY_MS, perPeerMs * this.#peerCount);
+    this.#allEveryMs = Math.min(wantedMs, MOST_GROWTH * this.#allEveryMs);
+  }
+
+  /** Who gets a heartbeat now, beside those that place requests. */
   #listTargets(now: number): Set<Endpoint> {
+    if (!this.#isOwned || now >= this.#allDueAt) {
+      this.#updateAllEvery();
+      this.#allDueAt = now + this.#allEveryMs;
+      return this.#listAllTargets(now);
+    }
+    const hasStateNews = this.#hasStateNews;
+    this.#hasStateNews = false;
+    return hasStateNews ? this.#pickSome() : new Set();
+  }
+
+  #pickSome(): Set<Endpoint> {
+    const endpoints = this.peers.listLive().map((peer) => peer.endpoint);
+    const some = this.#options.random.pickOrder(endpoints);
+    return new Set(some.slice(0, STATE_NEWS_PEERS));
+  }
+
+  #listAllTargets(now: number): Set<Endpoint> {
     const live = this.peers.listLive();
     const targets = new Set(live.map((peer) => peer.endpoint));
     const isEager = live.length === 0 && now - this.#startedAt < EAGER_MS;
@@ -140,8 +283,6 @@
       this.peers.listSilent().forEach((peer) => targets.add(peer.endpoint));
       this.#options.getSeeds().forEach((seed) => targets.add(seed));
     }
-    this.#introduced.forEach((endpoint) => targets.add(endpoint));
-    this.#introduced.clear();
     targets.delete(this.#options.self);
     return targets;
   }
@@ -155,48 +296,62 @@
       });
       return;
     }
-    if (message.kind === "members") this.#announceTo(message);
-    else this.#handleBeat(message, from);
+    this.#handleMessage(message, from);
+  }
+
+  #handleMessage(message: FleetMessage, from: Endpoint): void {
+    const { link, onAsk, onAnswer } = this.#options;
+    match(message)
+      .with({ kind: "beat" }, (beat) => this.#handleBeat(beat, from))
+      .with({ kind: "members" }, (members) => this.#announceTo(members))
+      .with({ kind: "silent" }, ({ vms }) => {
+        for (const [vm, ms] of vms) this.peers.noteSilent(vm, ms);
+      })
+      .with({ kind: "ask" }, (ask) => {
+        link.send(from, encodeMessage(onAsk(ask)));
+      })
+      .with({ kind: "answer" }, (answer) => onAnswer(answer))
+      .exhaustive();
   }
 
   #handleBeat(beat: FleetBeat, from: Endpoint): void {
     if (beat.vm === this.#options.vm) return;
     const { isNew } = this.peers.noteBeat(beat, from);
-    if (isNew) this.#answerNew(from);
+    if (isNew) this.#answerNew(beat, from);
     const peer = this.peers.find(beat.vm);
     if (peer?.beat === beat) this.#options.onBeat(peer);
   }
 
-  /** Tells a VM that was unknown whom this VM hears, and of this VM. */
-  #answerNew(to: Endpoint): void {
+  /**
+   * Makes itself known to a VM that was unknown, and tells it whom this VM
+   * hears if it hears few: when a whole fleet starts, each VM would else send
+   * the list of all to each.
+   */
+  #answerNew(beat: FleetBeat, to: Endpoint): void {
+    this.#sendPlain(new Set([to]));
     const endpoints = this.peers.listLive().map((peer) => peer.endpoint)
       .filter((endpoint) => endpoint !== to);
+    if (beat.heard >= FULL_SHARE * endpoints.length) return;
     const message: MembersMessage = { kind: "members", endpoints };
     this.#options.link.send(to, encodeMessage(message));
-    this.announceAtOnce();
   }
 
-  /**
-   * Makes itself known to VMs that it had not heard of, by a heartbeat that
-   * goes to all: news is told in one heartbeat only, and VMs that are heard
-   * already would miss what one to the new VMs alone tells.
-   */
+  /** Makes itself known to VMs that it had not heard of. */
   #announceTo(message: MembersMessage): void {
     const known = new Set(this.peers.listLive().map((peer) => peer.endpoint));
     known.add(this.#options.self);
     const unknown = message.endpoints.filter((each) => !known.has(each));
-    if (unknown.length === 0) return;
-    unknown.forEach((endpoint) => this.#introduced.add(endpoint));
-    this.announceAtOnce();
+    this.#sendPlain(new Set(unknown));
   }
 
-  /** The next heartbeat of this life. */
-  #encodeBeat(): Buffer {
+  #buildBeat(nextMs: number): FleetBeat {
     this.#sequence += 1;
-    return encodeMessage({
+    return {
       kind: "beat",
       sequence: this.#sequence,
+      nextMs,
+      heard: this.#peerCount,
       ...this.#options.buildBeat(),
-    });
+    };
   }
 }
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -3,10 +3,19 @@
  *
  * @module
  */
+export type { AnswerMessage, AskMessage, FleetWork } from "./fleet_message.ts";
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer } from "./fleet_peers.ts";
 export { FleetTalk } from "./fleet_talk.ts";
 export type { BeatContent } from "./fleet_talk.ts";
+export {
+  findDuty,
+  isSmallFleet,
+  listDuties,
+  listPlacersOf,
+} from "./pool_owners.ts";
+export type { OwnerCandidate } from "./pool_owners.ts";
+export { PlacementAsker } from "./placement_asker.ts";
 export { PeerCalls } from "./peer_calls.ts";
 export { PublishedStore } from "./published_store.ts";
 export type { PublishedState, StoreNews } from "./published_store.ts";
--- /dev/null
+++ b/src/process/seeded_fleet/pool_owners.ts
@@ -0,0 +1,77 @@
+/**
+ * Which VMs place requests: their owner, and the one that takes over while it
+ * is silent.
+ *
+ * In a small fleet every VM hears of each request within some 25 ms and decides
+ * by itself. In a large one that news would be most of what links and
+ * processors do, and it would be old: hundreds of requests are sent in the time
+ * that it takes. There, one VM decides for all, and it alone has to know.
+ *
+ * @module
+ */
+import type { PoolName, VmId } from "../../ids.ts";
+import { computeRendezvousOrder, pickRendezvousFirst } from "../rendezvous.ts";
+
+/** Fleets of so many VMs, this one included, need no owners. */
+const SMALL_FLEET_MOST = 16;
+/**
+ * The owner and its substitute, who hears all that it hears. What VMs tell of
+ * their work goes to each of them; while both are gone, VMs decide alone.
+ */
+const PLACERS = 2;
+/**
+ * An owner has at least this share of the cores of the largest VM: it handles
+ * three to four datagrams for each request of its pool.
+ */
+const ABLE_SHARE = 0.5;
+
+/**
+ * Pools are shared out among one owner for so many VMs. Each VM tells of its
+ * work to every owner, so more owners than needed would be more datagrams; this
+ * many VMs bring an owner some 700 requests a second.
+ */
+const VMS_PER_OWNER = 100;
+
+/** A VM that may place requests. */
+export interface OwnerCandidate {
+  vm: VmId;
+  /** Processor cores that it may use. */
+  cores: number;
+  /** Whether it knows what replicas have cached. */
+  isPrimed: boolean;
+}
+
+/** Whether a fleet of `count` VMs does without owners. */
+export function isSmallFleet(count: number): boolean {
+  return count <= SMALL_FLEET_MOST;
+}
+
+/** What there is to own in a fleet of `count` VMs. */
+export function listDuties(count: number): string[] {
+  const owners = Math.ceil(count / VMS_PER_OWNER);
+  return Array.from({ length: owners }, (_, index) => `pools-${index}`);
+}
+
+/** Which of `duties` includes the pool. */
+export function findDuty(pool: PoolName, duties: readonly string[]): string {
+  return pickRendezvousFirst(pool, duties) ?? pool;
+}
+
+/**
+ * The owner first, then who takes its place. A VM that has just started knows
+ * of no cache, so those that do go first.
+ */
+export function listPlacersOf(
+  duty: string,
+  candidates: readonly OwnerCandidate[],
+): VmId[] {
+  const mostCores = Math.max(...candidates.map(({ cores }) => cores));
+  const able = candidates.filter(({ cores }) =>
+    cores >= ABLE_SHARE * mostCores
+  );
+  const primed = able.filter(({ isPrimed }) => isPrimed);
+  const others = able.filter(({ isPrimed }) => !isPrimed);
+  return [primed, others]
+    .flatMap((each) => computeRendezvousOrder(duty, each.map(({ vm }) => vm)))
+    .slice(0, PLACERS);
+}
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -279,14 +279,14 @@
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     if (!replicas.apply(list)) return;
+    const { revision } = list;
     const changes = listChanges(before, list);
-    for (const { replica, change } of changes) {
-      log.info("replica_changed", {
-        replica,
-        change,
-        revision: list.revision,
-        from,
-      });
+    if (before.revision === 0) {
+      log.info("replicas_listed", { count: changes.length, revision, from });
+    } else {
+      for (const { replica, change } of changes) {
+        log.info("replica_changed", { replica, change, revision, from });
+      }
     }
     if (changes.length > 0) this.#options.onReplicas();
   }
--- a/test/platform/fleet_test.ts
+++ b/test/platform/fleet_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from "vitest";
+import { listPlacersOf } from "../../src/process/seeded_fleet/index.ts";
 import { waitUntil } from "../support/loopback.ts";
 import {
   buildConfiguration,
@@ -95,7 +96,7 @@
     await waitVersion(fleet.vms[0]!, 3);
   });
 
-  for (const mode of ["busy", "reset", "silent"] as const) {
+  for (const mode of ["busy", "limited", "reset", "silent"] as const) {
     it(`that is ${mode} takes nothing from those who serve`, async () => {
       const fleet = await PlatformFleet.create();
       fleet.store.mode = mode;
@@ -108,6 +109,17 @@
     });
   }
 
+  // Symptom: a key that was revoked is accepted by a VM that reads the store.
+  // Sequence: the store answers from a copy that is seconds old.
+  // Cause: the read allowed that.
+  it("is never asked for what may be seconds old", async () => {
+    const fleet = await PlatformFleet.create();
+    fleet.store.dropHistory();
+    fleet.store.put("op/config", buildConfiguration(2));
+    await waitVersion(fleet.vms[0]!, 2);
+    expect(fleet.store.staleReads).toBe(0);
+  });
+
   it("that holds an unreadable version leaves the last good one", async () => {
     const fleet = await PlatformFleet.create();
     fleet.store.put("op/config", { version: 2, routes: "none" });
@@ -178,6 +190,52 @@
   });
 });
 
+describe("a fleet too large for all to hear of each request", () => {
+  const COUNT = 18;
+
+  async function createLargeFleet(): Promise<PlatformFleet> {
+    const fleet = await PlatformFleet.create({ replicas: 3, vms: COUNT });
+    const hearsAll = ({ vm }: TestVm) => vm.listEntries().length === COUNT;
+    await waitUntil(() => fleet.vms.every(hearsAll));
+    return fleet;
+  }
+
+  async function sendByEach(vms: TestVm[]): Promise<number[]> {
+    const answers = await Promise.all(
+      vms.map((vm) => sendRequest(vm, { path: "/stream/x" })),
+    );
+    return answers.map(({ status }) => status);
+  }
+
+  // Symptom: requests wait at one replica while others have nothing to do.
+  // Sequence: eighteen VMs get a request each at the same moment.
+  // Cause: none of them knew yet of what the others had sent.
+  it("spreads what comes at one moment", async () => {
+    const fleet = await createLargeFleet();
+    expect(new Set(await sendByEach(fleet.vms))).toEqual(new Set([200]));
+    // Some may have ended before the last ones come.
+    const ran = fleet.replicas.map((replica) => replica.ran.length);
+    expect(Math.min(...ran)).toBeGreaterThanOrEqual(COUNT / 3 - 2);
+  });
+
+  it("serves on while the VMs that place requests are gone", async () => {
+    const fleet = await createLargeFleet();
+    const told = fleet.vms.map(({ settings }) => settings.vm);
+    const candidates = told.map((vm) => ({ vm, cores: 1, isPrimed: true }));
+    const placers = listPlacersOf("pools-0", candidates);
+    const isPlacer = ({ settings }: TestVm) => placers.includes(settings.vm);
+    const stopped = fleet.vms.filter(isPlacer);
+    await Promise.all(stopped.map(({ vm }) => vm.stop()));
+    const others = fleet.vms.filter((vm) => !isPlacer(vm));
+    const ms = await recordMs(
+      sendByEach(others).then((statuses) => {
+        expect(new Set(statuses)).toEqual(new Set([200]));
+      }),
+    );
+    expect(ms).toBeLessThan(1_500);
+  });
+});
+
 describe("what a VM tells engineers", () => {
   it("names the fleet, the replicas and a request's fate", async () => {
     const fleet = await PlatformFleet.create({ vms: 2 });
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -191,6 +191,7 @@
         directory: await port(),
       },
       metricsPort: undefined,
+      cores: 1,
       store: `${LOOPBACK}:${store ?? this.store.port}`,
       logLevel: "info",
       drainGraceMs: 8_000,
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -6,7 +6,9 @@
   DatagramLink,
   type FleetPeer,
   FleetTalk,
+  type FleetWork,
 } from "../../../src/process/seeded_fleet/index.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 type Handle = (bytes: Uint8Array, from: string) => void;
@@ -58,7 +60,9 @@
   options: {
     seeds: string[];
     incarnation?: string;
-    takeResults?: () => BeatContent["results"];
+    takeResults?: () => FleetWork["results"];
+    /** All others, if left out. */
+    placers?: string[];
     onBeat?: (peer: FleetPeer) => void;
   },
 ): FleetTalk {
@@ -76,20 +80,30 @@
     configVersion: 1,
     listRevision: 1,
     listAgeMs: 0,
-    loads: [],
-    results: [],
-    speeds: [],
-    placements: [],
+    cores: 1,
   };
   const talk = FleetTalk.create({
     vm,
     clock: network.clock,
+    random: SeededRandom.create(index),
     log: SilentLog.create(),
     link: network.createLink(self),
     getSeeds: () => options.seeds,
     self,
-    buildBeat: () => ({ ...content, results: options.takeResults?.() ?? [] }),
+    buildBeat: () => content,
+    takeWork: () => ({
+      loads: [],
+      results: options.takeResults?.() ?? [],
+      speeds: [],
+      placements: [],
+      lastAsk: 0,
+      openAsks: [],
+    }),
+    listPlacers: () =>
+      options.placers && new Set(options.placers.map((name) => toId(name))),
     onBeat: options.onBeat ?? (() => {}),
+    onAsk: ({ ask }) => ({ kind: "answer", ask }),
+    onAnswer: () => {},
   });
   talk.start();
   return talk;
@@ -171,21 +185,57 @@
     expect(listNames(talks[7]!)).toHaveLength(count - 1);
   });
 
+  // Symptom: a VM that died is in the directory's answers for many seconds.
+  // Sequence: ninety VMs; the heartbeats between two of them are rare.
+  // Cause: each VM waited for six of them to be missed.
+  it("hear of a silent one by those that place requests", async () => {
+    const network = new FakeNetwork();
+    const placers = ["vm-1", "vm-2", "vm-3"];
+    const talks = Array.from(
+      { length: 90 },
+      (_, index) =>
+        startTalk(network, index + 1, { seeds: ["10.0.0.1:1"], placers }),
+    );
+    await network.clock.run(4_000);
+    expect(listNames(talks[7]!)).toHaveLength(89);
+    talks[50]!.stop();
+    await network.clock.run(1_300);
+    expect(listNames(talks[7]!)).toHaveLength(88);
+    expect(listNames(talks[7]!)).not.toContain("vm-51");
+  });
+
+  it("send news to those that place requests alone", async () => {
+    const network = new FakeNetwork();
+    const placers = ["vm-1", "vm-2", "vm-3"];
+    const talks = Array.from(
+      { length: 90 },
+      (_, index) =>
+        startTalk(network, index + 1, { seeds: ["10.0.0.1:1"], placers }),
+    );
+    await network.clock.run(4_000);
+    network.sent = 0;
+    for (let step = 0; step < 100; step++) {
+      talks.forEach((talk) => talk.announceNews());
+      await network.clock.run(10);
+    }
+    expect(network.sent / talks.length).toBeLessThan(200);
+  });
+
   // Symptom: some VMs go on sending to a replica that fails for the others.
   // Sequence: a VM has news; before its next heartbeat it is told of a VM that
   // it has not heard of, and makes itself known there.
   // Cause: that heartbeat took the news with it, and went to the new VM alone.
   it("tell news to all when they make themselves known to a new one", async () => {
     const network = new FakeNetwork();
-    let news: BeatContent["results"] = [];
-    const heard: BeatContent["results"] = [];
+    let news: FleetWork["results"] = [];
+    const heard: FleetWork["results"] = [];
     startTalk(network, 1, {
       seeds: ["10.0.0.2:1"],
       takeResults: () => news.splice(0),
     });
     startTalk(network, 2, {
       seeds: [],
-      onBeat: ({ beat }) => heard.push(...beat.results),
+      onBeat: ({ beat }) => heard.push(...beat.work?.results ?? []),
     });
     await network.clock.run(1_000);
     news = [[toId<VmId>("replica-1"), 0, 1]];
--- /dev/null
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -0,0 +1,134 @@
+import { describe, expect, it } from "vitest";
+import { type PoolName, toId, type VmId } from "../../../src/ids.ts";
+import { SilentLog } from "../../../src/process/log.ts";
+import {
+  type AskMessage,
+  findDuty,
+  type FleetPeer,
+  listDuties,
+  listPlacersOf,
+  type OwnerCandidate,
+  PlacementAsker,
+} from "../../../src/process/seeded_fleet/index.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const DUTY = "pools-0";
+const POOL = toId<PoolName>("llm");
+
+function listCandidates(cores: number[]): OwnerCandidate[] {
+  return cores.map((each, index) => ({
+    vm: toId<VmId>(`vm-${index}`),
+    cores: each,
+    isPrimed: true,
+  }));
+}
+
+describe("those that place a pool's requests", () => {
+  it("are two large VMs, the same ones in any order", () => {
+    const candidates = listCandidates([0.3, 1.3, 0.3, 0.7, 0.9, 1.3, 0.3]);
+    const placers = listPlacersOf(DUTY, candidates);
+    expect(placers).toHaveLength(2);
+    expect(placers.filter((vm) => ["vm-0", "vm-2", "vm-6"].includes(vm)))
+      .toEqual([]);
+    expect(listPlacersOf(DUTY, candidates.toReversed())).toEqual(placers);
+  });
+
+  // Symptom: for seconds after a VM has started, prompts are read again.
+  // Sequence: a VM starts, and by its name it is the first choice for a pool.
+  // Cause: it owned the pool before it knew what replicas have cached.
+  it("know of caches, if any VM does", () => {
+    const candidates = listCandidates([1, 1, 1, 1, 1]);
+    const [first, second] = listPlacersOf(DUTY, candidates);
+    const restarted = candidates.map((each) =>
+      each.vm === first ? { ...each, isPrimed: false } : each
+    );
+    expect(listPlacersOf(DUTY, restarted)[0]).toBe(second);
+  });
+
+  it("share the pools out in a large fleet, each pool to one of them", () => {
+    expect(listDuties(71)).toHaveLength(1);
+    const duties = listDuties(380);
+    expect(duties).toHaveLength(4);
+    const pools = Array.from({ length: 40 }, (_, index) => `pool-${index}`);
+    const used = new Set(pools.map((pool) => findDuty(toId(pool), duties)));
+    expect(used.size).toBe(4);
+  });
+
+  it("are nobody in a fleet where nobody serves", () => {
+    expect(listPlacersOf(DUTY, [])).toEqual([]);
+  });
+});
+
+describe("a VM that asks an owner", () => {
+  it("takes the owner's answer", async () => {
+    const { clock, asker, asked } = createAsker(["vm-1", "vm-2"]);
+    const placed = asker.ask(NEEDS);
+    await clock.run(5);
+    expect(asked.map(({ to }) => to)).toEqual(["vm-1"]);
+    expect(asker.numbers).toEqual({ lastAsk: 1, openAsks: [1] });
+    asker.noteAnswer({ kind: "answer", ask: 1, placed: PLACED });
+    expect(await placed).toEqual(PLACED);
+    expect(asker.numbers).toEqual({ lastAsk: 1, openAsks: [] });
+  });
+
+  // Symptom: each request waits, until the owner is known to be gone.
+  // Sequence: the owner is killed; some VMs take a second to miss it.
+  // Cause: every request was asked about there first.
+  it("asks the next one when the owner is silent, and then it first", async () => {
+    const { clock, asker, asked } = createAsker(["vm-1", "vm-2"]);
+    const first = asker.ask(NEEDS);
+    await clock.run(50);
+    expect(asked.map(({ to }) => to)).toEqual(["vm-1", "vm-2"]);
+    asker.noteAnswer({ kind: "answer", ask: 2, placed: PLACED });
+    expect(await first).toEqual(PLACED);
+    void asker.ask(NEEDS);
+    expect(asked.at(-1)?.to).toBe("vm-2");
+  });
+
+  it("decides by itself when nobody answers", async () => {
+    const { clock, asker } = createAsker(["vm-1", "vm-2"]);
+    const placed = asker.ask(NEEDS);
+    await clock.run(100);
+    expect(await placed).toBeUndefined();
+  });
+
+  it("is not misled by an answer that comes late", async () => {
+    const { clock, asker } = createAsker(["vm-1"]);
+    const first = asker.ask(NEEDS);
+    await clock.run(100);
+    expect(await first).toBeUndefined();
+    asker.noteAnswer({ kind: "answer", ask: 1, placed: PLACED });
+    expect(asker.numbers).toEqual({ lastAsk: 1, openAsks: [] });
+  });
+});
+
+const NEEDS = {
+  dataCentre: toId<FleetPeer["beat"]["dataCentre"]>("dc"),
+  pool: POOL,
+  avoid: [],
+  parts: ["a"],
+  partTokens: [100],
+  promptTokens: 100,
+};
+
+const PLACED = {
+  replica: toId<VmId>("replica-1"),
+  ownTokens: 100,
+  tokensAhead: 0,
+  running: 0,
+  predictedMs: 3,
+};
+
+function createAsker(placers: string[]) {
+  const clock = VirtualClock.create();
+  const asked: { to: string; message: AskMessage }[] = [];
+  const asker = PlacementAsker.create({
+    vm: toId("vm-9"),
+    clock,
+    log: SilentLog.create(),
+    listPlacers: () =>
+      placers.map((vm) => ({ beat: { vm } }) as unknown as FleetPeer),
+    send: ({ beat }, message) => asked.push({ to: beat.vm, message }),
+  });
+  return { clock, asker, asked };
+}
