Let others watch the store when it turns its watchers away; add a soak

Logs: at 2.5 s the store began to turn away just the three watchers (reset); the others waited until every view was 2.2 s old and read it at 4.93 s. Ruled out: peers (all took version 24 within 0.06 s of the first that read it), a watch that hung (each failed at once). Now a VM says in its heartbeats that the store does not answer it, at once, and the next ones in order watch in its place.

--- a/demo/child_process_group.ts
+++ b/demo/child_process_group.ts
@@ -26,6 +26,8 @@
   name: string;
   /** A compiled module and its arguments. */
   args: string[];
+  /** Added to this process's own environment. */
+  environment?: Record<string, string>;
 }
 
 /** Every child that the demo starts. */
@@ -51,6 +53,7 @@
     const log = openSync(logFile, "a");
     const child = spawn(process.execPath, options.args, {
       stdio: ["ignore", log, log],
+      env: { ...process.env, ...options.environment },
     });
     closeSync(log);
     return this.#add(child, { name: options.name, logFile });
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -116,6 +116,7 @@
         this.#talk.announceState();
       },
       onReplicas: () => this.#noteReplicas(),
+      onStoreLost: () => this.#talk.announceAtOnce(),
     });
     this.#priming = this.#createPriming(calls);
   }
@@ -191,6 +192,7 @@
       configVersion: this.follower.getSnapshot()?.version ?? 0,
       listRevision: replicas.revision,
       listAgeMs: this.follower.getListAgeMs(),
+      isStoreLost: this.follower.isStoreLost,
       cores,
     };
   }
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -44,6 +44,8 @@
   isPrimed: z.boolean(),
   configVersion: COUNT,
   listRevision: COUNT,
+  /** Whether the store turns the sender away, or is away. */
+  isStoreLost: z.boolean(),
   /** How long ago the list was known to be the newest; -1 for never. */
   listAgeMs: COUNT,
   /** The receiver hears again within so many milliseconds. */
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -71,6 +71,8 @@
   ) => Promise<HandedState>;
   onSnapshot: (snapshot: RoutedSnapshot) => void;
   onReplicas: () => void;
+  /** Hears that the store does not answer this VM any more. */
+  onStoreLost: () => void;
 }
 
 /** Follows store and peers. */
@@ -109,6 +111,11 @@
     return this.#snapshot;
   }
 
+  /** Whether the store did not answer this VM when it was asked last. */
+  get isStoreLost(): boolean {
+    return this.#lostSince !== undefined;
+  }
+
   get isWatching(): boolean {
     return this.#isWatching;
   }
@@ -194,12 +201,17 @@
     }
   }
 
+  /**
+   * Others take the place of watchers that the store turns away: it may turn
+   * away just these. To wait until all views are old would take longer than a
+   * key that was taken away may go on.
+   */
   #isWatchNeeded(): boolean {
     const { vm, peers, replicas } = this.#options;
     if (this.#snapshot === undefined || replicas.revision === 0) return true;
     if (this.getListAgeMs() > STALE_AFTER_MS) return true;
     const vms = peers.listLive()
-      .filter((peer) => !peer.beat.isDraining)
+      .filter(({ beat }) => !beat.isDraining && !beat.isStoreLost)
       .map((peer) => peer.beat.vm);
     const order = computeRendezvousOrder("store-watch", [vm, ...vms]);
     return order.slice(0, WATCHERS).includes(vm);
@@ -236,6 +248,7 @@
     if (this.#lostSince !== undefined) return;
     this.#lostSince = this.#options.clock.now();
     this.#options.log.warn("store_lost", { error: error.message });
+    this.#options.onStoreLost();
   }
 
   #noteStoreRegained(revision: number): void {
--- /dev/null
+++ b/test/platform/configurations.ts
@@ -0,0 +1,60 @@
+/**
+ * Configurations as the operator publishes them, for tests.
+ *
+ * @module
+ */
+
+/** A key that configurations allow unless others are given. */
+export const KEY = "key-1";
+/** The host of every route. */
+export const HOST = "host.example";
+const IDLE_TIMEOUT_MS = 15_000;
+
+/** A route as the operator writes it. */
+export interface TestRoute {
+  name: string;
+  type: "safe" | "unsafe" | "streaming";
+  timeoutMs?: number;
+  attempts?: number;
+  resumable?: boolean;
+  isPublic?: boolean;
+  service?: string;
+}
+
+export const ROUTES: TestRoute[] = [
+  { name: "safe", type: "safe", attempts: 2 },
+  { name: "unsafe", type: "unsafe", attempts: 1 },
+  { name: "stream", type: "streaming", attempts: 1 },
+  { name: "restream", type: "streaming", attempts: 2, resumable: true },
+];
+
+/** One configuration as it lies in the store. */
+export function buildConfiguration(
+  version: number,
+  changes: { routes?: TestRoute[]; keys?: string[] } = {},
+): unknown {
+  return {
+    version,
+    routes: (changes.routes ?? ROUTES).map((route) => ({
+      name: route.name,
+      host: HOST,
+      prefix: `/${route.name}/`,
+      "route-type": route.type,
+      "timeout-ms": route.timeoutMs ?? 2_000,
+      "target-latency-ms": 300,
+      priority: 1,
+      service: route.service ?? "pool",
+      "max-attempts": route.attempts ?? 1,
+      public: route.isPublic ?? false,
+      resumable: route.resumable ?? false,
+    })),
+    services: [{ name: "pool" }, { name: "other" }],
+    limits: {
+      "max-header-bytes": 16_384,
+      "max-body-bytes": 65_536,
+      "header-timeout-ms": 3_000,
+      "idle-timeout-ms": IDLE_TIMEOUT_MS,
+    },
+    tenants: [{ name: "tenant-1", "api-keys": changes.keys ?? [KEY] }],
+  };
+}
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -80,6 +80,7 @@
     configVersion: 1,
     listRevision: 1,
     listAgeMs: 0,
+    isStoreLost: false,
     cores: 1,
   };
   const talk = FleetTalk.create({
--- /dev/null
+++ b/test/soak/run_soak.ts
@@ -0,0 +1,209 @@
+/**
+ * One soak: a fleet, its callers, the faults of a seed, and the checks.
+ *
+ * @module
+ */
+import { SeededRandom } from "../../src/process/random.ts";
+import { waitUntil } from "../support/process_fleet.ts";
+import { SOAK_ROUTES, SoakCaller } from "./soak_callers.ts";
+import { SoakFleet } from "./soak_fleet.ts";
+import { type BrokenPromise, listBroken } from "./soak_oracle.ts";
+import { buildPlan } from "./soak_plan.ts";
+
+/** All VMs serve so long after the last fault, in milliseconds. */
+const RECOVERED_WITHIN_MS = 15_000;
+const READY_WITHIN_MS = 30_000;
+const TICK_MS = 20;
+/** Timers that fire so late show a machine without a free processor, in ms. */
+const BUSY_MS = 150;
+/** Runs that callers gave up on end within so long, in milliseconds. */
+const SETTLE_MS = 1_000;
+
+/** What a soak is. */
+export interface SoakOptions {
+  seed: number;
+  forMs: number;
+  vms: number;
+  replicas: number;
+  callers: number;
+}
+
+/** What came of it. */
+export interface SoakReport {
+  requests: number;
+  /** Requests by status; 0 where no answer began. */
+  statuses: Record<string, number>;
+  faults: Record<string, number>;
+  /** By how much this machine's timers were late at most, in milliseconds. */
+  mostLateMs: number;
+  broken: { promise: string; detail: string }[];
+  /** The ends of the VMs' logs, where something was broken. */
+  logs: string;
+}
+
+/** Runs one soak; rejects only where the soak itself cannot run. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const fleet = await SoakFleet.create(options);
+  try {
+    await waitUntil(
+      "a fleet that serves",
+      READY_WITHIN_MS,
+      () => isServing(fleet, SeededRandom.create(options.seed)),
+    );
+    return await runFaults(fleet, options);
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function runFaults(
+  fleet: SoakFleet,
+  options: SoakOptions,
+): Promise<SoakReport> {
+  const plan = buildPlan(options);
+  const spans = watchStore(fleet);
+  const machine = watchMachine();
+  const endsAt = performance.now() + options.forMs;
+  const callers = Array.from(
+    { length: options.callers },
+    (_, index) => {
+      const random = SeededRandom.create(options.seed * 1_000 + index);
+      return SoakCaller.create(fleet, random, `c${index}`);
+    },
+  );
+  const calls = callers.map((caller) =>
+    caller.run(() => performance.now() >= endsAt)
+  );
+  const ended = watchEnds(fleet);
+  const startedAt = endsAt - options.forMs;
+  const faults = plan.map(async ({ at, fault }) => {
+    await sleep(startedAt + at - performance.now());
+    await fleet.applyFault(fault);
+  });
+  const requests = (await Promise.all(calls)).flat();
+  await Promise.all(faults);
+  await fleet.waitRestarts();
+  const broken: SoakReport["broken"] = await checkRecovery(fleet, options);
+  ended.stop();
+  spans.stop();
+  machine.stop();
+  await sleep(SETTLE_MS);
+  broken.push(
+    ...ended.list(),
+    ...listBroken({
+      requests,
+      runs: fleet.countRuns(),
+      revoked: fleet.revoked,
+      isStoreDisturbed: spans.isDisturbed,
+      isMachineBusy: machine.isBusy,
+    }) satisfies BrokenPromise[],
+  );
+  return {
+    requests: requests.length,
+    statuses: countBy(requests.map(({ status }) => String(status))),
+    faults: countBy(plan.map(({ fault }) => fault.kind)),
+    mostLateMs: machine.getMostLateMs(),
+    broken,
+    logs: broken.length === 0
+      ? ""
+      : fleet.vms.map((vm) => vm.readLogTail()).join("\n\n"),
+  };
+}
+
+async function checkRecovery(
+  fleet: SoakFleet,
+  options: SoakOptions,
+): Promise<SoakReport["broken"]> {
+  const random = SeededRandom.create(options.seed + 1);
+  try {
+    await waitUntil(
+      "all VMs to serve",
+      RECOVERED_WITHIN_MS,
+      () => isServing(fleet, random),
+    );
+    return [];
+  } catch (thrown) {
+    return [{ promise: "all serve after the faults", detail: String(thrown) }];
+  }
+}
+
+/** Whether each VM answers a request of each kind. */
+async function isServing(
+  fleet: SoakFleet,
+  random: SeededRandom,
+): Promise<boolean> {
+  const answers = await Promise.all(
+    fleet.vms.flatMap((vm) =>
+      SOAK_ROUTES.map((route) => {
+        const name = `check-${Date.now()}-${vm.name}-${route.path}`;
+        return SoakCaller.create(fleet, random, name).send(vm, route);
+      })
+    ),
+  );
+  return answers.every(({ status, isWhole }) => status === 200 && isWhole);
+}
+
+/** Notes processes that end without having been told to. */
+function watchEnds(fleet: SoakFleet) {
+  const ended = new Map<string, string>();
+  const timer = setInterval(() => {
+    for (const vm of fleet.vms) {
+      if (!vm.hasEnded || vm.isEndExpected) continue;
+      ended.set(vm.name, vm.readLogTail());
+    }
+  }, 100);
+  return {
+    stop: () => clearInterval(timer),
+    list: () =>
+      [...ended].map(([name, log]) => ({
+        promise: "no process ends by itself",
+        detail: `${name}: ${log}`,
+      })),
+  };
+}
+
+/** Notes when the store, or a VM's way to it, was disturbed. */
+function watchStore(fleet: SoakFleet) {
+  const times: number[] = [];
+  const timer = setInterval(() => {
+    if (times.at(-1) !== fleet.storeDisturbedAt) {
+      times.push(fleet.storeDisturbedAt);
+    }
+  }, 20);
+  const longestMs = 4_000;
+  return {
+    stop: () => clearInterval(timer),
+    isDisturbed: (from: number, to: number) =>
+      times.some((at) => at >= from - longestMs && at <= to + longestMs),
+  };
+}
+
+/**
+ * Notes when timers of this process fire late: then other work has the
+ * processors, and no time that the daemons take says anything of them.
+ */
+function watchMachine() {
+  const late: { at: number; ms: number }[] = [];
+  let dueAt = performance.now() + TICK_MS;
+  const timer = setInterval(() => {
+    const now = performance.now();
+    if (now - dueAt > BUSY_MS) late.push({ at: now, ms: now - dueAt });
+    dueAt = now + TICK_MS;
+  }, TICK_MS);
+  return {
+    stop: () => clearInterval(timer),
+    getMostLateMs: () => Math.round(Math.max(0, ...late.map(({ ms }) => ms))),
+    isBusy: (from: number, to: number) =>
+      late.some(({ at, ms }) => at >= from && at - ms <= to),
+  };
+}
+
+function countBy(names: string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
+}
--- /dev/null
+++ b/test/soak/soak_callers.ts
@@ -0,0 +1,138 @@
+/**
+ * Callers of a soak: they keep their connections for as long as these last.
+ *
+ * @module
+ */
+import http from "node:http";
+import type { SeededRandom } from "../../src/process/random.ts";
+import { HOST } from "../platform/configurations.ts";
+import { type SoakFleet, STANDING_KEY } from "./soak_fleet.ts";
+import type { SoakVm } from "./soak_vm.ts";
+
+/** How long a caller waits for its answer, in milliseconds. */
+export const CALL_TIMEOUT_MS = 2_000;
+/** A caller that hears nothing beyond that has been left hanging. */
+const GIVE_UP_MS = 8_000;
+const LONGEST_THINK_MS = 60;
+/** One request in so many comes with the key that may be taken away. */
+const CHANGING_KEY_ONE_IN = 4;
+
+/** The routes that callers use, and how often their work may run. */
+export const SOAK_ROUTES = [
+  { path: "/safe/x", mostRuns: 2, isStream: false },
+  { path: "/unsafe/x", mostRuns: 1, isStream: false },
+  { path: "/stream/x", mostRuns: 1, isStream: true },
+  { path: "/restream/x", mostRuns: 2, isStream: true },
+] as const;
+
+/** One request and how it ended; times by `performance.now()`. */
+export interface SoakRequest {
+  id: string;
+  route: typeof SOAK_ROUTES[number];
+  key: string;
+  vm: string;
+  /** Whether the VM was held up or ended while it had the request. */
+  isDisturbed: boolean;
+  sentAt: number;
+  endedAt: number;
+  /** 0 where no answer began. */
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer came to its end. */
+  isWhole: boolean;
+}
+
+/** One caller that sends one request after the other. */
+export class SoakCaller {
+  readonly #agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  readonly #fleet: SoakFleet;
+  readonly #random: SeededRandom;
+  readonly #name: string;
+  #sent = 0;
+
+  constructor(fleet: SoakFleet, random: SeededRandom, name: string) {
+    this.#fleet = fleet;
+    this.#random = random;
+    this.#name = name;
+  }
+
+  static create(
+    fleet: SoakFleet,
+    random: SeededRandom,
+    name: string,
+  ): SoakCaller {
+    return new SoakCaller(fleet, random, name);
+  }
+
+  /** Sends requests until `isOver`. */
+  async run(isOver: () => boolean): Promise<SoakRequest[]> {
+    const requests: SoakRequest[] = [];
+    while (!isOver()) {
+      const vm = this.#random.pick(this.#fleet.vms)!;
+      const route = this.#random.pick(SOAK_ROUTES)!;
+      requests.push(await this.send(vm, route));
+      await new Promise((resolve) =>
+        setTimeout(resolve, this.#random.nextInt(LONGEST_THINK_MS))
+      );
+    }
+    this.#agent.destroy();
+    return requests;
+  }
+
+  /** Sends one request and waits for its end. */
+  async send(
+    vm: SoakVm,
+    route: typeof SOAK_ROUTES[number],
+  ): Promise<SoakRequest> {
+    this.#sent += 1;
+    const isChanging = this.#random.nextInt(CHANGING_KEY_ONE_IN) === 0;
+    const request: SoakRequest = {
+      id: `${this.#name}-${this.#sent}`,
+      route,
+      key: isChanging ? this.#fleet.currentKey : STANDING_KEY,
+      vm: vm.name,
+      isDisturbed: false,
+      sentAt: performance.now(),
+      endedAt: 0,
+      status: 0,
+      headers: {},
+      body: "",
+      isWhole: false,
+    };
+    await this.#runCall(vm, request);
+    request.endedAt = performance.now();
+    request.isDisturbed = vm.hasEnded || vm.isEndExpected ||
+      vm.disturbedAt > request.sentAt - GIVE_UP_MS;
+    return request;
+  }
+
+  #runCall(vm: SoakVm, request: SoakRequest): Promise<void> {
+    return new Promise((resolve) => {
+      const call = http.request({
+        agent: this.#agent,
+        host: vm.address,
+        port: vm.callersPort,
+        method: "POST",
+        path: request.route.path,
+        timeout: GIVE_UP_MS,
+        headers: {
+          host: HOST,
+          authorization: `Bearer ${request.key}`,
+          "x-request-id": request.id,
+          "x-timeout-ms": String(CALL_TIMEOUT_MS),
+        },
+      }, (answer) => {
+        request.status = answer.statusCode ?? 0;
+        request.headers = answer.headers;
+        answer.on("data", (chunk: Buffer) => request.body += chunk.toString());
+        answer.on("end", () => request.isWhole = answer.complete);
+        answer.on("error", () => resolve());
+        answer.on("close", () => resolve());
+      });
+      call.on("timeout", () => call.destroy());
+      call.on("error", () => resolve());
+      call.end();
+    });
+  }
+}
--- /dev/null
+++ b/test/soak/soak_fleet.ts
@@ -0,0 +1,267 @@
+/**
+ * Processes, stand-ins and relays of a soak, and the faults done to them.
+ *
+ * @module
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { match } from "ts-pattern";
+import { ChildProcessGroup } from "../../demo/child_process_group.ts";
+import { findFreePorts } from "../../demo/free_ports.ts";
+import { buildConfiguration } from "../platform/configurations.ts";
+import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
+import { StoreStandIn } from "../platform/store_stand_in.ts";
+import { Relay } from "../support/relay.ts";
+import type { Fault } from "./soak_plan.ts";
+import { type SoakPorts, SoakVm } from "./soak_vm.ts";
+
+/** A key that every configuration allows. */
+export const STANDING_KEY = "key-standing";
+const DRAIN_GRACE_MS = 4_000;
+/** A process that was told to end and has not after so long is killed. */
+const END_LIMIT_MS = DRAIN_GRACE_MS + 4_000;
+
+/** A key that a configuration took away, and when. */
+export interface RevokedKey {
+  key: string;
+  at: number;
+}
+
+/** A replica and the way to it. */
+interface SoakReplica {
+  standIn: ReplicaStandIn;
+  relay: Relay;
+}
+
+/** Everything that a soak runs. */
+export class SoakFleet {
+  readonly vms: SoakVm[] = [];
+  readonly replicas: SoakReplica[] = [];
+  readonly revoked: RevokedKey[] = [];
+  /** Until when, at least, VMs may not have what was published. */
+  storeDisturbedAt = -Infinity;
+  readonly #store = StoreStandIn.create();
+  readonly #storeRelays: Relay[] = [];
+  readonly #directory: string;
+  readonly #children: ChildProcessGroup;
+  readonly #restarts: Promise<void>[] = [];
+  #version = 1;
+  #key = "key-1";
+  #isClosed = false;
+
+  constructor() {
+    this.#directory = mkdtempSync(join(tmpdir(), "persimmonslip-soak-"));
+    this.#children = ChildProcessGroup.create(this.#directory);
+  }
+
+  static async create(
+    options: { vms: number; replicas: number },
+  ): Promise<SoakFleet> {
+    const fleet = new SoakFleet();
+    await fleet.#store.start();
+    fleet.#announceConfiguration();
+    for (let index = 1; index <= options.replicas; index++) {
+      await fleet.#addReplica(`i-${index}`);
+    }
+    await fleet.#addVms(options.vms);
+    fleet.vms.forEach((vm) => vm.start());
+    return fleet;
+  }
+
+  /** A key that the newest configuration allows and a later one may not. */
+  get currentKey(): string {
+    return this.#key;
+  }
+
+  /** Every run of every request, by the request's id. */
+  countRuns(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { standIn } of this.replicas) {
+      for (const { headers } of standIn.ran) {
+        const id = headers["x-request-id"] ?? "";
+        counts.set(id, (counts.get(id) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+
+  /** Brings a fault about; resolves when it is over. */
+  async applyFault(fault: Fault): Promise<void> {
+    await match(fault)
+      .with({ kind: "kill" }, ({ vm }) => this.#restart(vm, "SIGKILL"))
+      .with({ kind: "terminate" }, ({ vm }) => this.#restart(vm, "SIGTERM"))
+      .with({ kind: "reload" }, ({ vm }) => this.vms[vm]!.send("SIGHUP"))
+      .with({ kind: "pause" }, ({ vm, forMs }) => this.#pause(vm, forMs))
+      .with({ kind: "reset_ways" }, ({ replica }) => {
+        this.replicas[replica]!.relay.destroyOpen({ reset: true });
+      })
+      .with(
+        { kind: "replica_way" },
+        ({ replica, mode, forMs }) =>
+          this.#setRelay(this.replicas[replica]!.relay, mode, forMs),
+      )
+      .with({ kind: "replica_delay" }, async ({ replica, delayMs, forMs }) => {
+        this.replicas[replica]!.relay.setDelay(delayMs);
+        await sleep(forMs);
+        this.replicas[replica]!.relay.setDelay(0);
+      })
+      .with({ kind: "replica" }, async ({ replica, mode, forMs }) => {
+        this.replicas[replica]!.standIn.mode = mode;
+        await sleep(forMs);
+        this.replicas[replica]!.standIn.mode = "answer";
+      })
+      .with(
+        { kind: "replica_leaves" },
+        ({ replica, forMs }) => this.#removeForTime(replica, forMs),
+      )
+      .with({ kind: "store_way" }, async ({ vm, mode, forMs }) => {
+        this.#noteStore();
+        await this.#setRelay(this.#storeRelays[vm]!, mode, forMs);
+        this.#noteStore();
+      })
+      .with({ kind: "store" }, async ({ mode, forMs }) => {
+        this.#noteStore();
+        this.#store.mode = mode;
+        this.#store.destroyConnections();
+        await sleep(forMs);
+        this.#store.mode = "up";
+        this.#noteStore();
+      })
+      .with({ kind: "store_forgets" }, () => this.#store.dropHistory())
+      .with({ kind: "configuration" }, ({ isRevoking }) => {
+        if (isRevoking) this.#updateKey();
+        this.#announceConfiguration();
+      })
+      .exhaustive();
+  }
+
+  /** Starts again what has ended; resolves when nothing is on its way. */
+  async waitRestarts(): Promise<void> {
+    await Promise.all(this.#restarts);
+  }
+
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    for (const child of this.#children.listAlive()) {
+      await this.#children.destroy(child);
+    }
+    const relays = this.replicas.map(({ relay }) => relay);
+    for (const relay of [...relays, ...this.#storeRelays]) await relay.close();
+    for (const { standIn } of this.replicas) await standIn.stop();
+    await this.#store.stop();
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+
+  async #addReplica(id: string): Promise<void> {
+    const standIn = ReplicaStandIn.create(id);
+    const relay = await Relay.create(await standIn.start());
+    this.replicas.push({ standIn, relay });
+    this.#listReplica(this.replicas.length - 1, "ready");
+  }
+
+  async #addVms(count: number): Promise<void> {
+    const names = ["callers", "readiness", "state", "directory", "peers"];
+    const free = await findFreePorts(names.length);
+    const ports = Object.fromEntries(
+      names.map((name, index) => [name, free[index]!]),
+    ) as unknown as SoakPorts;
+    const net = `127.1.${process.pid % 250}`;
+    const seeds = [`${net}.1:${ports.state}`, `${net}.2:${ports.state}`];
+    for (let index = 1; index <= count; index++) {
+      const relay = await Relay.create(this.#store.port);
+      this.#storeRelays.push(relay);
+      this.vms.push(SoakVm.create({
+        name: `vm-${index}`,
+        address: `${net}.${index}`,
+        ports,
+        seeds,
+        storePort: relay.port,
+        drainGraceMs: DRAIN_GRACE_MS,
+        directory: this.#directory,
+        children: this.#children,
+      }));
+    }
+  }
+
+  #listReplica(index: number, state: "ready" | "draining"): void {
+    const { standIn, relay } = this.replicas[index]!;
+    this.#store.put(`servers/${standIn.id}`, {
+      service: "pool",
+      address: `127.0.0.1:${relay.port}`,
+      zone: "dc-1",
+      slots: 16,
+      state,
+    });
+  }
+
+  async #removeForTime(replica: number, forMs: number): Promise<void> {
+    this.#listReplica(replica, "draining");
+    await sleep(forMs);
+    this.#store.remove(`servers/${this.replicas[replica]!.standIn.id}`);
+    await sleep(forMs);
+    this.#listReplica(replica, "ready");
+  }
+
+  async #setRelay(
+    relay: Relay,
+    mode: Parameters<Relay["setModeOfNew"]>[0],
+    forMs: number,
+  ): Promise<void> {
+    relay.setModeOfNew(mode);
+    if (mode !== "refuse") relay.setModeOfOpen(mode);
+    await sleep(forMs);
+    relay.setModeOfNew("pass");
+    // Connections that went silent stay so, until somebody gives them up.
+  }
+
+  async #pause(index: number, forMs: number): Promise<void> {
+    const vm = this.vms[index]!;
+    vm.send("SIGSTOP");
+    await sleep(forMs);
+    vm.send("SIGCONT");
+  }
+
+  async #restart(
+    index: number,
+    signal: "SIGKILL" | "SIGTERM",
+  ): Promise<void> {
+    const vm = this.vms[index]!;
+    if (vm.isEndExpected) return;
+    vm.isEndExpected = true;
+    const restart = this.#runRestart(vm, signal);
+    this.#restarts.push(restart);
+    await restart;
+  }
+
+  async #runRestart(
+    vm: SoakVm,
+    signal: "SIGKILL" | "SIGTERM",
+  ): Promise<void> {
+    vm.send(signal);
+    const limit = setTimeout(() => vm.send("SIGKILL"), END_LIMIT_MS);
+    await vm.waitEnd();
+    clearTimeout(limit);
+    if (!this.#isClosed) vm.start();
+  }
+
+  #noteStore(): void {
+    this.storeDisturbedAt = performance.now();
+  }
+
+  #updateKey(): void {
+    this.revoked.push({ key: this.#key, at: performance.now() });
+    this.#key = `key-${this.revoked.length + 1}`;
+  }
+
+  #announceConfiguration(): void {
+    this.#version += 1;
+    const keys = [STANDING_KEY, this.#key];
+    this.#store.put("op/config", buildConfiguration(this.#version, { keys }));
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/test/soak/soak_oracle.ts
@@ -0,0 +1,136 @@
+/**
+ * The promises that a soak checks, by what callers and replicas saw.
+ *
+ * @module
+ */
+import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
+import type { RevokedKey } from "./soak_fleet.ts";
+
+/** Statuses that say that the work has not run and never will. */
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+/** What a caller with a right key and a known route is never told. */
+const DENYING_STATUSES = [400, 401, 403, 404];
+const EVENTS = 6;
+/** A key that was taken away is refused after so long, in milliseconds. */
+const REVOKED_WITHIN_MS = 3_000;
+/** Beyond the caller's own time, in milliseconds; other work may run here. */
+const LATE_MS = 3_000;
+
+/** One promise that was broken. */
+export interface BrokenPromise {
+  promise:
+    | "runs at most once"
+    | "a refusal is true"
+    | "an answer is its request's own"
+    | "an answer is whole or visibly broken"
+    | "nobody is denied"
+    | "a key that was taken away is refused"
+    | "an end comes in time";
+  detail: string;
+}
+
+/** What the checks go by. */
+export interface SoakRecord {
+  requests: readonly SoakRequest[];
+  /** Runs by request id. */
+  runs: ReadonlyMap<string, number>;
+  revoked: readonly RevokedKey[];
+  /** Whether VMs may have been unable to read what was published. */
+  isStoreDisturbed: (from: number, to: number) => boolean;
+  /** Whether this machine kept processes waiting for a processor. */
+  isMachineBusy: (from: number, to: number) => boolean;
+}
+
+/** Every promise that was broken, each with the request that shows it. */
+export function listBroken(record: SoakRecord): BrokenPromise[] {
+  return record.requests.flatMap((request) => [
+    ...checkRuns(request, record),
+    ...checkAnswer(request),
+    ...checkKey(request, record),
+    ...checkTime(request, record),
+  ]);
+}
+
+function checkRuns(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
+  const runs = record.runs.get(request.id) ?? 0;
+  const broken: BrokenPromise[] = [];
+  if (runs > request.route.mostRuns) {
+    broken.push(build("runs at most once", request, `ran ${runs} times`));
+  }
+  if (NOT_RUN_STATUSES.includes(request.status) && runs > 0) {
+    broken.push(build("a refusal is true", request, `ran ${runs} times`));
+  }
+  return broken;
+}
+
+function checkAnswer(request: SoakRequest): BrokenPromise[] {
+  const { headers, body, route, id } = request;
+  if (request.status !== 200) return [];
+  const broken: BrokenPromise[] = [];
+  const own = headers["x-request-id"];
+  if (own !== id || headers["x-response-seal"] === undefined) {
+    const detail = `id ${own}, seal ${headers["x-response-seal"]}`;
+    broken.push(build("an answer is its request's own", request, detail));
+  }
+  if (!request.isWhole) return broken;
+  const isComplete = route.isStream ? isWholeStream(body) : isWholeCall(body);
+  if (!isComplete) {
+    const detail = JSON.stringify(body);
+    broken.push(build("an answer is whole or visibly broken", request, detail));
+  }
+  return broken;
+}
+
+function checkKey(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
+  const revoked = record.revoked.find(({ key }) => key === request.key);
+  const isOwnFault = DENYING_STATUSES.includes(request.status);
+  if (revoked === undefined) {
+    if (!isOwnFault) return [];
+    // A key is sent as soon as it is published, before all VMs know of it.
+    if (request.key !== "key-standing") return [];
+    return [build("nobody is denied", request, `status ${request.status}`)];
+  }
+  const boundAt = revoked.at + REVOKED_WITHIN_MS;
+  const isBound = request.sentAt > boundAt && !request.isDisturbed &&
+    !record.isStoreDisturbed(revoked.at, request.sentAt) &&
+    !record.isMachineBusy(revoked.at, request.sentAt);
+  if (!isBound || request.status !== 200) return [];
+  const ms = Math.round(request.sentAt - revoked.at);
+  const detail = `accepted ${ms} ms after`;
+  return [build("a key that was taken away is refused", request, detail)];
+}
+
+function checkTime(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
+  const { sentAt, endedAt } = request;
+  const ms = Math.round(endedAt - sentAt);
+  if (request.isDisturbed || ms <= CALL_TIMEOUT_MS + LATE_MS) return [];
+  if (record.isMachineBusy(sentAt, endedAt)) return [];
+  return [build("an end comes in time", request, `after ${ms} ms`)];
+}
+
+function isWholeCall(body: string): boolean {
+  try {
+    const value = JSON.parse(body) as { replica?: string };
+    return value.replica !== undefined;
+  } catch {
+    return false;
+  }
+}
+
+function isWholeStream(body: string): boolean {
+  const events = body.split("\n\n").filter((event) => event !== "");
+  return events.length === EVENTS &&
+    events.every((event, index) =>
+      event.startsWith(`id: ${index + 1}\ndata: i-`)
+    );
+}
+
+function build(
+  promise: BrokenPromise["promise"],
+  request: SoakRequest,
+  what: string,
+): BrokenPromise {
+  const { id, route, vm, status } = request;
+  const detail = `${id} ${route.path} at ${vm}, status ${status}: ${what}`;
+  return { promise, detail };
+}
--- /dev/null
+++ b/test/soak/soak_oracle_test.ts
@@ -0,0 +1,98 @@
+import { describe, expect, it } from "vitest";
+import { SOAK_ROUTES, type SoakRequest } from "./soak_callers.ts";
+import { listBroken, type SoakRecord } from "./soak_oracle.ts";
+
+const [SAFE, UNSAFE, STREAM] = SOAK_ROUTES;
+const WHOLE_STREAM = [1, 2, 3, 4, 5, 6]
+  .map((id) => `id: ${id}\ndata: i-1\n\n`).join("");
+
+function buildRequest(changes: Partial<SoakRequest> = {}): SoakRequest {
+  return {
+    id: "request-1",
+    route: UNSAFE,
+    key: "key-standing",
+    vm: "vm-1",
+    isDisturbed: false,
+    sentAt: 1_000,
+    endedAt: 1_100,
+    status: 200,
+    headers: { "x-request-id": "request-1", "x-response-seal": "seal" },
+    body: '{"replica":"i-1"}',
+    isWhole: true,
+    ...changes,
+  };
+}
+
+function check(request: SoakRequest, changes: Partial<SoakRecord> = {}) {
+  const broken = listBroken({
+    requests: [request],
+    runs: new Map([["request-1", 1]]),
+    revoked: [],
+    isStoreDisturbed: () => false,
+    isMachineBusy: () => false,
+    ...changes,
+  });
+  return broken.map(({ promise }) => promise);
+}
+
+describe("what a soak finds broken", () => {
+  it("is nothing where all is well", () => {
+    expect(check(buildRequest())).toEqual([]);
+    const stream = { route: STREAM, body: WHOLE_STREAM };
+    expect(check(buildRequest(stream))).toEqual([]);
+  });
+
+  it("is a second run of work that may run once", () => {
+    const runs = new Map([["request-1", 2]]);
+    expect(check(buildRequest(), { runs })).toEqual(["runs at most once"]);
+    expect(check(buildRequest({ route: SAFE }), { runs })).toEqual([]);
+  });
+
+  it("is a refusal of what ran", () => {
+    const refused = buildRequest({ status: 503, body: "" });
+    expect(check(refused)).toEqual(["a refusal is true"]);
+    expect(check(refused, { runs: new Map() })).toEqual([]);
+  });
+
+  it("is another request's answer, or one without a signature", () => {
+    const promise = ["an answer is its request's own"];
+    const other = { "x-request-id": "request-2", "x-response-seal": "seal" };
+    expect(check(buildRequest({ headers: other }))).toEqual(promise);
+    const unsigned = { "x-request-id": "request-1" };
+    expect(check(buildRequest({ headers: unsigned }))).toEqual(promise);
+  });
+
+  it("is a part that ends like a whole", () => {
+    const part = WHOLE_STREAM.slice(0, -30);
+    const cut = buildRequest({ route: STREAM, body: part });
+    const promise = ["an answer is whole or visibly broken"];
+    expect(check(cut)).toEqual(promise);
+    expect(check({ ...cut, isWhole: false })).toEqual([]);
+    const twice = WHOLE_STREAM + WHOLE_STREAM;
+    expect(check({ ...cut, body: twice })).toEqual(promise);
+  });
+
+  it("is a caller that is turned away with a right key", () => {
+    const denied = buildRequest({ status: 401, body: "" });
+    expect(check(denied)).toEqual(["nobody is denied"]);
+    expect(check({ ...denied, key: "key-2" })).toEqual([]);
+  });
+
+  it("is a key that is accepted long after it was taken away", () => {
+    const late = buildRequest({ key: "key-1", sentAt: 9_000, endedAt: 9_100 });
+    const revoked = [{ key: "key-1", at: 2_000 }];
+    const promise = ["a key that was taken away is refused"];
+    expect(check(late, { revoked })).toEqual(promise);
+    expect(check({ ...late, sentAt: 4_000, endedAt: 4_100 }, { revoked }))
+      .toEqual([]);
+    expect(check(late, { revoked, isStoreDisturbed: () => true })).toEqual([]);
+    expect(check({ ...late, isDisturbed: true }, { revoked })).toEqual([]);
+  });
+
+  it("is a caller that is left hanging", () => {
+    const late = buildRequest({ endedAt: 7_000, status: 0, isWhole: false });
+    expect(check(late)).toEqual(["an end comes in time"]);
+    expect(check({ ...late, isDisturbed: true })).toEqual([]);
+    expect(check(late, { isMachineBusy: () => true })).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/soak/soak_vm.ts
@@ -0,0 +1,126 @@
+/**
+ * One entry VM of a soak: the bundled daemon as a process.
+ *
+ * @module
+ */
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import {
+  type Child,
+  type ChildProcessGroup,
+  hasEnded,
+  readLogTail,
+} from "../../demo/child_process_group.ts";
+
+const PROGRAM = "target/persimmonslip-platform.js";
+const SETTINGS_VARIABLE = "PERSIMMONSLIP_SETTINGS";
+
+/** The same on every VM; addresses differ. */
+export interface SoakPorts {
+  callers: number;
+  readiness: number;
+  state: number;
+  directory: number;
+  peers: number;
+}
+
+/** What a VM is started with. */
+export interface SoakVmOptions {
+  name: string;
+  address: string;
+  ports: SoakPorts;
+  seeds: string[];
+  storePort: number;
+  drainGraceMs: number;
+  directory: string;
+  children: ChildProcessGroup;
+}
+
+/** A daemon that is signalled from outside. */
+export class SoakVm {
+  readonly #options: SoakVmOptions;
+  #child: Child | undefined;
+  /** When something last kept it from its work, by `performance.now()`. */
+  disturbedAt = -Infinity;
+  /** Whether its end was asked for. */
+  isEndExpected = false;
+
+  constructor(options: SoakVmOptions) {
+    this.#options = options;
+  }
+
+  static create(options: SoakVmOptions): SoakVm {
+    return new SoakVm(options);
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  get address(): string {
+    return this.#options.address;
+  }
+
+  get callersPort(): number {
+    return this.#options.ports.callers;
+  }
+
+  get hasEnded(): boolean {
+    return this.#child === undefined || hasEnded(this.#child);
+  }
+
+  start(): void {
+    const { name, directory, children } = this.#options;
+    const file = join(directory, `${name}.json`);
+    writeFileSync(file, JSON.stringify(this.#buildSettings()));
+    this.isEndExpected = false;
+    this.noteDisturbed();
+    this.#child = children.start({
+      name,
+      args: [PROGRAM],
+      environment: { [SETTINGS_VARIABLE]: file },
+    });
+  }
+
+  /** Sends a signal to this process alone. */
+  send(signal: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP"): void {
+    if (signal !== "SIGHUP") this.noteDisturbed();
+    if (!this.hasEnded) this.#child!.process.kill(signal);
+  }
+
+  noteDisturbed(): void {
+    this.disturbedAt = performance.now();
+  }
+
+  waitEnd(): Promise<void> {
+    return this.#child?.exited ?? Promise.resolve();
+  }
+
+  readLogTail(): string {
+    return this.#child === undefined ? "" : readLogTail(this.#child.logFile);
+  }
+
+  #buildSettings() {
+    const { name, address, ports, seeds, storePort } = this.#options;
+    return {
+      vm: name,
+      data_centre: "dc-1",
+      address,
+      peer_ports: [ports.peers, ports.peers],
+      seeds,
+      listeners: {
+        callers: `${address}:${ports.callers}`,
+        readiness: `${address}:${ports.readiness}`,
+        state: `${address}:${ports.state}`,
+        directory: `${address}:${ports.directory}`,
+      },
+      store: `127.0.0.1:${storePort}`,
+      cores: 1,
+      core_share: 1,
+      drain_grace_ms: this.#options.drainGraceMs,
+      directory_ttl_ms: 300,
+      retry_share: 0.2,
+      retry_reserve: 200,
+    };
+  }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,7 +7,10 @@
 
 const TEST_TIMEOUT_MS = 60_000;
 const PROCESS_TIMEOUT_MS = 120_000;
-const PROCESS_TESTS = "test/failures/processes/*_test.ts";
+const PROCESS_TESTS = [
+  "test/failures/processes/*_test.ts",
+  "test/soak/soak_test.ts",
+];
 
 // Vitest reads its settings from a default export and nothing else.
 export default defineConfig({
@@ -20,7 +23,7 @@
         test: {
           name: "modules",
           include: ["test/**/*_test.ts"],
-          exclude: [PROCESS_TESTS],
+          exclude: PROCESS_TESTS,
           // Other work may share the machine.
           maxWorkers: 4,
           sequence: { groupOrder: 0 },
@@ -30,7 +33,7 @@
         extends: true,
         test: {
           name: "processes",
-          include: [PROCESS_TESTS],
+          include: PROCESS_TESTS,
           globalSetup: "test/support/daemon_build_setup.ts",
           testTimeout: PROCESS_TIMEOUT_MS,
           hookTimeout: PROCESS_TIMEOUT_MS,
