--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -94,6 +94,7 @@
       requests,
       runs: fleet.countRuns(),
       revoked: fleet.revoked,
+      published: fleet.published,
       isStoreDisturbed: spans.isDisturbed,
       isMachineBusy: machine.isBusy,
     }) satisfies BrokenPromise[],
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -13,8 +13,10 @@
 export const CALL_TIMEOUT_MS = 2_000;
 /** A caller that hears nothing beyond that has been left hanging. */
 const GIVE_UP_MS = 8_000;
+/** A VM that was paused or started is up to date after so long, in ms. */
+const DISTURBED_MS = 4_000;
 const LONGEST_THINK_MS = 60;
-/** One request in so many comes with the key that may be taken away. */
+/** One request in so many comes with a key that changes. */
 const CHANGING_KEY_ONE_IN = 4;
 
 /** The routes that callers use, and how often their work may run. */
@@ -90,7 +92,9 @@
     const request: SoakRequest = {
       id: `${this.#name}-${this.#sent}`,
       route,
-      key: isChanging ? this.#fleet.currentKey : STANDING_KEY,
+      key: isChanging
+        ? this.#random.pick(this.#fleet.changingKeys)!
+        : STANDING_KEY,
       vm: vm.name,
       isDisturbed: false,
       sentAt: performance.now(),
@@ -103,7 +107,7 @@
     await this.#runCall(vm, request);
     request.endedAt = performance.now();
     request.isDisturbed = vm.hasEnded || vm.isEndExpected ||
-      vm.disturbedAt > request.sentAt - GIVE_UP_MS;
+      vm.disturbedAt > request.sentAt - DISTURBED_MS;
     return request;
   }
 
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -40,6 +40,8 @@
   readonly vms: SoakVm[] = [];
   readonly replicas: SoakReplica[] = [];
   readonly revoked: RevokedKey[] = [];
+  /** When the newest key was published. */
+  readonly published = new Map<string, number>();
   /** Until when, at least, VMs may not have what was published. */
   storeDisturbedAt = -Infinity;
   readonly #store = StoreStandIn.create();
@@ -70,9 +72,13 @@
     return fleet;
   }
 
-  /** A key that the newest configuration allows and a later one may not. */
-  get currentKey(): string {
-    return this.#key;
+  /**
+   * The key that the newest configuration allows and a later one may not, and
+   * the one that it took away.
+   */
+  get changingKeys(): string[] {
+    const last = this.revoked.at(-1);
+    return last === undefined ? [this.#key] : [this.#key, last.key];
   }
 
   /** Every run of every request, by the request's id. */
@@ -258,6 +264,9 @@
   #announceConfiguration(): void {
     this.#version += 1;
     const keys = [STANDING_KEY, this.#key];
+    if (!this.published.has(this.#key)) {
+      this.published.set(this.#key, performance.now());
+    }
     this.#store.put("op/config", buildConfiguration(this.#version, { keys }));
   }
 }
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -11,8 +11,8 @@
 /** What a caller with a right key and a known route is never told. */
 const DENYING_STATUSES = [400, 401, 403, 404];
 const EVENTS = 6;
-/** A key that was taken away is refused after so long, in milliseconds. */
-const REVOKED_WITHIN_MS = 3_000;
+/** A change of keys is in force after so long, in milliseconds. */
+const IN_FORCE_WITHIN_MS = 3_000;
 /** Beyond the caller's own time, in milliseconds; other work may run here. */
 const LATE_MS = 3_000;
 
@@ -35,6 +35,8 @@
   /** Runs by request id. */
   runs: ReadonlyMap<string, number>;
   revoked: readonly RevokedKey[];
+  /** When keys that change were published first. */
+  published: ReadonlyMap<string, number>;
   /** Whether VMs may have been unable to read what was published. */
   isStoreDisturbed: (from: number, to: number) => boolean;
   /** Whether this machine kept processes waiting for a processor. */
@@ -82,22 +84,31 @@
 }
 
 function checkKey(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
-  const revoked = record.revoked.find(({ key }) => key === request.key);
-  const isOwnFault = DENYING_STATUSES.includes(request.status);
-  if (revoked === undefined) {
-    if (!isOwnFault) return [];
-    // A key is sent as soon as it is published, before all VMs know of it.
-    if (request.key !== "key-standing") return [];
-    return [build("nobody is denied", request, `status ${request.status}`)];
+  const { key, status } = request;
+  const isDenied = DENYING_STATUSES.includes(status);
+  const revoked = record.revoked.find((each) => each.key === key);
+  if (revoked !== undefined) {
+    if (status !== 200 || !isInForce(revoked.at, request, record)) return [];
+    const ms = Math.round(request.sentAt - revoked.at);
+    const detail = `accepted ${ms} ms after`;
+    return [build("a key that was taken away is refused", request, detail)];
   }
-  const boundAt = revoked.at + REVOKED_WITHIN_MS;
-  const isBound = request.sentAt > boundAt && !request.isDisturbed &&
-    !record.isStoreDisturbed(revoked.at, request.sentAt) &&
-    !record.isMachineBusy(revoked.at, request.sentAt);
-  if (!isBound || request.status !== 200) return [];
-  const ms = Math.round(request.sentAt - revoked.at);
-  const detail = `accepted ${ms} ms after`;
-  return [build("a key that was taken away is refused", request, detail)];
+  const publishedAt = record.published.get(key);
+  const isKnown = publishedAt === undefined ||
+    isInForce(publishedAt, request, record);
+  if (!isDenied || !isKnown) return [];
+  return [build("nobody is denied", request, `key ${key}`)];
+}
+
+/** Whether the request's VM must have what was published at `at`. */
+function isInForce(
+  at: number,
+  request: SoakRequest,
+  record: SoakRecord,
+): boolean {
+  const { sentAt, isDisturbed } = request;
+  return sentAt > at + IN_FORCE_WITHIN_MS && !isDisturbed &&
+    !record.isStoreDisturbed(at, sentAt) && !record.isMachineBusy(at, sentAt);
 }
 
 function checkTime(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -28,6 +28,7 @@
     requests: [request],
     runs: new Map([["request-1", 1]]),
     revoked: [],
+    published: new Map([["key-2", 500]]),
     isStoreDisturbed: () => false,
     isMachineBusy: () => false,
     ...changes,
@@ -76,6 +77,9 @@
     const denied = buildRequest({ status: 401, body: "" });
     expect(check(denied)).toEqual(["nobody is denied"]);
     expect(check({ ...denied, key: "key-2" })).toEqual([]);
+    const later = { ...denied, key: "key-2", sentAt: 5_000, endedAt: 5_100 };
+    expect(check(later)).toEqual(["nobody is denied"]);
+    expect(check({ ...later, isDisturbed: true })).toEqual([]);
   });
 
   it("is a key that is accepted long after it was taken away", () => {
