--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -7,6 +7,11 @@
 import type { VmId } from "../ids.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Log } from "../process/log.ts";
+import {
+  formatEndpoint,
+  parseEndpoint,
+  type SocketAddress,
+} from "./endpoint.ts";
 import {
   formatOrder,
   parseCacheEvents,
@@ -36,18 +41,12 @@
 const MAX_IDLE_CONNECTIONS = 256;
 const CONFLICT = 409;
 
-/** An IP address and a port. */
-export interface Endpoint {
-  address: string;
-  port: number;
-}
-
 /** What the way to the upstreams is made of. */
 export interface HttpTransportOptions {
   clock: Clock;
   log: Log;
   /** Where an upstream listens; undefined when it is not listed. */
-  findAddress: (vm: VmId) => Endpoint | undefined;
+  findAddress: (vm: VmId) => SocketAddress | undefined;
   tls?: ClientTls | undefined;
   /** A connection that takes longer fails; in milliseconds. */
   connectLimitMs?: number;
@@ -107,7 +106,7 @@
   }
 
   /** Closes kept connections to endpoints that `isWanted` refuses. */
-  removeEndpoints(isWanted: (endpoint: Endpoint) => boolean): void {
+  removeEndpoints(isWanted: (endpoint: SocketAddress) => boolean): void {
     for (const [key, agent] of this.#agents) {
       if (isWanted(parseEndpoint(key))) continue;
       closeIdleConnections(agent);
@@ -191,7 +190,7 @@
     return parseImported(readJson(imported.body)) ?? prefixes.length;
   }
 
-  #getAgent(endpoint: Endpoint): http.Agent {
+  #getAgent(endpoint: SocketAddress): http.Agent {
     const key = formatEndpoint(endpoint);
     const known = this.#agents.get(key);
     if (known !== undefined) return known;
@@ -234,12 +233,3 @@
     for (const socket of sockets ?? []) socket.destroy();
   }
 }
-
-function formatEndpoint(endpoint: Endpoint): string {
-  return `${endpoint.address}|${endpoint.port}`;
-}
-
-function parseEndpoint(key: string): Endpoint {
-  const [address, port] = key.split("|");
-  return { address: address ?? "", port: Number(port) };
-}
--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SocketAddress } from "./endpoint.ts";
 import http from "node:http";
 import https from "node:https";
 import type { TRPCClient } from "@trpc/client";
@@ -50,7 +51,7 @@
   /** This VM, named in errors. */
   from: VmId;
   /** Where a VM listens for peers; undefined when it is not listed. */
-  findAddress: (vm: VmId) => { address: string; port: number } | undefined;
+  findAddress: (vm: VmId) => SocketAddress | undefined;
   tls?: ClientTls | undefined;
   deadlines?: PeerDeadlines;
 }
@@ -244,7 +245,7 @@
 }
 
 function createChannel(
-  endpoint: { address: string; port: number },
+  endpoint: SocketAddress,
   options: TrpcPeerDirectoryOptions,
 ): Channel {
   const settings = {
--- a/src/connection/peer_link.ts
+++ b/src/connection/peer_link.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+import type { SocketAddress } from "./endpoint.ts";
 import type { Agent, ClientRequest, IncomingMessage } from "node:http";
 import http from "node:http";
 import https from "node:https";
@@ -23,7 +24,7 @@
 export interface PeerLinkOptions {
   clock: Clock;
   agent: Agent;
-  endpoint: { address: string; port: number };
+  endpoint: SocketAddress;
   headers: Record<string, string>;
   /** Options for TLS; undefined for plain TCP. */
   tls: { ca: string; servername: string } | undefined;
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SocketAddress } from "./endpoint.ts";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import http from "node:http";
 import https from "node:https";
@@ -24,7 +25,7 @@
 /** What a call goes out on. */
 export interface CallRoute {
   clock: Clock;
-  endpoint: { address: string; port: number };
+  endpoint: SocketAddress;
   agent: http.Agent;
   tls: ClientTls | undefined;
   /** Whether an answer may end with its connection. */
--- a/src/process/configuration_puller.ts
+++ b/src/process/configuration_puller.ts
@@ -97,12 +97,6 @@
     const listed = membership.listEntryVms().map((vm) => vm.id);
     const others = new Set([...seeds, ...listed]);
     others.delete(environment.vm);
-    const left = [...others];
-    const chosen: VmId[] = [];
-    while (chosen.length < FIRST_PEERS && left.length > 0) {
-      const index = environment.random.nextInt(left.length);
-      chosen.push(...left.splice(index, 1));
-    }
-    return chosen;
+    return environment.random.pickSome([...others], FIRST_PEERS);
   }
 }
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SocketAddress } from "../connection/endpoint.ts";
 import { readFileSync } from "node:fs";
 import { createSecureContext } from "node:tls";
 import {
@@ -226,7 +227,7 @@
 
   #findPeerAddress(
     vm: VmId,
-  ): { address: string; port: number } | undefined {
+  ): SocketAddress | undefined {
     const listed = this.runtime.membership.findVm(vm);
     if (listed !== undefined) {
       return { address: listed.address, port: listed.peerPort };
--- a/src/process/member_rotation.ts
+++ b/src/process/member_rotation.ts
@@ -27,16 +27,9 @@
     if (members.length === 0) return undefined;
     const present = new Set(members);
     this.#round = this.#round.filter((vm) => present.has(vm));
-    if (this.#round.length === 0) this.#round = this.#buildRound(members);
-    return this.#round.pop();
-  }
-
-  #buildRound(members: readonly VmId[]): VmId[] {
-    const round = [...members];
-    for (let index = round.length - 1; index > 0; index -= 1) {
-      const other = this.#random.nextInt(index + 1);
-      [round[index], round[other]] = [round[other]!, round[index]!];
+    if (this.#round.length === 0) {
+      this.#round = this.#random.pickOrder(members);
     }
-    return round;
+    return this.#round.pop();
   }
 }
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -95,18 +95,44 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): Placement | undefined {
-  const home = findHome(candidates, needs, knowledge.state.prefixes);
-  const readWeight = computeReadWeight(candidates, knowledge);
-  let best: { placement: Placement; cost: number } | undefined;
-  for (const replica of candidates) {
-    const scored = needs.promptTokens > 0
-      ? computePromptScore(replica, { needs, home, readWeight, knowledge })
-      : computeCallScore(replica, knowledge);
-    if (best === undefined || scored.cost < best.cost) best = scored;
+  const loaded = candidates.map((replica) => ({
+    replica,
+    load: knowledge.state.loads.getLoad(replica.id),
+  }));
+  const scored = needs.promptTokens > 0
+    ? computePromptScores(loaded, needs, knowledge)
+    : loaded.map((each) => computeCallScore(each, knowledge));
+  let best: ScoredPlacement | undefined;
+  for (const each of scored) {
+    if (best === undefined || each.cost < best.cost) best = each;
   }
   return best?.placement;
 }
 
+/** A candidate and everybody's work there. */
+interface LoadedReplica {
+  replica: ListedReplica;
+  load: ReplicaLoad;
+}
+
+interface ScoredPlacement {
+  placement: Placement;
+  cost: number;
+}
+
+function computePromptScores(
+  loaded: readonly LoadedReplica[],
+  needs: PlacementNeeds,
+  knowledge: PlacementKnowledge,
+): ScoredPlacement[] {
+  const candidates = loaded.map(({ replica }) => replica);
+  const home = findHome(candidates, needs, knowledge.state.prefixes);
+  const readWeight = computeReadWeight(loaded);
+  return loaded.map((each) =>
+    computePromptScore(each, { needs, home, readWeight, knowledge })
+  );
+}
+
 /**
  * The replica that is taken to hold a prompt that nobody was seen to send:
  * every VM picks the same one, so that a part is read once and not once a VM.
@@ -121,30 +147,26 @@
   return pickRendezvousFirst(key, candidates.map((replica) => replica.id));
 }
 
-function computeReadWeight(
-  candidates: readonly ListedReplica[],
-  { state }: PlacementKnowledge,
-): number {
-  const pendingTokens = candidates.reduce(
-    (sum, { id }) => sum + state.loads.getLoad(id).pendingTokens,
+function computeReadWeight(loaded: readonly LoadedReplica[]): number {
+  const pendingTokens = loaded.reduce(
+    (sum, { load }) => sum + load.pendingTokens,
     0,
   );
-  const meanTokens = pendingTokens / Math.max(1, candidates.length);
+  const meanTokens = pendingTokens / Math.max(1, loaded.length);
   const waitingTokens = Math.max(0, meanTokens - CALM_TOKENS);
   return READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
 }
 
 function computePromptScore(
-  replica: ListedReplica,
+  { replica, load }: LoadedReplica,
   context: {
     needs: PlacementNeeds;
     home: VmId | undefined;
     readWeight: number;
     knowledge: PlacementKnowledge;
   },
-): { placement: Placement; cost: number } {
+): ScoredPlacement {
   const { needs, home, readWeight, knowledge } = context;
-  const load = knowledge.state.loads.getLoad(replica.id);
   const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
   const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
   const heldTokens = needs.partTokens.slice(0, held)
@@ -174,10 +196,9 @@
 }
 
 function computeCallScore(
-  replica: ListedReplica,
+  { replica, load }: LoadedReplica,
   knowledge: PlacementKnowledge,
-): { placement: Placement; cost: number } {
-  const load = knowledge.state.loads.getLoad(replica.id);
+): ScoredPlacement {
   const cost = FULL_MS * load.running / replica.slots +
     computeDistance(replica, knowledge);
   return {
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -13,8 +13,8 @@
 import type { PlacementState } from "./placement_state.ts";
 import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
 
-/** Never are more replicas of a pool left out for failures than this share. */
-const MOST_EJECTED_SHARE = 0.5;
+/** Failing replicas are left out while this share of the pool is well. */
+const LEAST_WELL_SHARE = 0.5;
 
 /** A request that needs a replica. */
 export interface PlacementRequest extends PlacementNeeds {
@@ -72,13 +72,12 @@
   #listCandidates(request: PlacementRequest): readonly ListedReplica[] {
     const { health } = this.#state;
     const ready = this.#directory.listReady(request.pool);
-    const untried = ready.filter(({ id }) => !request.avoid.includes(id));
-    const healthy = untried.filter(({ id }) => !health.isEjected(id));
-    const least = Math.ceil(ready.length * MOST_EJECTED_SHARE);
-    const ejected = ready.filter(({ id }) => health.isEjected(id)).length;
+    const isUntried = ({ id }: ListedReplica) => !request.avoid.includes(id);
+    const well = ready.filter(({ id }) => !health.isEjected(id));
     // Where most fail, the cause is likely not theirs; the few that are left
     // would break down under everybody's work.
-    const isTrusted = ready.length - ejected >= least;
-    return isTrusted && healthy.length > 0 ? healthy : untried;
+    const isTrusted = well.length >= Math.ceil(ready.length * LEAST_WELL_SHARE);
+    const trusted = isTrusted ? well.filter(isUntried) : [];
+    return trusted.length > 0 ? trusted : ready.filter(isUntried);
   }
 }
--- a/src/process/prober.ts
+++ b/src/process/prober.ts
@@ -152,7 +152,7 @@
   async #probeIndirect(target: VmId): Promise<boolean> {
     const { clock, peers } = this.#environment;
     const others = this.#listMembers().filter((vm) => vm !== target);
-    const helpers = this.#pickSome(others, INDIRECT_PROBES);
+    const helpers = this.#environment.random.pickSome(others, INDIRECT_PROBES);
     if (helpers.length === 0) return false;
     const asked = helpers.map(async (helper) => {
       const call = this.#buildMessage(helper);
@@ -261,26 +261,21 @@
 
   #probeSome(count: number): void {
     if (this.#stopped.signal.aborted) return;
-    for (const vm of this.#pickSome(this.#listMembers(), count)) {
+    for (
+      const vm of this.#environment.random.pickSome(this.#listMembers(), count)
+    ) {
       void this.#probeDirect(vm);
     }
   }
 
-  #pickSome(vms: readonly VmId[], count: number): VmId[] {
-    const left = [...vms];
-    const picked: VmId[] = [];
-    while (picked.length < count && left.length > 0) {
-      const index = this.#environment.random.nextInt(left.length);
-      picked.push(...left.splice(index, 1));
-    }
-    return picked;
-  }
-
   /** After a pause: hear of the fleet before acting as an owner again. */
   async #updateView(): Promise<void> {
     const pauseCount = this.#pauseCount;
     for (let round = 0; round < REFRESH_ROUNDS; round += 1) {
-      const others = this.#pickSome(this.#listOthers(), REFRESH_PROBES);
+      const others = this.#environment.random.pickSome(
+        this.#listOthers(),
+        REFRESH_PROBES,
+      );
       if (others.length === 0) break;
       const answers = await Promise.all(
         others.map((vm) => this.#probeAndFetch(vm)),
--- a/src/process/random.ts
+++ b/src/process/random.ts
@@ -38,6 +38,16 @@
     return shuffled;
   }
 
+  /** `count` of `items`, or all where there are fewer, each once. */
+  pickSome<T>(items: readonly T[], count: number): T[] {
+    const left = [...items];
+    const picked: T[] = [];
+    while (picked.length < count && left.length > 0) {
+      picked.push(...left.splice(this.nextInt(left.length), 1));
+    }
+    return picked;
+  }
+
   /** One of `items`; undefined when there are none. */
   pick<T>(items: readonly T[]): T | undefined {
     return items[this.nextInt(items.length)];
--- a/src/process/refusing_vm.ts
+++ b/src/process/refusing_vm.ts
@@ -7,23 +7,18 @@
  *
  * @module
  */
-import { readFileSync } from "node:fs";
-import * as z from "zod";
 import {
   AnsweringListener,
   buildJsonAnswer,
 } from "../connection/answering_listener.ts";
+import type { Endpoint } from "../connection/endpoint.ts";
 import { toError } from "../errors.ts";
 import type { Log } from "./log.ts";
+import { readListeners } from "./routed_settings.ts";
 
 const SERVICE_UNAVAILABLE = 503;
 /** An operator has to mend the settings; another VM can serve at once. */
 const RETRY_AFTER_SECONDS = 1;
-/** What of broken settings tells where to listen. */
-const PLACES = z.object({
-  listeners: z.record(z.string(), z.unknown()),
-});
-const ENDPOINT = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/);
 
 /** Answers 503 to everything that was not read further. */
 export class RefusingVm {
@@ -54,7 +49,7 @@
     this.#listeners.forEach((listener) => void listener.stop());
   }
 
-  async #startListener(endpoint: string): Promise<void> {
+  async #startListener(endpoint: Endpoint): Promise<void> {
     const listener = AnsweringListener.create({
       name: "refusing",
       log: this.#log,
@@ -74,12 +69,9 @@
     }
   }
 
-  #findEndpoints(path: string): string[] {
+  #findEndpoints(path: string): Endpoint[] {
     try {
-      const value: unknown = JSON.parse(readFileSync(path, "utf8"));
-      const { listeners } = PLACES.parse(value);
-      return Object.values(listeners).map((each) => ENDPOINT.safeParse(each))
-        .flatMap((result) => result.success ? [result.data] : []);
+      return readListeners(path);
     } catch (thrown) {
       const error = toError(thrown).message;
       this.#log.error("listeners_unknown", { path, error });
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -3,47 +3,37 @@
  *
  * @module
  */
-import { parseEndpoint } from "../connection/endpoint.ts";
-import type { HttpUpstreamTransport } from "../connection/http_transport.ts";
-import type { Incarnation, PoolName, VmId } from "../ids.ts";
+import { parseEndpoint, type SocketAddress } from "../connection/endpoint.ts";
+import type {
+  HttpTransportOptions,
+  HttpUpstreamTransport,
+} from "../connection/http_transport.ts";
+import type { Incarnation, VmId } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
+import { OwnedPlacement } from "./owned_placement.ts";
 import {
   type Placement,
   type PlacementRequest,
   type PlacementState,
   PrefixPriming,
-  ReplicaChooser,
   type ReplicaDirectory,
 } from "./placement/index.ts";
 import type { Random } from "./random.ts";
 import { pickRendezvousFirst } from "./rendezvous.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import {
-  type AnswerMessage,
-  type AskMessage,
   type BeatContent,
   type DatagramLink,
-  findDuty,
   type FleetPeer,
   FleetTalk,
-  type FleetWork,
-  isSmallFleet,
-  listDuties,
-  listPlacersOf,
   type OwnerCandidate,
   PeerCalls,
-  PlacementAsker,
   type PublishedStore,
   StateFollower,
 } from "./seeded_fleet/index.ts";
 
-/** Finds where a call goes; undefined where that is not known. */
-type FindAddress = (
-  vm: VmId,
-) => { address: string; port: number } | undefined;
-
 /** What the fleet's side is made of. */
 export interface RoutedFleetOptions {
   incarnation: Incarnation;
@@ -55,7 +45,9 @@
   replicas: ReplicaDirectory;
   placement: PlacementState;
   getSettings: () => RoutedSettings;
-  createTransport: (findAddress: FindAddress) => HttpUpstreamTransport;
+  createTransport: (
+    findAddress: HttpTransportOptions["findAddress"],
+  ) => HttpUpstreamTransport;
   fetchCachedParts: (replica: VmId) => Promise<string[]>;
   isServing: () => boolean;
   isDraining: () => boolean;
@@ -69,8 +61,7 @@
   readonly #talk: FleetTalk;
   readonly #peers: HttpUpstreamTransport;
   readonly #priming: PrefixPriming;
-  readonly #asker: PlacementAsker;
-  readonly #chooser: ReplicaChooser;
+  readonly #owned: OwnedPlacement;
   readonly #ended = new AbortController();
 
   constructor(options: RoutedFleetOptions) {
@@ -88,18 +79,17 @@
       self: `${address}:${peerPort}`,
       getSeeds: () => this.#listSeeds(),
       buildBeat: () => this.#buildBeat(),
-      takeWork: () => this.#takeWork(),
-      listPlacers: () => this.#listAllPlacers(),
+      takeWork: () => this.#owned.takeWork(),
+      listPlacers: () => this.#owned.listPlacers(),
       onBeat: (peer) => this.#notePeer(peer),
-      onAsk: (ask) => this.#answerAsk(ask),
-      onAnswer: (answer) => this.#asker.noteAnswer(answer),
+      onAsk: (ask) => this.#owned.answerAsk(ask),
+      onAnswer: (answer) => this.#owned.noteAnswer(answer),
     });
-    this.#chooser = ReplicaChooser.create(replicas, options.placement);
-    this.#asker = PlacementAsker.create({
+    this.#owned = OwnedPlacement.create({
+      ...options,
       vm,
-      clock,
-      log,
-      listPlacers: (pool) => this.#listPlacersBefore(pool),
+      peers: this.#talk.peers,
+      getSelf: () => this.#buildCandidate(),
       send: (to, message) => this.#talk.send(to, message),
     });
     this.follower = StateFollower.create({
@@ -144,21 +134,9 @@
     return this.#talk.peers.listLive();
   }
 
-  /**
-   * Asks the pool's owner where a request should go. Undefined where this VM
-   * is the owner, where there is none, and where it is silent.
-   */
-  async askOwner(request: PlacementRequest): Promise<Placement | undefined> {
-    if (this.#isSmall()) return undefined;
-    const placed = await this.#asker.ask(request);
-    if (placed === undefined) return undefined;
-    const { replicas } = this.#options;
-    const replica = replicas.find(placed.replica);
-    // One VM may have read of a replica that comes or leaves before another.
-    if (replica === undefined || !replicas.isReady(replica.id)) {
-      return undefined;
-    }
-    return { ...placed, replica };
+  /** As `OwnedPlacement.askOwner`. */
+  askOwner(request: PlacementRequest): Promise<Placement | undefined> {
+    return this.#owned.askOwner(request);
   }
 
   /** Tells the others soon that there is news of this VM's work. */
@@ -197,66 +175,19 @@
     };
   }
 
-  #takeWork(): FleetWork {
-    return { ...this.#options.placement.takeNews(), ...this.#asker.numbers };
+  #buildCandidate(): OwnerCandidate & { isServing: boolean } {
+    const { getSettings, isServing } = this.#options;
+    const { vm, cores } = getSettings();
+    const { isPrimed } = this.#priming;
+    return { vm, cores, isPrimed, isServing: isServing() };
   }
 
   #notePeer(peer: FleetPeer): void {
     const { vm, work } = peer.beat;
-    if (work !== undefined) this.#noteWork(vm, work);
+    if (work !== undefined) this.#owned.noteWork(vm, work);
     this.follower.notePeer(peer);
   }
 
-  #noteWork(vm: VmId, work: FleetWork): void {
-    const { placement } = this.#options;
-    placement.loads.answered.settle(vm, work.lastAsk, work.openAsks);
-    placement.noteNews(vm, work);
-  }
-
-  #answerAsk(message: AskMessage): AnswerMessage {
-    const { vm, ask } = message;
-    const placement = this.#chooser.chooseFor(vm, ask, message);
-    if (placement === undefined) return { kind: "answer", ask };
-    const { replica, ...placed } = placement;
-    return { kind: "answer", ask, placed: { ...placed, replica: replica.id } };
-  }
-
-  #isSmall(): boolean {
-    return isSmallFleet(1 + this.listLive().length);
-  }
-
-  /** Everybody who places requests of any pool; undefined for all VMs. */
-  #listAllPlacers(): Set<VmId> | undefined {
-    if (this.#isSmall()) return undefined;
-    const candidates = this.#listCandidates();
-    const placers = this.#listDuties()
-      .flatMap((duty) => listPlacersOf(duty, candidates));
-    return new Set(placers);
-  }
-
-  #listDuties(): string[] {
-    return listDuties(1 + this.listLive().length);
-  }
-
-  /** Who is to be asked for a pool, up to this VM itself. */
-  #listPlacersBefore(pool: PoolName): FleetPeer[] {
-    const { vm } = this.#options.getSettings();
-    const duty = findDuty(pool, this.#listDuties());
-    const placers = listPlacersOf(duty, this.#listCandidates());
-    const ownIndex = placers.indexOf(vm);
-    const before = ownIndex < 0 ? placers : placers.slice(0, ownIndex);
-    return before.map((each) => this.#talk.peers.find(each))
-      .filter((peer) => peer !== undefined);
-  }
-
-  #listCandidates(): OwnerCandidate[] {
-    const { vm, cores } = this.#options.getSettings();
-    const others = this.listLive().map(({ beat }) => beat)
-      .filter(({ isServing, isDraining }) => isServing && !isDraining);
-    if (!this.#options.isServing()) return others;
-    return [...others, { vm, cores, isPrimed: this.#priming.isPrimed }];
-  }
-
   #noteReplicas(): void {
     const { placement, replicas } = this.#options;
     placement.dropUnlisted((id) => replicas.find(id) !== undefined);
@@ -297,7 +228,7 @@
       .map(({ id }) => id);
   }
 
-  #findPeer(vm: VmId): { address: string; port: number } | undefined {
+  #findPeer(vm: VmId): SocketAddress | undefined {
     const peer = this.#talk.peers.find(vm);
     return peer && parseEndpoint(peer.beat.state);
   }
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -5,6 +5,7 @@
  */
 import { readFileSync } from "node:fs";
 import * as z from "zod";
+import type { Endpoint } from "../connection/endpoint.ts";
 import { StepError, toError } from "../errors.ts";
 import type { DataCentre, VmId } from "../ids.ts";
 
@@ -39,6 +40,9 @@
   retry_reserve: z.number().min(0),
 });
 
+/** What broken settings may still hold. */
+const LISTENERS = z.object({ listeners: z.record(z.string(), z.unknown()) });
+
 /** Settings as the code uses them; times in milliseconds. */
 export interface RoutedSettings {
   vm: VmId;
@@ -71,6 +75,16 @@
   return parseRoutedSettings(readJson(path), path);
 }
 
+/**
+ * Where settings that are not valid as a whole still say to listen; throws
+ * where not even that can be read.
+ */
+export function readListeners(path: string): Endpoint[] {
+  const { listeners } = LISTENERS.parse(readJson(path));
+  return Object.values(listeners).map((each) => ENDPOINT.safeParse(each))
+    .flatMap((each) => each.success ? [each.data] : []);
+}
+
 /** Checks settings that were read from `path`; throws `StepError`. */
 function parseRoutedSettings(
   value: unknown,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -5,13 +5,12 @@
  */
 import process from "node:process";
 import type { AnsweringListener } from "../connection/answering_listener.ts";
-import {
-  type CallerLimits,
-  CallerListener,
-  DEFAULT_CALLER_LIMITS,
-} from "../connection/caller_listener.ts";
+import { CallerListener } from "../connection/caller_listener.ts";
 import { parseEndpoint } from "../connection/endpoint.ts";
-import { HttpUpstreamTransport } from "../connection/http_transport.ts";
+import {
+  type HttpTransportOptions,
+  HttpUpstreamTransport,
+} from "../connection/http_transport.ts";
 import { type Incarnation, toId, type VmId } from "../ids.ts";
 import {
   CallerHandler,
@@ -27,6 +26,11 @@
 import { PlacementState, ReplicaDirectory } from "./placement/index.ts";
 import { type Random, SystemRandom } from "./random.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
+import {
+  buildCallerLimits,
+  FIRST_CALLER_LIMITS,
+} from "./routed_caller_limits.ts";
+import { runDrain } from "./routed_drain.ts";
 import { RoutedFleet } from "./routed_fleet.ts";
 import { buildRoutedServices } from "./routed_services.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -48,20 +52,6 @@
 const CONNECT_LIMIT_MS = 250;
 /** What one VM keeps of finished requests, in bytes. */
 const FATE_BYTES = 4 * 1024 * 1024;
-/** Heads up to this size are read; the configuration's bound is below it. */
-const MAX_HEADER_BYTES = 65_536;
-/**
- * Kept connections stay open a little longer than callers may use them, so
- * that a request does not cross the close.
- */
-const IDLE_MARGIN_MS = 1_000;
-/** Callers keep a directory's answer up to so many times its time to live. */
-const TTL_FACTOR = 3;
-const TTL_MARGIN_MS = 300;
-/** Before the platform kills the process, in milliseconds. */
-const END_MARGIN_MS = 300;
-const IN_FLIGHT_CHECK_MS = 25;
-
 /** What a VM is made of. */
 export interface RoutedVmOptions {
   settings: RoutedSettings;
@@ -126,7 +116,7 @@
     this.#callers = CallerListener.create({
       clock: this.#clock,
       log: this.#log,
-      limits: { ...DEFAULT_CALLER_LIMITS, maxHeaderBytes: MAX_HEADER_BYTES },
+      limits: FIRST_CALLER_LIMITS,
       handler: this,
     });
     const status = this.#buildStatusParts();
@@ -217,28 +207,16 @@
    * is finished, as far as the platform's time for it allows.
    */
   drain(): Promise<void> {
-    this.#drain ??= this.#runDrain();
-    return this.#drain;
-  }
-
-  async #runDrain(): Promise<void> {
-    const { directoryTtlMs, drainGraceMs } = this.#settings;
-    const startedAt = this.#clock.now();
-    this.#log.info("drain_started", { in_flight: this.#inFlight });
-    this.#fleet?.announceAtOnce();
-    await this.#clock.sleep(TTL_FACTOR * directoryTtlMs + TTL_MARGIN_MS);
-    const closed = this.#callers.stop();
-    const endsAt = startedAt + drainGraceMs - END_MARGIN_MS;
-    while (this.#inFlight > 0 && this.#clock.now() < endsAt) {
-      await this.#clock.sleep(IN_FLIGHT_CHECK_MS);
-    }
-    const cut = this.#inFlight;
-    if (cut > 0) this.#log.warn("drain_cut", { in_flight: cut });
-    else await closed;
-    await this.stop();
-    this.#log.info("drain_ended", {
-      ms: Math.round(this.#clock.now() - startedAt),
+    this.#drain ??= runDrain({
+      clock: this.#clock,
+      log: this.#log,
+      settings: this.#settings,
+      getInFlight: () => this.#inFlight,
+      announceAtOnce: () => this.#fleet?.announceAtOnce(),
+      closeCallers: () => this.#callers.stop(),
+      stop: () => this.stop(),
     });
+    return this.#drain;
   }
 
   async #runStop(): Promise<void> {
@@ -301,22 +279,11 @@
       fetchCachedParts: (id) => fetchCachedParts(this.#upstreams, id),
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
-      onSnapshot: (snapshot) => this.#noteSnapshot(snapshot),
+      onSnapshot: ({ callerBounds }) =>
+        this.#callers.updateLimits(buildCallerLimits(callerBounds)),
     });
   }
 
-  #noteSnapshot(snapshot: RoutedSnapshot): void {
-    const bounds = snapshot.callerBounds;
-    const limits: CallerLimits = {
-      ...DEFAULT_CALLER_LIMITS,
-      maxHeaderBytes: bounds.maxHeaderBytes,
-      maxBodyBytes: bounds.maxBodyBytes,
-      headersTimeoutMs: bounds.headersTimeoutMs,
-      keepAliveMs: bounds.idleTimeoutMs + IDLE_MARGIN_MS,
-    };
-    this.#callers.updateLimits(limits);
-  }
-
   #buildStatusParts(): StatusParts {
     return {
       vm: this.#settings.vm,
@@ -338,7 +305,7 @@
   }
 
   #createTransport(
-    findAddress: (vm: VmId) => { address: string; port: number } | undefined,
+    findAddress: HttpTransportOptions["findAddress"],
     options: { allowsUndelimited?: boolean } = {},
   ): HttpUpstreamTransport {
     return HttpUpstreamTransport.create({
--- /dev/null
+++ b/src/process/seeded_fleet/beat_interval.ts
@@ -0,0 +1,44 @@
+/**
+ * How often a VM tells all others that it lives.
+ *
+ * @module
+ */
+
+/** Without news a heartbeat goes out this often, in milliseconds. */
+export const BEAT_EVERY_MS = 150;
+/**
+ * Heartbeats to all grow rarer with their number: a VM sends 10 of them a
+ * second in a large fleet of any size. Those that place requests hear each VM
+ * at every `BEAT_EVERY_MS`, and tell the others whom they miss.
+ */
+const BEAT_PER_PEER_MS = 100;
+/** The same where all hear of each other's work: 100 a second at most. */
+const SMALL_FLEET_BEAT_PER_PEER_MS = 10;
+/** Less than the heartbeats that a live VM may miss. */
+const MOST_GROWTH = 4;
+
+/** The time between heartbeats to all. */
+export class BeatInterval {
+  #ms = BEAT_EVERY_MS;
+
+  static create(): BeatInterval {
+    return new BeatInterval();
+  }
+
+  /** In milliseconds. */
+  get ms(): number {
+    return this.#ms;
+  }
+
+  /**
+   * Follows the number of peers; `isOwned` where some VMs alone place requests.
+   * Grows by `MOST_GROWTH` at a time: one that misses the first rarer
+   * heartbeat expects the next one at the old time, and would else take this
+   * VM for gone before it comes.
+   */
+  update(isOwned: boolean, peerCount: number): void {
+    const perPeerMs = isOwned ? BEAT_PER_PEER_MS : SMALL_FLEET_BEAT_PER_PEER_MS;
+    const wantedMs = Math.max(BEAT_EVERY_MS, perPeerMs * peerCount);
+    this.#ms = Math.min(wantedMs, MOST_GROWTH * this.#ms);
+  }
+}
--- a/src/process/seeded_fleet/datagram_link.ts
+++ b/src/process/seeded_fleet/datagram_link.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import { createSocket, type Socket } from "node:dgram";
-import { type Endpoint, parseEndpoint } from "../../connection/endpoint.ts";
+import {
+  type Endpoint,
+  formatEndpoint,
+  parseEndpoint,
+} from "../../connection/endpoint.ts";
 import { StepError } from "../../errors.ts";
 import type { Log } from "../log.ts";
 
@@ -34,7 +38,11 @@
     const socket = createSocket("udp4");
     return new Promise((resolve, reject) => {
       socket.once("error", (cause) => {
-        const place = { step: "udp_bind", peer: `${address}:${port}`, cause };
+        const place = {
+          step: "udp_bind",
+          peer: formatEndpoint({ address, port }),
+          cause,
+        };
         reject(new StepError(place, "Cannot take datagrams"));
       });
       socket.bind({ address, port }, () => {
@@ -55,7 +63,7 @@
 
   onDatagram(handle: HandleDatagram): void {
     this.#socket.on("message", (bytes, from) => {
-      handle(bytes, `${from.address}:${from.port}`);
+      handle(bytes, formatEndpoint(from));
     });
   }
 
--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_talk.ts
@@ -10,10 +10,12 @@
 import { match } from "ts-pattern";
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
-import type { CancelTimer, Clock } from "../clock.ts";
+import type { Clock } from "../clock.ts";
+import { EarliestTimer } from "../earliest_timer.ts";
 import type { Log } from "../log.ts";
 import type { Random } from "../random.ts";
 import type { DatagramLink } from "./datagram_link.ts";
+import { BEAT_EVERY_MS, BeatInterval } from "./beat_interval.ts";
 import {
   type AnswerMessage,
   type AskMessage,
@@ -27,8 +29,6 @@
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { TalkTargets } from "./talk_targets.ts";
 
-/** Without news a heartbeat goes out this often, in milliseconds. */
-const BEAT_EVERY_MS = 150;
 /**
  * News waits so long for more news, in milliseconds, where each VM decides by
  * itself. In a large fleet the owner counts a request as it places it; how far
@@ -40,16 +40,6 @@
  * VM sends at most 330 such datagrams a second.
  */
 const NEWS_WAIT_PER_PEER_MS = 3;
-/**
- * Heartbeats to all grow rarer with their number: a VM sends 10 of them a
- * second in a large fleet of any size. Those that place requests hear each VM
- * at every `BEAT_EVERY_MS`, and tell the others whom they miss.
- */
-const BEAT_PER_PEER_MS = 100;
-/** Less than the heartbeats that a live VM may miss. */
-const MOST_GROWTH = 4;
-/** The same where all hear of each other's work: 100 a second at most. */
-const SMALL_FLEET_BEAT_PER_PEER_MS = 10;
 /** What is new in a row is told at once, in milliseconds. */
 const STATE_WAIT_MS = 50;
 /** A VM that hears so much of what another one hears needs no list of it. */
@@ -89,25 +79,27 @@
   readonly peers: FleetPeers;
   readonly #options: FleetTalkOptions;
   readonly #targets: TalkTargets;
+  readonly #timer: EarliestTimer;
   #sequence = 0;
   #peerCount = 0;
   #toPlacers = new Set<Endpoint>();
   /** Whether some VMs alone place requests, as the last heartbeat went. */
   #isOwned = false;
   #hasStateNews = false;
-  /** Time between heartbeats to all, in milliseconds. */
-  #allEveryMs = BEAT_EVERY_MS;
+  /** Time between heartbeats to all. */
+  readonly #interval = BeatInterval.create();
   /** When the next one goes to all. */
   #allDueAt = 0;
   #lastBeatAt = -Infinity;
-  #cancelTimer: CancelTimer | undefined;
-  #timerAt = Infinity;
-  #isStopped = false;
 
   constructor(options: FleetTalkOptions) {
     this.#options = options;
     this.peers = FleetPeers.create(options.clock, options.log);
     this.#targets = TalkTargets.create({ ...options, peers: this.peers });
+    this.#timer = EarliestTimer.create(
+      options.clock,
+      (lateMs) => this.#sendBeats(lateMs),
+    );
   }
 
   static create(options: FleetTalkOptions): FleetTalk {
@@ -118,26 +110,25 @@
     this.#options.link.onDatagram((bytes, from) =>
       this.#handleDatagram(bytes, from)
     );
-    this.#sendBeats();
+    this.#sendBeats(0);
   }
 
   stop(): void {
-    this.#isStopped = true;
-    this.#cancelTimer?.();
+    this.#timer.stop();
   }
 
   /** Tells those that place requests soon of news of this VM's work. */
   announceNews(): void {
     if (this.#isOwned) return;
     const perPeerMs = NEWS_WAIT_PER_PEER_MS * this.#peerCount;
-    this.#setTimer(this.#lastBeatAt + Math.max(NEWS_WAIT_MS, perPeerMs));
+    this.#timer.setBy(this.#lastBeatAt + Math.max(NEWS_WAIT_MS, perPeerMs));
   }
 
   /** Tells all, or some in a large fleet, that a version or list is newer. */
   announceState(): void {
     if (!this.#isOwned) return this.announceAtOnce();
     this.#hasStateNews = true;
-    this.#setTimer(this.#lastBeatAt + STATE_WAIT_MS);
+    this.#timer.setBy(this.#lastBeatAt + STATE_WAIT_MS);
   }
 
   /** Tells all at once what callers depend on. */
@@ -152,24 +143,11 @@
 
   #setAllDue(at: number): void {
     this.#allDueAt = Math.min(this.#allDueAt, at);
-    this.#setTimer(this.#allDueAt);
-  }
-
-  #setTimer(at: number): void {
-    if (this.#isStopped || at >= this.#timerAt) return;
-    this.#cancelTimer?.();
-    const { clock } = this.#options;
-    this.#timerAt = at;
-    this.#cancelTimer = clock.startTimer(
-      Math.max(0, at - clock.now()),
-      () => this.#sendBeats(),
-    );
+    this.#timer.setBy(this.#allDueAt);
   }
 
-  #sendBeats(): void {
+  #sendBeats(lateMs: number): void {
     const now = this.#options.clock.now();
-    const lateMs = now - this.#timerAt;
-    this.#timerAt = Infinity;
     this.#lastBeatAt = now;
     this.#checkSilence(lateMs);
     const placers = this.#options.listPlacers();
@@ -185,7 +163,7 @@
     this.#toPlacers = toPlacers;
     this.#sendWork(toPlacers);
     this.#sendPlain(others);
-    this.#setTimer(
+    this.#timer.setBy(
       this.#isOwned
         ? Math.min(this.#allDueAt, now + BEAT_EVERY_MS)
         : this.#allDueAt,
@@ -218,7 +196,7 @@
   }
 
   #sendWork(to: Iterable<Endpoint>): void {
-    const nextMs = this.#isOwned ? BEAT_EVERY_MS : this.#allEveryMs;
+    const nextMs = this.#isOwned ? BEAT_EVERY_MS : this.#interval.ms;
     const work = this.#options.takeWork();
     const bytes = encodeMessage({ ...this.#buildBeat(nextMs), work });
     for (const each of to) this.#options.link.send(each, bytes);
@@ -227,29 +205,16 @@
   /** Leaves the news to those that are told of work. */
   #sendPlain(to: ReadonlySet<Endpoint>): void {
     if (to.size === 0) return;
-    const bytes = encodeMessage(this.#buildBeat(this.#allEveryMs));
+    const bytes = encodeMessage(this.#buildBeat(this.#interval.ms));
     for (const each of to) this.#options.link.send(each, bytes);
   }
 
-  /**
-   * Grows by `MOST_GROWTH` at a time: one that misses the first rarer
-   * heartbeat expects the next one at the old time, and would else take this
-   * VM for gone before it comes.
-   */
-  #updateAllEvery(): void {
-    const perPeerMs = this.#isOwned
-      ? BEAT_PER_PEER_MS
-      : SMALL_FLEET_BEAT_PER_PEER_MS;
-    const wantedMs = Math.max(BEAT_EVERY_MS, perPeerMs * this.#peerCount);
-    this.#allEveryMs = Math.min(wantedMs, MOST_GROWTH * this.#allEveryMs);
-  }
-
   /** Who gets a heartbeat now, beside those that place requests. */
   #listTargets(now: number): Set<Endpoint> {
     const retried = this.#targets.listRetried();
     if (!this.#isOwned || now >= this.#allDueAt) {
-      this.#updateAllEvery();
-      this.#allDueAt = now + this.#allEveryMs;
+      this.#interval.update(this.#isOwned, this.#peerCount);
+      this.#allDueAt = now + this.#interval.ms;
       return new Set([...this.#targets.listLive(), ...retried]);
     }
     const some = this.#hasStateNews ? this.#targets.pickSome() : [];
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -5,7 +5,7 @@
  */
 export type { AnswerMessage, AskMessage, FleetWork } from "./fleet_message.ts";
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
-export type { FleetPeer } from "./fleet_peers.ts";
+export type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 export { FleetTalk } from "./fleet_talk.ts";
 export type { BeatContent } from "./fleet_talk.ts";
 export {
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -27,6 +27,7 @@
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { RecentlyLapsed } from "./recently_lapsed.ts";
+import { listChanges, writeChanges } from "./replica_changes.ts";
 
 /** VMs that watch the store: two may fail without a gap. */
 const WATCHERS = 3;
@@ -127,9 +128,7 @@
   }
 
   /** What this VM has beyond what another one knows. */
-  buildHandedState(
-    known: KnownVersions,
-  ): HandedState {
+  buildHandedState(known: KnownVersions): HandedState {
     const { replicas } = this.#options;
     const state: HandedState = {};
     const configuration = this.#configuration;
@@ -292,31 +291,9 @@
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     if (!replicas.apply(list)) return;
-    const { revision } = list;
     const changes = listChanges(before, list);
-    if (before.revision === 0) {
-      log.info("replicas_listed", { count: changes.length, revision, from });
-    } else {
-      for (const { replica, change } of changes) {
-        log.info("replica_changed", { replica, change, revision, from });
-      }
-    }
-    if (changes.length > 0) this.#options.onReplicas();
-  }
-}
-
-interface ReplicaChange {
-  replica: VmId;
-  change: string;
-}
-
-function listChanges(before: ReplicaList, after: ReplicaList): ReplicaChange[] {
-  const old = new Map(before.replicas.map((each) => [each.id, each.state]));
-  const changes: ReplicaChange[] = [];
-  for (const { id, state } of after.replicas) {
-    if (old.get(id) !== state) changes.push({ replica: id, change: state });
-    old.delete(id);
+    if (changes.length === 0) return;
+    writeChanges(log, changes, { list, from, isFirst: before.revision === 0 });
+    this.#options.onReplicas();
   }
-  for (const id of old.keys()) changes.push({ replica: id, change: "gone" });
-  return changes;
 }
--- a/src/process/seeded_fleet/talk_targets.ts
+++ b/src/process/seeded_fleet/talk_targets.ts
@@ -55,8 +55,7 @@
 
   /** Some of those that are heard, for news that others tell as well. */
   pickSome(): Endpoint[] {
-    const shuffled = this.#options.random.pickOrder(this.listLive());
-    return shuffled.slice(0, STATE_NEWS_PEERS);
+    return this.#options.random.pickSome(this.listLive(), STATE_NEWS_PEERS);
   }
 
   /**
@@ -70,8 +69,7 @@
       now - this.#startedAt < EAGER_MS;
     if (!isEager && now - this.#lastRetryAt < RETRY_EVERY_MS) return [];
     this.#lastRetryAt = now;
-    const silent = random.pickOrder(peers.listSilent())
-      .slice(0, RETRIED_PEERS)
+    const silent = random.pickSome(peers.listSilent(), RETRIED_PEERS)
       .map((peer) => peer.endpoint);
     return [...silent, ...getSeeds()].filter((each) => each !== self);
   }
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -15,7 +15,6 @@
   PREFIXES_PATH,
   STATE_PATH,
 } from "./seeded_fleet/peer_calls.ts";
-
 import type { KnownVersions } from "./seeded_fleet/state_follower.ts";
 
 const STATUS_PATH = "/v1/status";
--- a/src/request/routed_call_work.ts
+++ b/src/request/routed_call_work.ts
@@ -8,7 +8,7 @@
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
 import { RoutedWork, type RoutedWorkStart } from "./routed_work.ts";
-import { BrokenAnswerError, type RelayOptions } from "./upstream_work.ts";
+import { checkWanted, type RelayOptions } from "./upstream_work.ts";
 
 /**
  * Bodies up to this size, in bytes, are read whole before the first byte goes
@@ -43,9 +43,7 @@
     const held: Uint8Array[] = [];
     let heldBytes = 0;
     for await (const bytes of answer.body) {
-      if (options.signal.aborted) {
-        throw BrokenAnswerError.create("The call was given up");
-      }
+      checkWanted(options);
       if (!sink.headWritten) {
         held.push(bytes);
         heldBytes += bytes.length;
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -82,9 +82,10 @@
     try {
       await this.#run(this.#check(request, sink));
     } catch (thrown) {
-      const refusal = this.#toRefusal(request, thrown);
+      const requestId = this.#findRequestId(request);
+      const refusal = this.#toRefusal(thrown, request.path, requestId);
       await writeRefusal(sink, refusal, {
-        requestId: this.#findRequestId(request),
+        requestId,
         ...buildRoutedRefusal(refusal),
       });
     }
@@ -162,12 +163,14 @@
     return requestId === undefined ? undefined : toId<RequestId>(requestId);
   }
 
-  #toRefusal(request: CallerRequest, thrown: unknown): Refusal {
+  #toRefusal(
+    thrown: unknown,
+    path: string,
+    request_id: RequestId | undefined,
+  ): Refusal {
     const { log } = this.#options.services.environment;
-    const request_id = this.#findRequestId(request);
     if (thrown instanceof RefusalError) {
       const { code, outcome, message } = thrown.refusal;
-      const path = request.path;
       log.info("request_refused", {
         request_id,
         path,
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -10,7 +10,11 @@
 } from "../connection/upstream_transport.ts";
 import { RoutedWork, type RoutedWorkStart } from "./routed_work.ts";
 import { listEvents } from "./sse_events.ts";
-import { BrokenAnswerError, type RelayOptions } from "./upstream_work.ts";
+import {
+  BrokenAnswerError,
+  checkWanted,
+  type RelayOptions,
+} from "./upstream_work.ts";
 
 /**
  * A resumable stream that stays silent for so long goes on at another replica,
@@ -122,8 +126,3 @@
     await run.start.sink.write(frame.bytes);
   }
 }
-
-function checkWanted(options: RelayOptions): void {
-  if (!options.signal.aborted) return;
-  throw BrokenAnswerError.create("The call was given up");
-}
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -14,6 +14,7 @@
 import { copyServiceHeaders } from "./service_call.ts";
 import {
   BrokenAnswerError,
+  checkWanted,
   type LeaseNeeds,
   type RelayOptions,
   UpstreamWork,
@@ -89,9 +90,7 @@
     const headers = buildAnswerHeaders(run, answer.headers);
     this.#collector.noteHead(answer.status, headers);
     for await (const bytes of answer.body) {
-      if (options.signal.aborted) {
-        throw BrokenAnswerError.create("The call was given up");
-      }
+      checkWanted(options);
       // The head waits for the first byte of the body, so that an answer that
       // breaks before it can still be tried elsewhere.
       if (!sink.headWritten) sink.writeHead(answer.status, headers);
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -48,6 +48,11 @@
   onWhole: () => void;
 }
 
+/** Throws when the try is over. */
+export function checkWanted({ signal }: RelayOptions): void {
+  if (signal.aborted) throw BrokenAnswerError.create("The call was given up");
+}
+
 /** What a lease is asked for with that depends on the kind of work. */
 export type LeaseNeeds = Pick<
   LeaseRequest,
--- a/src/tool/load_command.ts
+++ b/src/tool/load_command.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SocketAddress } from "../connection/endpoint.ts";
 import { Agent as HttpAgent } from "node:http";
 import { Agent as HttpsAgent } from "node:https";
 import type { Snapshot } from "../version/index.ts";
@@ -219,7 +220,7 @@
 
 function toEntryUrl(
   url: URL,
-  entry: { address: string; port: number },
+  entry: SocketAddress,
 ): URL {
   const host = entry.address.includes(":")
     ? `[${entry.address}]`
--- a/test/platform/fleet_test.ts
+++ b/test/platform/fleet_test.ts
@@ -4,12 +4,8 @@
 import { waitUntil } from "../support/loopback.ts";
 import { Relay } from "../support/relay.ts";
 import { buildConfiguration, KEY, ROUTES } from "./configurations.ts";
-import {
-  PlatformFleet,
-  sendCall,
-  sendRequest,
-  type TestVm,
-} from "./platform_fleet.ts";
+import { sendCall } from "./caller_call.ts";
+import { PlatformFleet, sendRequest, type TestVm } from "./platform_fleet.ts";
 
 const BOUND_MS = 2_000;
 
--- a/test/platform/pass_through_test.ts
+++ b/test/platform/pass_through_test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from "vitest";
 import { startServer, waitUntil } from "../support/loopback.ts";
 import { KEY } from "./configurations.ts";
-import { PlatformFleet, sendCall, sendRequest } from "./platform_fleet.ts";
+import { sendCall } from "./caller_call.ts";
+import { PlatformFleet, sendRequest } from "./platform_fleet.ts";
 
 describe("a call on the platform", () => {
   it("is passed on unchanged, with what only the router may say", async () => {
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -5,12 +5,8 @@
  *
  * @module
  */
-import http from "node:http";
 import { onTestFinished } from "vitest";
-import {
-  createDirectoryListener,
-  createReadinessListener,
-} from "../../platform/entry_points.ts";
+import { startEntryPoints } from "../../platform/entry_points.ts";
 import { PlatformDialect } from "../../platform/headers.ts";
 import { fetchCachedParts } from "../../platform/replica_lists.ts";
 import { PlatformStore } from "../../platform/store.ts";
@@ -20,6 +16,7 @@
 import { RoutedVm } from "../../src/process/routed_vm.ts";
 import { findFreePorts } from "../../demo/free_ports.ts";
 import { LOOPBACK, waitUntil } from "../support/loopback.ts";
+import { sendCall, type TestAnswer, type TestCall } from "./caller_call.ts";
 import { buildConfiguration, HOST, KEY } from "./configurations.ts";
 import { ReplicaStandIn } from "./replica_stand_in.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
@@ -102,23 +99,8 @@
   }
 
   async #startSides(vm: RoutedVm, settings: RoutedSettings): Promise<void> {
-    const log = SilentLog.create();
-    const directory = createDirectoryListener({
-      log,
-      ttlMs: settings.directoryTtlMs,
-      listEntries: () => vm.listEntries(),
-    });
-    const readiness = createReadinessListener({
-      log,
-      isServing: () => vm.isServing(),
-    });
-    for (
-      const [listener, endpoint] of [
-        [directory, settings.listeners.directory],
-        [readiness, settings.listeners.readiness],
-      ] as const
-    ) {
-      await listener.startAt(endpoint);
+    const listeners = await startEntryPoints(vm, settings, SilentLog.create());
+    for (const listener of listeners) {
       onTestFinished(() => listener.closeAll());
       onTestFinished(() => void listener.stop());
     }
@@ -150,25 +132,6 @@
   }
 }
 
-/** A whole answer, or how it broke. */
-export interface TestAnswer {
-  status: number;
-  headers: http.IncomingHttpHeaders;
-  body: string;
-  isWhole: boolean;
-}
-
-/** What a caller sends. */
-export interface TestCall {
-  path: string;
-  method?: string;
-  headers?: Record<string, string>;
-  body?: string;
-  timeoutMs?: number;
-  /** Aborts as a caller that leaves. */
-  signal?: AbortSignal;
-}
-
 /** Calls a VM as a caller; status 0 where no answer came. */
 export function sendRequest(
   to: TestVm,
@@ -185,39 +148,3 @@
     },
   });
 }
-
-/** Sends a call to `ADDRESS:PORT`. */
-export function sendCall(
-  endpoint: string,
-  options: TestCall,
-): Promise<TestAnswer> {
-  const [host, port] = endpoint.split(":");
-  return new Promise((resolve) => {
-    const answer: TestAnswer = {
-      status: 0,
-      headers: {},
-      body: "",
-      isWhole: false,
-    };
-    const request = http.request({
-      host,
-      port: Number(port),
-      method: options.method ?? "POST",
-      path: options.path,
-      headers: options.headers ?? {},
-      agent: false,
-      ...(options.signal ? { signal: options.signal } : {}),
-    }, (response) => {
-      answer.status = response.statusCode ?? 0;
-      answer.headers = response.headers;
-      response.on("data", (chunk) => answer.body += chunk);
-      response.on("error", () => resolve(answer));
-      response.on("end", () => {
-        answer.isWhole = response.complete;
-        resolve(answer);
-      });
-    });
-    request.on("error", () => resolve(answer));
-    request.end(options.body ?? "");
-  });
-}
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import type { ServerResponse } from "node:http";
 import {
   HttpStandIn,
@@ -132,7 +133,3 @@
     response.end();
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -54,17 +54,19 @@
   }
 }
 
+interface TalkOptions {
+  seeds: string[];
+  incarnation?: string;
+  takeResults?: () => FleetWork["results"];
+  /** All others, if left out. */
+  placers?: string[];
+  onBeat?: (peer: FleetPeer) => void;
+}
+
 function startTalk(
   network: FakeNetwork,
   index: number,
-  options: {
-    seeds: string[];
-    incarnation?: string;
-    takeResults?: () => FleetWork["results"];
-    /** All others, if left out. */
-    placers?: string[];
-    onBeat?: (peer: FleetPeer) => void;
-  },
+  options: TalkOptions,
 ): FleetTalk {
   const vm = toId<VmId>(`vm-${index}`);
   const self = `10.0.0.${index}:1`;
@@ -110,6 +112,17 @@
   return talk;
 }
 
+function startTalks(
+  network: FakeNetwork,
+  count: number,
+  options: TalkOptions,
+): FleetTalk[] {
+  return Array.from(
+    { length: count },
+    (_, index) => startTalk(network, index + 1, options),
+  );
+}
+
 function listNames(talk: FleetTalk): string[] {
   return talk.peers.listLive().map(({ beat }) => beat.vm).sort();
 }
@@ -171,10 +184,7 @@
   it("send a bounded number of datagrams, however many they are", async () => {
     const network = new FakeNetwork();
     const count = 90;
-    const talks = Array.from(
-      { length: count },
-      (_, index) => startTalk(network, index + 1, { seeds: ["10.0.0.1:1"] }),
-    );
+    const talks = startTalks(network, count, { seeds: ["10.0.0.1:1"] });
     await network.clock.run(3_000);
     expect(listNames(talks[7]!)).toHaveLength(count - 1);
     network.sent = 0;
@@ -192,11 +202,7 @@
   it("hear of a silent one by those that place requests", async () => {
     const network = new FakeNetwork();
     const placers = ["vm-1", "vm-2", "vm-3"];
-    const talks = Array.from(
-      { length: 90 },
-      (_, index) =>
-        startTalk(network, index + 1, { seeds: ["10.0.0.1:1"], placers }),
-    );
+    const talks = startTalks(network, 90, { seeds: ["10.0.0.1:1"], placers });
     await network.clock.run(4_000);
     expect(listNames(talks[7]!)).toHaveLength(89);
     talks[50]!.stop();
@@ -214,10 +220,7 @@
     const network = new FakeNetwork();
     const placers = ["vm-1", "vm-2"];
     const seeds = ["10.0.0.1:1", "10.0.0.40:1"];
-    const talks = Array.from(
-      { length: 40 },
-      (_, index) => startTalk(network, index + 1, { seeds, placers }),
-    );
+    const talks = startTalks(network, 40, { seeds, placers });
     await network.clock.run(8_000);
     for (let left = 1; left <= 20; left++) {
       for (let right = 21; right <= 40; right++) {
@@ -236,11 +239,7 @@
   it("send news to those that place requests alone", async () => {
     const network = new FakeNetwork();
     const placers = ["vm-1", "vm-2", "vm-3"];
-    const talks = Array.from(
-      { length: 90 },
-      (_, index) =>
-        startTalk(network, index + 1, { seeds: ["10.0.0.1:1"], placers }),
-    );
+    const talks = startTalks(network, 90, { seeds: ["10.0.0.1:1"], placers });
     await network.clock.run(4_000);
     network.sent = 0;
     for (let step = 0; step < 100; step++) {
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { SeededRandom } from "../../src/process/random.ts";
 import { waitUntil } from "../support/process_fleet.ts";
 import { SOAK_ROUTES, SoakCaller } from "./soak_callers.ts";
@@ -61,7 +62,6 @@
   options: SoakOptions,
 ): Promise<SoakReport> {
   const plan = buildPlan(options);
-  const spans = watchStore(fleet);
   const machine = watchMachine();
   const endsAt = performance.now() + options.forMs;
   const callers = Array.from(
@@ -77,7 +77,7 @@
   const ended = watchEnds(fleet);
   const startedAt = endsAt - options.forMs;
   const faults = plan.map(async ({ at, fault }) => {
-    await sleep(startedAt + at - performance.now());
+    await sleep(Math.max(0, startedAt + at - performance.now()));
     await fleet.applyFault(fault);
   });
   const requests = (await Promise.all(calls)).flat();
@@ -85,7 +85,6 @@
   await fleet.waitRestarts();
   const broken: SoakReport["broken"] = await checkRecovery(fleet, options);
   ended.stop();
-  spans.stop();
   machine.stop();
   await sleep(SETTLE_MS);
   broken.push(
@@ -95,7 +94,7 @@
       runs: fleet.countRuns(),
       revoked: fleet.revoked,
       published: fleet.published,
-      isStoreDisturbed: spans.isDisturbed,
+      isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
       isMachineBusy: machine.isBusy,
     }) satisfies BrokenPromise[],
   );
@@ -163,22 +162,6 @@
   };
 }
 
-/** Notes when the store, or a VM's way to it, was disturbed. */
-function watchStore(fleet: SoakFleet) {
-  const times: number[] = [];
-  const timer = setInterval(() => {
-    if (times.at(-1) !== fleet.storeDisturbedAt) {
-      times.push(fleet.storeDisturbedAt);
-    }
-  }, 20);
-  const longestMs = 4_000;
-  return {
-    stop: () => clearInterval(timer),
-    isDisturbed: (from: number, to: number) =>
-      times.some((at) => at >= from - longestMs && at <= to + longestMs),
-  };
-}
-
 /**
  * Notes when timers of this process fire late: then other work has the
  * processors, and no time that the daemons take says anything of them.
@@ -204,7 +187,3 @@
   for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
   return counts;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, Math.max(0, ms)));
-}
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -5,6 +5,7 @@
  */
 import http from "node:http";
 import type { SeededRandom } from "../../src/process/random.ts";
+import { sendCall, type TestAnswer } from "../platform/caller_call.ts";
 import { HOST } from "../platform/configurations.ts";
 import { type SoakFleet, STANDING_KEY } from "./soak_fleet.ts";
 import type { SoakVm } from "./soak_vm.ts";
@@ -28,7 +29,7 @@
 ] as const;
 
 /** One request and how it ended; times by `performance.now()`. */
-export interface SoakRequest {
+export interface SoakRequest extends TestAnswer {
   id: string;
   route: typeof SOAK_ROUTES[number];
   key: string;
@@ -37,12 +38,6 @@
   isDisturbed: boolean;
   sentAt: number;
   endedAt: number;
-  /** 0 where no answer began. */
-  status: number;
-  headers: http.IncomingHttpHeaders;
-  body: string;
-  /** Whether the answer came to its end. */
-  isWhole: boolean;
 }
 
 /** One caller that sends one request after the other. */
@@ -89,54 +84,26 @@
   ): Promise<SoakRequest> {
     this.#sent += 1;
     const isChanging = this.#random.nextInt(CHANGING_KEY_ONE_IN) === 0;
-    const request: SoakRequest = {
-      id: `${this.#name}-${this.#sent}`,
-      route,
-      key: isChanging
-        ? this.#random.pick(this.#fleet.changingKeys)!
-        : STANDING_KEY,
-      vm: vm.name,
-      isDisturbed: false,
-      sentAt: performance.now(),
-      endedAt: 0,
-      status: 0,
-      headers: {},
-      body: "",
-      isWhole: false,
-    };
-    await this.#runCall(vm, request);
-    request.endedAt = performance.now();
-    request.isDisturbed = vm.hasEnded || vm.isEndExpected ||
-      vm.disturbedAt > request.sentAt - DISTURBED_MS;
-    return request;
-  }
-
-  #runCall(vm: SoakVm, request: SoakRequest): Promise<void> {
-    return new Promise((resolve) => {
-      const call = http.request({
-        agent: this.#agent,
-        host: vm.address,
-        port: vm.callersPort,
-        method: "POST",
-        path: request.route.path,
-        timeout: GIVE_UP_MS,
-        headers: {
-          host: HOST,
-          authorization: `Bearer ${request.key}`,
-          "x-request-id": request.id,
-          "x-timeout-ms": String(CALL_TIMEOUT_MS),
-        },
-      }, (answer) => {
-        request.status = answer.statusCode ?? 0;
-        request.headers = answer.headers;
-        answer.on("data", (chunk: Buffer) => request.body += chunk.toString());
-        answer.on("end", () => request.isWhole = answer.complete);
-        answer.on("error", () => resolve());
-        answer.on("close", () => resolve());
-      });
-      call.on("timeout", () => call.destroy());
-      call.on("error", () => resolve());
-      call.end();
+    const id = `${this.#name}-${this.#sent}`;
+    const key = isChanging
+      ? this.#random.pick(this.#fleet.changingKeys)!
+      : STANDING_KEY;
+    const sentAt = performance.now();
+    const answer = await sendCall(`${vm.address}:${vm.callersPort}`, {
+      agent: this.#agent,
+      path: route.path,
+      giveUpMs: GIVE_UP_MS,
+      headers: {
+        host: HOST,
+        authorization: `Bearer ${key}`,
+        "x-request-id": id,
+        "x-timeout-ms": String(CALL_TIMEOUT_MS),
+      },
     });
+    const isDisturbed = vm.hasEnded || vm.isEndExpected ||
+      vm.disturbedAt > sentAt - DISTURBED_MS;
+    const endedAt = performance.now();
+    const request = { id, route, key, vm: vm.name, sentAt, endedAt };
+    return { ...request, isDisturbed, ...answer };
   }
 }
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -20,6 +21,8 @@
 /** A key that every configuration allows. */
 export const STANDING_KEY = "key-standing";
 const DRAIN_GRACE_MS = 4_000;
+/** VMs have read the store so long after a fault of it ended. */
+const READ_WITHIN_MS = 4_000;
 /** A process that was told to end and has not after so long is killed. */
 const END_LIMIT_MS = DRAIN_GRACE_MS + 4_000;
 
@@ -42,13 +45,13 @@
   readonly revoked: RevokedKey[] = [];
   /** When the newest key was published. */
   readonly published = new Map<string, number>();
-  /** Until when, at least, VMs may not have what was published. */
-  storeDisturbedAt = -Infinity;
   readonly #store = StoreStandIn.create();
   readonly #storeRelays: Relay[] = [];
   readonly #directory: string;
   readonly #children: ChildProcessGroup;
   readonly #restarts: Promise<void>[] = [];
+  /** When a fault of the store, or of a VM's way to it, began or ended. */
+  readonly #storeFaults: number[] = [];
   #version = 1;
   #key = "key-1";
   #isClosed = false;
@@ -93,6 +96,13 @@
     return counts;
   }
 
+  /** Whether VMs may have been unable to read what was published. */
+  isStoreDisturbed(from: number, to: number): boolean {
+    return this.#storeFaults.some((at) =>
+      at >= from - READ_WITHIN_MS && at <= to + READ_WITHIN_MS
+    );
+  }
+
   /** Brings a fault about; resolves when it is over. */
   async applyFault(fault: Fault): Promise<void> {
     await match(fault)
@@ -253,7 +263,7 @@
   }
 
   #noteStore(): void {
-    this.storeDisturbedAt = performance.now();
+    this.#storeFaults.push(performance.now());
   }
 
   #updateKey(): void {
@@ -270,7 +280,3 @@
     this.#store.put("op/config", buildConfiguration(this.#version, { keys }));
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
