Take a silent call for a queue while its replica sends to others

Cause: a resumable stream was cut after 1 s without a byte, and sent elsewhere. Streams whose replica really broke off then had no retry left and were cut. Ruled out: dead replicas (344 first-byte timeouts at replicas that sent tokens of other streams in the same second).

Now a try waits on while any of this VM's calls hears its replica, while its predicted wait lasts, or while no retry is to be had.

--- a/src/connection/call_watch.ts
+++ b/src/connection/call_watch.ts
@@ -28,6 +28,8 @@
   readonly #onPassed: (kind: LimitKind) => void;
   readonly #endsAt: number;
   #waitingSince: number | undefined;
+  /** Until then silence was allowed; counts anew from there. */
+  #allowedUntil = -Infinity;
   #hasByte = false;
   #checkAt = Infinity;
   #cancelTimer: CancelTimer | undefined;
@@ -90,7 +92,12 @@
       : this.#limits.firstByteMs;
     // The timer is set by the same sum: another one could round to a moment
     // just after it, and the check would be set to now again without end.
-    const passesAt = (this.#waitingSince ?? now) + limitMs;
+    const passesAt = this.#computeSilentSince(now) + limitMs;
+    if (now >= passesAt && this.#limits.mayWaitOn?.() === true) {
+      this.#allowedUntil = now;
+      this.#startTimer(Math.min(this.#endsAt, now + limitMs), now);
+      return;
+    }
     if (now >= passesAt) {
       this.#onPassed(
         this.#hasByte ? "between_bytes_timeout" : "first_byte_timeout",
@@ -100,6 +107,10 @@
     this.#startTimer(Math.min(this.#endsAt, passesAt), now);
   }
 
+  #computeSilentSince(now: number): number {
+    return Math.max(this.#waitingSince ?? now, this.#allowedUntil);
+  }
+
   #startTimer(checkAt: number, now: number): void {
     this.#cancelTimer?.();
     this.#checkAt = checkAt;
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -12,6 +12,11 @@
   firstByteMs: number;
   betweenBytesMs: number;
   totalMs: number;
+  /**
+   * Asked when a limit on silence has passed: true grants the same time again.
+   * The total limit holds whatever it says.
+   */
+  mayWaitOn?: () => boolean;
 }
 
 /** One call to one upstream. */
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -22,6 +22,12 @@
 
 const DEFAULT_PRIORITY = 5;
 const NO_REPLICA_RETRY_MS = 400;
+/**
+ * A request may wait so many times its predicted wait before silence tells
+ * anything: predictions of long waits are short by a half at times, since
+ * running streams slow the reading down.
+ */
+const PREDICTION_SLACK = 2;
 
 /** Asks a pool's owner; undefined where this VM is to decide by itself. */
 export type AskOwner = (
@@ -131,7 +137,16 @@
     return this.#options.directory.isReady(this.upstream);
   }
 
+  override isUpstreamAlive(): boolean {
+    const { clock, placement, state } = this.#options;
+    const waitedMs = clock.now() - this.#grantedAt;
+    const isExpected = !this.#hasOutput &&
+      waitedMs < PREDICTION_SLACK * placement.predictedMs;
+    return isExpected || state.signs.isAlive(this.upstream);
+  }
+
   noteProgress(progress: LeaseProgress): void {
+    if (progress.tokens > 0) this.#options.state.signs.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
     this.#hasOutput = true;
     this.#work.noteFirstOutput();
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -9,6 +9,7 @@
 import { ReadingShares } from "./reading_shares.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
+import { ReplicaSigns } from "./replica_signs.ts";
 import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
 
 /** What VMs tell each other; all but the loads is told once. */
@@ -34,6 +35,7 @@
   readonly speeds: ReplicaSpeeds;
   readonly prefixes: PrefixMemory;
   readonly readings: ReadingShares;
+  readonly signs: ReplicaSigns;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onNews, onEjected } = options;
@@ -45,6 +47,7 @@
     this.speeds = ReplicaSpeeds.create(clock);
     this.prefixes = PrefixMemory.create(clock);
     this.readings = ReadingShares.create(clock);
+    this.signs = ReplicaSigns.create(clock);
   }
 
   static create(options: PlacementStateOptions): PlacementState {
@@ -78,5 +81,6 @@
     this.health.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
     this.readings.dropUnlisted(isListed);
+    this.signs.dropUnlisted(isListed);
   }
 }
--- a/src/process/retry_budget.ts
+++ b/src/process/retry_budget.ts
@@ -53,15 +53,19 @@
     this.#getBucket(pool).firstTries++;
   }
 
-  takeRetry(pool: PoolName): boolean {
+  hasRetry(pool: PoolName): boolean {
     const { getShare, getReserve } = this.#options;
-    const bucket = this.#getBucket(pool);
+    this.#getBucket(pool);
     const buckets = this.#pools.get(pool)!;
     const firstTries = addAll(buckets.map((each) => each.firstTries));
     const retries = addAll(buckets.map((each) => each.retries));
     const reserve = getReserve?.() ?? DEFAULT_RESERVE;
-    if (retries + 1 > getShare() * firstTries + reserve) return false;
-    bucket.retries++;
+    return retries + 1 <= getShare() * firstTries + reserve;
+  }
+
+  takeRetry(pool: PoolName): boolean {
+    if (!this.hasRetry(pool)) return false;
+    this.#getBucket(pool).retries++;
     return true;
   }
 
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -63,6 +63,14 @@
    * send: a process that was paused finds out here.
    */
   abstract isValid(): boolean;
+  /**
+   * Whether the upstream shows signs of life, by any work there: then silence
+   * on this lease's call is a queue, and not a failure.
+   */
+  isUpstreamAlive(): boolean {
+    return false;
+  }
+
   abstract noteProgress(progress: LeaseProgress): void;
   /** Gives the slot back; the first call counts. */
   abstract release(
@@ -128,6 +136,8 @@
 /** A share of first tries that may be retried, so that retries cannot pile. */
 export abstract class RetryBudget {
   abstract noteFirstTry(pool: PoolName): void;
+  /** Whether `takeRetry` would succeed now. */
+  abstract hasRetry(pool: PoolName): boolean;
   /** Takes one retry, or returns false when the budget is spent. */
   abstract takeRetry(pool: PoolName): boolean;
 }
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -173,7 +173,10 @@
       ...call,
       upstream: lease.upstream,
       freshConnection: !run.start.idempotent,
-      limits: computeLimits(run, work),
+      limits: {
+        ...computeLimits(run, work),
+        mayWaitOn: () => isWorthWaiting(run, work, lease),
+      },
       signal: cancel.signal,
       canSend: () => run.start.isClaimStanding() && lease.isValid(),
     });
@@ -287,6 +290,25 @@
   }
 }
 
+/**
+ * Whether a silent try should go on: its replica works on what came before, or
+ * nothing could take the try's place.
+ *
+ * Without this a queue at the replicas is taken for their death. Requests are
+ * cut while they wait, read again at another replica that is as busy, and spend
+ * the retry budget that real failures need: seen as first-byte timeouts and
+ * ejections at replicas that answer others. A stream cut with no retry left
+ * would be lost to its caller for nothing.
+ */
+function isWorthWaiting(
+  run: RequestRun,
+  work: UpstreamWork,
+  lease: HeldLease,
+): boolean {
+  return lease.isUpstreamAlive() ||
+    !run.services.budget.hasRetry(work.pool.name);
+}
+
 function computeLimits(run: RequestRun, work: UpstreamWork): CallLimits {
   const leftMs = run.deadlineAt - run.services.environment.clock.now();
   const limits = work.computeLimits(leftMs);
--- a/test/connection/call_watch_test.ts
+++ b/test/connection/call_watch_test.ts
@@ -30,3 +30,40 @@
   watch.stop();
   expect(passed).toEqual(["first_byte_timeout"]);
 });
+
+// Symptom: under a flood of long prompts requests are cut while they wait for
+// their first byte, sent again elsewhere, and read a second time there.
+// Sequence: a replica reads the prompts ahead for longer than the limit on
+// silence, and sends tokens of other requests all the while.
+// Cause: the limit looked at one call only and took a queue for a dead replica.
+it("waits on past a limit on silence while it is told to", async () => {
+  const clock = VirtualClock.create();
+  let mayWaitOn = true;
+  const passed: [string, number][] = [];
+  const watch = CallWatch.create(clock, {
+    firstByteMs: 1_000,
+    betweenBytesMs: 1_000,
+    totalMs: 60_000,
+    mayWaitOn: () => mayWaitOn,
+  }, { onPassed: (kind) => passed.push([kind, clock.now()]) });
+  await clock.run(2_500);
+  expect(passed).toEqual([]);
+  mayWaitOn = false;
+  await clock.run(1_000);
+  watch.stop();
+  expect(passed).toEqual([["first_byte_timeout", 3_000]]);
+});
+
+it("ends at the total limit whatever it is told", async () => {
+  const clock = VirtualClock.create();
+  const passed: string[] = [];
+  const watch = CallWatch.create(clock, {
+    firstByteMs: 400,
+    betweenBytesMs: 400,
+    totalMs: 1_000,
+    mayWaitOn: () => true,
+  }, { onPassed: (kind) => passed.push(kind) });
+  await clock.run(1_001);
+  watch.stop();
+  expect(passed).toEqual(["total_timeout"]);
+});
