Keep replicas for talks, as many as talk, while long prompts go to others

Cause: a replica reads prompts in chunks between tokens. Ruled out: slow first events (157 ms at the median), a fixed share of replicas (does not fit all loads).

Talks are the classes whose callers accept the shortest pauses of their pool.

--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -10,6 +10,12 @@
 import type { PrefixMemory } from "./prefix_memory.ts";
 import type { ListedReplica } from "./replica_list.ts";
 import type { ReplicaLoad } from "./load_totals.ts";
+import {
+  computeTalkSplit,
+  type LoadedReplica,
+  NO_SPLIT,
+  type TalkSplit,
+} from "./talk_replicas.ts";
 
 /**
  * Reading a part again costs its own request and all that wait behind it, so
@@ -26,9 +32,11 @@
 const WAITING_PROMPT_TOKENS = 2_000;
 const CALM_TOKENS = 4_000;
 /**
- * Prompts with fewer tokens to read are short: their streams are those that
- * long prompts make pause.
+ * A prompt with more tokens makes the talks beside it pause like any other: an
+ * engine reads so many in about one chunk.
  */
+const TALK_PROMPT_TOKENS = 4_000;
+/** The same where nothing is known of the callers' targets. */
 const SHORT_PROMPT_TOKENS = 2_000;
 /**
  * What each millisecond of reading costs each stream that talks there, in
@@ -61,6 +69,8 @@
   parts: string[];
   partTokens: number[];
   promptTokens: number;
+  /** As `isTalkPrompt` says of it. */
+  isTalk: boolean;
 }
 
 /** Where a request should go, and what it finds there. */
@@ -84,9 +94,17 @@
   state: Pick<PlacementState, "loads" | "speeds" | "prefixes" | "readings">;
 }
 
-/** Whether a prompt begins a talk that long prompts could make pause. */
-export function isShortPrompt(promptTokens: number): boolean {
-  return promptTokens > 0 && promptTokens < SHORT_PROMPT_TOKENS;
+/**
+ * Whether a prompt begins a talk that long prompts could make pause. `isTalk`
+ * says whether its class is one of talks, undefined where that is not known.
+ */
+export function isTalkPrompt(
+  promptTokens: number,
+  isTalk: boolean | undefined,
+): boolean {
+  if (promptTokens === 0 || isTalk === false) return false;
+  return promptTokens <
+    (isTalk === true ? TALK_PROMPT_TOKENS : SHORT_PROMPT_TOKENS);
 }
 
 /** Chooses among `candidates`; undefined when there are none. */
@@ -98,6 +116,7 @@
   const loaded = candidates.map((replica) => ({
     replica,
     load: knowledge.state.loads.getLoad(replica.id),
+    readingShare: knowledge.state.readings.getShare(replica.id),
   }));
   const scored = needs.promptTokens > 0
     ? computePromptScores(loaded, needs, knowledge)
@@ -109,12 +128,6 @@
   return best?.placement;
 }
 
-/** A candidate and everybody's work there. */
-interface LoadedReplica {
-  replica: ListedReplica;
-  load: ReplicaLoad;
-}
-
 interface ScoredPlacement {
   placement: Placement;
   cost: number;
@@ -125,14 +138,38 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): ScoredPlacement[] {
-  const candidates = loaded.map(({ replica }) => replica);
+  const suited = listSuited(loaded, needs);
+  const candidates = suited.map(({ replica }) => replica);
   const home = findHome(candidates, needs, knowledge.state.prefixes);
-  const readWeight = computeReadWeight(loaded);
-  return loaded.map((each) =>
+  const readWeight = computeReadWeight(suited);
+  return suited.map((each) =>
     computePromptScore(each, { needs, home, readWeight, knowledge })
   );
 }
 
+/** Keeps long prompts away from replicas that are kept for talks. */
+function listSuited(
+  loaded: readonly LoadedReplica[],
+  needs: PlacementNeeds,
+): readonly LoadedReplica[] {
+  const split = computeTalkSplit(loaded);
+  const suited = loaded.filter(({ replica }) =>
+    isSuited(replica, needs, split)
+  );
+  return suited.length > 0 ? suited : loaded;
+}
+
+function isSuited(
+  replica: ListedReplica,
+  needs: PlacementNeeds,
+  split: TalkSplit,
+): boolean {
+  if (split === NO_SPLIT) return true;
+  return needs.isTalk
+    ? split.forTalks.has(replica.id)
+    : !split.notForLong.has(replica.id);
+}
+
 /**
  * The replica that is taken to hold a prompt that nobody was seen to send:
  * every VM picks the same one, so that a part is read once and not once a VM.
@@ -158,7 +195,7 @@
 }
 
 function computePromptScore(
-  { replica, load }: LoadedReplica,
+  { replica, load, readingShare }: LoadedReplica,
   context: {
     needs: PlacementNeeds;
     home: VmId | undefined;
@@ -176,9 +213,7 @@
   const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : ownTokens;
   const waitMs = load.pendingTokens * msPerToken;
   const readMs = readTokens * msPerToken;
-  const readingMs = isShortPrompt(needs.promptTokens)
-    ? READING_MS * knowledge.state.readings.getShare(replica.id)
-    : 0;
+  const readingMs = needs.isTalk ? READING_MS * readingShare : 0;
   const cost = waitMs + readWeight * readMs + readingMs +
     PAUSE_WEIGHT * readMs * load.talking +
     RUNNING_MS * load.running + computeFilling(replica, load) +
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -6,7 +6,6 @@
 import type { DataCentre, PoolName, VmId } from "../../ids.ts";
 import {
   choosePlacement,
-  isShortPrompt,
   type Placement,
   type PlacementNeeds,
 } from "./placement_choice.ts";
@@ -62,7 +61,7 @@
     const load = {
       pendingTokens: placement.ownTokens,
       running: 1,
-      talking: isShortPrompt(request.promptTokens) ? 1 : 0,
+      talking: request.isTalk ? 1 : 0,
     };
     this.#state.loads.answered.note(vm, ask, { replica, load });
     this.#state.prefixes.notePeerPlacements([[replica, request.parts, 0]]);
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -82,6 +82,7 @@
   parts: z.array(TEXT),
   partTokens: z.array(COUNT),
   promptTokens: COUNT,
+  isTalk: z.boolean(),
 });
 
 const ANSWER = z.object({
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -37,6 +37,8 @@
   prefixes: string[];
   /** Tokens of each part of the prompt, alike in order to `prefixes`. */
   partTokens?: number[];
+  /** Whether the work is a stream that long prompts beside it would spoil. */
+  isTalk?: boolean;
   /** For the engine's own queue; 0 is the most urgent. */
   priority?: number;
   avoid: VmId[];
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -38,6 +38,7 @@
   route: Route;
   pool: UpstreamPool;
   priority: number;
+  isTalk: boolean;
   dialect: RoutedDialect;
 }
 
@@ -70,6 +71,7 @@
       doneTokens: 0,
       prefixes: parts.map((part) => part.id),
       partTokens: parts.map((part) => part.tokens),
+      isTalk: this.start.isTalk,
       priority: this.start.priority,
     };
   }
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -63,6 +63,7 @@
   | "doneTokens"
   | "prefixes"
   | "partTokens"
+  | "isTalk"
   | "priority"
 >;
 
--- a/src/version/routes.ts
+++ b/src/version/routes.ts
@@ -56,6 +56,8 @@
 export interface RoutedSnapshot extends Snapshot {
   routes: RouteTable;
   ranks: PriorityRanks;
+  /** Classes whose streams accept the shortest pauses of their pool. */
+  talkClasses: ReadonlySet<ClassName>;
   callerBounds: CallerBounds;
 }
 
--- a/test/process/placement/placement_choice_test.ts
+++ b/test/process/placement/placement_choice_test.ts
@@ -13,11 +13,13 @@
   parts: ["shared", "subject", "own"],
   partTokens: [2_500, 3_800, 2_900],
   promptTokens: 9_200,
+  isTalk: false,
 };
 const TALK: PlacementNeeds = {
   parts: ["greeting", "session", "words"],
   partTokens: [120, 80, 630],
   promptTokens: 830,
+  isTalk: true,
 };
 
 function buildReplicas(count: number): ListedReplica[] {
--- a/test/process/seeded_fleet/pool_owners_test.ts
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -109,6 +109,7 @@
   parts: ["a"],
   partTokens: [100],
   promptTokens: 100,
+  isTalk: true,
 };
 
 const PLACED = {
