Forget what was known of a replica that starts again under its id

Cause: an id was taken for a process. After a restart prompts would go to a replica for parts that it has lost, its silence would be judged by the new process's tokens, and results of the old one would count.

Those of the restart were written with the change; with its beliefs kept they cannot end.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -14,7 +14,7 @@
   type LeaseRequest,
   LeaseSource,
 } from "../services.ts";
-import { isShortPrompt, type Placement } from "./placement_choice.ts";
+import { isTalkPrompt, type Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { type PlacementRequest, ReplicaChooser } from "./replica_chooser.ts";
 import type { ReplicaDirectory } from "./replica_list.ts";
@@ -73,6 +73,7 @@
       ...this.#options,
       request,
       placement,
+      isTalk: needs.isTalk,
     });
   }
 
@@ -84,6 +85,7 @@
       parts: request.prefixes,
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
+      isTalk: isTalkPrompt(request.promptTokens, request.isTalk),
     };
   }
 }
@@ -98,8 +100,11 @@
   readonly #options: PlacementSourceOptions & {
     request: LeaseRequest;
     placement: Placement;
+    isTalk: boolean;
   };
   readonly #work: PlacedWork;
+  /** Which incarnation of the replica has the request. */
+  readonly #startedAt: number | undefined;
   readonly #grantedAt: number;
   #hasOutput = false;
   #isReleased = false;
@@ -109,6 +114,7 @@
     options: PlacementSourceOptions & {
       request: LeaseRequest;
       placement: Placement;
+      isTalk: boolean;
     },
   ) {
     super();
@@ -119,11 +125,12 @@
     this.priority = request.priority ?? DEFAULT_PRIORITY;
     this.#options = options;
     this.reason = formatReason(placement);
+    this.#startedAt = placement.replica.startedAt;
     this.#grantedAt = options.clock.now();
     const { ownTokens } = placement;
     this.#work = loads.addOwn(this.upstream, {
       pendingTokens: ownTokens,
-      isTalking: isShortPrompt(request.promptTokens),
+      isTalking: options.isTalk,
     });
     prefixes.noteSent(this.upstream, request.prefixes, ownTokens);
     readings.addReading(
@@ -138,6 +145,7 @@
   }
 
   override isUpstreamAlive(): boolean {
+    if (!this.#isSameProcess()) return false;
     const { clock, placement, state } = this.#options;
     const waitedMs = clock.now() - this.#grantedAt;
     const isExpected = !this.#hasOutput &&
@@ -146,6 +154,7 @@
   }
 
   noteProgress(progress: LeaseProgress): void {
+    if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.signs.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
     this.#hasOutput = true;
@@ -162,10 +171,17 @@
     if (this.#isReleased) return;
     this.#isReleased = true;
     this.#work.end();
+    if (!this.#isSameProcess()) return;
     const { health } = this.#options.state;
     if (state === "done") health.noteResult(this.upstream, true);
     if (state === "failed") health.noteResult(this.upstream, false);
   }
+
+  /** What came of an earlier incarnation tells nothing of this one. */
+  #isSameProcess(): boolean {
+    const { directory } = this.#options;
+    return directory.isIncarnation(this.upstream, this.#startedAt);
+  }
 }
 
 function formatReason(placement: Placement): string {
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -76,9 +76,16 @@
     }
   }
 
+  /** Forgets all of one replica, whose process is another one now. */
+  dropReplica(replica: VmId): void {
+    this.loads.dropOwn(replica);
+    this.dropUnlisted((id) => id !== replica);
+  }
+
   /** Forgets replicas that are not listed any more. */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
     this.health.dropUnlisted(isListed);
+    this.speeds.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
     this.readings.dropUnlisted(isListed);
     this.signs.dropUnlisted(isListed);
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -5,7 +5,7 @@
  */
 import type { DataCentre, PoolName, VmId } from "../../ids.ts";
 
-/** One replica. Each start of its process has an id of its own. */
+/** One replica. It may start again under the same id, with nothing cached. */
 export interface ListedReplica {
   id: VmId;
   pool: PoolName;
@@ -17,6 +17,11 @@
   slots: number;
   /** `draining` takes no new work. */
   state: "ready" | "draining";
+  /**
+   * When its process started, in Unix milliseconds of its own clock. Another
+   * value is another incarnation; undefined where it never said.
+   */
+  startedAt?: number | undefined;
 }
 
 /** All replicas at one revision; a higher revision is newer. */
@@ -46,10 +51,11 @@
   /** Takes `list` unless an equal or newer one is there. */
   apply(list: ReplicaList): boolean {
     if (list.revision <= this.#list.revision) return false;
-    this.#list = list;
-    this.#byId = new Map(list.replicas.map((each) => [each.id, each]));
+    const replicas = list.replicas.map((each) => this.#withStart(each));
+    this.#list = { revision: list.revision, replicas };
+    this.#byId = new Map(replicas.map((each) => [each.id, each]));
     this.#ready = new Map();
-    for (const replica of list.replicas) {
+    for (const replica of replicas) {
       if (replica.state !== "ready") continue;
       const known = this.#ready.get(replica.pool) ?? [];
       known.push(replica);
@@ -58,6 +64,13 @@
     return true;
   }
 
+  /** An entry without a start says nothing of a new one. */
+  #withStart(replica: ListedReplica): ListedReplica {
+    const startedAt = replica.startedAt ??
+      this.#byId.get(replica.id)?.startedAt;
+    return startedAt === undefined ? replica : { ...replica, startedAt };
+  }
+
   find(id: VmId): ListedReplica | undefined {
     return this.#byId.get(id);
   }
@@ -67,6 +80,13 @@
     return this.#ready.get(pool) ?? [];
   }
 
+  /** Whether `id` is the incarnation that started then, as far as is known. */
+  isIncarnation(id: VmId, startedAt: number | undefined): boolean {
+    const known = this.#byId.get(id)?.startedAt;
+    return startedAt === undefined || known === undefined ||
+      known === startedAt;
+  }
+
   /** Whether `id` still takes new work. */
   isReady(id: VmId): boolean {
     return this.#byId.get(id)?.state === "ready";
--- a/src/process/placement/replica_loads.ts
+++ b/src/process/placement/replica_loads.ts
@@ -103,13 +103,20 @@
     const load = this.#own.get(replica) ?? { ...NO_LOAD };
     this.#own.set(replica, load);
     const work = new PlacedWork(load, added, () => {
-      if (load.running === 0) this.#own.delete(replica);
+      const isCurrent = this.#own.get(replica) === load;
+      if (isCurrent && load.running === 0) this.#own.delete(replica);
       this.#onChange();
     });
     this.#onChange();
     return work;
   }
 
+  /** Forgets this VM's requests at a replica whose process is gone. */
+  dropOwn(replica: VmId): void {
+    this.#own.delete(replica);
+    this.#onChange();
+  }
+
   /** Replaces what `vm` told before. */
   putPeer(vm: VmId, entries: readonly LoadEntry[]): void {
     this.#dropPeer(vm);
--- a/src/process/placement/replica_speed.ts
+++ b/src/process/placement/replica_speed.ts
@@ -77,6 +77,13 @@
     return 1 + (speed.ratio - 1) * 0.5 ** (age / HALF_LIFE_MS);
   }
 
+  /** Forgets replicas that are not listed any more. */
+  dropUnlisted(isListed: (replica: VmId) => boolean): void {
+    for (const replica of this.#speeds.keys()) {
+      if (!isListed(replica)) this.#speeds.delete(replica);
+    }
+  }
+
   #add(replica: VmId, msPerToken: number): void {
     const sample = Math.min(
       MOST_RATIO,
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -51,6 +51,8 @@
   fetchCachedParts: (replica: VmId) => Promise<string[]>;
   isServing: () => boolean;
   isDraining: () => boolean;
+  /** Hears of replicas that started again under their ids. */
+  onRestarted: (replicas: readonly VmId[]) => void;
   onSnapshot: (snapshot: RoutedSnapshot) => void;
 }
 
@@ -105,7 +107,7 @@
         options.onSnapshot(snapshot);
         this.#talk.announceState();
       },
-      onReplicas: () => this.#noteReplicas(),
+      onReplicas: (restarted) => this.#noteReplicas(restarted),
       onStoreLost: () => this.#talk.announceAtOnce(),
     });
     this.#priming = this.#createPriming(calls);
@@ -188,9 +190,15 @@
     this.follower.notePeer(peer);
   }
 
-  #noteReplicas(): void {
-    const { placement, replicas } = this.#options;
+  /**
+   * A replica that started again holds nothing, and nothing that was seen of
+   * it before tells of it: prompts would be sent there for parts that it lost.
+   */
+  #noteReplicas(restarted: readonly VmId[]): void {
+    const { placement, replicas, onRestarted } = this.#options;
     placement.dropUnlisted((id) => replicas.find(id) !== undefined);
+    restarted.forEach((id) => placement.dropReplica(id));
+    if (restarted.length > 0) onRestarted(restarted);
     this.#talk.announceState();
   }
 
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -279,11 +279,20 @@
       fetchCachedParts: (id) => fetchCachedParts(this.#upstreams, id),
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
+      onRestarted: (restarted) => this.#dropConnections(restarted),
       onSnapshot: ({ callerBounds }) =>
         this.#callers.updateLimits(buildCallerLimits(callerBounds)),
     });
   }
 
+  /** Connections that were kept to processes that are gone. */
+  #dropConnections(restarted: readonly VmId[]): void {
+    const gone = restarted.map((id) => this.replicas.find(id));
+    this.#upstreams.removeEndpoints(({ address, port }) =>
+      !gone.some((each) => each?.address === address && each.port === port)
+    );
+  }
+
   #buildStatusParts(): StatusParts {
     return {
       vm: this.#settings.vm,
--- a/src/process/seeded_fleet/replica_changes.ts
+++ b/src/process/seeded_fleet/replica_changes.ts
@@ -5,29 +5,42 @@
  */
 import type { VmId } from "../../ids.ts";
 import type { Log } from "../log.ts";
-import type { ReplicaList } from "../placement/replica_list.ts";
+import type { ListedReplica, ReplicaList } from "../placement/replica_list.ts";
 
-/** A replica and its new state, or that it is gone. */
+/** A replica and its new state, that it started again, or that it is gone. */
 export interface ReplicaChange {
   replica: VmId;
-  change: string;
+  change: ListedReplica["state"] | "restarted" | "gone";
 }
 
-/** Replicas whose state is another one in `after`. */
+/** Replicas whose state or incarnation is another one in `after`. */
 export function listChanges(
   before: ReplicaList,
   after: ReplicaList,
 ): ReplicaChange[] {
-  const old = new Map(before.replicas.map((each) => [each.id, each.state]));
+  const old = new Map(before.replicas.map((each) => [each.id, each]));
   const changes: ReplicaChange[] = [];
-  for (const { id, state } of after.replicas) {
-    if (old.get(id) !== state) changes.push({ replica: id, change: state });
+  for (const replica of after.replicas) {
+    const { id, state } = replica;
+    const known = old.get(id);
+    if (known?.state !== state) changes.push({ replica: id, change: state });
+    if (isRestarted(known, replica)) {
+      changes.push({ replica: id, change: "restarted" });
+    }
     old.delete(id);
   }
   for (const id of old.keys()) changes.push({ replica: id, change: "gone" });
   return changes;
 }
 
+function isRestarted(
+  before: ListedReplica | undefined,
+  after: ListedReplica,
+): boolean {
+  return before?.startedAt !== undefined && after.startedAt !== undefined &&
+    before.startedAt !== after.startedAt;
+}
+
 /** Writes a line for each change, or one for a first list. */
 export function writeChanges(
   log: Log,
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -71,7 +71,8 @@
     known: KnownVersions,
   ) => Promise<HandedState>;
   onSnapshot: (snapshot: RoutedSnapshot) => void;
-  onReplicas: () => void;
+  /** Hears of each change, with the replicas that started again. */
+  onReplicas: (restarted: readonly VmId[]) => void;
   /** Hears that the store does not answer this VM any more. */
   onStoreLost: () => void;
 }
@@ -291,9 +292,10 @@
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     if (!replicas.apply(list)) return;
-    const changes = listChanges(before, list);
+    const changes = listChanges(before, replicas.getList());
     if (changes.length === 0) return;
     writeChanges(log, changes, { list, from, isFirst: before.revision === 0 });
-    this.#options.onReplicas();
+    const restarted = changes.filter(({ change }) => change === "restarted");
+    this.#options.onReplicas(restarted.map(({ replica }) => replica));
   }
 }
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -11,7 +11,7 @@
 import { fetchCachedParts } from "../../platform/replica_lists.ts";
 import { PlatformStore } from "../../platform/store.ts";
 import { toId } from "../../src/ids.ts";
-import { SilentLog } from "../../src/process/log.ts";
+import { type Log, SilentLog } from "../../src/process/log.ts";
 import type { RoutedSettings } from "../../src/process/routed_settings.ts";
 import { RoutedVm } from "../../src/process/routed_vm.ts";
 import { findFreePorts } from "../../demo/free_ports.ts";
@@ -65,7 +65,7 @@
   /** Publishes a replica's entry, or changes it. */
   listReplica(
     replica: { id: string; port: number },
-    changes: { service?: string; state?: string } = {},
+    changes: { service?: string; state?: string; born?: unknown } = {},
   ): void {
     this.store.put(`servers/${replica.id}`, {
       service: changes.service ?? "pool",
@@ -73,15 +73,16 @@
       zone: "dc-1",
       slots: 4,
       state: changes.state ?? "ready",
+      ...(changes.born === undefined ? {} : { born: changes.born }),
     });
   }
 
   /** Starts a VM and waits until it serves; `store` is the store's port. */
   async addVm(
-    options: { store?: number; isAwaited?: boolean } = {},
+    options: { store?: number; isAwaited?: boolean; log?: Log } = {},
   ): Promise<TestVm> {
     const settings = await this.#buildSettings(options.store);
-    const log = SilentLog.create();
+    const log = options.log ?? SilentLog.create();
     const vm = RoutedVm.create({
       settings,
       log,
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -49,6 +49,11 @@
     this.#add(key, text);
   }
 
+  /** Puts bytes that need not be JSON, nor base64. */
+  putBase64(key: string, base64: string): void {
+    this.#add(key, base64);
+  }
+
   remove(key: string): void {
     this.#add(key, undefined);
   }
