Give talks the replicas that their own prompts need, those that read least

Now talks keep as many replicas as read their prompts in half of their time, never more than they would have where nobody else needed one. The next replica is the one that reads least.

--- a/src/process/placement/talk_replicas.ts
+++ b/src/process/placement/talk_replicas.ts
@@ -30,6 +30,13 @@
  * time: beyond it the wait for a prompt's turn grows faster than the load.
  */
 const READING_SHARE = 0.6;
+/**
+ * Talks' own prompts are read for no more than this share of a replica's time:
+ * beyond it their streams pause beside each other's prompts.
+ */
+const TALK_READING_SHARE = 0.5;
+/** Readings of replicas that differ by less count as alike. */
+const READING_STEP = 0.25;
 /** Talks get no more than this share of a pool. */
 const MOST_SHARE = 0.5;
 /** In smaller pools a replica of its own would take too much from the rest. */
@@ -87,8 +94,11 @@
 ): number {
   const slots = ordered.reduce((sum, { replica }) => sum + replica.slots, 0);
   const meanSlots = slots / ordered.length;
-  const least = Math.ceil(talking / (FULL_TALK_SHARE * meanSlots));
   const best = Math.ceil(talking / (TALK_SHARE * meanSlots));
+  const least = Math.max(
+    Math.ceil(talking / (FULL_TALK_SHARE * meanSlots)),
+    Math.min(best, countReadingTalks(ordered)),
+  );
   const reading = ordered.slice(least)
     .reduce((sum, { readingShare }) => sum + readingShare, 0);
   const left = ordered.length - Math.ceil(reading / READING_SHARE);
@@ -96,19 +106,34 @@
 }
 
 /**
- * The most talks first; among equals all VMs take the same one. Ids are drawn
- * at random, so their order favours nobody, and costs no hash a comparison.
+ * The most talks first, then those that read least: one that is taken for talks
+ * has to end its readings first. Among equals all VMs take the same one, by the
+ * order of ids, which are drawn at random.
  */
 function listByTalks(loaded: readonly LoadedReplica[]): LoadedReplica[] {
   const ordered = [...loaded];
   ordered.sort((left, right) => {
     const difference = right.load.talking - left.load.talking;
     if (difference !== 0) return difference;
+    const reading = computeReadingStep(left) - computeReadingStep(right);
+    if (reading !== 0) return reading;
     return left.replica.id < right.replica.id ? -1 : 1;
   });
   return ordered;
 }
 
+/** How many replicas the prompts of talks need for their own reading. */
+function countReadingTalks(ordered: readonly LoadedReplica[]): number {
+  const reading = ordered.filter(isEmptying)
+    .reduce((sum, { readingShare }) => sum + readingShare, 0);
+  return Math.ceil(reading / TALK_READING_SHARE);
+}
+
+/** In steps: VMs do not know shares of reading exactly alike. */
+function computeReadingStep({ readingShare }: LoadedReplica): number {
+  return Math.floor(readingShare / READING_STEP);
+}
+
 function isEmptying({ replica, load }: LoadedReplica): boolean {
   return load.talking > EMPTIED_SHARE * TALK_SHARE * replica.slots;
 }
