--- /dev/null
+++ b/test/process/placement/replica_signs_test.ts
@@ -0,0 +1,101 @@
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import {
+  type ListedReplica,
+  PlacementSource,
+  PlacementState,
+  ReplicaDirectory,
+} from "../../../src/process/placement/index.ts";
+import type { HeldLease } from "../../../src/process/services.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const PROGRESS = { tokens: 1, firstTokenMs: 1, betweenTokensMs: undefined };
+/** Beyond the time for which one byte counts as a sign of life. */
+const SILENT_MS = 1_500;
+
+function createPool() {
+  const clock = VirtualClock.create();
+  const directory = ReplicaDirectory.create();
+  const list = (revision: number, startedAt: number) => {
+    const replica: ListedReplica = {
+      id: toId<VmId>("i-1"),
+      pool: toId("pool"),
+      address: "10.0.0.1",
+      port: 80,
+      dataCentre: toId("dc"),
+      slots: 64,
+      state: "ready",
+      startedAt,
+    };
+    directory.apply({ revision, replicas: [replica] });
+  };
+  list(1, 1_000);
+  const source = PlacementSource.create({
+    clock,
+    dataCentre: toId("dc"),
+    directory,
+    state: PlacementState.create({
+      clock,
+      onNews: () => {},
+      onEjected: () => {},
+    }),
+    askOwner: () => Promise.resolve(undefined),
+  });
+  return { clock, list, source };
+}
+
+function acquire(source: PlacementSource): Promise<HeldLease> {
+  const signal = new AbortController().signal;
+  return source.acquire({
+    requestId: toId("request"),
+    attempt: 1,
+    workspace: toId("workspace"),
+    className: toId("class"),
+    pool: toId("pool"),
+    model: undefined,
+    adapter: undefined,
+    arrivedAt: 0,
+    deadlineAt: 15_000,
+    promptTokens: 100,
+    maxTokens: 10,
+    doneTokens: 0,
+    idempotent: true,
+    prefixes: [],
+    avoid: [],
+  }, { signal, onStep: () => {} });
+}
+
+// The load: replicas read long prompts for seconds, and requests wait for their
+// first byte all the while.
+// Symptom: requests are cut off and sent to another replica that is as busy;
+// replicas that serve are left out as failing; no retry is left for real ones.
+// Cause: silence on one call was taken for the death of its replica.
+describe("a replica that is silent on one call", () => {
+  it("is alive while it sends on another", async () => {
+    const { clock, source } = createPool();
+    const waiting = await acquire(source);
+    const streaming = await acquire(source);
+    await clock.run(SILENT_MS);
+    expect(waiting.isUpstreamAlive()).toBe(false);
+    streaming.noteProgress(PROGRESS);
+    expect(waiting.isUpstreamAlive()).toBe(true);
+  });
+
+  it("is not once it sends nothing to anybody", async () => {
+    const { clock, source } = createPool();
+    const waiting = await acquire(source);
+    (await acquire(source)).noteProgress(PROGRESS);
+    await clock.run(SILENT_MS);
+    expect(waiting.isUpstreamAlive()).toBe(false);
+  });
+
+  // Sequence: the replica crashes and starts again under its id; its new
+  // process serves others, and never heard of the call.
+  it("is not for calls of before its restart", async () => {
+    const { source, list } = createPool();
+    const before = await acquire(source);
+    list(2, 2_000);
+    (await acquire(source)).noteProgress(PROGRESS);
+    expect(before.isUpstreamAlive()).toBe(false);
+  });
+});
