Fetch shared parts from replicas that have read them, and price full slots by their number

Filling: each request beyond 0.7 of the slots cost 40 ms, which is a 64-slot replica's wait for a run of some seconds to end; with 16 slots it is 310 ms. There 8,000 of 23,000 sends were turned away by full replicas. Now 5 s by slots. Fetch: a prompt whose shared part another replica has read (sent 1.5 s ago or more) names it, and counts a quarter of the tokens as its reading.

--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -4,12 +4,18 @@
  *
  * @module
  */
+import type { Endpoint } from "../../connection/endpoint.ts";
 import type { DataCentre, VmId } from "../../ids.ts";
 import { pickRendezvousFirst } from "../rendezvous.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
 import type { ListedReplica } from "./replica_list.ts";
-import type { ReplicaLoad } from "./load_totals.ts";
+import {
+  computeFetched,
+  computeTokens,
+  type FetchSource,
+  findFetchSource,
+} from "./fetch_source.ts";
 import {
   computeTalkSplit,
   type LoadedReplica,
@@ -53,11 +59,15 @@
  */
 const FILLING_SHARE = 0.7;
 /**
- * What each request beyond that costs, in milliseconds. When a replica crashes
- * all its streams look for another one at once; without this all would choose
- * the same, and most would wait there for a slot.
+ * A token that another replica hands over costs so much of one that is read:
+ * it takes a tenth of the time, and its way over the link is dear.
+ */
+const FETCH_WEIGHT = 0.25;
+/**
+ * A stream of some hundred tokens lasts so long beside others, in milliseconds:
+ * a replica whose slots are full frees one each so many milliseconds by slots.
  */
-const FILLING_MS = 40;
+const LONG_RUN_MS = 5_000;
 /** A full plain replica is as good as one so many milliseconds slower. */
 const FULL_MS = 100;
 /** Each way between data centres, about; also worth its price in bytes. */
@@ -80,6 +90,10 @@
   ownTokens: number;
   /** Prompt tokens that are to be read there before it. */
   tokensAhead: number;
+  /** Of its own tokens, those that another replica can hand over. */
+  fetchedTokens: number;
+  /** That replica's endpoint; undefined where it has nothing to hand over. */
+  fetchFrom?: Endpoint | undefined;
   /** Requests that it has in hand, as far as is known. */
   running: number;
   /** Predicted time to its first output, in milliseconds. */
@@ -142,8 +156,13 @@
   const candidates = suited.map(({ replica }) => replica);
   const home = findHome(candidates, needs, knowledge.state.prefixes);
   const readWeight = computeReadWeight(suited);
+  const source = findFetchSource(
+    loaded.map(({ replica }) => replica),
+    needs,
+    knowledge.state.prefixes,
+  );
   return suited.map((each) =>
-    computePromptScore(each, { needs, home, readWeight, knowledge })
+    computePromptScore(each, { needs, home, readWeight, source, knowledge })
   );
 }
 
@@ -195,36 +214,41 @@
 }
 
 function computePromptScore(
-  { replica, load, readingShare }: LoadedReplica,
+  each: LoadedReplica,
   context: {
     needs: PlacementNeeds;
     home: VmId | undefined;
     readWeight: number;
+    source: FetchSource | undefined;
     knowledge: PlacementKnowledge;
   },
 ): ScoredPlacement {
-  const { needs, home, readWeight, knowledge } = context;
+  const { replica, load, readingShare } = each;
+  const { needs, home, readWeight, source, knowledge } = context;
   const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
   const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
-  const heldTokens = needs.partTokens.slice(0, held)
-    .reduce((sum, tokens) => sum + tokens, 0);
+  const heldTokens = computeTokens(needs.partTokens.slice(0, held));
   const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
   const isHome = home === replica.id;
-  const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : ownTokens;
+  const fetchedTokens = computeFetched(source, replica.id, heldTokens);
+  const toRead = ownTokens - (1 - FETCH_WEIGHT) * fetchedTokens;
+  const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : toRead;
   const waitMs = load.pendingTokens * msPerToken;
   const readMs = readTokens * msPerToken;
   const readingMs = needs.isTalk ? READING_MS * readingShare : 0;
   const cost = waitMs + readWeight * readMs + readingMs +
     PAUSE_WEIGHT * readMs * load.talking +
-    RUNNING_MS * load.running + computeFilling(replica, load) +
+    RUNNING_MS * load.running + computeFilling(each) +
     computeDistance(replica, knowledge);
   return {
     placement: {
       replica,
       ownTokens,
       tokensAhead: load.pendingTokens,
+      fetchedTokens,
+      fetchFrom: fetchedTokens > 0 ? source?.endpoint : undefined,
       running: load.running,
-      predictedMs: waitMs + ownTokens * msPerToken,
+      predictedMs: waitMs + (ownTokens - fetchedTokens) * msPerToken,
     },
     cost,
   };
@@ -241,6 +265,7 @@
       replica,
       ownTokens: 0,
       tokensAhead: 0,
+      fetchedTokens: 0,
       running: load.running,
       predictedMs: 0,
     },
@@ -248,9 +273,15 @@
   };
 }
 
-function computeFilling(replica: ListedReplica, load: ReplicaLoad): number {
+/**
+ * What requests beyond the filling share cost, in milliseconds: each waits for
+ * one more run to end. When a replica crashes all its streams look for another
+ * one at once; without this all would choose the same, and most would wait
+ * there for a slot or be turned away.
+ */
+function computeFilling({ replica, load }: LoadedReplica): number {
   const beyond = load.running - FILLING_SHARE * replica.slots;
-  return FILLING_MS * Math.max(0, beyond);
+  return Math.max(0, beyond) * LONG_RUN_MS / replica.slots;
 }
 
 function computeDistance(
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import type { Endpoint } from "../../connection/endpoint.ts";
 import { type DataCentre, type LeaseId, toId, type VmId } from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
@@ -96,6 +97,7 @@
   readonly upstream: VmId;
   readonly priority: number;
   override readonly reason: string;
+  override readonly fetchFrom: Endpoint | undefined;
   readonly preempted: AbortSignal = new AbortController().signal;
   readonly #options: PlacementSourceOptions & {
     request: LeaseRequest;
@@ -125,9 +127,10 @@
     this.priority = request.priority ?? DEFAULT_PRIORITY;
     this.#options = options;
     this.reason = formatReason(placement);
+    this.fetchFrom = placement.fetchFrom;
     this.#startedAt = placement.replica.startedAt;
     this.#grantedAt = options.clock.now();
-    const { ownTokens } = placement;
+    const ownTokens = placement.ownTokens - placement.fetchedTokens;
     this.#work = loads.addOwn(this.upstream, {
       pendingTokens: ownTokens,
       isTalking: options.isTalk,
@@ -157,12 +160,12 @@
     if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.signs.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
+    const { clock, state: { speeds }, placement } = this.#options;
     this.#hasOutput = true;
     this.#work.noteFirstOutput();
-    const { clock, state: { speeds }, placement } = this.#options;
     speeds.noteFirstOutput(
       this.upstream,
-      placement.ownTokens + placement.tokensAhead,
+      placement.ownTokens - placement.fetchedTokens + placement.tokensAhead,
       clock.now() - this.#grantedAt,
     );
   }
@@ -185,11 +188,14 @@
 }
 
 function formatReason(placement: Placement): string {
-  const { ownTokens, tokensAhead, running, predictedMs, owner } = placement;
+  const { ownTokens, fetchedTokens, tokensAhead, owner } = placement;
+  const { running, predictedMs } = placement;
   return `by=${
     owner ?? "self"
   } running=${running} tokens_ahead=${tokensAhead} ` +
-    `own_tokens=${ownTokens} predicted_ms=${Math.round(predictedMs)}`;
+    `own_tokens=${ownTokens} fetched=${fetchedTokens} predicted_ms=${
+      Math.round(predictedMs)
+    }`;
 }
 
 function createNoReplica(): RefusalError {
--- a/src/process/placement/prefix_memory.ts
+++ b/src/process/placement/prefix_memory.ts
@@ -10,6 +10,8 @@
 const MAX_PARTS = 8_000;
 /** A part that was not used for so long counts as gone, in milliseconds. */
 const KEPT_MS = 60_000;
+/** A part that was sent so long ago has been read, in milliseconds. */
+const READ_WITHIN_MS = 1_500;
 
 /** A prompt's parts, sent to a replica that has so many tokens to read. */
 export type PlacementEntry = [
@@ -18,10 +20,16 @@
   readTokens: number,
 ];
 
+/** A part at one replica; times of `Clock.now()`. */
+interface HeldPart {
+  sentAt: number;
+  usedAt: number;
+}
+
 /** Parts of prompts by replica. */
 export class PrefixMemory {
   readonly #clock: Clock;
-  readonly #parts = new Map<string, Map<VmId, number>>();
+  readonly #parts = new Map<string, Map<VmId, HeldPart>>();
   #unsent: PlacementEntry[] = [];
 
   constructor(clock: Clock) {
@@ -66,11 +74,26 @@
 
   /** How many of a prompt's first parts `replica` should still have. */
   countHeld(replica: VmId, parts: readonly string[]): number {
+    return this.#countFirst(replica, parts, () => true);
+  }
+
+  /** The same of parts that it should have read by now. */
+  countRead(replica: VmId, parts: readonly string[]): number {
+    const latest = this.#clock.now() - READ_WITHIN_MS;
+    return this.#countFirst(replica, parts, ({ sentAt }) => sentAt <= latest);
+  }
+
+  #countFirst(
+    replica: VmId,
+    parts: readonly string[],
+    isCounted: (held: HeldPart) => boolean,
+  ): number {
     const oldest = this.#clock.now() - KEPT_MS;
     let count = 0;
     for (const part of parts) {
-      const at = this.#parts.get(part)?.get(replica);
-      if (at === undefined || at < oldest) break;
+      const held = this.#parts.get(part)?.get(replica);
+      if (held === undefined || held.usedAt < oldest) break;
+      if (!isCounted(held)) break;
       count += 1;
     }
     return count;
@@ -94,11 +117,14 @@
   #note(replica: VmId, parts: readonly string[]): void {
     const now = this.#clock.now();
     for (const part of parts) {
-      const holders = this.#parts.get(part) ?? new Map<VmId, number>();
+      const holders = this.#parts.get(part) ?? new Map<VmId, HeldPart>();
+      const before = holders.get(replica);
+      const isHeld = before !== undefined && now - before.usedAt <= KEPT_MS;
       // Set anew, so that the map's order is that of the last use.
       this.#parts.delete(part);
       this.#parts.set(part, holders);
-      holders.set(replica, now);
+      const sentAt = isHeld ? before.sentAt : now;
+      holders.set(replica, { sentAt, usedAt: now });
     }
     while (this.#parts.size > MAX_PARTS) {
       this.#parts.delete(this.#parts.keys().next().value!);
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -59,7 +59,7 @@
     if (placement === undefined) return undefined;
     const replica = placement.replica.id;
     const load = {
-      pendingTokens: placement.ownTokens,
+      pendingTokens: placement.ownTokens - placement.fetchedTokens,
       running: 1,
       talking: request.isTalk ? 1 : 0,
     };
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -93,6 +93,8 @@
     replica: VM,
     ownTokens: COUNT,
     tokensAhead: COUNT,
+    fetchedTokens: COUNT,
+    fetchFrom: TEXT.optional(),
     running: COUNT,
     predictedMs: COUNT,
   }).optional(),
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Endpoint } from "../connection/endpoint.ts";
 import type {
   ClassName,
   LeaseId,
@@ -58,6 +59,8 @@
   abstract readonly priority: number;
   /** What decided for this upstream, for the log. */
   readonly reason?: string;
+  /** Another upstream that can hand over parts of the prompt. */
+  readonly fetchFrom?: Endpoint | undefined;
   /** Aborts when the owner takes the slot back for a higher tier. */
   abstract readonly preempted: AbortSignal;
   /**
--- a/src/request/routed_dialect.ts
+++ b/src/request/routed_dialect.ts
@@ -40,6 +40,8 @@
   /** 0 is the most urgent. */
   priority: number;
   lastEventId: string | undefined;
+  /** Another upstream that hands over parts of the prompt, as IP:PORT. */
+  fetchFrom?: string | undefined;
 }
 
 /** What an answer's head says of the work. */
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -91,6 +91,7 @@
         leftMs: Math.max(1, Math.floor(this.getLeftMs())),
         priority: lease.priority,
         lastEventId: this.getLastEventId(),
+        fetchFrom: lease.fetchFrom,
       }),
       body: request.body,
     };
--- a/test/process/seeded_fleet/pool_owners_test.ts
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -115,6 +115,7 @@
 const PLACED = {
   replica: toId<VmId>("replica-1"),
   ownTokens: 100,
+  fetchedTokens: 0,
   tokensAhead: 0,
   running: 0,
   predictedMs: 3,
