--- a/test/platform/repeats_test.ts
+++ b/test/platform/repeats_test.ts
@@ -47,7 +47,36 @@
   });
 });
 
+// The load: replicas fail part of their calls, and read long prompts.
+// Symptom: streams are cut that their replicas would have finished.
+// Sequence: failures spend the retry budget; then a replica is silent for more
+// than a second before its first event.
+// Cause: a try was given up for another one that there could not be.
+it("a silent stream goes on where no retry is left", async () => {
+  const fleet = await PlatformFleet.create();
+  fleet.replicas.forEach((replica) => replica.mode = "reset");
+  for (let index = 0; index < 60; index++) {
+    await sendRequest(fleet.vms[0]!, { path: "/safe/x" });
+  }
+  fleet.replicas.forEach((replica) => replica.mode = "slow");
+  const before = countRuns(fleet);
+  const answer = await sendRequest(fleet.vms[0]!, { path: "/restream/x" });
+  expect(answer.status).toBe(200);
+  expect(answer.isWhole).toBe(true);
+  expect(countRuns(fleet)).toBe(before + 1);
+});
+
 describe("what may run once at most", () => {
+  // Symptom: a caller sends work again that was done.
+  // Cause: the replica's 503 went on to the caller, who took it for a promise.
+  it("is told as failed where its replica ran it and said 503", async () => {
+    const fleet = await PlatformFleet.create();
+    fleet.replicas.forEach((replica) => replica.mode = "fail_busy");
+    const answer = await sendRequest(fleet.vms[0]!, { path: "/unsafe/x" });
+    expect(countRuns(fleet)).toBe(1);
+    expect(answer.status).toBe(502);
+  });
+
   for (const mode of ["reset", "hang", "fail"] as const) {
     it(`is not sent again where its replica does: ${mode}`, async () => {
       const fleet = await PlatformFleet.create();
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -19,6 +19,10 @@
   | "shed"
   /** Fails after it ran the request. */
   | "fail"
+  /** Runs it, and answers with a status that promises that it did not. */
+  | "fail_busy"
+  /** Runs it, and sends its first byte late. */
+  | "slow"
   /** Runs the request and never answers. */
   | "hang"
   /** Runs the request and closes the connection. */
@@ -34,6 +38,11 @@
   /** Sends it where the next request's answer is expected. */
   | "extra_late";
 
+const STATUSES: Partial<Record<ReplicaMode, number>> = {
+  fail: 500,
+  fail_busy: 503,
+};
+const SLOW_MS = 1_400;
 const EVENTS = 6;
 const EVENT_GAP_MS = 5;
 const BROKEN_AFTER = 2;
@@ -86,6 +95,7 @@
       response.destroy();
       return;
     }
+    if (this.mode === "slow") await sleep(SLOW_MS);
     const { socket } = response;
     if (this.mode === "extra_late" && this.#owed.has(socket!)) {
       socket!.write(EXTRA_ANSWER);
@@ -101,7 +111,7 @@
   #answer(call: StandInCall, response: ServerResponse): void {
     const own = call.headers["x-request-id"]!;
     sendJson(response, {
-      status: this.mode === "fail" ? 500 : 200,
+      status: STATUSES[this.mode] ?? 200,
       body: { replica: this.id },
       headers: {
         "x-request-id": this.mode === "other_id" ? "another" : own,
