--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -9,6 +9,7 @@
 import { pickRendezvousFirst } from "../rendezvous.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
+import { computePauses } from "./pause_price.ts";
 import type { ListedReplica } from "./replica_list.ts";
 import {
   computeFetched,
@@ -44,13 +45,6 @@
 const TALK_PROMPT_TOKENS = 4_000;
 /** The same where nothing is known of the callers' targets. */
 const SHORT_PROMPT_TOKENS = 2_000;
-/**
- * What each millisecond of reading costs each stream that talks there, in
- * milliseconds: about one pause in three becomes longer than callers accept.
- */
-const PAUSE_WEIGHT = 0.3;
-/** A replica that only reads is as good for a talk as one so much slower, in ms. */
-const READING_MS = 500;
 /** One more running request slows the others by about so much, in ms. */
 const RUNNING_MS = 0.5;
 /**
@@ -152,7 +146,8 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): ScoredPlacement[] {
-  const suited = listSuited(loaded, needs);
+  const split = computeTalkSplit(loaded);
+  const suited = listSuited(loaded, needs, split);
   const candidates = suited.map(({ replica }) => replica);
   const home = findHome(candidates, needs, knowledge.state.prefixes);
   const readWeight = computeReadWeight(suited);
@@ -162,7 +157,14 @@
     knowledge.state.prefixes,
   );
   return suited.map((each) =>
-    computePromptScore(each, { needs, home, readWeight, source, knowledge })
+    computePromptScore(each, {
+      needs,
+      home,
+      readWeight,
+      isSplit: split !== NO_SPLIT,
+      source,
+      knowledge,
+    })
   );
 }
 
@@ -170,8 +172,8 @@
 function listSuited(
   loaded: readonly LoadedReplica[],
   needs: PlacementNeeds,
+  split: TalkSplit,
 ): readonly LoadedReplica[] {
-  const split = computeTalkSplit(loaded);
   const suited = loaded.filter(({ replica }) =>
     isSuited(replica, needs, split)
   );
@@ -219,12 +221,13 @@
     needs: PlacementNeeds;
     home: VmId | undefined;
     readWeight: number;
+    isSplit: boolean;
     source: FetchSource | undefined;
     knowledge: PlacementKnowledge;
   },
 ): ScoredPlacement {
-  const { replica, load, readingShare } = each;
-  const { needs, home, readWeight, source, knowledge } = context;
+  const { replica, load } = each;
+  const { needs, home, readWeight, isSplit, source, knowledge } = context;
   const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
   const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
   const heldTokens = computeTokens(needs.partTokens.slice(0, held));
@@ -235,9 +238,8 @@
   const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : toRead;
   const waitMs = load.pendingTokens * msPerToken;
   const readMs = readTokens * msPerToken;
-  const readingMs = needs.isTalk ? READING_MS * readingShare : 0;
-  const cost = waitMs + readWeight * readMs + readingMs +
-    PAUSE_WEIGHT * readMs * load.talking +
+  const pauseMs = isSplit ? 0 : computePauses(each, needs.isTalk, readMs);
+  const cost = waitMs + readWeight * readMs + pauseMs +
     RUNNING_MS * load.running + computeFilling(each) +
     computeDistance(replica, knowledge);
   return {
