--- a/src/process/seeded_fleet/pool_owners.ts
+++ b/src/process/seeded_fleet/pool_owners.ts
@@ -14,8 +14,8 @@
 
 /**
  * Fleets of so many VMs, this one included, need no owners. Each VM there sends
- * and hears some 330 datagrams a second of 1.5 KB, half a megabyte each way: of
- * sixteen VMs with links of 7 Mbit/s, some read a request two seconds late.
+ * and reads up to 330 datagrams a second of 0.6 KB. Of sixteen VMs with a third
+ * of a core each, some read their callers' requests two seconds late in a flood.
  */
 const SMALL_FLEET_MOST = 12;
 /**
