Bound the weight of reading a part again, and fetch it once it is read

Owners answered all but 118 of 18,500 asks, so who decides is ruled out, and so are the engines' slots (24; 16 to 20 in use).

Change: the weight ends at 4; what is fetched weighs its own time alone; a part can be fetched once its reader has sent output, not 1.5 s after it was sent.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -109,7 +109,8 @@
       const loads = JSON.stringify(part.loads);
       told.set(key, loads);
       const isNew = loads !== (this.#toldLoads.get(key) ?? "[]") ||
-        part.results.length + part.speeds.length + part.placements.length > 0;
+        [part.results, part.speeds, part.placements, part.reads]
+          .some((entries) => entries.length > 0);
       return { placers: vms, work: part, isNew };
     });
     this.#toldLoads = told;
@@ -174,6 +175,7 @@
       results: work.results.filter(isPart),
       speeds: work.speeds.filter(isPart),
       placements: work.placements.filter(isPart),
+      reads: work.reads.filter(isPart),
     };
   }
 }
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -38,6 +38,12 @@
  */
 const WAITING_PROMPT_TOKENS = 2_000;
 const CALM_TOKENS = 4_000;
+/**
+ * Reading a part again weighs no more than this. With 45,000 tokens that wait
+ * at the mean replica the weight would be 22, and prompts went to replicas with
+ * 200,000 tokens ahead, 5 s of reading, for a part that takes 0.15 s.
+ */
+const MOST_READ_WEIGHT = 4;
 /**
  * A prompt with more tokens makes the talks beside it pause like any other: an
  * engine reads so many in about one chunk.
@@ -53,8 +59,8 @@
  */
 const FILLING_SHARE = 0.7;
 /**
- * A token that another replica hands over costs so much of one that is read:
- * it takes a tenth of the time, and its way over the link is dear.
+ * A token that another replica hands over takes about so much of the time of
+ * one that is read, and holds nobody up: the engine goes on meanwhile.
  */
 const FETCH_WEIGHT = 0.25;
 /**
@@ -212,7 +218,8 @@
   );
   const meanTokens = pendingTokens / Math.max(1, loaded.length);
   const waitingTokens = Math.max(0, meanTokens - CALM_TOKENS);
-  return READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
+  const weight = READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
+  return Math.min(MOST_READ_WEIGHT, weight);
 }
 
 function computePromptScore(
@@ -234,12 +241,13 @@
   const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
   const isHome = home === replica.id;
   const fetchedTokens = computeFetched(source, replica.id, heldTokens);
-  const toRead = ownTokens - (1 - FETCH_WEIGHT) * fetchedTokens;
+  const toRead = ownTokens - fetchedTokens;
   const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : toRead;
   const waitMs = load.pendingTokens * msPerToken;
   const readMs = readTokens * msPerToken;
+  const fetchMs = FETCH_WEIGHT * fetchedTokens * msPerToken;
   const pauseMs = isSplit ? 0 : computePauses(each, needs.isTalk, readMs);
-  const cost = waitMs + readWeight * readMs + pauseMs +
+  const cost = waitMs + readWeight * readMs + fetchMs + pauseMs +
     RUNNING_MS * load.running + computeFilling(each) +
     computeDistance(replica, knowledge);
   return {
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -160,8 +160,10 @@
     if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.signs.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
-    const { clock, state: { speeds }, placement } = this.#options;
+    const { clock, request, state, placement } = this.#options;
+    const { prefixes, speeds } = state;
     this.#hasOutput = true;
+    prefixes.noteRead(this.upstream, request.prefixes);
     this.#work.noteFirstOutput();
     speeds.noteFirstOutput(
       this.upstream,
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -5,7 +5,11 @@
  */
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import { type PlacementEntry, PrefixMemory } from "./prefix_memory.ts";
+import {
+  type PlacementEntry,
+  PrefixMemory,
+  type ReadEntry,
+} from "./prefix_memory.ts";
 import { ReadingShares } from "./reading_shares.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
@@ -18,6 +22,7 @@
   results: ResultEntry[];
   speeds: SpeedEntry[];
   placements: PlacementEntry[];
+  reads: ReadEntry[];
 }
 
 /** What a state needs. */
@@ -61,6 +66,7 @@
       results: this.health.takeUnsent(),
       speeds: this.speeds.takeUnsent(),
       placements: this.prefixes.takeUnsent(),
+      reads: this.prefixes.takeUnsentReads(),
     };
   }
 
@@ -70,6 +76,7 @@
     this.health.notePeerResults(news.results);
     this.speeds.notePeerSpeeds(news.speeds);
     this.prefixes.notePeerPlacements(news.placements);
+    this.prefixes.notePeerReads(news.reads);
     for (const [replica, , readTokens] of news.placements) {
       const msPerToken = this.speeds.getMsPerToken(replica);
       this.readings.addReading(replica, readTokens * msPerToken);
--- a/src/process/placement/prefix_memory.ts
+++ b/src/process/placement/prefix_memory.ts
@@ -10,7 +10,10 @@
 const MAX_PARTS = 8_000;
 /** A part that was not used for so long counts as gone, in milliseconds. */
 const KEPT_MS = 60_000;
-/** A part that was sent so long ago has been read, in milliseconds. */
+/**
+ * A part that was sent so long ago has been read, in milliseconds, also where
+ * nobody has told of it.
+ */
 const READ_WITHIN_MS = 1_500;
 
 /** A prompt's parts, sent to a replica that has so many tokens to read. */
@@ -20,10 +23,15 @@
   readTokens: number,
 ];
 
+/** Shared parts of a prompt that a replica was seen to have read. */
+export type ReadEntry = [replica: VmId, parts: string[]];
+
 /** A part at one replica; times of `Clock.now()`. */
 interface HeldPart {
   sentAt: number;
   usedAt: number;
+  /** Whether the replica has sent output after it. */
+  isRead: boolean;
 }
 
 /** Parts of prompts by replica. */
@@ -31,6 +39,7 @@
   readonly #clock: Clock;
   readonly #parts = new Map<string, Map<VmId, HeldPart>>();
   #unsent: PlacementEntry[] = [];
+  #unsentRead: ReadEntry[] = [];
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -52,6 +61,31 @@
     for (const [replica, parts] of entries) this.#note(replica, parts);
   }
 
+  /**
+   * Takes in that `replica` has sent output to a prompt with these parts: it
+   * can hand them over from now on. In a flood on empty caches this is a second
+   * sooner than by the time alone, in which each part would be read again at
+   * several replicas.
+   */
+  noteRead(replica: VmId, parts: readonly string[]): void {
+    const shared = parts.slice(0, -1);
+    if (this.#setRead(replica, shared)) {
+      this.#unsentRead.push([replica, shared]);
+    }
+  }
+
+  /** Takes in what another VM saw. */
+  notePeerReads(entries: readonly ReadEntry[]): void {
+    for (const [replica, parts] of entries) this.#setRead(replica, parts);
+  }
+
+  /** What was read that the other VMs have not been told of yet. */
+  takeUnsentReads(): ReadEntry[] {
+    const entries = this.#unsentRead;
+    this.#unsentRead = [];
+    return entries;
+  }
+
   /** Placements that the other VMs have not been told of yet. */
   takeUnsent(): PlacementEntry[] {
     const entries = this.#unsent;
@@ -80,7 +114,11 @@
   /** The same of parts that it should have read by now. */
   countRead(replica: VmId, parts: readonly string[]): number {
     const latest = this.#clock.now() - READ_WITHIN_MS;
-    return this.#countFirst(replica, parts, ({ sentAt }) => sentAt <= latest);
+    return this.#countFirst(
+      replica,
+      parts,
+      (held) => held.isRead || held.sentAt <= latest,
+    );
   }
 
   #countFirst(
@@ -114,6 +152,19 @@
     }
   }
 
+  /** Says whether that is news: others take it for read soon anyway. */
+  #setRead(replica: VmId, parts: readonly string[]): boolean {
+    const latest = this.#clock.now() - READ_WITHIN_MS;
+    let isNew = false;
+    for (const part of parts) {
+      const held = this.#parts.get(part)?.get(replica);
+      if (held === undefined || held.isRead) continue;
+      held.isRead = true;
+      isNew ||= held.sentAt > latest;
+    }
+    return isNew;
+  }
+
   #note(replica: VmId, parts: readonly string[]): void {
     const now = this.#clock.now();
     for (const part of parts) {
@@ -124,7 +175,8 @@
       this.#parts.delete(part);
       this.#parts.set(part, holders);
       const sentAt = isHeld ? before.sentAt : now;
-      holders.set(replica, { sentAt, usedAt: now });
+      const isRead = isHeld && before.isRead;
+      holders.set(replica, { sentAt, usedAt: now, isRead });
     }
     while (this.#parts.size > MAX_PARTS) {
       this.#parts.delete(this.#parts.keys().next().value!);
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -20,6 +20,7 @@
   results: z.array(z.tuple([VM, COUNT, COUNT])),
   speeds: z.array(z.tuple([VM, COUNT])),
   placements: z.array(z.tuple([VM, z.array(TEXT), COUNT])),
+  reads: z.array(z.tuple([VM, z.array(TEXT)])),
   /** The number of the sender's last ask. */
   lastAsk: COUNT,
   /** Asks up to there that it has no answer to. */
--- a/test/process/placement/fetch_source_test.ts
+++ b/test/process/placement/fetch_source_test.ts
@@ -56,6 +56,48 @@
     expect(placement.fetchedTokens).toBe(13_000);
   });
 
+  // Symptom: on empty caches the same sheet is read at several replicas.
+  // Sequence: one has read it after half a second; more prompts come for it.
+  // Cause: it counted as read by the time alone, a second later.
+  it("is fetched as soon as its reader has sent any output", async () => {
+    const { clock, state, replicas, choose } = createPool();
+    const holder = replicas[0]!.id;
+    state.prefixes.noteSent(holder, SHEET.parts, SHEET.promptTokens);
+    await clock.run(500);
+    state.loads.addOwn(holder, { pendingTokens: 20_000, isTalking: false });
+    expect(choose().fetchFrom).toBeUndefined();
+    state.prefixes.noteRead(holder, SHEET.parts);
+    expect(choose().fetchFrom).toBe("10.0.0.1:80");
+    const [told] = state.takeNews().reads;
+    expect(told).toEqual([holder, ["sheet"]]);
+  });
+
+  it("tells nobody of what they take for read by themselves", async () => {
+    const { clock, state, replicas } = createPool();
+    const holder = replicas[0]!.id;
+    state.prefixes.noteSent(holder, SHEET.parts, SHEET.promptTokens);
+    await clock.run(READ_MS);
+    state.prefixes.noteRead(holder, SHEET.parts);
+    expect(state.takeNews().reads).toEqual([]);
+  });
+
+  // Symptom: some replicas have five seconds of reading ahead, others none.
+  // Sequence: 45,000 tokens wait at the mean replica of a flood, 200,000 at
+  // the one that holds a sheet.
+  // Cause: reading the sheet again weighed more the more was waiting, without
+  // end, so every prompt for it went there.
+  it("goes elsewhere from a replica far behind the others", () => {
+    const { state, replicas, choose } = createPool();
+    const [holder, ...others] = replicas.map(({ id }) => id);
+    state.prefixes.noteSent(holder!, SHEET.parts, SHEET.promptTokens);
+    const isTalking = false;
+    state.loads.addOwn(holder!, { pendingTokens: 200_000, isTalking });
+    for (const id of others) {
+      state.loads.addOwn(id, { pendingTokens: 40_000, isTalking });
+    }
+    expect(choose().replica.id).not.toBe(holder);
+  });
+
   it("stays where it is while there is room", async () => {
     const { clock, state, replicas, choose } = createPool();
     const holder = replicas[0]!.id;
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_talk_test.ts
@@ -106,6 +106,7 @@
         results,
         speeds: [],
         placements: [],
+        reads: [],
         lastAsk: 0,
         openAsks: [],
       };
