Refuse at once what no replica has time for, where one VM sees all of a pool

Change: an owner gives a replica prompts for 0.75 of its time and 400 ms ahead; where none has room the caller hears 503, not run, with a time to come back that is spread. Only for streams whose callers accept pauses of 300 ms or less, not for talks, tries after the first, or VMs that decide alone.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -8,7 +8,7 @@
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
 import {
-  type Placement,
+  type OwnerDecision,
   type PlacementRequest,
   type PlacementState,
   ReplicaChooser,
@@ -69,10 +69,10 @@
    * Asks the pool's owner where a request should go. Undefined where this VM
    * is the owner, where there is none, and where it is silent.
    */
-  async askOwner(request: PlacementRequest): Promise<Placement | undefined> {
+  async askOwner(request: PlacementRequest): Promise<OwnerDecision> {
     if (this.#findOwners() === undefined) return undefined;
     const placed = await this.#asker.ask(request);
-    if (placed === undefined) return undefined;
+    if (placed === undefined || placed === "full") return placed;
     const { replicas } = this.#options;
     const replica = replicas.find(placed.replica);
     // One VM may have read of a replica that comes or leaves before another.
@@ -85,9 +85,20 @@
   answerAsk(message: AskMessage): AnswerMessage {
     const { vm, ask } = message;
     const placement = this.#chooser.chooseFor(vm, ask, message);
-    if (placement === undefined) return { kind: "answer", ask };
+    if (placement === undefined) {
+      return {
+        kind: "answer",
+        ask,
+        isFull: this.#chooser.hasCandidates(message),
+      };
+    }
     const { replica, ...placed } = placement;
-    return { kind: "answer", ask, placed: { ...placed, replica: replica.id } };
+    return {
+      kind: "answer",
+      ask,
+      placed: { ...placed, replica: replica.id },
+      isFull: false,
+    };
   }
 
   noteAnswer(answer: AnswerMessage): void {
--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-export type { Placement } from "./placement_choice.ts";
 export { PlacementSource } from "./placement_source.ts";
-export type { AskOwner } from "./placement_source.ts";
+export type { AskOwner, OwnerDecision } from "./placement_source.ts";
 export { ReplicaChooser } from "./replica_chooser.ts";
 export type { PlacementRequest } from "./replica_chooser.ts";
 export { PlacementState } from "./placement_state.ts";
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -38,12 +38,6 @@
  */
 const WAITING_PROMPT_TOKENS = 2_000;
 const CALM_TOKENS = 4_000;
-/**
- * Reading a part again weighs no more than this. With 45,000 tokens that wait
- * at the mean replica the weight would be 22, and prompts went to replicas with
- * 200,000 tokens ahead, 5 s of reading, for a part that takes 0.15 s.
- */
-const MOST_READ_WEIGHT = 4;
 /**
  * A prompt with more tokens makes the talks beside it pause like any other: an
  * engine reads so many in about one chunk.
@@ -81,6 +75,8 @@
   promptTokens: number;
   /** As `isTalkPrompt` says of it. */
   isTalk: boolean;
+  /** Whether only replicas will do that have time for its stream. */
+  needsPace: boolean;
 }
 
 /** Where a request should go, and what it finds there. */
@@ -105,7 +101,10 @@
 /** What the choice goes by. */
 export interface PlacementKnowledge {
   dataCentre: DataCentre;
-  state: Pick<PlacementState, "loads" | "speeds" | "prefixes" | "readings">;
+  state: Pick<
+    PlacementState,
+    "loads" | "speeds" | "prefixes" | "readings" | "budget"
+  >;
 }
 
 /**
@@ -121,7 +120,10 @@
     (isTalk === true ? TALK_PROMPT_TOKENS : SHORT_PROMPT_TOKENS);
 }
 
-/** Chooses among `candidates`; undefined when there are none. */
+/**
+ * Chooses among `candidates`; undefined when there are none, or none that has
+ * time for a stream that needs its pace.
+ */
 export function choosePlacement(
   candidates: readonly ListedReplica[],
   needs: PlacementNeeds,
@@ -162,7 +164,11 @@
     needs,
     knowledge.state.prefixes,
   );
-  return suited.map((each) =>
+  const { budget } = knowledge.state;
+  const withRoom = needs.needsPace
+    ? suited.filter(({ replica }) => budget.hasRoom(replica.id))
+    : suited;
+  return withRoom.map((each) =>
     computePromptScore(each, {
       needs,
       home,
@@ -218,8 +224,7 @@
   );
   const meanTokens = pendingTokens / Math.max(1, loaded.length);
   const waitingTokens = Math.max(0, meanTokens - CALM_TOKENS);
-  const weight = READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
-  return Math.min(MOST_READ_WEIGHT, weight);
+  return READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
 }
 
 function computePromptScore(
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -9,6 +9,7 @@
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
 import type { Clock } from "../clock.ts";
+import type { Random } from "../random.ts";
 import {
   HeldLease,
   type LeaseProgress,
@@ -30,14 +31,29 @@
  */
 const PREDICTION_SLACK = 2;
 
+/**
+ * Streams whose callers accept no longer pauses, in milliseconds, need replicas
+ * that do not read all the time: there an event of four tokens comes each 280
+ * to 400 ms.
+ */
+const PACE_PAUSE_MS = 300;
+/**
+ * Callers of a full pool are asked to come back after so long, in milliseconds,
+ * spread over as much again: a pool has room for some more in each second, and
+ * not for all that it turned away at once.
+ */
+const FULL_RETRY_MS = 800;
+
+/** A replica, or that none has room; undefined where the VM decides alone. */
+export type OwnerDecision = Placement | "full" | undefined;
+
 /** Asks a pool's owner; undefined where this VM is to decide by itself. */
-export type AskOwner = (
-  request: PlacementRequest,
-) => Promise<Placement | undefined>;
+export type AskOwner = (request: PlacementRequest) => Promise<OwnerDecision>;
 
 /** What placing needs. */
 export interface PlacementSourceOptions {
   clock: Clock;
+  random: Random;
   /** Where this VM stands. */
   dataCentre: DataCentre;
   directory: ReplicaDirectory;
@@ -66,8 +82,11 @@
     _options: { signal: AbortSignal; onStep: (step: FateStep) => void },
   ): Promise<HeldLease> {
     const needs = this.#buildNeeds(request);
-    const placement = await this.#options.askOwner(needs) ??
-      this.#chooser.choose(needs);
+    const decision = await this.#options.askOwner(needs);
+    if (decision === "full") throw createPoolFull(this.#options.random);
+    // One who decides alone does not see what others send, and refuses nobody.
+    const placement = decision ??
+      this.#chooser.choose({ ...needs, needsPace: false });
     if (placement === undefined) throw createNoReplica();
     this.#granted += 1;
     return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
@@ -79,6 +98,7 @@
   }
 
   #buildNeeds(request: LeaseRequest): PlacementRequest {
+    const isTalk = isTalkPrompt(request.promptTokens, request.isTalk);
     return {
       pool: request.pool,
       avoid: request.avoid,
@@ -86,7 +106,8 @@
       parts: request.prefixes,
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
-      isTalk: isTalkPrompt(request.promptTokens, request.isTalk),
+      isTalk,
+      needsPace: !isTalk && isPaceNeeded(request),
     };
   }
 }
@@ -200,6 +221,21 @@
     }`;
 }
 
+/** A request that was tried before is not refused for want of room. */
+function isPaceNeeded({ pauseMs, avoid }: LeaseRequest): boolean {
+  return pauseMs !== undefined && pauseMs <= PACE_PAUSE_MS &&
+    avoid.length === 0;
+}
+
+function createPoolFull(random: Random): RefusalError {
+  return new RefusalError({
+    code: "queue_full",
+    message: "The service's replicas have no time for another stream now",
+    outcome: "not_run",
+    retryAfterMs: Math.round(FULL_RETRY_MS * (1 + random.next())),
+  });
+}
+
 function createNoReplica(): RefusalError {
   return new RefusalError({
     code: "no_upstream",
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -10,6 +10,7 @@
   PrefixMemory,
   type ReadEntry,
 } from "./prefix_memory.ts";
+import { ReadingBudget } from "./reading_budget.ts";
 import { ReadingShares } from "./reading_shares.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
@@ -40,6 +41,7 @@
   readonly speeds: ReplicaSpeeds;
   readonly prefixes: PrefixMemory;
   readonly readings: ReadingShares;
+  readonly budget: ReadingBudget;
   readonly signs: ReplicaSigns;
 
   constructor(options: PlacementStateOptions) {
@@ -52,6 +54,7 @@
     this.speeds = ReplicaSpeeds.create(clock);
     this.prefixes = PrefixMemory.create(clock);
     this.readings = ReadingShares.create(clock);
+    this.budget = ReadingBudget.create(clock);
     this.signs = ReplicaSigns.create(clock);
   }
 
@@ -95,6 +98,7 @@
     this.speeds.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
     this.readings.dropUnlisted(isListed);
+    this.budget.dropUnlisted(isListed);
     this.signs.dropUnlisted(isListed);
   }
 }
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -49,6 +49,11 @@
     });
   }
 
+  /** Whether there are replicas that take work, with room or without. */
+  hasCandidates(request: PlacementRequest): boolean {
+    return this.#listCandidates(request).length > 0;
+  }
+
   /** Chooses for ask number `ask` of `vm`, and counts the request from now. */
   chooseFor(
     vm: VmId,
@@ -58,11 +63,11 @@
     const placement = this.choose(request);
     if (placement === undefined) return undefined;
     const replica = placement.replica.id;
-    const load = {
-      pendingTokens: placement.ownTokens - placement.fetchedTokens,
-      running: 1,
-      talking: request.isTalk ? 1 : 0,
-    };
+    const pendingTokens = placement.ownTokens - placement.fetchedTokens;
+    const talking = request.isTalk ? 1 : 0;
+    const load = { pendingTokens, running: 1, talking };
+    const msPerToken = this.#state.speeds.getMsPerToken(replica);
+    this.#state.budget.addReading(replica, pendingTokens * msPerToken);
     this.#state.loads.answered.note(vm, ask, { replica, load });
     this.#state.prefixes.notePeerPlacements([[replica, request.parts, 0]]);
     return placement;
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -14,7 +14,7 @@
 import type { Log } from "./log.ts";
 import { OwnedPlacement } from "./owned_placement.ts";
 import {
-  type Placement,
+  type OwnerDecision,
   type PlacementRequest,
   type PlacementState,
   PrefixPriming,
@@ -137,7 +137,7 @@
   }
 
   /** As `OwnedPlacement.askOwner`. */
-  askOwner(request: PlacementRequest): Promise<Placement | undefined> {
+  askOwner(request: PlacementRequest): Promise<OwnerDecision> {
     return this.#owned.askOwner(request);
   }
 
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -52,6 +52,7 @@
     getSnapshot: parts.getSnapshot,
     leases: PlacementSource.create({
       clock,
+      random,
       directory: parts.replicas,
       dataCentre: parts.dataCentre,
       state: placement,
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -98,6 +98,7 @@
   partTokens: z.array(COUNT),
   promptTokens: COUNT,
   isTalk: z.boolean(),
+  needsPace: z.boolean(),
 });
 
 const PLACED = z.object({
@@ -115,6 +116,8 @@
   ask: COUNT,
   /** Left out where the owner knows of none that takes work. */
   placed: PLACED.optional(),
+  /** Whether there are some, and none has room for the request. */
+  isFull: z.boolean(),
 });
 
 const MESSAGE = z.discriminatedUnion("kind", [
--- a/src/process/seeded_fleet/placement_asker.ts
+++ b/src/process/seeded_fleet/placement_asker.ts
@@ -24,6 +24,8 @@
 export type PlacedByOwner = NonNullable<AnswerMessage["placed"]> & {
   owner: VmId;
 };
+/** What became of an ask; undefined where nobody answered it. */
+export type OwnerAnswer = PlacedByOwner | "full" | undefined;
 /** What is asked, without what the asker fills in. */
 export type AskContent = Omit<AskMessage, "kind" | "vm" | "ask">;
 
@@ -58,14 +60,14 @@
   }
 
   /** Undefined when no owner answers in time, or none is to be asked. */
-  async ask(content: AskContent): Promise<PlacedByOwner | undefined> {
+  async ask(content: AskContent): Promise<OwnerAnswer> {
     for (const placer of this.#options.listPlacers(content.pool)) {
       const { vm } = placer.beat;
       const avoidedUntil = this.#avoidedUntil.get(vm) ?? 0;
       if (avoidedUntil > this.#options.clock.now()) continue;
       const answer = await this.#askOne(placer, content);
       if (answer?.placed !== undefined) return { ...answer.placed, owner: vm };
-      if (answer !== undefined) return undefined;
+      if (answer !== undefined) return answer.isFull ? "full" : undefined;
       this.#noteSilent(vm, content.pool);
     }
     return undefined;
--- /dev/null
+++ b/test/process/placement/reading_budget_test.ts
@@ -0,0 +1,180 @@
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import { RefusalError } from "../../../src/outcome.ts";
+import {
+  PlacementSource,
+  PlacementState,
+  ReplicaChooser,
+  ReplicaDirectory,
+} from "../../../src/process/placement/index.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
+import type { LeaseRequest } from "../../../src/process/services.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const POOL_SIZE = 4;
+const PROMPT_TOKENS = 9_000;
+const FLOOD_MS = 10_000;
+/** At 35 tokens in a millisecond a pool of four reads a prompt in 64 ms. */
+const FLOOD_EVERY_MS = 50;
+const CALM_EVERY_MS = 130;
+
+function createPool() {
+  const clock = VirtualClock.create();
+  const directory = ReplicaDirectory.create();
+  directory.apply({
+    revision: 1,
+    replicas: Array.from({ length: POOL_SIZE }, (_, index) => ({
+      id: toId<VmId>(`i-${index}`),
+      pool: toId("pool"),
+      address: "10.0.0.1",
+      port: 80 + index,
+      dataCentre: toId("dc"),
+      slots: 24,
+      state: "ready",
+    })),
+  });
+  const state = PlacementState.create({
+    clock,
+    onNews: () => {},
+    onEjected: () => {},
+  });
+  const chooser = ReplicaChooser.create(directory, state);
+  let asks = 0;
+  const place = (changes: { promptTokens?: number; isTalk?: boolean } = {}) => {
+    const promptTokens = changes.promptTokens ?? PROMPT_TOKENS;
+    const isTalk = changes.isTalk ?? false;
+    asks += 1;
+    return chooser.chooseFor(toId("vm"), asks, {
+      pool: toId("pool"),
+      avoid: [],
+      dataCentre: toId("dc"),
+      parts: [`own-${asks}`],
+      partTokens: [promptTokens],
+      promptTokens,
+      isTalk,
+      needsPace: !isTalk,
+    });
+  };
+  /** Places prompts for a while; returns how many, and the reading of each. */
+  const placeAll = async (everyMs: number) => {
+    const readMs = new Map<VmId, number>();
+    let refused = 0;
+    for (let at = 0; at < FLOOD_MS; at += everyMs) {
+      const replica = place()?.replica.id;
+      if (replica === undefined) refused += 1;
+      else {
+        const ms = PROMPT_TOKENS * state.speeds.getMsPerToken(replica);
+        readMs.set(replica, (readMs.get(replica) ?? 0) + ms);
+      }
+      await clock.run(everyMs);
+    }
+    return { refused, readMs };
+  };
+  return { clock, directory, state, place, placeAll };
+}
+
+// The load: for ten seconds a third more long prompts than a pool can read.
+// Symptom: streams reach a replica at once and run until their deadline.
+// Sequence: each replica has prompts to read all the time; each token of its
+// streams waits for a chunk of them.
+// Cause: replicas were given whatever came.
+describe("prompts whose streams have to keep their pace", () => {
+  it("leave replicas time for their streams in a flood", async () => {
+    const { placeAll } = createPool();
+    const { refused, readMs } = await placeAll(FLOOD_EVERY_MS);
+    expect(refused).toBeGreaterThan(0);
+    for (const ms of readMs.values()) {
+      expect(ms / FLOOD_MS).toBeLessThan(0.85);
+      expect(ms / FLOOD_MS).toBeGreaterThan(0.65);
+    }
+  });
+
+  it("are never refused at half of what the pool can read", async () => {
+    const { placeAll } = createPool();
+    expect((await placeAll(CALM_EVERY_MS)).refused).toBe(0);
+  });
+
+  // Symptom: the longest documents alone are turned away.
+  // Cause: a prompt had to fit in with its whole length.
+  it("find room whatever their length", () => {
+    const { place } = createPool();
+    expect(place({ promptTokens: 40_000 })).toBeDefined();
+  });
+
+  it("do not keep talks out", async () => {
+    const { place, placeAll } = createPool();
+    await placeAll(FLOOD_EVERY_MS);
+    while (place() !== undefined);
+    expect(place({ promptTokens: 600, isTalk: true })).toBeDefined();
+  });
+});
+
+function buildRequest(changes: Partial<LeaseRequest>): LeaseRequest {
+  return {
+    requestId: toId("request"),
+    attempt: 1,
+    workspace: toId("workspace"),
+    className: toId("document"),
+    pool: toId("pool"),
+    model: undefined,
+    adapter: undefined,
+    arrivedAt: 0,
+    deadlineAt: 5_000,
+    promptTokens: PROMPT_TOKENS,
+    maxTokens: 80,
+    doneTokens: 0,
+    idempotent: true,
+    prefixes: ["own"],
+    partTokens: [PROMPT_TOKENS],
+    isTalk: false,
+    pauseMs: 200,
+    avoid: [],
+    ...changes,
+  };
+}
+
+describe("a VM whose owner finds no room", () => {
+  const createSource = () => {
+    const { clock, directory, state } = createPool();
+    const asked: boolean[] = [];
+    const source = PlacementSource.create({
+      clock,
+      random: SeededRandom.create(1),
+      dataCentre: toId("dc"),
+      directory,
+      state,
+      askOwner: ({ needsPace }) => {
+        asked.push(needsPace);
+        return Promise.resolve(needsPace ? "full" : undefined);
+      },
+    });
+    const acquire = (changes: Partial<LeaseRequest> = {}) =>
+      source.acquire(buildRequest(changes), {
+        signal: new AbortController().signal,
+        onStep: () => {},
+      });
+    return { acquire, asked };
+  };
+
+  it("refuses at once, says that nothing ran, and when to come back", async () => {
+    const { acquire } = createSource();
+    const refusals: number[] = [];
+    for (let index = 0; index < 20; index++) {
+      const thrown = await acquire().catch((error: unknown) => error);
+      expect(thrown).toBeInstanceOf(RefusalError);
+      const { refusal } = thrown as RefusalError;
+      expect(refusal.outcome).toBe("not_run");
+      refusals.push(refusal.retryAfterMs!);
+    }
+    expect(Math.max(...refusals) - Math.min(...refusals)).toBeGreaterThan(400);
+  });
+
+  it("asks for room only where callers accept short pauses alone", async () => {
+    const { acquire, asked } = createSource();
+    await acquire({ pauseMs: 1_200 });
+    await acquire({ pauseMs: undefined });
+    await acquire({ avoid: [toId<VmId>("i-0")] });
+    await acquire({ promptTokens: 600, isTalk: true });
+    expect(asked).toEqual([false, false, false, false]);
+  });
+});
--- a/test/process/placement/replica_signs_test.ts
+++ b/test/process/placement/replica_signs_test.ts
@@ -7,6 +7,7 @@
   ReplicaDirectory,
 } from "../../../src/process/placement/index.ts";
 import type { HeldLease } from "../../../src/process/services.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const PROGRESS = { tokens: 1, firstTokenMs: 1, betweenTokensMs: undefined };
@@ -32,6 +33,7 @@
   list(1, 1_000);
   const source = PlacementSource.create({
     clock,
+    random: SeededRandom.create(1),
     dataCentre: toId("dc"),
     directory,
     state: PlacementState.create({
