Bound readings by priority for all long prompts, and look for callers that left

With one bound for all, 46 of 116 answers of the more urgent kind got nothing while less urgent drafts began (TIER). And 14 requests were sent on 1.7 s after their callers had left (GONE): timers of asks that were due ran before the sockets were read.

Change: the budget holds for every long prompt, further ahead for more urgent ones; callers come back within a share of the time that they have left; the sockets are read once before a request is placed.

--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -75,8 +75,11 @@
   promptTokens: number;
   /** As `isTalkPrompt` says of it. */
   isTalk: boolean;
-  /** Whether only replicas will do that have time for its stream. */
-  needsPace: boolean;
+  /**
+   * Only replicas will do that have time for its stream, by this priority, 0
+   * being the most urgent; undefined where any will.
+   */
+  pacePriority?: number | undefined;
 }
 
 /** Where a request should go, and what it finds there. */
@@ -165,9 +168,10 @@
     knowledge.state.prefixes,
   );
   const { budget } = knowledge.state;
-  const withRoom = needs.needsPace
-    ? suited.filter(({ replica }) => budget.hasRoom(replica.id))
-    : suited;
+  const { pacePriority } = needs;
+  const withRoom = pacePriority === undefined
+    ? suited
+    : suited.filter(({ replica }) => budget.hasRoom(replica.id, pacePriority));
   return withRoom.map((each) =>
     computePromptScore(each, {
       needs,
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -32,17 +32,12 @@
 const PREDICTION_SLACK = 2;
 
 /**
- * Streams whose callers accept no longer pauses, in milliseconds, need replicas
- * that do not read all the time: there an event of four tokens comes each 280
- * to 400 ms.
+ * Callers of a full pool are asked to come back within these shares of the time
+ * that they have left: one with more time can let more of a flood pass, and all
+ * at once would find it as full. Beyond a third they do not wait.
  */
-const PACE_PAUSE_MS = 300;
-/**
- * Callers of a full pool are asked to come back after so long, in milliseconds,
- * spread over as much again: a pool has room for some more in each second, and
- * not for all that it turned away at once.
- */
-const FULL_RETRY_MS = 800;
+const LEAST_RETRY_SHARE = 0.1;
+const MOST_RETRY_SHARE = 0.3;
 
 /** A replica, or that none has room; undefined where the VM decides alone. */
 export type OwnerDecision = Placement | "full" | undefined;
@@ -59,6 +54,8 @@
   directory: ReplicaDirectory;
   state: PlacementState;
   askOwner: AskOwner;
+  /** Resolves once what has arrived on this process's sockets was read. */
+  readArrived: () => Promise<void>;
 }
 
 /** Grants without a queue, or refuses. */
@@ -83,10 +80,13 @@
   ): Promise<HeldLease> {
     const needs = this.#buildNeeds(request);
     const decision = await this.#options.askOwner(needs);
-    if (decision === "full") throw createPoolFull(this.#options.random);
+    // Time may have passed without the sockets being read, on a VM that is held
+    // up: the caller may have left, and its request must not be sent then.
+    await this.#options.readArrived();
+    if (decision === "full") throw this.#createPoolFull(request);
     // One who decides alone does not see what others send, and refuses nobody.
     const placement = decision ??
-      this.#chooser.choose({ ...needs, needsPace: false });
+      this.#chooser.choose({ ...needs, pacePriority: undefined });
     if (placement === undefined) throw createNoReplica();
     this.#granted += 1;
     return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
@@ -107,9 +107,24 @@
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
       isTalk,
-      needsPace: !isTalk && isPaceNeeded(request),
+      // One that was tried before is not refused for want of room.
+      pacePriority: isTalk || request.avoid.length > 0
+        ? undefined
+        : request.priority ?? DEFAULT_PRIORITY,
     };
   }
+
+  #createPoolFull({ deadlineAt }: LeaseRequest): RefusalError {
+    const { clock, random } = this.#options;
+    const leftMs = Math.max(0, deadlineAt - clock.now());
+    const spread = (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * random.next();
+    return new RefusalError({
+      code: "queue_full",
+      message: "The service's replicas have no time for another stream now",
+      outcome: "not_run",
+      retryAfterMs: Math.round(leftMs * (LEAST_RETRY_SHARE + spread)),
+    });
+  }
 }
 
 /** One request at one replica. */
@@ -221,21 +236,6 @@
     }`;
 }
 
-/** A request that was tried before is not refused for want of room. */
-function isPaceNeeded({ pauseMs, avoid }: LeaseRequest): boolean {
-  return pauseMs !== undefined && pauseMs <= PACE_PAUSE_MS &&
-    avoid.length === 0;
-}
-
-function createPoolFull(random: Random): RefusalError {
-  return new RefusalError({
-    code: "queue_full",
-    message: "The service's replicas have no time for another stream now",
-    outcome: "not_run",
-    retryAfterMs: Math.round(FULL_RETRY_MS * (1 + random.next())),
-  });
-}
-
 function createNoReplica(): RefusalError {
   return new RefusalError({
     code: "no_upstream",
--- a/src/process/placement/reading_budget.ts
+++ b/src/process/placement/reading_budget.ts
@@ -4,11 +4,12 @@
  * Pattern: a flood of long prompts, for seconds as many as a pool can read. An
  * engine makes one token of each of its streams between two chunks of prompts.
  * While it has prompts to read all the time, each token takes a chunk, 70 to
- * 100 ms instead of 6: a stream of 52 tokens lasts 4 to 5 s, pauses at each
- * event for longer than its caller accepts, and reaches no end before a
- * deadline of 5 s. One notices by requests that reached a replica at once and
- * ran until their deadline: in such a flood over 55 replicas 785 of 7,935, and
- * 2,537 that came late, while none was refused.
+ * 100 ms instead of 6: a stream of 52 tokens lasts 4 to 5 s and one of 120 some
+ * 10 s, they pause at each event for longer than callers accept, hold their
+ * slots, and reach no end before deadlines of 5 and 12 s. One notices by
+ * requests that reached a replica at once and ran until their deadline: in such
+ * a flood over 55 replicas 785 of 7,935, and 2,537 that came late, while none
+ * was refused.
  *
  * Why this prevents it: replicas are given as much to read as leaves time for
  * their streams. Where no replica has room, the next prompt is refused at once,
@@ -26,10 +27,15 @@
  */
 const SUSTAINED_SHARE = 0.75;
 /**
- * Prompts may come this much ahead of that, in milliseconds of reading: two to
- * four prompts at a time, which are read before streams come late.
+ * Prompts may come this much ahead of that, in milliseconds of reading: some at
+ * a time, which are read before streams come late. The more urgent ones may
+ * come further ahead, so that none of them is refused while less urgent ones
+ * find room.
  */
-const AHEAD_MS = 400;
+const LEAST_AHEAD_MS = 200;
+const AHEAD_PER_LEVEL_MS = 100;
+/** Levels of priority that are told apart here, 0 being the most urgent. */
+const LEVELS = 3;
 
 interface Budget {
   /** Reading beyond the sustained share, in milliseconds. */
@@ -54,8 +60,10 @@
    * Whether one more prompt finds its time there, however long it is: long ones
    * would else be the only ones that are turned away.
    */
-  hasRoom(replica: VmId): boolean {
-    return this.#computeAheadMs(replica) <= AHEAD_MS;
+  hasRoom(replica: VmId, priority: number): boolean {
+    const levels = Math.max(0, LEVELS - priority);
+    const mostMs = LEAST_AHEAD_MS + AHEAD_PER_LEVEL_MS * levels;
+    return this.#computeAheadMs(replica) <= mostMs;
   }
 
   /** A prompt goes there whose reading takes `readMs`. */
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -57,6 +57,7 @@
       dataCentre: parts.dataCentre,
       state: placement,
       askOwner: parts.askOwner,
+      readArrived,
     }),
     limits: UnlimitedSource.create(),
     claims: CallerRunClaims.create(random),
@@ -80,3 +81,13 @@
     },
   };
 }
+
+/**
+ * The check phase of the event loop comes after its poll phase, in which what
+ * has arrived is read. Timers come before it: a VM that was held up for seconds
+ * runs all that are due first, and sent requests on whose callers had closed
+ * their connections long ago.
+ */
+function readArrived(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -98,7 +98,7 @@
   partTokens: z.array(COUNT),
   promptTokens: COUNT,
   isTalk: z.boolean(),
-  needsPace: z.boolean(),
+  pacePriority: COUNT.optional(),
 });
 
 const PLACED = z.object({
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -40,8 +40,6 @@
   partTokens?: number[];
   /** Whether the work is a stream that long prompts beside it would spoil. */
   isTalk?: boolean;
-  /** The longest pause that its caller accepts within a stream, in ms. */
-  pauseMs?: number | undefined;
   /** For the engine's own queue; 0 is the most urgent. */
   priority?: number;
   avoid: VmId[];
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -64,7 +64,6 @@
   | "prefixes"
   | "partTokens"
   | "isTalk"
-  | "pauseMs"
   | "priority"
 >;
 
--- a/test/process/placement/replica_signs_test.ts
+++ b/test/process/placement/replica_signs_test.ts
@@ -42,6 +42,7 @@
       onEjected: () => {},
     }),
     askOwner: () => Promise.resolve(undefined),
+    readArrived: () => Promise.resolve(),
   });
   return { clock, list, source };
 }
