--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -56,7 +56,7 @@
       vm,
       clock,
       log,
-      listPlacers: (pool) => this.#listPlacersBefore(pool),
+      listOwners: (pool) => this.#listOwnersBefore(pool),
       send,
     });
   }
@@ -111,7 +111,7 @@
     const work = { ...news, ...this.#asker.numbers };
     const owners = this.#findOwners();
     if (owners === undefined) {
-      return [{ placers: undefined, work, isNew: true }];
+      return [{ owners: undefined, work, isNew: true }];
     }
     const told = new Map<string, string>();
     const shares = owners.groups.map(({ duties, vms }) => {
@@ -122,7 +122,7 @@
       const isNew = loads !== (this.#toldLoads.get(key) ?? "[]") ||
         [part.results, part.speeds, part.placements, part.reads]
           .some((entries) => entries.length > 0);
-      return { placers: vms, work: part, isNew };
+      return { owners: vms, work: part, isNew };
     });
     this.#toldLoads = told;
     return shares;
@@ -141,16 +141,16 @@
   }
 
   /** Everybody who places requests of any pool; undefined for all VMs. */
-  listPlacers(): ReadonlySet<VmId> | undefined {
-    return this.#findOwners()?.placers;
+  listOwners(): ReadonlySet<VmId> | undefined {
+    return this.#findOwners()?.owners;
   }
 
   /** Who is to be asked for a pool, up to this VM itself. */
-  #listPlacersBefore(pool: PoolName): FleetPeer[] {
+  #listOwnersBefore(pool: PoolName): FleetPeer[] {
     const { vm, peers } = this.#options;
-    const placers = this.#findOwners()?.listPlacers(pool) ?? [];
-    const ownIndex = placers.indexOf(vm);
-    const before = ownIndex < 0 ? placers : placers.slice(0, ownIndex);
+    const owners = this.#findOwners()?.listOwners(pool) ?? [];
+    const ownIndex = owners.indexOf(vm);
+    const before = ownIndex < 0 ? owners : owners.slice(0, ownIndex);
     return before.map((each) => peers.find(each))
       .filter((peer) => peer !== undefined);
   }
@@ -166,7 +166,7 @@
     const key =
       `${peers.revision} ${self.isServing} ${self.isDraining} ${self.isPrimed}`;
     if (this.#owners?.key !== key) {
-      const live = peers.listLive().map(({ beat }) => beat);
+      const live = peers.listLive().map(({ heartbeat }) => heartbeat);
       this.#owners = PoolOwners.create(key, [...live, self]);
     }
     return this.#owners.isNeeded ? this.#owners : undefined;
--- a/src/process/placement/fetch_source.ts
+++ b/src/process/placement/fetch_source.ts
@@ -3,7 +3,7 @@
  *
  * A part that is cached elsewhere comes over the replicas' own links in a tenth
  * of the time that it takes to be read. Under a flood a prompt can then go to
- * an idle replica without the reading that keeps everybody's queues long: there
+ * an idle replica without the prefill that keeps everybody's queues long: there
  * long prompts earned 0.73 of their credit instead of 0.65, and a third fewer
  * tokens of shared parts were read again.
  *
@@ -31,7 +31,9 @@
   readTokens: number;
 }
 
-/** Finds it; undefined where none has read enough. The last part is no one's. */
+/**
+ * Finds it; undefined where none has read enough. The last part is no one's.
+ */
 export function findFetchSource(
   replicas: readonly ListedReplica[],
   { parts, partTokens }: PromptParts,
--- a/src/process/placement/load_totals.ts
+++ b/src/process/placement/load_totals.ts
@@ -15,14 +15,14 @@
   /** Requests that have not ended. */
   running: number;
   /** Streams among them that began with a short prompt and go on for long. */
-  talking: number;
+  interactive: number;
 }
 
 /** No work. */
 export const NO_LOAD: Readonly<ReplicaLoad> = {
   pendingTokens: 0,
   running: 0,
-  talking: 0,
+  interactive: 0,
 };
 
 /** Two loads together. */
@@ -33,7 +33,7 @@
   return {
     pendingTokens: left.pendingTokens + right.pendingTokens,
     running: left.running + right.running,
-    talking: left.talking + right.talking,
+    interactive: left.interactive + right.interactive,
   };
 }
 
@@ -58,7 +58,7 @@
     const rest = addLoads(this.get(replica), {
       pendingTokens: -load.pendingTokens,
       running: -load.running,
-      talking: -load.talking,
+      interactive: -load.interactive,
     });
     if (rest.running === 0) this.#totals.delete(replica);
     else this.#totals.set(replica, rest);
--- a/src/process/placement/pause_price.ts
+++ b/src/process/placement/pause_price.ts
@@ -1,28 +1,33 @@
 /**
- * What pauses cost in a pool that is too small to keep replicas for talks.
+ * What pauses cost in a pool that is too small to keep replicas for interactive
+ * streams.
  *
  * @module
  */
-import type { LoadedReplica } from "./talk_replicas.ts";
+import type { LoadedReplica } from "./interactive_replicas.ts";
 
 /**
- * What each millisecond of reading costs each stream that talks there, in
+ * What each millisecond of prefill costs each interactive stream there, in
  * milliseconds: about one pause in three becomes longer than callers accept.
  */
 const PAUSE_WEIGHT = 0.3;
-/** A replica that only reads is as good for a talk as one so much slower, in ms. */
-const READING_MS = 500;
+/**
+ * A replica that only reads is as good for an interactive stream as one so much
+ * slower, in ms.
+ */
+const PREFILL_MS = 500;
 
 /**
- * What a prompt's reading costs the talks there, and the readings there a talk,
- * in a pool that keeps no replicas for talks. In one that does this would only
- * keep long prompts from the replicas that hold their parts.
+ * What a prompt's prefill costs the interactive streams there, and the prefills
+ * there an interactive stream, in a pool that keeps no replicas for interactive
+ * streams. In one that does this would only keep long prompts from the replicas
+ * that hold their parts.
  */
 export function computePauses(
-  { load, readingShare }: LoadedReplica,
-  isTalk: boolean,
-  readMs: number,
+  { load, prefillShare }: LoadedReplica,
+  isInteractive: boolean,
+  prefillMs: number,
 ): number {
-  const ofTalk = isTalk ? READING_MS * readingShare : 0;
-  return ofTalk + PAUSE_WEIGHT * readMs * load.talking;
+  const ofInteractive = isInteractive ? PREFILL_MS * prefillShare : 0;
+  return ofInteractive + PAUSE_WEIGHT * prefillMs * load.interactive;
 }
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -18,31 +18,31 @@
   findFetchSource,
 } from "./fetch_source.ts";
 import {
-  computeTalkSplit,
+  computeInteractiveSplit,
+  type InteractiveSplit,
   type LoadedReplica,
   NO_SPLIT,
-  type TalkSplit,
-} from "./talk_replicas.ts";
+} from "./interactive_replicas.ts";
 
 /**
- * Reading a part again costs its own request and all that wait behind it, so
+ * Prefilling a part again costs its own request and all that wait behind it, so
  * it weighs more than a wait of the same length.
  */
-const READ_WEIGHT = 1.5;
+const PREFILL_WEIGHT = 1.5;
 /**
  * So many tokens that wait at the mean replica are one more prompt behind each
- * reading, beyond those of a calm time. Without this a burst makes prompts go
- * where their parts are not, and the reading of those parts again keeps the
+ * prefill, beyond those of a calm time. Without this a burst makes prompts go
+ * where their parts are not, and the prefill of those parts again keeps the
  * queues long after the burst: with it, a third fewer tokens are read again at
  * high load.
  */
 const WAITING_PROMPT_TOKENS = 2_000;
 const CALM_TOKENS = 4_000;
 /**
- * A prompt with more tokens makes the talks beside it pause like any other: an
- * engine reads so many in about one chunk.
+ * A prompt with more tokens makes the interactive streams beside it pause like
+ * any other: an engine reads so many in about one chunk.
  */
-const TALK_PROMPT_TOKENS = 4_000;
+const INTERACTIVE_PROMPT_TOKENS = 4_000;
 /** The same where nothing is known of the callers' targets. */
 const SHORT_PROMPT_TOKENS = 2_000;
 /** One more running request slows the others by about so much, in ms. */
@@ -73,8 +73,8 @@
   parts: string[];
   partTokens: number[];
   promptTokens: number;
-  /** As `isTalkPrompt` says of it. */
-  isTalk: boolean;
+  /** As `isInteractivePrompt` says of it. */
+  isInteractive: boolean;
   /**
    * Only replicas will do that have time for its stream, by this priority, 0
    * being the most urgent; undefined where any will.
@@ -106,21 +106,22 @@
   dataCentre: DataCentre;
   state: Pick<
     PlacementState,
-    "loads" | "speeds" | "prefixes" | "readings" | "budget"
+    "loads" | "speeds" | "prefixes" | "prefills" | "budget"
   >;
 }
 
 /**
- * Whether a prompt begins a talk that long prompts could make pause. `isTalk`
- * says whether its class is one of talks, undefined where that is not known.
+ * Whether a prompt begins an interactive stream that long prompts could make
+ * pause. `isInteractive` says whether its class is one of interactive streams,
+ * undefined where that is not known.
  */
-export function isTalkPrompt(
+export function isInteractivePrompt(
   promptTokens: number,
-  isTalk: boolean | undefined,
+  isInteractive: boolean | undefined,
 ): boolean {
-  if (promptTokens === 0 || isTalk === false) return false;
+  if (promptTokens === 0 || isInteractive === false) return false;
   return promptTokens <
-    (isTalk === true ? TALK_PROMPT_TOKENS : SHORT_PROMPT_TOKENS);
+    (isInteractive === true ? INTERACTIVE_PROMPT_TOKENS : SHORT_PROMPT_TOKENS);
 }
 
 /**
@@ -135,7 +136,7 @@
   const loaded = candidates.map((replica) => ({
     replica,
     load: knowledge.state.loads.getLoad(replica.id),
-    readingShare: knowledge.state.readings.getShare(replica.id),
+    prefillShare: knowledge.state.prefills.getShare(replica.id),
   }));
   const scored = needs.promptTokens > 0
     ? computePromptScores(loaded, needs, knowledge)
@@ -157,11 +158,11 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): ScoredPlacement[] {
-  const split = computeTalkSplit(loaded);
+  const split = computeInteractiveSplit(loaded);
   const suited = listSuited(loaded, needs, split);
   const candidates = suited.map(({ replica }) => replica);
-  const home = findHome(candidates, needs, knowledge.state.prefixes);
-  const readWeight = computeReadWeight(suited);
+  const preferred = findPreferred(candidates, needs, knowledge.state.prefixes);
+  const prefillWeight = computePrefillWeight(suited);
   const source = findFetchSource(
     loaded.map(({ replica }) => replica),
     needs,
@@ -175,8 +176,8 @@
   return withRoom.map((each) =>
     computePromptScore(each, {
       needs,
-      home,
-      readWeight,
+      preferred,
+      prefillWeight,
       isSplit: split !== NO_SPLIT,
       source,
       knowledge,
@@ -184,11 +185,13 @@
   );
 }
 
-/** Keeps long prompts away from replicas that are kept for talks. */
+/**
+ * Keeps long prompts away from replicas that are kept for interactive streams.
+ */
 function listSuited(
   loaded: readonly LoadedReplica[],
   needs: PlacementNeeds,
-  split: TalkSplit,
+  split: InteractiveSplit,
 ): readonly LoadedReplica[] {
   const suited = loaded.filter(({ replica }) =>
     isSuited(replica, needs, split)
@@ -199,11 +202,11 @@
 function isSuited(
   replica: ListedReplica,
   needs: PlacementNeeds,
-  split: TalkSplit,
+  split: InteractiveSplit,
 ): boolean {
   if (split === NO_SPLIT) return true;
-  return needs.isTalk
-    ? split.forTalks.has(replica.id)
+  return needs.isInteractive
+    ? split.forInteractive.has(replica.id)
     : !split.notForLong.has(replica.id);
 }
 
@@ -211,7 +214,7 @@
  * The replica that is taken to hold a prompt that nobody was seen to send:
  * every VM picks the same one, so that a part is read once and not once a VM.
  */
-function findHome(
+function findPreferred(
   candidates: readonly ListedReplica[],
   needs: PlacementNeeds,
   prefixes: PrefixMemory,
@@ -221,42 +224,47 @@
   return pickRendezvousFirst(key, candidates.map((replica) => replica.id));
 }
 
-function computeReadWeight(loaded: readonly LoadedReplica[]): number {
+function computePrefillWeight(loaded: readonly LoadedReplica[]): number {
   const pendingTokens = loaded.reduce(
     (sum, { load }) => sum + load.pendingTokens,
     0,
   );
   const meanTokens = pendingTokens / Math.max(1, loaded.length);
   const waitingTokens = Math.max(0, meanTokens - CALM_TOKENS);
-  return READ_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
+  return PREFILL_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
 }
 
 function computePromptScore(
   each: LoadedReplica,
   context: {
     needs: PlacementNeeds;
-    home: VmId | undefined;
-    readWeight: number;
+    preferred: VmId | undefined;
+    prefillWeight: number;
     isSplit: boolean;
     source: FetchSource | undefined;
     knowledge: PlacementKnowledge;
   },
 ): ScoredPlacement {
   const { replica, load } = each;
-  const { needs, home, readWeight, isSplit, source, knowledge } = context;
+  const { needs, preferred, prefillWeight, isSplit, source, knowledge } =
+    context;
   const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
   const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
   const heldTokens = computeTokens(needs.partTokens.slice(0, held));
   const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
-  const isHome = home === replica.id;
+  const isPreferred = preferred === replica.id;
   const fetchedTokens = computeFetched(source, replica.id, heldTokens);
   const toRead = ownTokens - fetchedTokens;
-  const readTokens = isHome ? needs.partTokens.at(-1) ?? ownTokens : toRead;
+  const readTokens = isPreferred
+    ? needs.partTokens.at(-1) ?? ownTokens
+    : toRead;
   const waitMs = load.pendingTokens * msPerToken;
-  const readMs = readTokens * msPerToken;
+  const prefillMs = readTokens * msPerToken;
   const fetchMs = FETCH_WEIGHT * fetchedTokens * msPerToken;
-  const pauseMs = isSplit ? 0 : computePauses(each, needs.isTalk, readMs);
-  const cost = waitMs + readWeight * readMs + fetchMs + pauseMs +
+  const pauseMs = isSplit
+    ? 0
+    : computePauses(each, needs.isInteractive, prefillMs);
+  const cost = waitMs + prefillWeight * prefillMs + fetchMs + pauseMs +
     RUNNING_MS * load.running + computeFilling(each) +
     computeDistance(replica, knowledge);
   return {
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -16,7 +16,7 @@
   type LeaseRequest,
   LeaseSource,
 } from "../services.ts";
-import { isTalkPrompt, type Placement } from "./placement_choice.ts";
+import { isInteractivePrompt, type Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
 import { type PlacementRequest, ReplicaChooser } from "./replica_chooser.ts";
 import type { ReplicaDirectory } from "./replica_list.ts";
@@ -27,7 +27,7 @@
 /**
  * A request may wait so many times its predicted wait before silence tells
  * anything: the prediction leaves out the steps of running streams, which come
- * between the chunks of a reading and at most double it.
+ * between the chunks of a prefill and at most double it.
  */
 const PREDICTION_SLACK = 2;
 
@@ -93,12 +93,15 @@
       ...this.#options,
       request,
       placement,
-      isTalk: needs.isTalk,
+      isInteractive: needs.isInteractive,
     });
   }
 
   #buildNeeds(request: LeaseRequest): PlacementRequest {
-    const isTalk = isTalkPrompt(request.promptTokens, request.isTalk);
+    const isInteractive = isInteractivePrompt(
+      request.promptTokens,
+      request.isInteractive,
+    );
     return {
       pool: request.pool,
       avoid: request.avoid,
@@ -106,9 +109,9 @@
       parts: request.prefixes,
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
-      isTalk,
+      isInteractive,
       // One that was tried before is not refused for want of room.
-      pacePriority: isTalk || request.avoid.length > 0
+      pacePriority: isInteractive || request.avoid.length > 0
         ? undefined
         : request.priority ?? DEFAULT_PRIORITY,
     };
@@ -138,7 +141,7 @@
   readonly #options: PlacementSourceOptions & {
     request: LeaseRequest;
     placement: Placement;
-    isTalk: boolean;
+    isInteractive: boolean;
   };
   readonly #work: PlacedWork;
   /** Which incarnation of the replica has the request. */
@@ -152,12 +155,12 @@
     options: PlacementSourceOptions & {
       request: LeaseRequest;
       placement: Placement;
-      isTalk: boolean;
+      isInteractive: boolean;
     },
   ) {
     super();
     const { placement, request, state } = options;
-    const { loads, prefixes, readings, speeds } = state;
+    const { loads, prefixes, prefills, speeds } = state;
     this.lease = lease;
     this.upstream = placement.replica.id;
     this.priority = request.priority ?? DEFAULT_PRIORITY;
@@ -169,10 +172,10 @@
     const ownTokens = placement.ownTokens - placement.fetchedTokens;
     this.#work = loads.addOwn(this.upstream, {
       pendingTokens: ownTokens,
-      isTalking: options.isTalk,
+      isInteractive: options.isInteractive,
     });
     prefixes.noteSent(this.upstream, request.prefixes, ownTokens);
-    readings.addReading(
+    prefills.addPrefill(
       this.upstream,
       ownTokens * speeds.getMsPerToken(this.upstream),
     );
@@ -189,12 +192,12 @@
     const waitedMs = clock.now() - this.#grantedAt;
     const isExpected = !this.#hasOutput &&
       waitedMs < PREDICTION_SLACK * placement.predictedMs;
-    return isExpected || state.signs.isAlive(this.upstream);
+    return isExpected || state.liveness.isAlive(this.upstream);
   }
 
   noteProgress(progress: LeaseProgress): void {
     if (!this.#isSameProcess()) return;
-    if (progress.tokens > 0) this.#options.state.signs.note(this.upstream);
+    if (progress.tokens > 0) this.#options.state.liveness.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
     const { clock, request, state, placement } = this.#options;
     const { prefixes, speeds } = state;
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -10,11 +10,11 @@
   PrefixMemory,
   type ReadEntry,
 } from "./prefix_memory.ts";
-import { ReadingBudget } from "./reading_budget.ts";
-import { ReadingShares } from "./reading_shares.ts";
+import { PrefillBudget } from "./prefill_budget.ts";
+import { PrefillShares } from "./prefill_shares.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
-import { ReplicaSigns } from "./replica_signs.ts";
+import { ReplicaLiveness } from "./replica_liveness.ts";
 import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
 
 /** What VMs tell each other; all but the loads is told once. */
@@ -40,9 +40,9 @@
   readonly health: ReplicaHealth;
   readonly speeds: ReplicaSpeeds;
   readonly prefixes: PrefixMemory;
-  readonly readings: ReadingShares;
-  readonly budget: ReadingBudget;
-  readonly signs: ReplicaSigns;
+  readonly prefills: PrefillShares;
+  readonly budget: PrefillBudget;
+  readonly liveness: ReplicaLiveness;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onNews, onEjected } = options;
@@ -53,9 +53,9 @@
     });
     this.speeds = ReplicaSpeeds.create(clock);
     this.prefixes = PrefixMemory.create(clock);
-    this.readings = ReadingShares.create(clock);
-    this.budget = ReadingBudget.create(clock);
-    this.signs = ReplicaSigns.create(clock);
+    this.prefills = PrefillShares.create(clock);
+    this.budget = PrefillBudget.create(clock);
+    this.liveness = ReplicaLiveness.create(clock);
   }
 
   static create(options: PlacementStateOptions): PlacementState {
@@ -82,7 +82,7 @@
     this.prefixes.notePeerReads(news.reads);
     for (const [replica, , readTokens] of news.placements) {
       const msPerToken = this.speeds.getMsPerToken(replica);
-      this.readings.addReading(replica, readTokens * msPerToken);
+      this.prefills.addPrefill(replica, readTokens * msPerToken);
     }
   }
 
@@ -97,8 +97,8 @@
     this.health.dropUnlisted(isListed);
     this.speeds.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
-    this.readings.dropUnlisted(isListed);
+    this.prefills.dropUnlisted(isListed);
     this.budget.dropUnlisted(isListed);
-    this.signs.dropUnlisted(isListed);
+    this.liveness.dropUnlisted(isListed);
   }
 }
--- a/src/process/placement/reading_budget.ts
+++ b/src/process/placement/prefill_budget.ts
@@ -21,13 +21,13 @@
 import type { Clock } from "../clock.ts";
 
 /**
- * Reading may take this share of a replica's time. With a step of 6 ms four
+ * Prefill may take this share of a replica's time. With a step of 6 ms four
  * tokens, an event, then take 24 ms of each 100, so an event waits for one
  * chunk or two.
  */
 const SUSTAINED_SHARE = 0.75;
 /**
- * Prompts may come this much ahead of that, in milliseconds of reading: some at
+ * Prompts may come this much ahead of that, in milliseconds of prefill: some at
  * a time, which are read before streams come late. The more urgent ones may
  * come further ahead, so that none of them is refused while less urgent ones
  * find room.
@@ -38,13 +38,13 @@
 const LEVELS = 3;
 
 interface Budget {
-  /** Reading beyond the sustained share, in milliseconds. */
+  /** Prefill beyond the sustained share, in milliseconds. */
   aheadMs: number;
   countedAt: number;
 }
 
-/** Reading that replicas were given of late, against what they bear. */
-export class ReadingBudget {
+/** Prefill that replicas were given of late, against what they bear. */
+export class PrefillBudget {
   readonly #clock: Clock;
   readonly #budgets = new Map<VmId, Budget>();
 
@@ -52,8 +52,8 @@
     this.#clock = clock;
   }
 
-  static create(clock: Clock): ReadingBudget {
-    return new ReadingBudget(clock);
+  static create(clock: Clock): PrefillBudget {
+    return new PrefillBudget(clock);
   }
 
   /**
@@ -66,10 +66,10 @@
     return this.#computeAheadMs(replica) <= mostMs;
   }
 
-  /** A prompt goes there whose reading takes `readMs`. */
-  addReading(replica: VmId, readMs: number): void {
+  /** A prompt goes there whose prefill takes `prefillMs`. */
+  addPrefill(replica: VmId, prefillMs: number): void {
     this.#budgets.set(replica, {
-      aheadMs: this.#computeAheadMs(replica) + readMs,
+      aheadMs: this.#computeAheadMs(replica) + prefillMs,
       countedAt: this.#clock.now(),
     });
   }
--- a/src/process/placement/reading_shares.ts
+++ b/src/process/placement/prefill_shares.ts
@@ -1,5 +1,5 @@
 /**
- * How much of its time each replica spent reading prompts lately.
+ * How much of its time each replica spent on prefill lately.
  *
  * A replica reads prompts between the tokens of its running streams, so each
  * prompt makes all of them pause. Where prompts were read lately, more come:
@@ -13,45 +13,45 @@
 /** About as long as a stream of a few hundred tokens lasts, in milliseconds. */
 const TIME_CONSTANT_MS = 2_000;
 
-interface Reading {
-  /** Milliseconds of reading, the older the less they count. */
+interface Prefill {
+  /** Milliseconds of prefill, the older the less they count. */
   ms: number;
   countedAt: number;
 }
 
 /** Shares of time by replica, 0 to 1 and above where prompts queue. */
-export class ReadingShares {
+export class PrefillShares {
   readonly #clock: Clock;
-  readonly #readings = new Map<VmId, Reading>();
+  readonly #prefills = new Map<VmId, Prefill>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
-  static create(clock: Clock): ReadingShares {
-    return new ReadingShares(clock);
+  static create(clock: Clock): PrefillShares {
+    return new PrefillShares(clock);
   }
 
-  /** Takes in that a prompt was sent whose reading takes `ms`. */
-  addReading(replica: VmId, ms: number): void {
+  /** Takes in that a prompt was sent whose prefill takes `ms`. */
+  addPrefill(replica: VmId, ms: number): void {
     const decayed = this.getShare(replica) * TIME_CONSTANT_MS;
-    this.#readings.set(replica, {
+    this.#prefills.set(replica, {
       ms: decayed + ms,
       countedAt: this.#clock.now(),
     });
   }
 
   getShare(replica: VmId): number {
-    const reading = this.#readings.get(replica);
-    if (reading === undefined) return 0;
-    const age = this.#clock.now() - reading.countedAt;
-    return reading.ms * Math.exp(-age / TIME_CONSTANT_MS) / TIME_CONSTANT_MS;
+    const prefill = this.#prefills.get(replica);
+    if (prefill === undefined) return 0;
+    const age = this.#clock.now() - prefill.countedAt;
+    return prefill.ms * Math.exp(-age / TIME_CONSTANT_MS) / TIME_CONSTANT_MS;
   }
 
   /** Forgets replicas that are not listed any more. */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
-    for (const replica of this.#readings.keys()) {
-      if (!isListed(replica)) this.#readings.delete(replica);
+    for (const replica of this.#prefills.keys()) {
+      if (!isListed(replica)) this.#prefills.delete(replica);
     }
   }
 }
--- a/src/process/placement/prefix_priming.ts
+++ b/src/process/placement/prefix_priming.ts
@@ -3,7 +3,7 @@
  *
  * What VMs know of replicas' caches is lost with them. After all were killed at
  * once, prompts went to replicas that had not read their shared parts, and the
- * reading of these again kept every answer late for some eight seconds. A VM
+ * prefill of these again kept every answer late for some eight seconds. A VM
  * asks one that knows; where none does, one VM asks the replicas themselves,
  * since each list that they give delays their work.
  *
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -64,10 +64,10 @@
     if (placement === undefined) return undefined;
     const replica = placement.replica.id;
     const pendingTokens = placement.ownTokens - placement.fetchedTokens;
-    const talking = request.isTalk ? 1 : 0;
-    const load = { pendingTokens, running: 1, talking };
+    const interactive = request.isInteractive ? 1 : 0;
+    const load = { pendingTokens, running: 1, interactive };
     const msPerToken = this.#state.speeds.getMsPerToken(replica);
-    this.#state.budget.addReading(replica, pendingTokens * msPerToken);
+    this.#state.budget.addPrefill(replica, pendingTokens * msPerToken);
     this.#state.loads.answered.note(vm, ask, { replica, load });
     this.#state.prefixes.notePeerPlacements([[replica, request.parts, 0]]);
     return placement;
--- a/src/process/placement/replica_signs.ts
+++ b/src/process/placement/replica_liveness.ts
@@ -2,10 +2,10 @@
  * When each replica last sent anything, on any of this VM's calls.
  *
  * A replica that reads long prompts answers nobody else's new request for
- * seconds, yet sends tokens of its running streams between two chunks. One
- * that is dead, frozen or cut off sends nothing at all. Where a silent second on
- * one call was taken for death, 344 calls were cut in 50 s of a flood at
- * replicas that served others, and 262 prompts were sent again elsewhere.
+ * seconds, yet sends tokens of its running streams between two chunks. One that
+ * is dead, frozen or cut off sends nothing at all. Where a silent second on one
+ * call was taken for death, 344 calls were cut in 50 s of a flood at replicas
+ * that served others, and 262 prompts were sent again elsewhere.
  *
  * @module
  */
@@ -19,8 +19,8 @@
  */
 const ALIVE_MS = 1_000;
 
-/** Last signs of life by replica. */
-export class ReplicaSigns {
+/** Last liveness of life by replica. */
+export class ReplicaLiveness {
   readonly #clock: Clock;
   readonly #seenAt = new Map<VmId, number>();
 
@@ -28,8 +28,8 @@
     this.#clock = clock;
   }
 
-  static create(clock: Clock): ReplicaSigns {
-    return new ReplicaSigns(clock);
+  static create(clock: Clock): ReplicaLiveness {
+    return new ReplicaLiveness(clock);
   }
 
   /** Bytes came from the replica just now. */
--- a/src/process/placement/replica_loads.ts
+++ b/src/process/placement/replica_loads.ts
@@ -26,13 +26,13 @@
   replica: VmId,
   pendingTokens: number,
   running: number,
-  talking: number,
+  interactive: number,
 ];
 
 /** What one request adds to a load. */
 export interface AddedLoad {
   pendingTokens: number;
-  isTalking: boolean;
+  isInteractive: boolean;
 }
 
 interface PeerLoads {
@@ -44,7 +44,7 @@
 export class PlacedWork {
   readonly #load: ReplicaLoad;
   readonly #onChange: () => void;
-  readonly #talking: number;
+  readonly #interactive: number;
   #pendingTokens: number;
   #hasEnded = false;
 
@@ -52,10 +52,10 @@
     this.#load = load;
     this.#onChange = onChange;
     this.#pendingTokens = added.pendingTokens;
-    this.#talking = added.isTalking ? 1 : 0;
+    this.#interactive = added.isInteractive ? 1 : 0;
     load.pendingTokens += added.pendingTokens;
     load.running += 1;
-    load.talking += this.#talking;
+    load.interactive += this.#interactive;
   }
 
   /** The prompt has been read: the first output is there. */
@@ -71,7 +71,7 @@
     this.#hasEnded = true;
     this.noteFirstOutput();
     this.#load.running -= 1;
-    this.#load.talking -= this.#talking;
+    this.#load.interactive -= this.#interactive;
     this.#onChange();
   }
 }
@@ -122,9 +122,11 @@
     this.#dropPeer(vm);
     const loads: PeerLoads = {
       notedAt: this.#clock.now(),
-      entries: entries.map(([replica, pendingTokens, running, talking]) => ({
+      entries: entries.map((
+        [replica, pendingTokens, running, interactive],
+      ) => ({
         replica,
-        load: { pendingTokens, running, talking },
+        load: { pendingTokens, running, interactive },
       })),
     };
     this.#peers.set(vm, loads);
@@ -158,7 +160,7 @@
       replica,
       load.pendingTokens,
       load.running,
-      load.talking,
+      load.interactive,
     ]);
   }
 
--- a/src/process/placement/replica_speed.ts
+++ b/src/process/placement/replica_speed.ts
@@ -8,9 +8,9 @@
 
 /** Until anything is measured: 35 prompt tokens in a millisecond. */
 const DEFAULT_MS_PER_TOKEN = 1 / 35;
-/** From the send to the first output beside the reading of prompts, in ms. */
+/** From the send to the first output beside the prefill of prompts, in ms. */
 const FIXED_MS = 15;
-/** Samples with fewer tokens ahead tell more of the network than of reading. */
+/** Samples with fewer tokens ahead tell more of the network than of prefill. */
 const LEAST_SAMPLE_TOKENS = 800;
 /** How much one sample changes the estimate. */
 const SAMPLE_WEIGHT = 0.25;
@@ -20,7 +20,7 @@
 /** A slow replica counts half as slow after so long without samples. */
 const HALF_LIFE_MS = 4_000;
 
-/** One replica's reading speed as a VM measured it. */
+/** One replica's prefill speed as a VM measured it. */
 export type SpeedEntry = [replica: VmId, msPerToken: number];
 
 interface Speed {
@@ -29,7 +29,7 @@
   notedAt: number;
 }
 
-/** Reading speeds by replica. */
+/** Prefill speeds by replica. */
 export class ReplicaSpeeds {
   readonly #clock: Clock;
   readonly #speeds = new Map<VmId, Speed>();
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -1,5 +1,5 @@
 /**
- * A routed VM's side of its fleet: talk, configuration, replicas, caches.
+ * A routed VM's side of its fleet: heartbeats, configuration, replicas, caches.
  *
  * @module
  */
@@ -24,11 +24,11 @@
 import { pickRendezvousFirst } from "./rendezvous.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import {
-  type BeatContent,
   type DatagramLink,
+  FleetHeartbeats,
   type FleetMember,
   type FleetPeer,
-  FleetTalk,
+  type HeartbeatContent,
   PeerCalls,
   type PublishedStore,
   StateFollower,
@@ -60,7 +60,7 @@
 export class RoutedFleet {
   readonly follower: StateFollower;
   readonly #options: RoutedFleetOptions;
-  readonly #talk: FleetTalk;
+  readonly #heartbeats: FleetHeartbeats;
   readonly #peers: HttpUpstreamTransport;
   readonly #priming: PrefixPriming;
   readonly #owned: OwnedPlacement;
@@ -72,7 +72,7 @@
     this.#options = options;
     this.#peers = options.createTransport((peer) => this.#findPeer(peer));
     const calls = PeerCalls.create(this.#peers);
-    this.#talk = FleetTalk.create({
+    this.#heartbeats = FleetHeartbeats.create({
       vm,
       clock,
       random,
@@ -80,19 +80,19 @@
       link,
       self: `${address}:${peerPort}`,
       getSeeds: () => this.#listSeeds(),
-      buildBeat: () => this.#buildBeat(),
+      buildHeartbeat: () => this.#buildHeartbeat(),
       takeWork: () => this.#owned.takeWork(),
-      listPlacers: () => this.#owned.listPlacers(),
-      onBeat: (peer) => this.#notePeer(peer),
+      listOwners: () => this.#owned.listOwners(),
+      onHeartbeat: (peer) => this.#notePeer(peer),
       onAsk: (ask) => this.#owned.answerAsk(ask),
       onAnswer: (answer) => this.#owned.noteAnswer(answer),
     });
     this.#owned = OwnedPlacement.create({
       ...options,
       vm,
-      peers: this.#talk.peers,
+      peers: this.#heartbeats.peers,
       getSelf: () => this.#buildMember(),
-      send: (to, message) => this.#talk.send(to, message),
+      send: (to, message) => this.#heartbeats.send(to, message),
     });
     this.follower = StateFollower.create({
       vm,
@@ -100,15 +100,16 @@
       random,
       log,
       store: options.store,
-      peers: this.#talk.peers,
+      peers: this.#heartbeats.peers,
       replicas,
-      fetchFrom: ({ beat }, known) => calls.fetchState(beat.vm, known),
+      fetchFrom: ({ heartbeat }, known) =>
+        calls.fetchState(heartbeat.vm, known),
       onSnapshot: (snapshot) => {
         options.onSnapshot(snapshot);
-        this.#talk.announceState();
+        this.#heartbeats.announceState();
       },
       onReplicas: (restarted) => this.#noteReplicas(restarted),
-      onStoreLost: () => this.#talk.announceAtOnce(),
+      onStoreLost: () => this.#heartbeats.announceAtOnce(),
     });
     this.#priming = this.#createPriming(calls);
   }
@@ -119,21 +120,21 @@
 
   start(): void {
     this.follower.start();
-    this.#talk.start();
+    this.#heartbeats.start();
     void this.#priming.run(this.#ended.signal);
   }
 
   stop(): void {
     this.#ended.abort();
     this.follower.stop();
-    this.#talk.stop();
+    this.#heartbeats.stop();
     this.#options.link.close();
     this.#peers.close();
   }
 
   /** Other VMs that are heard. */
   listLive(): FleetPeer[] {
-    return this.#talk.peers.listLive();
+    return this.#heartbeats.peers.listLive();
   }
 
   /** As `OwnedPlacement.askOwner`. */
@@ -143,21 +144,24 @@
 
   /** Tells the others soon that there is news of this VM's work. */
   announceNews(): void {
-    this.#talk.announceNews();
+    this.#heartbeats.announceNews();
   }
 
   /** Tells the others at once what callers depend on. */
   announceAtOnce(): void {
-    this.#talk.announceAtOnce();
+    this.#heartbeats.announceAtOnce();
   }
 
-  /** Seeds are named by where they listen for state; talk has its own port. */
+  /**
+   * Seeds are named by where they listen for state; heartbeats has its own
+   * port.
+   */
   #listSeeds(): string[] {
     const { seeds, peerPort } = this.#options.getSettings();
     return seeds.map((seed) => `${parseEndpoint(seed).address}:${peerPort}`);
   }
 
-  #buildBeat(): BeatContent {
+  #buildHeartbeat(): HeartbeatContent {
     const { getSettings, replicas } = this.#options;
     const { vm, dataCentre, listeners, cores } = getSettings();
     return {
@@ -191,7 +195,7 @@
   }
 
   #notePeer(peer: FleetPeer): void {
-    const { vm, work } = peer.beat;
+    const { vm, work } = peer.heartbeat;
     if (work === undefined) this.#owned.noteAlive(vm);
     else this.#owned.noteWork(vm, work);
     this.follower.notePeer(peer);
@@ -206,7 +210,7 @@
     placement.dropUnlisted((id) => replicas.find(id) !== undefined);
     restarted.forEach((id) => placement.dropReplica(id));
     if (restarted.length > 0) onRestarted(restarted);
-    this.#talk.announceState();
+    this.#heartbeats.announceState();
   }
 
   #createPriming(calls: PeerCalls): PrefixPriming {
@@ -216,7 +220,7 @@
       log,
       prefixes: placement.prefixes,
       sources: {
-        listPrimedPeers: () => this.#listVms((beat) => beat.isPrimed),
+        listPrimedPeers: () => this.#listVms((heartbeat) => heartbeat.isPrimed),
         fetchFromPeer: (vm) => calls.fetchPrefixes(vm),
         listReplicas: () => this.#listModelReplicas(),
         fetchFromReplica: fetchCachedParts,
@@ -227,13 +231,13 @@
 
   #isFirst(duty: string): boolean {
     const { vm } = this.#options.getSettings();
-    const vms = [vm, ...this.#listVms((beat) => !beat.isDraining)];
+    const vms = [vm, ...this.#listVms((heartbeat) => !heartbeat.isDraining)];
     return pickRendezvousFirst(duty, vms) === vm;
   }
 
-  #listVms(isWanted: (beat: FleetPeer["beat"]) => boolean): VmId[] {
-    return this.listLive().filter(({ beat }) => isWanted(beat))
-      .map(({ beat }) => beat.vm);
+  #listVms(isWanted: (heartbeat: FleetPeer["heartbeat"]) => boolean): VmId[] {
+    return this.listLive().filter(({ heartbeat }) => isWanted(heartbeat))
+      .map(({ heartbeat }) => heartbeat.vm);
   }
 
   #listModelReplicas(): VmId[] {
@@ -244,7 +248,7 @@
   }
 
   #findPeer(vm: VmId): SocketAddress | undefined {
-    const peer = this.#talk.peers.find(vm);
-    return peer && parseEndpoint(peer.beat.state);
+    const peer = this.#heartbeats.peers.find(vm);
+    return peer && parseEndpoint(peer.heartbeat.state);
   }
 }
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -38,12 +38,12 @@
     list_revision: parts.replicas.revision,
     list_age_ms: parts.getListAgeMs(),
     watches_store: parts.isWatching(),
-    peers: parts.listLive().map(({ beat }) => ({
-      vm: beat.vm,
-      incarnation: beat.incarnation,
-      serving: beat.isServing,
-      configuration_version: beat.configVersion,
-      list_revision: beat.listRevision,
+    peers: parts.listLive().map(({ heartbeat }) => ({
+      vm: heartbeat.vm,
+      incarnation: heartbeat.incarnation,
+      serving: heartbeat.isServing,
+      configuration_version: heartbeat.configVersion,
+      list_revision: heartbeat.listRevision,
     })),
     replicas: parts.replicas.getList().replicas.map((replica) => ({
       id: replica.id,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -183,8 +183,10 @@
    * would get no callers at all.
    */
   listEntries(): string[] {
-    const entries = this.#listLive().filter(({ beat }) => beat.isServing)
-      .map(({ beat }) => beat.callers);
+    const entries = this.#listLive().filter(({ heartbeat }) =>
+      heartbeat.isServing
+    )
+      .map(({ heartbeat }) => heartbeat.callers);
     if (this.isServing()) entries.push(this.#settings.listeners.callers);
     return this.#random.pickOrder(entries);
   }
--- a/src/process/seeded_fleet/fleet_talk.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -15,19 +15,19 @@
 import type { Log } from "../log.ts";
 import type { Random } from "../random.ts";
 import type { DatagramLink } from "./datagram_link.ts";
-import { BEAT_EVERY_MS, BeatInterval } from "./beat_interval.ts";
+import { HEARTBEAT_EVERY_MS, HeartbeatInterval } from "./heartbeat_interval.ts";
 import {
   type AnswerMessage,
   type AskMessage,
   decodeMessage,
   encodeMessage,
-  type FleetBeat,
+  type FleetHeartbeat,
   type FleetMessage,
   type FleetWork,
   type MembersMessage,
 } from "./fleet_message.ts";
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
-import { TalkTargets } from "./talk_targets.ts";
+import { HeartbeatTargets } from "./heartbeat_targets.ts";
 
 /**
  * News waits so long for more news, in milliseconds, where each VM decides by
@@ -51,12 +51,12 @@
  * told before: a datagram may have been lost. Between these times, and where
  * there is no news, a short message says that this VM lives.
  */
-const WHOLE_BEAT_EVERY_MS = 1_000;
+const WHOLE_HEARTBEAT_EVERY_MS = 1_000;
 
 /** What a VM tells of its work to some of those that place requests. */
 export interface WorkShare {
   /** Who is told; undefined for all VMs. Nobody is in two shares. */
-  placers: ReadonlySet<VmId> | undefined;
+  owners: ReadonlySet<VmId> | undefined;
   /** What is told once is taken out of what is told later. */
   work: FleetWork;
   /** Whether anything differs from what was told before. */
@@ -64,13 +64,13 @@
 }
 
 /** What a VM says of itself in a heartbeat. */
-export type BeatContent = Omit<
-  FleetBeat,
+export type HeartbeatContent = Omit<
+  FleetHeartbeat,
   "kind" | "sequence" | "nextMs" | "heard" | "work"
 >;
 
-/** What the talk is made of. */
-export interface FleetTalkOptions {
+/** What the heartbeats is made of. */
+export interface FleetHeartbeatsOptions {
   vm: VmId;
   clock: Clock;
   random: Random;
@@ -81,25 +81,25 @@
   /** Where this VM takes datagrams. */
   self: Endpoint;
   /** What this VM says of itself. */
-  buildBeat: () => BeatContent;
+  buildHeartbeat: () => HeartbeatContent;
   /** This VM's work; what is told once is taken out by it. */
   takeWork: () => readonly WorkShare[];
   /** Who places requests; undefined where each VM does. */
-  listPlacers: () => ReadonlySet<VmId> | undefined;
-  onBeat: (peer: FleetPeer) => void;
+  listOwners: () => ReadonlySet<VmId> | undefined;
+  onHeartbeat: (peer: FleetPeer) => void;
   onAsk: (ask: AskMessage) => AnswerMessage;
   onAnswer: (answer: AnswerMessage) => void;
 }
 
 /** Sends and takes in heartbeats. */
-export class FleetTalk {
+export class FleetHeartbeats {
   readonly peers: FleetPeers;
-  readonly #options: FleetTalkOptions;
-  readonly #targets: TalkTargets;
+  readonly #options: FleetHeartbeatsOptions;
+  readonly #targets: HeartbeatTargets;
   readonly #timer: EarliestTimer;
   #sequence = 0;
   #peerCount = 0;
-  #toPlacers = new Set<Endpoint>();
+  #toOwners = new Set<Endpoint>();
   /** When all of those that place requests were told all, and what. */
   #lastWhole = { text: "", at: -Infinity };
   /** When each that is heard has had its heartbeat of this round. */
@@ -108,30 +108,30 @@
   #isOwned = false;
   #hasStateNews = false;
   /** Time between heartbeats to all. */
-  readonly #interval = BeatInterval.create();
+  readonly #interval = HeartbeatInterval.create();
   /** When the next one goes to all at once. */
   #allDueAt = 0;
-  #lastBeatAt = -Infinity;
+  #lastHeartbeatAt = -Infinity;
 
-  constructor(options: FleetTalkOptions) {
+  constructor(options: FleetHeartbeatsOptions) {
     this.#options = options;
     this.peers = FleetPeers.create(options.clock, options.log);
-    this.#targets = TalkTargets.create({ ...options, peers: this.peers });
+    this.#targets = HeartbeatTargets.create({ ...options, peers: this.peers });
     this.#timer = EarliestTimer.create(
       options.clock,
-      (lateMs) => this.#sendBeats(lateMs),
+      (lateMs) => this.#sendHeartbeats(lateMs),
     );
   }
 
-  static create(options: FleetTalkOptions): FleetTalk {
-    return new FleetTalk(options);
+  static create(options: FleetHeartbeatsOptions): FleetHeartbeats {
+    return new FleetHeartbeats(options);
   }
 
   start(): void {
     this.#options.link.onDatagram((bytes, from) =>
       this.#handleDatagram(bytes, from)
     );
-    this.#sendBeats(0);
+    this.#sendHeartbeats(0);
   }
 
   stop(): void {
@@ -142,14 +142,16 @@
   announceNews(): void {
     if (this.#isOwned) return;
     const perPeerMs = NEWS_WAIT_PER_PEER_MS * this.#peerCount;
-    this.#timer.setBy(this.#lastBeatAt + Math.max(NEWS_WAIT_MS, perPeerMs));
+    this.#timer.setBy(
+      this.#lastHeartbeatAt + Math.max(NEWS_WAIT_MS, perPeerMs),
+    );
   }
 
   /** Tells all, or some in a large fleet, that a version or list is newer. */
   announceState(): void {
     if (!this.#isOwned) return this.announceAtOnce();
     this.#hasStateNews = true;
-    this.#timer.setBy(this.#lastBeatAt + STATE_WAIT_MS);
+    this.#timer.setBy(this.#lastHeartbeatAt + STATE_WAIT_MS);
   }
 
   /** Tells all at once what callers depend on. */
@@ -167,26 +169,24 @@
     this.#timer.setBy(this.#allDueAt);
   }
 
-  #sendBeats(lateMs: number): void {
+  #sendHeartbeats(lateMs: number): void {
     const now = this.#options.clock.now();
-    this.#lastBeatAt = now;
+    this.#lastHeartbeatAt = now;
     this.#checkSilence(lateMs);
-    const placers = this.#options.listPlacers();
-    this.#isOwned = placers !== undefined;
+    const owners = this.#options.listOwners();
+    this.#isOwned = owners !== undefined;
     const toAll = this.#listTargets(now);
-    const toPlacers = placers === undefined
-      ? toAll
-      : this.#findEndpoints(placers);
-    // One that is no placer now was told to expect a heartbeat soon.
+    const toOwners = owners === undefined ? toAll : this.#findEndpoints(owners);
+    // One that is no owner now was told to expect a heartbeat soon.
     const others = new Set(toAll);
-    if (this.#isOwned) this.#toPlacers.forEach((to) => others.add(to));
-    toPlacers.forEach((to) => others.delete(to));
-    this.#sendToPlacers(toPlacers);
-    this.#toPlacers = toPlacers;
+    if (this.#isOwned) this.#toOwners.forEach((to) => others.add(to));
+    toOwners.forEach((to) => others.delete(to));
+    this.#sendToOwners(toOwners);
+    this.#toOwners = toOwners;
     this.#sendPlain(others);
     this.#timer.setBy(
       this.#isOwned
-        ? Math.min(this.#allDueAt, now + BEAT_EVERY_MS)
+        ? Math.min(this.#allDueAt, now + HEARTBEAT_EVERY_MS)
         : this.#allDueAt,
     );
   }
@@ -205,8 +205,8 @@
 
   /** Those that place requests hear each VM often; the others do not. */
   #announceSilent(missed: [VmId, number][]): void {
-    const { link, listPlacers, vm } = this.#options;
-    if (!listPlacers()?.has(vm)) return;
+    const { link, listOwners, vm } = this.#options;
+    if (!listOwners()?.has(vm)) return;
     const bytes = encodeMessage({ kind: "silent", vms: missed });
     for (const peer of this.peers.listLive()) link.send(peer.endpoint, bytes);
   }
@@ -217,33 +217,36 @@
   }
 
   /** Each hears the news of its own pools. */
-  #sendToPlacers(toPlacers: ReadonlySet<Endpoint>): void {
-    const nextMs = this.#isOwned ? BEAT_EVERY_MS : this.#interval.ms;
-    const isWhole = !this.#isOwned || this.#isWholeDue(toPlacers);
-    for (const { placers, work, isNew } of this.#options.takeWork()) {
-      const to = placers === undefined
-        ? toPlacers
-        : this.#findEndpoints(placers);
+  #sendToOwners(toOwners: ReadonlySet<Endpoint>): void {
+    const nextMs = this.#isOwned ? HEARTBEAT_EVERY_MS : this.#interval.ms;
+    const isWhole = !this.#isOwned || this.#isWholeDue(toOwners);
+    for (const { owners, work, isNew } of this.#options.takeWork()) {
+      const to = owners === undefined ? toOwners : this.#findEndpoints(owners);
       if (isWhole || isNew) {
-        this.#sendAll(to, { ...this.#buildBeat(nextMs), work });
+        this.#sendAll(to, { ...this.#buildHeartbeat(nextMs), work });
       } else {
         this.#sendAlive(to);
       }
     }
   }
 
-  #isWholeDue(toPlacers: ReadonlySet<Endpoint>): boolean {
+  #isWholeDue(toOwners: ReadonlySet<Endpoint>): boolean {
     const now = this.#options.clock.now();
-    const text = JSON.stringify({ ...this.#options.buildBeat(), listAgeMs: 0 });
+    const text = JSON.stringify({
+      ...this.#options.buildHeartbeat(),
+      listAgeMs: 0,
+    });
     const isSaid = text === this.#lastWhole.text &&
-      [...toPlacers].every((each) => this.#toPlacers.has(each));
-    if (isSaid && now - this.#lastWhole.at < WHOLE_BEAT_EVERY_MS) return false;
+      [...toOwners].every((each) => this.#toOwners.has(each));
+    if (isSaid && now - this.#lastWhole.at < WHOLE_HEARTBEAT_EVERY_MS) {
+      return false;
+    }
     this.#lastWhole = { text, at: now };
     return true;
   }
 
   #sendAlive(to: ReadonlySet<Endpoint>): void {
-    const { vm, incarnation, listAgeMs } = this.#options.buildBeat();
+    const { vm, incarnation, listAgeMs } = this.#options.buildHeartbeat();
     this.#sequence += 1;
     const sequence = this.#sequence;
     this.#sendAll(to, { kind: "alive", vm, incarnation, sequence, listAgeMs });
@@ -257,7 +260,7 @@
 
   /** Leaves the news to those that are told of work. */
   #sendPlain(to: ReadonlySet<Endpoint>): void {
-    if (to.size > 0) this.#sendAll(to, this.#buildBeat(this.#interval.ms));
+    if (to.size > 0) this.#sendAll(to, this.#buildHeartbeat(this.#interval.ms));
   }
 
   /** Who gets a heartbeat now, beside those that place requests. */
@@ -283,7 +286,7 @@
       this.#interval.update(true, this.#peerCount);
       this.#roundEndsAt = now + this.#interval.ms;
     }
-    return Math.ceil(this.#peerCount * BEAT_EVERY_MS / this.#interval.ms);
+    return Math.ceil(this.#peerCount * HEARTBEAT_EVERY_MS / this.#interval.ms);
   }
 
   #handleDatagram(bytes: Uint8Array, from: Endpoint): void {
@@ -301,10 +304,13 @@
   #handleMessage(message: FleetMessage, from: Endpoint): void {
     const { link, onAsk, onAnswer } = this.#options;
     match(message)
-      .with({ kind: "beat" }, (beat) => this.#handleBeat(beat, from))
+      .with(
+        { kind: "heartbeat" },
+        (heartbeat) => this.#handleHeartbeat(heartbeat, from),
+      )
       .with({ kind: "alive" }, (alive) => {
         const peer = this.peers.noteAlive(alive);
-        if (peer !== undefined) this.#options.onBeat(peer);
+        if (peer !== undefined) this.#options.onHeartbeat(peer);
       })
       .with({ kind: "members" }, (members) => this.#announceTo(members))
       .with({ kind: "silent" }, ({ vms }) => {
@@ -317,12 +323,12 @@
       .exhaustive();
   }
 
-  #handleBeat(beat: FleetBeat, from: Endpoint): void {
-    if (beat.vm === this.#options.vm) return;
-    const { isNew } = this.peers.noteBeat(beat, from);
-    if (isNew) this.#answerNew(beat, from);
-    const peer = this.peers.find(beat.vm);
-    if (peer?.beat === beat) this.#options.onBeat(peer);
+  #handleHeartbeat(heartbeat: FleetHeartbeat, from: Endpoint): void {
+    if (heartbeat.vm === this.#options.vm) return;
+    const { isNew } = this.peers.noteHeartbeat(heartbeat, from);
+    if (isNew) this.#answerNew(heartbeat, from);
+    const peer = this.peers.find(heartbeat.vm);
+    if (peer?.heartbeat === heartbeat) this.#options.onHeartbeat(peer);
   }
 
   /**
@@ -330,11 +336,11 @@
    * hears if it hears few: when a whole fleet starts, each VM would else send
    * the list of all to each.
    */
-  #answerNew(beat: FleetBeat, to: Endpoint): void {
+  #answerNew(heartbeat: FleetHeartbeat, to: Endpoint): void {
     this.#sendPlain(new Set([to]));
     const endpoints = this.#targets.listLive()
       .filter((endpoint) => endpoint !== to);
-    if (beat.heard >= FULL_SHARE * endpoints.length) return;
+    if (heartbeat.heard >= FULL_SHARE * endpoints.length) return;
     const message: MembersMessage = { kind: "members", endpoints };
     this.#options.link.send(to, encodeMessage(message));
   }
@@ -346,14 +352,14 @@
     this.#sendPlain(new Set(unknown));
   }
 
-  #buildBeat(nextMs: number): FleetBeat {
+  #buildHeartbeat(nextMs: number): FleetHeartbeat {
     this.#sequence += 1;
     return {
-      kind: "beat",
+      kind: "heartbeat",
       sequence: this.#sequence,
       nextMs,
       heard: this.#peerCount,
-      ...this.#options.buildBeat(),
+      ...this.#options.buildHeartbeat(),
     };
   }
 }
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -27,8 +27,8 @@
   openAsks: z.array(COUNT),
 });
 
-const BEAT = z.object({
-  kind: z.literal("beat"),
+const HEARTBEAT = z.object({
+  kind: z.literal("heartbeat"),
   vm: VM,
   incarnation: TEXT.transform((text) => text as Incarnation),
   /** Counts the messages of one incarnation. */
@@ -97,7 +97,7 @@
   parts: z.array(TEXT),
   partTokens: z.array(COUNT),
   promptTokens: COUNT,
-  isTalk: z.boolean(),
+  isInteractive: z.boolean(),
   pacePriority: COUNT.optional(),
 });
 
@@ -121,7 +121,7 @@
 });
 
 const MESSAGE = z.discriminatedUnion("kind", [
-  BEAT,
+  HEARTBEAT,
   ALIVE,
   MEMBERS,
   SILENT,
@@ -134,7 +134,7 @@
  * names themselves were more than half of a heartbeat's bytes.
  */
 const FIELDS = {
-  beat: listNames(BEAT),
+  heartbeat: listNames(HEARTBEAT),
   alive: listNames(ALIVE),
   members: listNames(MEMBERS),
   silent: listNames(SILENT),
@@ -149,7 +149,7 @@
 const RAW_MESSAGE = z.tuple([z.enum(listKinds())]).rest(z.unknown());
 
 /** A VM's state, sent some times a second. */
-export type FleetBeat = z.infer<typeof BEAT>;
+export type FleetHeartbeat = z.infer<typeof HEARTBEAT>;
 /** That the sender's last heartbeat still holds. */
 export type AliveMessage = z.infer<typeof ALIVE>;
 /** Whom the sender hears of, for a VM that it had not heard of. */
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -7,18 +7,18 @@
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
-import type { AliveMessage, FleetBeat } from "./fleet_message.ts";
+import type { AliveMessage, FleetHeartbeat } from "./fleet_message.ts";
 
 /** A VM that was silent for so long is not tried any more. */
 const FORGOTTEN_AFTER_MS = 120_000;
 /** Heartbeats that a live VM may miss before it counts as gone. */
-const MISSED_BEATS = 6;
+const MISSED_HEARTBEATS = 6;
 /** The last heartbeat reaches two VMs within so many milliseconds. */
 const ON_THE_WAY_MS = 100;
 
 /** Another VM. */
 export interface FleetPeer {
-  beat: FleetBeat;
+  heartbeat: FleetHeartbeat;
   /** Where it takes datagrams. */
   endpoint: Endpoint;
   /** `Clock.now()` when it was heard last. */
@@ -42,7 +42,9 @@
     return new FleetPeers(clock, log);
   }
 
-  /** Grows with each change of who is heard and of what owners are chosen by. */
+  /**
+   * Grows with each change of who is heard and of what owners are chosen by.
+   */
   get revision(): number {
     return this.#revision;
   }
@@ -51,24 +53,29 @@
    * Takes in a heartbeat; says whether this life of the VM was unknown or
    * silent until now.
    */
-  noteBeat(beat: FleetBeat, endpoint: Endpoint): { isNew: boolean } {
-    const known = this.#peers.get(beat.vm);
-    const isSameLife = known?.beat.incarnation === beat.incarnation;
+  noteHeartbeat(
+    heartbeat: FleetHeartbeat,
+    endpoint: Endpoint,
+  ): { isNew: boolean } {
+    const known = this.#peers.get(heartbeat.vm);
+    const isSameLife = known?.heartbeat.incarnation === heartbeat.incarnation;
     // A datagram that comes late must not undo what a newer one said.
-    if (isSameLife && beat.sequence <= known.beat.sequence) {
+    if (isSameLife && heartbeat.sequence <= known.heartbeat.sequence) {
       return { isNew: false };
     }
     const isNew = !isSameLife || !known.isLive;
     if (isNew) {
       this.#log.info("peer_heard", {
-        peer: beat.vm,
-        incarnation: beat.incarnation,
-        serving: beat.isServing,
+        peer: heartbeat.vm,
+        incarnation: heartbeat.incarnation,
+        serving: heartbeat.isServing,
       });
     }
-    if (isNew || isOtherCandidate(known.beat, beat)) this.#revision += 1;
-    this.#peers.set(beat.vm, {
-      beat,
+    if (isNew || isOtherCandidate(known.heartbeat, heartbeat)) {
+      this.#revision += 1;
+    }
+    this.#peers.set(heartbeat.vm, {
+      heartbeat,
       endpoint,
       heardAt: this.#clock.now(),
       isLive: true,
@@ -84,10 +91,10 @@
     const { vm, incarnation, sequence, listAgeMs } = alive;
     const peer = this.#peers.get(vm);
     if (peer === undefined || !peer.isLive) return undefined;
-    if (peer.beat.incarnation !== incarnation) return undefined;
-    if (sequence <= peer.beat.sequence) return undefined;
-    const { work: _told, ...beat } = peer.beat;
-    peer.beat = { ...beat, sequence, listAgeMs };
+    if (peer.heartbeat.incarnation !== incarnation) return undefined;
+    if (sequence <= peer.heartbeat.sequence) return undefined;
+    const { work: _told, ...heartbeat } = peer.heartbeat;
+    peer.heartbeat = { ...heartbeat, sequence, listAgeMs };
     peer.heardAt = this.#clock.now();
     return peer;
   }
@@ -102,7 +109,7 @@
     const missed: [VmId, number][] = [];
     for (const [vm, peer] of this.#peers) {
       const silentMs = now - peer.heardAt;
-      if (peer.isLive && silentMs > MISSED_BEATS * peer.beat.nextMs) {
+      if (peer.isLive && silentMs > MISSED_HEARTBEATS * peer.heartbeat.nextMs) {
         this.#setSilent(vm, peer);
         missed.push([vm, Math.round(silentMs)]);
       }
@@ -142,7 +149,10 @@
 }
 
 /** Whether owners are chosen by something that is another now. */
-function isOtherCandidate(before: FleetBeat, after: FleetBeat): boolean {
+function isOtherCandidate(
+  before: FleetHeartbeat,
+  after: FleetHeartbeat,
+): boolean {
   return before.isServing !== after.isServing ||
     before.isDraining !== after.isDraining ||
     before.isPrimed !== after.isPrimed || before.cores !== after.cores;
--- a/src/process/seeded_fleet/talk_targets.ts
+++ b/src/process/seeded_fleet/heartbeat_targets.ts
@@ -24,7 +24,7 @@
 const EAGER_MS = 5_000;
 
 /** What the choice needs. */
-export interface TalkTargetsOptions {
+export interface HeartbeatTargetsOptions {
   clock: Clock;
   random: Random;
   peers: FleetPeers;
@@ -35,20 +35,20 @@
 }
 
 /** Chooses among those that are heard, the silent ones and the seeds. */
-export class TalkTargets {
-  readonly #options: TalkTargetsOptions;
+export class HeartbeatTargets {
+  readonly #options: HeartbeatTargetsOptions;
   readonly #startedAt: number;
   #lastRetryAt = -Infinity;
   /** Those that a heartbeat goes to next, in random order. */
   #round: VmId[] = [];
 
-  constructor(options: TalkTargetsOptions) {
+  constructor(options: HeartbeatTargetsOptions) {
     this.#options = options;
     this.#startedAt = options.clock.now();
   }
 
-  static create(options: TalkTargetsOptions): TalkTargets {
-    return new TalkTargets(options);
+  static create(options: HeartbeatTargetsOptions): HeartbeatTargets {
+    return new HeartbeatTargets(options);
   }
 
   /** Everybody who is heard. */
@@ -71,7 +71,7 @@
   pickNext(count: number): Endpoint[] {
     const { peers, random } = this.#options;
     if (this.#round.length === 0) {
-      const names = peers.listLive().map(({ beat }) => beat.vm);
+      const names = peers.listLive().map(({ heartbeat }) => heartbeat.vm);
       this.#round = random.pickOrder(names);
     }
     return this.#round.splice(0, count).map((vm) => peers.find(vm))
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -7,12 +7,12 @@
 export type { AnswerMessage, AskMessage, FleetWork } from "./fleet_message.ts";
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
-export { FleetTalk } from "./fleet_talk.ts";
-export type { BeatContent, WorkShare } from "./fleet_talk.ts";
+export { FleetHeartbeats } from "./fleet_heartbeats.ts";
+export type { HeartbeatContent, WorkShare } from "./fleet_heartbeats.ts";
 export {
   findDuty,
   listDuties,
-  listPlacersOf,
+  listOwnersOf,
   PoolOwners,
 } from "./pool_owners.ts";
 export type { FleetMember, OwnerCandidate } from "./pool_owners.ts";
--- a/src/process/seeded_fleet/placement_asker.ts
+++ b/src/process/seeded_fleet/placement_asker.ts
@@ -35,7 +35,7 @@
   clock: Clock;
   log: Log;
   /** Who places a pool's requests, the owner first, without this VM. */
-  listPlacers: (pool: PoolName) => readonly FleetPeer[];
+  listOwners: (pool: PoolName) => readonly FleetPeer[];
   send: (to: FleetPeer, message: AskMessage) => void;
 }
 
@@ -61,11 +61,11 @@
 
   /** Undefined when no owner answers in time, or none is to be asked. */
   async ask(content: AskContent): Promise<OwnerAnswer> {
-    for (const placer of this.#options.listPlacers(content.pool)) {
-      const { vm } = placer.beat;
+    for (const owner of this.#options.listOwners(content.pool)) {
+      const { vm } = owner.heartbeat;
       const avoidedUntil = this.#avoidedUntil.get(vm) ?? 0;
       if (avoidedUntil > this.#options.clock.now()) continue;
-      const answer = await this.#askOne(placer, content);
+      const answer = await this.#askOne(owner, content);
       if (answer?.placed !== undefined) return { ...answer.placed, owner: vm };
       if (answer !== undefined) return answer.isFull ? "full" : undefined;
       this.#noteSilent(vm, content.pool);
@@ -79,7 +79,7 @@
   }
 
   #askOne(
-    placer: FleetPeer,
+    owner: FleetPeer,
     content: AskContent,
   ): Promise<AnswerMessage | undefined> {
     const { clock, vm, send } = this.#options;
@@ -93,7 +93,7 @@
       };
       const cancelTimer = clock.startTimer(ANSWER_WITHIN_MS, () => settle());
       this.#open.set(ask, settle);
-      send(placer, { kind: "ask", vm, ask, ...content });
+      send(owner, { kind: "ask", vm, ask, ...content });
     });
   }
 
--- a/src/process/seeded_fleet/pool_owners.ts
+++ b/src/process/seeded_fleet/pool_owners.ts
@@ -15,14 +15,15 @@
 /**
  * Fleets of so many VMs, this one included, need no owners. Each VM there sends
  * and reads up to 330 datagrams a second of 0.6 KB. Of sixteen VMs with a third
- * of a core each, some read their callers' requests two seconds late in a flood.
+ * of a core each, some read their callers' requests two seconds late in a
+ * flood.
  */
 const SMALL_FLEET_MOST = 12;
 /**
  * The owner and its substitute, who hears all that it hears. What VMs tell of
  * their work goes to each of them; while both are gone, VMs decide alone.
  */
-const PLACERS = 2;
+const OWNERS = 2;
 /**
  * An owner has at least this share of the cores of the largest VM: it handles
  * three to four datagrams for each request of its pool.
@@ -52,7 +53,7 @@
 }
 
 /** Some VMs that place requests, and what they own or stand in for. */
-export interface PlacerGroup {
+export interface OwnerGroup {
   duties: readonly string[];
   vms: ReadonlySet<VmId>;
 }
@@ -64,9 +65,9 @@
   /** Whether the fleet is large enough for owners. */
   readonly isNeeded: boolean;
   /** Everybody who places requests of any pool. */
-  readonly placers: ReadonlySet<VmId>;
+  readonly owners: ReadonlySet<VmId>;
   /** The same by duties; each VM is in one group. */
-  readonly groups: readonly PlacerGroup[];
+  readonly groups: readonly OwnerGroup[];
   readonly #byDuty: ReadonlyMap<string, readonly VmId[]>;
   readonly #duties: readonly string[];
 
@@ -78,9 +79,9 @@
       isServing && !isDraining
     );
     this.#byDuty = new Map(
-      this.#duties.map((duty) => [duty, listPlacersOf(duty, candidates)]),
+      this.#duties.map((duty) => [duty, listOwnersOf(duty, candidates)]),
     );
-    this.placers = new Set([...this.#byDuty.values()].flat());
+    this.owners = new Set([...this.#byDuty.values()].flat());
     this.groups = this.#listGroups();
   }
 
@@ -94,13 +95,13 @@
   }
 
   /** The owner first, then who takes its place. */
-  listPlacers(pool: PoolName): readonly VmId[] {
+  listOwners(pool: PoolName): readonly VmId[] {
     return this.#byDuty.get(this.findDuty(pool)) ?? [];
   }
 
-  #listGroups(): PlacerGroup[] {
+  #listGroups(): OwnerGroup[] {
     const groups = new Map<string, { duties: string[]; vms: Set<VmId> }>();
-    for (const vm of this.placers) {
+    for (const vm of this.owners) {
       const duties = this.#duties.filter((duty) =>
         this.#byDuty.get(duty)?.includes(vm)
       );
@@ -133,7 +134,7 @@
  * The owner first, then who takes its place. A VM that has just started knows
  * of no cache, so those that do go first.
  */
-export function listPlacersOf(
+export function listOwnersOf(
   duty: string,
   candidates: readonly OwnerCandidate[],
 ): VmId[] {
@@ -145,5 +146,5 @@
   const others = able.filter(({ isPrimed }) => !isPrimed);
   return [primed, others]
     .flatMap((each) => computeRendezvousOrder(duty, each.map(({ vm }) => vm)))
-    .slice(0, PLACERS);
+    .slice(0, OWNERS);
 }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -43,9 +43,9 @@
 const RETRY_MS = 250;
 /**
  * While the store is away all VMs look for its return, each so many
- * milliseconds apart for each VM of the fleet: some 40 calls a second of a fleet
- * of any size. Each call is priced, and 195 VMs that all tried four times a
- * second would take half of what the store bears.
+ * milliseconds apart for each VM of the fleet: some 40 calls a second of a
+ * fleet of any size. Each call is priced, and 195 VMs that all tried four times
+ * a second would take half of what the store bears.
  */
 const RETRY_PER_VM_MS = 25;
 /** How often a VM looks whether it has to watch, in milliseconds. */
@@ -151,14 +151,14 @@
 
   /** Takes in which versions another VM has, and fetches what is newer. */
   notePeer(peer: FleetPeer): void {
-    const { beat } = peer;
+    const { heartbeat } = peer;
     const revision = this.#options.replicas.revision;
-    if (beat.listRevision === revision && beat.listAgeMs >= 0) {
-      const at = this.#options.clock.now() - beat.listAgeMs;
+    if (heartbeat.listRevision === revision && heartbeat.listAgeMs >= 0) {
+      const at = this.#options.clock.now() - heartbeat.listAgeMs;
       this.#confirmedAt = Math.max(this.#confirmedAt, at);
     }
-    const isBehind = beat.listRevision > revision ||
-      beat.configVersion > (this.#configuration?.version ?? 0);
+    const isBehind = heartbeat.listRevision > revision ||
+      heartbeat.configVersion > (this.#configuration?.version ?? 0);
     if (isBehind && !this.#isFetching) void this.#fetchFrom(peer);
   }
 
@@ -169,11 +169,11 @@
         configVersion: this.#configuration?.version ?? 0,
         listRevision: this.#options.replicas.revision,
       });
-      this.#applyHanded(state, peer.beat.vm);
+      this.#applyHanded(state, peer.heartbeat.vm);
     } catch (thrown) {
       // The next heartbeat of any VM tries again.
       this.#options.log.info("peer_fetch_failed", {
-        peer: peer.beat.vm,
+        peer: peer.heartbeat.vm,
         error: toError(thrown).message,
       });
     } finally {
@@ -218,8 +218,10 @@
     if (this.#snapshot === undefined || replicas.revision === 0) return true;
     if (this.getListAgeMs() > STALE_AFTER_MS) return true;
     const vms = peers.listLive()
-      .filter(({ beat }) => !beat.isDraining && !beat.isStoreLost)
-      .map((peer) => peer.beat.vm);
+      .filter(({ heartbeat }) =>
+        !heartbeat.isDraining && !heartbeat.isStoreLost
+      )
+      .map((peer) => peer.heartbeat.vm);
     const order = computeRendezvousOrder("store-watch", [vm, ...vms]);
     return order.slice(0, WATCHERS).includes(vm);
   }
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -39,7 +39,7 @@
   /** Tokens of each part of the prompt, alike in order to `prefixes`. */
   partTokens?: number[];
   /** Whether the work is a stream that long prompts beside it would spoil. */
-  isTalk?: boolean;
+  isInteractive?: boolean;
   /** For the engine's own queue; 0 is the most urgent. */
   priority?: number;
   avoid: VmId[];
@@ -69,8 +69,8 @@
    */
   abstract isValid(): boolean;
   /**
-   * Whether the upstream shows signs of life, by any work there: then silence
-   * on this lease's call is a queue, and not a failure.
+   * Whether the upstream shows liveness of life, by any work there: then
+   * silence on this lease's call is a queue, and not a failure.
    */
   isUpstreamAlive(): boolean {
     return false;
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -151,7 +151,7 @@
       route,
       pool,
       priority: snapshot.ranks.getRank(workspace, route),
-      isTalk: snapshot.talkClasses.has(route.className),
+      isInteractive: snapshot.interactiveClasses.has(route.className),
       dialect: this.#options.dialect,
     });
     const promptTokens = call.prompt?.promptTokens ?? 0;
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -38,7 +38,7 @@
   route: Route;
   pool: UpstreamPool;
   priority: number;
-  isTalk: boolean;
+  isInteractive: boolean;
   dialect: RoutedDialect;
 }
 
@@ -71,7 +71,7 @@
       doneTokens: 0,
       prefixes: parts.map((part) => part.id),
       partTokens: parts.map((part) => part.tokens),
-      isTalk: this.start.isTalk,
+      isInteractive: this.start.isInteractive,
       priority: this.start.priority,
     };
   }
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -63,7 +63,7 @@
   | "doneTokens"
   | "prefixes"
   | "partTokens"
-  | "isTalk"
+  | "isInteractive"
   | "priority"
 >;
 
--- a/src/version/talk_classes.ts
+++ b/src/version/interactive_classes.ts
@@ -1,6 +1,6 @@
 /**
- * Which request classes are talks: streams whose callers accept the shortest
- * pauses of all that go to the same upstream pool.
+ * Which request classes are interactive streams: streams whose callers accept
+ * the shortest pauses of all that go to the same upstream pool.
  *
  * @module
  */
@@ -10,25 +10,28 @@
 
 /**
  * A pool's other streams accept pauses so many times as long, or nothing tells
- * its talks apart: targets that differ by less are of one kind.
+ * its interactive streams apart: targets that differ by less are of one kind.
  */
 const LEAST_RATIO = 1.25;
 
-/** The classes of talks; none for pools whose streams are all alike. */
-export function findTalkClasses(
+/**
+ * The classes of interactive streams; none for pools whose streams are all
+ * alike.
+ */
+export function findInteractiveClasses(
   routes: readonly Route[],
   classes: ReadonlyMap<ClassName, RequestClass>,
 ): Set<ClassName> {
-  const talks = new Set<ClassName>();
+  const interactive = new Set<ClassName>();
   for (const pauses of listPausesByPool(routes, classes).values()) {
     const shortest = Math.min(...pauses.values());
     const longest = Math.max(...pauses.values());
     if (longest < LEAST_RATIO * shortest) continue;
     for (const [name, pauseMs] of pauses) {
-      if (pauseMs < LEAST_RATIO * shortest) talks.add(name);
+      if (pauseMs < LEAST_RATIO * shortest) interactive.add(name);
     }
   }
-  return talks;
+  return interactive;
 }
 
 function listPausesByPool(
--- a/src/version/published.ts
+++ b/src/version/published.ts
@@ -13,7 +13,7 @@
   RouteTable,
 } from "./routes.ts";
 import { buildCheckedSnapshot } from "./snapshot_maps.ts";
-import { findTalkClasses } from "./talk_classes.ts";
+import { findInteractiveClasses } from "./interactive_classes.ts";
 
 /** One version of the configuration, as plain data. */
 export interface PublishedConfiguration {
@@ -33,7 +33,7 @@
     ...snapshot,
     routes: RouteTable.create(routes),
     ranks: PriorityRanks.create(snapshot.workspaces.values(), routes),
-    talkClasses: findTalkClasses(routes, snapshot.classes),
+    interactiveClasses: findInteractiveClasses(routes, snapshot.classes),
     callerBounds: published.callerBounds,
   };
 }
--- a/src/version/routes.ts
+++ b/src/version/routes.ts
@@ -57,7 +57,7 @@
   routes: RouteTable;
   ranks: PriorityRanks;
   /** Classes whose streams accept the shortest pauses of their pool. */
-  talkClasses: ReadonlySet<ClassName>;
+  interactiveClasses: ReadonlySet<ClassName>;
   callerBounds: CallerBounds;
 }
 
--- a/test/platform/fleet_test.ts
+++ b/test/platform/fleet_test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it, onTestFinished } from "vitest";
 import { toId } from "../../src/ids.ts";
-import { listPlacersOf } from "../../src/process/seeded_fleet/index.ts";
+import { listOwnersOf } from "../../src/process/seeded_fleet/index.ts";
 import { waitUntil } from "../support/loopback.ts";
 import { Relay } from "../support/relay.ts";
 import { buildConfiguration, KEY, ROUTES } from "./configurations.ts";
@@ -273,20 +273,20 @@
       cores: 1,
       isPrimed: true,
     }));
-    const placers = listPlacersOf("pools-0", candidates);
-    for (const owner of owners) expect(placers).toContain(owner);
+    const expected = listOwnersOf("pools-0", candidates);
+    for (const owner of owners) expect(expected).toContain(owner);
   });
 
   it("serves on while the VMs that place requests are gone", async () => {
     const fleet = await createLargeFleet();
     const told = fleet.vms.map(({ settings }) => settings.vm);
     const candidates = told.map((vm) => ({ vm, cores: 1, isPrimed: true }));
-    const placers = listPlacersOf("pools-0", candidates);
-    const isPlacer = ({ settings }: TestVm) => placers.includes(settings.vm);
-    const stopped = fleet.vms.filter(isPlacer);
+    const owners = listOwnersOf("pools-0", candidates);
+    const isOwner = ({ settings }: TestVm) => owners.includes(settings.vm);
+    const stopped = fleet.vms.filter(isOwner);
     const calmMs = await recordMs(sendByEach(fleet.vms).then(() => {}));
     await Promise.all(stopped.map(({ vm }) => vm.stop()));
-    const others = fleet.vms.filter((vm) => !isPlacer(vm));
+    const others = fleet.vms.filter((vm) => !isOwner(vm));
     const ms = await recordMs(
       sendByEach(others).then((statuses) => {
         expect(new Set(statuses)).toEqual(new Set([200]));
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -1,5 +1,5 @@
 /**
- * A stand-in for a replica on the platform: signs its answers, checks whom a
+ * A stand-in for a replica on the platform: liveness its answers, checks whom a
  * request is meant for, and fails as it is told.
  *
  * @module
--- a/test/process/placement/answered_loads_test.ts
+++ b/test/process/placement/answered_loads_test.ts
@@ -5,7 +5,7 @@
 
 const REPLICA = toId<VmId>("replica-1");
 const VM = toId<VmId>("vm-1");
-const LOAD = { pendingTokens: 900, running: 1, talking: 0 };
+const LOAD = { pendingTokens: 900, running: 1, interactive: 0 };
 
 function createLoads(clock: VirtualClock) {
   return PlacementState.create({
--- a/test/process/placement/fetch_source_test.ts
+++ b/test/process/placement/fetch_source_test.ts
@@ -13,9 +13,9 @@
   parts: ["sheet", "own"],
   partTokens: [13_000, 3_700],
   promptTokens: 16_700,
-  isTalk: false,
+  isInteractive: false,
 };
-/** Longer than any reading takes on replicas that are not overloaded. */
+/** Longer than any prefill takes on replicas that are not overloaded. */
 const READ_MS = 2_000;
 
 function createPool() {
@@ -42,14 +42,14 @@
 // The load: a flood of prompts about one long sheet, more than the replica that
 // has read it can read the rest of.
 // Symptom: the sheet is read again by every replica, and all queues grow.
-// Cause: a replica that did not hold the sheet had no way to it but reading.
+// Cause: a replica that did not hold the sheet had no way to it but prefill.
 describe("a prompt whose shared part is read elsewhere", () => {
   it("goes to an idle replica that fetches it from a busy one", async () => {
     const { clock, state, replicas, choose } = createPool();
     const holder = replicas[0]!.id;
     state.prefixes.noteSent(holder, SHEET.parts, SHEET.promptTokens);
     await clock.run(READ_MS);
-    state.loads.addOwn(holder, { pendingTokens: 20_000, isTalking: false });
+    state.loads.addOwn(holder, { pendingTokens: 20_000, isInteractive: false });
     const placement = choose();
     expect(placement.replica.id).not.toBe(holder);
     expect(placement.fetchFrom).toBe("10.0.0.1:80");
@@ -64,7 +64,7 @@
     const holder = replicas[0]!.id;
     state.prefixes.noteSent(holder, SHEET.parts, SHEET.promptTokens);
     await clock.run(500);
-    state.loads.addOwn(holder, { pendingTokens: 20_000, isTalking: false });
+    state.loads.addOwn(holder, { pendingTokens: 20_000, isInteractive: false });
     expect(choose().fetchFrom).toBeUndefined();
     state.prefixes.noteRead(holder, SHEET.parts);
     expect(choose().fetchFrom).toBe("10.0.0.1:80");
@@ -81,20 +81,20 @@
     expect(state.takeNews().reads).toEqual([]);
   });
 
-  // Symptom: some replicas have five seconds of reading ahead, others none.
+  // Symptom: some replicas have five seconds of prefill ahead, others none.
   // Sequence: 45,000 tokens wait at the mean replica of a flood, 200,000 at
   // the one that holds a sheet.
-  // Cause: reading the sheet again weighed more the more was waiting, without
+  // Cause: prefill the sheet again weighed more the more was waiting, without
   // end, so every prompt for it went there.
   it("goes elsewhere from a replica far behind the others", () => {
     const { state, replicas, choose } = createPool();
     const [holder, ...others] = replicas.map(({ id }) => id);
     state.prefixes.noteSent(holder!, SHEET.parts, SHEET.promptTokens);
-    const isTalking = false;
-    state.loads.addOwn(holder!, { pendingTokens: 200_000, isTalking });
-    state.budget.addReading(holder!, 5_000);
+    const isInteractive = false;
+    state.loads.addOwn(holder!, { pendingTokens: 200_000, isInteractive });
+    state.budget.addPrefill(holder!, 5_000);
     for (const id of others) {
-      state.loads.addOwn(id, { pendingTokens: 40_000, isTalking });
+      state.loads.addOwn(id, { pendingTokens: 40_000, isInteractive });
     }
     expect(choose({ ...SHEET, pacePriority: 1 }).replica.id).not.toBe(holder);
   });
@@ -113,7 +113,7 @@
     const { state, replicas, choose } = createPool();
     const holder = replicas[0]!.id;
     state.prefixes.noteSent(holder, SHEET.parts, SHEET.promptTokens);
-    state.loads.addOwn(holder, { pendingTokens: 90_000, isTalking: false });
+    state.loads.addOwn(holder, { pendingTokens: 90_000, isInteractive: false });
     expect(choose().fetchFrom).toBeUndefined();
   });
 });
--- a/test/process/placement/placement_choice_test.ts
+++ b/test/process/placement/placement_choice_test.ts
@@ -13,13 +13,13 @@
   parts: ["shared", "subject", "own"],
   partTokens: [2_500, 3_800, 2_900],
   promptTokens: 9_200,
-  isTalk: false,
+  isInteractive: false,
 };
-const TALK: PlacementNeeds = {
+const INTERACTIVE: PlacementNeeds = {
   parts: ["greeting", "session", "words"],
   partTokens: [120, 80, 630],
   promptTokens: 830,
-  isTalk: true,
+  isInteractive: true,
 };
 
 function buildReplicas(count: number): ListedReplica[] {
@@ -73,7 +73,7 @@
     const state = createState();
     const [holder] = replicas;
     state.prefixes.noteSent(holder!.id, DOCUMENT.parts.slice(0, 2), 0);
-    const added = { pendingTokens: 40_000, isTalking: false };
+    const added = { pendingTokens: 40_000, isInteractive: false };
     state.loads.addOwn(holder!.id, added);
     expect(choose(replicas, DOCUMENT, state)).not.toBe(holder!.id);
   });
@@ -84,32 +84,32 @@
   // Symptom: after a burst, queues stay long although nothing new needs them.
   // Sequence: the replica that holds a part has some prompts waiting, as all
   // have; the next prompts read the part again at another one.
-  // Cause: a reading was as cheap with prompts waiting everywhere as with none.
+  // Cause: a prefill was as cheap with prompts waiting everywhere as with none.
   it("is where its parts are, the more the busier all are", () => {
     const replicas = buildReplicas(6);
     const state = createState();
     const [holder] = replicas;
     state.prefixes.noteSent(holder!.id, DOCUMENT.parts.slice(0, 2), 0);
-    const waiting = { pendingTokens: 20_000, isTalking: false };
+    const waiting = { pendingTokens: 20_000, isInteractive: false };
     state.loads.addOwn(holder!.id, waiting);
     expect(choose(replicas, DOCUMENT, state)).not.toBe(holder!.id);
     for (const { id } of replicas) state.loads.addOwn(id, waiting);
     expect(choose(replicas, DOCUMENT, state)).toBe(holder!.id);
   });
 
-  it("keeps documents from where talks run, and talks from documents", () => {
+  it("keeps documents from where interactive streams run, and interactive streams from documents", () => {
     const replicas = buildReplicas(2);
     const state = createState();
-    const [talking, reading] = replicas.map(({ id }) => id);
-    const added = { pendingTokens: 0, isTalking: true };
+    const [interactive, prefill] = replicas.map(({ id }) => id);
+    const added = { pendingTokens: 0, isInteractive: true };
     for (let index = 0; index < 8; index++) {
-      state.loads.addOwn(talking!, added);
+      state.loads.addOwn(interactive!, added);
     }
-    state.prefixes.noteSent(talking!, ["other"], 0);
+    state.prefixes.noteSent(interactive!, ["other"], 0);
     expect(choose(replicas, { ...DOCUMENT, parts: ["x", "y", "z"] }, state))
-      .toBe(reading);
-    state.readings.addReading(reading!, 400);
-    expect(choose(replicas, TALK, state)).toBe(talking);
+      .toBe(prefill);
+    state.prefills.addPrefill(prefill!, 400);
+    expect(choose(replicas, INTERACTIVE, state)).toBe(interactive);
   });
 
   // Symptom: over a hundred requests wait at one replica, others idle.
@@ -120,12 +120,12 @@
     const state = createState();
     const counts = new Map<VmId, number>();
     for (const { id } of replicas.slice(1)) {
-      state.readings.addReading(id, 1_000);
+      state.prefills.addPrefill(id, 1_000);
     }
     for (let index = 0; index < 120; index++) {
-      const id = choose(replicas, TALK, state);
+      const id = choose(replicas, INTERACTIVE, state);
       counts.set(id, (counts.get(id) ?? 0) + 1);
-      state.loads.addOwn(id, { pendingTokens: 0, isTalking: true });
+      state.loads.addOwn(id, { pendingTokens: 0, isInteractive: true });
     }
     expect(Math.max(...counts.values())).toBeLessThanOrEqual(64);
   });
@@ -136,7 +136,7 @@
     const id = toId<VmId>("i-0");
     state.loads.putPeer(toId("vm-2"), [[id, 5_000, 3, 1]]);
     expect(state.loads.getLoad(id))
-      .toEqual({ pendingTokens: 5_000, running: 3, talking: 1 });
+      .toEqual({ pendingTokens: 5_000, running: 3, interactive: 1 });
     await clock.run(2_000);
     expect(state.loads.getLoad(id).running).toBe(0);
   });
--- a/test/process/placement/reading_budget_test.ts
+++ b/test/process/placement/prefill_budget_test.ts
@@ -41,11 +41,14 @@
   const chooser = ReplicaChooser.create(directory, state);
   let asks = 0;
   const place = (
-    changes: { promptTokens?: number; isTalk?: boolean; priority?: number } =
-      {},
+    changes: {
+      promptTokens?: number;
+      isInteractive?: boolean;
+      priority?: number;
+    } = {},
   ) => {
     const promptTokens = changes.promptTokens ?? PROMPT_TOKENS;
-    const isTalk = changes.isTalk ?? false;
+    const isInteractive = changes.isInteractive ?? false;
     asks += 1;
     return chooser.chooseFor(toId("vm"), asks, {
       pool: toId("pool"),
@@ -54,24 +57,24 @@
       parts: [`own-${asks}`],
       partTokens: [promptTokens],
       promptTokens,
-      isTalk,
-      pacePriority: isTalk ? undefined : changes.priority ?? 2,
+      isInteractive,
+      pacePriority: isInteractive ? undefined : changes.priority ?? 2,
     });
   };
-  /** Places prompts for a while; returns how many, and the reading of each. */
+  /** Places prompts for a while; returns how many, and the prefill of each. */
   const placeAll = async (everyMs: number) => {
-    const readMs = new Map<VmId, number>();
+    const prefillMs = new Map<VmId, number>();
     let refused = 0;
     for (let at = 0; at < FLOOD_MS; at += everyMs) {
       const replica = place()?.replica.id;
       if (replica === undefined) refused += 1;
       else {
         const ms = PROMPT_TOKENS * state.speeds.getMsPerToken(replica);
-        readMs.set(replica, (readMs.get(replica) ?? 0) + ms);
+        prefillMs.set(replica, (prefillMs.get(replica) ?? 0) + ms);
       }
       await clock.run(everyMs);
     }
-    return { refused, readMs };
+    return { refused, prefillMs };
   };
   return { clock, directory, state, place, placeAll };
 }
@@ -84,9 +87,9 @@
 describe("prompts whose streams have to keep their pace", () => {
   it("leave replicas time for their streams in a flood", async () => {
     const { placeAll } = createPool();
-    const { refused, readMs } = await placeAll(FLOOD_EVERY_MS);
+    const { refused, prefillMs } = await placeAll(FLOOD_EVERY_MS);
     expect(refused).toBeGreaterThan(0);
-    for (const ms of readMs.values()) {
+    for (const ms of prefillMs.values()) {
       expect(ms / FLOOD_MS).toBeLessThan(0.85);
       expect(ms / FLOOD_MS).toBeGreaterThan(0.65);
     }
@@ -118,11 +121,11 @@
     expect(place({ priority: 5 })).toBeUndefined();
   });
 
-  it("do not keep talks out", async () => {
+  it("do not keep interactive streams out", async () => {
     const { place, placeAll } = createPool();
     await placeAll(FLOOD_EVERY_MS);
     while (place() !== undefined);
-    expect(place({ promptTokens: 600, isTalk: true })).toBeDefined();
+    expect(place({ promptTokens: 600, isInteractive: true })).toBeDefined();
   });
 });
 
@@ -143,7 +146,7 @@
     idempotent: true,
     prefixes: ["own"],
     partTokens: [PROMPT_TOKENS],
-    isTalk: false,
+    isInteractive: false,
     avoid: [],
     ...changes,
   };
@@ -187,10 +190,10 @@
     expect(Math.max(...refusals) - Math.min(...refusals)).toBeGreaterThan(400);
   });
 
-  it("is not refused again where it was tried before, nor as a talk", async () => {
+  it("is not refused again where it was tried before, nor as an interactive stream", async () => {
     const { acquire, asked } = createSource();
     await acquire({ avoid: [toId<VmId>("i-0")] });
-    await acquire({ promptTokens: 600, isTalk: true });
+    await acquire({ promptTokens: 600, isInteractive: true });
     expect(asked).toEqual([false, false]);
   });
 });
--- a/test/process/placement/replica_chooser_test.ts
+++ b/test/process/placement/replica_chooser_test.ts
@@ -54,7 +54,7 @@
           parts: promptTokens > 0 ? [`own-${index}`] : [],
           partTokens: promptTokens > 0 ? [promptTokens] : [],
           promptTokens,
-          isTalk: promptTokens === 600,
+          isInteractive: promptTokens === 600,
         });
         const { id } = placement!.replica;
         counts.set(id, (counts.get(id) ?? 0) + 1);
@@ -73,7 +73,7 @@
       parts: [],
       partTokens: [],
       promptTokens: 0,
-      isTalk: false,
+      isInteractive: false,
     };
     expect(chooser.chooseFor(toId("vm-1"), 1, request)).toBeUndefined();
   });
--- a/test/process/seeded_fleet/fleet_talk_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -2,12 +2,12 @@
 import { toId, type VmId } from "../../../src/ids.ts";
 import { SilentLog } from "../../../src/process/log.ts";
 import {
-  type BeatContent,
   DatagramLink,
   encodeMessage,
+  FleetHeartbeats,
   type FleetPeer,
-  FleetTalk,
   type FleetWork,
+  type HeartbeatContent,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
@@ -57,25 +57,25 @@
   }
 }
 
-interface TalkOptions {
+interface VmOptions {
   seeds: string[];
   incarnation?: string;
   takeResults?: () => FleetWork["results"];
   /** All others, if left out. */
-  placers?: string[];
-  onBeat?: (peer: FleetPeer) => void;
+  owners?: string[];
+  onHeartbeat?: (peer: FleetPeer) => void;
 }
 
-function startTalk(
+function startVm(
   network: FakeNetwork,
   index: number,
-  options: TalkOptions,
-): FleetTalk {
+  options: VmOptions,
+): FleetHeartbeats {
   const vm = toId<VmId>(`vm-${index}`);
   const self = `10.0.0.${index}:1`;
-  const placers = options.placers &&
-    new Set(options.placers.map((name) => toId<VmId>(name)));
-  const content: BeatContent = {
+  const owners = options.owners &&
+    new Set(options.owners.map((name) => toId<VmId>(name)));
+  const content: HeartbeatContent = {
     vm,
     incarnation: toId(options.incarnation ?? "life-1"),
     dataCentre: toId("dc"),
@@ -90,7 +90,7 @@
     isStoreLost: false,
     cores: 1,
   };
-  const talk = FleetTalk.create({
+  const started = FleetHeartbeats.create({
     vm,
     clock: network.clock,
     random: SeededRandom.create(index),
@@ -98,7 +98,7 @@
     link: network.createLink(self),
     getSeeds: () => options.seeds,
     self,
-    buildBeat: () => content,
+    buildHeartbeat: () => content,
     takeWork: () => {
       const results = options.takeResults?.() ?? [];
       const work: FleetWork = {
@@ -110,41 +110,41 @@
         lastAsk: 0,
         openAsks: [],
       };
-      return [{ placers, work, isNew: results.length > 0 }];
+      return [{ owners, work, isNew: results.length > 0 }];
     },
-    listPlacers: () => placers,
-    onBeat: options.onBeat ?? (() => {}),
+    listOwners: () => owners,
+    onHeartbeat: options.onHeartbeat ?? (() => {}),
     onAsk: ({ ask }) => ({ kind: "answer", ask, isFull: false }),
     onAnswer: () => {},
   });
-  talk.start();
-  return talk;
+  started.start();
+  return started;
 }
 
-function startTalks(
+function startVms(
   network: FakeNetwork,
   count: number,
-  options: TalkOptions,
-): FleetTalk[] {
+  options: VmOptions,
+): FleetHeartbeats[] {
   return Array.from(
     { length: count },
-    (_, index) => startTalk(network, index + 1, options),
+    (_, index) => startVm(network, index + 1, options),
   );
 }
 
-function listNames(talk: FleetTalk): string[] {
-  return talk.peers.listLive().map(({ beat }) => beat.vm).sort();
+function listNames(vm: FleetHeartbeats): string[] {
+  return vm.peers.listLive().map(({ heartbeat }) => heartbeat.vm).sort();
 }
 
-describe("VMs that talk", () => {
+describe("VMs that send heartbeats", () => {
   it("all hear each other by one seed that lives", async () => {
     const network = new FakeNetwork();
     const seeds = ["10.0.0.99:1", "10.0.0.1:1"];
-    const talks = [1, 2, 3, 4, 5].map((index) =>
-      startTalk(network, index, { seeds })
+    const vms = [1, 2, 3, 4, 5].map((index) =>
+      startVm(network, index, { seeds })
     );
     await network.clock.run(1_000);
-    expect(talks.map((talk) => listNames(talk).length)).toEqual([
+    expect(vms.map((vm) => listNames(vm).length)).toEqual([
       4,
       4,
       4,
@@ -156,7 +156,7 @@
   it("miss one that fell silent within a second", async () => {
     const network = new FakeNetwork();
     const [first, second] = [1, 2].map((index) =>
-      startTalk(network, index, { seeds: ["10.0.0.1:1"] })
+      startVm(network, index, { seeds: ["10.0.0.1:1"] })
     );
     await network.clock.run(500);
     second!.stop();
@@ -170,9 +170,9 @@
   it("find each other again after a partition", async () => {
     const network = new FakeNetwork();
     const [first, second] = [1, 2].map((index) =>
-      startTalk(network, index, { seeds: [] })
+      startVm(network, index, { seeds: [] })
     );
-    const third = startTalk(network, 3, {
+    const third = startVm(network, 3, {
       seeds: ["10.0.0.1:1", "10.0.0.2:1"],
     });
     await network.clock.run(1_000);
@@ -187,22 +187,22 @@
     expect(listNames(third)).toEqual(["vm-1", "vm-2"]);
   });
 
-  // Symptom: VMs spend their links and processors on talk in a large fleet.
+  // Symptom: VMs spend their links and processors on vm in a large fleet.
   // Sequence: ninety VMs, each with news of its own work all the time.
   // Cause: each VM's news went to all others some forty times a second.
   it("send a bounded number of datagrams, however many they are", async () => {
     const network = new FakeNetwork();
     const count = 90;
-    const talks = startTalks(network, count, { seeds: ["10.0.0.1:1"] });
+    const vms = startVms(network, count, { seeds: ["10.0.0.1:1"] });
     await network.clock.run(3_000);
-    expect(listNames(talks[7]!)).toHaveLength(count - 1);
+    expect(listNames(vms[7]!)).toHaveLength(count - 1);
     network.sent = 0;
     for (let step = 0; step < 100; step++) {
-      talks.forEach((talk) => talk.announceNews());
+      vms.forEach((vm) => vm.announceNews());
       await network.clock.run(10);
     }
     expect(network.sent / count).toBeLessThan(450);
-    expect(listNames(talks[7]!)).toHaveLength(count - 1);
+    expect(listNames(vms[7]!)).toHaveLength(count - 1);
   });
 
   // Symptom: a VM that died is in the directory's answers for many seconds.
@@ -210,14 +210,14 @@
   // Cause: each VM waited for six of them to be missed.
   it("hear of a silent one by those that place requests", async () => {
     const network = new FakeNetwork();
-    const placers = ["vm-1", "vm-2", "vm-3"];
-    const talks = startTalks(network, 90, { seeds: ["10.0.0.1:1"], placers });
+    const owners = ["vm-1", "vm-2", "vm-3"];
+    const vms = startVms(network, 90, { seeds: ["10.0.0.1:1"], owners });
     await network.clock.run(4_000);
-    expect(listNames(talks[7]!)).toHaveLength(89);
-    talks[50]!.stop();
+    expect(listNames(vms[7]!)).toHaveLength(89);
+    vms[50]!.stop();
     await network.clock.run(1_300);
-    expect(listNames(talks[7]!)).toHaveLength(88);
-    expect(listNames(talks[7]!)).not.toContain("vm-51");
+    expect(listNames(vms[7]!)).toHaveLength(88);
+    expect(listNames(vms[7]!)).not.toContain("vm-51");
   });
 
   // Symptom: for seconds after a partition, callers are told of half a fleet.
@@ -227,9 +227,9 @@
   // not answer until their own.
   it("hear each other soon after a partition of a large fleet", async () => {
     const network = new FakeNetwork();
-    const placers = ["vm-1", "vm-2"];
+    const owners = ["vm-1", "vm-2"];
     const seeds = ["10.0.0.1:1", "10.0.0.40:1"];
-    const talks = startTalks(network, 40, { seeds, placers });
+    const vms = startVms(network, 40, { seeds, owners });
     await network.clock.run(8_000);
     for (let left = 1; left <= 20; left++) {
       for (let right = 21; right <= 40; right++) {
@@ -238,24 +238,24 @@
       }
     }
     await network.clock.run(40_000);
-    expect(listNames(talks[7]!)).toHaveLength(19);
+    expect(listNames(vms[7]!)).toHaveLength(19);
     network.cut.clear();
     await network.clock.run(1_200);
-    const heard = talks.map((talk) => listNames(talk).length);
+    const heard = vms.map((vm) => listNames(vm).length);
     expect(Math.min(...heard)).toBeGreaterThanOrEqual(36);
   });
 
   it("send news to those that place requests alone", async () => {
     const network = new FakeNetwork();
-    const placers = ["vm-1", "vm-2", "vm-3"];
-    const talks = startTalks(network, 90, { seeds: ["10.0.0.1:1"], placers });
+    const owners = ["vm-1", "vm-2", "vm-3"];
+    const vms = startVms(network, 90, { seeds: ["10.0.0.1:1"], owners });
     await network.clock.run(4_000);
     network.sent = 0;
     for (let step = 0; step < 100; step++) {
-      talks.forEach((talk) => talk.announceNews());
+      vms.forEach((vm) => vm.announceNews());
       await network.clock.run(10);
     }
-    expect(network.sent / talks.length).toBeLessThan(200);
+    expect(network.sent / vms.length).toBeLessThan(200);
   });
 
   // Symptom: VMs spend twice the bytes on each other that operators allow, and
@@ -265,14 +265,14 @@
   // requests seven times a second, whether anything had changed or not.
   it("say little to those that place requests while nothing changes", async () => {
     const network = new FakeNetwork();
-    const placers = ["vm-1", "vm-2", "vm-3", "vm-4"];
-    const talks = startTalks(network, 60, { seeds: ["10.0.0.1:1"], placers });
+    const owners = ["vm-1", "vm-2", "vm-3", "vm-4"];
+    const vms = startVms(network, 60, { seeds: ["10.0.0.1:1"], owners });
     await network.clock.run(20_000);
     network.sentBytes = 0;
     await network.clock.run(10_000);
-    const bytesPerSecond = network.sentBytes / talks.length / 10;
+    const bytesPerSecond = network.sentBytes / vms.length / 10;
     expect(bytesPerSecond).toBeLessThan(6_000);
-    expect(listNames(talks[7]!)).toHaveLength(59);
+    expect(listNames(vms[7]!)).toHaveLength(59);
   });
 
   // Symptom: VMs ask the store though others have a fresh view.
@@ -281,14 +281,14 @@
   // time, so what the one had said was old by the time others needed it.
   it("are told by each other at any time, not by all at once", async () => {
     const network = new FakeNetwork();
-    const placers = ["vm-1", "vm-2"];
+    const owners = ["vm-1", "vm-2"];
     const heardAt: number[] = [];
-    const listener = startTalk(network, 61, {
+    const listener = startVm(network, 61, {
       seeds: ["10.0.0.1:1"],
-      placers,
-      onBeat: () => heardAt.push(network.clock.now()),
+      owners,
+      onHeartbeat: () => heardAt.push(network.clock.now()),
     });
-    startTalks(network, 60, { seeds: ["10.0.0.1:1"], placers });
+    startVms(network, 60, { seeds: ["10.0.0.1:1"], owners });
     await network.clock.run(30_000);
     heardAt.length = 0;
     await network.clock.run(12_000);
@@ -305,13 +305,14 @@
     const network = new FakeNetwork();
     let news: FleetWork["results"] = [];
     const heard: FleetWork["results"] = [];
-    startTalk(network, 1, {
+    startVm(network, 1, {
       seeds: ["10.0.0.2:1"],
       takeResults: () => news.splice(0),
     });
-    startTalk(network, 2, {
+    startVm(network, 2, {
       seeds: [],
-      onBeat: ({ beat }) => heard.push(...beat.work?.results ?? []),
+      onHeartbeat: ({ heartbeat }) =>
+        heard.push(...heartbeat.work?.results ?? []),
     });
     await network.clock.run(1_000);
     news = [[toId<VmId>("replica-1"), 0, 1]];
@@ -324,13 +325,13 @@
 
   it("are not misled by a datagram that is no message", async () => {
     const network = new FakeNetwork();
-    const talk = startTalk(network, 1, { seeds: [] });
+    const vm = startVm(network, 1, { seeds: [] });
     const handle = network.handles.get("10.0.0.1:1")!;
     handle(Buffer.from("nonsense"), "10.0.0.7:1");
-    handle(Buffer.from('{"kind":"beat"}'), "10.0.0.7:1");
-    handle(Buffer.from('["beat"]'), "10.0.0.7:1");
+    handle(Buffer.from('{"kind":"heartbeat"}'), "10.0.0.7:1");
+    handle(Buffer.from('["heartbeat"]'), "10.0.0.7:1");
     handle(Buffer.from('["other", 1]'), "10.0.0.7:1");
     await network.clock.run(100);
-    expect(listNames(talk)).toEqual([]);
+    expect(listNames(vm)).toEqual([]);
   });
 });
--- a/test/process/seeded_fleet/pool_owners_test.ts
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -6,7 +6,7 @@
   findDuty,
   type FleetPeer,
   listDuties,
-  listPlacersOf,
+  listOwnersOf,
   type OwnerCandidate,
   PlacementAsker,
 } from "../../../src/process/seeded_fleet/index.ts";
@@ -26,11 +26,11 @@
 describe("those that place a pool's requests", () => {
   it("are two large VMs, the same ones in any order", () => {
     const candidates = listCandidates([0.3, 1.3, 0.3, 0.7, 0.9, 1.3, 0.3]);
-    const placers = listPlacersOf(DUTY, candidates);
-    expect(placers).toHaveLength(2);
-    expect(placers.filter((vm) => ["vm-0", "vm-2", "vm-6"].includes(vm)))
+    const owners = listOwnersOf(DUTY, candidates);
+    expect(owners).toHaveLength(2);
+    expect(owners.filter((vm) => ["vm-0", "vm-2", "vm-6"].includes(vm)))
       .toEqual([]);
-    expect(listPlacersOf(DUTY, candidates.toReversed())).toEqual(placers);
+    expect(listOwnersOf(DUTY, candidates.toReversed())).toEqual(owners);
   });
 
   // Symptom: for seconds after a VM has started, prompts are read again.
@@ -38,11 +38,11 @@
   // Cause: it owned the pool before it knew what replicas have cached.
   it("know of caches, if any VM does", () => {
     const candidates = listCandidates([1, 1, 1, 1, 1]);
-    const [first, second] = listPlacersOf(DUTY, candidates);
+    const [first, second] = listOwnersOf(DUTY, candidates);
     const restarted = candidates.map((each) =>
       each.vm === first ? { ...each, isPrimed: false } : each
     );
-    expect(listPlacersOf(DUTY, restarted)[0]).toBe(second);
+    expect(listOwnersOf(DUTY, restarted)[0]).toBe(second);
   });
 
   it("share the pools out in a large fleet, each pool to one of them", () => {
@@ -55,7 +55,7 @@
   });
 
   it("are nobody in a fleet where nobody serves", () => {
-    expect(listPlacersOf(DUTY, [])).toEqual([]);
+    expect(listOwnersOf(DUTY, [])).toEqual([]);
   });
 });
 
@@ -71,8 +71,10 @@
     expect(asker.numbers).toEqual({ lastAsk: 1, openAsks: [] });
   });
 
-  // Symptom: a request that no replica has time for is sent to one all the same.
-  // Sequence: the owner says that the pool is full; its substitute is not asked.
+  // Symptom: a request that no replica has time for is sent to one all the
+  // same.
+  // Sequence: the owner says that the pool is full; its substitute is not
+  // asked.
   // Cause: an answer without a replica was taken for one from an owner that
   // knows none, so the VM decided alone.
   it("is told that a pool is full", async () => {
@@ -116,13 +118,13 @@
 });
 
 const NEEDS = {
-  dataCentre: toId<FleetPeer["beat"]["dataCentre"]>("dc"),
+  dataCentre: toId<FleetPeer["heartbeat"]["dataCentre"]>("dc"),
   pool: POOL,
   avoid: [],
   parts: ["a"],
   partTokens: [100],
   promptTokens: 100,
-  isTalk: true,
+  isInteractive: true,
 };
 
 const PLACED = {
@@ -134,16 +136,16 @@
   predictedMs: 3,
 };
 
-function createAsker(placers: string[]) {
+function createAsker(owners: string[]) {
   const clock = VirtualClock.create();
   const asked: { to: string; message: AskMessage }[] = [];
   const asker = PlacementAsker.create({
     vm: toId("vm-9"),
     clock,
     log: SilentLog.create(),
-    listPlacers: () =>
-      placers.map((vm) => ({ beat: { vm } }) as unknown as FleetPeer),
-    send: ({ beat }, message) => asked.push({ to: beat.vm, message }),
+    listOwners: () =>
+      owners.map((vm) => ({ heartbeat: { vm } }) as unknown as FleetPeer),
+    send: ({ heartbeat }, message) => asked.push({ to: heartbeat.vm, message }),
   });
   return { clock, asker, asked };
 }
--- a/test/version/talk_classes_test.ts
+++ b/test/version/interactive_classes_test.ts
@@ -2,7 +2,7 @@
 import { type ClassName, toId } from "../../src/ids.ts";
 import type { RequestClass } from "../../src/version/records.ts";
 import type { Route, RouteKind } from "../../src/version/routes.ts";
-import { findTalkClasses } from "../../src/version/talk_classes.ts";
+import { findInteractiveClasses } from "../../src/version/interactive_classes.ts";
 
 const POOL = toId<Route["targets"][number]["pool"]>("model");
 
@@ -15,15 +15,15 @@
   const classes = streams.map(([name, betweenTokensMs]) =>
     [toId(name), { targets: { betweenTokensMs } }] as [ClassName, RequestClass]
   );
-  return [...findTalkClasses(routes, new Map(classes))];
+  return [...findInteractiveClasses(routes, new Map(classes))];
 }
 
-it("takes the classes with the shortest pauses of a pool for talks", () => {
+it("takes the classes with the shortest pauses of a pool for interactive streams", () => {
   const found = find([["draft", 800], ["question", 300], ["letter", 200]]);
   expect(found).toEqual(["letter"]);
 });
 
-it("finds no talks where all streams accept the same pauses", () => {
+it("finds no interactive streams where all streams accept the same pauses", () => {
   expect(find([["draft", 300], ["letter", 290]])).toEqual([]);
 });
 
