--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -28,6 +28,9 @@
 /** The reserve is shared among so many VMs at least. */
 const LEAST_VMS = 4;
 
+/** Turns of the event loop after which all sockets were read once. */
+const POLL_TURNS = 2;
+
 /** The parts of a VM that requests use. */
 export interface RoutedParts extends LocalEnvironment {
   /** The whole fleet's retries. */
@@ -83,11 +86,16 @@
 }
 
 /**
- * The check phase of the event loop comes after its poll phase, in which what
- * has arrived is read. Timers come before it: a VM that was held up for seconds
- * runs all that are due first, and sent requests on whose callers had closed
- * their connections long ago.
+ * Lets the event loop read once what has arrived on its sockets, and handle it.
+ *
+ * Timers come before the sockets: a VM that was held up for seconds runs all
+ * that are due first, and a request whose owner did not answer went out to a
+ * replica though its caller had closed the connection long ago. The first turn
+ * may end the poll phase in which the request itself was read; the second comes
+ * after a whole one.
  */
-function readArrived(): Promise<void> {
-  return new Promise((resolve) => setImmediate(resolve));
+async function readArrived(): Promise<void> {
+  for (let turn = 0; turn < POLL_TURNS; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
 }
--- a/test/platform/pass_through_test.ts
+++ b/test/platform/pass_through_test.ts
@@ -1,6 +1,8 @@
+import { once } from "node:events";
+import net from "node:net";
 import { describe, expect, it } from "vitest";
 import { startServer, waitUntil } from "../support/loopback.ts";
-import { KEY } from "./configurations.ts";
+import { HOST, KEY } from "./configurations.ts";
 import { sendCall } from "./caller_call.ts";
 import { PlatformFleet, sendRequest } from "./platform_fleet.ts";
 
@@ -59,6 +61,29 @@
     });
   });
 
+  // Symptom: requests reach replicas though their callers left long before.
+  // Sequence: a VM is held up; meanwhile a caller sends its request, gives up
+  // and closes. The VM then finds both on the connection.
+  // Cause: the request went on to a replica before the close was read.
+  it("is not passed on where its caller has left already", async () => {
+    const fleet = await PlatformFleet.create();
+    const [address, port] = fleet.vms[0]!.settings.listeners.callers.split(":");
+    for (let index = 0; index < 20; index++) {
+      const socket = net.connect(Number(port), address);
+      await once(socket, "connect");
+      socket.write(
+        `GET /safe/x HTTP/1.1\r\nhost: ${HOST}\r\n` +
+          `authorization: Bearer ${KEY}\r\nx-request-id: left-${index}\r\n` +
+          "x-timeout-ms: 2000\r\n\r\n",
+      );
+      socket.destroy();
+      await once(socket, "close");
+    }
+    const answer = await sendRequest(fleet.vms[0]!, { path: "/safe/x" });
+    expect(answer.status).toBe(200);
+    expect(fleet.replicas.flatMap(({ seen }) => seen)).toHaveLength(1);
+  });
+
   it("is refused where no route, key or configuration allows it", async () => {
     const fleet = await PlatformFleet.create();
     const [vm] = fleet.vms;
