Give each shared part two replicas in a large pool; refuse only for pace

A replica caches some 100,000 tokens beside its runs, and prompts spread by load made every replica read every part.

Change: two replicas a part, by rendezvous order among those with room, more where both are far behind. The budget holds again only for callers who accept pauses of 300 ms or less.

--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -10,6 +10,7 @@
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
 import { computePauses } from "./pause_price.ts";
+import { listHolders } from "./part_holders.ts";
 import type { ListedReplica } from "./replica_list.ts";
 import {
   computeFetched,
@@ -160,7 +161,10 @@
 ): ScoredPlacement[] {
   const split = computeInteractiveSplit(loaded);
   const suited = listSuited(loaded, needs, split);
-  const candidates = suited.map(({ replica }) => replica);
+  const withRoom = listWithRoom(suited, needs, knowledge);
+  const part = needs.isInteractive ? undefined : needs.parts.at(-2);
+  const holders = listHolders(withRoom, part, suited.length);
+  const candidates = holders.map(({ replica }) => replica);
   const preferred = findPreferred(candidates, needs, knowledge.state.prefixes);
   const prefillWeight = computePrefillWeight(suited);
   const source = findFetchSource(
@@ -168,12 +172,7 @@
     needs,
     knowledge.state.prefixes,
   );
-  const { budget } = knowledge.state;
-  const { pacePriority } = needs;
-  const withRoom = pacePriority === undefined
-    ? suited
-    : suited.filter(({ replica }) => budget.hasRoom(replica.id, pacePriority));
-  return withRoom.map((each) =>
+  return holders.map((each) =>
     computePromptScore(each, {
       needs,
       preferred,
@@ -199,6 +198,18 @@
   return suited.length > 0 ? suited : loaded;
 }
 
+/** Those that have time for a stream that needs its pace. */
+function listWithRoom(
+  suited: readonly LoadedReplica[],
+  { pacePriority }: PlacementNeeds,
+  { state: { budget } }: PlacementKnowledge,
+): readonly LoadedReplica[] {
+  if (pacePriority === undefined) return suited;
+  return suited.filter(({ replica }) =>
+    budget.hasRoom(replica.id, pacePriority)
+  );
+}
+
 function isSuited(
   replica: ListedReplica,
   needs: PlacementNeeds,
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -39,6 +39,14 @@
 const LEAST_RETRY_SHARE = 0.1;
 const MOST_RETRY_SHARE = 0.3;
 
+/**
+ * Streams whose callers accept no longer pauses, in milliseconds, need replicas
+ * that do not prefill all the time: there an event of four tokens comes each
+ * 280 to 400 ms. Callers who accept longer ones are better served late than
+ * refused.
+ */
+const PACE_PAUSE_MS = 300;
+
 /** A replica, or that none has room; undefined where the VM decides alone. */
 export type OwnerDecision = Placement | "full" | undefined;
 
@@ -110,10 +118,9 @@
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
       isInteractive,
-      // One that was tried before is not refused for want of room.
-      pacePriority: isInteractive || request.avoid.length > 0
-        ? undefined
-        : request.priority ?? DEFAULT_PRIORITY,
+      pacePriority: isPaceNeeded(request, isInteractive)
+        ? request.priority ?? DEFAULT_PRIORITY
+        : undefined,
     };
   }
 
@@ -239,6 +246,15 @@
     }`;
 }
 
+/** One that was tried before is not refused for want of room. */
+function isPaceNeeded(
+  { pauseMs, avoid }: LeaseRequest,
+  isInteractive: boolean,
+): boolean {
+  return !isInteractive && avoid.length === 0 && pauseMs !== undefined &&
+    pauseMs <= PACE_PAUSE_MS;
+}
+
 function createNoReplica(): RefusalError {
   return new RefusalError({
     code: "no_upstream",
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -40,6 +40,8 @@
   partTokens?: number[];
   /** Whether the work is a stream that long prompts beside it would spoil. */
   isInteractive?: boolean;
+  /** The longest pause that its caller accepts within a stream, in ms. */
+  pauseMs?: number | undefined;
   /** For the engine's own queue; 0 is the most urgent. */
   priority?: number;
   avoid: VmId[];
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -22,8 +22,15 @@
 const SILENCE_MS = 1_000;
 const EVENT_ID = /^id: ?(.*)$/gm;
 
+/** What streams have in common. */
+abstract class StreamWork extends RoutedWork {
+  protected override getPauseMs(): number {
+    return this.start.run.start.requestClass.targets.betweenTokensMs;
+  }
+}
+
 /** A stream that may run once: passed on as it comes, and cut if it breaks. */
-export class SingleStreamWork extends RoutedWork {
+export class SingleStreamWork extends StreamWork {
   static create(start: RoutedWorkStart): SingleStreamWork {
     return new SingleStreamWork(start);
   }
@@ -57,7 +64,7 @@
 }
 
 /** A stream that another replica can go on with after the last whole event. */
-export class ResumableStreamWork extends RoutedWork {
+export class ResumableStreamWork extends StreamWork {
   #lastEventId: string | undefined;
 
   static create(start: RoutedWorkStart): ResumableStreamWork {
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -72,10 +72,16 @@
       prefixes: parts.map((part) => part.id),
       partTokens: parts.map((part) => part.tokens),
       isInteractive: this.start.isInteractive,
+      pauseMs: this.getPauseMs(),
       priority: this.start.priority,
     };
   }
 
+  /** The longest pause that the caller accepts; undefined for calls. */
+  protected getPauseMs(): number | undefined {
+    return undefined;
+  }
+
   override buildCall(lease: HeldLease): WorkCall {
     const { request, run, dialect, route } = this.start;
     this.#sends += 1;
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -64,6 +64,7 @@
   | "prefixes"
   | "partTokens"
   | "isInteractive"
+  | "pauseMs"
   | "priority"
 >;
 
--- /dev/null
+++ b/test/process/placement/part_holders_test.ts
@@ -0,0 +1,86 @@
+import { describe, expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import type { LoadedReplica } from "../../../src/process/placement/interactive_replicas.ts";
+import { listHolders } from "../../../src/process/placement/part_holders.ts";
+
+const PARTS = Array.from({ length: 400 }, (_, index) => `part-${index}`);
+
+function buildPool(size: number): LoadedReplica[] {
+  return Array.from({ length: size }, (_, index) => ({
+    replica: {
+      id: toId<VmId>(`i-${index}`),
+      pool: toId("pool"),
+      address: "10.0.0.1",
+      port: 80,
+      dataCentre: toId("dc"),
+      slots: 16,
+      state: "ready",
+    },
+    load: { pendingTokens: 0, running: 0, interactive: 0 },
+    prefillShare: 0,
+  }));
+}
+
+function listNames(holders: readonly LoadedReplica[]): VmId[] {
+  return holders.map(({ replica }) => replica.id);
+}
+
+// The load: prompts about hundreds of documents on fifty replicas.
+// Symptom: every replica reads every document, and again a few seconds later.
+// Sequence: each prompt goes where least waits; what a replica caches yields
+// to the next documents before it is used again.
+// Cause: nothing kept the prompts of one document together.
+describe("the holders of a shared part", () => {
+  it("are two of a large pool, the same in any order", () => {
+    const pool = buildPool(50);
+    for (const part of PARTS) {
+      const names = listNames(listHolders(pool, part, pool.length));
+      expect(names).toHaveLength(2);
+      const turned = listHolders(pool.toReversed(), part, pool.length);
+      expect(listNames(turned)).toEqual(names);
+    }
+  });
+
+  it("give each replica a like number of parts to keep", () => {
+    const pool = buildPool(50);
+    const counts = new Map<VmId, number>();
+    for (const part of PARTS) {
+      for (const name of listNames(listHolders(pool, part, pool.length))) {
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      }
+    }
+    expect(counts.size).toBe(pool.length);
+    expect(Math.max(...counts.values())).toBeLessThan(40);
+  });
+
+  it("stay the same for all but the parts of one that leaves", () => {
+    const pool = buildPool(50);
+    const rest = pool.slice(1);
+    const moved = PARTS.filter((part) => {
+      const before = listNames(listHolders(pool, part, pool.length));
+      const after = listNames(listHolders(rest, part, rest.length));
+      return before.join() !== after.join();
+    });
+    expect(moved.length).toBeLessThan(40);
+  });
+
+  it("are joined by two more where both are far behind", () => {
+    const pool = buildPool(50);
+    const [hot] = PARTS;
+    const first = listHolders(pool, hot, pool.length);
+    for (const { load } of first) load.pendingTokens = 60_000;
+    const joined = listNames(listHolders(pool, hot, pool.length));
+    expect(joined).toHaveLength(4);
+    expect(joined.slice(0, 2)).toEqual(listNames(first));
+    // All alike are not far behind each other.
+    for (const { load } of pool) load.pendingTokens = 60_000;
+    expect(listHolders(pool, hot, pool.length)).toHaveLength(2);
+  });
+
+  it("are all in a small pool, and where nothing is shared", () => {
+    const pool = buildPool(6);
+    expect(listHolders(pool, PARTS[0], pool.length)).toHaveLength(6);
+    const large = buildPool(50);
+    expect(listHolders(large, undefined, large.length)).toHaveLength(50);
+  });
+});
