Take a view that never was for an old one while the store is away

Cause: the age of a view is -1 where there never was one, and counted as fresh: a VM that starts while the store is away tried four times a second and told all others at once that it failed. Found by the test written for a fleet of 200.

--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -216,7 +216,7 @@
   #isWatchNeeded(): boolean {
     const { vm, peers, replicas } = this.#options;
     if (this.#snapshot === undefined || replicas.revision === 0) return true;
-    if (this.getListAgeMs() > STALE_AFTER_MS) return true;
+    if (this.#isViewOld()) return true;
     const vms = peers.listLive()
       .filter(({ heartbeat }) =>
         !heartbeat.isDraining && !heartbeat.isStoreLost
@@ -243,9 +243,13 @@
     }
   }
 
+  #isViewOld(): boolean {
+    return this.#options.clock.now() - this.#confirmedAt > STALE_AFTER_MS;
+  }
+
   /** One of the few watchers tries often: all others go by what it has. */
   #computeRetryMs(): number {
-    if (this.getListAgeMs() <= STALE_AFTER_MS) return RETRY_MS;
+    if (!this.#isViewOld()) return RETRY_MS;
     const { peers } = this.#options;
     return Math.max(RETRY_MS, RETRY_PER_VM_MS * peers.listLive().length);
   }
@@ -266,7 +270,7 @@
     this.#options.log.warn("store_lost", { error: error.message });
     // Once all views are old, each VM tries by itself, and nobody waits for
     // others to say that they cannot.
-    if (this.getListAgeMs() <= STALE_AFTER_MS) this.#options.onStoreLost();
+    if (!this.#isViewOld()) this.#options.onStoreLost();
   }
 
   #noteStoreRegained(revision: number): void {
--- a/test/process/seeded_fleet/pool_owners_test.ts
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -9,6 +9,7 @@
   listOwnersOf,
   type OwnerCandidate,
   PlacementAsker,
+  PoolOwners,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
@@ -54,6 +55,45 @@
     expect(used.size).toBe(4);
   });
 
+  // Symptom: what a VM told of one pool is forgotten when it tells of another.
+  // Cause: an owner of two pools got two heartbeats, each of which replaced
+  // what the one before had said.
+  it("are in one group each, with all that they own", () => {
+    const members = listCandidates(Array(380).fill(1)).map((each) => ({
+      ...each,
+      isServing: true,
+      isDraining: false,
+    }));
+    const owners = PoolOwners.create("key", members);
+    expect(owners.isNeeded).toBe(true);
+    const grouped = owners.groups.flatMap(({ vms }) => [...vms]);
+    expect(grouped.length).toBe(new Set(grouped).size);
+    expect(new Set(grouped)).toEqual(owners.owners);
+    for (const { duties, vms } of owners.groups) {
+      for (const vm of vms) {
+        for (const duty of duties) {
+          expect(listOwnersOf(duty, members)).toContain(vm);
+        }
+      }
+    }
+  });
+
+  it("neither leave nor wait to serve", () => {
+    const members = listCandidates(Array(20).fill(1)).map((each, index) => ({
+      ...each,
+      isServing: index % 2 === 0,
+      isDraining: index % 4 === 0,
+    }));
+    const { owners } = PoolOwners.create("key", members);
+    expect(owners.size).toBe(2);
+    for (const { vm, isServing, isDraining } of members) {
+      if (owners.has(vm)) {
+        expect([isServing, isDraining]).toEqual([true, false]);
+      }
+    }
+    expect(PoolOwners.create("key", members.slice(0, 8)).isNeeded).toBe(false);
+  });
+
   it("are nobody in a fleet where nobody serves", () => {
     expect(listOwnersOf(DUTY, [])).toEqual([]);
   });
--- /dev/null
+++ b/test/process/seeded_fleet/store_away_test.ts
@@ -0,0 +1,105 @@
+import { describe, expect, it } from "vitest";
+import { type DataCentre, toId, type VmId } from "../../../src/ids.ts";
+import { SilentLog } from "../../../src/process/log.ts";
+import { ReplicaDirectory } from "../../../src/process/placement/index.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
+import { FleetPeers } from "../../../src/process/seeded_fleet/fleet_peers.ts";
+import {
+  type PublishedState,
+  PublishedStore,
+  StateFollower,
+  type StoreNews,
+} from "../../../src/process/seeded_fleet/index.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const AWAY_MS = 20_000;
+
+/** Answers nobody, and counts who tries. */
+class AwayStore extends PublishedStore {
+  calls = 0;
+
+  override fetchState(): Promise<PublishedState> {
+    return this.#refuse();
+  }
+
+  override watch(): Promise<StoreNews> {
+    return this.#refuse();
+  }
+
+  #refuse(): Promise<never> {
+    this.calls += 1;
+    return Promise.reject(new Error("The store is away"));
+  }
+}
+
+function startFollower(otherVms: number) {
+  const clock = VirtualClock.create();
+  const log = SilentLog.create();
+  const peers = FleetPeers.create(clock, log);
+  for (let index = 0; index < otherVms; index++) {
+    peers.noteHeartbeat({
+      kind: "heartbeat",
+      vm: toId<VmId>(`other-${index}`),
+      incarnation: toId("life-1"),
+      sequence: 1,
+      dataCentre: toId<DataCentre>("dc"),
+      callers: "10.0.0.1:2",
+      state: "10.0.0.1:3",
+      isServing: true,
+      isDraining: false,
+      isPrimed: true,
+      configVersion: 0,
+      listRevision: 0,
+      isStoreLost: true,
+      listAgeMs: -1,
+      nextMs: AWAY_MS,
+      heard: otherVms,
+      cores: 1,
+    }, `10.0.1.${index}:1`);
+  }
+  const store = new AwayStore();
+  let announced = 0;
+  const follower = StateFollower.create({
+    vm: toId<VmId>("vm"),
+    clock,
+    random: SeededRandom.create(1),
+    log,
+    store,
+    peers,
+    replicas: ReplicaDirectory.create(),
+    fetchFrom: () => Promise.resolve({}),
+    onSnapshot: () => {},
+    onReplicas: () => {},
+    onStoreLost: () => announced += 1,
+  });
+  follower.start();
+  return { clock, follower, store, countAnnounced: () => announced };
+}
+
+// Symptom: while the store is away a large fleet spends half of what the store
+// bears, and its links, on asking whether it is back.
+// Sequence: the store goes away; all views grow old; all VMs try.
+// Cause: each VM tried four times a second, and told all others at once that
+// the store had failed it.
+describe("a VM of a large fleet whose store is away", () => {
+  it("tries the more seldom the more others try", async () => {
+    const counts: number[] = [];
+    for (const otherVms of [7, 199]) {
+      const { clock, follower, store } = startFollower(otherVms);
+      await clock.run(AWAY_MS);
+      follower.stop();
+      counts.push(store.calls);
+    }
+    const [small, large] = counts;
+    expect(small).toBeGreaterThan(60);
+    expect(large).toBeGreaterThanOrEqual(2);
+    expect(large).toBeLessThan(10);
+  });
+
+  it("tells nobody of it once all views are old", async () => {
+    const { clock, follower, countAnnounced } = startFollower(199);
+    await clock.run(AWAY_MS);
+    follower.stop();
+    expect(countAnnounced()).toBe(0);
+  });
+});
