--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -12,6 +12,7 @@
 import { computePauses } from "./pause_price.ts";
 import { listHolders } from "./part_holders.ts";
 import type { ListedReplica } from "./replica_list.ts";
+import { listSuited, listWithRoom } from "./suited_replicas.ts";
 import {
   computeFetched,
   computeTokens,
@@ -20,7 +21,6 @@
 } from "./fetch_source.ts";
 import {
   computeInteractiveSplit,
-  type InteractiveSplit,
   type LoadedReplica,
   NO_SPLIT,
 } from "./interactive_replicas.ts";
@@ -161,7 +161,7 @@
 ): ScoredPlacement[] {
   const split = computeInteractiveSplit(loaded);
   const suited = listSuited(loaded, needs, split);
-  const withRoom = listWithRoom(suited, needs, knowledge);
+  const withRoom = listWithRoom(suited, needs, knowledge.state.budget);
   const part = needs.isInteractive ? undefined : needs.parts.at(-2);
   const holders = listHolders(withRoom, part, suited.length);
   const candidates = holders.map(({ replica }) => replica);
@@ -184,43 +184,6 @@
   );
 }
 
-/**
- * Keeps long prompts away from replicas that are kept for interactive streams.
- */
-function listSuited(
-  loaded: readonly LoadedReplica[],
-  needs: PlacementNeeds,
-  split: InteractiveSplit,
-): readonly LoadedReplica[] {
-  const suited = loaded.filter(({ replica }) =>
-    isSuited(replica, needs, split)
-  );
-  return suited.length > 0 ? suited : loaded;
-}
-
-/** Those that have time for a stream that needs its pace. */
-function listWithRoom(
-  suited: readonly LoadedReplica[],
-  { pacePriority }: PlacementNeeds,
-  { state: { budget } }: PlacementKnowledge,
-): readonly LoadedReplica[] {
-  if (pacePriority === undefined) return suited;
-  return suited.filter(({ replica }) =>
-    budget.hasRoom(replica.id, pacePriority)
-  );
-}
-
-function isSuited(
-  replica: ListedReplica,
-  needs: PlacementNeeds,
-  split: InteractiveSplit,
-): boolean {
-  if (split === NO_SPLIT) return true;
-  return needs.isInteractive
-    ? split.forInteractive.has(replica.id)
-    : !split.notForLong.has(replica.id);
-}
-
 /**
  * The replica that is taken to hold a prompt that nobody was seen to send:
  * every VM picks the same one, so that a part is read once and not once a VM.
--- /dev/null
+++ b/src/process/placement/suited_replicas.ts
@@ -0,0 +1,50 @@
+/**
+ * Which replicas of a pool suit a prompt, before any of them is weighed.
+ *
+ * @module
+ */
+import {
+  type InteractiveSplit,
+  type LoadedReplica,
+  NO_SPLIT,
+} from "./interactive_replicas.ts";
+import type { PlacementNeeds } from "./placement_choice.ts";
+import type { PrefillBudget } from "./prefill_budget.ts";
+import type { ListedReplica } from "./replica_list.ts";
+
+/**
+ * Keeps long prompts away from replicas that are kept for interactive streams.
+ */
+export function listSuited(
+  loaded: readonly LoadedReplica[],
+  { isInteractive }: PlacementNeeds,
+  split: InteractiveSplit,
+): readonly LoadedReplica[] {
+  const suited = loaded.filter(({ replica }) =>
+    isSuited(replica, isInteractive, split)
+  );
+  return suited.length > 0 ? suited : loaded;
+}
+
+/** Those that have time for a stream that needs its pace. */
+export function listWithRoom(
+  suited: readonly LoadedReplica[],
+  { pacePriority }: PlacementNeeds,
+  budget: PrefillBudget,
+): readonly LoadedReplica[] {
+  if (pacePriority === undefined) return suited;
+  return suited.filter(({ replica }) =>
+    budget.hasRoom(replica.id, pacePriority)
+  );
+}
+
+function isSuited(
+  replica: ListedReplica,
+  isInteractive: boolean,
+  split: InteractiveSplit,
+): boolean {
+  if (split === NO_SPLIT) return true;
+  return isInteractive
+    ? split.forInteractive.has(replica.id)
+    : !split.notForLong.has(replica.id);
+}
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -7,7 +7,6 @@
  *
  * @module
  */
-import { match } from "ts-pattern";
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
@@ -19,15 +18,14 @@
 import {
   type AnswerMessage,
   type AskMessage,
-  decodeMessage,
   encodeMessage,
   type FleetHeartbeat,
   type FleetMessage,
   type FleetWork,
-  type MembersMessage,
 } from "./fleet_message.ts";
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { HeartbeatTargets } from "./heartbeat_targets.ts";
+import { MessageReceiver } from "./message_receiver.ts";
 
 /**
  * News waits so long for more news, in milliseconds, where each VM decides by
@@ -42,8 +40,6 @@
 const NEWS_WAIT_PER_PEER_MS = 3;
 /** What is new in a row is told at once, in milliseconds. */
 const STATE_WAIT_MS = 50;
-/** A VM that hears so much of what another one hears needs no list of it. */
-const FULL_SHARE = 0.8;
 /** A timer that fires so late, in ms, shows that this VM was held up. */
 const HELD_UP_MS = 300;
 /**
@@ -69,7 +65,7 @@
   "kind" | "sequence" | "nextMs" | "heard" | "work"
 >;
 
-/** What the heartbeats is made of. */
+/** What sending and receiving heartbeats needs. */
 export interface FleetHeartbeatsOptions {
   vm: VmId;
   clock: Clock;
@@ -96,6 +92,7 @@
   readonly peers: FleetPeers;
   readonly #options: FleetHeartbeatsOptions;
   readonly #targets: HeartbeatTargets;
+  readonly #receiver: MessageReceiver;
   readonly #timer: EarliestTimer;
   #sequence = 0;
   #peerCount = 0;
@@ -117,6 +114,12 @@
     this.#options = options;
     this.peers = FleetPeers.create(options.clock, options.log);
     this.#targets = HeartbeatTargets.create({ ...options, peers: this.peers });
+    this.#receiver = MessageReceiver.create({
+      ...options,
+      peers: this.peers,
+      targets: this.#targets,
+      sendPlain: (to) => this.#sendPlain(to),
+    });
     this.#timer = EarliestTimer.create(
       options.clock,
       (lateMs) => this.#sendHeartbeats(lateMs),
@@ -128,9 +131,7 @@
   }
 
   start(): void {
-    this.#options.link.onDatagram((bytes, from) =>
-      this.#handleDatagram(bytes, from)
-    );
+    this.#receiver.start();
     this.#sendHeartbeats(0);
   }
 
@@ -289,69 +290,6 @@
     return Math.ceil(this.#peerCount * HEARTBEAT_EVERY_MS / this.#interval.ms);
   }
 
-  #handleDatagram(bytes: Uint8Array, from: Endpoint): void {
-    const message = decodeMessage(bytes);
-    if (message instanceof Error) {
-      this.#options.log.warn("datagram_rejected", {
-        peer: from,
-        error: message.message,
-      });
-      return;
-    }
-    this.#handleMessage(message, from);
-  }
-
-  #handleMessage(message: FleetMessage, from: Endpoint): void {
-    const { link, onAsk, onAnswer } = this.#options;
-    match(message)
-      .with(
-        { kind: "heartbeat" },
-        (heartbeat) => this.#handleHeartbeat(heartbeat, from),
-      )
-      .with({ kind: "alive" }, (alive) => {
-        const peer = this.peers.noteAlive(alive);
-        if (peer !== undefined) this.#options.onHeartbeat(peer);
-      })
-      .with({ kind: "members" }, (members) => this.#announceTo(members))
-      .with({ kind: "silent" }, ({ vms }) => {
-        for (const [vm, ms] of vms) this.peers.noteSilent(vm, ms);
-      })
-      .with({ kind: "ask" }, (ask) => {
-        link.send(from, encodeMessage(onAsk(ask)));
-      })
-      .with({ kind: "answer" }, (answer) => onAnswer(answer))
-      .exhaustive();
-  }
-
-  #handleHeartbeat(heartbeat: FleetHeartbeat, from: Endpoint): void {
-    if (heartbeat.vm === this.#options.vm) return;
-    const { isNew } = this.peers.noteHeartbeat(heartbeat, from);
-    if (isNew) this.#answerNew(heartbeat, from);
-    const peer = this.peers.find(heartbeat.vm);
-    if (peer?.heartbeat === heartbeat) this.#options.onHeartbeat(peer);
-  }
-
-  /**
-   * Makes itself known to a VM that was unknown, and tells it whom this VM
-   * hears if it hears few: when a whole fleet starts, each VM would else send
-   * the list of all to each.
-   */
-  #answerNew(heartbeat: FleetHeartbeat, to: Endpoint): void {
-    this.#sendPlain(new Set([to]));
-    const endpoints = this.#targets.listLive()
-      .filter((endpoint) => endpoint !== to);
-    if (heartbeat.heard >= FULL_SHARE * endpoints.length) return;
-    const message: MembersMessage = { kind: "members", endpoints };
-    this.#options.link.send(to, encodeMessage(message));
-  }
-
-  /** Makes itself known to VMs that it had not heard of. */
-  #announceTo(message: MembersMessage): void {
-    const known = new Set([...this.#targets.listLive(), this.#options.self]);
-    const unknown = message.endpoints.filter((each) => !known.has(each));
-    this.#sendPlain(new Set(unknown));
-  }
-
   #buildHeartbeat(nextMs: number): FleetHeartbeat {
     this.#sequence += 1;
     return {
