Mend four comments that the renaming of words had garbled

Read in the whole diff; comments alone, behaviour and tests as they were. What else was looked at and left: a whole order of replicas is hashed for each long prompt in a large pool, and a heartbeat's content is built twice a tick.

--- a/src/process/placement/interactive_replicas.ts
+++ b/src/process/placement/interactive_replicas.ts
@@ -39,7 +39,7 @@
  * replica's time: beyond it their streams pause beside each other's prompts.
  */
 const INTERACTIVE_PREFILL_SHARE = 0.5;
-/** Readings of replicas that differ by less count as alike. */
+/** Prefill shares of replicas that differ by less count as alike. */
 const PREFILL_STEP = 0.25;
 /** Interactive streams get no more than this share of a pool. */
 const MOST_SHARE = 0.5;
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -152,10 +152,7 @@
     this.#heartbeats.announceAtOnce();
   }
 
-  /**
-   * Seeds are named by where they listen for state; heartbeats has its own
-   * port.
-   */
+  /** Seeds are named by where they listen for state, not for heartbeats. */
   #listSeeds(): string[] {
     const { seeds, peerPort } = this.#options.getSettings();
     return seeds.map((seed) => `${parseEndpoint(seed).address}:${peerPort}`);
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -19,7 +19,7 @@
   vm: NAME,
   data_centre: NAME,
   address: z.ipv4(),
-  /** Ports free for talk between VMs, the first and the last. */
+  /** Ports free for what VMs send each other, the first and the last. */
   peer_ports: z.tuple([z.int(), z.int()]),
   seeds: z.array(ENDPOINT),
   listeners: z.strictObject({
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -71,8 +71,8 @@
    */
   abstract isValid(): boolean;
   /**
-   * Whether the upstream shows liveness of life, by any work there: then
-   * silence on this lease's call is a queue, and not a failure.
+   * Whether the upstream is seen to live, by any work there: then silence on
+   * this lease's call is a queue, and not a failure.
    */
   isUpstreamAlive(): boolean {
     return false;
