--- a/src/version/priority_ranks.ts
+++ b/src/version/priority_ranks.ts
@@ -3,7 +3,7 @@
  *
  * A route's priority goes first, and between calls on routes alike the
  * workspace's decides. With the workspace's first, or alone, engines preempt
- * short talks that are urgent for long documents that are not, seen as talks
+ * short urgent streams for long documents that are not urgent, seen as streams
  * that stop in their midst: most workspaces share one priority.
  *
  * @module
