Let long prompts that can be in time go before those that are late, and refuse none of them

A wait in the router is not needed: engines order by priority.

Change. on_time.ts: a prompt takes its turn where its first output is predicted within the target of its class. Any other goes behind all of its class that can be in time, by its priority at the engine, and before the next class. The budget and its border of 300 ms of accepted pause are gone. Prompts whose callers wait in silence for most of their time take their turn as before: they are read when it is of no use otherwise.

--- a/src/process/placement/load_totals.ts
+++ b/src/process/placement/load_totals.ts
@@ -10,8 +10,10 @@
 
 /** Work at one replica. */
 export interface ReplicaLoad {
-  /** Prompt tokens that are still to be read. */
+  /** Prompt tokens that are still to be read before any prompt in time. */
   pendingTokens: number;
+  /** The same of prompts that are late, and read after those in time. */
+  deferredTokens: number;
   /** Requests that have not ended. */
   running: number;
   /** Streams among them that began with a short prompt and go on for long. */
@@ -21,6 +23,7 @@
 /** No work. */
 export const NO_LOAD: Readonly<ReplicaLoad> = {
   pendingTokens: 0,
+  deferredTokens: 0,
   running: 0,
   interactive: 0,
 };
@@ -32,11 +35,17 @@
 ): ReplicaLoad {
   return {
     pendingTokens: left.pendingTokens + right.pendingTokens,
+    deferredTokens: left.deferredTokens + right.deferredTokens,
     running: left.running + right.running,
     interactive: left.interactive + right.interactive,
   };
 }
 
+/** Prompt tokens to be read there, in whatever order. */
+export function countTokens(load: Readonly<ReplicaLoad>): number {
+  return load.pendingTokens + load.deferredTokens;
+}
+
 /** Sums by replica. */
 export class LoadTotals {
   readonly #totals = new Map<VmId, ReplicaLoad>();
@@ -57,6 +66,7 @@
   remove(replica: VmId, load: Readonly<ReplicaLoad>): void {
     const rest = addLoads(this.get(replica), {
       pendingTokens: -load.pendingTokens,
+      deferredTokens: -load.deferredTokens,
       running: -load.running,
       interactive: -load.interactive,
     });
--- a/src/process/placement/part_holders.ts
+++ b/src/process/placement/part_holders.ts
@@ -17,6 +17,7 @@
  */
 import { computeRendezvousOrder } from "../rendezvous.ts";
 import type { LoadedReplica } from "./interactive_replicas.ts";
+import { countTokens } from "./load_totals.ts";
 
 /**
  * Smaller pools hold all parts that are in use at several replicas each, and
@@ -43,8 +44,7 @@
   const ordered = computeRendezvousOrder(part, [...byId.keys()])
     .map((id) => byId.get(id)!);
   const mostTokens = computeMostTokens(replicas);
-  const isInTime = ({ load }: LoadedReplica) =>
-    load.pendingTokens <= mostTokens;
+  const isInTime = ({ load }: LoadedReplica) => countTokens(load) <= mostTokens;
   const first = Math.max(0, ordered.findIndex(isInTime));
   const count = HOLDERS * (1 + Math.floor(first / HOLDERS));
   return ordered.slice(0, count);
@@ -52,7 +52,7 @@
 
 function computeMostTokens(replicas: readonly LoadedReplica[]): number {
   const tokens = replicas.reduce(
-    (sum, { load }) => sum + load.pendingTokens,
+    (sum, { load }) => sum + countTokens(load),
     0,
   );
   return MOST_RATIO * tokens / replicas.length + MOST_AHEAD_TOKENS;
--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -7,12 +7,14 @@
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { DataCentre, VmId } from "../../ids.ts";
 import { pickRendezvousFirst } from "../rendezvous.ts";
+import { countTokens } from "./load_totals.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
 import { computePauses } from "./pause_price.ts";
 import { listHolders } from "./part_holders.ts";
+import { isOnTime, listOnTime } from "./on_time.ts";
 import type { ListedReplica } from "./replica_list.ts";
-import { listSuited, listWithRoom } from "./suited_replicas.ts";
+import { listSuited } from "./suited_replicas.ts";
 import {
   computeFetched,
   computeTokens,
@@ -77,10 +79,12 @@
   /** As `isInteractivePrompt` says of it. */
   isInteractive: boolean;
   /**
-   * Only replicas will do that have time for its stream, by this priority, 0
-   * being the most urgent; undefined where any will.
+   * Milliseconds within which its first output is wanted. Only replicas will do
+   * that are predicted to begin by then; undefined where any will.
    */
-  pacePriority?: number | undefined;
+  targetMs?: number | undefined;
+  /** Whether it goes behind all that can still be in time. */
+  isDeferred?: boolean | undefined;
 }
 
 /** Where a request should go, and what it finds there. */
@@ -98,6 +102,8 @@
   running: number;
   /** Predicted time to its first output, in milliseconds. */
   predictedMs: number;
+  /** Whether it goes behind all that can still be in time. */
+  isDeferred?: boolean | undefined;
   /** The VM that decided, where it was another one. */
   owner?: VmId;
 }
@@ -105,10 +111,7 @@
 /** What the choice goes by. */
 export interface PlacementKnowledge {
   dataCentre: DataCentre;
-  state: Pick<
-    PlacementState,
-    "loads" | "speeds" | "prefixes" | "prefills" | "budget"
-  >;
+  state: Pick<PlacementState, "loads" | "speeds" | "prefixes" | "prefills">;
 }
 
 /**
@@ -126,8 +129,8 @@
 }
 
 /**
- * Chooses among `candidates`; undefined when there are none, or none that has
- * time for a stream that needs its pace.
+ * Chooses among `candidates`; undefined when there are none, or none that would
+ * begin the answer within the target.
  */
 export function choosePlacement(
   candidates: readonly ListedReplica[],
@@ -144,6 +147,7 @@
     : loaded.map((each) => computeCallScore(each, knowledge));
   let best: ScoredPlacement | undefined;
   for (const each of scored) {
+    if (!each.isOnTime) continue;
     if (best === undefined || each.cost < best.cost) best = each;
   }
   return best?.placement;
@@ -152,6 +156,7 @@
 interface ScoredPlacement {
   placement: Placement;
   cost: number;
+  isOnTime: boolean;
 }
 
 function computePromptScores(
@@ -161,9 +166,15 @@
 ): ScoredPlacement[] {
   const split = computeInteractiveSplit(loaded);
   const suited = listSuited(loaded, needs, split);
-  const withRoom = listWithRoom(suited, needs, knowledge.state.budget);
+  const { speeds } = knowledge.state;
+  const ownTokens = needs.partTokens.at(-1) ?? 0;
+  const inTime = listOnTime(
+    suited,
+    { ownTokens, targetMs: needs.targetMs },
+    speeds,
+  );
   const part = needs.isInteractive ? undefined : needs.parts.at(-2);
-  const holders = listHolders(withRoom, part, suited.length);
+  const holders = listHolders(inTime, part, suited.length);
   const candidates = holders.map(({ replica }) => replica);
   const preferred = findPreferred(candidates, needs, knowledge.state.prefixes);
   const prefillWeight = computePrefillWeight(suited);
@@ -200,7 +211,7 @@
 
 function computePrefillWeight(loaded: readonly LoadedReplica[]): number {
   const pendingTokens = loaded.reduce(
-    (sum, { load }) => sum + load.pendingTokens,
+    (sum, { load }) => sum + countTokens(load),
     0,
   );
   const meanTokens = pendingTokens / Math.max(1, loaded.length);
@@ -232,9 +243,11 @@
   const readTokens = isPreferred
     ? needs.partTokens.at(-1) ?? ownTokens
     : toRead;
-  const waitMs = load.pendingTokens * msPerToken;
+  const tokensAhead = needs.isDeferred ? countTokens(load) : load.pendingTokens;
+  const waitMs = tokensAhead * msPerToken;
   const prefillMs = readTokens * msPerToken;
   const fetchMs = FETCH_WEIGHT * fetchedTokens * msPerToken;
+  const ownMs = (ownTokens - fetchedTokens) * msPerToken;
   const pauseMs = isSplit
     ? 0
     : computePauses(each, needs.isInteractive, prefillMs);
@@ -245,13 +258,15 @@
     placement: {
       replica,
       ownTokens,
-      tokensAhead: load.pendingTokens,
+      tokensAhead,
       fetchedTokens,
       fetchFrom: fetchedTokens > 0 ? source?.endpoint : undefined,
       running: load.running,
-      predictedMs: waitMs + (ownTokens - fetchedTokens) * msPerToken,
+      predictedMs: waitMs + ownMs,
     },
     cost,
+    isOnTime: needs.targetMs === undefined ||
+      isOnTime({ waitMs, ownMs }, needs.targetMs),
   };
 }
 
@@ -271,6 +286,7 @@
       predictedMs: 0,
     },
     cost,
+    isOnTime: true,
   };
 }
 
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -19,6 +19,7 @@
 import type { Locality } from "./locality.ts";
 import { isInteractivePrompt, type Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
+import { canBeDeferred } from "./on_time.ts";
 import { type PlacementRequest, ReplicaChooser } from "./replica_chooser.ts";
 import type { ReplicaDirectory } from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
@@ -40,14 +41,6 @@
 const LEAST_RETRY_SHARE = 0.1;
 const MOST_RETRY_SHARE = 0.3;
 
-/**
- * Streams whose callers accept no longer pauses, in milliseconds, need replicas
- * that do not prefill all the time: there an event of four tokens comes each
- * 280 to 400 ms. Callers who accept longer ones are better served late than
- * refused.
- */
-const PACE_PAUSE_MS = 300;
-
 /** A replica, or that none has room; undefined where the VM decides alone. */
 export type OwnerDecision = Placement | "full" | undefined;
 
@@ -98,7 +91,6 @@
     // up: the caller may have left, and its request must not be sent then.
     await this.#options.readArrived();
     if (decision === "full") throw this.#createPoolFull(request);
-    // One who decides alone does not see what others send, and refuses nobody.
     const placement = decision ?? this.#chooseAlone(needs);
     this.#granted += 1;
     return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
@@ -110,10 +102,7 @@
   }
 
   #chooseAlone(needs: PlacementRequest): Placement {
-    const placement = this.#chooser.choose({
-      ...needs,
-      pacePriority: undefined,
-    });
+    const placement = this.#chooser.choose(needs);
     if (placement === undefined) throw createNoReplica();
     this.#options.state.slowStart.addSent(placement.replica);
     return placement;
@@ -133,9 +122,7 @@
       partTokens: request.partTokens ?? [],
       promptTokens: request.promptTokens,
       isInteractive,
-      pacePriority: isPaceNeeded(request, isInteractive)
-        ? request.priority ?? DEFAULT_PRIORITY
-        : undefined,
+      targetMs: isInteractive ? undefined : chooseTarget(request),
     };
   }
 
@@ -145,7 +132,7 @@
     const spread = (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * random.next();
     return new RefusalError({
       code: "queue_full",
-      message: "The service's replicas have no time for another stream now",
+      message: "The service's replicas warm up and take no more now",
       outcome: "not_run",
       retryAfterMs: Math.round(leftMs * (LEAST_RETRY_SHARE + spread)),
     });
@@ -185,7 +172,7 @@
     const { loads, prefixes, prefills, speeds } = state;
     this.lease = lease;
     this.upstream = placement.replica.id;
-    this.priority = request.priority ?? DEFAULT_PRIORITY;
+    this.priority = choosePriority(request, placement);
     this.#options = options;
     this.reason = formatReason(placement);
     this.fetchFrom = placement.fetchFrom;
@@ -194,6 +181,7 @@
     const ownTokens = placement.ownTokens - placement.fetchedTokens;
     this.#work = loads.addOwn(this.upstream, {
       pendingTokens: ownTokens,
+      isDeferred: placement.isDeferred,
       isInteractive: options.isInteractive,
     });
     prefixes.noteSent(this.upstream, request.prefixes, ownTokens);
@@ -210,10 +198,13 @@
 
   override isUpstreamAlive(): boolean {
     if (!this.#isSameProcess()) return false;
-    const { clock, placement, state } = this.#options;
+    const { clock, placement, request, state } = this.#options;
     const waitedMs = clock.now() - this.#grantedAt;
-    const isExpected = !this.#hasOutput &&
-      waitedMs < PREDICTION_SLACK * placement.predictedMs;
+    // What goes behind others waits in silence until its caller leaves.
+    const expectedMs = placement.isDeferred
+      ? request.patienceMs ?? 0
+      : PREDICTION_SLACK * placement.predictedMs;
+    const isExpected = !this.#hasOutput && waitedMs < expectedMs;
     return isExpected || state.liveness.isAlive(this.upstream);
   }
 
@@ -226,6 +217,8 @@
     this.#hasOutput = true;
     prefixes.noteRead(this.upstream, request.prefixes);
     this.#work.noteFirstOutput();
+    // What went behind others waited for more than the tokens before it.
+    if (placement.isDeferred) return;
     speeds.noteFirstOutput(
       this.upstream,
       placement.ownTokens - placement.fetchedTokens + placement.tokensAhead,
@@ -250,24 +243,33 @@
   }
 }
 
+/** Undefined where the prompt takes its turn however late that is. */
+function chooseTarget(
+  { firstOutputMs, patienceMs, arrivedAt, deadlineAt }: LeaseRequest,
+): number | undefined {
+  return canBeDeferred(patienceMs, deadlineAt - arrivedAt)
+    ? firstOutputMs
+    : undefined;
+}
+
+/** Late prompts go behind others of their class, and before the next class. */
+function choosePriority(
+  { priority, latePriority }: LeaseRequest,
+  { isDeferred }: Placement,
+): number {
+  const onTime = priority ?? DEFAULT_PRIORITY;
+  return isDeferred ? latePriority ?? onTime : onTime;
+}
+
 function formatReason(placement: Placement): string {
   const { ownTokens, fetchedTokens, tokensAhead, owner } = placement;
-  const { running, predictedMs } = placement;
+  const { running, predictedMs, isDeferred } = placement;
   return `by=${
     owner ?? "self"
   } running=${running} tokens_ahead=${tokensAhead} ` +
     `own_tokens=${ownTokens} fetched=${fetchedTokens} predicted_ms=${
       Math.round(predictedMs)
-    }`;
-}
-
-/** One that was tried before is not refused for want of room. */
-function isPaceNeeded(
-  { pauseMs, avoid }: LeaseRequest,
-  isInteractive: boolean,
-): boolean {
-  return !isInteractive && avoid.length === 0 && pauseMs !== undefined &&
-    pauseMs <= PACE_PAUSE_MS;
+    } deferred=${isDeferred ?? false}`;
 }
 
 function createNoReplica(): RefusalError {
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -10,7 +10,6 @@
   PrefixMemory,
   type ReadEntry,
 } from "./prefix_memory.ts";
-import { PrefillBudget } from "./prefill_budget.ts";
 import { PrefillShares } from "./prefill_shares.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
@@ -51,7 +50,6 @@
   readonly speeds: ReplicaSpeeds;
   readonly prefixes: PrefixMemory;
   readonly prefills: PrefillShares;
-  readonly budget: PrefillBudget;
   readonly liveness: ReplicaLiveness;
   readonly slowStart: SlowStart;
 
@@ -67,7 +65,6 @@
     this.speeds = ReplicaSpeeds.create(clock);
     this.prefixes = PrefixMemory.create(clock);
     this.prefills = PrefillShares.create(clock);
-    this.budget = PrefillBudget.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
   }
@@ -112,7 +109,6 @@
     this.speeds.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
     this.prefills.dropUnlisted(isListed);
-    this.budget.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
   }
 }
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -51,15 +51,19 @@
     return new ReplicaChooser(directory, state, locality);
   }
 
-  /** Undefined where no replica takes work. */
+  /**
+   * Undefined where no replica takes work. A prompt that none would begin in
+   * time goes where it is read first, behind all that can be in time.
+   */
   choose(request: PlacementRequest): Placement | undefined {
     const { slowStart } = this.#state;
     const withRoom = this.#listCandidates(request)
       .filter((replica) => slowStart.hasRoom(replica));
-    return choosePlacement(withRoom, request, {
-      dataCentre: request.dataCentre,
-      state: this.#state,
-    });
+    const onTime = this.#chooseAmong(withRoom, request);
+    if (onTime !== undefined || request.targetMs === undefined) return onTime;
+    const late = { ...request, targetMs: undefined, isDeferred: true };
+    const placement = this.#chooseAmong(withRoom, late);
+    return placement && { ...placement, isDeferred: true };
   }
 
   /** Whether there are replicas that take work, with room or without. */
@@ -76,17 +80,30 @@
     const placement = this.choose(request);
     if (placement === undefined) return undefined;
     const replica = placement.replica.id;
-    const pendingTokens = placement.ownTokens - placement.fetchedTokens;
+    const tokens = placement.ownTokens - placement.fetchedTokens;
     const interactive = request.isInteractive ? 1 : 0;
-    const load = { pendingTokens, running: 1, interactive };
-    const msPerToken = this.#state.speeds.getMsPerToken(replica);
-    this.#state.budget.addPrefill(replica, pendingTokens * msPerToken);
+    const load = {
+      pendingTokens: placement.isDeferred ? 0 : tokens,
+      deferredTokens: placement.isDeferred ? tokens : 0,
+      running: 1,
+      interactive,
+    };
     this.#state.slowStart.addSent(placement.replica);
     this.#state.loads.answered.note(vm, ask, { replica, load });
     this.#state.prefixes.notePeerPlacements([[replica, request.parts, 0]]);
     return placement;
   }
 
+  #chooseAmong(
+    candidates: readonly ListedReplica[],
+    request: PlacementRequest,
+  ): Placement | undefined {
+    return choosePlacement(candidates, request, {
+      dataCentre: request.dataCentre,
+      state: this.#state,
+    });
+  }
+
   #listCandidates(request: PlacementRequest): readonly ListedReplica[] {
     const { health } = this.#state;
     const ready = this.#directory.listReady(request.pool)
--- a/src/process/placement/replica_loads.ts
+++ b/src/process/placement/replica_loads.ts
@@ -27,12 +27,15 @@
   pendingTokens: number,
   running: number,
   interactive: number,
+  deferredTokens: number,
 ];
 
 /** What one request adds to a load. */
 export interface AddedLoad {
   pendingTokens: number;
   isInteractive: boolean;
+  /** Whether it goes behind all that can still be in time. */
+  isDeferred?: boolean | undefined;
 }
 
 interface PeerLoads {
@@ -45,6 +48,7 @@
   readonly #load: ReplicaLoad;
   readonly #onChange: () => void;
   readonly #interactive: number;
+  readonly #tokens: "pendingTokens" | "deferredTokens";
   #pendingTokens: number;
   #hasEnded = false;
 
@@ -53,7 +57,8 @@
     this.#onChange = onChange;
     this.#pendingTokens = added.pendingTokens;
     this.#interactive = added.isInteractive ? 1 : 0;
-    load.pendingTokens += added.pendingTokens;
+    this.#tokens = added.isDeferred ? "deferredTokens" : "pendingTokens";
+    load[this.#tokens] += added.pendingTokens;
     load.running += 1;
     load.interactive += this.#interactive;
   }
@@ -61,7 +66,7 @@
   /** The prompt has been read: the first output is there. */
   noteFirstOutput(): void {
     if (this.#pendingTokens === 0) return;
-    this.#load.pendingTokens -= this.#pendingTokens;
+    this.#load[this.#tokens] -= this.#pendingTokens;
     this.#pendingTokens = 0;
     this.#onChange();
   }
@@ -123,10 +128,10 @@
     const loads: PeerLoads = {
       notedAt: this.#clock.now(),
       entries: entries.map((
-        [replica, pendingTokens, running, interactive],
+        [replica, pendingTokens, running, interactive, deferredTokens],
       ) => ({
         replica,
-        load: { pendingTokens, running, interactive },
+        load: { pendingTokens, deferredTokens, running, interactive },
       })),
     };
     this.#peers.set(vm, loads);
@@ -161,6 +166,7 @@
       load.pendingTokens,
       load.running,
       load.interactive,
+      load.deferredTokens,
     ]);
   }
 
--- a/src/process/placement/suited_replicas.ts
+++ b/src/process/placement/suited_replicas.ts
@@ -9,7 +9,6 @@
   NO_SPLIT,
 } from "./interactive_replicas.ts";
 import type { PlacementNeeds } from "./placement_choice.ts";
-import type { PrefillBudget } from "./prefill_budget.ts";
 import type { ListedReplica } from "./replica_list.ts";
 
 /**
@@ -26,18 +25,6 @@
   return suited.length > 0 ? suited : loaded;
 }
 
-/** Those that have time for a stream that needs its pace. */
-export function listWithRoom(
-  suited: readonly LoadedReplica[],
-  { pacePriority }: PlacementNeeds,
-  budget: PrefillBudget,
-): readonly LoadedReplica[] {
-  if (pacePriority === undefined) return suited;
-  return suited.filter(({ replica }) =>
-    budget.hasRoom(replica.id, pacePriority)
-  );
-}
-
 function isSuited(
   replica: ListedReplica,
   isInteractive: boolean,
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -22,7 +22,7 @@
 
 /** What a VM tells of its work; all but the loads is told once. */
 const WORK = z.object({
-  loads: z.array(z.tuple([VM, COUNT, COUNT, COUNT])),
+  loads: z.array(z.tuple([VM, COUNT, COUNT, COUNT, COUNT])),
   results: z.array(z.tuple([VM, COUNT, COUNT])),
   speeds: z.array(z.tuple([VM, COUNT])),
   placements: z.array(z.tuple([VM, z.array(TEXT), COUNT])),
@@ -104,7 +104,7 @@
   partTokens: z.array(COUNT),
   promptTokens: COUNT,
   isInteractive: z.boolean(),
-  pacePriority: COUNT.optional(),
+  targetMs: COUNT.optional(),
   regions: z.array(TEXT.transform((text) => text as Region)).optional(),
 });
 
@@ -116,6 +116,7 @@
   running: COUNT,
   predictedMs: COUNT,
   fetchFrom: TEXT.optional(),
+  isDeferred: z.boolean().optional(),
 });
 
 const ANSWER = z.object({
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -41,10 +41,14 @@
   partTokens?: number[];
   /** Whether the work is a stream that long prompts beside it would spoil. */
   isInteractive?: boolean;
-  /** The longest pause that its caller accepts within a stream, in ms. */
-  pauseMs?: number | undefined;
+  /** Its target for the first output, in milliseconds from now. */
+  firstOutputMs?: number;
+  /** Its caller leaves after so long without output, in milliseconds. */
+  patienceMs?: number | undefined;
   /** For the engine's own queue; 0 is the most urgent. */
   priority?: number;
+  /** The same while it can not be in time any more. */
+  latePriority?: number;
   /** Upstreams elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
   avoid: VmId[];
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -151,6 +151,7 @@
       route,
       pool,
       priority: snapshot.ranks.getRank(workspace, route),
+      latePriority: snapshot.ranks.getLateRank(route),
       isInteractive: snapshot.interactiveClasses.has(route.className),
       dialect: this.#options.dialect,
     });
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -22,15 +22,8 @@
 const SILENCE_MS = 1_000;
 const EVENT_ID = /^id: ?(.*)$/gm;
 
-/** What streams have in common. */
-abstract class StreamWork extends RoutedWork {
-  protected override getPauseMs(): number {
-    return this.start.run.start.requestClass.targets.betweenTokensMs;
-  }
-}
-
 /** A stream that may run once: passed on as it comes, and cut if it breaks. */
-export class SingleStreamWork extends StreamWork {
+export class SingleStreamWork extends RoutedWork {
   static create(start: RoutedWorkStart): SingleStreamWork {
     return new SingleStreamWork(start);
   }
@@ -64,7 +57,7 @@
 }
 
 /** A stream that another replica can go on with after the last whole event. */
-export class ResumableStreamWork extends StreamWork {
+export class ResumableStreamWork extends RoutedWork {
   #lastEventId: string | undefined;
 
   static create(start: RoutedWorkStart): ResumableStreamWork {
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -39,6 +39,8 @@
   route: Route;
   pool: UpstreamPool;
   priority: number;
+  /** Its priority while it can not be in time any more. */
+  latePriority: number;
   isInteractive: boolean;
   dialect: RoutedDialect;
 }
@@ -73,8 +75,10 @@
       prefixes: parts.map((part) => part.id),
       partTokens: parts.map((part) => part.tokens),
       isInteractive: this.start.isInteractive,
-      pauseMs: this.getPauseMs(),
+      firstOutputMs: this.start.run.start.requestClass.targets.firstTokenMs,
+      patienceMs: this.start.run.start.requestClass.patienceMs,
       priority: this.start.priority,
+      latePriority: this.start.latePriority,
       regions: findCommonRegions(
         this.start.route.allowedRegions,
         this.start.run.start.workspace.allowedRegions,
@@ -82,11 +86,6 @@
     };
   }
 
-  /** The longest pause that the caller accepts; undefined for calls. */
-  protected getPauseMs(): number | undefined {
-    return undefined;
-  }
-
   override buildCall(lease: HeldLease): WorkCall {
     const { request, run, dialect, route } = this.start;
     this.#sends += 1;
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -64,8 +64,10 @@
   | "prefixes"
   | "partTokens"
   | "isInteractive"
-  | "pauseMs"
+  | "firstOutputMs"
+  | "patienceMs"
   | "priority"
+  | "latePriority"
   | "regions"
 >;
 
--- a/src/version/priority_ranks.ts
+++ b/src/version/priority_ranks.ts
@@ -40,9 +40,23 @@
   /** The level of a workspace's calls on a route. */
   getRank(workspace: Workspace, route: Route): number {
     const own = this.#workspaces.indexOf(workspace.priority ?? NO_PRIORITY);
+    return this.#computeLevel(route, own);
+  }
+
+  /**
+   * The level of calls on a route that can not be in time any more: behind all
+   * others of the route, and before those of the next one, so that nothing less
+   * urgent goes before them.
+   */
+  getLateRank(route: Route): number {
+    return this.#computeLevel(route, this.#workspaces.length);
+  }
+
+  #computeLevel(route: Route, placeOnRoute: number): number {
+    const placesOnRoute = this.#workspaces.length + 1;
     const routed = this.#routes.indexOf(route.priority);
-    const place = routed * this.#workspaces.length + own;
-    const places = this.#workspaces.length * this.#routes.length;
+    const place = routed * placesOnRoute + placeOnRoute;
+    const places = this.#routes.length * placesOnRoute;
     return places <= LEVELS ? place : Math.floor(place * LEVELS / places);
   }
 }
--- a/src/version/records.ts
+++ b/src/version/records.ts
@@ -33,6 +33,11 @@
     /** From arrival to the last byte. */
     totalMs: number;
   };
+  /**
+   * Callers leave a stream that is silent for so long, in milliseconds;
+   * undefined where nothing is known of it.
+   */
+  patienceMs?: number | undefined;
   /** Whether an answer past its target is still worth having. */
   lateIsUseful: boolean;
   idempotent: boolean;
--- a/test/version/priority_ranks_test.ts
+++ b/test/version/priority_ranks_test.ts
@@ -72,4 +72,19 @@
     expect(order[0]).toBe(0);
     expect(order.at(-1)).toBeLessThanOrEqual(9);
   });
+
+  // Symptom: urgent prompts wait while less urgent ones begin.
+  // Cause: what is late was put behind everything else.
+  it("put what is late behind its route, and before the next one", () => {
+    const workspaces = [buildWorkspace(0), buildWorkspace(1)];
+    const [talk, document] = [buildRoute(0), buildRoute(1)];
+    const ranks = PriorityRanks.create(workspaces, [talk, document]);
+    for (const workspace of workspaces) {
+      expect(ranks.getLateRank(talk))
+        .toBeGreaterThan(ranks.getRank(workspace, talk));
+      expect(ranks.getLateRank(talk))
+        .toBeLessThan(ranks.getRank(workspace, document));
+    }
+    expect(ranks.getLateRank(document)).toBeLessThanOrEqual(9);
+  });
 });
