--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -23,6 +23,7 @@
 } from "./fetch_source.ts";
 import {
   computeInteractiveSplit,
+  type InteractiveSplit,
   type LoadedReplica,
   NO_SPLIT,
 } from "./interactive_replicas.ts";
@@ -188,7 +189,7 @@
       needs,
       preferred,
       prefillWeight,
-      isSplit: split !== NO_SPLIT,
+      split,
       source,
       knowledge,
     })
@@ -225,14 +226,13 @@
     needs: PlacementNeeds;
     preferred: VmId | undefined;
     prefillWeight: number;
-    isSplit: boolean;
+    split: InteractiveSplit;
     source: FetchSource | undefined;
     knowledge: PlacementKnowledge;
   },
 ): ScoredPlacement {
   const { replica, load } = each;
-  const { needs, preferred, prefillWeight, isSplit, source, knowledge } =
-    context;
+  const { needs, preferred, prefillWeight, split, source, knowledge } = context;
   const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
   const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
   const heldTokens = computeTokens(needs.partTokens.slice(0, held));
@@ -248,7 +248,7 @@
   const prefillMs = readTokens * msPerToken;
   const fetchMs = FETCH_WEIGHT * fetchedTokens * msPerToken;
   const ownMs = (ownTokens - fetchedTokens) * msPerToken;
-  const pauseMs = isSplit
+  const pauseMs = isKeptFor(replica.id, needs, split)
     ? 0
     : computePauses(each, needs.isInteractive, prefillMs);
   const cost = waitMs + prefillWeight * prefillMs + fetchMs + pauseMs +
@@ -270,6 +270,16 @@
   };
 }
 
+/** Whether what is placed there runs beside its like alone. */
+function isKeptFor(
+  replica: VmId,
+  { isInteractive }: PlacementNeeds,
+  split: InteractiveSplit,
+): boolean {
+  if (split === NO_SPLIT) return false;
+  return !isInteractive || split.forInteractive.has(replica);
+}
+
 function computeCallScore(
   { replica, load }: LoadedReplica,
   knowledge: PlacementKnowledge,
