Part what a replica costs from the choice of one, and who callers are told of from the VM

A VM that decides alone now tells a request apart that finds only replicas which warm up (503 queue_full, with a time to come back spread over callers) from one that finds none.

--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -10,22 +10,19 @@
 import { countTokens } from "./load_totals.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { PrefixMemory } from "./prefix_memory.ts";
-import { computePauses } from "./pause_price.ts";
 import { listHolders } from "./part_holders.ts";
-import { isOnTime, listOnTime } from "./on_time.ts";
+import { listOnTime } from "./on_time.ts";
 import type { ListedReplica } from "./replica_list.ts";
-import { listSuited } from "./suited_replicas.ts";
 import {
-  computeFetched,
-  computeTokens,
-  type FetchSource,
-  findFetchSource,
-} from "./fetch_source.ts";
+  computeCallScore,
+  computePromptScore,
+  type ScoredPlacement,
+} from "./replica_score.ts";
+import { listSuited } from "./suited_replicas.ts";
+import { findFetchSource } from "./fetch_source.ts";
 import {
   computeInteractiveSplit,
-  type InteractiveSplit,
   type LoadedReplica,
-  NO_SPLIT,
 } from "./interactive_replicas.ts";
 
 /**
@@ -49,27 +46,6 @@
 const INTERACTIVE_PROMPT_TOKENS = 4_000;
 /** The same where nothing is known of the callers' targets. */
 const SHORT_PROMPT_TOKENS = 2_000;
-/** One more running request slows the others by about so much, in ms. */
-const RUNNING_MS = 0.5;
-/**
- * Beyond this share of its slots a replica counts as filling up: what other
- * VMs send at the same moment is not known yet.
- */
-const FILLING_SHARE = 0.7;
-/**
- * A token that another replica hands over takes about so much of the time of
- * one that is read, and holds nobody up: the engine goes on meanwhile.
- */
-const FETCH_WEIGHT = 0.25;
-/**
- * A stream of some hundred tokens lasts so long beside others, in milliseconds:
- * a replica whose slots are full frees one each so many milliseconds by slots.
- */
-const LONG_RUN_MS = 5_000;
-/** A full plain replica is as good as one so many milliseconds slower. */
-const FULL_MS = 100;
-/** Each way between data centres, about; also worth its price in bytes. */
-const OTHER_DATA_CENTRE_MS = 2;
 
 /** What is to be placed. */
 export interface PlacementNeeds {
@@ -154,12 +130,6 @@
   return best?.placement;
 }
 
-interface ScoredPlacement {
-  placement: Placement;
-  cost: number;
-  isOnTime: boolean;
-}
-
 function computePromptScores(
   loaded: readonly LoadedReplica[],
   needs: PlacementNeeds,
@@ -169,6 +139,7 @@
   const suited = listSuited(loaded, needs, split);
   const { speeds } = knowledge.state;
   const ownTokens = needs.partTokens.at(-1) ?? 0;
+  // What else a replica would have to read is known only once it is weighed.
   const inTime = listOnTime(
     suited,
     { ownTokens, targetMs: needs.targetMs },
@@ -219,101 +190,3 @@
   const waitingTokens = Math.max(0, meanTokens - CALM_TOKENS);
   return PREFILL_WEIGHT + waitingTokens / WAITING_PROMPT_TOKENS;
 }
-
-function computePromptScore(
-  each: LoadedReplica,
-  context: {
-    needs: PlacementNeeds;
-    preferred: VmId | undefined;
-    prefillWeight: number;
-    split: InteractiveSplit;
-    source: FetchSource | undefined;
-    knowledge: PlacementKnowledge;
-  },
-): ScoredPlacement {
-  const { replica, load } = each;
-  const { needs, preferred, prefillWeight, split, source, knowledge } = context;
-  const msPerToken = knowledge.state.speeds.getMsPerToken(replica.id);
-  const held = knowledge.state.prefixes.countHeld(replica.id, needs.parts);
-  const heldTokens = computeTokens(needs.partTokens.slice(0, held));
-  const ownTokens = Math.max(0, needs.promptTokens - heldTokens);
-  const isPreferred = preferred === replica.id;
-  const fetchedTokens = computeFetched(source, replica.id, heldTokens);
-  const toRead = ownTokens - fetchedTokens;
-  const readTokens = isPreferred
-    ? needs.partTokens.at(-1) ?? ownTokens
-    : toRead;
-  const tokensAhead = needs.isDeferred ? countTokens(load) : load.pendingTokens;
-  const waitMs = tokensAhead * msPerToken;
-  const prefillMs = readTokens * msPerToken;
-  const fetchMs = FETCH_WEIGHT * fetchedTokens * msPerToken;
-  const ownMs = (ownTokens - fetchedTokens) * msPerToken;
-  const pauseMs = isKeptFor(replica.id, needs, split)
-    ? 0
-    : computePauses(each, needs.isInteractive, prefillMs);
-  const cost = waitMs + prefillWeight * prefillMs + fetchMs + pauseMs +
-    RUNNING_MS * load.running + computeFilling(each) +
-    computeDistance(replica, knowledge);
-  return {
-    placement: {
-      replica,
-      ownTokens,
-      tokensAhead,
-      fetchedTokens,
-      fetchFrom: fetchedTokens > 0 ? source?.endpoint : undefined,
-      running: load.running,
-      predictedMs: waitMs + ownMs,
-    },
-    cost,
-    isOnTime: needs.targetMs === undefined ||
-      isOnTime({ waitMs, ownMs }, needs.targetMs),
-  };
-}
-
-/** Whether what is placed there runs beside its like alone. */
-function isKeptFor(
-  replica: VmId,
-  { isInteractive }: PlacementNeeds,
-  split: InteractiveSplit,
-): boolean {
-  if (split === NO_SPLIT) return false;
-  return !isInteractive || split.forInteractive.has(replica);
-}
-
-function computeCallScore(
-  { replica, load }: LoadedReplica,
-  knowledge: PlacementKnowledge,
-): ScoredPlacement {
-  const cost = FULL_MS * load.running / replica.slots +
-    computeDistance(replica, knowledge);
-  return {
-    placement: {
-      replica,
-      ownTokens: 0,
-      tokensAhead: 0,
-      fetchedTokens: 0,
-      running: load.running,
-      predictedMs: 0,
-    },
-    cost,
-    isOnTime: true,
-  };
-}
-
-/**
- * What requests beyond the filling share cost, in milliseconds: each waits for
- * one more run to end. When a replica crashes all its streams look for another
- * one at once; without this all would choose the same, and most would wait
- * there for a slot or be turned away.
- */
-function computeFilling({ replica, load }: LoadedReplica): number {
-  const beyond = load.running - FILLING_SHARE * replica.slots;
-  return Math.max(0, beyond) * LONG_RUN_MS / replica.slots;
-}
-
-function computeDistance(
-  replica: ListedReplica,
-  knowledge: PlacementKnowledge,
-): number {
-  return replica.dataCentre === knowledge.dataCentre ? 0 : OTHER_DATA_CENTRE_MS;
-}
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -91,7 +91,11 @@
     // up: the caller may have left, and its request must not be sent then.
     await this.#options.readArrived();
     if (decision === "full") throw this.#createPoolFull(request);
-    const placement = decision ?? this.#chooseAlone(needs);
+    const placement = decision ?? this.#chooser.choose(needs);
+    if (placement === undefined) throw this.#createRefusal(request, needs);
+    if (decision === undefined) {
+      this.#options.state.slowStart.addSent(placement.replica);
+    }
     this.#granted += 1;
     return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
       ...this.#options,
@@ -101,13 +105,6 @@
     });
   }
 
-  #chooseAlone(needs: PlacementRequest): Placement {
-    const placement = this.#chooser.choose(needs);
-    if (placement === undefined) throw createNoReplica();
-    this.#options.state.slowStart.addSent(placement.replica);
-    return placement;
-  }
-
   #buildNeeds(request: LeaseRequest): PlacementRequest {
     const isInteractive = isInteractivePrompt(
       request.promptTokens,
@@ -126,6 +123,12 @@
     };
   }
 
+  #createRefusal(request: LeaseRequest, needs: PlacementRequest): RefusalError {
+    return this.#chooser.hasCandidates(needs)
+      ? this.#createPoolFull(request)
+      : createNoReplica();
+  }
+
   #createPoolFull({ deadlineAt }: LeaseRequest): RefusalError {
     const { clock, random } = this.#options;
     const leftMs = Math.max(0, deadlineAt - clock.now());
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -21,6 +21,7 @@
 import { RoutedHandler } from "../request/routed_handler.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import { type Clock, SystemClock } from "./clock.ts";
+import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
 import { FateStore } from "./fate_store.ts";
 import type { Log } from "./log.ts";
 import {
@@ -193,27 +194,18 @@
   /**
    * Where callers may connect now, this VM included if it serves. An answer to
    * a caller has room for some of them only: in a fixed order the last ones
-   * would get no callers at all. Callers of `region` hear of the VMs there
-   * alone, while there are any: what they send must not leave some regions.
+   * would get no callers at all.
    */
   listEntries(region?: Region): string[] {
     const { dataCentre, listeners } = this.#settings;
-    const entries = this.#listLive()
-      .filter(({ heartbeat }) => heartbeat.isServing)
-      .map(({ heartbeat: { dataCentre, callers } }) => ({
-        dataCentre,
-        callers,
-      }));
+    const entries: EntryAddress[] = this.#listLive()
+      .map(({ heartbeat }) => heartbeat)
+      .filter(({ isServing }) => isServing);
     if (this.isServing()) {
       entries.push({ dataCentre, callers: listeners.callers });
     }
-    const near = region === undefined
-      ? []
-      : entries.filter((entry) =>
-        this.#locality.isWithin(entry.dataCentre, [region])
-      );
-    const listed = near.length > 0 ? near : entries;
-    return this.#random.pickOrder(listed.map(({ callers }) => callers));
+    const near = listNearAddresses(entries, region, this.#locality);
+    return this.#random.pickOrder(near);
   }
 
   override async handle(
--- a/test/process/placement/locality_test.ts
+++ b/test/process/placement/locality_test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { type DataCentre, type Region, toId } from "../../../src/ids.ts";
+import { listNearAddresses } from "../../../src/process/entry_addresses.ts";
 import {
   Locality,
   PlacementState,
@@ -78,6 +79,29 @@
   });
 });
 
+describe("addresses for callers", () => {
+  const locality = Locality.create(
+    new Map<DataCentre, Region>([
+      [toId("north-1"), NORTH],
+      [toId("south-1"), SOUTH],
+    ]),
+  );
+  const entries = ["north-1", "south-1"].map((dataCentre) => ({
+    dataCentre: toId<DataCentre>(dataCentre),
+    callers: `vm-of-${dataCentre}`,
+  }));
+
+  it("are of VMs in their region, while there are any", () => {
+    expect(listNearAddresses(entries, SOUTH, locality))
+      .toEqual(["vm-of-south-1"]);
+  });
+
+  it("are all where their region has none, or is not told", () => {
+    expect(listNearAddresses(entries, WEST, locality)).toHaveLength(2);
+    expect(listNearAddresses(entries, undefined, locality)).toHaveLength(2);
+  });
+});
+
 describe("regions of a route and a workspace", () => {
   it("bind both", () => {
     expect(findCommonRegions([NORTH, SOUTH], [SOUTH, WEST])).toEqual([SOUTH]);
