--- a/test/platform/configurations.ts
+++ b/test/platform/configurations.ts
@@ -19,6 +19,8 @@
   resumable?: boolean;
   isPublic?: boolean;
   service?: string;
+  /** Regions that its requests must not leave. */
+  regions?: string[];
 }
 
 export const ROUTES: TestRoute[] = [
@@ -52,6 +54,9 @@
       "max-attempts": route.attempts ?? 1,
       public: route.isPublic ?? false,
       resumable: route.resumable ?? false,
+      ...(route.regions === undefined
+        ? {}
+        : { "allowed-regions": route.regions }),
     })),
     services: [{ name: "pool", ...changes.pool }, { name: "other" }],
     limits: {
--- a/test/platform/other_writers_test.ts
+++ b/test/platform/other_writers_test.ts
@@ -52,6 +52,21 @@
     });
   }
 
+  // Symptom: a replica is gone from the list though its entry stands.
+  // Sequence: a configuration that cannot be read comes beside a replica whose
+  // id is the end of the configuration's key.
+  // Cause: the key was cut to an id without a look at its beginning.
+  it("that is no replica's takes no replica out", async () => {
+    const fleet = await PlatformFleet.create({ replicas: 1 });
+    const [first] = fleet.vms;
+    await fleet.addReplica("g");
+    await waitUntil(() => listIds(first!).join() === "g,i-1");
+    const before = first!.vm.replicas.revision;
+    fleet.store.put("op/config", { version: "none" });
+    await waitRevision(first!, before);
+    expect(listIds(first!)).toEqual(["g", "i-1"]);
+  });
+
   it("of bytes that cannot be read is logged once", async () => {
     const fleet = await PlatformFleet.create({ vms: 0 });
     const log = new FakeLog();
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -10,7 +10,7 @@
 import { PlatformDialect } from "../../platform/headers.ts";
 import { fetchCachedParts } from "../../platform/replica_lists.ts";
 import { PlatformStore } from "../../platform/store.ts";
-import { toId } from "../../src/ids.ts";
+import { type DataCentre, type Region, toId } from "../../src/ids.ts";
 import { type Log, SilentLog } from "../../src/process/log.ts";
 import type { RoutedSettings } from "../../src/process/routed_settings.ts";
 import { RoutedVm } from "../../src/process/routed_vm.ts";
@@ -21,6 +21,12 @@
 import { ReplicaStandIn } from "./replica_stand_in.ts";
 import { StoreStandIn } from "./store_stand_in.ts";
 
+/** Two data centres, each in a region of its own; VMs stand in the first. */
+const REGIONS = new Map<DataCentre, Region>([
+  [toId("dc-1"), toId("north")],
+  [toId("dc-2"), toId("south")],
+]);
+
 let nextAddress = 10;
 let nextRequest = 1;
 
@@ -138,7 +144,7 @@
       directoryTtlMs: 100,
       retryShare: 0.2,
       retryReserve: 40,
-      regions: new Map(),
+      regions: REGIONS,
       warmUpExcess: { ratio: 1, slack: 0 },
     };
   }
--- a/test/process/placement/on_time_test.ts
+++ b/test/process/placement/on_time_test.ts
@@ -28,8 +28,10 @@
 const FLOOD_EVERY_MS = 27;
 /** The same for half of its time. */
 const CALM_EVERY_MS = 90;
-/** In a flood of 1.6 times the pool, 0.62 can be in time at best. */
-const LEAST_IN_TIME = 0.45;
+/** In a flood of 1.6 times the pool, one prompt in 1.6 at best is in time. */
+const BEST_IN_TIME = 1 / 1.6;
+/** The aim: three quarters of what is possible. */
+const LEAST_IN_TIME = 0.75 * BEST_IN_TIME;
 
 interface Prompt {
   lease: HeldLease;
