--- a/src/process/placement/on_time.ts
+++ b/src/process/placement/on_time.ts
@@ -5,16 +5,17 @@
  * pool can read. If all of them are sent on in turn, a queue stands at every
  * replica that is a little longer than the target: each prompt waits behind
  * those that came before it, and all are late. One notices by replicas that
- * work without a pause while hardly any answer begins in time: in such a flood
- * over 21 replicas 0.18 of the long prompts did, and 0.45 came late. To refuse
- * a share of them changed neither, since the queue was there already, and those
- * refused came back into it.
+ * work without a pause while few answers begin in time: in the worst seconds of
+ * such a flood over 21 replicas one in ten. To refuse half of them did not help,
+ * since the queue was there already, and those refused came back into it.
  *
  * Why this prevents it: a prompt takes its turn only at a replica whose queue
  * is short enough for it. The others are sent on as well, behind all that can
  * still be in time: they are read when the queue is empty, so that the late ones
- * cost those in time nothing. In the same flood 0.56 began in time then, 0.16
- * late, and none was refused.
+ * cost those in time little. Over a day with two such floods 0.63 of the long
+ * prompts were in time and 0.16 late, none refused; 0.35, 0.38 and 0.13 before.
+ * Of those that go behind most are left by their callers: 0.18 of all got no
+ * answer, 0.10 before.
  *
  * @module
  */
@@ -22,9 +23,10 @@
 import type { ReplicaSpeeds } from "./replica_speed.ts";
 
 /**
- * Of a target, the share within which a first output has to be predicted: one
- * prediction in ten is exceeded by half, and callers wait for a few
- * milliseconds of network as well.
+ * Of a target, the share within which a first output has to be predicted.
+ * Predictions hold in the middle, and a quarter of them are exceeded by 0.3 and
+ * more. With the whole target 0.04 less was earned on the day named above; with
+ * 0.7 of it, a difference that cannot be told.
  */
 const PREDICTED_SHARE = 0.85;
 /**
--- a/src/process/placement/slow_start.ts
+++ b/src/process/placement/slow_start.ts
@@ -3,10 +3,10 @@
  *
  * Pattern: replicas come back in the midst of a flood, after a crash, at the
  * end of an evacuation, or added to a pool. They look empty, so everybody's
- * next requests go there. A replica that has just started bears some six
- * requests a second; at three times as many it falls over, seen as streams that
- * end by a reset two seconds after its entry was back, and its work goes to the
- * others, of which more fall over.
+ * next requests go there. One that has just started bears some six a second and
+ * may fall over well above that, and then its work goes to the others. One
+ * notices by requests at a replica in the second after it came back: 16 to 19,
+ * where 14 are the most.
  *
  * Why this prevents it: what the whole fleet may send to such a replica in a
  * second is dealt out beforehand. A pool's owner, who decides for all, spaces
