--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -45,11 +45,13 @@
       configuration_version: heartbeat.configVersion,
       list_revision: heartbeat.listRevision,
     })),
+    evacuated: parts.replicas.getList().evacuated ?? [],
     replicas: parts.replicas.getList().replicas.map((replica) => ({
       id: replica.id,
       pool: replica.pool,
       state: replica.state,
       ejected: parts.placement.health.isEjected(replica.id),
+      warming: parts.placement.slowStart.isWarming(replica),
       slowness: parts.placement.speeds.getRatio(replica.id),
       ...parts.placement.loads.getLoad(replica.id),
     })),
@@ -74,6 +76,14 @@
     help: "Since the list was known to be the newest; below 0 for never",
     read: () => parts.getListAgeMs() / MS_PER_SECOND,
   });
+  metrics.addGauge("warming_replicas", {
+    help: "Replicas that get few requests while they warm up",
+    read: () => countWarming(parts),
+  });
+  metrics.addGauge("evacuated_data_centres", {
+    help: "Data centres whose replicas get nothing new",
+    read: () => parts.replicas.getList().evacuated?.length ?? 0,
+  });
   metrics.addGauge("ejected_replicas", {
     help: "Replicas that are left out for failures",
     read: () => countEjected(parts),
@@ -88,3 +98,8 @@
   return replicas.getList().replicas
     .filter(({ id }) => placement.health.isEjected(id)).length;
 }
+
+function countWarming({ replicas, placement }: StatusParts): number {
+  return replicas.getList().replicas
+    .filter((replica) => placement.slowStart.isWarming(replica)).length;
+}
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -28,7 +28,7 @@
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { RecentlyLapsed } from "./recently_lapsed.ts";
 import { listChanges, writeChanges } from "./replica_changes.ts";
-import { listEvacuations, writeEvacuations } from "./zone_evacuations.ts";
+import { listEvacuations, writeEvacuations } from "./evacuation_changes.ts";
 
 /** VMs that watch the store: two may fail without a gap. */
 const WATCHERS = 3;
--- a/test/platform/evacuation_test.ts
+++ b/test/platform/evacuation_test.ts
@@ -40,6 +40,8 @@
     await waitUntil(() => listReady(first).length === 3);
     fleet.store.put("op/evacuate/dc-1", {});
     await waitUntil(() => listReady(first).join() === "i-3");
+    expect(await first.vm.metrics.renderPrometheus())
+      .toMatch(/evacuated_data_centres 1$/m);
     const before = fleet.replicas.map(({ ran }) => ran.length);
     expect(await sendAll(first)).toEqual(Array(REQUESTS).fill(200));
     const after = fleet.replicas.map(({ ran }) => ran.length);
