Deal out a warming replica's requests by an order that all VMs know

VMs that decide alone drew by a hash whether they have a request a second for a replica: three of 89 in the mean, six now and then. With an owner and its substitute in one second that is more than the replica bears: 15 of 14 in a test over six replicas, which fails on the code of before. A VM that had just started took itself for the only one, and one that is cut off for one of a small fleet.

The first VMs in an order by the replica's id have one request a second each, as many as there are to share out; a VM that has not heard of others whom its settings name has none; one that knows a large fleet shares as beside owners.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -23,6 +23,7 @@
   type FleetPeer,
   type FleetPeers,
   type FleetWork,
+  isSmallFleet,
   PlacementAsker,
   PoolOwners,
   type WorkShare,
@@ -37,6 +38,8 @@
   locality: Locality;
   placement: PlacementState;
   peers: FleetPeers;
+  /** Whether the settings name other VMs. */
+  hasSeeds: () => boolean;
   /** This VM, as others rank it. */
   getSelf: () => FleetMember;
   send: (to: FleetPeer, message: AskMessage) => void;
@@ -146,11 +149,16 @@
   /** Who decides on a pool's requests beside this VM. */
   getShare(pool: PoolName): DecisionShare {
     const { vm, peers } = this.#options;
-    const vms = 1 + peers.countKnown();
-    const owners = this.#findOwners();
-    if (owners === undefined) return { role: "equal", vms };
-    const isOwner = owners.listOwners(pool).includes(vm);
-    return { role: isOwner ? "owner" : "alone", vms };
+    const others = peers.listKnown();
+    if (others.length === 0 && this.#options.hasSeeds()) {
+      return { role: "unsettled", others };
+    }
+    if (this.#findOwners()?.listOwners(pool).includes(vm)) {
+      return { role: "owner", others };
+    }
+    // One that hears few of a large fleet is cut off: the others have owners.
+    const isEqual = isSmallFleet(1 + others.length);
+    return { role: isEqual ? "equal" : "alone", others };
   }
 
   /** Everybody who places requests of any pool; undefined for all VMs. */
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -40,7 +40,7 @@
   vm: toId<VmId>("none"),
   excess: { ratio: 1, slack: 0 },
   getWarmUp: () => undefined,
-  getShare: () => ({ role: "equal", vms: 1 }),
+  getShare: () => ({ role: "equal", others: [] }),
 };
 
 /** The parts that the choice of a replica goes by. */
--- a/src/process/placement/slow_start.ts
+++ b/src/process/placement/slow_start.ts
@@ -19,7 +19,7 @@
 import type { DataCentre, PoolName, VmId } from "../../ids.ts";
 import type { WarmUp } from "../../version/records.ts";
 import type { Clock } from "../clock.ts";
-import { computeRendezvousShare } from "../rendezvous.ts";
+import { computeRendezvousPlace } from "../rendezvous.ts";
 import type { ListedReplica, ReplicaList } from "./replica_list.ts";
 
 /**
@@ -38,10 +38,13 @@
 
 /** Who decides beside this VM. */
 export interface DecisionShare {
-  /** `owner` decides for all, `alone` beside owners, `equal` without any. */
-  role: "owner" | "alone" | "equal";
-  /** VMs of the fleet, silent ones included. */
-  vms: number;
+  /**
+   * `owner` decides for all, `alone` beside owners, `equal` without any; one
+   * that is `unsettled` has not heard of the others yet.
+   */
+  role: "owner" | "alone" | "equal" | "unsettled";
+  /** The other VMs of the fleet, silent ones included. */
+  others: readonly VmId[];
 }
 
 /** How many more requests than it bears a replica may be sent in a second. */
@@ -119,18 +122,13 @@
     if (!this.isWarming(replica)) return true;
     const now = this.#options.clock.now();
     if (now < (this.#nextAt.get(replica.id) ?? -Infinity)) return false;
-    const ratePerS = this.#computeRate(replica.pool);
-    // A VM of a large fleet has less than a request a second of its own: then
-    // some VMs have one and the others none, by a draw that stays the same.
-    return ratePerS >= 1 ||
-      computeRendezvousShare(replica.id, this.#options.vm) < ratePerS;
+    return this.#computeGapMs(replica) !== undefined;
   }
 
   /** A request goes there by this VM's decision. */
   addSent(replica: ListedReplica): void {
     if (!this.isWarming(replica)) return;
-    const ratePerS = Math.max(1, this.#computeRate(replica.pool));
-    const gapMs = MS_PER_SECOND / ratePerS;
+    const gapMs = this.#computeGapMs(replica) ?? MS_PER_SECOND;
     this.#nextAt.set(replica.id, this.#options.clock.now() + gapMs);
   }
 
@@ -143,16 +141,44 @@
     this.#toldUntil.set(id, Math.max(before, until));
   }
 
-  #computeRate(pool: PoolName): number {
+  /**
+   * Milliseconds between this VM's requests there; undefined where it has none
+   * to send.
+   */
+  #computeGapMs({ id, pool }: ListedReplica): number | undefined {
     const { excess, getWarmUp, getShare } = this.#options;
     const warmUp = getWarmUp(pool);
-    if (warmUp === undefined) return Infinity;
-    const { role, vms } = getShare(pool);
+    if (warmUp === undefined) return 0;
     const { requestsPerS } = warmUp;
     const mostPerS = excess.ratio * requestsPerS + excess.slack;
-    if (role === "owner") return Math.min(requestsPerS, OWNER_PART * mostPerS);
+    const { role, others } = getShare(pool);
+    if (role === "owner") {
+      const perS = Math.min(requestsPerS, OWNER_PART * mostPerS);
+      return MS_PER_SECOND / (perS >= 1 ? Math.floor(perS) : perS);
+    }
+    // Half of a fleet may start at once, each as if it were the only one.
+    if (role === "unsettled") return undefined;
     const part = role === "alone" ? ALONE_PART : NO_OWNER_PART;
-    return Math.min(requestsPerS, part * mostPerS) / vms;
+    const perS = Math.floor(Math.min(requestsPerS, part * mostPerS));
+    return this.#computeSharedGapMs(id, others, perS);
+  }
+
+  /**
+   * The same of a VM that shares `perS` requests with all others. Where there
+   * are fewer requests than VMs, those that come first in an order by the
+   * replica's id have one each: all VMs know of each other, if not of what the
+   * others do now.
+   */
+  #computeSharedGapMs(
+    replica: VmId,
+    others: readonly VmId[],
+    perS: number,
+  ): number | undefined {
+    const vms = [this.#options.vm, ...others];
+    const perVm = Math.floor(perS / vms.length);
+    if (perVm >= 1) return MS_PER_SECOND / perVm;
+    const place = computeRendezvousPlace(replica, this.#options.vm, others);
+    return place < perS ? MS_PER_SECOND : undefined;
   }
 
   #dropUnlisted(listed: ReadonlySet<VmId>): void {
--- a/src/process/rendezvous.ts
+++ b/src/process/rendezvous.ts
@@ -8,7 +8,6 @@
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 const GOLDEN_RATIO = 0x9e3779b1;
-const HASHES = 2 ** 32;
 
 /** `ids` in the order in which they should own `key`, first choice first. */
 export function computeRendezvousOrder<T extends string>(
@@ -36,9 +35,17 @@
   return best?.id;
 }
 
-/** Where `id` lies for `key` among all ids that there could be, in [0, 1). */
-export function computeRendezvousShare(key: string, id: string): number {
-  return computeScore(computeHash(key), id) / HASHES;
+/** How many of `others` come before `id` in the order for `key`. */
+export function computeRendezvousPlace<T extends string>(
+  key: string,
+  id: T,
+  others: readonly T[],
+): number {
+  const keyHash = computeHash(key);
+  const own = { id, score: computeScore(keyHash, id) };
+  return others.filter((other) =>
+    compareScored({ id: other, score: computeScore(keyHash, other) }, own) < 0
+  ).length;
 }
 
 interface Scored<T extends string> {
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -94,6 +94,7 @@
       ...options,
       vm,
       peers: this.#heartbeats.peers,
+      hasSeeds: () => this.#hasOtherSeeds(),
       getSelf: () => this.#buildMember(),
       send: (to, message) => this.#heartbeats.send(to, message),
     });
@@ -167,6 +168,11 @@
     return seeds.map((seed) => `${parseEndpoint(seed).address}:${peerPort}`);
   }
 
+  #hasOtherSeeds(): boolean {
+    const { address, peerPort } = this.#options.getSettings();
+    return this.#listSeeds().some((seed) => seed !== `${address}:${peerPort}`);
+  }
+
   #buildHeartbeat(): HeartbeatContent {
     const { getSettings, replicas } = this.#options;
     const { vm, dataCentre, listeners, cores } = getSettings();
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -123,7 +123,7 @@
         excess: options.settings.warmUpExcess,
         getWarmUp: (pool) => this.getSnapshot()?.pools.get(pool)?.warmUp,
         getShare: (pool) =>
-          this.#fleet?.getShare(pool) ?? { role: "equal", vms: 1 },
+          this.#fleet?.getShare(pool) ?? { role: "equal", others: [] },
       },
     });
     this.#handler = this.#createHandler();
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -131,8 +131,8 @@
   }
 
   /** VMs that are heard, or were not long ago. */
-  countKnown(): number {
-    return this.#peers.size;
+  listKnown(): VmId[] {
+    return [...this.#peers.keys()];
   }
 
   /** VMs that are heard. */
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -11,6 +11,7 @@
 export type { HeartbeatContent, WorkShare } from "./fleet_heartbeats.ts";
 export {
   findDuty,
+  isSmallFleet,
   listDuties,
   listOwnersOf,
   PoolOwners,
--- a/src/process/seeded_fleet/pool_owners.ts
+++ b/src/process/seeded_fleet/pool_owners.ts
@@ -115,7 +115,7 @@
 }
 
 /** Whether a fleet of `count` VMs does without owners. */
-function isSmallFleet(count: number): boolean {
+export function isSmallFleet(count: number): boolean {
   return count <= SMALL_FLEET_MOST;
 }
 
--- a/test/process/placement/slow_start_test.ts
+++ b/test/process/placement/slow_start_test.ts
@@ -11,11 +11,15 @@
 const EXCESS = { ratio: 1.5, slack: 5 };
 /** Requests in any second beyond which a replica may fall over. */
 const MOST_PER_S = EXCESS.ratio * WARM_UP.requestsPerS + EXCESS.slack;
-const FLEET = 89;
+const FLEET = listVms(89);
 /** A flood: each VM has a request for the replica so often. */
 const FLOOD_EVERY_MS = 20;
 const FLOOD_MS = 2_900;
 
+function listVms(count: number): VmId[] {
+  return Array.from({ length: count }, (_, index) => toId(`vm-${index}`));
+}
+
 function buildReplica(changes: Partial<ListedReplica> = {}): ListedReplica {
   return {
     id: toId<VmId>("i-1"),
@@ -33,14 +37,14 @@
   clock: VirtualClock,
   vm: string,
   role: DecisionShare["role"],
-  vms = FLEET,
+  vms: readonly VmId[] = FLEET,
 ): SlowStart {
   return SlowStart.create({
     vm: toId(vm),
     clock,
     excess: EXCESS,
     getWarmUp: () => WARM_UP,
-    getShare: () => ({ role, vms }),
+    getShare: () => ({ role, others: vms.filter((other) => other !== vm) }),
   });
 }
 
@@ -84,24 +88,23 @@
 
   it("bears an owner, its substitute and all VMs that hear neither", async () => {
     const clock = VirtualClock.create();
-    const starts = Array.from(
-      { length: FLEET },
-      (_, index) =>
-        createStart(clock, `vm-${index}`, index < 2 ? "owner" : "alone"),
-    );
-    starts.forEach((start) =>
-      start.noteList({ revision: 7, replicas: [warming] })
-    );
-    const { most } = await countMostPerS(clock, starts, warming);
-    expect(most).toBeLessThanOrEqual(MOST_PER_S);
+    for (const id of ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"]) {
+      const replica = { ...warming, id: toId<VmId>(id) };
+      const starts = FLEET.map((vm, index) =>
+        createStart(clock, vm, index < 2 ? "owner" : "alone")
+      );
+      starts.forEach((start) =>
+        start.noteList({ revision: 7, replicas: [replica] })
+      );
+      const { most } = await countMostPerS(clock, starts, replica);
+      expect(most).toBeLessThanOrEqual(MOST_PER_S);
+    }
   });
 
   it("bears a fleet without owners", async () => {
     const clock = VirtualClock.create();
-    const starts = Array.from(
-      { length: 8 },
-      (_, index) => createStart(clock, `vm-${index}`, "equal", 8),
-    );
+    const vms = listVms(8);
+    const starts = vms.map((vm) => createStart(clock, vm, "equal", vms));
     starts.forEach((start) =>
       start.noteList({ revision: 7, replicas: [warming] })
     );
@@ -110,6 +113,16 @@
     expect(all).toBeGreaterThan(0);
   });
 
+  // Symptom: replicas and half of the VMs start at once, and the replicas fall
+  // over.
+  // Cause: each VM took itself for the only one until it heard the others.
+  it("gets nothing from VMs that have not heard of the others", async () => {
+    const clock = VirtualClock.create();
+    const start = createStart(clock, "vm-1", "unsettled", []);
+    start.noteList({ revision: 7, replicas: [warming] });
+    expect((await countMostPerS(clock, [start], warming)).all).toBe(0);
+  });
+
   it("is sent all that there is once it is warm", async () => {
     const clock = VirtualClock.create();
     const start = createStart(clock, "vm-1", "owner");
@@ -165,7 +178,7 @@
       clock,
       excess: EXCESS,
       getWarmUp: () => undefined,
-      getShare: () => ({ role: "owner", vms: 1 }),
+      getShare: () => ({ role: "owner", others: [] }),
     });
     const replica = buildReplica({ warmUp: { leftMs: 500, revision: 7 } });
     start.noteList({ revision: 7, replicas: [replica] });
