--- a/test/process/placement/locality_test.ts
+++ b/test/process/placement/locality_test.ts
@@ -8,6 +8,7 @@
   ReplicaDirectory,
 } from "../../../src/process/placement/index.ts";
 import { findCommonRegions } from "../../../src/version/allowed_regions.ts";
+import { buildListedReplica } from "../../support/listed_replicas.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const NORTH = toId<Region>("north");
@@ -19,15 +20,12 @@
   const dataCentres = ["north-1", "south-1", "west-1", "unknown-1"];
   directory.apply({
     revision: 1,
-    replicas: dataCentres.map((dataCentre) => ({
-      id: toId(`i-${dataCentre}`),
-      pool: toId("pool"),
-      address: "10.0.0.1",
-      port: 80,
-      dataCentre: toId(dataCentre),
-      slots: 16,
-      state: "ready",
-    })),
+    replicas: dataCentres.map((dataCentre, index) =>
+      buildListedReplica(index, {
+        id: toId(`i-${dataCentre}`),
+        dataCentre: toId(dataCentre),
+      })
+    ),
     evacuated: emptied.map((dataCentre) => toId(dataCentre)),
   });
   const state = PlacementState.create({
--- a/test/process/placement/on_time_test.ts
+++ b/test/process/placement/on_time_test.ts
@@ -10,6 +10,7 @@
 import { isOnTime } from "../../../src/process/placement/on_time.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import type { HeldLease, LeaseRequest } from "../../../src/process/services.ts";
+import { buildListedReplicas } from "../../support/listed_replicas.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const POOL_SIZE = 4;
@@ -57,15 +58,7 @@
     const directory = ReplicaDirectory.create();
     directory.apply({
       revision: 1,
-      replicas: Array.from({ length: POOL_SIZE }, (_, index) => ({
-        id: toId<VmId>(`i-${index}`),
-        pool: toId("pool"),
-        address: "10.0.0.1",
-        port: 80 + index,
-        dataCentre: toId("dc"),
-        slots: 16,
-        state: "ready",
-      })),
+      replicas: buildListedReplicas(POOL_SIZE),
     });
     this.#source = PlacementSource.create({
       clock: this.clock,
--- a/test/process/placement/slow_start_test.ts
+++ b/test/process/placement/slow_start_test.ts
@@ -5,6 +5,7 @@
   type DecisionShare,
   SlowStart,
 } from "../../../src/process/placement/slow_start.ts";
+import { buildListedReplica } from "../../support/listed_replicas.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const WARM_UP = { ms: 3_000, requestsPerS: 6 };
@@ -21,16 +22,7 @@
 }
 
 function buildReplica(changes: Partial<ListedReplica> = {}): ListedReplica {
-  return {
-    id: toId<VmId>("i-1"),
-    pool: toId("pool"),
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: toId("dc"),
-    slots: 16,
-    state: "ready",
-    ...changes,
-  };
+  return buildListedReplica(1, changes);
 }
 
 function createStart(
--- a/test/process/placement/suited_replicas_test.ts
+++ b/test/process/placement/suited_replicas_test.ts
@@ -1,13 +1,16 @@
 import { describe, expect, it } from "vitest";
-import { toId, type VmId } from "../../../src/ids.ts";
+import { toId } from "../../../src/ids.ts";
 import {
   computeInteractiveSplit,
   type LoadedReplica,
 } from "../../../src/process/placement/interactive_replicas.ts";
 import { PlacementState } from "../../../src/process/placement/index.ts";
 import { choosePlacement } from "../../../src/process/placement/placement_choice.ts";
-import type { ListedReplica } from "../../../src/process/placement/replica_list.ts";
 import { listSuited } from "../../../src/process/placement/suited_replicas.ts";
+import {
+  buildListedReplica,
+  buildListedReplicas,
+} from "../../support/listed_replicas.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const SLOTS = 16;
@@ -19,21 +22,9 @@
   isInteractive: true,
 };
 
-function buildReplica(index: number): ListedReplica {
-  return {
-    id: toId<VmId>(`i-${index}`),
-    pool: toId("pool"),
-    address: "10.0.0.1",
-    port: 80,
-    dataCentre: toId("dc"),
-    slots: SLOTS,
-    state: "ready",
-  };
-}
-
 function buildLoaded(interactive: number[]): LoadedReplica[] {
   return interactive.map((each, index) => ({
-    replica: buildReplica(index),
+    replica: buildListedReplica(index),
     load: {
       pendingTokens: 0,
       deferredTokens: 0,
@@ -78,10 +69,7 @@
   });
 
   it("go where least is read, of those elsewhere", () => {
-    const replicas = Array.from(
-      { length: POOL_SIZE },
-      (_, index) => buildReplica(index),
-    );
+    const replicas = buildListedReplicas(POOL_SIZE);
     const state = PlacementState.create({
       clock: VirtualClock.create(),
       onNews: () => {},
