--- a/src/ids.ts
+++ b/src/ids.ts
@@ -27,6 +27,8 @@
 export type ModelName = Brand<string, "ModelName">;
 /** One request for good: names the VM and incarnation that issued it. */
 export type RequestId = Brand<string, "RequestId">;
+/** One request however often it is sent: what its callers repeat. */
+export type RequestFingerprint = Brand<string, "RequestFingerprint">;
 /** One try of a request in a shard's queue. */
 export type TicketId = Brand<string, "TicketId">;
 /** One slot granted on one replica. */
@@ -49,6 +51,7 @@
   | PoolName
   | ModelName
   | RequestId
+  | RequestFingerprint
   | TicketId
   | LeaseId
   | ShardId
--- a/src/request/request_run.ts
+++ b/src/request/request_run.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { match } from "ts-pattern";
-import type { RequestId, VmId } from "../ids.ts";
+import type { RequestFingerprint, RequestId, VmId } from "../ids.ts";
 import type { Refusal, RunOutcome } from "../outcome.ts";
 import type { FinishedRequest } from "../process/services.ts";
 import type {
@@ -18,9 +18,20 @@
 import type { RequestServices } from "./request_services.ts";
 import { RunPhases } from "./run_phases.ts";
 
+/**
+ * Steps whose lines name the fingerprint: with them the sendings of one request
+ * are found, and what broke at a replica that ended.
+ */
+const FINGERPRINTED_STEPS: ReadonlySet<FateStepName> = new Set([
+  "arrived",
+  "stream_broken",
+]);
+
 /** What a run begins with. */
 export interface RunStart {
   requestId: RequestId;
+  /** The same for each sending of the request. */
+  fingerprint: RequestFingerprint;
   workspace: Workspace;
   requestClass: RequestClass;
   snapshot: Snapshot;
@@ -109,6 +120,9 @@
       request_id: this.id,
       step,
       age_ms: ageMs,
+      fingerprint: FINGERPRINTED_STEPS.has(step)
+        ? this.start.fingerprint
+        : undefined,
       ...options,
     });
   }
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -13,6 +13,7 @@
 import { type CallerRequest, REQUEST_ID_HEADER } from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
 import type { RequestServices } from "./request_services.ts";
+import { computeFingerprint } from "./request_fingerprint.ts";
 import { RequestRun } from "./request_run.ts";
 import { answerResubmission } from "./resubmission.ts";
 import { runTries } from "./tries.ts";
@@ -66,6 +67,7 @@
   }
   const run = RequestRun.create(services, {
     requestId,
+    fingerprint: computeFingerprint(asked.request, asked.workspace.name),
     workspace: asked.workspace,
     requestClass: asked.requestClass,
     snapshot: asked.snapshot,
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -18,6 +18,7 @@
 import { checkCaller } from "./authenticate.ts";
 import { CallerHandler, type CallerRequest } from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
+import { computeFingerprint, readHost } from "./request_fingerprint.ts";
 import { RequestRun } from "./request_run.ts";
 import type { RequestServices } from "./request_services.ts";
 import { type CheckedWork, runClaimed } from "./request_task.ts";
@@ -30,7 +31,6 @@
 const MS_PER_SECOND = 1_000;
 const SERVICE_UNAVAILABLE = 503;
 const UPSTREAM_STATUSES: ReadonlySet<number> = new Set([500, 502, 504]);
-const PORT_SUFFIX = /:\d+$/;
 
 /** The workspace of calls on routes that need no key. */
 const PUBLIC_WORKSPACE: Workspace = {
@@ -94,9 +94,7 @@
   #check(request: CallerRequest, sink: CallerSink): CheckedCall {
     const snapshot = this.#options.getSnapshot();
     if (snapshot === undefined) throw createNotReady();
-    const host = (request.headers["host"] ?? "").toLowerCase()
-      .replace(PORT_SUFFIX, "");
-    const route = snapshot.routes.findRoute(host, request.path);
+    const route = snapshot.routes.findRoute(readHost(request), request.path);
     if (route === undefined) {
       throw createNotRun("not_found", "No route leads there");
     }
@@ -123,6 +121,7 @@
     );
     const run = RequestRun.create(this.#options.services, {
       requestId: checked.requestId,
+      fingerprint: computeFingerprint(request, checked.workspace.name),
       workspace: checked.workspace,
       requestClass,
       snapshot,
