--- a/src/connection/refusal_body.ts
+++ b/src/connection/refusal_body.ts
@@ -67,6 +67,7 @@
       "queue_full",
       "deadline_unreachable",
       "shed",
+      "quarantined",
       "draining",
       "no_upstream",
       "owner_unreachable",
--- a/src/outcome.ts
+++ b/src/outcome.ts
@@ -22,6 +22,7 @@
   | "queue_full"
   | "deadline_unreachable"
   | "shed"
+  | "quarantined"
   | "draining"
   | "no_upstream"
   | "owner_unreachable"
--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -7,6 +7,7 @@
 import type { PoolName, VmId } from "../ids.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
+import type { Random } from "./random.ts";
 import {
   type DecisionShare,
   type Locality,
@@ -36,6 +37,7 @@
   log: Log;
   replicas: ReplicaDirectory;
   locality: Locality;
+  random: Random;
   placement: PlacementState;
   peers: FleetPeers;
   /** Whether the settings name other VMs. */
@@ -55,9 +57,9 @@
   #toldLoads = new Map<string, string>();
 
   constructor(options: OwnedPlacementOptions) {
-    const { vm, clock, log, replicas, locality, placement, send } = options;
+    const { vm, clock, log, replicas, placement, send } = options;
     this.#options = options;
-    this.#chooser = ReplicaChooser.create(replicas, placement, locality);
+    this.#chooser = ReplicaChooser.create(replicas, placement, options);
     this.#asker = PlacementAsker.create({
       vm,
       clock,
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import type { Endpoint } from "../../connection/endpoint.ts";
-import { type DataCentre, type LeaseId, toId, type VmId } from "../../ids.ts";
+import {
+  type DataCentre,
+  type Incarnation,
+  type LeaseId,
+  toId,
+  type VmId,
+} from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
 import type { Clock } from "../clock.ts";
@@ -73,7 +79,7 @@
     this.#chooser = ReplicaChooser.create(
       options.directory,
       options.state,
-      options.locality,
+      { locality: options.locality, random: options.random },
     );
   }
 
@@ -120,6 +126,7 @@
       promptTokens: request.promptTokens,
       isInteractive,
       targetMs: isInteractive ? undefined : chooseTarget(request),
+      isSuspect: request.isSuspect,
     };
   }
 
@@ -148,6 +155,7 @@
   readonly upstream: VmId;
   readonly priority: number;
   override readonly reason: string;
+  override readonly upstreamIncarnation: Incarnation;
   override readonly fetchFrom: Endpoint | undefined;
   readonly preempted: AbortSignal = new AbortController().signal;
   readonly #options: PlacementSourceOptions & {
@@ -180,6 +188,10 @@
     this.reason = formatReason(placement);
     this.fetchFrom = placement.fetchFrom;
     this.#startedAt = placement.replica.startedAt;
+    // Without a start to tell them apart, each start has an id of its own.
+    this.upstreamIncarnation = toId<Incarnation>(
+      `${this.upstream}@${this.#startedAt ?? ""}`,
+    );
     this.#grantedAt = options.clock.now();
     const ownTokens = placement.ownTokens - placement.fetchedTokens;
     this.#work = loads.addOwn(this.upstream, {
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -9,6 +9,7 @@
   type Placement,
   type PlacementNeeds,
 } from "./placement_choice.ts";
+import { type Random, SystemRandom } from "../random.ts";
 import { Locality } from "./locality.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
@@ -25,30 +26,42 @@
   dataCentre: DataCentre;
   /** Replicas elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
+  /** Whether replicas crashed under it that it may have crashed. */
+  isSuspect?: boolean | undefined;
+}
+
+/** What the choice needs beside the replicas and what is known of them. */
+export interface ReplicaChooserOptions {
+  locality: Locality;
+  random: Random;
 }
 
 /** Chooses among the replicas that are listed. */
 export class ReplicaChooser {
   readonly #directory: ReplicaDirectory;
   readonly #state: PlacementState;
-  readonly #locality: Locality;
+  readonly #options: ReplicaChooserOptions;
 
   constructor(
     directory: ReplicaDirectory,
     state: PlacementState,
-    locality: Locality,
+    options: ReplicaChooserOptions,
   ) {
     this.#directory = directory;
     this.#state = state;
-    this.#locality = locality;
+    this.#options = options;
   }
 
   static create(
     directory: ReplicaDirectory,
     state: PlacementState,
-    locality: Locality = Locality.create(new Map()),
+    options: Partial<ReplicaChooserOptions> = {},
   ): ReplicaChooser {
-    return new ReplicaChooser(directory, state, locality);
+    const {
+      locality = Locality.create(new Map()),
+      random = SystemRandom.create(),
+    } = options;
+    return new ReplicaChooser(directory, state, { locality, random });
   }
 
   /**
@@ -59,10 +72,11 @@
     const { slowStart } = this.#state;
     const withRoom = this.#listCandidates(request)
       .filter((replica) => slowStart.hasRoom(replica));
-    const onTime = this.#chooseAmong(withRoom, request);
+    const candidates = request.isSuspect ? this.#pickApart(withRoom) : withRoom;
+    const onTime = this.#chooseAmong(candidates, request);
     if (onTime !== undefined || request.targetMs === undefined) return onTime;
     const late = { ...request, targetMs: undefined, isDeferred: true };
-    const placement = this.#chooseAmong(withRoom, late);
+    const placement = this.#chooseAmong(candidates, late);
     return placement && { ...placement, isDeferred: true };
   }
 
@@ -94,6 +108,21 @@
     return placement;
   }
 
+  /**
+   * What was cut by one crash would all go to the replica that is best for it,
+   * mostly the same, and would be cut together again: then nothing tells the
+   * request that crashes replicas from those beside it. Spread at random, few
+   * are beside it twice.
+   */
+  #pickApart(candidates: readonly ListedReplica[]): ListedReplica[] {
+    const { loads } = this.#state;
+    const free = candidates.filter(({ id, slots }) =>
+      loads.getLoad(id).running < slots
+    );
+    return this.#options.random
+      .pickSome(free.length > 0 ? free : candidates, 1);
+  }
+
   #chooseAmong(
     candidates: readonly ListedReplica[],
     request: PlacementRequest,
@@ -108,7 +137,7 @@
     const { health } = this.#state;
     const ready = this.#directory.listReady(request.pool)
       .filter(({ dataCentre }) =>
-        this.#locality.isWithin(dataCentre, request.regions)
+        this.#options.locality.isWithin(dataCentre, request.regions)
       );
     const isUntried = ({ id }: ListedReplica) => !request.avoid.includes(id);
     const well = ready.filter(({ id }) => !health.isEjected(id));
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -22,6 +22,7 @@
   PrefixPriming,
   type ReplicaDirectory,
 } from "./placement/index.ts";
+import type { RequestQuarantine, SuspectEntry } from "./quarantine/index.ts";
 import type { Random } from "./random.ts";
 import { pickRendezvousFirst } from "./rendezvous.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -34,6 +35,7 @@
   PeerCalls,
   type PublishedStore,
   StateFollower,
+  SuspectNews,
 } from "./seeded_fleet/index.ts";
 
 /** What the fleet's side is made of. */
@@ -47,6 +49,7 @@
   replicas: ReplicaDirectory;
   locality: Locality;
   placement: PlacementState;
+  quarantine: RequestQuarantine;
   getSettings: () => RoutedSettings;
   createTransport: (
     findAddress: HttpTransportOptions["findAddress"],
@@ -67,6 +70,7 @@
   readonly #peers: HttpUpstreamTransport;
   readonly #priming: PrefixPriming;
   readonly #owned: OwnedPlacement;
+  readonly #suspects: SuspectNews;
   readonly #ended = new AbortController();
 
   constructor(options: RoutedFleetOptions) {
@@ -87,6 +91,8 @@
       takeWork: () => this.#owned.takeWork(),
       listOwners: () => this.#owned.listOwners(),
       onHeartbeat: (peer) => this.#notePeer(peer),
+      onSuspects: (entries, from) => options.quarantine.noteNews(from, entries),
+      listSuspects: () => this.#suspects.listPressing(),
       onAsk: (ask) => this.#owned.answerAsk(ask),
       onAnswer: (answer) => this.#owned.noteAnswer(answer),
     });
@@ -98,6 +104,13 @@
       getSelf: () => this.#buildMember(),
       send: (to, message) => this.#heartbeats.send(to, message),
     });
+    this.#suspects = SuspectNews.create({
+      clock,
+      random,
+      listLive: () => this.listLive(),
+      send: (to, message) => this.#heartbeats.send(to, message),
+      listEntries: (count) => options.quarantine.listEntries(count),
+    });
     this.follower = StateFollower.create({
       vm,
       clock,
@@ -126,6 +139,7 @@
   start(): void {
     this.follower.start();
     this.#heartbeats.start();
+    this.#suspects.start();
     void this.#priming.run(this.#ended.signal);
   }
 
@@ -133,6 +147,7 @@
     this.#ended.abort();
     this.follower.stop();
     this.#heartbeats.stop();
+    this.#suspects.stop();
     this.#options.link.close();
     this.#peers.close();
   }
@@ -157,6 +172,11 @@
     this.#heartbeats.announceNews();
   }
 
+  /** Tells the others of evidence against requests. */
+  announceSuspects(entries: readonly SuspectEntry[]): void {
+    this.#suspects.announce(entries);
+  }
+
   /** Tells the others at once what callers depend on. */
   announceAtOnce(): void {
     this.#heartbeats.announceAtOnce();
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -19,6 +19,7 @@
 } from "./placement/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
+import type { Quarantine } from "./services.ts";
 import { UnlimitedSource } from "./unlimited_source.ts";
 
 /**
@@ -36,6 +37,7 @@
 export interface RoutedParts extends LocalEnvironment {
   /** The whole fleet's retries. */
   settings: { retryShare: number; retryReserve: number };
+  quarantine: Quarantine;
   replicas: ReplicaDirectory;
   locality: Locality;
   placement: PlacementState;
@@ -76,6 +78,7 @@
         return BUDGET_SHARE * settings.retryReserve / vms;
       },
     }),
+    quarantine: parts.quarantine,
     metrics: parts.metrics,
     answers: AnswerStore.create({ maxBytes: 0 }),
     isDraining: parts.isDraining,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -5,6 +5,7 @@
  */
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { PlacementState, ReplicaDirectory } from "./placement/index.ts";
+import type { RequestQuarantine } from "./quarantine/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import type { FleetPeer } from "./seeded_fleet/index.ts";
 
@@ -16,6 +17,7 @@
   incarnation: string;
   replicas: ReplicaDirectory;
   placement: PlacementState;
+  quarantine: RequestQuarantine;
   getSnapshot: () => RoutedSnapshot | undefined;
   isServing: () => boolean;
   isDraining: () => boolean;
@@ -45,6 +47,11 @@
       configuration_version: heartbeat.configVersion,
       list_revision: heartbeat.listRevision,
     })),
+    quarantined: parts.quarantine.listHeld().map((request) => ({
+      fingerprint: request.fingerprint,
+      crashes: request.crashes,
+      left_ms: Math.round(request.leftMs),
+    })),
     evacuated: parts.replicas.getList().evacuated ?? [],
     replicas: parts.replicas.getList().replicas.map((replica) => ({
       id: replica.id,
@@ -84,6 +91,14 @@
     help: "Data centres whose replicas get nothing new",
     read: () => parts.replicas.getList().evacuated?.length ?? 0,
   });
+  metrics.addGauge("quarantined_requests", {
+    help: "Requests kept from replicas, which crashed under them",
+    read: () => parts.quarantine.listHeld().length,
+  });
+  metrics.addGauge("suspect_requests", {
+    help: "Requests under which a replica crashed, not answered since",
+    read: () => parts.quarantine.countSuspects(),
+  });
   metrics.addGauge("ejected_replicas", {
     help: "Replicas that are left out for failures",
     read: () => countEjected(parts),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -29,6 +29,7 @@
   PlacementState,
   ReplicaDirectory,
 } from "./placement/index.ts";
+import { RequestQuarantine } from "./quarantine/index.ts";
 import { type Random, SystemRandom } from "./random.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
 import {
@@ -87,6 +88,7 @@
   readonly #upstreams: HttpUpstreamTransport;
   readonly #locality: Locality;
   readonly #placement: PlacementState;
+  readonly #quarantine: RequestQuarantine;
   readonly #handler: RoutedHandler;
   readonly #callers: CallerListener;
   readonly #state: AnsweringListener;
@@ -126,6 +128,11 @@
           this.#fleet?.getShare(pool) ?? { role: "equal", others: [] },
       },
     });
+    this.#quarantine = RequestQuarantine.create({
+      clock: this.#clock,
+      log: this.#log,
+      announce: (entries) => this.#fleet?.announceSuspects(entries),
+    });
     this.#handler = this.#createHandler();
     this.#callers = CallerListener.create({
       clock: this.#clock,
@@ -257,6 +264,7 @@
         log: this.#log,
         upstreams: this.#upstreams,
         settings: this.#settings,
+        quarantine: this.#quarantine,
         replicas: this.replicas,
         locality: this.#locality,
         placement: this.#placement,
@@ -295,6 +303,7 @@
       replicas: this.replicas,
       locality: this.#locality,
       placement: this.#placement,
+      quarantine: this.#quarantine,
       getSettings: () => this.#settings,
       createTransport: (findAddress) => this.#createTransport(findAddress),
       fetchCachedParts: (id) => fetchCachedParts(this.#upstreams, id),
@@ -320,6 +329,7 @@
       incarnation: this.#incarnation,
       replicas: this.replicas,
       placement: this.#placement,
+      quarantine: this.#quarantine,
       getSnapshot: () => this.getSnapshot(),
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -25,6 +25,7 @@
 import { OrderGiver } from "./orders/index.ts";
 import type { PeerApi, StatsAnswer } from "./peer_api.ts";
 import { Prober } from "./prober.ts";
+import { RequestQuarantine } from "./quarantine/index.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
 import { ProcessRunClaims } from "./run_claims.ts";
@@ -71,6 +72,7 @@
   readonly limits: WorkspaceLimits;
   readonly claims: ProcessRunClaims;
   readonly fates: FateStore;
+  readonly quarantine: RequestQuarantine;
   readonly fateFinder: FateFinder;
   readonly metrics: ProcessMetrics;
   readonly #environment: Environment;
@@ -130,6 +132,11 @@
     });
     this.claims = ProcessRunClaims.create(environment);
     this.fates = FateStore.create();
+    this.quarantine = RequestQuarantine.create({
+      clock: environment.clock,
+      log: environment.log,
+      announce: () => {},
+    });
     this.#answers = AnswerStore.create(
       options.retainedAnswersBytes === undefined
         ? {}
@@ -260,6 +267,7 @@
         clock: environment.clock,
         getShare: () => this.getSnapshot()?.policy.retryShare ?? NO_RETRIES,
       }),
+      quarantine: this.quarantine,
       metrics: this.metrics,
       answers: this.#answers,
       isDraining: () => this.#isDraining,
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -12,6 +12,7 @@
 import type { Clock } from "../clock.ts";
 import { EarliestTimer } from "../earliest_timer.ts";
 import type { Log } from "../log.ts";
+import type { SuspectEntry } from "../quarantine/index.ts";
 import type { Random } from "../random.ts";
 import type { DatagramLink } from "./datagram_link.ts";
 import { HEARTBEAT_EVERY_MS, HeartbeatInterval } from "./heartbeat_interval.ts";
@@ -83,6 +84,9 @@
   /** Who places requests; undefined where each VM does. */
   listOwners: () => ReadonlySet<VmId> | undefined;
   onHeartbeat: (peer: FleetPeer) => void;
+  /** As `MessageReceiverOptions`. */
+  onSuspects: (entries: SuspectEntry[], from: Endpoint) => SuspectEntry[];
+  listSuspects: () => SuspectEntry[];
   onAsk: (ask: AskMessage) => AnswerMessage;
   onAnswer: (answer: AnswerMessage) => void;
 }
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -12,6 +12,7 @@
   Incarnation,
   PoolName,
   Region,
+  RequestFingerprint,
   VmId,
 } from "../../ids.ts";
 import { toError } from "../../errors.ts";
@@ -92,6 +93,16 @@
   vms: z.array(z.tuple([VM, COUNT])),
 });
 
+const SUSPECTS = z.object({
+  kind: z.literal("suspects"),
+  /** Requests that replicas crashed under, when, and their last answer. */
+  entries: z.array(z.tuple([
+    TEXT.transform((text) => text as RequestFingerprint),
+    z.array(z.tuple([TEXT.transform((text) => text as Incarnation), COUNT])),
+    COUNT,
+  ])),
+});
+
 const ASK = z.object({
   kind: z.literal("ask"),
   vm: VM,
@@ -106,6 +117,8 @@
   isInteractive: z.boolean(),
   targetMs: COUNT.optional(),
   regions: z.array(TEXT.transform((text) => text as Region)).optional(),
+  /** Whether replicas crashed under it that it may have crashed. */
+  isSuspect: z.boolean().optional(),
 });
 
 const PLACED = z.object({
@@ -133,6 +146,7 @@
   ALIVE,
   MEMBERS,
   SILENT,
+  SUSPECTS,
   ASK,
   ANSWER,
 ]);
@@ -146,6 +160,7 @@
   alive: listNames(ALIVE),
   members: listNames(MEMBERS),
   silent: listNames(SILENT),
+  suspects: listNames(SUSPECTS),
   ask: listNames(ASK),
   answer: listNames(ANSWER),
 };
--- a/src/process/seeded_fleet/message_receiver.ts
+++ b/src/process/seeded_fleet/message_receiver.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { Log } from "../log.ts";
+import type { SuspectEntry } from "../quarantine/index.ts";
 import type { DatagramLink } from "./datagram_link.ts";
 import {
   type AnswerMessage,
@@ -20,6 +21,7 @@
 } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import type { HeartbeatTargets } from "./heartbeat_targets.ts";
+import { buildSuspectMessages } from "./suspect_news.ts";
 
 /** A VM that hears so much of what another one hears needs no list of it. */
 const FULL_SHARE = 0.8;
@@ -35,6 +37,10 @@
   /** Sends a heartbeat without news. */
   sendPlain: (to: ReadonlySet<Endpoint>) => void;
   onHeartbeat: (peer: FleetPeer) => void;
+  /** Returns what the sender should know better. */
+  onSuspects: (entries: SuspectEntry[], from: Endpoint) => SuspectEntry[];
+  /** What a VM that was not heard before is to know at once. */
+  listSuspects: () => SuspectEntry[];
   onAsk: (ask: AskMessage) => AnswerMessage;
   onAnswer: (answer: AnswerMessage) => void;
 }
@@ -84,6 +90,9 @@
       .with({ kind: "silent" }, ({ vms }) => {
         for (const [vm, ms] of vms) this.#options.peers.noteSilent(vm, ms);
       })
+      .with({ kind: "suspects" }, ({ entries }) => {
+        this.#sendSuspects(from, this.#options.onSuspects(entries, from));
+      })
       .with({ kind: "ask" }, (ask) => {
         link.send(from, encodeMessage(onAsk(ask)));
       })
@@ -101,8 +110,8 @@
 
   /**
    * Makes itself known to a VM that was unknown, and tells it whom this VM
-   * hears if it hears few: when a whole fleet starts, each VM would else send
-   * the list of all to each.
+   * hears, and which requests are suspect, if it hears few: when a whole fleet
+   * starts, each VM would else send the list of all to each.
    */
   #answerNew(heartbeat: FleetHeartbeat, to: Endpoint): void {
     this.#options.sendPlain(new Set([to]));
@@ -111,6 +120,13 @@
     if (heartbeat.heard >= FULL_SHARE * endpoints.length) return;
     const message: MembersMessage = { kind: "members", endpoints };
     this.#options.link.send(to, encodeMessage(message));
+    this.#sendSuspects(to, this.#options.listSuspects());
+  }
+
+  #sendSuspects(to: Endpoint, entries: readonly SuspectEntry[]): void {
+    for (const message of buildSuspectMessages(entries)) {
+      this.#options.link.send(to, encodeMessage(message));
+    }
   }
 
   /** Makes itself known to VMs that it had not heard of. */
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -6,10 +6,12 @@
 import type { Endpoint } from "../connection/endpoint.ts";
 import type {
   ClassName,
+  Incarnation,
   LeaseId,
   ModelName,
   PoolName,
   Region,
+  RequestFingerprint,
   RequestId,
   VmId,
   WorkspaceName,
@@ -51,6 +53,8 @@
   latePriority?: number;
   /** Upstreams elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
+  /** Whether replicas crashed under it that it may have crashed. */
+  isSuspect?: boolean;
   avoid: VmId[];
 }
 
@@ -66,6 +70,8 @@
   abstract readonly lease: LeaseId;
   abstract readonly upstream: VmId;
   abstract readonly priority: number;
+  /** Which life of the upstream has the work, where that is known. */
+  readonly upstreamIncarnation?: Incarnation;
   /** What decided for this upstream, for the log. */
   readonly reason?: string;
   /** Another upstream that can hand over parts of the prompt. */
@@ -156,6 +162,21 @@
   abstract takeRetry(pool: PoolName): boolean;
 }
 
+/** Requests that are kept from replicas because replicas crash under them. */
+export abstract class Quarantine {
+  /** How long a request must not be sent, in milliseconds; 0 if it may. */
+  abstract getHeldMs(fingerprint: RequestFingerprint): number;
+  /** Whether a replica crashed under it that it may have crashed. */
+  abstract isSuspect(fingerprint: RequestFingerprint): boolean;
+  /** Takes in that a replica broke off while it had the request. */
+  abstract noteCrash(
+    fingerprint: RequestFingerprint,
+    replica: { id: VmId; incarnation: Incarnation | undefined },
+  ): void;
+  /** Takes in that a replica answered it whole. */
+  abstract noteAnswered(fingerprint: RequestFingerprint): void;
+}
+
 /** Figures of finished requests. */
 export abstract class RequestMetrics {
   abstract noteStep(className: ClassName, step: string, ms: number): void;
--- a/src/request/request_services.ts
+++ b/src/request/request_services.ts
@@ -12,6 +12,7 @@
 import type {
   LeaseSource,
   LimitSource,
+  Quarantine,
   RequestMetrics,
   RetryBudget,
   RunClaims,
@@ -28,6 +29,7 @@
   claims: RunClaims;
   fates: FateStore;
   budget: RetryBudget;
+  quarantine: Quarantine;
   metrics: RequestMetrics;
   answers: AnswerStore;
   isDraining: () => boolean;
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -21,11 +21,14 @@
   options: { failure: TryFailure; tries: number; sends: number },
 ): void {
   const { failure, tries, sends } = options;
-  const giveUp = (why: string): RefusalError =>
+  const giveUp = (
+    why: string,
+    retryAfterMs = FAILED_RETRY_AFTER_MS,
+  ): RefusalError =>
     createRefusal(run, {
       code: failure.code,
       message: `${failure.message}; ${why}`,
-      retryAfterMs: FAILED_RETRY_AFTER_MS,
+      retryAfterMs,
     });
   // Work that may run at most once: once a byte is out nobody can tell what
   // the upstream did with it, and a second send could double a slot hold.
@@ -35,6 +38,8 @@
   if (tries >= MAX_TRIES || sends >= work.maxSends) {
     throw giveUp("no more tries are made");
   }
+  const heldMs = getHeldMs(run);
+  if (heldMs > 0) throw giveUp("replicas crash under the request", heldMs);
   checkCanContinue(run, work, failure.message);
   // A try that never reached an upstream loads none of those that are left.
   if (!failure.wasSent) return;
@@ -63,6 +68,25 @@
   }
 }
 
+/**
+ * Throws where the request is held back because replicas crash under it, after
+ * `onHeld`. Without this it ends one replica after the other: resumed by its VM
+ * and repeated by its caller, each attempt under an id that nobody knows yet.
+ */
+export function checkQuarantine(
+  run: RequestRun,
+  onHeld: () => void = () => {},
+): void {
+  const heldMs = getHeldMs(run);
+  if (heldMs === 0) return;
+  onHeld();
+  throw createRefusal(run, {
+    code: "quarantined",
+    message: "Replicas crash under this request; it is kept from them",
+    retryAfterMs: heldMs,
+  });
+}
+
 /**
  * Whether a silent try should go on: its replica works on what came before, or
  * nothing could take the try's place.
@@ -90,3 +114,8 @@
   const outcome = run.getOutcome();
   return new RefusalError({ ...refusal, outcome });
 }
+
+/** How long the request must not be sent, in whole milliseconds. */
+function getHeldMs({ services, start }: RequestRun): number {
+  return Math.ceil(services.quarantine.getHeldMs(start.fingerprint));
+}
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -11,6 +11,7 @@
 import type { RequestRun } from "./request_run.ts";
 import {
   checkCanContinue,
+  checkQuarantine,
   checkRetry,
   createRefusal,
   FAILED_RETRY_AFTER_MS,
@@ -51,9 +52,11 @@
   let tries = 0;
   let sends = 0;
   for (let attempt = 1; attempt <= MAX_LEASES; attempt++) {
+    checkQuarantine(run);
     const lease = await acquireLease(run, work, { attempt, avoid });
     const end = await runTry(run, work, lease);
     if (end.kind === "answered") {
+      run.services.quarantine.noteAnswered(run.start.fingerprint);
       noteCallerGone(run);
       return;
     }
@@ -98,6 +101,7 @@
       deadlineAt: run.deadlineAt,
       idempotent: start.idempotent,
       avoid: [...options.avoid],
+      isSuspect: services.quarantine.isSuspect(start.fingerprint),
       ...work.buildLeaseNeeds(),
     }, {
       signal: start.sink.signal,
@@ -217,6 +221,7 @@
       message: "The target passed before the work was sent",
     });
   }
+  checkQuarantine(run, () => lease.release("unused", NO_PROGRESS));
   if (lease.isValid() && !lease.preempted.aborted) return undefined;
   run.note("retried", {
     peer: lease.upstream,
@@ -233,6 +238,12 @@
   const { lease, progress } = options;
   const failure = toFailure(error, lease.upstream);
   if (failure.mayHaveRun) run.noteMayHaveRun();
+  if (failure.isConnectionLost) {
+    run.services.quarantine.noteCrash(run.start.fingerprint, {
+      id: lease.upstream,
+      incarnation: lease.upstreamIncarnation,
+    });
+  }
   if (run.start.sink.signal.aborted) {
     lease.release("cancelled", progress.getProgress());
     return { kind: "cancelled" };
--- a/src/request/try_failure.ts
+++ b/src/request/try_failure.ts
@@ -12,6 +12,8 @@
 import type { RefusalCode } from "../outcome.ts";
 import { BrokenAnswerError } from "./upstream_work.ts";
 
+const LOST_KINDS: ReadonlySet<UpstreamErrorKind> = new Set(["broken", "write"]);
+
 /** A try that gave the caller no whole answer. */
 export interface TryFailure {
   upstream: VmId;
@@ -21,6 +23,8 @@
   mayHaveRun: boolean;
   /** Whether a byte of the request was written. */
   wasSent: boolean;
+  /** Whether the upstream's side of the connection ended under the request. */
+  isConnectionLost: boolean;
 }
 
 /** Says what an error of a try means. */
@@ -32,6 +36,7 @@
       message: error.message,
       mayHaveRun: error.mayHaveRun,
       wasSent: error.mayHaveRun,
+      isConnectionLost: error.mayHaveRun && LOST_KINDS.has(error.kind),
     };
   }
   const notStarted = error instanceof BrokenAnswerError && error.notStarted;
@@ -41,6 +46,7 @@
     message: error.message,
     mayHaveRun: !notStarted,
     wasSent: true,
+    isConnectionLost: false,
   };
 }
 
--- a/test/connection/refusal_body_test.ts
+++ b/test/connection/refusal_body_test.ts
@@ -13,6 +13,7 @@
   rate_limited: 429,
   queue_full: 503,
   deadline_unreachable: 503,
+  quarantined: 503,
   shed: 503,
   draining: 503,
   no_upstream: 503,
--- a/test/platform/poison_request_test.ts
+++ b/test/platform/poison_request_test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, it } from "vitest";
 import type { StandInCall } from "../../standin/http_stand_in.ts";
+import { waitUntil } from "../support/loopback.ts";
 import { buildConfiguration, KEY } from "./configurations.ts";
 import { PlatformFleet, sendRequest, type TestVm } from "./platform_fleet.ts";
 import type { TestAnswer } from "./caller_call.ts";
@@ -23,15 +24,23 @@
   key?: string;
 }
 
-function isPoison({ path, headers, body }: StandInCall): boolean {
-  return path === PATH && headers["x-tenant"] === "tenant-1" &&
+function isPoison(
+  { path, headers, body }: StandInCall,
+  poisonPath: string,
+): boolean {
+  return path === poisonPath && headers["x-tenant"] === "tenant-1" &&
     new TextDecoder().decode(body) === POISON;
 }
 
 /** VMs and replicas that crash under the poison request. */
-async function createPoisonedFleet(vms: number): Promise<PlatformFleet> {
+async function createPoisonedFleet(
+  vms: number,
+  path = PATH,
+): Promise<PlatformFleet> {
   const fleet = await PlatformFleet.create({ replicas: 8, vms });
-  fleet.replicas.forEach((replica) => replica.isPoison = isPoison);
+  for (const replica of fleet.replicas) {
+    replica.isPoison = (call) => isPoison(call, path);
+  }
   const configuration = buildConfiguration(2, { otherKeys: [OTHER_KEY] });
   fleet.store.put("op/config", configuration);
   return fleet;
@@ -53,31 +62,38 @@
     if (!hasCrashed || known.has(nextId)) continue;
     fleet.store.remove(`servers/${id}`);
     const replica = await fleet.addReplica(nextId);
-    replica.isPoison = isPoison;
+    replica.isPoison = fleet.replicas[0]!.isPoison;
   }
 }
 
 /** Sends the poison again and again, at one VM after the other. */
 async function sendRepeatedly(
   fleet: PlatformFleet,
+  path = PATH,
   sendBeside: () => Promise<unknown> = () => Promise.resolve(),
 ): Promise<void> {
   for (let repeat = 0; repeat < REPEATS; repeat++) {
     const vm = fleet.vms[repeat % fleet.vms.length]!;
-    await Promise.all([send({ vm, body: POISON }), sendBeside()]);
+    await Promise.all([send({ vm, body: POISON, path }), sendBeside()]);
     await replaceCrashed(fleet);
     await sleep(REPEAT_EVERY_MS);
   }
 }
 
 function countPoisonRuns(fleet: PlatformFleet): number {
-  return fleet.replicas.flatMap(({ ran }) => ran.filter(isPoison)).length;
+  return fleet.replicas
+    .flatMap(({ ran, isPoison }) => ran.filter((call) => isPoison(call)))
+    .length;
 }
 
 // Seen: model replicas ended one after the other, up to three in a second, and
 // callers of a class got 502 until the waves of endings were over.
 // How it came about: one request ended the replica that began it, its VM sent
 // it on to another, and its caller sent it again at other VMs.
+// Cause: what a request had done to a replica was forgotten with its attempt:
+// the next one had another id, mostly at another VM.
+// Proof: each ending struck one request that had just begun, of one workspace;
+// with method, path, caller and body remembered the waves stay away.
 it("a request that crashes replicas is kept from them soon", async () => {
   const fleet = await createPoisonedFleet(3);
   await sendRepeatedly(fleet);
@@ -85,6 +101,29 @@
     .toBeLessThanOrEqual(KNOWN_AFTER + ALLOWED_RETRIES);
 });
 
+it("it is kept from them by a VM that starts after it was known", async () => {
+  const fleet = await createPoisonedFleet(3);
+  await sendRepeatedly(fleet);
+  const before = countPoisonRuns(fleet);
+  const fresh = await fleet.addVm();
+  await waitUntil(() => fresh.vm.listEntries().length === 4);
+  await sleep(REPEAT_EVERY_MS);
+  const answer = await send({ vm: fresh, body: POISON });
+  // Nothing of this attempt was sent, and its caller is told so.
+  expect(answer.status).toBe(503);
+  expect(Number(answer.headers["retry-after"])).toBeGreaterThan(1);
+  expect(countPoisonRuns(fleet)).toBe(before);
+});
+
+for (const path of ["/safe/x", "/unsafe/x", "/stream/x"]) {
+  it(`it is kept from them on ${path}`, async () => {
+    const fleet = await createPoisonedFleet(3, path);
+    await sendRepeatedly(fleet, path);
+    expect(countPoisonRuns(fleet))
+      .toBeLessThanOrEqual(KNOWN_AFTER + ALLOWED_RETRIES);
+  });
+}
+
 it("what shares path, caller or body with it is served", async () => {
   const fleet = await createPoisonedFleet(2);
   await sendRepeatedly(fleet);
@@ -107,6 +146,7 @@
   let next = 0;
   await sendRepeatedly(
     fleet,
+    PATH,
     () => sendAll(fleet.vms[next++ % fleet.vms.length]!),
   );
   for (const vm of fleet.vms) {
--- a/test/process/placement/locality_test.ts
+++ b/test/process/placement/locality_test.ts
@@ -38,7 +38,9 @@
     [toId("south-1"), SOUTH],
     [toId("west-1"), WEST],
   ]);
-  return ReplicaChooser.create(directory, state, Locality.create(regions));
+  return ReplicaChooser.create(directory, state, {
+    locality: Locality.create(regions),
+  });
 }
 
 function choose(chooser: ReplicaChooser, regions?: Region[]) {
--- a/test/process/placement/replica_chooser_test.ts
+++ b/test/process/placement/replica_chooser_test.ts
@@ -10,12 +10,14 @@
   ReplicaChooser,
   ReplicaDirectory,
 } from "../../../src/process/placement/index.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const VMS = 18;
 const REPLICAS = ["i-1", "i-2", "i-3"].map((id) => toId<VmId>(id));
 
 function createChooser() {
+  const random = SeededRandom.create(1);
   const directory = ReplicaDirectory.create();
   directory.apply({
     revision: 1,
@@ -34,7 +36,10 @@
     onNews: () => {},
     onEjected: () => {},
   });
-  return { state, chooser: ReplicaChooser.create(directory, state) };
+  return {
+    state,
+    chooser: ReplicaChooser.create(directory, state, { random }),
+  };
 }
 
 // Symptom: requests wait at one replica while others have nothing to do.
@@ -78,3 +83,24 @@
     expect(chooser.chooseFor(toId("vm-1"), 1, request)).toBeUndefined();
   });
 });
+
+// Guards against requests that one crash cut meeting again at the next replica:
+// nothing would tell the one that crashes replicas from those beside it.
+it("suspects are spread, and not sent to the best replica", () => {
+  const { chooser } = createChooser();
+  const chosen = Array.from({ length: 60 }, () =>
+    chooser.choose({
+      pool: toId("pool"),
+      avoid: [REPLICAS[0]!],
+      dataCentre: toId("dc"),
+      parts: ["shared", "own"],
+      partTokens: [500, 100],
+      promptTokens: 600,
+      isInteractive: true,
+      isSuspect: true,
+    })!.replica.id);
+  const counts = REPLICAS.map((id) => chosen.filter((each) => each === id));
+  expect(counts[0]).toEqual([]);
+  expect(counts[1]!.length).toBeGreaterThan(10);
+  expect(counts[2]!.length).toBeGreaterThan(10);
+});
--- /dev/null
+++ b/test/process/quarantine/crash_ledger_test.ts
@@ -0,0 +1,122 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import {
+  type Incarnation,
+  type RequestFingerprint,
+  toId,
+} from "../../../src/ids.ts";
+import {
+  CrashLedger,
+  HELD_CRASHES,
+  type SuspectEntry,
+} from "../../../src/process/quarantine/crash_ledger.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const REQUEST = toId<RequestFingerprint>("request");
+const FIRST_HOLD_MS = 600_000;
+const SUSPICION_MS = 600_000;
+
+function createLedger(): { clock: VirtualClock; ledger: CrashLedger } {
+  const clock = VirtualClock.create();
+  return { clock, ledger: CrashLedger.create(clock) };
+}
+
+function addCrashes(ledger: CrashLedger, count: number, first = 0): void {
+  for (let index = first; index < first + count; index++) {
+    ledger.addCrash(REQUEST, toId<Incarnation>(`i-${index}`));
+  }
+}
+
+describe("a request under which replicas crash", () => {
+  it("is held once three have", () => {
+    const { ledger } = createLedger();
+    addCrashes(ledger, HELD_CRASHES - 1);
+    expect(ledger.getHeldMs(REQUEST)).toBe(0);
+    addCrashes(ledger, 1, HELD_CRASHES);
+    expect(ledger.getHeldMs(REQUEST)).toBe(FIRST_HOLD_MS);
+  });
+
+  // Guards against taking what one crash cut several times for several crashes.
+  it("is not held for one crash that is told again and again", () => {
+    const { ledger } = createLedger();
+    for (let time = 0; time < 10; time++) addCrashes(ledger, 1);
+    expect(ledger.countCrashes(REQUEST)).toBe(1);
+    expect(ledger.getHeldMs(REQUEST)).toBe(0);
+  });
+
+  it("is held twice as long after one crash more", async () => {
+    const { clock, ledger } = createLedger();
+    addCrashes(ledger, HELD_CRASHES);
+    await clock.run(FIRST_HOLD_MS);
+    expect(ledger.getHeldMs(REQUEST)).toBe(0);
+    addCrashes(ledger, 1, HELD_CRASHES);
+    expect(ledger.getHeldMs(REQUEST)).toBe(2 * FIRST_HOLD_MS);
+  });
+
+  it("is free again once it was answered whole", async () => {
+    const { clock, ledger } = createLedger();
+    addCrashes(ledger, HELD_CRASHES);
+    await clock.run(1);
+    ledger.noteAnswered(REQUEST);
+    expect(ledger.getHeldMs(REQUEST)).toBe(0);
+    expect(ledger.listSuspects()).toEqual([]);
+  });
+
+  it("is free of a crash of before its answer that is heard of late", async () => {
+    const { clock, ledger } = createLedger();
+    addCrashes(ledger, HELD_CRASHES - 1);
+    await clock.run(100);
+    ledger.noteAnswered(REQUEST);
+    await clock.run(100);
+    const late: SuspectEntry = [REQUEST, [[toId("i-9"), 150]], -1];
+    ledger.mergeEntry(late);
+    expect(ledger.countCrashes(REQUEST)).toBe(0);
+  });
+
+  it("is forgotten in time where it was never held", async () => {
+    const { clock, ledger } = createLedger();
+    addCrashes(ledger, 1);
+    await clock.run(SUSPICION_MS);
+    expect(ledger.countCrashes(REQUEST)).toBe(0);
+    expect(ledger.listSuspects()).toEqual([]);
+  });
+});
+
+describe("a ledger", () => {
+  // Guards against a crowded replica's crash pushing out what is held.
+  it("keeps what is held beside thousands of suspects", () => {
+    const { ledger } = createLedger();
+    addCrashes(ledger, HELD_CRASHES);
+    for (let index = 0; index < 5_000; index++) {
+      ledger.addCrash(toId(`beside-${index}`), toId("i-0"));
+    }
+    expect(ledger.getHeldMs(REQUEST)).toBeGreaterThan(0);
+    expect(ledger.listSuspects().length).toBeLessThanOrEqual(2_000);
+    expect(ledger.listSuspects()[0]).toBe(REQUEST);
+  });
+
+  it("comes to the same whatever order news has, and how often", () => {
+    const entry = fc.tuple(
+      fc.constantFrom(toId<RequestFingerprint>("a"), REQUEST),
+      fc.array(
+        fc.tuple(
+          fc.constantFrom(...["i-1", "i-2", "i-3"].map(toId<Incarnation>)),
+          fc.constant(50),
+        ),
+      ),
+      fc.constantFrom(-1, 20, 80),
+    );
+    fc.assert(
+      fc.property(fc.array(entry, { maxLength: 12 }), (entries) => {
+        const one = createLedger().ledger;
+        const other = createLedger().ledger;
+        entries.forEach((each) => one.mergeEntry(each));
+        [...entries, ...entries].reverse()
+          .forEach((each) => other.mergeEntry(each));
+        for (const request of [toId<RequestFingerprint>("a"), REQUEST]) {
+          expect(other.countCrashes(request)).toBe(one.countCrashes(request));
+        }
+      }),
+    );
+  });
+});
--- /dev/null
+++ b/test/process/quarantine/request_quarantine_test.ts
@@ -0,0 +1,106 @@
+import { describe, expect, it } from "vitest";
+import { type RequestFingerprint, toId } from "../../../src/ids.ts";
+import { QuarantineFleet } from "./quarantine_fleet.ts";
+
+const POISON = toId<RequestFingerprint>("poison");
+const HARMLESS = toId<RequestFingerprint>("harmless");
+/** Longer than it takes to tell all VMs at once. */
+const NEWS_MS = 20;
+/** Within this, in milliseconds, all VMs have to know of a third crash. */
+const KNOWN_WITHIN_MS = 3_000;
+const ALLOWED_RETRIES = 3;
+
+describe("a request that crashes replicas", () => {
+  it("is held by all VMs after crashes that three of them saw", async () => {
+    const fleet = QuarantineFleet.create({ vms: 8 });
+    for (const vm of [0, 1, 2]) fleet.endReplica([[vm, POISON]]);
+    await fleet.clock.run(NEWS_MS);
+    expect(fleet.isHeldByAll(POISON)).toBe(true);
+  });
+
+  it("is held by a VM that starts after it was found out", async () => {
+    const fleet = QuarantineFleet.create({ vms: 8 });
+    for (const vm of [0, 1, 2]) fleet.endReplica([[vm, POISON]]);
+    await fleet.clock.run(NEWS_MS);
+    for (let vm = 0; vm < 7; vm++) {
+      fleet.startVm(vm);
+      await fleet.clock.run(KNOWN_WITHIN_MS);
+    }
+    expect(fleet.isHeldByAll(POISON)).toBe(true);
+  });
+
+  it("is held by a VM that was cut off, once it is heard again", async () => {
+    const fleet = QuarantineFleet.create({ vms: 8 });
+    fleet.isCut = (from, to) => from === 7 || to === 7;
+    for (const vm of [0, 1, 2]) fleet.endReplica([[vm, POISON]]);
+    await fleet.clock.run(KNOWN_WITHIN_MS);
+    expect(fleet.isHeldByAll(POISON)).toBe(false);
+    fleet.isCut = () => false;
+    await fleet.clock.run(KNOWN_WITHIN_MS);
+    expect(fleet.isHeldByAll(POISON)).toBe(true);
+  });
+
+  // Guards against repeats at VMs that lost datagrams or have just started.
+  for (let seed = 1; seed <= 50; seed++) {
+    it(`reaches few replicas once it is known, seed ${seed}`, async () => {
+      const fleet = QuarantineFleet.create({ vms: 8, seed, lostShare: 0.2 });
+      const { clock, random } = fleet;
+      const sentAt: number[] = [];
+      for (let repeat = 0; repeat < 60; repeat++) {
+        await clock.run(20 + random.nextInt(600));
+        if (random.next() < 0.1) {
+          // VMs of a release come back one after the other.
+          fleet.startVm(random.nextInt(8));
+          await clock.run(KNOWN_WITHIN_MS);
+        }
+        const vm = random.nextInt(8);
+        if (fleet.getQuarantine(vm).getHeldMs(POISON) > 0) continue;
+        sentAt.push(clock.now());
+        await clock.run(random.nextInt(300));
+        fleet.endReplica([[vm, POISON], [random.nextInt(8), HARMLESS]]);
+      }
+      const knownAt = sentAt[2]! + KNOWN_WITHIN_MS;
+      expect(sentAt.filter((at) => at > knownAt).length)
+        .toBeLessThanOrEqual(ALLOWED_RETRIES);
+      expect(sentAt.length).toBeGreaterThanOrEqual(3);
+    });
+  }
+});
+
+describe("a request that only was there when replicas crashed", () => {
+  it("is free at all VMs once one replica answered it whole", async () => {
+    const fleet = QuarantineFleet.create({ vms: 8 });
+    for (const vm of [0, 1, 2]) fleet.endReplica([[vm, HARMLESS]]);
+    await fleet.clock.run(NEWS_MS);
+    fleet.getQuarantine(5).noteAnswered(HARMLESS);
+    await fleet.clock.run(NEWS_MS);
+    for (let vm = 0; vm < 8; vm++) {
+      expect(fleet.getQuarantine(vm).isSuspect(HARMLESS)).toBe(false);
+    }
+  });
+
+  it("is free at a VM that missed the news of its answer", async () => {
+    const fleet = QuarantineFleet.create({ vms: 2 });
+    for (const vm of [0, 0, 0]) fleet.endReplica([[vm, HARMLESS]]);
+    await fleet.clock.run(NEWS_MS);
+    fleet.isCut = () => true;
+    fleet.getQuarantine(0).noteAnswered(HARMLESS);
+    await fleet.clock.run(NEWS_MS);
+    expect(fleet.getQuarantine(1).getHeldMs(HARMLESS)).toBeGreaterThan(0);
+    fleet.isCut = () => false;
+    await fleet.clock.run(KNOWN_WITHIN_MS);
+    expect(fleet.getQuarantine(1).isSuspect(HARMLESS)).toBe(false);
+  });
+
+  // Guards against holding back what many callers ask for when a rack goes.
+  it("is not held where it was answered just before, at any VM", async () => {
+    const fleet = QuarantineFleet.create({ vms: 8 });
+    fleet.getQuarantine(6).noteAnswered(HARMLESS);
+    await fleet.clock.run(NEWS_MS);
+    for (const vm of [0, 1, 2, 3]) fleet.endReplica([[vm, HARMLESS]]);
+    await fleet.clock.run(KNOWN_WITHIN_MS);
+    for (let vm = 0; vm < 8; vm++) {
+      expect(fleet.getQuarantine(vm).getHeldMs(HARMLESS)).toBe(0);
+    }
+  });
+});
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -115,6 +115,8 @@
     listOwners: () => owners,
     onHeartbeat: options.onHeartbeat ?? (() => {}),
     onAsk: ({ ask }) => ({ kind: "answer", ask, isFull: false }),
+    onSuspects: () => [],
+    listSuspects: () => [],
     onAnswer: () => {},
   });
   started.start();
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -18,6 +18,7 @@
   PeerApi,
   SettleCall,
 } from "../../src/process/peer_api.ts";
+import { RequestQuarantine } from "../../src/process/quarantine/index.ts";
 import { WindowRetryBudget } from "../../src/process/retry_budget.ts";
 import { ProcessRunClaims } from "../../src/process/run_claims.ts";
 import type { CallerRequest } from "../../src/request/caller_request.ts";
@@ -50,6 +51,7 @@
   readonly metrics = new FakeMetrics();
   readonly log = new FakeLog();
   readonly fates = FateStore.create();
+  readonly quarantine: RequestQuarantine;
   readonly answers = AnswerStore.create();
   readonly claims: ProcessRunClaims;
   readonly finder: FateFinder;
@@ -82,6 +84,11 @@
       upstreams: options.transport ?? this.upstreams,
       log: this.log,
     });
+    this.quarantine = RequestQuarantine.create({
+      clock,
+      log: this.log,
+      announce: () => {},
+    });
     this.claims = ProcessRunClaims.create(environment);
     const { fates, answers, claims } = this;
     this.finder = FateFinder.create({ environment, fates, answers, claims });
@@ -97,6 +104,7 @@
         clock,
         getShare: () => options.retryShare ?? 1,
       }),
+      quarantine: this.quarantine,
       metrics: this.metrics,
       isDraining: () => this.isDraining,
       entries: () => ({ entries: [] }),
