--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -18,6 +18,7 @@
   parseImported,
   parseLoadReport,
 } from "./engine_reports.ts";
+import { isListening } from "./listening_check.ts";
 import type { ClientTls } from "./tls_material.ts";
 import { createUpstreamAgent } from "./upstream_agent.ts";
 import { runUpstreamCall } from "./upstream_call.ts";
@@ -37,6 +38,8 @@
 const CACHE_COPY_LIMIT_MS = 10_000;
 const MAX_REPORT_BYTES = 4_194_304;
 const MAX_CACHE_BYTES = 268_435_456;
+/** A connection between regions stands within this. */
+const LISTENING_LIMIT_MS = 250;
 const IDLE_CONNECTION_MS = 15_000;
 const MAX_IDLE_CONNECTIONS = 256;
 const CONFLICT = 409;
@@ -114,6 +117,13 @@
     }
   }
 
+  override isListening(upstream: VmId): Promise<boolean> {
+    const { clock, findAddress } = this.#options;
+    const endpoint = findAddress(upstream);
+    if (endpoint === undefined) return Promise.resolve(false);
+    return isListening(endpoint, { clock, limitMs: LISTENING_LIMIT_MS });
+  }
+
   async fetchLoad(upstream: VmId): Promise<LoadReport> {
     const answer = await this.#fetchWhole(upstream, {
       step: "fetch_load",
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -124,6 +124,14 @@
 export abstract class UpstreamTransport {
   /** Resolves once the answer's head is there; rejects `UpstreamError`. */
   abstract send(call: UpstreamCall): Promise<UpstreamAnswer>;
+  /**
+   * Whether the upstream's process still takes connections; false where it does
+   * not, or nothing tells. Never rejects.
+   */
+  isListening(_upstream: VmId): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+
   abstract fetchLoad(upstream: VmId): Promise<LoadReport>;
   abstract fetchCacheEvents(
     upstream: VmId,
--- a/src/process/quarantine/crash_ledger.ts
+++ b/src/process/quarantine/crash_ledger.ts
@@ -5,48 +5,16 @@
  */
 import type { Incarnation, RequestFingerprint } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
+import { CrashEvidence, type SuspectEntry } from "./crash_evidence.ts";
 
-const MS_PER_MINUTE = 60_000;
-const MS_PER_HOUR = 60 * MS_PER_MINUTE;
-
-/** A request is held once so many replicas have crashed under it. */
-export const HELD_CRASHES = 3;
-/**
- * How long it is held after the last crash, in milliseconds; doubled for each
- * crash more, so that one that never stops costs a replica ever more seldom.
- */
-const FIRST_HOLD_MS = 10 * MS_PER_MINUTE;
-const LONGEST_HOLD_MS = 24 * MS_PER_HOUR;
-/** Evidence against a request that was never held lasts so long. */
-const SUSPICION_MS = 10 * MS_PER_MINUTE;
-/** Evidence is kept against so many requests, those of few crashes in part. */
+/** Evidence is kept against so many requests, held ones before others. */
 const MAX_SUSPECTS = 2_000;
-/** Crashes remembered of one request. */
-const MAX_CRASHES = 16;
-
-/** What VMs tell each other of one request; ages are in milliseconds. */
-export type SuspectEntry = [
-  fingerprint: RequestFingerprint,
-  crashes: [replica: Incarnation, ageMs: number][],
-  /** Since it was last answered whole; -1 for never. */
-  answeredAgeMs: number,
-];
 
-interface Evidence {
-  /** When each replica crashed under it, by `Clock.now()`. */
-  crashes: Map<Incarnation, number>;
-  answeredAt: number;
-}
-
-/**
- * Collects crashes by request. Evidence of all VMs is a set of replicas and the
- * time of the last whole answer: put together in any order, and more than once,
- * it comes to the same.
- */
+/** Evidence by request. */
 export class CrashLedger {
   readonly #clock: Clock;
   /** In the order in which the last evidence came. */
-  readonly #evidence = new Map<RequestFingerprint, Evidence>();
+  readonly #evidence = new Map<RequestFingerprint, CrashEvidence>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -57,66 +25,48 @@
   }
 
   /** Whether the crash was not known. */
-  addCrash(fingerprint: RequestFingerprint, replica: Incarnation): boolean {
-    return this.mergeEntry([fingerprint, [[replica, 0]], -1]);
+  addCrash(
+    fingerprint: RequestFingerprint,
+    replica: Incarnation,
+    hadOutput: boolean,
+  ): boolean {
+    return this.mergeEntry([fingerprint, [[replica, 0, hadOutput]], -1]);
   }
 
-  /** What crashed before is no evidence against a request that ran whole. */
   noteAnswered(fingerprint: RequestFingerprint): void {
-    const evidence = this.#evidence.get(fingerprint);
-    if (evidence !== undefined) evidence.answeredAt = this.#clock.now();
+    this.#evidence.get(fingerprint)?.noteAnswered(this.#clock.now());
   }
 
   /** Takes in what another VM knows; says whether any of it is new. */
-  mergeEntry([fingerprint, crashes, answeredAgeMs]: SuspectEntry): boolean {
-    const now = this.#clock.now();
-    const evidence = this.#evidence.get(fingerprint) ??
-      { crashes: new Map(), answeredAt: -Infinity };
-    const answeredAt = answeredAgeMs < 0 ? -Infinity : now - answeredAgeMs;
-    const unknown = crashes.filter(([replica]) =>
-      !evidence.crashes.has(replica)
-    );
-    if (unknown.length === 0 && answeredAt <= evidence.answeredAt) return false;
-    evidence.answeredAt = Math.max(evidence.answeredAt, answeredAt);
-    for (const [replica, ageMs] of unknown) {
-      evidence.crashes.set(replica, now - ageMs);
-    }
-    dropOldest(evidence.crashes, MAX_CRASHES);
+  mergeEntry(entry: SuspectEntry): boolean {
+    const [fingerprint] = entry;
+    const evidence = this.#findCurrent(fingerprint) ?? CrashEvidence.create();
+    if (!evidence.mergeEntry(entry, this.#clock.now())) return false;
     this.#putLast(fingerprint, evidence);
     return true;
   }
 
   /** Replicas that crashed under it since it was last answered whole. */
   countCrashes(fingerprint: RequestFingerprint): number {
-    const evidence = this.#findCurrent(fingerprint);
-    return evidence === undefined ? 0 : countCrashes(evidence);
+    return this.#findCurrent(fingerprint)?.countCrashes() ?? 0;
   }
 
   /** How long it is still held, in milliseconds; 0 if it may be sent. */
   getHeldMs(fingerprint: RequestFingerprint): number {
-    const evidence = this.#findCurrent(fingerprint);
-    if (evidence === undefined) return 0;
-    return Math.max(0, getHeldUntil(evidence) - this.#clock.now());
+    const heldUntil = this.#findCurrent(fingerprint)?.getHeldUntil() ??
+      -Infinity;
+    return Math.max(0, heldUntil - this.#clock.now());
   }
 
-  /** What is known of one request, for other VMs. */
-  buildEntry(fingerprint: RequestFingerprint): SuspectEntry | undefined {
-    const evidence = this.#findCurrent(fingerprint);
-    if (evidence === undefined) return undefined;
-    const now = this.#clock.now();
-    const crashes = [...evidence.crashes].map(([replica, at]) =>
-      [replica, Math.round(now - at)] as [Incarnation, number]
-    );
-    const answeredAgeMs = Number.isFinite(evidence.answeredAt)
-      ? Math.round(now - evidence.answeredAt)
-      : -1;
-    return [fingerprint, crashes, answeredAgeMs];
-  }
-
-  /** What is known of each of them. */
+  /** What is known of each of them, for other VMs. */
   buildEntries(fingerprints: Iterable<RequestFingerprint>): SuspectEntry[] {
-    return [...fingerprints].map((each) => this.buildEntry(each))
-      .filter((entry) => entry !== undefined);
+    const entries: SuspectEntry[] = [];
+    for (const each of fingerprints) {
+      const evidence = this.#findCurrent(each);
+      if (evidence === undefined) continue;
+      entries.push(evidence.buildEntry(each, this.#clock.now()));
+    }
+    return entries;
   }
 
   /** Requests with evidence against them, those of most crashes first. */
@@ -131,55 +81,24 @@
       .map(({ fingerprint }) => fingerprint);
   }
 
-  #putLast(fingerprint: RequestFingerprint, evidence: Evidence): void {
+  #putLast(fingerprint: RequestFingerprint, evidence: CrashEvidence): void {
     this.#evidence.delete(fingerprint);
     this.#evidence.set(fingerprint, evidence);
-    if (this.#evidence.size <= MAX_SUSPECTS) return;
+    if (this.#evidence.size > MAX_SUSPECTS) this.#dropOldest();
+  }
+
+  #dropOldest(): void {
     const [oldest] = this.#evidence.keys();
-    const dropped =
-      [...this.#evidence].find(([, each]) => countCrashes(each) < HELD_CRASHES)
-        ?.[0] ?? oldest!;
-    this.#evidence.delete(dropped);
+    const unheld = [...this.#evidence].find(([, each]) => !each.isHeldOnce());
+    this.#evidence.delete(unheld?.[0] ?? oldest!);
   }
 
   /** Undefined where nothing is known any more. */
-  #findCurrent(fingerprint: RequestFingerprint): Evidence | undefined {
+  #findCurrent(fingerprint: RequestFingerprint): CrashEvidence | undefined {
     const evidence = this.#evidence.get(fingerprint);
     if (evidence === undefined) return undefined;
-    if (this.#clock.now() < getForgottenAt(evidence)) return evidence;
+    if (this.#clock.now() < evidence.getForgottenAt()) return evidence;
     this.#evidence.delete(fingerprint);
     return undefined;
   }
 }
-
-function countCrashes({ crashes, answeredAt }: Evidence): number {
-  return [...crashes.values()].filter((at) => at > answeredAt).length;
-}
-
-function getLastCrashAt({ crashes }: Evidence): number {
-  return Math.max(-Infinity, ...crashes.values());
-}
-
-function getHeldUntil(evidence: Evidence): number {
-  const beyond = countCrashes(evidence) - HELD_CRASHES;
-  if (beyond < 0) return -Infinity;
-  const holdMs = Math.min(LONGEST_HOLD_MS, FIRST_HOLD_MS * 2 ** beyond);
-  return getLastCrashAt(evidence) + holdMs;
-}
-
-/**
- * A request that was held once is held again after one crash more, and not
- * after as many as the first time.
- */
-function getForgottenAt(evidence: Evidence): number {
-  const wasHeld = countCrashes(evidence) >= HELD_CRASHES;
-  const keptMs = wasHeld ? 2 * LONGEST_HOLD_MS : SUSPICION_MS;
-  return Math.max(getLastCrashAt(evidence), evidence.answeredAt) + keptMs;
-}
-
-function dropOldest(crashes: Map<Incarnation, number>, most: number): void {
-  while (crashes.size > most) {
-    const [oldest] = crashes.keys();
-    crashes.delete(oldest!);
-  }
-}
--- a/src/process/quarantine/index.ts
+++ b/src/process/quarantine/index.ts
@@ -3,5 +3,5 @@
  *
  * @module
  */
-export { type SuspectEntry } from "./crash_ledger.ts";
+export { type SuspectEntry } from "./crash_evidence.ts";
 export { RequestQuarantine } from "./request_quarantine.ts";
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -11,12 +11,9 @@
 } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
-import { Quarantine } from "../services.ts";
-import {
-  CrashLedger,
-  HELD_CRASHES,
-  type SuspectEntry,
-} from "./crash_ledger.ts";
+import { type BrokenReplica, Quarantine } from "../services.ts";
+import { HELD_CRASHES, type SuspectEntry } from "./crash_evidence.ts";
+import { CrashLedger } from "./crash_ledger.ts";
 
 /** Requests cut by one crash fail one after the other; all are told at once. */
 const NEWS_WAIT_MS = 5;
@@ -27,6 +24,8 @@
  */
 const TRUSTED_AFTER_ANSWER_MS = 10_000;
 
+/** What a check finds holds for so long, in milliseconds. */
+const CHECK_HOLDS_MS = 50;
 /** A replica takes longer to start again, in milliseconds. */
 const LEAST_LIFE_MS = 1_000;
 
@@ -34,6 +33,8 @@
 export interface RequestQuarantineOptions {
   clock: Clock;
   log: Log;
+  /** Whether a replica takes connections; false where nothing tells. */
+  isListening: (replica: VmId) => Promise<boolean>;
   /** Tells the other VMs. */
   announce: (entries: readonly SuspectEntry[]) => void;
 }
@@ -52,6 +53,7 @@
   readonly #ledger: CrashLedger;
   /** When requests were answered whole lately, the oldest first. */
   readonly #answers = new Map<RequestFingerprint, number>();
+  readonly #checks = new Map<Incarnation, Promise<boolean>>();
   readonly #unsent = new Set<RequestFingerprint>();
 
   constructor(options: RequestQuarantineOptions) {
@@ -72,17 +74,19 @@
     return this.#ledger.countCrashes(fingerprint) > 0;
   }
 
-  noteCrash(
+  override async noteBreak(
     fingerprint: RequestFingerprint,
-    { id, incarnation }: { id: VmId; incarnation: Incarnation | undefined },
-  ): void {
-    if (this.#isAnsweredLately(fingerprint)) return;
+    { id, incarnation, hadOutput }: BrokenReplica,
+  ): Promise<void> {
     const replica = incarnation ?? this.#buildIncarnation(id);
+    const hasCrashed = await this.#checkCrash(id, replica);
+    if (!hasCrashed || this.#isAnsweredLately(fingerprint)) return;
     const wasHeld = this.getHeldMs(fingerprint) > 0;
-    if (!this.#ledger.addCrash(fingerprint, replica)) return;
+    if (!this.#ledger.addCrash(fingerprint, replica, hadOutput)) return;
     this.#options.log.info("crash_noted", {
       fingerprint,
       replica,
+      had_output: hadOutput,
       crashes: this.#ledger.countCrashes(fingerprint),
     });
     if (!wasHeld) this.#checkHeld(fingerprint, "self");
@@ -120,8 +124,8 @@
       }
       if (isNew && !wasHeld) this.#checkHeld(fingerprint, from);
       if (this.#ledger.countCrashes(fingerprint) > 0) continue;
-      const own = this.#ledger.buildEntry(fingerprint);
-      if (own !== undefined && isSuspected(entry)) better.push(own);
+      if (!isSuspected(entry)) continue;
+      better.push(...this.#ledger.buildEntries([fingerprint]));
     }
     return better;
   }
@@ -146,6 +150,20 @@
     return this.#ledger.listSuspects().length;
   }
 
+  /**
+   * A replica that lives resets connections, too, when it has too many or fails
+   * part of its requests. One connection tells for all that it cut at once.
+   */
+  #checkCrash(id: VmId, replica: Incarnation): Promise<boolean> {
+    const { clock, isListening } = this.#options;
+    const known = this.#checks.get(replica);
+    if (known !== undefined) return known;
+    const check = isListening(id).then((isOpen) => !isOpen);
+    this.#checks.set(replica, check);
+    clock.startTimer(CHECK_HOLDS_MS, () => this.#checks.delete(replica));
+    return check;
+  }
+
   /** A replica that crashes again has started again in between. */
   #buildIncarnation(id: VmId): Incarnation {
     const span = Math.floor(this.#options.clock.now() / LEAST_LIFE_MS);
@@ -165,11 +183,12 @@
   #checkHeld(fingerprint: RequestFingerprint, from: string): void {
     const heldMs = this.getHeldMs(fingerprint);
     if (heldMs === 0) return;
-    const [, crashes] = this.#ledger.buildEntry(fingerprint)!;
+    const [entry] = this.#ledger.buildEntries([fingerprint]);
+    const replicas = entry![1].map(([replica]) => replica);
     this.#options.log.warn("request_quarantined", {
       fingerprint,
-      crashes: crashes.length,
-      replicas: crashes.slice(-HELD_CRASHES).map(([replica]) => replica).join(),
+      crashes: replicas.length,
+      replicas: replicas.slice(-HELD_CRASHES).join(),
       for_ms: Math.round(heldMs),
       from,
     });
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -131,6 +131,7 @@
     this.#quarantine = RequestQuarantine.create({
       clock: this.#clock,
       log: this.#log,
+      isListening: (replica) => this.#upstreams.isListening(replica),
       announce: (entries) => this.#fleet?.announceSuspects(entries),
     });
     this.#handler = this.#createHandler();
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -135,6 +135,7 @@
     this.quarantine = RequestQuarantine.create({
       clock: environment.clock,
       log: environment.log,
+      isListening: (upstream) => environment.upstreams.isListening(upstream),
       announce: () => {},
     });
     this.#answers = AnswerStore.create(
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -95,10 +95,17 @@
 
 const SUSPECTS = z.object({
   kind: z.literal("suspects"),
-  /** Requests that replicas crashed under, when, and their last answer. */
+  /**
+   * Requests that replicas crashed under: how long ago each did, whether there
+   * was any output before, and how long ago the request was answered whole.
+   */
   entries: z.array(z.tuple([
     TEXT.transform((text) => text as RequestFingerprint),
-    z.array(z.tuple([TEXT.transform((text) => text as Incarnation), COUNT])),
+    z.array(z.tuple([
+      TEXT.transform((text) => text as Incarnation),
+      COUNT,
+      z.boolean(),
+    ])),
     COUNT,
   ])),
 });
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -162,17 +162,28 @@
   abstract takeRetry(pool: PoolName): boolean;
 }
 
+/** A replica whose connection broke under a request. */
+export interface BrokenReplica {
+  id: VmId;
+  incarnation: Incarnation | undefined;
+  /** Whether the request had any output from it. */
+  hadOutput: boolean;
+}
+
 /** Requests that are kept from replicas because replicas crash under them. */
 export abstract class Quarantine {
   /** How long a request must not be sent, in milliseconds; 0 if it may. */
   abstract getHeldMs(fingerprint: RequestFingerprint): number;
   /** Whether a replica crashed under it that it may have crashed. */
   abstract isSuspect(fingerprint: RequestFingerprint): boolean;
-  /** Takes in that a replica broke off while it had the request. */
-  abstract noteCrash(
+  /**
+   * Takes in that a replica's connection broke under the request; resolves once
+   * it is known whether the replica crashed. Never rejects.
+   */
+  abstract noteBreak(
     fingerprint: RequestFingerprint,
-    replica: { id: VmId; incarnation: Incarnation | undefined },
-  ): void;
+    replica: BrokenReplica,
+  ): Promise<void>;
   /** Takes in that a replica answered it whole. */
   abstract noteAnswered(fingerprint: RequestFingerprint): void;
 }
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -15,12 +15,18 @@
 export const FAILED_RETRY_AFTER_MS = 1_000;
 
 /** Throws unless the work may and can be sent once more. */
-export function checkRetry(
+export async function checkRetry(
   run: RequestRun,
   work: UpstreamWork,
-  options: { failure: TryFailure; tries: number; sends: number },
-): void {
-  const { failure, tries, sends } = options;
+  options: {
+    failure: TryFailure;
+    /** Resolves once it is known whether the replica crashed. */
+    noted: Promise<void>;
+    tries: number;
+    sends: number;
+  },
+): Promise<void> {
+  const { failure, noted, tries, sends } = options;
   const giveUp = (
     why: string,
     retryAfterMs = FAILED_RETRY_AFTER_MS,
@@ -38,6 +44,7 @@
   if (tries >= MAX_TRIES || sends >= work.maxSends) {
     throw giveUp("no more tries are made");
   }
+  await noted;
   const heldMs = getHeldMs(run);
   if (heldMs > 0) throw giveUp("replicas crash under the request", heldMs);
   checkCanContinue(run, work, failure.message);
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -36,7 +36,8 @@
   /** The lease lapsed before anything was sent. */
   | { kind: "lapsed" }
   | { kind: "preempted" }
-  | { kind: "failed"; failure: TryFailure };
+  /** `noted` resolves once it is known whether the replica crashed. */
+  | { kind: "failed"; failure: TryFailure; noted: Promise<void> };
 
 /**
  * Gets the work done. Resolves when the caller has the whole answer; throws
@@ -69,7 +70,7 @@
     tries++;
     if (end.failure.wasSent) sends++;
     avoid.push(end.failure.upstream);
-    checkRetry(run, work, { failure: end.failure, tries, sends });
+    await checkRetry(run, work, { ...end, tries, sends });
     run.note("retried", { detail: end.failure.message });
   }
   throw createRefusal(run, {
@@ -238,12 +239,13 @@
   const { lease, progress } = options;
   const failure = toFailure(error, lease.upstream);
   if (failure.mayHaveRun) run.noteMayHaveRun();
-  if (failure.isConnectionLost) {
-    run.services.quarantine.noteCrash(run.start.fingerprint, {
+  const noted = failure.isConnectionLost
+    ? run.services.quarantine.noteBreak(run.start.fingerprint, {
       id: lease.upstream,
       incarnation: lease.upstreamIncarnation,
-    });
-  }
+      hadOutput: progress.getProgress().tokens > 0,
+    })
+    : Promise.resolve();
   if (run.start.sink.signal.aborted) {
     lease.release("cancelled", progress.getProgress());
     return { kind: "cancelled" };
@@ -254,7 +256,7 @@
   }
   lease.release("failed", progress.getProgress());
   run.note("stream_broken", { peer: lease.upstream, detail: error.message });
-  return { kind: "failed", failure };
+  return { kind: "failed", failure, noted };
 }
 
 function computeLimits(run: RequestRun, work: UpstreamWork): CallLimits {
--- a/test/platform/poison_request_test.ts
+++ b/test/platform/poison_request_test.ts
@@ -156,3 +156,13 @@
     );
   }
 });
+
+// Guards against taking a replica that resets connections for one that ends.
+it("what replicas reset that live on is sent again", async () => {
+  const fleet = await PlatformFleet.create({ replicas: 4 });
+  const call = { vm: fleet.vms[0]!, body: "harmless", path: "/safe/x" };
+  fleet.replicas.forEach((replica) => replica.mode = "reset");
+  for (let repeat = 0; repeat < 4; repeat++) await send(call);
+  fleet.replicas.forEach((replica) => replica.mode = "answer");
+  expect((await send(call)).status).toBe(200);
+});
--- a/test/process/quarantine/crash_ledger_test.ts
+++ b/test/process/quarantine/crash_ledger_test.ts
@@ -6,14 +6,15 @@
   toId,
 } from "../../../src/ids.ts";
 import {
-  CrashLedger,
   HELD_CRASHES,
   type SuspectEntry,
-} from "../../../src/process/quarantine/crash_ledger.ts";
+} from "../../../src/process/quarantine/crash_evidence.ts";
+import { CrashLedger } from "../../../src/process/quarantine/crash_ledger.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const REQUEST = toId<RequestFingerprint>("request");
 const FIRST_HOLD_MS = 600_000;
+const EARLY_HOLD_MS = 60_000;
 const SUSPICION_MS = 600_000;
 
 function createLedger(): { clock: VirtualClock; ledger: CrashLedger } {
@@ -21,9 +22,10 @@
   return { clock, ledger: CrashLedger.create(clock) };
 }
 
+/** After the first output, so that three are needed. */
 function addCrashes(ledger: CrashLedger, count: number, first = 0): void {
   for (let index = first; index < first + count; index++) {
-    ledger.addCrash(REQUEST, toId<Incarnation>(`i-${index}`));
+    ledger.addCrash(REQUEST, toId<Incarnation>(`i-${index}`), true);
   }
 }
 
@@ -36,6 +38,15 @@
     expect(ledger.getHeldMs(REQUEST)).toBe(FIRST_HOLD_MS);
   });
 
+  it("is held for a short time once two have before its output", () => {
+    const { ledger } = createLedger();
+    addCrashes(ledger, 1);
+    ledger.addCrash(REQUEST, toId("i-1"), false);
+    expect(ledger.getHeldMs(REQUEST)).toBe(0);
+    ledger.addCrash(REQUEST, toId("i-0"), false);
+    expect(ledger.getHeldMs(REQUEST)).toBe(EARLY_HOLD_MS);
+  });
+
   // Guards against taking what one crash cut several times for several crashes.
   it("is not held for one crash that is told again and again", () => {
     const { ledger } = createLedger();
@@ -68,7 +79,7 @@
     await clock.run(100);
     ledger.noteAnswered(REQUEST);
     await clock.run(100);
-    const late: SuspectEntry = [REQUEST, [[toId("i-9"), 150]], -1];
+    const late: SuspectEntry = [REQUEST, [[toId("i-9"), 150, true]], -1];
     ledger.mergeEntry(late);
     expect(ledger.countCrashes(REQUEST)).toBe(0);
   });
@@ -88,7 +99,7 @@
     const { ledger } = createLedger();
     addCrashes(ledger, HELD_CRASHES);
     for (let index = 0; index < 5_000; index++) {
-      ledger.addCrash(toId(`beside-${index}`), toId("i-0"));
+      ledger.addCrash(toId(`beside-${index}`), toId("i-0"), false);
     }
     expect(ledger.getHeldMs(REQUEST)).toBeGreaterThan(0);
     expect(ledger.listSuspects().length).toBeLessThanOrEqual(2_000);
@@ -102,6 +113,7 @@
         fc.tuple(
           fc.constantFrom(...["i-1", "i-2", "i-3"].map(toId<Incarnation>)),
           fc.constant(50),
+          fc.boolean(),
         ),
       ),
       fc.constantFrom(-1, 20, 80),
@@ -115,6 +127,7 @@
           .forEach((each) => other.mergeEntry(each));
         for (const request of [toId<RequestFingerprint>("a"), REQUEST]) {
           expect(other.countCrashes(request)).toBe(one.countCrashes(request));
+          expect(other.getHeldMs(request)).toBe(one.getHeldMs(request));
         }
       }),
     );
--- a/test/process/quarantine/quarantine_fleet.ts
+++ b/test/process/quarantine/quarantine_fleet.ts
@@ -36,6 +36,8 @@
   readonly #vms: TestVm[] = [];
   readonly #lostShare: number;
   #replicas = 0;
+  /** What a check finds of a replica whose connection broke. */
+  areReplicasUp = false;
   /** Whether datagrams go from the first VM to the second. */
   isCut: (from: number, to: number) => boolean = () => false;
 
@@ -61,6 +63,7 @@
       quarantine: RequestQuarantine.create({
         clock,
         log: SilentLog.create(),
+        isListening: () => Promise.resolve(this.areReplicasUp),
         announce: (entries) => vm.news.announce(entries),
       }),
       news: SuspectNews.create({
@@ -95,13 +98,20 @@
       .every(({ quarantine }) => quarantine.getHeldMs(request) > 0);
   }
 
-  /** A replica crashes under these requests of these VMs. */
-  endReplica(requests: [vm: number, request: RequestFingerprint][]): void {
+  /** A replica's connections break under these requests of these VMs. */
+  endReplica(
+    requests: [vm: number, request: RequestFingerprint][],
+    hadOutput = true,
+  ): void {
     this.#replicas += 1;
     const id = toId<VmId>(`i-${this.#replicas}`);
     const incarnation = toId<Incarnation>(id);
     for (const [vm, request] of requests) {
-      this.getQuarantine(vm).noteCrash(request, { id, incarnation });
+      void this.getQuarantine(vm).noteBreak(request, {
+        id,
+        incarnation,
+        hadOutput,
+      });
     }
   }
 
--- a/test/process/quarantine/request_quarantine_test.ts
+++ b/test/process/quarantine/request_quarantine_test.ts
@@ -1,5 +1,13 @@
 import { describe, expect, it } from "vitest";
-import { type RequestFingerprint, toId } from "../../../src/ids.ts";
+import {
+  type Incarnation,
+  type RequestFingerprint,
+  toId,
+  type VmId,
+} from "../../../src/ids.ts";
+import { SilentLog } from "../../../src/process/log.ts";
+import { RequestQuarantine } from "../../../src/process/quarantine/index.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { QuarantineFleet } from "./quarantine_fleet.ts";
 
 const POISON = toId<RequestFingerprint>("poison");
@@ -103,4 +111,38 @@
       expect(fleet.getQuarantine(vm).getHeldMs(HARMLESS)).toBe(0);
     }
   });
+
+  // Guards against taking a replica that resets connections for one that ends.
+  it("is no suspect where the replicas live on", async () => {
+    const fleet = QuarantineFleet.create({ vms: 2 });
+    fleet.areReplicasUp = true;
+    for (let time = 0; time < 5; time++) fleet.endReplica([[0, HARMLESS]]);
+    await fleet.clock.run(NEWS_MS);
+    expect(fleet.getQuarantine(0).isSuspect(HARMLESS)).toBe(false);
+  });
+});
+
+it("what one crash cut at a VM is checked once", async () => {
+  const clock = VirtualClock.create();
+  let checks = 0;
+  const quarantine = RequestQuarantine.create({
+    clock,
+    log: SilentLog.create(),
+    isListening: () => {
+      checks += 1;
+      return Promise.resolve(false);
+    },
+    announce: () => {},
+  });
+  const replica = {
+    id: toId<VmId>("i-1"),
+    incarnation: toId<Incarnation>("i-1"),
+    hadOutput: true,
+  };
+  for (let index = 0; index < 20; index++) {
+    void quarantine.noteBreak(toId(`request-${index}`), replica);
+  }
+  await clock.run(NEWS_MS);
+  expect(quarantine.countSuspects()).toBe(20);
+  expect(checks).toBe(1);
 });
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -87,6 +87,7 @@
     this.quarantine = RequestQuarantine.create({
       clock,
       log: this.log,
+      isListening: () => Promise.resolve(false),
       announce: () => {},
     });
     this.claims = ProcessRunClaims.create(environment);
