--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -108,7 +108,7 @@
       clock,
       random,
       listLive: () => this.listLive(),
-      send: (to, message) => this.#heartbeats.send(to, message),
+      send: (to, message) => this.#heartbeats.sendAll(to, message),
       listEntries: (count) => options.quarantine.listEntries(count),
     });
     this.follower = StateFollower.create({
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -9,20 +9,13 @@
  */
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
-import type { Clock } from "../clock.ts";
 import { EarliestTimer } from "../earliest_timer.ts";
-import type { Log } from "../log.ts";
-import type { SuspectEntry } from "../quarantine/index.ts";
-import type { Random } from "../random.ts";
-import type { DatagramLink } from "./datagram_link.ts";
 import { HEARTBEAT_EVERY_MS, HeartbeatInterval } from "./heartbeat_interval.ts";
+import type { FleetHeartbeatsOptions } from "./heartbeat_options.ts";
 import {
-  type AnswerMessage,
-  type AskMessage,
   encodeMessage,
   type FleetHeartbeat,
   type FleetMessage,
-  type FleetWork,
 } from "./fleet_message.ts";
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { HeartbeatTargets } from "./heartbeat_targets.ts";
@@ -50,47 +43,6 @@
  */
 const WHOLE_HEARTBEAT_EVERY_MS = 1_000;
 
-/** What a VM tells of its work to some of those that place requests. */
-export interface WorkShare {
-  /** Who is told; undefined for all VMs. Nobody is in two shares. */
-  owners: ReadonlySet<VmId> | undefined;
-  /** What is told once is taken out of what is told later. */
-  work: FleetWork;
-  /** Whether anything differs from what was told before. */
-  isNew: boolean;
-}
-
-/** What a VM says of itself in a heartbeat. */
-export type HeartbeatContent = Omit<
-  FleetHeartbeat,
-  "kind" | "sequence" | "nextMs" | "heard" | "work"
->;
-
-/** What sending and receiving heartbeats needs. */
-export interface FleetHeartbeatsOptions {
-  vm: VmId;
-  clock: Clock;
-  random: Random;
-  log: Log;
-  link: DatagramLink;
-  /** Where other VMs may take datagrams; may be stale. */
-  getSeeds: () => readonly Endpoint[];
-  /** Where this VM takes datagrams. */
-  self: Endpoint;
-  /** What this VM says of itself. */
-  buildHeartbeat: () => HeartbeatContent;
-  /** This VM's work; what is told once is taken out by it. */
-  takeWork: () => readonly WorkShare[];
-  /** Who places requests; undefined where each VM does. */
-  listOwners: () => ReadonlySet<VmId> | undefined;
-  onHeartbeat: (peer: FleetPeer) => void;
-  /** As `MessageReceiverOptions`. */
-  onSuspects: (entries: SuspectEntry[], from: Endpoint) => SuspectEntry[];
-  listSuspects: () => SuspectEntry[];
-  onAsk: (ask: AskMessage) => AnswerMessage;
-  onAnswer: (answer: AnswerMessage) => void;
-}
-
 /** Sends and takes in heartbeats. */
 export class FleetHeartbeats {
   readonly peers: FleetPeers;
@@ -166,7 +118,12 @@
 
   /** Sends one datagram to another VM. */
   send(to: FleetPeer, message: FleetMessage): void {
-    this.#options.link.send(to.endpoint, encodeMessage(message));
+    this.sendAll([to], message);
+  }
+
+  /** Sends the same datagram to other VMs. */
+  sendAll(to: readonly FleetPeer[], message: FleetMessage): void {
+    this.#sendToEndpoints(new Set(to.map(({ endpoint }) => endpoint)), message);
   }
 
   #setAllDue(at: number): void {
@@ -228,7 +185,7 @@
     for (const { owners, work, isNew } of this.#options.takeWork()) {
       const to = owners === undefined ? toOwners : this.#findEndpoints(owners);
       if (isWhole || isNew) {
-        this.#sendAll(to, { ...this.#buildHeartbeat(nextMs), work });
+        this.#sendToEndpoints(to, { ...this.#buildHeartbeat(nextMs), work });
       } else {
         this.#sendAlive(to);
       }
@@ -254,10 +211,16 @@
     const { vm, incarnation, listAgeMs } = this.#options.buildHeartbeat();
     this.#sequence += 1;
     const sequence = this.#sequence;
-    this.#sendAll(to, { kind: "alive", vm, incarnation, sequence, listAgeMs });
+    this.#sendToEndpoints(to, {
+      kind: "alive",
+      vm,
+      incarnation,
+      sequence,
+      listAgeMs,
+    });
   }
 
-  #sendAll(to: ReadonlySet<Endpoint>, message: FleetMessage): void {
+  #sendToEndpoints(to: ReadonlySet<Endpoint>, message: FleetMessage): void {
     if (to.size === 0) return;
     const bytes = encodeMessage(message);
     for (const each of to) this.#options.link.send(each, bytes);
@@ -265,7 +228,9 @@
 
   /** Leaves the news to those that are told of work. */
   #sendPlain(to: ReadonlySet<Endpoint>): void {
-    if (to.size > 0) this.#sendAll(to, this.#buildHeartbeat(this.#interval.ms));
+    if (to.size > 0) {
+      this.#sendToEndpoints(to, this.#buildHeartbeat(this.#interval.ms));
+    }
   }
 
   /** Who gets a heartbeat now, beside those that place requests. */
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -8,7 +8,7 @@
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 export { FleetHeartbeats } from "./fleet_heartbeats.ts";
-export type { HeartbeatContent, WorkShare } from "./fleet_heartbeats.ts";
+export type { HeartbeatContent, WorkShare } from "./heartbeat_options.ts";
 export {
   findDuty,
   isSmallFleet,
--- a/src/process/seeded_fleet/suspect_news.ts
+++ b/src/process/seeded_fleet/suspect_news.ts
@@ -22,7 +22,7 @@
   clock: Clock;
   random: Random;
   listLive: () => FleetPeer[];
-  send: (to: FleetPeer, message: FleetMessage) => void;
+  send: (to: readonly FleetPeer[], message: FleetMessage) => void;
   /** The evidence against those of most crashes, at most `count` requests. */
   listEntries: (count: number) => SuspectEntry[];
 }
@@ -55,9 +55,9 @@
 
   /** Tells all at once. */
   announce(entries: readonly SuspectEntry[]): void {
-    const { listLive, send } = this.#options;
+    const peers = this.#options.listLive();
     for (const message of buildSuspectMessages(entries)) {
-      listLive().forEach((peer) => send(peer, message));
+      this.#options.send(peers, message);
     }
   }
 
@@ -69,7 +69,7 @@
       const peer = random.pick(listLive());
       if (signal.aborted || peer === undefined) continue;
       buildSuspectMessages(this.listPressing())
-        .forEach((message) => send(peer, message));
+        .forEach((message) => send([peer], message));
     }
   }
 }
--- a/test/process/quarantine/quarantine_fleet.ts
+++ b/test/process/quarantine/quarantine_fleet.ts
@@ -11,7 +11,10 @@
   type VmId,
 } from "../../../src/ids.ts";
 import { SilentLog } from "../../../src/process/log.ts";
-import { RequestQuarantine } from "../../../src/process/quarantine/index.ts";
+import {
+  RequestQuarantine,
+  type SuspectEntry,
+} from "../../../src/process/quarantine/index.ts";
 import { type Random, SeededRandom } from "../../../src/process/random.ts";
 import {
   type FleetPeer,
@@ -72,7 +75,9 @@
         listLive: () => this.#listPeers(index),
         send: (to, message) => {
           if (message.kind !== "suspects") return;
-          this.#send(vm, Number(to.endpoint), () => message.entries);
+          for (const { endpoint } of to) {
+            this.#send(vm, Number(endpoint), message.entries);
+          }
         },
         listEntries: (count) => vm.quarantine.listEntries(count),
       }),
@@ -123,18 +128,17 @@
   #send(
     from: TestVm,
     to: number,
-    takeEntries: () => Parameters<RequestQuarantine["noteNews"]>[1],
+    entries: readonly SuspectEntry[],
   ): void {
     const isLost = this.random.next() < this.#lostShare ||
       this.isCut(from.index, to) || !from.isUp;
     if (isLost) return;
-    const entries = takeEntries();
     const receiver = this.#vms[to]!;
     this.clock.startTimer(DELAY_MS, () => {
       if (!receiver.isUp) return;
       const name = String(from.index);
       const better = receiver.quarantine.noteNews(name, entries);
-      if (better.length > 0) this.#send(receiver, from.index, () => better);
+      if (better.length > 0) this.#send(receiver, from.index, better);
     });
   }
 }
