--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -12,6 +12,7 @@
 import type { VmId } from "../ids.ts";
 import type { Clock } from "../process/clock.ts";
 import type * as Peer from "../process/peer_api.ts";
+import type { SuspectEntry } from "../process/quarantine/index.ts";
 import { PeerApi, PeerDirectory } from "../process/peer_api.ts";
 import type { PeerCallContext } from "./peer_link.ts";
 import { createPeerLink, PeerDeadlineError } from "./peer_link.ts";
@@ -198,6 +199,14 @@
     );
   }
 
+  noteSuspects(call: Peer.SuspectsCall): Promise<SuspectEntry[]> {
+    return this.#send(
+      "note_suspects",
+      this.#deadlines.short,
+      (client, options) => client.noteSuspects.mutate(call, options),
+    );
+  }
+
   /**
    * Makes one call within its deadline. A connection can go silent for good
    * without an error; only the deadline tells. The call's connection is
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -51,6 +51,9 @@
     return ctx.api.handOver(input);
   }),
   collectStats: CALL.mutation(({ ctx }) => ctx.api.collectStats()),
+  noteSuspects: CALL.input(PEER_INPUTS.noteSuspects).mutation(
+    ({ ctx, input }) => ctx.api.noteSuspects(input),
+  ),
 });
 
 /** The type that the client's side is built from. */
--- a/src/connection/peer_schemas.ts
+++ b/src/connection/peer_schemas.ts
@@ -18,6 +18,7 @@
   ProbeCall,
   SettleCall,
   SnapshotCall,
+  SuspectsCall,
   SyncCall,
 } from "../process/peer_api.ts";
 
@@ -139,6 +140,14 @@
     waiters: z.array(ACQUIRE),
     leases: z.array(LEASE_NEWS),
   })),
+  noteSuspects: createInput<SuspectsCall>(z.looseObject({
+    from: FROM,
+    entries: z.array(z.tuple([
+      createIdSchema(),
+      z.array(z.tuple([createIdSchema(), MS, z.boolean()])),
+      z.number(),
+    ])),
+  })),
 };
 
 function createIdSchema(): z.ZodType<AnyId, unknown> {
--- a/src/process/local_peer.ts
+++ b/src/process/local_peer.ts
@@ -21,6 +21,7 @@
   type SnapshotAnswer,
   type SnapshotCall,
   type StatsAnswer,
+  type SuspectsCall,
   type SyncAnswer,
   type SyncCall,
 } from "./peer_api.ts";
@@ -28,6 +29,7 @@
 import type { FateFinder } from "./fate_finder.ts";
 import type { WorkspaceLimits } from "./limits/index.ts";
 import type { Prober } from "./prober.ts";
+import type { RequestQuarantine, SuspectEntry } from "./quarantine/index.ts";
 import type { ProcessRunClaims } from "./run_claims.ts";
 import type { ShardOwners } from "./scheduler/index.ts";
 
@@ -39,6 +41,7 @@
   limits: WorkspaceLimits;
   claims: ProcessRunClaims;
   fateFinder: FateFinder;
+  quarantine: RequestQuarantine;
   collectStats: () => StatsAnswer;
 }
 
@@ -99,4 +102,8 @@
   async collectStats(): Promise<StatsAnswer> {
     return await this.#getParts().collectStats();
   }
+
+  async noteSuspects({ from, entries }: SuspectsCall): Promise<SuspectEntry[]> {
+    return await this.#getParts().quarantine.noteNews(from.vm, entries);
+  }
 }
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -19,6 +19,7 @@
 } from "../ids.ts";
 import type { Refusal, RunOutcome } from "../outcome.ts";
 import type { FateRecord } from "../request/fate.ts";
+import type { SuspectEntry } from "./quarantine/index.ts";
 
 /** Who calls. */
 export interface CallFrom {
@@ -276,6 +277,12 @@
   leases: LeaseNews[];
 }
 
+/** Evidence against requests that replicas crashed under. */
+export interface SuspectsCall {
+  from: CallFrom;
+  entries: SuspectEntry[];
+}
+
 /** Mergeable figures of one VM, for the report on service-level burn. */
 export interface StatsAnswer {
   vm: VmId;
@@ -300,6 +307,8 @@
   abstract findFate(call: FateCall): Promise<FateAnswer>;
   abstract handOver(call: HandOverCall): Promise<boolean>;
   abstract collectStats(): Promise<StatsAnswer>;
+  /** Resolves to what the caller should know better. */
+  abstract noteSuspects(call: SuspectsCall): Promise<SuspectEntry[]>;
 }
 
 /** Finds the channel to another VM. */
--- /dev/null
+++ b/src/process/quarantine/peer_suspect_news.ts
@@ -0,0 +1,46 @@
+/**
+ * Evidence against requests, told by calls to VMs of a published fleet.
+ *
+ * @module
+ */
+import { toError } from "../../errors.ts";
+import type { VmId } from "../../ids.ts";
+import type { Environment } from "../environment.ts";
+import type { MembershipView } from "../membership_view.ts";
+import type { SuspectEntry } from "./crash_evidence.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
+import { SuspectNews } from "./suspect_news.ts";
+
+/** What telling by calls needs. */
+export interface PeerSuspectNewsOptions {
+  environment: Environment;
+  membership: Pick<MembershipView, "listEntryVms" | "isReachable">;
+  quarantine: RequestQuarantine;
+}
+
+/** News to the other entry VMs that are reachable. */
+export function createPeerSuspectNews(
+  { environment, membership, quarantine }: PeerSuspectNewsOptions,
+): SuspectNews<VmId> {
+  const { clock, log, peers, random, vm, incarnation } = environment;
+  const from = { vm, incarnation };
+  const sendTo = async (peer: VmId, entries: readonly SuspectEntry[]) => {
+    const call = { from, entries: [...entries] };
+    try {
+      const better = await peers.getPeer(peer).noteSuspects(call);
+      quarantine.noteNews(peer, better);
+    } catch (thrown) {
+      // Gossip tells it again.
+      log.debug("suspects_not_told", { peer, error: toError(thrown).message });
+    }
+  };
+  return SuspectNews.create<VmId>({
+    clock,
+    random,
+    listPeers: () =>
+      membership.listEntryVms().map(({ id }) => id)
+        .filter((id) => id !== vm && membership.isReachable(id)),
+    send: (to, entries) => to.forEach((peer) => void sendTo(peer, entries)),
+    listEntries: (count) => quarantine.listEntries(count),
+  });
+}
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -22,7 +22,11 @@
   PrefixPriming,
   type ReplicaDirectory,
 } from "./placement/index.ts";
-import type { RequestQuarantine, SuspectEntry } from "./quarantine/index.ts";
+import {
+  type RequestQuarantine,
+  type SuspectEntry,
+  SuspectNews,
+} from "./quarantine/index.ts";
 import type { Random } from "./random.ts";
 import { pickRendezvousFirst } from "./rendezvous.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
@@ -35,7 +39,6 @@
   PeerCalls,
   type PublishedStore,
   StateFollower,
-  SuspectNews,
 } from "./seeded_fleet/index.ts";
 
 /** What the fleet's side is made of. */
@@ -70,7 +73,7 @@
   readonly #peers: HttpUpstreamTransport;
   readonly #priming: PrefixPriming;
   readonly #owned: OwnedPlacement;
-  readonly #suspects: SuspectNews;
+  readonly #suspects: SuspectNews<FleetPeer>;
   readonly #ended = new AbortController();
 
   constructor(options: RoutedFleetOptions) {
@@ -107,8 +110,8 @@
     this.#suspects = SuspectNews.create({
       clock,
       random,
-      listLive: () => this.listLive(),
-      send: (to, message) => this.#heartbeats.sendAll(to, message),
+      listPeers: () => this.listLive(),
+      send: (to, entries) => this.#heartbeats.sendSuspects(to, entries),
       listEntries: (count) => options.quarantine.listEntries(count),
     });
     this.follower = StateFollower.create({
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -25,7 +25,11 @@
 import { OrderGiver } from "./orders/index.ts";
 import type { PeerApi, StatsAnswer } from "./peer_api.ts";
 import { Prober } from "./prober.ts";
-import { RequestQuarantine } from "./quarantine/index.ts";
+import {
+  createPeerSuspectNews,
+  RequestQuarantine,
+  type SuspectNews,
+} from "./quarantine/index.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
 import { ProcessRunClaims } from "./run_claims.ts";
@@ -73,6 +77,7 @@
   readonly claims: ProcessRunClaims;
   readonly fates: FateStore;
   readonly quarantine: RequestQuarantine;
+  readonly #suspects: SuspectNews<VmId>;
   readonly fateFinder: FateFinder;
   readonly metrics: ProcessMetrics;
   readonly #environment: Environment;
@@ -136,7 +141,12 @@
       clock: environment.clock,
       log: environment.log,
       isListening: (upstream) => environment.upstreams.isListening(upstream),
-      announce: () => {},
+      announce: (entries) => this.#suspects.announce(entries),
+    });
+    this.#suspects = createPeerSuspectNews({
+      environment,
+      membership,
+      quarantine: this.quarantine,
     });
     this.#answers = AnswerStore.create(
       options.retainedAnswersBytes === undefined
@@ -165,6 +175,7 @@
       limits: this.limits,
       claims: this.claims,
       fateFinder: this.fateFinder,
+      quarantine: this.quarantine,
       collectStats: () => this.collectStats(),
     }));
   }
@@ -178,6 +189,7 @@
     this.membership.start();
     this.follower.start();
     this.prober.start();
+    this.#suspects.start();
     this.owners.start();
     this.leases.start();
     void this.#orders.run(this.#stopped.signal);
@@ -190,6 +202,7 @@
     this.leases.stop();
     this.owners.stop();
     this.prober.stop();
+    this.#suspects.stop();
     this.follower.stop();
     this.limits.close();
     this.membership.stop();
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -10,6 +10,7 @@
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import { EarliestTimer } from "../earliest_timer.ts";
+import type { SuspectEntry } from "../quarantine/index.ts";
 import { HEARTBEAT_EVERY_MS, HeartbeatInterval } from "./heartbeat_interval.ts";
 import type { FleetHeartbeatsOptions } from "./heartbeat_options.ts";
 import {
@@ -20,6 +21,7 @@
 import { type FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { HeartbeatTargets } from "./heartbeat_targets.ts";
 import { MessageReceiver } from "./message_receiver.ts";
+import { buildSuspectMessages } from "./suspect_messages.ts";
 
 /**
  * News waits so long for more news, in milliseconds, where each VM decides by
@@ -118,12 +120,18 @@
 
   /** Sends one datagram to another VM. */
   send(to: FleetPeer, message: FleetMessage): void {
-    this.sendAll([to], message);
+    this.#options.link.send(to.endpoint, encodeMessage(message));
   }
 
-  /** Sends the same datagram to other VMs. */
-  sendAll(to: readonly FleetPeer[], message: FleetMessage): void {
-    this.#sendToEndpoints(new Set(to.map(({ endpoint }) => endpoint)), message);
+  /** Tells other VMs of evidence against requests. */
+  sendSuspects(
+    to: readonly FleetPeer[],
+    entries: readonly SuspectEntry[],
+  ): void {
+    const endpoints = new Set(to.map(({ endpoint }) => endpoint));
+    for (const message of buildSuspectMessages(entries)) {
+      this.#sendAll(endpoints, message);
+    }
   }
 
   #setAllDue(at: number): void {
@@ -185,7 +193,7 @@
     for (const { owners, work, isNew } of this.#options.takeWork()) {
       const to = owners === undefined ? toOwners : this.#findEndpoints(owners);
       if (isWhole || isNew) {
-        this.#sendToEndpoints(to, { ...this.#buildHeartbeat(nextMs), work });
+        this.#sendAll(to, { ...this.#buildHeartbeat(nextMs), work });
       } else {
         this.#sendAlive(to);
       }
@@ -211,7 +219,7 @@
     const { vm, incarnation, listAgeMs } = this.#options.buildHeartbeat();
     this.#sequence += 1;
     const sequence = this.#sequence;
-    this.#sendToEndpoints(to, {
+    this.#sendAll(to, {
       kind: "alive",
       vm,
       incarnation,
@@ -220,7 +228,7 @@
     });
   }
 
-  #sendToEndpoints(to: ReadonlySet<Endpoint>, message: FleetMessage): void {
+  #sendAll(to: ReadonlySet<Endpoint>, message: FleetMessage): void {
     if (to.size === 0) return;
     const bytes = encodeMessage(message);
     for (const each of to) this.#options.link.send(each, bytes);
@@ -229,7 +237,7 @@
   /** Leaves the news to those that are told of work. */
   #sendPlain(to: ReadonlySet<Endpoint>): void {
     if (to.size > 0) {
-      this.#sendToEndpoints(to, this.#buildHeartbeat(this.#interval.ms));
+      this.#sendAll(to, this.#buildHeartbeat(this.#interval.ms));
     }
   }
 
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -21,5 +21,4 @@
 export { PeerCalls } from "./peer_calls.ts";
 export { PublishedStore } from "./published_store.ts";
 export type { PublishedState, StoreNews } from "./published_store.ts";
-export { SuspectNews } from "./suspect_news.ts";
 export { StateFollower } from "./state_follower.ts";
--- a/src/process/seeded_fleet/message_receiver.ts
+++ b/src/process/seeded_fleet/message_receiver.ts
@@ -21,7 +21,7 @@
 } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import type { HeartbeatTargets } from "./heartbeat_targets.ts";
-import { buildSuspectMessages } from "./suspect_news.ts";
+import { buildSuspectMessages } from "./suspect_messages.ts";
 
 /** A VM that hears so much of what another one hears needs no list of it. */
 const FULL_SHARE = 0.8;
--- a/standin/virtual_fleet.ts
+++ b/standin/virtual_fleet.ts
@@ -196,6 +196,7 @@
   override findFate = refuseCall;
   override handOver = refuseCall;
   override collectStats = refuseCall;
+  override noteSuspects = refuseCall;
 }
 
 function refuseCall(): Promise<never> {
--- a/standin/virtual_network.ts
+++ b/standin/virtual_network.ts
@@ -17,6 +17,7 @@
   type ProbeCall,
   type SettleCall,
   type SnapshotCall,
+  type SuspectsCall,
   type SyncCall,
 } from "../src/process/peer_api.ts";
 import type { Random } from "../src/process/random.ts";
@@ -387,6 +388,10 @@
     return this.#ask("collectStats");
   }
 
+  noteSuspects(call: SuspectsCall): ReturnType<PeerApi["noteSuspects"]> {
+    return this.#ask("noteSuspects", call);
+  }
+
   #ask<T>(method: keyof PeerApi, ...args: unknown[]): Promise<T> {
     const invoke: Invoke = (api, received) => {
       const run = api[method] as (...given: unknown[]) => Promise<unknown>;
--- a/test/connection/peers_test.ts
+++ b/test/connection/peers_test.ts
@@ -9,6 +9,7 @@
 import { SilentLog } from "../../src/process/log.ts";
 import type * as Peer from "../../src/process/peer_api.ts";
 import { PeerApi } from "../../src/process/peer_api.ts";
+import type { SuspectEntry } from "../../src/process/quarantine/index.ts";
 import { CountingClock } from "../support/counting_clock.ts";
 import { findClosedPort, LOOPBACK, waitUntil } from "../support/loopback.ts";
 import { Relay } from "../support/relay.ts";
@@ -99,6 +100,9 @@
   override collectStats() {
     return this.#note<Peer.StatsAnswer>("collectStats");
   }
+  override noteSuspects(call: Peer.SuspectsCall) {
+    return this.#note<SuspectEntry[]>("noteSuspects", call);
+  }
 
   async #note<T>(name: string, ...values: unknown[]): Promise<T> {
     this.calls.push([name, ...values]);
@@ -170,6 +174,8 @@
       waiters: [ACQUIRE],
       leases: [news],
     };
+    const entry: SuspectEntry = [toId("f-1"), [[toId("up-1@1"), 3, true]], -1];
+    const suspects = { from: FROM, entries: [entry] };
     const runs: [string, unknown[], () => Promise<unknown>][] = [
       ["acquire", [ACQUIRE], () => peer.acquire(ACQUIRE)],
       ["syncLeases", [sync], () => peer.syncLeases(sync)],
@@ -184,6 +190,7 @@
       ["findFate", [fate], () => peer.findFate(fate)],
       ["handOver", [handOver], () => peer.handOver(handOver)],
       ["collectStats", [], () => peer.collectStats()],
+      ["noteSuspects", [suspects], () => peer.noteSuspects(suspects)],
     ];
     const methods = Object.getOwnPropertyNames(FakeApi.prototype)
       .filter((name) => name !== "constructor");
--- a/test/process/quarantine/quarantine_fleet.ts
+++ b/test/process/quarantine/quarantine_fleet.ts
@@ -14,12 +14,9 @@
 import {
   RequestQuarantine,
   type SuspectEntry,
+  SuspectNews,
 } from "../../../src/process/quarantine/index.ts";
 import { type Random, SeededRandom } from "../../../src/process/random.ts";
-import {
-  type FleetPeer,
-  SuspectNews,
-} from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 /** One way between two VMs. */
@@ -28,7 +25,7 @@
 interface TestVm {
   index: number;
   quarantine: RequestQuarantine;
-  news: SuspectNews;
+  news: SuspectNews<number>;
   isUp: boolean;
 }
 
@@ -72,13 +69,9 @@
       news: SuspectNews.create({
         clock,
         random: this.random,
-        listLive: () => this.#listPeers(index),
-        send: (to, message) => {
-          if (message.kind !== "suspects") return;
-          for (const { endpoint } of to) {
-            this.#send(vm, Number(endpoint), message.entries);
-          }
-        },
+        listPeers: () => this.#listPeers(index),
+        send: (to, entries) =>
+          to.forEach((peer) => this.#send(vm, peer, entries)),
         listEntries: (count) => vm.quarantine.listEntries(count),
       }),
     };
@@ -120,9 +113,9 @@
     }
   }
 
-  #listPeers(own: number): FleetPeer[] {
+  #listPeers(own: number): number[] {
     return this.#vms.filter(({ index, isUp }) => isUp && index !== own)
-      .map(({ index }) => ({ endpoint: String(index) }) as FleetPeer);
+      .map(({ index }) => index);
   }
 
   #send(
