--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -26,7 +26,7 @@
   dataCentre: DataCentre;
   /** Replicas elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
-  /** Whether replicas crashed under it that it may have crashed. */
+  /** Whether it was in flight at a replica that crashed. */
   isSuspect?: boolean | undefined;
 }
 
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -219,13 +219,7 @@
     const { vm, incarnation, listAgeMs } = this.#options.buildHeartbeat();
     this.#sequence += 1;
     const sequence = this.#sequence;
-    this.#sendAll(to, {
-      kind: "alive",
-      vm,
-      incarnation,
-      sequence,
-      listAgeMs,
-    });
+    this.#sendAll(to, { kind: "alive", vm, incarnation, sequence, listAgeMs });
   }
 
   #sendAll(to: ReadonlySet<Endpoint>, message: FleetMessage): void {
@@ -236,9 +230,7 @@
 
   /** Leaves the news to those that are told of work. */
   #sendPlain(to: ReadonlySet<Endpoint>): void {
-    if (to.size > 0) {
-      this.#sendAll(to, this.#buildHeartbeat(this.#interval.ms));
-    }
+    if (to.size > 0) this.#sendAll(to, this.#buildHeartbeat(this.#interval.ms));
   }
 
   /** Who gets a heartbeat now, beside those that place requests. */
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -124,7 +124,7 @@
   isInteractive: z.boolean(),
   targetMs: COUNT.optional(),
   regions: z.array(TEXT.transform((text) => text as Region)).optional(),
-  /** Whether replicas crashed under it that it may have crashed. */
+  /** Whether it was in flight at a replica that crashed. */
   isSuspect: z.boolean().optional(),
 });
 
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -57,6 +57,7 @@
   mode: ReplicaMode = "answer";
   /** Its process ends soon after it begins such a request. */
   isPoison: (call: StandInCall) => boolean = () => false;
+  onCrash: () => void = () => {};
   /** Requests that it ran. */
   readonly ran: StandInCall[] = [];
   /** Requests that reached it, turned down ones included. */
@@ -102,6 +103,7 @@
     if (this.isPoison(call)) {
       await sleep(CRASH_AFTER_MS);
       this.#hasCrashed = true;
+      this.onCrash();
       await this.stop();
       return;
     }
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -74,6 +74,12 @@
   const calls = callers.map((caller) =>
     caller.run(() => performance.now() >= endsAt)
   );
+  const poison = SoakCaller.create(
+    fleet,
+    SeededRandom.create(options.seed),
+    "poison",
+  );
+  calls.push(poison.runPoison(() => performance.now() >= endsAt));
   const ended = watchEnds(fleet);
   const startedAt = endsAt - options.forMs;
   const faults = plan.map(async ({ at, fault }) => {
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -28,9 +28,14 @@
   { path: "/restream/x", mostRuns: 2, isStream: true },
 ] as const;
 
+/** The body of the request that crashes each replica that begins it. */
+export const POISON_BODY = "poison";
+const POISON_EVERY_MS = 300;
+
 /** One request and how it ended; times by `performance.now()`. */
 export interface SoakRequest extends TestAnswer {
   id: string;
+  isPoison: boolean;
   route: typeof SOAK_ROUTES[number];
   key: string;
   vm: string;
@@ -77,12 +82,27 @@
     return requests;
   }
 
+  /** Sends the poison request again and again, at any VM, until `isOver`. */
+  async runPoison(isOver: () => boolean): Promise<SoakRequest[]> {
+    const route = this.#random.pick(SOAK_ROUTES)!;
+    const requests: SoakRequest[] = [];
+    while (!isOver()) {
+      const vm = this.#random.pick(this.#fleet.vms)!;
+      requests.push(await this.send(vm, route, POISON_BODY));
+      await new Promise((resolve) => setTimeout(resolve, POISON_EVERY_MS));
+    }
+    this.#agent.destroy();
+    return requests;
+  }
+
   /** Sends one request and waits for its end. */
   async send(
     vm: SoakVm,
     route: typeof SOAK_ROUTES[number],
+    body = "",
   ): Promise<SoakRequest> {
     this.#sent += 1;
+    const isPoison = body === POISON_BODY;
     const isChanging = this.#random.nextInt(CHANGING_KEY_ONE_IN) === 0;
     const id = `${this.#name}-${this.#sent}`;
     const key = isChanging
@@ -92,6 +112,7 @@
     const answer = await sendCall(`${vm.address}:${vm.callersPort}`, {
       agent: this.#agent,
       path: route.path,
+      body,
       giveUpMs: GIVE_UP_MS,
       headers: {
         host: HOST,
@@ -103,7 +124,7 @@
     const isDisturbed = vm.hasEnded || vm.isEndExpected ||
       vm.disturbedAt > sentAt - DISTURBED_MS;
     const endedAt = performance.now();
-    const request = { id, route, key, vm: vm.name, sentAt, endedAt };
+    const request = { id, isPoison, route, key, vm: vm.name, sentAt, endedAt };
     return { ...request, isDisturbed, ...answer };
   }
 }
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -15,12 +15,15 @@
 import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
+import { POISON_BODY } from "./soak_callers.ts";
 import type { Fault } from "./soak_plan.ts";
 import { type SoakPorts, SoakVm } from "./soak_vm.ts";
 
 /** A key that every configuration allows. */
 export const STANDING_KEY = "key-standing";
 const DRAIN_GRACE_MS = 4_000;
+/** A replica that crashed is back after so long. */
+const REPLACED_AFTER_MS = 1_000;
 /** VMs have read the store so long after a fault of it ended. */
 const READ_WITHIN_MS = 4_000;
 /** A process that was told to end and has not after so long is killed. */
@@ -50,6 +53,7 @@
   readonly #directory: string;
   readonly #children: ChildProcessGroup;
   readonly #restarts: Promise<void>[] = [];
+  readonly #crashed: ReplicaStandIn[] = [];
   /** When a fault of the store, or of a VM's way to it, began or ended. */
   readonly #storeFaults: number[] = [];
   #version = 1;
@@ -87,8 +91,9 @@
   /** Every run of every request, by the request's id. */
   countRuns(): Map<string, number> {
     const counts = new Map<string, number>();
-    for (const { standIn } of this.replicas) {
-      for (const { headers } of standIn.ran) {
+    const current = this.replicas.map(({ standIn }) => standIn);
+    for (const { ran } of [...current, ...this.#crashed]) {
+      for (const { headers } of ran) {
         const id = headers["x-request-id"] ?? "";
         counts.set(id, (counts.get(id) ?? 0) + 1);
       }
@@ -171,10 +176,28 @@
   }
 
   async #addReplica(id: string): Promise<void> {
+    await this.#startReplica(this.replicas.length, id);
+  }
+
+  async #startReplica(index: number, id: string): Promise<void> {
     const standIn = ReplicaStandIn.create(id);
     const relay = await Relay.create(await standIn.start());
-    this.replicas.push({ standIn, relay });
-    this.#listReplica(this.replicas.length - 1, "ready");
+    standIn.isPoison = ({ body }) =>
+      new TextDecoder().decode(body) === POISON_BODY;
+    standIn.onCrash = () => this.#restarts.push(this.#replaceReplica(index));
+    this.replicas[index] = { standIn, relay };
+    this.#listReplica(index, "ready");
+  }
+
+  /** A replica that crashed is back under another id; its entry lapses late. */
+  async #replaceReplica(index: number): Promise<void> {
+    const { standIn, relay } = this.replicas[index]!;
+    await relay.close();
+    await sleep(REPLACED_AFTER_MS);
+    if (this.#isClosed) return;
+    this.#crashed.push(standIn);
+    this.#store.remove(`servers/${standIn.id}`);
+    await this.#startReplica(index, `${standIn.id}-next`);
   }
 
   async #addVms(count: number): Promise<void> {
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -16,6 +16,11 @@
 /** Beyond the caller's own time, in milliseconds; other work may run here. */
 const LATE_MS = 3_000;
 
+/** A request that ended so many replicas is known to all VMs in time. */
+const KNOWN_AFTER_RUNS = 3;
+const KNOWN_WITHIN_MS = 3_000;
+const ALLOWED_LATE_RUNS = 3;
+
 /** One promise that was broken. */
 export interface BrokenPromise {
   promise:
@@ -25,7 +30,8 @@
     | "an answer is whole or visibly broken"
     | "nobody is denied"
     | "a key that was taken away is refused"
-    | "an end comes in time";
+    | "an end comes in time"
+    | "what crashes replicas is kept from them";
   detail: string;
 }
 
@@ -45,12 +51,32 @@
 
 /** Every promise that was broken, each with the request that shows it. */
 export function listBroken(record: SoakRecord): BrokenPromise[] {
-  return record.requests.flatMap((request) => [
+  const broken = record.requests.flatMap((request) => [
     ...checkRuns(request, record),
     ...checkAnswer(request),
     ...checkKey(request, record),
     ...checkTime(request, record),
   ]);
+  return [...broken, ...checkPoison(record)];
+}
+
+/** Runs of the poison request that began late enough to be avoided. */
+function checkPoison({ requests, runs }: SoakRecord): BrokenPromise[] {
+  const poison = requests.filter(({ isPoison }) => isPoison)
+    .flatMap((each) =>
+      Array.from({ length: runs.get(each.id) ?? 0 }, () => each)
+    )
+    .toSorted((left, right) => left.sentAt - right.sentAt);
+  const knownAt = (poison[KNOWN_AFTER_RUNS - 1]?.endedAt ?? Infinity) +
+    KNOWN_WITHIN_MS;
+  const late = poison.filter(({ sentAt, isDisturbed }) =>
+    sentAt > knownAt && !isDisturbed
+  );
+  if (late.length <= ALLOWED_LATE_RUNS) return [];
+  const what = `ran ${late.length} times once it was known`;
+  return [
+    build("what crashes replicas is kept from them", late.at(-1)!, what),
+  ];
 }
 
 function checkRuns(request: SoakRequest, record: SoakRecord): BrokenPromise[] {
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -9,6 +9,7 @@
 function buildRequest(changes: Partial<SoakRequest> = {}): SoakRequest {
   return {
     id: "request-1",
+    isPoison: false,
     route: UNSAFE,
     key: "key-standing",
     vm: "vm-1",
@@ -100,3 +101,29 @@
     expect(check(late, { isMachineBusy: () => true })).toEqual([]);
   });
 });
+
+describe("a poison request's runs", () => {
+  /** One sending a second, each at a VM that is well. */
+  function checkRuns(count: number, changes: Partial<SoakRequest> = {}) {
+    const requests = Array.from({ length: count }, (_, index) =>
+      buildRequest({
+        id: `poison-${index}`,
+        isPoison: true,
+        sentAt: index * 1_000,
+        endedAt: index * 1_000 + 100,
+        status: 502,
+        ...changes,
+      }));
+    const runs = new Map(requests.map(({ id }) => [id, 1]));
+    return check(requests[0]!, { requests, runs });
+  }
+
+  it("are broken beyond three, later than three seconds after the third", () => {
+    expect(checkRuns(9)).toEqual([]);
+    expect(checkRuns(10)).toEqual(["what crashes replicas is kept from them"]);
+  });
+
+  it("do not count at VMs that have just started", () => {
+    expect(checkRuns(20, { isDisturbed: true })).toEqual([]);
+  });
+});
