--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -226,6 +226,7 @@
 
   #listReplica(index: number, state: "ready" | "draining"): void {
     const { standIn, relay } = this.replicas[index]!;
+    if (standIn.hasCrashed) return;
     this.#store.put(`servers/${standIn.id}`, {
       service: "pool",
       address: `127.0.0.1:${relay.port}`,
