--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -113,7 +113,10 @@
     await match(fault)
       .with({ kind: "kill" }, ({ vm }) => this.#restart(vm, "SIGKILL"))
       .with({ kind: "terminate" }, ({ vm }) => this.#restart(vm, "SIGTERM"))
-      .with({ kind: "reload" }, ({ vm }) => this.vms[vm]!.send("SIGHUP"))
+      .with({ kind: "reload" }, ({ vm }) => {
+        // Before a process has its handler the signal ends any program.
+        if (this.vms[vm]!.hasStarted) this.vms[vm]!.send("SIGHUP");
+      })
       .with({ kind: "pause" }, ({ vm, forMs }) => this.#pause(vm, forMs))
       .with({ kind: "reset_ways" }, ({ replica }) => {
         this.replicas[replica]!.relay.destroyOpen({ reset: true });
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -7,6 +7,7 @@
 /** The seed of the run that every change goes through. */
 const CHECKED_SEED = 1;
 const CHECKED_MS = 8_000;
+const RELOAD_AT_START_SEED = 217;
 
 describe("the daemon under faults from outside", () => {
   beforeAll(async () => {
@@ -24,4 +25,16 @@
     expect(report.broken, report.logs).toEqual([]);
     expect(report.statuses["200"]).toBeGreaterThan(0);
   });
+
+  // Guards against a reload that ends a process which is just being started.
+  it("keeps its promises where a reload meets a start", async () => {
+    const report = await runSoak({
+      seed: RELOAD_AT_START_SEED,
+      forMs: 12_000,
+      vms: 4,
+      replicas: 3,
+      callers: 12,
+    });
+    expect(report.broken, report.logs).toEqual([]);
+  });
 });
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { writeFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import {
   type Child,
@@ -36,10 +36,14 @@
   children: ChildProcessGroup;
 }
 
+const STARTED_EVENT = "event=started";
+
 /** A daemon that is signalled from outside. */
 export class SoakVm {
   readonly #options: SoakVmOptions;
   #child: Child | undefined;
+  /** Where the log of this life begins; all lives write to one file. */
+  #logStart = 0;
   /** When something last kept it from its work, by `performance.now()`. */
   disturbedAt = -Infinity;
   /** Whether its end was asked for. */
@@ -65,6 +69,13 @@
     return this.#options.ports.callers;
   }
 
+  /** Whether the process has said that it is up. */
+  get hasStarted(): boolean {
+    if (this.#child === undefined) return false;
+    return readFileSync(this.#child.logFile, "utf8").slice(this.#logStart)
+      .includes(STARTED_EVENT);
+  }
+
   get hasEnded(): boolean {
     return this.#child === undefined || hasEnded(this.#child);
   }
@@ -75,6 +86,9 @@
     writeFileSync(file, JSON.stringify(this.#buildSettings()));
     this.isEndExpected = false;
     this.noteDisturbed();
+    this.#logStart = this.#child === undefined
+      ? 0
+      : readFileSync(this.#child.logFile, "utf8").length;
     this.#child = children.start({
       name,
       args: [PROGRAM],
