--- a/test/platform/poison_request_test.ts
+++ b/test/platform/poison_request_test.ts
@@ -101,6 +101,16 @@
     .toBeLessThanOrEqual(KNOWN_AFTER + ALLOWED_RETRIES);
 });
 
+it("it is kept from them by a fleet whose owners place requests", async () => {
+  const fleet = await createPoisonedFleet(14);
+  await waitUntil(() =>
+    fleet.vms.every(({ vm }) => vm.listEntries().length === 14)
+  );
+  await sendRepeatedly(fleet);
+  expect(countPoisonRuns(fleet))
+    .toBeLessThanOrEqual(KNOWN_AFTER + ALLOWED_RETRIES);
+});
+
 it("it is kept from them by a VM that starts after it was known", async () => {
   const fleet = await createPoisonedFleet(3);
   await sendRepeatedly(fleet);
