--- a/src/process/placement/placement_choice.ts
+++ b/src/process/placement/placement_choice.ts
@@ -114,6 +114,19 @@
   needs: PlacementNeeds,
   knowledge: PlacementKnowledge,
 ): Placement | undefined {
+  let best: ScoredPlacement | undefined;
+  for (const each of listPlacements(candidates, needs, knowledge)) {
+    if (best === undefined || each.cost < best.cost) best = each;
+  }
+  return best?.placement;
+}
+
+/** Where it may go, of `candidates`, to begin the answer within the target. */
+export function listPlacements(
+  candidates: readonly ListedReplica[],
+  needs: PlacementNeeds,
+  knowledge: PlacementKnowledge,
+): ScoredPlacement[] {
   const loaded = candidates.map((replica) => ({
     replica,
     load: knowledge.state.loads.getLoad(replica.id),
@@ -122,12 +135,7 @@
   const scored = needs.promptTokens > 0
     ? computePromptScores(loaded, needs, knowledge)
     : loaded.map((each) => computeCallScore(each, knowledge));
-  let best: ScoredPlacement | undefined;
-  for (const each of scored) {
-    if (!each.isOnTime) continue;
-    if (best === undefined || each.cost < best.cost) best = each;
-  }
-  return best?.placement;
+  return scored.filter(({ isOnTime }) => isOnTime);
 }
 
 function computePromptScores(
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -6,6 +6,7 @@
 import type { DataCentre, PoolName, Region, VmId } from "../../ids.ts";
 import {
   choosePlacement,
+  listPlacements,
   type Placement,
   type PlacementNeeds,
 } from "./placement_choice.ts";
@@ -13,6 +14,7 @@
 import { Locality } from "./locality.ts";
 import type { PlacementState } from "./placement_state.ts";
 import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
+import type { ScoredPlacement } from "./replica_score.ts";
 
 /** Failing replicas are left out while this share of the pool is well. */
 const LEAST_WELL_SHARE = 0.5;
@@ -26,7 +28,7 @@
   dataCentre: DataCentre;
   /** Replicas elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
-  /** Whether it was in flight at a replica that crashed. */
+  /** Whether it may be what crashes replicas. */
   isSuspect?: boolean | undefined;
 }
 
@@ -72,11 +74,10 @@
     const { slowStart } = this.#state;
     const withRoom = this.#listCandidates(request)
       .filter((replica) => slowStart.hasRoom(replica));
-    const candidates = request.isSuspect ? this.#pickApart(withRoom) : withRoom;
-    const onTime = this.#chooseAmong(candidates, request);
+    const onTime = this.#chooseAmong(withRoom, request);
     if (onTime !== undefined || request.targetMs === undefined) return onTime;
     const late = { ...request, targetMs: undefined, isDeferred: true };
-    const placement = this.#chooseAmong(candidates, late);
+    const placement = this.#chooseAmong(withRoom, late);
     return placement && { ...placement, isDeferred: true };
   }
 
@@ -108,29 +109,28 @@
     return placement;
   }
 
-  /**
-   * What was cut by one crash would all go to the replica that is best for it,
-   * mostly the same, and would be cut together again: then nothing tells the
-   * request that crashes replicas from those beside it. Spread at random, few
-   * are beside it twice.
-   */
-  #pickApart(candidates: readonly ListedReplica[]): ListedReplica[] {
-    const { loads } = this.#state;
-    const free = candidates.filter(({ id, slots }) =>
-      loads.getLoad(id).running < slots
-    );
-    return this.#options.random
-      .pickSome(free.length > 0 ? free : candidates, 1);
-  }
-
   #chooseAmong(
     candidates: readonly ListedReplica[],
     request: PlacementRequest,
   ): Placement | undefined {
-    return choosePlacement(candidates, request, {
-      dataCentre: request.dataCentre,
-      state: this.#state,
-    });
+    const { dataCentre } = request;
+    const knowledge = { dataCentre, state: this.#state };
+    return request.isSuspect
+      ? this.#pickAmong(listPlacements(candidates, request, knowledge))
+      : choosePlacement(candidates, request, knowledge);
+  }
+
+  /**
+   * What was cut by one crash would mostly go to the same best replica, and
+   * would be cut together again: then nothing tells the request that crashes
+   * replicas from those beside it. Spread at random, few are beside it twice.
+   */
+  #pickAmong(scored: readonly ScoredPlacement[]): Placement | undefined {
+    const placements = scored.map(({ placement }) => placement);
+    const free = placements.filter(({ replica, running }) =>
+      running < replica.slots
+    );
+    return this.#options.random.pick(free.length > 0 ? free : placements);
   }
 
   #listCandidates(request: PlacementRequest): readonly ListedReplica[] {
--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -101,6 +101,15 @@
     return this.#listCrashes().length;
   }
 
+  /**
+   * Whether it may be what crashes replicas, and not just one of those that
+   * were cut in the middle of their output.
+   */
+  isSuspect(): boolean {
+    const crashes = this.#listCrashes();
+    return crashes.length > 1 || crashes.some(({ hadOutput }) => !hadOutput);
+  }
+
   /** Whether there were crashes enough to hold the request. */
   isHeldOnce(): boolean {
     return this.#getHoldMs() > 0;
--- a/src/process/quarantine/crash_ledger.ts
+++ b/src/process/quarantine/crash_ledger.ts
@@ -51,6 +51,11 @@
     return this.#findCurrent(fingerprint)?.countCrashes() ?? 0;
   }
 
+  /** As `CrashEvidence.isSuspect`. */
+  isSuspect(fingerprint: RequestFingerprint): boolean {
+    return this.#findCurrent(fingerprint)?.isSuspect() ?? false;
+  }
+
   /** How long it is still held, in milliseconds; 0 if it may be sent. */
   getHeldMs(fingerprint: RequestFingerprint): number {
     const heldUntil = this.#findCurrent(fingerprint)?.getHeldUntil() ??
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -71,7 +71,7 @@
   }
 
   isSuspect(fingerprint: RequestFingerprint): boolean {
-    return this.#ledger.countCrashes(fingerprint) > 0;
+    return this.#ledger.isSuspect(fingerprint);
   }
 
   override async noteBreak(
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -124,7 +124,7 @@
   isInteractive: z.boolean(),
   targetMs: COUNT.optional(),
   regions: z.array(TEXT.transform((text) => text as Region)).optional(),
-  /** Whether it was in flight at a replica that crashed. */
+  /** Whether it may be what crashes replicas. */
   isSuspect: z.boolean().optional(),
 });
 
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -53,7 +53,7 @@
   latePriority?: number;
   /** Upstreams elsewhere must not get it; undefined where any may. */
   regions?: Region[] | undefined;
-  /** Whether it was in flight at a replica that crashed. */
+  /** Whether it may be what crashes replicas. */
   isSuspect?: boolean;
   avoid: VmId[];
 }
@@ -174,7 +174,7 @@
 export abstract class Quarantine {
   /** How long a request must not be sent, in milliseconds; 0 if it may. */
   abstract getHeldMs(fingerprint: RequestFingerprint): number;
-  /** Whether it was in flight at a replica that crashed, and not answered since. */
+  /** Whether it may be what crashed the replicas that it was in flight at. */
   abstract isSuspect(fingerprint: RequestFingerprint): boolean;
   /**
    * Takes in that a replica's connection broke under the request; resolves once
--- a/test/process/quarantine/crash_ledger_test.ts
+++ b/test/process/quarantine/crash_ledger_test.ts
@@ -84,6 +84,14 @@
     expect(ledger.countCrashes(REQUEST)).toBe(0);
   });
 
+  it("is no suspect where one crash cut its output", () => {
+    const { ledger } = createLedger();
+    addCrashes(ledger, 1);
+    expect(ledger.isSuspect(REQUEST)).toBe(false);
+    addCrashes(ledger, 1, 1);
+    expect(ledger.isSuspect(REQUEST)).toBe(true);
+  });
+
   it("is forgotten in time where it was never held", async () => {
     const { clock, ledger } = createLedger();
     addCrashes(ledger, 1);
