Log and count the rate limits that replicas name in their answers

Replicas got two and a half times the requests a second that they had named, and no line or metric said what a VM made of an answer that named one. A VM now reads the header, keeps the last word of each replica, and writes a line when a limit begins, changes by a quarter or ends (replica_rate_limit); a gauge counts the replicas that name one, and the status shows each limit. A value that is no decimal number is logged once for each value; the answer is passed on.

Placement does not go by it yet: no request goes elsewhere than before.

Ruled out as part of it: to learn from an answer of another request or of another replica at the address, and to take a refusal that names no limit for the end of one.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -14,6 +14,7 @@
 } from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
+import type { UpstreamSignals } from "../../request/upstream_signals.ts";
 import type { Clock } from "../clock.ts";
 import type { Random } from "../random.ts";
 import {
@@ -241,6 +242,11 @@
     );
   }
 
+  override noteSignals(signals: UpstreamSignals): void {
+    if (!this.#isSameProcess()) return;
+    this.#options.state.rateLimits.noteSignals(this.upstream, signals);
+  }
+
   release(state: "done" | "failed" | "cancelled" | "unused"): void {
     if (this.#isReleased) return;
     this.#isReleased = true;
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -14,6 +14,7 @@
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
+import { type OnRateLimit, ReplicaRateLimits } from "./replica_rate_limits.ts";
 import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
 
@@ -32,6 +33,7 @@
   /** Hears that there is something to tell. */
   onNews: () => void;
   onEjected: (replica: VmId, forMs: number) => void;
+  onRateLimit?: OnRateLimit;
   /** Left out where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
 }
@@ -52,6 +54,7 @@
   readonly prefills: PrefillShares;
   readonly liveness: ReplicaLiveness;
   readonly slowStart: SlowStart;
+  readonly rateLimits: ReplicaRateLimits;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onNews, onEjected } = options;
@@ -67,6 +70,9 @@
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
+    this.rateLimits = ReplicaRateLimits.create(
+      options.onRateLimit ?? (() => {}),
+    );
   }
 
   static create(options: PlacementStateOptions): PlacementState {
@@ -110,5 +116,6 @@
     this.prefixes.dropUnlisted(isListed);
     this.prefills.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
+    this.rateLimits.dropUnlisted(isListed);
   }
 }
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -21,6 +21,7 @@
 import { WindowRetryBudget } from "./retry_budget.ts";
 import type { Quarantine } from "./services.ts";
 import { UnlimitedSource } from "./unlimited_source.ts";
+import { UnreadableSignals } from "./unreadable_signals.ts";
 
 /**
  * Part of the fleet's retries that VMs use: their shares are not exact, and a
@@ -79,6 +80,7 @@
       },
     }),
     quarantine: parts.quarantine,
+    unreadable: UnreadableSignals.create(parts.log),
     metrics: parts.metrics,
     answers: AnswerStore.create({ maxBytes: 0 }),
     isDraining: parts.isDraining,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -59,6 +59,7 @@
       state: replica.state,
       ejected: parts.placement.health.isEjected(replica.id),
       warming: parts.placement.slowStart.isWarming(replica),
+      requests_per_s: parts.placement.rateLimits.getLimit(replica.id),
       slowness: parts.placement.speeds.getRatio(replica.id),
       ...parts.placement.loads.getLoad(replica.id),
     })),
@@ -99,6 +100,10 @@
     help: "Requests under which a replica crashed, not answered since",
     read: () => parts.quarantine.countSuspects(),
   });
+  metrics.addGauge("rate_limited_replicas", {
+    help: "Replicas that name a limit on requests a second",
+    read: () => countRateLimited(parts),
+  });
   metrics.addGauge("ejected_replicas", {
     help: "Replicas that are left out for failures",
     read: () => countEjected(parts),
@@ -118,3 +123,8 @@
   return replicas.getList().replicas
     .filter((replica) => placement.slowStart.isWarming(replica)).length;
 }
+
+function countRateLimited({ replicas, placement }: StatusParts): number {
+  return replicas.getList().replicas
+    .filter(({ id }) => placement.rateLimits.getLimit(id) !== undefined).length;
+}
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -120,6 +120,12 @@
       onEjected: (replica, forMs) => {
         this.#log.warn("replica_ejected", { replica, for_ms: forMs });
       },
+      onRateLimit: (replica, requestsPerS) => {
+        this.#log.info("replica_rate_limit", {
+          replica,
+          requests_per_s: requestsPerS ?? "none",
+        });
+      },
       slowStart: {
         vm: options.settings.vm,
         excess: options.settings.warmUpExcess,
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -32,6 +32,7 @@
 } from "./quarantine/index.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
+import { UnreadableSignals } from "./unreadable_signals.ts";
 import { ProcessRunClaims } from "./run_claims.ts";
 import {
   buildShardId,
@@ -282,6 +283,7 @@
         getShare: () => this.getSnapshot()?.policy.retryShare ?? NO_RETRIES,
       }),
       quarantine: this.quarantine,
+      unreadable: UnreadableSignals.create(environment.log),
       metrics: this.metrics,
       answers: this.#answers,
       isDraining: () => this.#isDraining,
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -18,6 +18,7 @@
 } from "../ids.ts";
 import type { RunOutcome } from "../outcome.ts";
 import type { FateStep } from "../request/fate.ts";
+import type { UpstreamSignals } from "../request/upstream_signals.ts";
 import type { ClaimAnswer, LeaseNews } from "./peer_api.ts";
 
 /** What a request needs from a pool. */
@@ -92,6 +93,8 @@
   }
 
   abstract noteProgress(progress: LeaseProgress): void;
+  /** Takes in what the upstream asks in its answer. */
+  noteSignals(_signals: UpstreamSignals): void {}
   /** Gives the slot back; the first call counts. */
   abstract release(
     state: Exclude<LeaseNews["state"], "running">,
--- a/src/request/request_services.ts
+++ b/src/request/request_services.ts
@@ -17,6 +17,7 @@
   RetryBudget,
   RunClaims,
 } from "../process/services.ts";
+import type { UnreadableSignals } from "../process/unreadable_signals.ts";
 import type { Snapshot } from "../version/records.ts";
 
 /** The process-wide parts behind every request. */
@@ -30,6 +31,8 @@
   fates: FateStore;
   budget: RetryBudget;
   quarantine: Quarantine;
+  /** Log lines on what upstreams ask and cannot be read. */
+  unreadable: UnreadableSignals;
   metrics: RequestMetrics;
   answers: AnswerStore;
   isDraining: () => boolean;
--- a/src/request/routed_call_work.ts
+++ b/src/request/routed_call_work.ts
@@ -38,7 +38,7 @@
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
-    this.checkHead(answer);
+    this.checkHead(answer, options);
     const { sink } = this.start.run.start;
     const held: Uint8Array[] = [];
     let heldBytes = 0;
--- a/src/request/routed_dialect.ts
+++ b/src/request/routed_dialect.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { VmId, WorkspaceName } from "../ids.ts";
+import type { UpstreamSignals } from "./upstream_signals.ts";
 
 /** A part of a prompt that other prompts may begin with as well. */
 export interface PromptPart {
@@ -52,6 +53,8 @@
   isNotExecuted: boolean;
   /** Whether the answer carries the upstream's signature. */
   isSigned: boolean;
+  /** Undefined where another replica answered than the one that was meant. */
+  signals: UpstreamSignals | undefined;
 }
 
 /** Reads and writes the headers of routed calls. Names in lower case. */
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -37,7 +37,7 @@
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
-    this.checkHead(answer);
+    this.checkHead(answer, options);
     const { run } = this.start;
     for await (const bytes of answer.body) {
       checkWanted(options);
@@ -83,7 +83,7 @@
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
-    this.checkHead(answer);
+    this.checkHead(answer, options);
     const { sink } = this.start.run.start;
     if (sink.headWritten && answer.status !== 200) {
       throw BrokenAnswerError.create(`Resumption got ${answer.status}`);
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -135,12 +135,13 @@
    * A replica may send a second answer late, where the next one is expected:
    * without the check of the id, a caller would get another caller's answer.
    */
-  protected checkHead(answer: UpstreamAnswer): void {
+  protected checkHead(answer: UpstreamAnswer, options: RelayOptions): void {
     const { run, route, dialect } = this.start;
     const facts = dialect.readAnswer(answer.status, answer.headers);
     const isOther = facts.requestId !== undefined &&
       facts.requestId !== run.id;
     if (isOther) throw BrokenAnswerError.create("Answer of another request");
+    if (facts.signals !== undefined) options.onSignals(facts.signals);
     if (facts.isNotExecuted) {
       throw new BrokenAnswerError(`Upstream refused with ${answer.status}`, {
         notStarted: true,
--- a/src/request/tries.ts
+++ b/src/request/tries.ts
@@ -192,6 +192,10 @@
     await work.handleAnswer(answer, {
       signal: cancel.signal,
       progress,
+      onSignals: (signals) => {
+        run.services.unreadable.note(lease.upstream, signals.unreadable);
+        lease.noteSignals(signals);
+      },
       onWhole: () => lease.release("done", progress.getProgress()),
     });
     return { kind: "answered" };
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -11,6 +11,7 @@
 import type { HeldLease, LeaseRequest } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
 import type { TryProgress } from "./try_progress.ts";
+import type { UpstreamSignals } from "./upstream_signals.ts";
 
 /** What goes to the upstream. */
 export interface WorkCall {
@@ -44,6 +45,8 @@
   /** Aborts when the try is over: the caller left or the slot was taken. */
   signal: AbortSignal;
   progress: TryProgress;
+  /** To be called with what the answer's head asks, if it is the upstream's. */
+  onSignals: (signals: UpstreamSignals) => void;
   /** To be called once the upstream has done its part: frees its slot. */
   onWhole: () => void;
 }
--- /dev/null
+++ b/test/platform/headers_test.ts
@@ -0,0 +1,43 @@
+import { describe, expect, it } from "vitest";
+import { PlatformDialect } from "../../platform/headers.ts";
+
+const dialect = PlatformDialect.create();
+
+function readSignals(status: number, headers: Record<string, string>) {
+  return dialect.readAnswer(status, headers).signals;
+}
+
+describe("what a replica's answer asks", () => {
+  it("reads the requests a second that it takes", () => {
+    for (const [text, requestsPerS] of [["3.5", 3.5], ["0", 0], [" 7 ", 7]]) {
+      expect(readSignals(200, { "server-limit": String(text) }))
+        .toEqual({ requestsPerS, unreadable: [] });
+    }
+  });
+
+  it("takes an answer without a limit for the end of it", () => {
+    expect(readSignals(200, {})!.requestsPerS).toBe(Infinity);
+    expect(readSignals(500, {})!.requestsPerS).toBe(Infinity);
+  });
+
+  it("learns nothing from a refusal that names no limit", () => {
+    const refusal = { "x-not-executed": "1" };
+    expect(readSignals(503, refusal)!.requestsPerS).toBeUndefined();
+    expect(readSignals(503, { ...refusal, "server-limit": "2" })!.requestsPerS)
+      .toBe(2);
+  });
+
+  it("learns nothing from another replica at the address", () => {
+    expect(readSignals(421, { "server-limit": "2" })).toBeUndefined();
+  });
+
+  it("names a limit that is no decimal number, and goes by none", () => {
+    const values = ["", "many", "-1", "1e3", "3, 4", "NaN", "9".repeat(400)];
+    for (const value of values) {
+      expect(readSignals(200, { "server-limit": value })).toEqual({
+        requestsPerS: undefined,
+        unreadable: [{ name: "server-limit", value }],
+      });
+    }
+  });
+});
--- /dev/null
+++ b/test/process/unreadable_signals_test.ts
@@ -0,0 +1,22 @@
+import { expect, it } from "vitest";
+import { toId, type VmId } from "../../src/ids.ts";
+import { UnreadableSignals } from "../../src/process/unreadable_signals.ts";
+import { FakeLog } from "../support/request_fakes.ts";
+
+const REPLICA = toId<VmId>("r-1");
+
+it("writes a line for each value and not for each answer", () => {
+  const log = new FakeLog();
+  const unreadable = UnreadableSignals.create(log);
+  for (const value of ["many", "many", "-1", "x".repeat(500)]) {
+    unreadable.note(REPLICA, [{ name: "server-limit", value }]);
+  }
+  expect(log.lines.map(({ level, event }) => `${level} ${event}`))
+    .toEqual(Array(3).fill("warn upstream_header_unreadable"));
+  expect(log.lines[0]!.fields).toEqual({
+    peer: REPLICA,
+    header: "server-limit",
+    value: "many",
+  });
+  expect(log.lines[2]!.fields["value"]).toHaveLength(80);
+});
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -20,6 +20,7 @@
 } from "../../src/process/peer_api.ts";
 import { RequestQuarantine } from "../../src/process/quarantine/index.ts";
 import { WindowRetryBudget } from "../../src/process/retry_budget.ts";
+import { UnreadableSignals } from "../../src/process/unreadable_signals.ts";
 import { ProcessRunClaims } from "../../src/process/run_claims.ts";
 import type { CallerRequest } from "../../src/request/caller_request.ts";
 import { RequestRouter } from "../../src/request/router.ts";
@@ -106,6 +107,7 @@
         getShare: () => options.retryShare ?? 1,
       }),
       quarantine: this.quarantine,
+      unreadable: UnreadableSignals.create(environment.log),
       metrics: this.metrics,
       isDraining: () => this.isDraining,
       entries: () => ({ entries: [] }),
