Test that VMs together keep to a replica's rate limit: they do not

A replica of three names a limit of 2 requests a second for all VMs together; four VMs, and fourteen whose owners place requests, get 40 requests a second. From half a second on it got 129 and 68 requests in 4 s, where 17 are the most.

--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -55,6 +55,8 @@
 export class ReplicaStandIn extends HttpStandIn {
   readonly id: string;
   mode: ReplicaMode = "answer";
+  /** Headers of all its answers beside their own. */
+  extraHeaders: Record<string, string> = {};
   /** Its process ends soon after it begins such a request. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
@@ -62,6 +64,8 @@
   readonly ran: StandInCall[] = [];
   /** Requests that reached it, turned down ones included. */
   readonly seen: StandInCall[] = [];
+  /** When each of those came, by `performance.now()`. */
+  readonly seenAt: number[] = [];
   /** Requests whose connection the other side closed before the end. */
   readonly cancelled: string[] = [];
   /** Connections on which an answer went out before. */
@@ -86,6 +90,10 @@
     response: ServerResponse,
   ): Promise<void> {
     this.seen.push(call);
+    this.seenAt.push(performance.now());
+    for (const [name, value] of Object.entries(this.extraHeaders)) {
+      response.setHeader(name, value);
+    }
     const requestId = call.headers["x-request-id"] ?? "";
     if (call.headers["x-expect-instance"] !== this.id) {
       sendJson(response, { status: 421, body: {} });
