--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -26,7 +26,7 @@
 import type { Log } from "./log.ts";
 import {
   Locality,
-  PlacementState,
+  type PlacementState,
   ReplicaDirectory,
 } from "./placement/index.ts";
 import { RequestQuarantine } from "./quarantine/index.ts";
@@ -38,6 +38,7 @@
 } from "./routed_caller_limits.ts";
 import { runDrain } from "./routed_drain.ts";
 import { RoutedFleet } from "./routed_fleet.ts";
+import { createRoutedPlacement } from "./routed_placement.ts";
 import { buildRoutedServices } from "./routed_services.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import { addGauges, buildStatus, type StatusParts } from "./routed_status.ts";
@@ -114,25 +115,12 @@
       allowsUndelimited: true,
     });
     this.#locality = Locality.create(options.settings.regions);
-    this.#placement = PlacementState.create({
+    this.#placement = createRoutedPlacement({
       clock: this.#clock,
-      onNews: () => this.#fleet?.announceNews(),
-      onEjected: (replica, forMs) => {
-        this.#log.warn("replica_ejected", { replica, for_ms: forMs });
-      },
-      onRateLimit: (replica, requestsPerS) => {
-        this.#log.info("replica_rate_limit", {
-          replica,
-          requests_per_s: requestsPerS ?? "none",
-        });
-      },
-      slowStart: {
-        vm: options.settings.vm,
-        excess: options.settings.warmUpExcess,
-        getWarmUp: (pool) => this.getSnapshot()?.pools.get(pool)?.warmUp,
-        getShare: (pool) =>
-          this.#fleet?.getShare(pool) ?? { role: "equal", others: [] },
-      },
+      log: this.#log,
+      settings: options.settings,
+      getSnapshot: () => this.getSnapshot(),
+      getFleet: () => this.#fleet,
     });
     this.#quarantine = RequestQuarantine.create({
       clock: this.#clock,
