Keep all VMs together within the rate limit that a replica names

Two model replicas named limits of 3.1 and 3.3 requests a second for all VMs together, and got 45 and 46 requests in 4 s, three seconds later, where 24 and 25 are the most. No caller failed for it.

Cause: no VM read the limit; each placed requests by loads, cached parts and speeds as ever. Class: a limit that holds for the whole fleet and is named to one VM at a time, so that each VM that reads it alone would still use all of it.

Ruled out: that VMs kept to the limit each by itself, or forgot it. No VM's part fell after its first such answer, by the replicas' arrivals and by the lines of 'sent'; nothing in the code read the header.

Now each VM tells the others, with its news of its work, what answers to it named and how long ago, and how many requests it has sent there. The newest answer holds, and all that was sent counts against one token bucket at each VM; counts are totals, so that lost and doubled messages change nothing. Owners of large fleets have four fifths of a limit, those that hear no owner the rest, and VMs that hear only some of the others the part that those are of all. What finds no room goes to another replica, or is refused as not run, with the time until there is room.

Messages stay readable to daemons without the change, and theirs to this one.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -30,6 +30,9 @@
   type WorkShare,
 } from "./seeded_fleet/index.ts";
 
+/** As `formatLoads` gives it for a VM without work. */
+const NO_LOADS = "[[],[]]";
+
 /** What the part needs. */
 export interface OwnedPlacementOptions {
   vm: VmId;
@@ -125,9 +128,9 @@
     const shares = owners.groups.map(({ duties, vms }) => {
       const part = this.#pickWork(work, duties);
       const key = duties.join();
-      const loads = JSON.stringify(part.loads);
+      const loads = formatLoads(part);
       told.set(key, loads);
-      const isNew = loads !== (this.#toldLoads.get(key) ?? "[]") ||
+      const isNew = loads !== (this.#toldLoads.get(key) ?? NO_LOADS) ||
         [part.results, part.speeds, part.placements, part.reads]
           .some((entries) => entries.length > 0);
       return { owners: vms, work: part, isNew };
@@ -210,6 +213,15 @@
       speeds: work.speeds.filter(isPart),
       placements: work.placements.filter(isPart),
       reads: work.reads.filter(isPart),
+      limits: work.limits.filter(isPart),
     };
   }
 }
+
+/** What is told again and again, as text that shows whether any of it changed. */
+function formatLoads({ loads, limits }: FleetWork): string {
+  const sent = limits.map((
+    [replica, requestsPerS, _ageMs, count],
+  ) => [replica, requestsPerS, count]);
+  return JSON.stringify([loads, sent]);
+}
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -97,11 +97,11 @@
     // Time may have passed without the sockets being read, on a VM that is held
     // up: the caller may have left, and its request must not be sent then.
     await this.#options.readArrived();
-    if (decision === "full") throw this.#createPoolFull(request);
+    if (decision === "full") throw this.#createPoolFull(request, needs);
     const placement = decision ?? this.#chooser.choose(needs);
     if (placement === undefined) throw this.#createRefusal(request, needs);
     if (decision === undefined) {
-      this.#options.state.slowStart.addSent(placement.replica);
+      this.#options.state.addSent(placement.replica);
     }
     this.#granted += 1;
     return new PlacedLease(toId<LeaseId>(String(this.#granted)), {
@@ -133,19 +133,28 @@
 
   #createRefusal(request: LeaseRequest, needs: PlacementRequest): RefusalError {
     return this.#chooser.hasCandidates(needs)
-      ? this.#createPoolFull(request)
+      ? this.#createPoolFull(request, needs)
       : createNoReplica();
   }
 
-  #createPoolFull({ deadlineAt }: LeaseRequest): RefusalError {
+  #createPoolFull(
+    { deadlineAt }: LeaseRequest,
+    needs: PlacementRequest,
+  ): RefusalError {
     const { clock, random } = this.#options;
     const leftMs = Math.max(0, deadlineAt - clock.now());
     const spread = (MOST_RETRY_SHARE - LEAST_RETRY_SHARE) * random.next();
+    const spreadMs = leftMs * (LEAST_RETRY_SHARE + spread);
+    const roomMs = this.#chooser.computeRoomWaitMs(needs);
     return new RefusalError({
       code: "queue_full",
-      message: "The service's replicas warm up and take no more now",
+      message:
+        "The service's replicas warm up or take few requests a second, " +
+        "and have no room now",
       outcome: "not_run",
-      retryAfterMs: Math.round(leftMs * (LEAST_RETRY_SHARE + spread)),
+      retryAfterMs: Math.round(
+        Number.isFinite(roomMs) ? Math.max(roomMs, spreadMs) : spreadMs,
+      ),
     });
   }
 }
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -14,7 +14,12 @@
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
-import { type OnRateLimit, ReplicaRateLimits } from "./replica_rate_limits.ts";
+import type { ListedReplica } from "./replica_list.ts";
+import {
+  type RateLimitEntry,
+  ReplicaRateLimits,
+  type ReplicaRateLimitsOptions,
+} from "./replica_rate_limits.ts";
 import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
 
@@ -25,6 +30,7 @@
   speeds: SpeedEntry[];
   placements: PlacementEntry[];
   reads: ReadEntry[];
+  limits: RateLimitEntry[];
 }
 
 /** What a state needs. */
@@ -33,9 +39,10 @@
   /** Hears that there is something to tell. */
   onNews: () => void;
   onEjected: (replica: VmId, forMs: number) => void;
-  onRateLimit?: OnRateLimit;
   /** Left out where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
+  /** Left out by a VM without a fleet. */
+  rateLimits?: Omit<ReplicaRateLimitsOptions, "clock">;
 }
 
 const NO_WARM_UP: Omit<SlowStartOptions, "clock"> = {
@@ -45,6 +52,12 @@
   getShare: () => ({ role: "equal", others: [] }),
 };
 
+const NO_FLEET: Omit<ReplicaRateLimitsOptions, "clock"> = {
+  getShare: () => ({ role: "equal", others: [] }),
+  countHeard: () => 0,
+  onChange: () => {},
+};
+
 /** The parts that the choice of a replica goes by. */
 export class PlacementState {
   readonly loads: ReplicaLoads;
@@ -58,7 +71,7 @@
 
   constructor(options: PlacementStateOptions) {
     const { clock, onNews, onEjected } = options;
-    const slowStart = options.slowStart ?? NO_WARM_UP;
+    const { slowStart = NO_WARM_UP, rateLimits = NO_FLEET } = options;
     this.loads = ReplicaLoads.create(clock, onNews);
     this.health = ReplicaHealth.create(clock, (replica, forMs) => {
       this.slowStart.noteFailing(replica, forMs);
@@ -70,9 +83,14 @@
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
-    this.rateLimits = ReplicaRateLimits.create(
-      options.onRateLimit ?? (() => {}),
-    );
+    this.rateLimits = ReplicaRateLimits.create({
+      clock,
+      ...rateLimits,
+      onChange: (replica, requestsPerS) => {
+        rateLimits.onChange(replica, requestsPerS);
+        onNews();
+      },
+    });
   }
 
   static create(options: PlacementStateOptions): PlacementState {
@@ -87,6 +105,7 @@
       speeds: this.speeds.takeUnsent(),
       placements: this.prefixes.takeUnsent(),
       reads: this.prefixes.takeUnsentReads(),
+      limits: this.rateLimits.listNews(),
     };
   }
 
@@ -97,12 +116,24 @@
     this.speeds.notePeerSpeeds(news.speeds);
     this.prefixes.notePeerPlacements(news.placements);
     this.prefixes.notePeerReads(news.reads);
+    this.rateLimits.noteNews(vm, news.limits);
     for (const [replica, , readTokens] of news.placements) {
       const msPerToken = this.speeds.getMsPerToken(replica);
       this.prefills.addPrefill(replica, readTokens * msPerToken);
     }
   }
 
+  /** Whether one more request of this VM's decision may go there now. */
+  hasRoom(replica: ListedReplica): boolean {
+    return this.slowStart.hasRoom(replica) && this.rateLimits.hasRoom(replica);
+  }
+
+  /** A request goes there by this VM's decision. */
+  addSent(replica: ListedReplica): void {
+    this.slowStart.addSent(replica);
+    this.rateLimits.addSent(replica);
+  }
+
   /** Forgets all of one replica, whose process is another one now. */
   dropReplica(replica: VmId): void {
     this.loads.dropOwn(replica);
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -71,9 +71,8 @@
    * time goes where it is read first, behind all that can be in time.
    */
   choose(request: PlacementRequest): Placement | undefined {
-    const { slowStart } = this.#state;
     const withRoom = this.#listCandidates(request)
-      .filter((replica) => slowStart.hasRoom(replica));
+      .filter((replica) => this.#state.hasRoom(replica));
     const onTime = this.#chooseAmong(withRoom, request);
     if (onTime !== undefined || request.targetMs === undefined) return onTime;
     const late = { ...request, targetMs: undefined, isDeferred: true };
@@ -86,6 +85,17 @@
     return this.#listCandidates(request).length > 0;
   }
 
+  /**
+   * Milliseconds until the first of the replicas that take work may have room
+   * by the limits that they name; infinite where none is known to.
+   */
+  computeRoomWaitMs(request: PlacementRequest): number {
+    const { rateLimits } = this.#state;
+    const waits = this.#listCandidates(request)
+      .map((replica) => rateLimits.computeWaitMs(replica));
+    return Math.min(...waits);
+  }
+
   /** Chooses for ask number `ask` of `vm`, and counts the request from now. */
   chooseFor(
     vm: VmId,
@@ -103,7 +113,7 @@
       running: 1,
       interactive,
     };
-    this.#state.slowStart.addSent(placement.replica);
+    this.#state.addSent(placement.replica);
     this.#state.loads.answered.note(vm, ask, { replica, load });
     this.#state.prefixes.notePeerPlacements([[replica, request.parts, 0]]);
     return placement;
--- a/src/process/placement/replica_rate_limits.ts
+++ b/src/process/placement/replica_rate_limits.ts
@@ -1,13 +1,45 @@
 /**
- * The limits on requests a second that replicas name.
+ * Keeps the whole fleet within the limits on requests a second that replicas
+ * name.
+ *
+ * A limit holds for all VMs together. Each VM tells the others of the limits
+ * that answers named to it and of how much it has sent; what all have sent
+ * counts against one bucket at each VM. Counts are totals, so that a message
+ * that is lost or comes twice changes nothing.
  *
  * @module
  */
-import type { VmId } from "../../ids.ts";
+import { match } from "ts-pattern";
+import type { PoolName, VmId } from "../../ids.ts";
 import type { UpstreamSignals } from "../../request/upstream_signals.ts";
+import type { Clock } from "../clock.ts";
+import { RequestRate } from "../limits/index.ts";
+import type { ListedReplica } from "./replica_list.ts";
+import type { DecisionShare } from "./slow_start.ts";
 
 /** Limits that differ by less, as a share of the one before, are not told. */
 const TOLD_CHANGE = 0.25;
+/** Others are told for so long of an answer or a request, in milliseconds. */
+const TOLD_FOR_MS = 2_000;
+/**
+ * The part of a limit that VMs share that hear no owner. They hear nothing of
+ * what owners send, either.
+ */
+const ALONE_PART = 0.2;
+const NO_LIMIT = -1;
+const NEVER = -1;
+
+/**
+ * What a VM tells of one replica: the limit that its last answer named and how
+ * many milliseconds ago (below 0 for none, or never), and how many requests the
+ * VM has sent there under limits.
+ */
+export type RateLimitEntry = [
+  replica: VmId,
+  requestsPerS: number,
+  ageMs: number,
+  sent: number,
+];
 
 /** Hears that a replica names a limit or none, in requests a second. */
 export type OnRateLimit = (
@@ -15,47 +47,106 @@
   requestsPerS: number | undefined,
 ) => void;
 
+/** What keeping to limits goes by. */
+export interface ReplicaRateLimitsOptions {
+  clock: Clock;
+  onChange: OnRateLimit;
+  getShare: (pool: PoolName) => DecisionShare;
+  /** Other VMs that are heard now. */
+  countHeard: () => number;
+}
+
 interface Record {
-  requestsPerS: number;
-  /** The limit that was told last. */
+  /** What was sent under limits; undefined before the replica named one. */
+  rate: RequestRate | undefined;
+  /** Whether its last answer named a limit. */
+  isLimited: boolean;
+  /** When that answer came, to whichever VM, as `Clock.now()`. */
+  namedAt: number;
+  /** The limit in its last answer to this VM, and when that came. */
+  own: { requestsPerS: number; at: number } | undefined;
+  /** Requests sent by this VM's decision, and when the last one was. */
+  sent: number;
+  sentAt: number;
+  /** The same of other VMs, as they told. */
+  sentByPeers: Map<VmId, number>;
+  /** The limit that was logged last. */
   toldPerS: number;
 }
 
-/** What replicas take, by their last word. */
+/** Limits by replica, and what was sent under them. */
 export class ReplicaRateLimits {
-  readonly #onChange: OnRateLimit;
+  readonly #options: ReplicaRateLimitsOptions;
   readonly #records = new Map<VmId, Record>();
 
-  constructor(onChange: OnRateLimit) {
-    this.#onChange = onChange;
+  constructor(options: ReplicaRateLimitsOptions) {
+    this.#options = options;
   }
 
-  static create(onChange: OnRateLimit): ReplicaRateLimits {
-    return new ReplicaRateLimits(onChange);
+  static create(options: ReplicaRateLimitsOptions): ReplicaRateLimits {
+    return new ReplicaRateLimits(options);
   }
 
   /** Takes in an answer of the replica to this VM. */
   noteSignals(replica: VmId, { requestsPerS }: UpstreamSignals): void {
     if (requestsPerS === undefined) return;
-    const known = this.#records.get(replica);
-    if (requestsPerS === Infinity) {
-      if (known === undefined) return;
-      this.#records.delete(replica);
-      this.#onChange(replica, undefined);
-      return;
-    }
-    const toldPerS = known?.toldPerS ?? Infinity;
-    const isTold = Math.abs(requestsPerS - toldPerS) < TOLD_CHANGE * toldPerS;
-    this.#records.set(replica, {
-      requestsPerS,
-      toldPerS: isTold ? toldPerS : requestsPerS,
-    });
-    if (!isTold) this.#onChange(replica, requestsPerS);
+    const now = this.#options.clock.now();
+    const record = this.#setLimit(replica, requestsPerS, now);
+    record.own = { requestsPerS, at: now };
+  }
+
+  /** Whether one more request of this VM's decision may go there now. */
+  hasRoom(replica: ListedReplica): boolean {
+    return this.computeWaitMs(replica) === 0;
+  }
+
+  /**
+   * Milliseconds until a request of this VM's decision may go there; infinite
+   * where it has none to send.
+   */
+  computeWaitMs({ id, pool }: ListedReplica): number {
+    const record = this.#records.get(id);
+    if (record?.rate === undefined || !record.isLimited) return 0;
+    const now = this.#options.clock.now();
+    return record.rate.computeWaitMs(now, this.#computeShare(pool));
+  }
+
+  /** A request goes there by this VM's decision. */
+  addSent({ id }: ListedReplica): void {
+    const record = this.#records.get(id);
+    if (record?.rate === undefined || !record.isLimited) return;
+    record.rate.take(1);
+    record.sent += 1;
+    record.sentAt = this.#options.clock.now();
   }
 
   /** Requests a second that the replica takes; undefined for any number. */
   getLimit(replica: VmId): number | undefined {
-    return this.#records.get(replica)?.requestsPerS;
+    const record = this.#records.get(replica);
+    return record?.isLimited ? record.rate?.requestsPerS : undefined;
+  }
+
+  /** What the others are to know. */
+  listNews(): RateLimitEntry[] {
+    const now = this.#options.clock.now();
+    return [...this.#records]
+      .filter(([, { rate, own, sentAt }]) =>
+        rate !== undefined &&
+        now - Math.max(own?.at ?? -Infinity, sentAt) < TOLD_FOR_MS
+      )
+      .map(([replica, record]) => buildEntry(replica, record, now));
+  }
+
+  /** Takes in what another VM told. */
+  noteNews(vm: VmId, entries: readonly RateLimitEntry[]): void {
+    const now = this.#options.clock.now();
+    for (const [replica, requestsPerS, ageMs, sent] of entries) {
+      if (ageMs !== NEVER) {
+        const named = requestsPerS === NO_LIMIT ? Infinity : requestsPerS;
+        this.#setLimit(replica, named, now - ageMs);
+      }
+      this.#notePeerSent(vm, replica, sent);
+    }
   }
 
   /** Forgets replicas that are not listed any more. */
@@ -64,4 +155,83 @@
       if (!isListed(replica)) this.#records.delete(replica);
     }
   }
+
+  /** The word that the replica gave last holds, whichever VM it came to. */
+  #setLimit(replica: VmId, requestsPerS: number, namedAt: number): Record {
+    const record = this.#records.get(replica) ?? buildRecord();
+    this.#records.set(replica, record);
+    if (namedAt < record.namedAt) return record;
+    record.namedAt = namedAt;
+    record.isLimited = requestsPerS !== Infinity;
+    if (record.isLimited) {
+      const now = this.#options.clock.now();
+      record.rate ??= RequestRate.create(requestsPerS, now);
+      record.rate.requestsPerS = requestsPerS;
+    }
+    this.#announce(replica, record);
+    return record;
+  }
+
+  #announce(replica: VmId, record: Record): void {
+    const limit = this.getLimit(replica);
+    const perS = limit ?? Infinity;
+    const { toldPerS } = record;
+    const isKnown = perS === toldPerS ||
+      Math.abs(perS - toldPerS) < TOLD_CHANGE * toldPerS;
+    if (isKnown) return;
+    record.toldPerS = perS;
+    this.#options.onChange(replica, limit);
+  }
+
+  /** The first total that is heard tells nothing of when it was sent. */
+  #notePeerSent(vm: VmId, replica: VmId, sent: number): void {
+    const record = this.#records.get(replica);
+    if (record === undefined) return;
+    const before = record.sentByPeers.get(vm) ?? sent;
+    record.sentByPeers.set(vm, sent);
+    // A VM that has started again counts from 0.
+    record.rate?.take(sent < before ? sent : sent - before);
+  }
+
+  /**
+   * The part of a limit that this VM counts against: with those that it hears
+   * it has the part that they are of all VMs, since those that are cut off from
+   * them may use the rest.
+   */
+  #computeShare(pool: PoolName): number {
+    const { getShare, countHeard } = this.#options;
+    const { role, others } = getShare(pool);
+    const known = 1 + others.length;
+    const heardPart = Math.min(1, (1 + countHeard()) / known);
+    return match(role)
+      .with("owner", () => (1 - ALONE_PART) * heardPart)
+      .with("alone", () => ALONE_PART / known)
+      .with("equal", () => heardPart)
+      .with("unsettled", () => 0)
+      .exhaustive();
+  }
+}
+
+function buildRecord(): Record {
+  return {
+    rate: undefined,
+    isLimited: false,
+    namedAt: -Infinity,
+    own: undefined,
+    sent: 0,
+    sentAt: -Infinity,
+    sentByPeers: new Map(),
+    toldPerS: Infinity,
+  };
+}
+
+function buildEntry(
+  replica: VmId,
+  { own, sent }: Record,
+  now: number,
+): RateLimitEntry {
+  if (own === undefined) return [replica, NO_LIMIT, NEVER, sent];
+  const { requestsPerS, at } = own;
+  const named = requestsPerS === Infinity ? NO_LIMIT : requestsPerS;
+  return [replica, named, now - at, sent];
 }
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
+import type { PoolName } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
-import { PlacementState } from "./placement/index.ts";
+import { type DecisionShare, PlacementState } from "./placement/index.ts";
 import type { RoutedFleet } from "./routed_fleet.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
@@ -25,24 +26,29 @@
   options: RoutedPlacementOptions,
 ): PlacementState {
   const { clock, log, settings, getSnapshot, getFleet } = options;
+  const getShare = (pool: PoolName): DecisionShare =>
+    getFleet()?.getShare(pool) ?? { role: "equal", others: [] };
   return PlacementState.create({
     clock,
     onNews: () => getFleet()?.announceNews(),
     onEjected: (replica, forMs) => {
       log.warn("replica_ejected", { replica, for_ms: forMs });
     },
-    onRateLimit: (replica, requestsPerS) => {
-      log.info("replica_rate_limit", {
-        replica,
-        requests_per_s: requestsPerS ?? "none",
-      });
+    rateLimits: {
+      getShare,
+      countHeard: () => getFleet()?.listLive().length ?? 0,
+      onChange: (replica, requestsPerS) => {
+        log.info("replica_rate_limit", {
+          replica,
+          requests_per_s: requestsPerS ?? "none",
+        });
+      },
     },
     slowStart: {
       vm: settings.vm,
       excess: settings.warmUpExcess,
       getWarmUp: (pool) => getSnapshot()?.pools.get(pool)?.warmUp,
-      getShare: (pool) =>
-        getFleet()?.getShare(pool) ?? { role: "equal", others: [] },
+      getShare,
     },
   });
 }
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -32,6 +32,7 @@
   lastAsk: COUNT,
   /** Asks up to there that it has no answer to. */
   openAsks: z.array(COUNT),
+  limits: z.array(z.tuple([VM, COUNT, COUNT, COUNT])).default([]),
 });
 
 const HEARTBEAT = z.object({
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -109,6 +109,7 @@
         reads: [],
         lastAsk: 0,
         openAsks: [],
+        limits: [],
       };
       return [{ owners, work, isNew: results.length > 0 }];
     },
