Keep shards within the rate limit that an upstream names

An upstream names its limit with x-max-requests-per-second. The holder of a lease tells the shard's owner with its next word, with the answer's age; the owner grants no more than the limit, and what waits stays in its queue or goes to other replicas. No slot is preempted at an upstream that takes no request now. While owners are silent each VM keeps to its part of the limit. A word that comes late or twice changes nothing.

Why it holds: all grants of a shard go through its owner, and its bucket counts each of them. The bucket is the one that VMs with routes use.

Old daemons read the new messages and the other way round, with a test for the datagrams.

--- a/src/connection/peer_schemas.ts
+++ b/src/connection/peer_schemas.ts
@@ -42,6 +42,8 @@
   tokens: MS,
   firstTokenMs: MS.optional(),
   betweenTokensMs: MS.optional(),
+  rateLimit: z.looseObject({ requestsPerS: MS.optional(), ageMs: MS })
+    .optional(),
 });
 
 const SHARD_SUMMARY = z.looseObject({
--- a/src/process/limits/request_rate.ts
+++ b/src/process/limits/request_rate.ts
@@ -1,5 +1,6 @@
 /**
- * A limit on requests a second that an upstream names, as one sender keeps it.
+ * The limit on requests a second that an upstream names, as one sender keeps
+ * it.
  *
  * @module
  */
@@ -25,19 +26,33 @@
  * soon as they are heard of.
  */
 export class RequestRate {
-  /** Requests a second that the upstream names. */
-  requestsPerS: number;
+  #requestsPerS = Infinity;
+  #namedAt = -Infinity;
   #level = 0;
-  #filledAt: number;
+  #updatedAt: number;
 
-  constructor(requestsPerS: number, now: number) {
-    this.requestsPerS = requestsPerS;
-    this.#filledAt = now;
+  constructor(now: number) {
+    this.#updatedAt = now;
   }
 
-  /** A limit that is named at `now`; one request may be sent at once. */
-  static create(requestsPerS: number, now: number): RequestRate {
-    return new RequestRate(requestsPerS, now);
+  /** An upstream that has named no limit up to `now`. */
+  static create(now: number): RequestRate {
+    return new RequestRate(now);
+  }
+
+  /** Requests a second; undefined while the upstream names no limit. */
+  get limit(): number | undefined {
+    return this.#requestsPerS === Infinity ? undefined : this.#requestsPerS;
+  }
+
+  /**
+   * Takes in the limit that an answer named at `namedAt`, infinite for none.
+   * An older answer than the last one changes nothing.
+   */
+  noteLimit(requestsPerS: number, namedAt: number): void {
+    if (namedAt < this.#namedAt) return;
+    this.#namedAt = namedAt;
+    this.#requestsPerS = requestsPerS;
   }
 
   /**
@@ -45,7 +60,8 @@
    * infinite where it has no share.
    */
   computeWaitMs(now: number, share = 1): number {
-    const perS = Math.max(LEAST_PER_S, this.requestsPerS) * share;
+    if (this.limit === undefined) return 0;
+    const perS = Math.max(LEAST_PER_S, this.#requestsPerS) * share;
     if (perS === 0) return Infinity;
     const perMs = perS / MS_PER_SECOND;
     this.#update(now, perMs);
@@ -54,12 +70,12 @@
 
   /** Counts requests that this sender or another one has sent. */
   take(count: number): void {
-    this.#level -= count;
+    if (this.limit !== undefined) this.#level -= count;
   }
 
   #update(now: number, perMs: number): void {
-    const ms = Math.max(0, now - this.#filledAt);
-    this.#filledAt = now;
+    const ms = Math.max(0, now - this.#updatedAt);
+    this.#updatedAt = now;
     const level = this.#level + ms * perMs;
     const least = -MOST_DEBT_MS * perMs;
     this.#level = Math.min(BURST_MS * perMs, Math.max(least, level));
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -77,6 +77,14 @@
   | { kind: "not_owner"; owner: VmId | undefined }
   | { kind: "pass_on"; shard: ShardId };
 
+/** The limit on requests a second that an upstream's answer named. */
+export interface RateLimitNews {
+  /** Left out where it named none. */
+  requestsPerS?: number;
+  /** Time since the answer. */
+  ageMs: number;
+}
+
 /** What the holder of a lease tells its owner. */
 export interface LeaseNews {
   lease: LeaseId;
@@ -93,6 +101,8 @@
   firstTokenMs: number | undefined;
   /** Mean time between tokens since the last news, once known. */
   betweenTokensMs: number | undefined;
+  /** What the answer under the lease told, once known. */
+  rateLimit?: RateLimitNews | undefined;
 }
 
 /** Renews, returns and re-announces leases, many in one call. */
--- a/src/process/placement/replica_rate_limits.ts
+++ b/src/process/placement/replica_rate_limits.ts
@@ -57,12 +57,9 @@
 }
 
 interface Record {
-  /** What was sent under limits; undefined before the replica named one. */
-  rate: RequestRate | undefined;
-  /** Whether its last answer named a limit. */
-  isLimited: boolean;
-  /** When that answer came, to whichever VM, as `Clock.now()`. */
-  namedAt: number;
+  rate: RequestRate;
+  /** Whether the replica has named a limit at any time. */
+  hasNamed: boolean;
   /** The limit in its last answer to this VM, and when that came. */
   own: { requestsPerS: number; at: number } | undefined;
   /** Requests sent by this VM's decision, and when the last one was. */
@@ -91,7 +88,7 @@
   noteSignals(replica: VmId, { requestsPerS }: UpstreamSignals): void {
     if (requestsPerS === undefined) return;
     const now = this.#options.clock.now();
-    const record = this.#setLimit(replica, requestsPerS, now);
+    const record = this.#noteLimit(replica, requestsPerS, now);
     record.own = { requestsPerS, at: now };
   }
 
@@ -105,16 +102,16 @@
    * where it has none to send.
    */
   computeWaitMs({ id, pool }: ListedReplica): number {
-    const record = this.#records.get(id);
-    if (record?.rate === undefined || !record.isLimited) return 0;
+    const rate = this.#records.get(id)?.rate;
+    if (rate?.limit === undefined) return 0;
     const now = this.#options.clock.now();
-    return record.rate.computeWaitMs(now, this.#computeShare(pool));
+    return rate.computeWaitMs(now, this.#computeShare(pool));
   }
 
   /** A request goes there by this VM's decision. */
   addSent({ id }: ListedReplica): void {
     const record = this.#records.get(id);
-    if (record?.rate === undefined || !record.isLimited) return;
+    if (record?.rate.limit === undefined) return;
     record.rate.take(1);
     record.sent += 1;
     record.sentAt = this.#options.clock.now();
@@ -122,17 +119,15 @@
 
   /** Requests a second that the replica takes; undefined for any number. */
   getLimit(replica: VmId): number | undefined {
-    const record = this.#records.get(replica);
-    return record?.isLimited ? record.rate?.requestsPerS : undefined;
+    return this.#records.get(replica)?.rate.limit;
   }
 
   /** What the others are to know. */
   listNews(): RateLimitEntry[] {
     const now = this.#options.clock.now();
     return [...this.#records]
-      .filter(([, { rate, own, sentAt }]) =>
-        rate !== undefined &&
-        now - Math.max(own?.at ?? -Infinity, sentAt) < TOLD_FOR_MS
+      .filter(([, { hasNamed, own, sentAt }]) =>
+        hasNamed && now - Math.max(own?.at ?? -Infinity, sentAt) < TOLD_FOR_MS
       )
       .map(([replica, record]) => buildEntry(replica, record, now));
   }
@@ -143,7 +138,7 @@
     for (const [replica, requestsPerS, ageMs, sent] of entries) {
       if (ageMs !== NEVER) {
         const named = requestsPerS === NO_LIMIT ? Infinity : requestsPerS;
-        this.#setLimit(replica, named, now - ageMs);
+        this.#noteLimit(replica, named, now - ageMs);
       }
       this.#notePeerSent(vm, replica, sent);
     }
@@ -157,30 +152,24 @@
   }
 
   /** The word that the replica gave last holds, whichever VM it came to. */
-  #setLimit(replica: VmId, requestsPerS: number, namedAt: number): Record {
-    const record = this.#records.get(replica) ?? buildRecord();
+  #noteLimit(replica: VmId, requestsPerS: number, namedAt: number): Record {
+    const now = this.#options.clock.now();
+    const record = this.#records.get(replica) ?? buildRecord(now);
     this.#records.set(replica, record);
-    if (namedAt < record.namedAt) return record;
-    record.namedAt = namedAt;
-    record.isLimited = requestsPerS !== Infinity;
-    if (record.isLimited) {
-      const now = this.#options.clock.now();
-      record.rate ??= RequestRate.create(requestsPerS, now);
-      record.rate.requestsPerS = requestsPerS;
-    }
+    record.rate.noteLimit(requestsPerS, namedAt);
+    record.hasNamed ||= record.rate.limit !== undefined;
     this.#announce(replica, record);
     return record;
   }
 
   #announce(replica: VmId, record: Record): void {
-    const limit = this.getLimit(replica);
-    const perS = limit ?? Infinity;
-    const { toldPerS } = record;
+    const { toldPerS, rate } = record;
+    const perS = rate.limit ?? Infinity;
     const isKnown = perS === toldPerS ||
       Math.abs(perS - toldPerS) < TOLD_CHANGE * toldPerS;
     if (isKnown) return;
     record.toldPerS = perS;
-    this.#options.onChange(replica, limit);
+    this.#options.onChange(replica, rate.limit);
   }
 
   /** The first total that is heard tells nothing of when it was sent. */
@@ -190,7 +179,7 @@
     const before = record.sentByPeers.get(vm) ?? sent;
     record.sentByPeers.set(vm, sent);
     // A VM that has started again counts from 0.
-    record.rate?.take(sent < before ? sent : sent - before);
+    record.rate.take(sent < before ? sent : sent - before);
   }
 
   /**
@@ -212,11 +201,10 @@
   }
 }
 
-function buildRecord(): Record {
+function buildRecord(now: number): Record {
   return {
-    rate: undefined,
-    isLimited: false,
-    namedAt: -Infinity,
+    rate: RequestRate.create(now),
+    hasNamed: false,
     own: undefined,
     sent: 0,
     sentAt: -Infinity,
--- a/src/process/scheduler/granter.ts
+++ b/src/process/scheduler/granter.ts
@@ -93,7 +93,7 @@
       slots: this.#options.replicas.slots,
       leases: accounts.ledger.list(),
       computeRemainingMs: (lease) => accounts.computeRemainingMs(lease, now),
-      isUseful: (lease) => this.#isUseful(lease, first),
+      isUseful: (lease) => this.#isUseful(lease, first, now),
     });
     if (victim === undefined) return;
     accounts.preempt(victim);
@@ -126,9 +126,9 @@
   }
 
   /** Whether the lease's slot would serve the waiter. */
-  #isUseful(lease: LeaseEntry, waiter: Waiter): boolean {
+  #isUseful(lease: LeaseEntry, waiter: Waiter, now: number): boolean {
     const replica = this.#options.replicas.get(lease.upstream);
-    return replica !== undefined && !replica.ejected &&
+    return replica !== undefined && !replica.ejected && replica.hasRate(now) &&
       canServe(replica, this.#buildWish(waiter));
   }
 
--- a/src/process/scheduler/held_slot.ts
+++ b/src/process/scheduler/held_slot.ts
@@ -12,7 +12,8 @@
   WorkspaceName,
 } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import type { LeaseNews, SlotLease } from "../peer_api.ts";
+import type { UpstreamSignals } from "../../request/upstream_signals.ts";
+import type { LeaseNews, RateLimitNews, SlotLease } from "../peer_api.ts";
 import { HeldLease, type LeaseProgress } from "../services.ts";
 
 /** What a held slot is made of. */
@@ -27,6 +28,8 @@
   /** This VM's time before it asked, from which the lease counts. */
   askedAt: number;
   onRelease: (slot: HeldSlot) => void;
+  /** Hears what the upstream's answer asks. */
+  onSignals: (signals: UpstreamSignals) => void;
 }
 
 /** A lease with what the holder knows of its work. */
@@ -45,6 +48,9 @@
   /** When the owner last heard of the lease; undefined before it did. */
   #announcedAt: number | undefined;
   #announcedFirstToken = false;
+  /** The limit that the upstream named, infinite for none, and when. */
+  #rateLimit: { requestsPerS: number; at: number } | undefined;
+  #announcedRateLimit = false;
 
   constructor(options: HeldSlotOptions) {
     super();
@@ -83,6 +89,13 @@
     this.#progress = progress;
   }
 
+  override noteSignals(signals: UpstreamSignals): void {
+    this.#options.onSignals(signals);
+    const { requestsPerS } = signals;
+    if (requestsPerS === undefined) return;
+    this.#rateLimit = { requestsPerS, at: this.#options.clock.now() };
+  }
+
   override release(
     state: Exclude<LeaseNews["state"], "running">,
     progress: LeaseProgress,
@@ -107,12 +120,14 @@
     }
     this.#announcedAt = sentAt;
     this.#announcedFirstToken = this.#progress.firstTokenMs !== undefined;
+    this.#announcedRateLimit = this.#rateLimit !== undefined;
   }
 
   /** Whether the owner should hear of the lease again. */
   isDue(now: number, everyMs: number): boolean {
     if (this.#announcedAt === undefined) return true;
     if (now - this.#announcedAt >= everyMs) return true;
+    if (!this.#announcedRateLimit && this.#rateLimit !== undefined) return true;
     return !this.#announcedFirstToken &&
       this.#progress.firstTokenMs !== undefined;
   }
@@ -131,6 +146,14 @@
       state: this.#state,
       promptTokens,
       ...this.#progress,
+      rateLimit: this.#buildRateLimit(),
     };
   }
+
+  #buildRateLimit(): RateLimitNews | undefined {
+    if (this.#rateLimit === undefined) return undefined;
+    const { requestsPerS, at } = this.#rateLimit;
+    const ageMs = this.#options.clock.now() - at;
+    return requestsPerS === Infinity ? { ageMs } : { requestsPerS, ageMs };
+  }
 }
--- a/src/process/scheduler/lease_accounts.ts
+++ b/src/process/scheduler/lease_accounts.ts
@@ -77,6 +77,7 @@
     });
     this.#open(entry, now);
     replica.cache.noteRouted(waiter.call.prefixes);
+    replica.rate.take(1);
     if (replica.ejected) replica.probing = true;
     return this.buildSlotLease(entry);
   }
@@ -99,6 +100,7 @@
     options: { holder: VmId; now: number },
   ): void {
     const { now } = options;
+    this.#noteRateLimit(news, now);
     if (this.ledger.isClosed(news.lease, now)) return;
     const known = this.ledger.get(news.lease);
     if (known === undefined && news.state !== "running") {
@@ -193,6 +195,13 @@
     return entry;
   }
 
+  #noteRateLimit({ upstream, rateLimit }: LeaseNews, now: number): void {
+    if (rateLimit === undefined) return;
+    const { requestsPerS = Infinity, ageMs } = rateLimit;
+    const replica = this.#options.replicas.get(upstream);
+    replica?.rate.noteLimit(requestsPerS, now - ageMs);
+  }
+
   #noteProgress(entry: LeaseEntry, news: LeaseNews, now: number): void {
     const replica = this.#options.replicas.get(entry.upstream);
     const isNewer = news.tokens > entry.tokens;
--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -244,6 +244,7 @@
         if (!released.byOwner) this.#local.release(released);
         sync.addReturn(released.buildNews());
       },
+      onSignals: (signals) => this.#local.noteSignals(slot.upstream, signals),
     });
     sync.add(held);
     return held;
@@ -308,6 +309,7 @@
 
   #onMembershipChange(): void {
     if (this.#stopped.signal.aborted) return;
+    this.#local.dropUnlisted();
     this.#calls.onMembershipChange();
     this.#syncs.announceToNewOwners();
   }
--- a/src/process/scheduler/local_slots.ts
+++ b/src/process/scheduler/local_slots.ts
@@ -4,12 +4,14 @@
  * @module
  */
 import { type ShardId, toId, type VmId } from "../../ids.ts";
+import type { UpstreamSignals } from "../../request/upstream_signals.ts";
 import type { ListedVm } from "../../version/membership_list.ts";
 import type { UpstreamPool } from "../../version/records.ts";
 import type { Environment } from "../environment.ts";
 import type { MembershipView } from "../membership_view.ts";
 import type { SlotLease } from "../peer_api.ts";
 import { FIRST_TTL_MS } from "./lease_accounts.ts";
+import { LocalRates } from "./local_rates.ts";
 import { computeLocalShare, LocalShare } from "./local_share.ts";
 import { listShardUpstreams } from "./shards.ts";
 
@@ -31,10 +33,12 @@
 export class LocalSlots {
   readonly #options: LocalSlotsOptions;
   readonly #shares = new Map<ShardId, LocalShare>();
+  readonly #rates: LocalRates;
   #leases = 0;
 
   constructor(options: LocalSlotsOptions) {
     this.#options = options;
+    this.#rates = LocalRates.create(options.environment.clock);
   }
 
   static create(options: LocalSlotsOptions): LocalSlots {
@@ -59,14 +63,17 @@
 
   /** A slot of the share; undefined where none is free. */
   take(wish: LocalWish): SlotLease | undefined {
+    const rateShare = 1 / this.#options.membership.listEntryVms().length;
     const upstreams = this.#listUpstreams(wish)
       .map((upstream) => upstream.id)
-      .filter((upstream) => !wish.avoid.includes(upstream));
+      .filter((upstream) => !wish.avoid.includes(upstream))
+      .filter((upstream) => this.#rates.hasRoom(upstream, rateShare));
     const upstream = this.#getShare(wish.shard).take(wish.rank, {
       share: this.#computeShare(wish),
       upstreams,
     });
     if (upstream === undefined) return undefined;
+    this.#rates.addSent(upstream);
     const { vm, incarnation } = this.#options.environment;
     const name = `${wish.shard}:${vm}:${incarnation}:local-${this.#leases++}`;
     return {
@@ -79,6 +86,19 @@
     };
   }
 
+  /** Takes in what an answer of an upstream to this VM asks. */
+  noteSignals(upstream: VmId, signals: UpstreamSignals): void {
+    this.#rates.noteSignals(upstream, signals);
+  }
+
+  /** Forgets upstreams that are not listed any more. */
+  dropUnlisted(): void {
+    const { membership } = this.#options;
+    this.#rates.dropUnlisted((upstream) =>
+      membership.findVm(upstream) !== undefined
+    );
+  }
+
   /** Gives a local slot back. */
   release(slot: { shard: ShardId; upstream: VmId }): void {
     const share = this.#getShare(slot.shard);
--- a/src/process/scheduler/replica.ts
+++ b/src/process/scheduler/replica.ts
@@ -6,6 +6,7 @@
 import type { LoadReport } from "../../connection/upstream_transport.ts";
 import type { VmId } from "../../ids.ts";
 import type { UpstreamPool } from "../../version/records.ts";
+import { RequestRate } from "../limits/index.ts";
 import { CacheIndex } from "./cache_index.ts";
 import { LatencyTrack } from "./latency_track.ts";
 import { SlotLimit } from "./slot_limit.ts";
@@ -33,6 +34,8 @@
   readonly limit: SlotLimit;
   readonly cache = CacheIndex.create();
   readonly latency = LatencyTrack.create();
+  /** Requests a second that it takes, by its word to any VM. */
+  readonly rate: RequestRate;
   readonly #useReports: boolean;
   /** Out of service for new work but for probes. */
   ejected = false;
@@ -55,6 +58,7 @@
     this.limit = SlotLimit.create(options.slots, {
       adaptive: options.adaptive,
     });
+    this.rate = RequestRate.create(options.now);
     this.#useReports = options.useReports;
     this.#marks = [{ at: options.now, inUse: 0 }];
   }
@@ -78,6 +82,11 @@
     return Math.max(0, this.limit.slots - this.inUse - this.#foreign);
   }
 
+  /** Whether it takes one more request now, by the limit that it names. */
+  hasRate(now: number): boolean {
+    return this.rate.computeWaitMs(now) === 0;
+  }
+
   setInUse(inUse: number, now: number): void {
     if (inUse === this.inUse) return;
     this.#marks.push({ at: now, inUse });
--- a/src/process/scheduler/replica_choice.ts
+++ b/src/process/scheduler/replica_choice.ts
@@ -27,22 +27,26 @@
   prefixAffinity: boolean;
 }
 
-/** The replica with room that suits best; undefined where there is none. */
+/**
+ * The replica with room, and within the rate limit that it names, that suits
+ * best; undefined where there is none.
+ */
 export function chooseReplica(
   replicas: readonly Replica[],
   options: { wish: ReplicaWish; now: number },
 ): Replica | undefined {
   const { wish, now } = options;
   const fitting = replicas.filter((replica) => canServe(replica, wish));
+  const withinRate = fitting.filter((replica) => replica.hasRate(now));
   // Work that may not be repeated is no probe while anything in service could
   // take it; without that rule's exception it would wait for good for a
   // replica that only a probe can bring back.
   const isLastResort = fitting.every((replica) => replica.ejected);
   if (wish.mayProbe || isLastResort) {
-    const probed = fitting.find((replica) => canProbe(replica, now));
+    const probed = withinRate.find((replica) => canProbe(replica, now));
     if (probed !== undefined) return probed;
   }
-  const free = fitting.filter((replica) =>
+  const free = withinRate.filter((replica) =>
     !replica.ejected && replica.room > 0
   );
   if (free.length <= 1) return free[0];
--- a/src/request/completion_stream_work.ts
+++ b/src/request/completion_stream_work.ts
@@ -15,6 +15,7 @@
 import { CompletionStream, type StreamPart } from "./completion_stream.ts";
 import { CompletionWork, type CompletionWorkStart } from "./completion_work.ts";
 import { listEvents } from "./sse_events.ts";
+import { readUpstreamSignals } from "./upstream_signals.ts";
 import {
   BrokenAnswerError,
   type LeaseNeeds,
@@ -64,6 +65,7 @@
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
+    options.onSignals(readUpstreamSignals(answer));
     await checkEngineStatus(answer);
     if (answer.status >= FIRST_CALLER_ERROR) {
       await this.#sendRefusal(answer, options);
--- a/src/request/completion_whole_work.ts
+++ b/src/request/completion_whole_work.ts
@@ -8,6 +8,7 @@
 import { checkEngineStatus, readWhole } from "./answer_reader.ts";
 import { writeWhole } from "./answer_writer.ts";
 import { CompletionWork, type CompletionWorkStart } from "./completion_work.ts";
+import { readUpstreamSignals } from "./upstream_signals.ts";
 import { BrokenAnswerError, type RelayOptions } from "./upstream_work.ts";
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -23,6 +24,7 @@
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
+    options.onSignals(readUpstreamSignals(answer));
     await checkEngineStatus(answer);
     const body = await readWhole(answer.body, MAX_ANSWER_BYTES);
     if (answer.status < FIRST_CALLER_ERROR) this.#noteAnswer(body, options);
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -12,6 +12,7 @@
 import type { CallerRequest } from "./caller_request.ts";
 import type { RequestRun } from "./request_run.ts";
 import { copyServiceHeaders } from "./service_call.ts";
+import { readUpstreamSignals } from "./upstream_signals.ts";
 import {
   BrokenAnswerError,
   checkWanted,
@@ -85,6 +86,7 @@
   ): Promise<void> {
     const { run } = this.#start;
     const { sink, idempotent } = run.start;
+    options.onSignals(readUpstreamSignals(answer));
     checkStatus(answer, idempotent);
     run.noteRan();
     const headers = buildAnswerHeaders(run, answer.headers);
--- a/src/request/upstream_signals.ts
+++ b/src/request/upstream_signals.ts
@@ -4,6 +4,12 @@
  * @module
  */
 
+import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
+
+/** Requests a second that an upstream takes, on the product's own interface. */
+const RATE_LIMIT = "x-max-requests-per-second";
+const SERVICE_UNAVAILABLE = 503;
+
 /** What one answer's head asks. */
 export interface UpstreamSignals {
   /**
@@ -21,6 +27,14 @@
   value: string;
 }
 
+/** Reads what engines and plain services ask on the product's own interface. */
+export function readUpstreamSignals(
+  { status, headers }: Pick<UpstreamAnswer, "status" | "headers">,
+): UpstreamSignals {
+  const hasRun = status !== SERVICE_UNAVAILABLE;
+  return readRateLimit(headers, { name: RATE_LIMIT, hasRun });
+}
+
 /**
  * Reads the header `name` as a limit on requests a second. Without it, only an
  * answer to a request that ran tells that there is none: upstreams turn
--- a/test/fuzz/fuzz_upstreams.ts
+++ b/test/fuzz/fuzz_upstreams.ts
@@ -73,6 +73,8 @@
   readonly engines = new Map<VmId, EngineCore>();
   readonly services = new Map<VmId, FuzzService>();
   readonly sends: SendRecord[] = [];
+  /** Headers of all answers of an upstream beside their own. */
+  readonly extraHeaders = new Map<VmId, Record<string, string>>();
   /** Engines whose reports nobody gets. */
   readonly unreported = new Set<VmId>();
   readonly clock: VirtualClock;
@@ -169,9 +171,11 @@
     };
     this.#upstreams.sends.push(record);
     const sent = { ...call, signal };
-    return core === undefined
-      ? this.#sendToService(service!, sent, { body, record })
-      : this.#sendToEngine(core, sent, record);
+    const answer = core === undefined
+      ? await this.#sendToService(service!, sent, { body, record })
+      : await this.#sendToEngine(core, sent, record);
+    const extra = this.#upstreams.extraHeaders.get(call.upstream);
+    return { ...answer, headers: { ...answer.headers, ...extra } };
   }
 
   override async fetchLoad(upstream: VmId): Promise<LoadReport> {
--- a/test/process/scheduler/lease_client_test.ts
+++ b/test/process/scheduler/lease_client_test.ts
@@ -67,6 +67,7 @@
       promptTokens: 1,
       askedAt: clock.now(),
       onRelease: () => {},
+      onSignals: () => {},
     });
     await clock.run(2_000);
     slot.renew(clock.now(), 6_000);
--- /dev/null
+++ b/test/process/seeded_fleet/fleet_message_test.ts
@@ -0,0 +1,59 @@
+import { expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import {
+  decodeMessage,
+  encodeMessage,
+  type FleetHeartbeat,
+} from "../../../src/process/seeded_fleet/fleet_message.ts";
+
+const REPLICA = toId<VmId>("i-1");
+
+function buildHeartbeat(): FleetHeartbeat {
+  return {
+    kind: "heartbeat",
+    vm: toId("vm-1"),
+    incarnation: toId("life"),
+    sequence: 1,
+    dataCentre: toId("dc"),
+    callers: "10.0.0.1:80",
+    state: "10.0.0.1:81",
+    isServing: true,
+    isDraining: false,
+    isPrimed: true,
+    configVersion: 1,
+    listRevision: 1,
+    isStoreLost: false,
+    listAgeMs: 0,
+    nextMs: 150,
+    heard: 1,
+    cores: 1,
+    work: {
+      loads: [[REPLICA, 1, 1, 0, 0]],
+      results: [],
+      speeds: [],
+      placements: [],
+      reads: [],
+      lastAsk: 3,
+      openAsks: [2],
+      limits: [[REPLICA, 3.5, 12, 4]],
+    },
+  };
+}
+
+it("a heartbeat is read as it was sent", () => {
+  const heartbeat = buildHeartbeat();
+  expect(decodeMessage(encodeMessage(heartbeat))).toEqual(heartbeat);
+});
+
+// Guards against a fleet that falls silent while its VMs are replaced.
+it("one without limits is read, and one with more than is known", () => {
+  const heartbeat = buildHeartbeat();
+  const change = (changeWork: (work: unknown[]) => unknown[]) => {
+    const values = JSON.parse(encodeMessage(heartbeat).toString());
+    values.push(changeWork(values.pop()));
+    return decodeMessage(Buffer.from(JSON.stringify(values)));
+  };
+  expect(change((work) => work.slice(0, -1)))
+    .toEqual({ ...heartbeat, work: { ...heartbeat.work, limits: [] } });
+  expect(change((work) => [...work, "later"])).toEqual(heartbeat);
+});
