Keep the order of bytes in the soak's relay where a delay changes

Cause: the relay between VMs and replicas started a timer for each chunk, and sent a chunk on at once while its delay was 0. What came as a delay ended, or after a second, shorter one had begun, overtook what was still held back; an end of the connection did so, too. No connection does that. The daemon passed on what it got.

Ruled out: the daemon's own order. The test needs no daemon: a server sends '1', the delay ends, it sends '2', and the client got '21'; with an end instead of the '2' it got nothing.

Each direction is one line now, in which nothing goes before what came earlier. The faults that its plan draws are the same.

--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -5,6 +5,7 @@
  */
 import type { AddressInfo, Server, Socket } from "node:net";
 import { connect, createServer } from "node:net";
+import { DelayLine } from "./delay_line.ts";
 
 /** What the relay does with connections. */
 export type RelayMode =
@@ -126,10 +127,11 @@
   }
 
   #copyBytes(from: Socket, to: Socket, pair: Pair): void {
+    const line = DelayLine.create();
     from.on("data", (chunk) => {
       this.#bytes += chunk.length;
       if (isSwallowed(from, pair)) return;
-      this.#runLater(() => {
+      line.add(this.#delayMs, () => {
         if (isSwallowed(from, pair) || to.destroyed) return;
         if (!to.write(chunk)) from.pause();
       });
@@ -137,19 +139,15 @@
     to.on("drain", () => from.resume());
     from.on("end", () => {
       if (isSwallowed(from, pair)) return;
-      this.#runLater(() => to.end());
+      line.add(this.#delayMs, () => void to.end());
     });
     from.on("error", () => to.destroy());
     from.on("close", () => {
       this.#pairs.delete(pair);
-      if (!isSwallowed(from, pair)) this.#runLater(() => to.destroySoon());
+      if (isSwallowed(from, pair)) return;
+      line.add(this.#delayMs, () => to.destroySoon());
     });
   }
-
-  #runLater(callback: () => void): void {
-    if (this.#delayMs === 0) callback();
-    else setTimeout(callback, this.#delayMs);
-  }
 }
 
 function isSwallowed(from: Socket, { mode, far }: Pair): boolean {
