Soak with replicas that name rate limits, and check what they get

A limit holds for some seconds while faults go on; what a replica got in any 4 s, three seconds after it named its limit, by requests of VMs that nobody had held up, must not be over half as much again and five. Limits are drawn apart from the faults, so that each seed's faults stay what they were.

--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -100,6 +100,7 @@
       runs: fleet.countRuns(),
       revoked: fleet.revoked,
       published: fleet.published,
+      limits: fleet.limits.list(),
       isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
       isMachineBusy: machine.isBusy,
     }) satisfies BrokenPromise[],
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -16,6 +16,7 @@
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
 import { POISON_BODY } from "./soak_callers.ts";
+import { SoakLimits } from "./soak_limits.ts";
 import type { Fault } from "./soak_plan.ts";
 import { type SoakPorts, SoakVm } from "./soak_vm.ts";
 
@@ -46,6 +47,7 @@
   readonly vms: SoakVm[] = [];
   readonly replicas: SoakReplica[] = [];
   readonly revoked: RevokedKey[] = [];
+  readonly limits = SoakLimits.create();
   /** When the newest key was published. */
   readonly published = new Map<string, number>();
   readonly #store = StoreStandIn.create();
@@ -140,6 +142,15 @@
         { kind: "replica_leaves" },
         ({ replica, forMs }) => this.#removeForTime(replica, forMs),
       )
+      .with(
+        { kind: "replica_limits" },
+        async ({ replica, requestsPerS, forMs }) => {
+          const { standIn } = this.replicas[replica]!;
+          const end = this.limits.start(standIn, requestsPerS);
+          await sleep(forMs);
+          end();
+        },
+      )
       .with({ kind: "store_way" }, async ({ vm, mode, forMs }) => {
         this.#noteStore();
         await this.#setRelay(this.#storeRelays[vm]!, mode, forMs);
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -5,6 +5,7 @@
  */
 import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
 import type { RevokedKey } from "./soak_fleet.ts";
+import { findExcess, type NamedLimit } from "./soak_limits.ts";
 
 /** Statuses that say that the work has not run and never will. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503];
@@ -31,7 +32,8 @@
     | "nobody is denied"
     | "a key that was taken away is refused"
     | "an end comes in time"
-    | "what crashes replicas is kept from them";
+    | "what crashes replicas is kept from them"
+    | "a replica gets no more than it takes";
   detail: string;
 }
 
@@ -43,6 +45,8 @@
   revoked: readonly RevokedKey[];
   /** When keys that change were published first. */
   published: ReadonlyMap<string, number>;
+  /** Limits on requests a second that replicas named. */
+  limits: readonly NamedLimit[];
   /** Whether VMs may have been unable to read what was published. */
   isStoreDisturbed: (from: number, to: number) => boolean;
   /** Whether this machine kept processes waiting for a processor. */
@@ -57,7 +61,17 @@
     ...checkKey(request, record),
     ...checkTime(request, record),
   ]);
-  return [...broken, ...checkPoison(record)];
+  return [...broken, ...checkPoison(record), ...checkLimits(record)];
+}
+
+function checkLimits(record: SoakRecord): BrokenPromise[] {
+  const requests = new Map(record.requests.map((each) => [each.id, each]));
+  return record.limits.flatMap((limit) => {
+    const excess = findExcess(limit, { ...record, requests });
+    if (excess === undefined) return [];
+    const { request, what } = excess;
+    return [build("a replica gets no more than it takes", request, what)];
+  });
 }
 
 /** Runs of the poison request that began late enough to be avoided. */
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -30,6 +30,7 @@
     runs: new Map([["request-1", 1]]),
     revoked: [],
     published: new Map([["key-2", 500]]),
+    limits: [],
     isStoreDisturbed: () => false,
     isMachineBusy: () => false,
     ...changes,
@@ -127,3 +128,37 @@
     expect(checkRuns(20, { isDisturbed: true })).toEqual([]);
   });
 });
+
+describe("a replica's limit", () => {
+  /** Ten requests a second, from its naming to its end. */
+  function checkArrivals(
+    requestsPerS: number,
+    changes: Partial<SoakRequest> = {},
+  ) {
+    const limit = { replica: "i-1", requestsPerS, from: 0, to: 12_000 };
+    const arrivals = Array.from({ length: 120 }, (_, index) => ({
+      requestId: `request-${index}`,
+      at: index * 100,
+    }));
+    const requests = arrivals.map(({ requestId, at }) =>
+      buildRequest({
+        id: requestId,
+        sentAt: at,
+        endedAt: at + 10,
+        headers: { "x-request-id": requestId, "x-response-seal": "seal" },
+        ...changes,
+      })
+    );
+    const limits = [{ ...limit, arrivals }];
+    return check(requests[0]!, { requests, runs: new Map(), limits });
+  }
+
+  it("is broken by more than half as much again and five", () => {
+    expect(checkArrivals(6)).toEqual([]);
+    expect(checkArrivals(5)).toEqual(["a replica gets no more than it takes"]);
+  });
+
+  it("does not count at VMs that have just started", () => {
+    expect(checkArrivals(1, { isDisturbed: true })).toEqual([]);
+  });
+});
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -12,6 +12,12 @@
 const SHORTEST_FAULT_MS = 200;
 const LONGEST_FAULT_MS = 3_000;
 const LONGEST_DELAY_MS = 200;
+const LONGEST_SIGNAL_GAP_MS = 10_000;
+const SHORTEST_SIGNAL_MS = 4_000;
+const LONGEST_SIGNAL_MS = 9_000;
+const MOST_REQUESTS_PER_S = 8;
+/** What replicas ask is drawn apart: the faults of a seed stay what they are. */
+const SIGNAL_SEED = 1_000_000_007;
 /** One configuration in so many takes a key away. */
 const REVOKING_ONE_IN = 3;
 
@@ -38,6 +44,12 @@
   | { kind: "replica_delay"; replica: number; delayMs: number; forMs: number }
   | { kind: "replica"; replica: number; mode: ReplicaMode; forMs: number }
   | { kind: "replica_leaves"; replica: number; forMs: number }
+  | {
+    kind: "replica_limits";
+    replica: number;
+    requestsPerS: number;
+    forMs: number;
+  }
   | { kind: "store_way"; vm: number; mode: RelayMode; forMs: number }
   | { kind: "store"; mode: StoreMode; forMs: number }
   | { kind: "store_forgets" }
@@ -59,16 +71,45 @@
 
 /** Faults in the order of their time; they overlap and come in series. */
 export function buildPlan(options: PlanOptions): PlannedFault[] {
-  const random = SeededRandom.create(options.seed);
+  const faults = buildSeries(
+    SeededRandom.create(options.seed),
+    options,
+    LONGEST_GAP_MS,
+    pickFault,
+  );
+  const signals = buildSeries(
+    SeededRandom.create(options.seed + SIGNAL_SEED),
+    options,
+    LONGEST_SIGNAL_GAP_MS,
+    pickSignal,
+  );
+  return [...faults, ...signals].toSorted((left, right) => left.at - right.at);
+}
+
+function buildSeries(
+  random: SeededRandom,
+  options: PlanOptions,
+  longestGapMs: number,
+  pick: (random: SeededRandom, options: PlanOptions) => Fault,
+): PlannedFault[] {
   const plan: PlannedFault[] = [];
   let at = 0;
   while (true) {
-    at += random.nextInt(LONGEST_GAP_MS);
+    at += random.nextInt(longestGapMs);
     if (at >= options.forMs) return plan;
-    plan.push({ at, fault: pickFault(random, options) });
+    plan.push({ at, fault: pick(random, options) });
   }
 }
 
+/** What a replica asks in its answers. */
+function pickSignal(random: SeededRandom, options: PlanOptions): Fault {
+  const replica = random.nextInt(options.replicas);
+  const forMs = SHORTEST_SIGNAL_MS +
+    random.nextInt(LONGEST_SIGNAL_MS - SHORTEST_SIGNAL_MS);
+  const requestsPerS = 1 + random.nextInt(MOST_REQUESTS_PER_S);
+  return { kind: "replica_limits", replica, requestsPerS, forMs };
+}
+
 function pickFault(random: SeededRandom, options: PlanOptions): Fault {
   const vm = random.nextInt(options.vms);
   const replica = random.nextInt(options.replicas);
