Log and count the replicas that say in their answers that they leave

Requests reached a replica up to ten seconds after VMs had passed on answers that said so, and no line told what a VM made of such an answer. A VM now reads the header, writes a line at the first one (replica_leaving) and has a gauge of the replicas that leave by their own word while the list has them as ready. A value that is neither 1 nor 0 is logged and taken for none.

Placement does not go by it yet. The word is forgotten with the process that gave it: when the replica is not listed any more or has started again.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -253,7 +253,9 @@
 
   override noteSignals(signals: UpstreamSignals): void {
     if (!this.#isSameProcess()) return;
-    this.#options.state.rateLimits.noteSignals(this.upstream, signals);
+    const { directory, state } = this.#options;
+    if (signals.isLeaving) directory.noteLeaving(this.upstream);
+    state.rateLimits.noteSignals(this.upstream, signals);
   }
 
   release(state: "done" | "failed" | "cancelled" | "unused"): void {
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -46,15 +46,25 @@
   evacuated?: readonly DataCentre[];
 }
 
+/** Hears that a replica said that it leaves, while it is listed as ready. */
+export type OnLeaving = (replica: VmId) => void;
+
 /** The newest list that this VM has, with look-ups. */
 export class ReplicaDirectory {
   #list: ReplicaList = { revision: 0, replicas: [] };
   #byId = new Map<VmId, ListedReplica>();
   #evacuated: ReadonlySet<DataCentre> = new Set();
   #ready = new Map<PoolName, ListedReplica[]>();
+  /** Replicas that leave by their own word. */
+  readonly #leaving = new Set<VmId>();
+  readonly #onLeaving: OnLeaving;
+
+  constructor(onLeaving: OnLeaving) {
+    this.#onLeaving = onLeaving;
+  }
 
-  static create(): ReplicaDirectory {
-    return new ReplicaDirectory();
+  static create(onLeaving: OnLeaving = () => {}): ReplicaDirectory {
+    return new ReplicaDirectory(onLeaving);
   }
 
   get revision(): number {
@@ -69,6 +79,7 @@
   apply(list: ReplicaList): boolean {
     if (list.revision <= this.#list.revision) return false;
     const replicas = list.replicas.map((each) => this.#withStart(each));
+    this.#dropEnded(replicas);
     this.#list = { ...list, replicas };
     this.#evacuated = new Set(list.evacuated);
     this.#byId = new Map(replicas.map((each) => [each.id, each]));
@@ -82,6 +93,30 @@
     return true;
   }
 
+  /** The word of a process that is gone says nothing of the next one. */
+  #dropEnded(replicas: readonly ListedReplica[]): void {
+    const startedAt = new Map(
+      replicas.map((each) => [each.id, each.startedAt]),
+    );
+    for (const id of this.#leaving) {
+      const isSame = startedAt.has(id) &&
+        startedAt.get(id) === this.#byId.get(id)?.startedAt;
+      if (!isSame) this.#leaving.delete(id);
+    }
+  }
+
+  /** Takes in a replica's own word that it leaves. */
+  noteLeaving(id: VmId): void {
+    if (!this.isReady(id) || this.#leaving.has(id)) return;
+    this.#leaving.add(id);
+    this.#onLeaving(id);
+  }
+
+  /** Replicas that leave by their own word and are listed as ready. */
+  listLeaving(): VmId[] {
+    return [...this.#leaving].filter((id) => this.isReady(id));
+  }
+
   /** An entry without a start says nothing of a new one. */
   #withStart(replica: ListedReplica): ListedReplica {
     const startedAt = replica.startedAt ??
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -104,6 +104,10 @@
     help: "Replicas that name a limit on requests a second",
     read: () => countRateLimited(parts),
   });
+  metrics.addGauge("leaving_replicas", {
+    help: "Replicas that leave by their own word and are listed as ready",
+    read: () => parts.replicas.listLeaving().length,
+  });
   metrics.addGauge("ejected_replicas", {
     help: "Replicas that are left out for failures",
     read: () => countEjected(parts),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -80,7 +80,9 @@
 export class RoutedVm extends CallerHandler {
   readonly metrics: ProcessMetrics;
   readonly fates: FateStore;
-  readonly replicas = ReplicaDirectory.create();
+  readonly replicas = ReplicaDirectory.create((replica) => {
+    this.#log.info("replica_leaving", { replica });
+  });
   readonly #options: RoutedVmOptions;
   readonly #clock: Clock;
   readonly #random: Random;
--- a/src/request/upstream_signals.ts
+++ b/src/request/upstream_signals.ts
@@ -3,11 +3,8 @@
  *
  * @module
  */
-
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 
-/** Requests a second that an upstream takes, on the product's own interface. */
-const RATE_LIMIT = "x-max-requests-per-second";
 const SERVICE_UNAVAILABLE = 503;
 
 /** What one answer's head asks. */
@@ -17,6 +14,8 @@
    * where it names no limit; undefined where the answer does not tell.
    */
   requestsPerS: number | undefined;
+  /** Whether the upstream is about to end and takes no new work, for good. */
+  isLeaving: boolean;
   /** Headers whose values could not be read. */
   unreadable: readonly UnreadableHeader[];
 }
@@ -27,31 +26,63 @@
   value: string;
 }
 
+/** The names of the headers that upstreams ask with, in lower case. */
+export interface SignalHeaders {
+  /** A decimal number of requests a second. */
+  rateLimit: string;
+  /** `1` in all answers of an upstream that leaves. */
+  leaving: string;
+}
+
+/** Those of the product's own interface. */
+const PRODUCT_HEADERS: SignalHeaders = {
+  rateLimit: "x-max-requests-per-second",
+  leaving: "x-leaving",
+};
+
+/** The head of an answer. */
+interface SignalledAnswer {
+  headers: Readonly<Record<string, string>>;
+  /** Whether the upstream ran the request. */
+  hasRun: boolean;
+}
+
 /** Reads what engines and plain services ask on the product's own interface. */
 export function readUpstreamSignals(
   { status, headers }: Pick<UpstreamAnswer, "status" | "headers">,
 ): UpstreamSignals {
   const hasRun = status !== SERVICE_UNAVAILABLE;
-  return readRateLimit(headers, { name: RATE_LIMIT, hasRun });
+  return readSignals({ headers, hasRun }, PRODUCT_HEADERS);
 }
 
-/**
- * Reads the header `name` as a limit on requests a second. Without it, only an
- * answer to a request that ran tells that there is none: upstreams turn
- * requests away before they look at anything else.
- */
-export function readRateLimit(
-  headers: Readonly<Record<string, string>>,
-  options: { name: string; hasRun: boolean },
+/** Reads what an answer asks in the headers that `names` has. */
+export function readSignals(
+  answer: SignalledAnswer,
+  names: SignalHeaders,
 ): UpstreamSignals {
-  const { name, hasRun } = options;
-  const text = headers[name];
-  if (text === undefined) {
-    return { requestsPerS: hasRun ? Infinity : undefined, unreadable: [] };
-  }
-  const requestsPerS = parseDecimal(text);
-  const unreadable = requestsPerS === undefined ? [{ name, value: text }] : [];
-  return { requestsPerS, unreadable };
+  const unreadable: UnreadableHeader[] = [];
+  const read = <T>(
+    name: string,
+    parse: (text: string) => T | undefined,
+  ): T | undefined => {
+    const text = answer.headers[name];
+    const value = text === undefined ? undefined : parse(text);
+    if (text !== undefined && value === undefined) {
+      unreadable.push({ name, value: text });
+    }
+    return value;
+  };
+  const rateLimit = read(names.rateLimit, parseDecimal);
+  const isLeaving = read(names.leaving, parseFlag) ?? false;
+  // Upstreams turn requests away before they look at anything else: only an
+  // answer to a request that ran tells by its silence that there is no limit.
+  const isUnlimited = answer.hasRun &&
+    answer.headers[names.rateLimit] === undefined;
+  return {
+    requestsPerS: isUnlimited ? Infinity : rateLimit,
+    isLeaving,
+    unreadable,
+  };
 }
 
 /** A decimal number without a sign; undefined for any other text. */
@@ -60,3 +91,8 @@
   const value = Number(text);
   return Number.isFinite(value) ? value : undefined;
 }
+
+/** `1` or `0`; undefined for any other text. */
+function parseFlag(text: string): boolean | undefined {
+  return text.trim() === "1" ? true : text.trim() === "0" ? false : undefined;
+}
--- a/test/platform/headers_test.ts
+++ b/test/platform/headers_test.ts
@@ -11,7 +11,7 @@
   it("reads the requests a second that it takes", () => {
     for (const [text, requestsPerS] of [["3.5", 3.5], ["0", 0], [" 7 ", 7]]) {
       expect(readSignals(200, { "server-limit": String(text) }))
-        .toEqual({ requestsPerS, unreadable: [] });
+        .toEqual({ requestsPerS, isLeaving: false, unreadable: [] });
     }
   });
 
@@ -36,8 +36,26 @@
     for (const value of values) {
       expect(readSignals(200, { "server-limit": value })).toEqual({
         requestsPerS: undefined,
+        isLeaving: false,
         unreadable: [{ name: "server-limit", value }],
       });
     }
   });
+
+  it("reads that the replica leaves, in answers of any status", () => {
+    const leaving = { "server-leaving": "1" };
+    for (const status of [200, 500, 503]) {
+      expect(readSignals(status, leaving)!.isLeaving).toBe(true);
+      expect(readSignals(status, {})!.isLeaving).toBe(false);
+    }
+    expect(readSignals(200, { "server-leaving": "0" })!.isLeaving).toBe(false);
+  });
+
+  it("names a leaving that is no flag, and takes it for none", () => {
+    for (const value of ["", "yes", "-1", "11", "1, 1"]) {
+      const signals = readSignals(200, { "server-leaving": value })!;
+      expect(signals.isLeaving).toBe(false);
+      expect(signals.unreadable).toEqual([{ name: "server-leaving", value }]);
+    }
+  });
 });
--- a/test/process/placement/replica_rate_limits_test.ts
+++ b/test/process/placement/replica_rate_limits_test.ts
@@ -38,7 +38,11 @@
     countHeard: () => fleet.heard ?? others.length,
   });
   const note = (requestsPerS: number | undefined) =>
-    limits.noteSignals(REPLICA.id, { requestsPerS, unreadable: [] });
+    limits.noteSignals(REPLICA.id, {
+      requestsPerS,
+      isLeaving: false,
+      unreadable: [],
+    });
   return { limits, note, told };
 }
 
--- a/test/process/scheduler/local_rates_test.ts
+++ b/test/process/scheduler/local_rates_test.ts
@@ -8,7 +8,11 @@
 const LIMIT_PER_S = 4;
 
 function note(rates: LocalRates, requestsPerS: number | undefined): void {
-  rates.noteSignals(UPSTREAM, { requestsPerS, unreadable: [] });
+  rates.noteSignals(UPSTREAM, {
+    requestsPerS,
+    isLeaving: false,
+    unreadable: [],
+  });
 }
 
 // Guards against each VM using the whole limit while no owner answers.
