Send nothing new to a replica that said in an answer that it leaves

While the store was away a model replica said in its answers that it leaves. VMs that had passed such answers on sent it requests 3.2 and 6.0 s later, where 2 s are allowed. Callers were served: the replica drained for longer.

Cause: a replica's leaving was known by the published list alone, and the list stood still while the store was away. Class: the state of a process taken from a third party that may be silent, while the process itself says it with each answer.

Now the directory of replicas keeps the word: from the first answer on the replica is no candidate, and each send that was placed before looks once more. VMs tell each other, with the revision of their list. A word holds as long as the same process is listed, so that one of an earlier process never strikes the next; a VM that starts hears of it as well.

Why it holds: all placement and the last look before a send ask the directory.

All replicas leaving: 503, not run, with a time to come back.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -31,7 +31,7 @@
 } from "./seeded_fleet/index.ts";
 
 /** As `formatLoads` gives it for a VM without work. */
-const NO_LOADS = "[[],[]]";
+const NO_LOADS = "[[],[],[]]";
 
 /** What the part needs. */
 export interface OwnedPlacementOptions {
@@ -118,8 +118,10 @@
 
   /** This VM's work, to be told to those that place requests of its pools. */
   takeWork(): WorkShare[] {
-    const news = this.#options.placement.takeNews();
-    const work = { ...news, ...this.#asker.numbers };
+    const { placement, replicas } = this.#options;
+    const news = placement.takeNews();
+    const leaving = replicas.listLeaving();
+    const work = { ...news, ...this.#asker.numbers, leaving };
     const owners = this.#findOwners();
     if (owners === undefined) {
       return [{ owners: undefined, work, isNew: true }];
@@ -146,7 +148,8 @@
 
   /** Takes in what another VM told of its work. */
   noteWork(vm: VmId, work: FleetWork): void {
-    const { placement } = this.#options;
+    const { placement, replicas } = this.#options;
+    replicas.noteLeavingNews(work.leaving);
     placement.loads.answered.settle(vm, work.lastAsk, work.openAsks);
     placement.noteNews(vm, work);
   }
@@ -214,14 +217,15 @@
       placements: work.placements.filter(isPart),
       reads: work.reads.filter(isPart),
       limits: work.limits.filter(isPart),
+      leaving: work.leaving.filter(isPart),
     };
   }
 }
 
 /** What is told again and again, as text that shows whether any of it changed. */
-function formatLoads({ loads, limits }: FleetWork): string {
+function formatLoads({ loads, limits, leaving }: FleetWork): string {
   const sent = limits.map((
     [replica, requestsPerS, _ageMs, count],
   ) => [replica, requestsPerS, count]);
-  return JSON.stringify([loads, sent]);
+  return JSON.stringify([loads, sent, leaving.map(([replica]) => replica)]);
 }
--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -12,5 +12,9 @@
 export type { PlacementEntry } from "./prefix_memory.ts";
 export { PrefixPriming } from "./prefix_priming.ts";
 export { ReplicaDirectory } from "./replica_list.ts";
-export type { ListedReplica, ReplicaList } from "./replica_list.ts";
+export type {
+  LeavingEntry,
+  ListedReplica,
+  ReplicaList,
+} from "./replica_list.ts";
 export type { DecisionShare, WarmUpExcess } from "./slow_start.ts";
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -46,16 +46,23 @@
   evacuated?: readonly DataCentre[];
 }
 
-/** Hears that a replica said that it leaves, while it is listed as ready. */
+/** Hears that a replica said that it leaves, to this VM or another. */
 export type OnLeaving = (replica: VmId) => void;
 
+/**
+ * A replica that leaves by its own word, and the revision of the teller's list:
+ * a process that was listed or started later has said nothing.
+ */
+export type LeavingEntry = [replica: VmId, revision: number];
+
 /** The newest list that this VM has, with look-ups. */
 export class ReplicaDirectory {
   #list: ReplicaList = { revision: 0, replicas: [] };
   #byId = new Map<VmId, ListedReplica>();
   #evacuated: ReadonlySet<DataCentre> = new Set();
   #ready = new Map<PoolName, ListedReplica[]>();
-  /** Replicas that leave by their own word. */
+  /** The revision at which each replica was first listed, as this process. */
+  #listedSince = new Map<VmId, number>();
   readonly #leaving = new Set<VmId>();
   readonly #onLeaving: OnLeaving;
 
@@ -79,49 +86,38 @@
   apply(list: ReplicaList): boolean {
     if (list.revision <= this.#list.revision) return false;
     const replicas = list.replicas.map((each) => this.#withStart(each));
-    this.#dropEnded(replicas);
+    this.#listedSince = this.#buildListedSince(replicas, list.revision);
     this.#list = { ...list, replicas };
     this.#evacuated = new Set(list.evacuated);
     this.#byId = new Map(replicas.map((each) => [each.id, each]));
-    this.#ready = new Map();
-    for (const replica of replicas) {
-      if (!this.#canTakeWork(replica)) continue;
-      const known = this.#ready.get(replica.pool) ?? [];
-      known.push(replica);
-      this.#ready.set(replica.pool, known);
-    }
-    return true;
-  }
-
-  /** The word of a process that is gone says nothing of the next one. */
-  #dropEnded(replicas: readonly ListedReplica[]): void {
-    const startedAt = new Map(
-      replicas.map((each) => [each.id, each.startedAt]),
-    );
     for (const id of this.#leaving) {
-      const isSame = startedAt.has(id) &&
-        startedAt.get(id) === this.#byId.get(id)?.startedAt;
-      if (!isSame) this.#leaving.delete(id);
+      if (!this.#isListedAt(id, list.revision - 1)) this.#leaving.delete(id);
     }
+    this.#ready = this.#buildReady();
+    return true;
   }
 
-  /** Takes in a replica's own word that it leaves. */
+  /** Takes in a replica's own word to this VM that it leaves. */
   noteLeaving(id: VmId): void {
-    if (!this.isReady(id) || this.#leaving.has(id)) return;
-    this.#leaving.add(id);
-    this.#onLeaving(id);
+    this.noteLeavingNews([[id, this.revision]]);
   }
 
-  /** Replicas that leave by their own word and are listed as ready. */
-  listLeaving(): VmId[] {
-    return [...this.#leaving].filter((id) => this.isReady(id));
+  /** Takes in what replicas said to other VMs. */
+  noteLeavingNews(entries: readonly LeavingEntry[]): void {
+    const added = entries.filter(([id, revision]) =>
+      !this.#leaving.has(id) && this.#isListedAt(id, revision)
+    );
+    if (added.length === 0) return;
+    for (const [id] of added) this.#leaving.add(id);
+    this.#ready = this.#buildReady();
+    for (const [id] of added) this.#onLeaving(id);
   }
 
-  /** An entry without a start says nothing of a new one. */
-  #withStart(replica: ListedReplica): ListedReplica {
-    const startedAt = replica.startedAt ??
-      this.#byId.get(replica.id)?.startedAt;
-    return startedAt === undefined ? replica : { ...replica, startedAt };
+  /** Replicas that leave by their own word while they are listed as ready. */
+  listLeaving(): LeavingEntry[] {
+    return [...this.#leaving]
+      .filter((id) => this.#byId.get(id)?.state === "ready")
+      .map((id) => [id, this.revision]);
   }
 
   find(id: VmId): ListedReplica | undefined {
@@ -146,7 +142,42 @@
     return replica !== undefined && this.#canTakeWork(replica);
   }
 
-  #canTakeWork({ state, dataCentre }: ListedReplica): boolean {
-    return state === "ready" && !this.#evacuated.has(dataCentre);
+  /** An entry without a start says nothing of a new one. */
+  #withStart(replica: ListedReplica): ListedReplica {
+    const startedAt = replica.startedAt ??
+      this.#byId.get(replica.id)?.startedAt;
+    return startedAt === undefined ? replica : { ...replica, startedAt };
+  }
+
+  #buildListedSince(
+    replicas: readonly ListedReplica[],
+    revision: number,
+  ): Map<VmId, number> {
+    return new Map(replicas.map(({ id, startedAt }) => {
+      const before = this.#byId.get(id);
+      const isSame = before !== undefined && before.startedAt === startedAt;
+      return [id, isSame ? this.#listedSince.get(id) ?? revision : revision];
+    }));
+  }
+
+  /** Whether the process that is listed now was listed at `revision`. */
+  #isListedAt(id: VmId, revision: number): boolean {
+    return revision >= (this.#listedSince.get(id) ?? Infinity);
+  }
+
+  #buildReady(): Map<PoolName, ListedReplica[]> {
+    const ready = new Map<PoolName, ListedReplica[]>();
+    for (const replica of this.#byId.values()) {
+      if (!this.#canTakeWork(replica)) continue;
+      const known = ready.get(replica.pool) ?? [];
+      known.push(replica);
+      ready.set(replica.pool, known);
+    }
+    return ready;
+  }
+
+  #canTakeWork({ id, state, dataCentre }: ListedReplica): boolean {
+    return state === "ready" && !this.#evacuated.has(dataCentre) &&
+      !this.#leaving.has(id);
   }
 }
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -82,6 +82,7 @@
   readonly fates: FateStore;
   readonly replicas = ReplicaDirectory.create((replica) => {
     this.#log.info("replica_leaving", { replica });
+    this.#fleet?.announceNews();
   });
   readonly #options: RoutedVmOptions;
   readonly #clock: Clock;
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -33,6 +33,7 @@
   /** Asks up to there that it has no answer to. */
   openAsks: z.array(COUNT),
   limits: z.array(z.tuple([VM, COUNT, COUNT, COUNT])).default([]),
+  leaving: z.array(z.tuple([VM, COUNT])).default([]),
 });
 
 const HEARTBEAT = z.object({
--- a/test/platform/replica_leaving_test.ts
+++ b/test/platform/replica_leaving_test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect, it } from "vitest";
+import { toId } from "../../src/ids.ts";
 import { waitUntil } from "../support/loopback.ts";
 import type { TestAnswer } from "./caller_call.ts";
 import { PlatformFleet, sendRequest } from "./platform_fleet.ts";
@@ -52,3 +53,43 @@
       .toEqual(answers.map(() => 200));
   }, 15_000);
 }
+
+it("a VM hears from another one that a replica leaves", async () => {
+  const fleet = await createFleet(2);
+  const [leaving] = fleet.replicas;
+  const [first, second] = fleet.vms;
+  leaving!.extraHeaders = LEAVING;
+  while (leaving!.seen.length === 0) {
+    await sendRequest(first!, { path: "/safe/x" });
+  }
+  await waitUntil(() => !second!.vm.replicas.isReady(toId(leaving!.id)));
+  const before = leaving!.seen.length;
+  fleet.vms.splice(0, 1);
+  await sendFor(fleet, DRAIN_MS / 2);
+  expect(leaving!.seen.length).toBe(before);
+});
+
+it("callers are refused truthfully where all replicas leave", async () => {
+  const fleet = await createFleet(2);
+  fleet.replicas.forEach((replica) => replica.extraHeaders = LEAVING);
+  await sendFor(fleet, DRAIN_MS / 2);
+  const ran = () => fleet.replicas.flatMap((replica) => replica.ran).length;
+  const before = ran();
+  const answers = await sendFor(fleet, DRAIN_MS / 4);
+  expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 503));
+  expect(answers.every(({ headers }) => Number(headers["retry-after"]) > 0))
+    .toBe(true);
+  expect(ran()).toBe(before);
+});
+
+it("a stream that a leaving replica breaks off goes on elsewhere", async () => {
+  const fleet = await createFleet(1);
+  const [leaving] = fleet.replicas;
+  leaving!.extraHeaders = LEAVING;
+  leaving!.mode = "break";
+  while (leaving!.seen.length === 0) {
+    const answer = await sendRequest(fleet.vms[0]!, { path: "/restream/x" });
+    expect(answer.isWhole).toBe(true);
+  }
+  expect(leaving!.seen).toHaveLength(1);
+});
--- /dev/null
+++ b/test/process/placement/replica_list_test.ts
@@ -0,0 +1,105 @@
+import { describe, expect, it } from "vitest";
+import type { ListedReplica } from "../../../src/process/placement/index.ts";
+import { ReplicaDirectory } from "../../../src/process/placement/replica_list.ts";
+import { buildListedReplica } from "../../support/listed_replicas.ts";
+
+const FIRST = buildListedReplica(1);
+const SECOND = buildListedReplica(2);
+
+interface TestDirectory {
+  directory: ReplicaDirectory;
+  told: string[];
+  /** Takes the next list in. */
+  list: (...replicas: ListedReplica[]) => void;
+  listReady: () => string[];
+}
+
+function createDirectory(revision = 0): TestDirectory {
+  const told: string[] = [];
+  const directory = ReplicaDirectory.create((id) => told.push(id));
+  const list = (...replicas: ListedReplica[]) => {
+    revision += 1;
+    directory.apply({ revision, replicas });
+  };
+  const listReady = () => directory.listReady(FIRST.pool).map(({ id }) => id);
+  return { directory, told, list, listReady };
+}
+
+describe("a replica that said that it leaves", () => {
+  it("takes no new work, whatever the list says of it", () => {
+    const { directory, told, list, listReady } = createDirectory();
+    list(FIRST, SECOND);
+    directory.noteLeaving(FIRST.id);
+    directory.noteLeaving(FIRST.id);
+    expect(directory.isReady(FIRST.id)).toBe(false);
+    list(FIRST, SECOND);
+    expect(listReady()).toEqual([SECOND.id]);
+    expect(told).toEqual([FIRST.id]);
+  });
+
+  it("takes none while its data centre's evacuation ends, either", () => {
+    const { directory, list } = createDirectory();
+    list(FIRST);
+    directory.apply({
+      revision: 5,
+      replicas: [FIRST],
+      evacuated: [FIRST.dataCentre],
+    });
+    directory.noteLeaving(FIRST.id);
+    directory.apply({ revision: 6, replicas: [FIRST] });
+    expect(directory.isReady(FIRST.id)).toBe(false);
+  });
+
+  it("is another process once it was not listed, or has started again", () => {
+    const { directory, list, listReady } = createDirectory();
+    list(FIRST, SECOND);
+    directory.noteLeaving(FIRST.id);
+    directory.noteLeaving(SECOND.id);
+    list({ ...SECOND, startedAt: 7 });
+    list(FIRST, SECOND);
+    expect(listReady()).toEqual([FIRST.id, SECOND.id]);
+  });
+
+  it("is known from another VM", () => {
+    const first = createDirectory();
+    const second = createDirectory();
+    first.list(FIRST, SECOND);
+    second.list(FIRST, SECOND);
+    first.directory.noteLeaving(FIRST.id);
+    second.directory.noteLeavingNews(first.directory.listLeaving());
+    expect(second.listReady()).toEqual([SECOND.id]);
+  });
+
+  it("is known to a VM that starts later", () => {
+    const first = createDirectory();
+    first.list(FIRST);
+    first.directory.noteLeaving(FIRST.id);
+    for (let revision = 2; revision <= 9; revision++) first.list(FIRST, SECOND);
+    const fresh = createDirectory(8);
+    fresh.list(FIRST, SECOND);
+    fresh.directory.noteLeavingNews(first.directory.listLeaving());
+    expect(fresh.listReady()).toEqual([SECOND.id]);
+  });
+
+  // Guards against VMs that keep telling each other of a process that is gone.
+  it("is not confused with the next process by a VM that lags", () => {
+    const lagging = createDirectory();
+    lagging.list(FIRST);
+    lagging.directory.noteLeaving(FIRST.id);
+    const ahead = createDirectory();
+    ahead.list(FIRST);
+    ahead.list(SECOND);
+    ahead.list(FIRST, SECOND);
+    ahead.directory.noteLeavingNews(lagging.directory.listLeaving());
+    expect(ahead.listReady()).toEqual([FIRST.id, SECOND.id]);
+  });
+
+  it("is told of while it is listed as ready", () => {
+    const { directory, list } = createDirectory();
+    list(FIRST);
+    directory.noteLeaving(FIRST.id);
+    expect(directory.listLeaving()).toEqual([[FIRST.id, 1]]);
+    list({ ...FIRST, state: "draining" });
+    expect(directory.listLeaving()).toEqual([]);
+  });
+});
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -110,6 +110,7 @@
         lastAsk: 0,
         openAsks: [],
         limits: [],
+        leaving: [],
       };
       return [{ owners, work, isNew: results.length > 0 }];
     },
--- a/test/process/seeded_fleet/fleet_message_test.ts
+++ b/test/process/seeded_fleet/fleet_message_test.ts
@@ -36,6 +36,7 @@
       lastAsk: 3,
       openAsks: [2],
       limits: [[REPLICA, 3.5, 12, 4]],
+      leaving: [[REPLICA, 8]],
     },
   };
 }
@@ -46,14 +47,16 @@
 });
 
 // Guards against a fleet that falls silent while its VMs are replaced.
-it("one without limits is read, and one with more than is known", () => {
+it("one without what replicas ask is read, and one with more than is known", () => {
   const heartbeat = buildHeartbeat();
   const change = (changeWork: (work: unknown[]) => unknown[]) => {
     const values = JSON.parse(encodeMessage(heartbeat).toString());
     values.push(changeWork(values.pop()));
     return decodeMessage(Buffer.from(JSON.stringify(values)));
   };
-  expect(change((work) => work.slice(0, -1)))
-    .toEqual({ ...heartbeat, work: { ...heartbeat.work, limits: [] } });
+  expect(change((work) => work.slice(0, -2))).toEqual({
+    ...heartbeat,
+    work: { ...heartbeat.work, limits: [], leaving: [] },
+  });
   expect(change((work) => [...work, "later"])).toEqual(heartbeat);
 });
