Give nothing new to an upstream whose answer says that it leaves

The same fault on the product's own interface: a leaving was known by the list and by engines' load reports alone, which come once a second and not at all for plain services.

Answers say it with x-leaving: 1. The VM that gets one takes it for the upstream's own word, which goes to all VMs as the word in load reports does. A report that describes an earlier moment than the last word changes nothing: without that, one that was on its way took the word back.

Why it holds: shard owners and VMs without an owner list upstreams by these words.

--- a/src/process/fleet_membership.ts
+++ b/src/process/fleet_membership.ts
@@ -121,9 +121,10 @@
     return listed.filter((vm) => !this.#upstreamWords.isLeaving(vm.id));
   }
 
-  /** Takes in an upstream's own word on whether it is leaving. */
-  noteUpstreamLeaving(vm: VmId, isLeaving = true): void {
-    const news = this.#upstreamWords.noteWord(vm, isLeaving);
+  /** Takes in an upstream's own word, so old, on whether it is leaving. */
+  noteUpstreamLeaving(vm: VmId, isLeaving = true, ageMs = 0): void {
+    const saidAt = this.#environment.clock.now() - ageMs;
+    const news = this.#upstreamWords.noteWord(vm, isLeaving, saidAt);
     if (news !== undefined) this.#handleNews(news);
   }
 
@@ -229,7 +230,8 @@
   }
 
   #noteUpstreamNews(news: MemberNews): void {
-    if (this.#upstreamWords.noteNews(news)) this.#handleNews(news);
+    const now = this.#environment.clock.now();
+    if (this.#upstreamWords.noteNews(news, now)) this.#handleNews(news);
   }
 
   #handleNews(news: MemberNews): void {
--- a/src/process/member_upstream_words.ts
+++ b/src/process/member_upstream_words.ts
@@ -10,6 +10,8 @@
 interface Word {
   isLeaving: boolean;
   counter: number;
+  /** `Clock.now()` when it was said; a report is older than an answer. */
+  saidAt: number;
 }
 
 /** Each upstream's last word, passed on as news with a counter. */
@@ -24,21 +26,32 @@
     return this.#words.get(vm)?.isLeaving ?? false;
   }
 
-  /** Takes in the upstream's own word; gives the news where it is new. */
-  noteWord(vm: VmId, isLeaving: boolean): MemberNews | undefined {
+  /**
+   * Takes in the upstream's own word; gives the news where it is new. What it
+   * said before its last word changes nothing.
+   */
+  noteWord(
+    vm: VmId,
+    isLeaving: boolean,
+    saidAt: number,
+  ): MemberNews | undefined {
+    const known = this.#words.get(vm);
+    if (known !== undefined && saidAt < known.saidAt) return undefined;
+    if (known !== undefined) known.saidAt = saidAt;
     if (this.isLeaving(vm) === isLeaving) return undefined;
-    const counter = (this.#words.get(vm)?.counter ?? 0) + 1;
-    this.#words.set(vm, { isLeaving, counter });
+    const counter = (known?.counter ?? 0) + 1;
+    this.#words.set(vm, { isLeaving, counter, saidAt });
     const state = isLeaving ? "draining" : "alive";
     return { vm, incarnation: UNKNOWN_INCARNATION, state, counter };
   }
 
-  /** Takes in what a VM passed on; returns whether it was new. */
-  noteNews(news: MemberNews): boolean {
+  /** Takes in what a VM passed on just now; returns whether it was new. */
+  noteNews(news: MemberNews, now: number): boolean {
     const known = this.#words.get(news.vm)?.counter ?? 0;
     if (news.counter <= known) return false;
     const isLeaving = news.state === "draining";
-    this.#words.set(news.vm, { isLeaving, counter: news.counter });
+    const { counter } = news;
+    this.#words.set(news.vm, { isLeaving, counter, saidAt: now });
     return true;
   }
 
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -120,8 +120,8 @@
       decisions: options.decisions,
       queueBound: options.queueBound,
       findSummary: (shard) => this.prober.summaries.find(shard),
-      onUpstreamLeaving: (vm, isLeaving) =>
-        membership.noteUpstreamLeaving(vm, isLeaving),
+      onUpstreamLeaving: (vm, isLeaving, ageMs) =>
+        membership.noteUpstreamLeaving(vm, isLeaving, ageMs),
     });
     this.leases = LeaseClient.create({
       environment,
@@ -129,6 +129,7 @@
       getSnapshot,
       getLocal,
       findSummary: (shard) => this.prober.summaries.find(shard),
+      onUpstreamLeaving: (vm) => membership.noteUpstreamLeaving(vm),
     });
     this.limits = WorkspaceLimits.create({
       environment,
--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -9,6 +9,7 @@
 import { toId } from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { FateStep } from "../../request/fate.ts";
+import type { UpstreamSignals } from "../../request/upstream_signals.ts";
 import { getClassRank, type Snapshot } from "../../version/records.ts";
 import type { Environment } from "../environment.ts";
 import type { MembershipView } from "../membership_view.ts";
@@ -53,6 +54,8 @@
   getLocal: () => PeerApi;
   /** What the owner of a shard last let the fleet know of it. */
   findSummary?: (shard: ShardId) => ShardSummary | undefined;
+  /** Hears that an upstream said in an answer that it leaves. */
+  onUpstreamLeaving?: (upstream: VmId) => void;
 }
 
 /** Acquires slots from the owners of shards. */
@@ -244,12 +247,17 @@
         if (!released.byOwner) this.#local.release(released);
         sync.addReturn(released.buildNews());
       },
-      onSignals: (signals) => this.#local.noteSignals(slot.upstream, signals),
+      onSignals: (signals) => this.#noteSignals(slot.upstream, signals),
     });
     sync.add(held);
     return held;
   }
 
+  #noteSignals(upstream: VmId, signals: UpstreamSignals): void {
+    this.#local.noteSignals(upstream, signals);
+    if (signals.isLeaving) this.#options.onUpstreamLeaving?.(upstream);
+  }
+
   #cancelTicket(wait: SlotWait): void {
     this.#syncs.get(wait.shard).addWithdrawn(wait.ticket);
   }
--- a/src/process/scheduler/load_polls.ts
+++ b/src/process/scheduler/load_polls.ts
@@ -17,7 +17,7 @@
   environment: Environment;
   /** Hears an upstream's own word, from each load report. */
   onUpstreamLeaving?:
-    | ((upstream: VmId, isLeaving: boolean) => void)
+    | ((upstream: VmId, isLeaving: boolean, ageMs: number) => void)
     | undefined;
 }
 
@@ -56,7 +56,8 @@
         return;
       }
       owner.noteLoad(upstream, report, 0);
-      this.#options.onUpstreamLeaving?.(upstream, report.leaving);
+      const { leaving, ageMs } = report;
+      this.#options.onUpstreamLeaving?.(upstream, leaving, ageMs);
       await this.#fetchCacheEvents(owner, { upstream, report });
     } catch {
       // The count of missed polls is what tells of a silent upstream.
--- a/src/process/scheduler/shard_owners.ts
+++ b/src/process/scheduler/shard_owners.ts
@@ -53,7 +53,11 @@
   /** What the owner of a shard last let the fleet know of it. */
   findSummary?: (shard: ShardId) => ShardSummary | undefined;
   /** Hears an upstream's own word, from each load report. */
-  onUpstreamLeaving?: (upstream: VmId, isLeaving: boolean) => void;
+  onUpstreamLeaving?: (
+    upstream: VmId,
+    isLeaving: boolean,
+    ageMs: number,
+  ) => void;
 }
 
 /** Makes, feeds and drops the owners of this VM's shards. */
--- a/test/process/fleet_membership_test.ts
+++ b/test/process/fleet_membership_test.ts
@@ -65,6 +65,17 @@
       10_000,
     );
   });
+
+  // Guards against a load report, which describes an earlier moment.
+  it("that said so are left out whatever they said before", async () => {
+    const fleet = await startWithUpstreams();
+    const { membership } = getVm(fleet, 0);
+    const upstream = toId<VmId>("up-1");
+    membership.noteUpstreamLeaving(upstream);
+    await fleet.clock.run(100);
+    membership.noteUpstreamLeaving(upstream, false, 500);
+    expect(listUpstreams(fleet, 0)).toEqual(["up-0"]);
+  });
 });
 
 describe("owners", () => {
