Log and count the times for which replicas ask VMs to back off

Replicas that had turned a VM away and named a time got three requests from it in that time, and no line named the time. A VM now reads Retry-After of a replica's 503 and 429, writes a line when such a time begins (replica_back_off), has a gauge of the replicas that it should leave alone, and shows each in its status. A value that is no decimal number is logged and changes nothing; more than five minutes is logged and taken for five.

Placement does not go by it yet.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -256,6 +256,7 @@
     const { directory, state } = this.#options;
     if (signals.isLeaving) directory.noteLeaving(this.upstream);
     state.rateLimits.noteSignals(this.upstream, signals);
+    state.backOffs.noteSignals(this.upstream, signals);
   }
 
   release(state: "done" | "failed" | "cancelled" | "unused"): void {
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -11,6 +11,7 @@
   type ReadEntry,
 } from "./prefix_memory.ts";
 import { PrefillShares } from "./prefill_shares.ts";
+import { type OnBackOff, ReplicaBackOffs } from "./replica_back_offs.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
@@ -39,6 +40,7 @@
   /** Hears that there is something to tell. */
   onNews: () => void;
   onEjected: (replica: VmId, forMs: number) => void;
+  onBackOff?: OnBackOff;
   /** Left out where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Left out by a VM without a fleet. */
@@ -68,6 +70,7 @@
   readonly liveness: ReplicaLiveness;
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
+  readonly backOffs: ReplicaBackOffs;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onNews, onEjected } = options;
@@ -83,6 +86,8 @@
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
+    const { onBackOff = () => {} } = options;
+    this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
     this.rateLimits = ReplicaRateLimits.create({
       clock,
       ...rateLimits,
@@ -148,5 +153,6 @@
     this.prefills.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
     this.rateLimits.dropUnlisted(isListed);
+    this.backOffs.dropUnlisted(isListed);
   }
 }
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -34,6 +34,9 @@
     onEjected: (replica, forMs) => {
       log.warn("replica_ejected", { replica, for_ms: forMs });
     },
+    onBackOff: (replica, forMs) => {
+      log.info("replica_back_off", { replica, for_ms: Math.round(forMs) });
+    },
     rateLimits: {
       getShare,
       countHeard: () => getFleet()?.listLive().length ?? 0,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -59,6 +59,7 @@
       state: replica.state,
       ejected: parts.placement.health.isEjected(replica.id),
       warming: parts.placement.slowStart.isWarming(replica),
+      back_off_ms: parts.placement.backOffs.getLeftMs(replica.id),
       requests_per_s: parts.placement.rateLimits.getLimit(replica.id),
       slowness: parts.placement.speeds.getRatio(replica.id),
       ...parts.placement.loads.getLoad(replica.id),
@@ -108,6 +109,10 @@
     help: "Replicas that leave by their own word and are listed as ready",
     read: () => parts.replicas.listLeaving().length,
   });
+  metrics.addGauge("backed_off_replicas", {
+    help: "Replicas that turned requests away and want none for a time",
+    read: () => parts.placement.backOffs.list().length,
+  });
   metrics.addGauge("ejected_replicas", {
     help: "Replicas that are left out for failures",
     read: () => countEjected(parts),
--- a/src/request/upstream_signals.ts
+++ b/src/request/upstream_signals.ts
@@ -6,6 +6,10 @@
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 
 const SERVICE_UNAVAILABLE = 503;
+const TOO_MANY_REQUESTS = 429;
+const MS_PER_SECOND = 1_000;
+/** An upstream that asks for more is left alone for so long. */
+const MOST_BACK_OFF_MS = 300_000;
 
 /** What one answer's head asks. */
 export interface UpstreamSignals {
@@ -16,7 +20,12 @@
   requestsPerS: number | undefined;
   /** Whether the upstream is about to end and takes no new work, for good. */
   isLeaving: boolean;
-  /** Headers whose values could not be read. */
+  /**
+   * How long the upstream, which turned the request away, wants nothing more
+   * from the VM that sent it, in milliseconds; 0 where it does not ask for it.
+   */
+  backOffMs: number;
+  /** Headers whose values could not be read, or are beyond all bounds. */
   unreadable: readonly UnreadableHeader[];
 }
 
@@ -32,16 +41,20 @@
   rateLimit: string;
   /** `1` in all answers of an upstream that leaves. */
   leaving: string;
+  /** Seconds, in refusals for want of room. */
+  retryAfter: string;
 }
 
 /** Those of the product's own interface. */
 const PRODUCT_HEADERS: SignalHeaders = {
   rateLimit: "x-max-requests-per-second",
   leaving: "x-leaving",
+  retryAfter: "retry-after",
 };
 
 /** The head of an answer. */
 interface SignalledAnswer {
+  status: number;
   headers: Readonly<Record<string, string>>;
   /** Whether the upstream ran the request. */
   hasRun: boolean;
@@ -52,7 +65,7 @@
   { status, headers }: Pick<UpstreamAnswer, "status" | "headers">,
 ): UpstreamSignals {
   const hasRun = status !== SERVICE_UNAVAILABLE;
-  return readSignals({ headers, hasRun }, PRODUCT_HEADERS);
+  return readSignals({ status, headers, hasRun }, PRODUCT_HEADERS);
 }
 
 /** Reads what an answer asks in the headers that `names` has. */
@@ -74,6 +87,13 @@
   };
   const rateLimit = read(names.rateLimit, parseDecimal);
   const isLeaving = read(names.leaving, parseFlag) ?? false;
+  const isRefusal = answer.status === SERVICE_UNAVAILABLE ||
+    answer.status === TOO_MANY_REQUESTS;
+  const askedMs = isRefusal ? read(names.retryAfter, parseBackOff) ?? 0 : 0;
+  if (askedMs > MOST_BACK_OFF_MS) {
+    const name = names.retryAfter;
+    unreadable.push({ name, value: answer.headers[name]! });
+  }
   // Upstreams turn requests away before they look at anything else: only an
   // answer to a request that ran tells by its silence that there is no limit.
   const isUnlimited = answer.hasRun &&
@@ -81,6 +101,7 @@
   return {
     requestsPerS: isUnlimited ? Infinity : rateLimit,
     isLeaving,
+    backOffMs: Math.min(askedMs, MOST_BACK_OFF_MS),
     unreadable,
   };
 }
@@ -96,3 +117,9 @@
 function parseFlag(text: string): boolean | undefined {
   return text.trim() === "1" ? true : text.trim() === "0" ? false : undefined;
 }
+
+/** Seconds as milliseconds; undefined for any text but a decimal number. */
+function parseBackOff(text: string): number | undefined {
+  const seconds = parseDecimal(text);
+  return seconds === undefined ? undefined : seconds * MS_PER_SECOND;
+}
--- a/test/platform/headers_test.ts
+++ b/test/platform/headers_test.ts
@@ -11,7 +11,12 @@
   it("reads the requests a second that it takes", () => {
     for (const [text, requestsPerS] of [["3.5", 3.5], ["0", 0], [" 7 ", 7]]) {
       expect(readSignals(200, { "server-limit": String(text) }))
-        .toEqual({ requestsPerS, isLeaving: false, unreadable: [] });
+        .toEqual({
+          requestsPerS,
+          isLeaving: false,
+          backOffMs: 0,
+          unreadable: [],
+        });
     }
   });
 
@@ -37,6 +42,7 @@
       expect(readSignals(200, { "server-limit": value })).toEqual({
         requestsPerS: undefined,
         isLeaving: false,
+        backOffMs: 0,
         unreadable: [{ name: "server-limit", value }],
       });
     }
@@ -58,4 +64,23 @@
       expect(signals.unreadable).toEqual([{ name: "server-leaving", value }]);
     }
   });
+
+  it("reads how long a replica that turned a request away wants none", () => {
+    const refused = { "x-not-executed": "1", "retry-after": "2.5" };
+    expect(readSignals(503, refused)!.backOffMs).toBe(2_500);
+    expect(readSignals(429, refused)!.backOffMs).toBe(2_500);
+    expect(readSignals(503, {})!.backOffMs).toBe(0);
+    expect(readSignals(200, refused)!.backOffMs).toBe(0);
+  });
+
+  it("names a time to back off that is none, and bounds a huge one", () => {
+    for (const value of ["", "-3", "soon", "Thu, 03 Dec 2026 09:00:00 GMT"]) {
+      const signals = readSignals(503, { "retry-after": value })!;
+      expect(signals.backOffMs).toBe(0);
+      expect(signals.unreadable).toEqual([{ name: "retry-after", value }]);
+    }
+    const huge = readSignals(503, { "retry-after": "99999999" })!;
+    expect(huge.backOffMs).toBe(300_000);
+    expect(huge.unreadable).toHaveLength(1);
+  });
 });
--- /dev/null
+++ b/test/process/placement/replica_back_offs_test.ts
@@ -0,0 +1,42 @@
+import { expect, it } from "vitest";
+import { toId, type VmId } from "../../../src/ids.ts";
+import { ReplicaBackOffs } from "../../../src/process/placement/replica_back_offs.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const REPLICA = toId<VmId>("i-1");
+
+function createBackOffs() {
+  const clock = VirtualClock.create();
+  const told: number[] = [];
+  const backOffs = ReplicaBackOffs.create(clock, (_id, ms) => told.push(ms));
+  const note = (backOffMs: number) =>
+    backOffs.noteSignals(REPLICA, {
+      requestsPerS: undefined,
+      isLeaving: false,
+      backOffMs,
+      unreadable: [],
+    });
+  return { clock, told, backOffs, note };
+}
+
+it("leaves a replica alone for the longest time that it asked for", async () => {
+  const { clock, told, backOffs, note } = createBackOffs();
+  note(0);
+  expect(backOffs.isBackingOff(REPLICA)).toBe(false);
+  note(3_000);
+  await clock.run(500);
+  note(1_000);
+  note(0);
+  expect(backOffs.getLeftMs(REPLICA)).toBe(2_500);
+  expect(backOffs.list()).toEqual([REPLICA]);
+  await clock.run(2_500);
+  expect(backOffs.isBackingOff(REPLICA)).toBe(false);
+  expect(told).toEqual([3_000]);
+});
+
+it("forgets a replica that is not listed any more", () => {
+  const { backOffs, note } = createBackOffs();
+  note(3_000);
+  backOffs.dropUnlisted(() => false);
+  expect(backOffs.list()).toEqual([]);
+});
--- a/test/process/placement/replica_rate_limits_test.ts
+++ b/test/process/placement/replica_rate_limits_test.ts
@@ -41,6 +41,7 @@
     limits.noteSignals(REPLICA.id, {
       requestsPerS,
       isLeaving: false,
+      backOffMs: 0,
       unreadable: [],
     });
   return { limits, note, told };
--- a/test/process/scheduler/local_rates_test.ts
+++ b/test/process/scheduler/local_rates_test.ts
@@ -11,6 +11,7 @@
   rates.noteSignals(UPSTREAM, {
     requestsPerS,
     isLeaving: false,
+    backOffMs: 0,
     unreadable: [],
   });
 }
