--- /dev/null
+++ b/test/platform/replica_back_off_test.ts
@@ -0,0 +1,85 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect, it } from "vitest";
+import { listOwnersOf } from "../../src/process/seeded_fleet/index.ts";
+import { waitUntil } from "../support/loopback.ts";
+import type { TestAnswer } from "./caller_call.ts";
+import { PlatformFleet, sendRequest, type TestVm } from "./platform_fleet.ts";
+import type { ReplicaStandIn } from "./replica_stand_in.ts";
+
+const BACK_OFF_S = 3;
+const MS_PER_SECOND = 1_000;
+/** Requests in hand may still arrive so long after the refusal. */
+const IN_HAND_MS = 500;
+/** What one VM may still send a replica that asked it to back off. */
+const MOST_REPEATS = 2;
+const SEND_EVERY_MS = 20;
+
+/** Sends at one VM after the other for `ms`; gives the answers. */
+async function sendFor(
+  vms: readonly TestVm[],
+  ms: number,
+): Promise<TestAnswer[]> {
+  const answers: Promise<TestAnswer>[] = [];
+  const until = performance.now() + ms;
+  for (let sent = 0; performance.now() < until; sent++) {
+    const vm = vms[sent % vms.length]!;
+    answers.push(sendRequest(vm, { path: "/safe/x" }));
+    await sleep(SEND_EVERY_MS);
+  }
+  return await Promise.all(answers);
+}
+
+function setFull(replica: ReplicaStandIn): void {
+  replica.mode = "shed";
+  replica.extraHeaders = { "retry-after": String(BACK_OFF_S) };
+}
+
+function setFree(replica: ReplicaStandIn): void {
+  replica.mode = "answer";
+  replica.extraHeaders = {};
+}
+
+/** What reached the replica while it wanted nothing. */
+function countRepeats({ seenAt }: ReplicaStandIn): number {
+  const from = seenAt[0]! + IN_HAND_MS;
+  const to = seenAt[0]! + BACK_OFF_S * MS_PER_SECOND;
+  return seenAt.filter((at) => at > from && at < to).length;
+}
+
+for (const full of [1, 2]) {
+  // Guards against trying a replica again before it wants to be, above all
+  // where most of a pool is full and failures leave out none.
+  it(`${full} of three replicas that ask a VM to back off`, async () => {
+    const fleet = await PlatformFleet.create({ replicas: 3 });
+    const asking = fleet.replicas.slice(0, full);
+    asking.forEach(setFull);
+    const answers = await sendFor(
+      fleet.vms,
+      BACK_OFF_S * MS_PER_SECOND,
+    );
+    for (const replica of asking) {
+      expect(countRepeats(replica)).toBeLessThanOrEqual(MOST_REPEATS);
+    }
+    expect(answers.map(({ status }) => status))
+      .toEqual(answers.map(() => 200));
+  }, 15_000);
+}
+
+// Guards against an owner that places requests by what it was told itself.
+it("a VM backs off though others place its requests", async () => {
+  const fleet = await PlatformFleet.create({ replicas: 3, vms: 14 });
+  await waitUntil(() =>
+    fleet.vms.every(({ vm }) => vm.listEntries().length === 14)
+  );
+  const asking = fleet.replicas.slice(0, 2);
+  asking.forEach(setFull);
+  const candidates = fleet.vms
+    .map(({ settings: { vm } }) => ({ vm, cores: 1, isPrimed: true }));
+  const owners = listOwnersOf("pools-0", candidates);
+  const asker = fleet.vms
+    .find(({ settings }) => !owners.includes(settings.vm))!;
+  await sendFor([asker], BACK_OFF_S * MS_PER_SECOND);
+  for (const replica of asking) {
+    expect(countRepeats(replica)).toBeLessThanOrEqual(MOST_REPEATS);
+  }
+}, 15_000);
