Back off from a replica for the time that its refusal names

Model replicas without room turned a VM away, asked for 3 s without requests, and got three from it in that time, where two are the most. Callers heard 503, not run.

Cause: the time was read by nobody. A replica that turned requests away was left out as one that fails: for 0.5 s, then 1, 2 and 4 s, and not at all while most of its pool failed. Class: an estimate of our own in the place of what the other side says.

Ruled out: requests that were in hand at the refusal (those of the record came two seconds later), and repeats of callers (nothing in a VM looked at the time, whosever the request was).

Now a VM keeps the longest time that a replica asked it for, and places none of its requests there; the last look before a send asks again. In large fleets the VM names these replicas in its asks, since an owner is not told what another VM was. Other VMs go on until they are turned away. Where all replicas of a service asked for it, callers hear when the first time is over.

Why it holds: the times are part of what a request avoids, whoever places it, and hold whatever the failures of the pool say.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -9,6 +9,7 @@
   type DataCentre,
   type Incarnation,
   type LeaseId,
+  type PoolName,
   toId,
   type VmId,
 } from "../../ids.ts";
@@ -119,7 +120,8 @@
     );
     return {
       pool: request.pool,
-      avoid: request.avoid,
+      // Only this VM is to back off, so that an owner has to be told.
+      avoid: [...request.avoid, ...this.#listBackedOff(request.pool)],
       dataCentre: this.#options.dataCentre,
       regions: request.regions,
       parts: request.prefixes,
@@ -131,9 +133,16 @@
     };
   }
 
+  #listBackedOff(pool: PoolName): VmId[] {
+    const { directory, state } = this.#options;
+    return state.backOffs.list()
+      .filter((replica) => directory.find(replica)?.pool === pool);
+  }
+
   #createRefusal(request: LeaseRequest, needs: PlacementRequest): RefusalError {
-    return this.#chooser.hasCandidates(needs)
-      ? this.#createPoolFull(request, needs)
+    const wanted = { ...needs, avoid: request.avoid };
+    return this.#chooser.hasCandidates(wanted)
+      ? this.#createPoolFull(request, wanted)
       : createNoReplica();
   }
 
@@ -216,9 +225,11 @@
     );
   }
 
-  /** A replica that was told to leave since gets nothing new. */
+  /** A replica that leaves or asked to back off since gets nothing new. */
   isValid(): boolean {
-    return this.#options.directory.isReady(this.upstream);
+    const { directory, state } = this.#options;
+    return directory.isReady(this.upstream) &&
+      !state.backOffs.isBackingOff(this.upstream);
   }
 
   override isUpstreamAlive(): boolean {
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -87,12 +87,16 @@
 
   /**
    * Milliseconds until the first of the replicas that take work may have room
-   * by the limits that they name; infinite where none is known to.
+   * for this VM by what they ask; infinite where none is known to.
    */
   computeRoomWaitMs(request: PlacementRequest): number {
-    const { rateLimits } = this.#state;
-    const waits = this.#listCandidates(request)
-      .map((replica) => rateLimits.computeWaitMs(replica));
+    const { rateLimits, backOffs } = this.#state;
+    const waits = this.#listCandidates(request).map((replica) =>
+      Math.max(
+        rateLimits.computeWaitMs(replica),
+        backOffs.getLeftMs(replica.id),
+      )
+    );
     return Math.min(...waits);
   }
 
