Tell the age of an upstream's rate limit as of when it is sent

A lease's return was built when the slot was given back and kept until an owner answered. It names the limit of the upstream's last answer by its age; sent five seconds later, the word was taken for five seconds younger than it was, and could go before a newer one of another VM. No caller saw it: found in reading, while times to back off were added.

Returns are built when they are sent now, as the news of running leases are. The test failed before: an age of 0 where it was 5,000 ms.

--- a/src/process/scheduler/lease_client.ts
+++ b/src/process/scheduler/lease_client.ts
@@ -245,7 +245,7 @@
       askedAt,
       onRelease: (released) => {
         if (!released.byOwner) this.#local.release(released);
-        sync.addReturn(released.buildNews());
+        sync.addReturn(released);
       },
       onSignals: (signals) => this.#noteSignals(slot.upstream, signals),
     });
--- a/src/process/scheduler/lease_sync.ts
+++ b/src/process/scheduler/lease_sync.ts
@@ -8,7 +8,7 @@
 import type { Environment } from "../environment.ts";
 import { waitAtMost } from "../member_wait.ts";
 import type { MembershipView } from "../membership_view.ts";
-import type { LeaseNews, PeerApi, SyncAnswer, SyncCall } from "../peer_api.ts";
+import type { PeerApi, SyncAnswer, SyncCall } from "../peer_api.ts";
 import type { HeldSlot } from "./held_slot.ts";
 import { LEASE_TTL_MS } from "./lease_accounts.ts";
 import { buildShardKey } from "./shards.ts";
@@ -37,7 +37,7 @@
 export class LeaseSync {
   readonly #options: LeaseSyncOptions;
   readonly #held = new Map<LeaseId, HeldSlot>();
-  #returns: LeaseNews[] = [];
+  #returns: HeldSlot[] = [];
   #withdrawn: TicketId[] = [];
   /** The owner that has been told of all leases. */
   #knownOwner: VmId | undefined;
@@ -73,9 +73,9 @@
   }
 
   /** Gives a lease back, at once where this VM is the owner. */
-  addReturn(news: LeaseNews): void {
-    this.#held.delete(news.lease);
-    if (this.#returns.length < MAX_RETURNS) this.#returns.push(news);
+  addReturn(slot: HeldSlot): void {
+    this.#held.delete(slot.lease);
+    if (this.#returns.length < MAX_RETURNS) this.#returns.push(slot);
     this.#flushSoon();
   }
 
@@ -121,7 +121,8 @@
     const answer = await this.#send(owner, {
       from: { vm, incarnation },
       shard: this.#options.shard,
-      news: [...running.map((slot) => slot.buildNews()), ...returns],
+      // Built now: what a return says of times is counted from its sending.
+      news: [...running, ...returns].map((slot) => slot.buildNews()),
       withdrawn,
     });
     if (answer === undefined || !answer.isOwner) {
