Grant no slots at an upstream that asked to back off

Owners eject an upstream that refuses after two failures, but keep half of a pool in service: where all upstreams asked for 3 s, one of two plain services got 5 requests in that time, and one of three engines 14, where two are the most.

The holder of a lease tells the shard's owner with the lease's return, some 10 ms later, how much longer the upstream wants nothing. The owner grants it nothing until then, by the same question as for its rate limit; requests wait or go to other replicas. While owners are silent a VM goes by what it was told itself.

Why it holds: all grants of a shard ask it, preemption and probes too.

--- a/src/connection/peer_schemas.ts
+++ b/src/connection/peer_schemas.ts
@@ -44,6 +44,7 @@
   betweenTokensMs: MS.optional(),
   rateLimit: z.looseObject({ requestsPerS: MS.optional(), ageMs: MS })
     .optional(),
+  backOffMs: MS.optional(),
 });
 
 const SHARD_SUMMARY = z.looseObject({
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -103,6 +103,8 @@
   betweenTokensMs: number | undefined;
   /** What the answer under the lease told, once known. */
   rateLimit?: RateLimitNews | undefined;
+  /** How much longer the upstream wants nothing, by its refusal. */
+  backOffMs?: number | undefined;
 }
 
 /** Renews, returns and re-announces leases, many in one call. */
--- a/src/process/scheduler/granter.ts
+++ b/src/process/scheduler/granter.ts
@@ -128,7 +128,7 @@
   /** Whether the lease's slot would serve the waiter. */
   #isUseful(lease: LeaseEntry, waiter: Waiter, now: number): boolean {
     const replica = this.#options.replicas.get(lease.upstream);
-    return replica !== undefined && !replica.ejected && replica.hasRate(now) &&
+    return replica !== undefined && !replica.ejected && replica.canTake(now) &&
       canServe(replica, this.#buildWish(waiter));
   }
 
--- a/src/process/scheduler/held_slot.ts
+++ b/src/process/scheduler/held_slot.ts
@@ -51,6 +51,7 @@
   /** The limit that the upstream named, infinite for none, and when. */
   #rateLimit: { requestsPerS: number; at: number } | undefined;
   #announcedRateLimit = false;
+  #backOffUntil = -Infinity;
 
   constructor(options: HeldSlotOptions) {
     super();
@@ -91,9 +92,11 @@
 
   override noteSignals(signals: UpstreamSignals): void {
     this.#options.onSignals(signals);
-    const { requestsPerS } = signals;
+    const { requestsPerS, backOffMs } = signals;
+    const now = this.#options.clock.now();
+    this.#backOffUntil = Math.max(this.#backOffUntil, now + backOffMs);
     if (requestsPerS === undefined) return;
-    this.#rateLimit = { requestsPerS, at: this.#options.clock.now() };
+    this.#rateLimit = { requestsPerS, at: now };
   }
 
   override release(
@@ -147,9 +150,15 @@
       promptTokens,
       ...this.#progress,
       rateLimit: this.#buildRateLimit(),
+      backOffMs: this.#computeBackOffMs(),
     };
   }
 
+  #computeBackOffMs(): number | undefined {
+    const leftMs = this.#backOffUntil - this.#options.clock.now();
+    return leftMs > 0 ? leftMs : undefined;
+  }
+
   #buildRateLimit(): RateLimitNews | undefined {
     if (this.#rateLimit === undefined) return undefined;
     const { requestsPerS, at } = this.#rateLimit;
--- a/src/process/scheduler/lease_accounts.ts
+++ b/src/process/scheduler/lease_accounts.ts
@@ -100,7 +100,7 @@
     options: { holder: VmId; now: number },
   ): void {
     const { now } = options;
-    this.#noteRateLimit(news, now);
+    this.#noteSignals(news, now);
     if (this.ledger.isClosed(news.lease, now)) return;
     const known = this.ledger.get(news.lease);
     if (known === undefined && news.state !== "running") {
@@ -195,10 +195,12 @@
     return entry;
   }
 
-  #noteRateLimit({ upstream, rateLimit }: LeaseNews, now: number): void {
+  #noteSignals(news: LeaseNews, now: number): void {
+    const { upstream, rateLimit, backOffMs = 0 } = news;
+    const replica = this.#options.replicas.get(upstream);
+    replica?.noteBackOff(now + backOffMs);
     if (rateLimit === undefined) return;
     const { requestsPerS = Infinity, ageMs } = rateLimit;
-    const replica = this.#options.replicas.get(upstream);
     replica?.rate.noteLimit(requestsPerS, now - ageMs);
   }
 
--- a/src/process/scheduler/local_slots.ts
+++ b/src/process/scheduler/local_slots.ts
@@ -11,7 +11,7 @@
 import type { MembershipView } from "../membership_view.ts";
 import type { SlotLease } from "../peer_api.ts";
 import { FIRST_TTL_MS } from "./lease_accounts.ts";
-import { LocalRates } from "./local_rates.ts";
+import { LocalRoom } from "./local_room.ts";
 import { computeLocalShare, LocalShare } from "./local_share.ts";
 import { listShardUpstreams } from "./shards.ts";
 
@@ -33,12 +33,12 @@
 export class LocalSlots {
   readonly #options: LocalSlotsOptions;
   readonly #shares = new Map<ShardId, LocalShare>();
-  readonly #rates: LocalRates;
+  readonly #room: LocalRoom;
   #leases = 0;
 
   constructor(options: LocalSlotsOptions) {
     this.#options = options;
-    this.#rates = LocalRates.create(options.environment.clock);
+    this.#room = LocalRoom.create(options.environment.clock);
   }
 
   static create(options: LocalSlotsOptions): LocalSlots {
@@ -67,13 +67,13 @@
     const upstreams = this.#listUpstreams(wish)
       .map((upstream) => upstream.id)
       .filter((upstream) => !wish.avoid.includes(upstream))
-      .filter((upstream) => this.#rates.hasRoom(upstream, rateShare));
+      .filter((upstream) => this.#room.hasRoom(upstream, rateShare));
     const upstream = this.#getShare(wish.shard).take(wish.rank, {
       share: this.#computeShare(wish),
       upstreams,
     });
     if (upstream === undefined) return undefined;
-    this.#rates.addSent(upstream);
+    this.#room.addSent(upstream);
     const { vm, incarnation } = this.#options.environment;
     const name = `${wish.shard}:${vm}:${incarnation}:local-${this.#leases++}`;
     return {
@@ -88,13 +88,13 @@
 
   /** Takes in what an answer of an upstream to this VM asks. */
   noteSignals(upstream: VmId, signals: UpstreamSignals): void {
-    this.#rates.noteSignals(upstream, signals);
+    this.#room.noteSignals(upstream, signals);
   }
 
   /** Forgets upstreams that are not listed any more. */
   dropUnlisted(): void {
     const { membership } = this.#options;
-    this.#rates.dropUnlisted((upstream) =>
+    this.#room.dropUnlisted((upstream) =>
       membership.findVm(upstream) !== undefined
     );
   }
--- a/src/process/scheduler/replica.ts
+++ b/src/process/scheduler/replica.ts
@@ -50,6 +50,7 @@
   missedPolls = 0;
   #report: LoadReport | undefined;
   #reportTakenAt = -Infinity;
+  #backOffUntil = -Infinity;
   #foreign = 0;
   #marks: UseMark[];
 
@@ -82,9 +83,14 @@
     return Math.max(0, this.limit.slots - this.inUse - this.#foreign);
   }
 
-  /** Whether it takes one more request now, by the limit that it names. */
-  hasRate(now: number): boolean {
-    return this.rate.computeWaitMs(now) === 0;
+  /** Takes in until when it wants nothing; the longest time holds. */
+  noteBackOff(until: number): void {
+    this.#backOffUntil = Math.max(this.#backOffUntil, until);
+  }
+
+  /** Whether it takes one more request now, by what it asked in answers. */
+  canTake(now: number): boolean {
+    return now >= this.#backOffUntil && this.rate.computeWaitMs(now) === 0;
   }
 
   setInUse(inUse: number, now: number): void {
--- a/src/process/scheduler/replica_choice.ts
+++ b/src/process/scheduler/replica_choice.ts
@@ -28,8 +28,8 @@
 }
 
 /**
- * The replica with room, and within the rate limit that it names, that suits
- * best; undefined where there is none.
+ * The replica with room, and that takes a request now by what it asked, that
+ * suits best; undefined where there is none.
  */
 export function chooseReplica(
   replicas: readonly Replica[],
@@ -37,18 +37,16 @@
 ): Replica | undefined {
   const { wish, now } = options;
   const fitting = replicas.filter((replica) => canServe(replica, wish));
-  const withinRate = fitting.filter((replica) => replica.hasRate(now));
+  const taking = fitting.filter((replica) => replica.canTake(now));
   // Work that may not be repeated is no probe while anything in service could
   // take it; without that rule's exception it would wait for good for a
   // replica that only a probe can bring back.
   const isLastResort = fitting.every((replica) => replica.ejected);
   if (wish.mayProbe || isLastResort) {
-    const probed = withinRate.find((replica) => canProbe(replica, now));
+    const probed = taking.find((replica) => canProbe(replica, now));
     if (probed !== undefined) return probed;
   }
-  const free = withinRate.filter((replica) =>
-    !replica.ejected && replica.room > 0
-  );
+  const free = taking.filter((replica) => !replica.ejected && replica.room > 0);
   if (free.length <= 1) return free[0];
   return findCached(free, wish) ?? findLeastUsed(free);
 }
--- a/src/process/scheduler/replica_set.ts
+++ b/src/process/scheduler/replica_set.ts
@@ -53,7 +53,7 @@
   /** Whether any request at all could be granted now. */
   hasOpening(now: number): boolean {
     return this.#list.some((replica) =>
-      !replica.leaving && replica.hasRate(now) &&
+      !replica.leaving && replica.canTake(now) &&
       (replica.ejected ? canProbe(replica, now) : replica.room > 0)
     );
   }
