--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -101,6 +101,7 @@
       revoked: fleet.revoked,
       published: fleet.published,
       limits: fleet.limits.list(),
+      leaving: fleet.leaving.list(),
       isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
       isMachineBusy: machine.isBusy,
     }) satisfies BrokenPromise[],
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -16,6 +16,7 @@
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
 import { POISON_BODY } from "./soak_callers.ts";
+import { SoakLeaving } from "./soak_leaving.ts";
 import { SoakLimits } from "./soak_limits.ts";
 import type { Fault } from "./soak_plan.ts";
 import { type SoakPorts, SoakVm } from "./soak_vm.ts";
@@ -25,6 +26,8 @@
 const DRAIN_GRACE_MS = 4_000;
 /** A replica that crashed is back after so long. */
 const REPLACED_AFTER_MS = 1_000;
+/** A replica that left is listed again after so long, as another process. */
+const RELISTED_AFTER_MS = 1_000;
 /** VMs have read the store so long after a fault of it ended. */
 const READ_WITHIN_MS = 4_000;
 /** A process that was told to end and has not after so long is killed. */
@@ -48,6 +51,7 @@
   readonly replicas: SoakReplica[] = [];
   readonly revoked: RevokedKey[] = [];
   readonly limits = SoakLimits.create();
+  readonly leaving = SoakLeaving.create();
   /** When the newest key was published. */
   readonly published = new Map<string, number>();
   readonly #store = StoreStandIn.create();
@@ -151,6 +155,10 @@
           end();
         },
       )
+      .with(
+        { kind: "replica_says_leaving" },
+        ({ replica, forMs }) => this.#runLeaving(replica, forMs),
+      )
       .with({ kind: "store_way" }, async ({ vm, mode, forMs }) => {
         this.#noteStore();
         await this.#setRelay(this.#storeRelays[vm]!, mode, forMs);
@@ -258,6 +266,18 @@
     this.#listReplica(replica, "ready");
   }
 
+  /** A replica whose answers alone tell that it leaves; another comes back. */
+  async #runLeaving(replica: number, forMs: number): Promise<void> {
+    const { standIn } = this.replicas[replica]!;
+    const end = this.leaving.start(standIn);
+    await sleep(forMs);
+    this.#store.remove(`servers/${standIn.id}`);
+    end();
+    await sleep(RELISTED_AFTER_MS);
+    if (this.replicas[replica]!.standIn !== standIn) return;
+    this.#listReplica(replica, "ready");
+  }
+
   async #setRelay(
     relay: Relay,
     mode: Parameters<Relay["setModeOfNew"]>[0],
--- a/test/soak/soak_limits.ts
+++ b/test/soak/soak_limits.ts
@@ -5,6 +5,7 @@
  */
 import type { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import type { SoakRequest } from "./soak_callers.ts";
+import { listArrivals } from "./soak_leaving.ts";
 
 const HEADER = "server-limit";
 /** All VMs know a limit so long after it was named, in milliseconds. */
@@ -59,10 +60,7 @@
   list(): NamedLimit[] {
     return this.#named.map(({ standIn, limit }) => ({
       ...limit,
-      arrivals: standIn.seen.map(({ headers }, index) => ({
-        requestId: headers["x-request-id"] ?? "",
-        at: standIn.seenAt[index]!,
-      })),
+      arrivals: listArrivals(standIn),
     }));
   }
 }
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -5,6 +5,7 @@
  */
 import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
 import type { RevokedKey } from "./soak_fleet.ts";
+import { findLateArrival, type SaidLeaving } from "./soak_leaving.ts";
 import { findExcess, type NamedLimit } from "./soak_limits.ts";
 
 /** Statuses that say that the work has not run and never will. */
@@ -33,7 +34,8 @@
     | "a key that was taken away is refused"
     | "an end comes in time"
     | "what crashes replicas is kept from them"
-    | "a replica gets no more than it takes";
+    | "a replica gets no more than it takes"
+    | "a replica that leaves gets nothing new";
   detail: string;
 }
 
@@ -47,6 +49,8 @@
   published: ReadonlyMap<string, number>;
   /** Limits on requests a second that replicas named. */
   limits: readonly NamedLimit[];
+  /** Replicas that said that they leave. */
+  leaving: readonly SaidLeaving[];
   /** Whether VMs may have been unable to read what was published. */
   isStoreDisturbed: (from: number, to: number) => boolean;
   /** Whether this machine kept processes waiting for a processor. */
@@ -61,17 +65,25 @@
     ...checkKey(request, record),
     ...checkTime(request, record),
   ]);
-  return [...broken, ...checkPoison(record), ...checkLimits(record)];
+  return [...broken, ...checkPoison(record), ...checkSignals(record)];
 }
 
-function checkLimits(record: SoakRecord): BrokenPromise[] {
+/** What replicas got beside what they asked for in their answers. */
+function checkSignals(record: SoakRecord): BrokenPromise[] {
   const requests = new Map(record.requests.map((each) => [each.id, each]));
-  return record.limits.flatMap((limit) => {
-    const excess = findExcess(limit, { ...record, requests });
-    if (excess === undefined) return [];
-    const { request, what } = excess;
-    return [build("a replica gets no more than it takes", request, what)];
-  });
+  const options = { ...record, requests };
+  return [
+    ...record.limits.map((limit) => ({
+      promise: "a replica gets no more than it takes" as const,
+      found: findExcess(limit, options),
+    })),
+    ...record.leaving.map((leaving) => ({
+      promise: "a replica that leaves gets nothing new" as const,
+      found: findLateArrival(leaving, options),
+    })),
+  ].flatMap(({ promise, found }) =>
+    found === undefined ? [] : [build(promise, found.request, found.what)]
+  );
 }
 
 /** Runs of the poison request that began late enough to be avoided. */
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -31,6 +31,7 @@
     revoked: [],
     published: new Map([["key-2", 500]]),
     limits: [],
+    leaving: [],
     isStoreDisturbed: () => false,
     isMachineBusy: () => false,
     ...changes,
@@ -162,3 +163,43 @@
     expect(checkArrivals(1, { isDisturbed: true })).toEqual([]);
   });
 });
+
+describe("a replica that said that it leaves", () => {
+  /** The first answer says so at once; another request follows after `ms`. */
+  function checkLater(ms: number, changes: Partial<SoakRequest> = {}) {
+    const told = buildRequest({
+      headers: {
+        "x-request-id": "request-1",
+        "x-response-seal": "seal",
+        "server-leaving": "1",
+      },
+    });
+    const sentAt = told.endedAt + ms;
+    const later = buildRequest({
+      id: "request-2",
+      sentAt,
+      endedAt: sentAt + 10,
+      headers: { "x-request-id": "request-2", "x-response-seal": "seal" },
+      ...changes,
+    });
+    const arrivals = [told, later]
+      .map(({ id, sentAt: at }) => ({ requestId: id, at }));
+    const leaving = [{ replica: "i-1", from: 0, to: 9_000, arrivals }];
+    return check(told, {
+      requests: [told, later],
+      runs: new Map(),
+      leaving,
+    });
+  }
+
+  it("is broken by what is sent to it later than two seconds after", () => {
+    expect(checkLater(1_900)).toEqual([]);
+    expect(checkLater(2_100))
+      .toEqual(["a replica that leaves gets nothing new"]);
+  });
+
+  it("does not count at VMs that have just started, or once it is back", () => {
+    expect(checkLater(2_100, { isDisturbed: true })).toEqual([]);
+    expect(checkLater(9_000)).toEqual([]);
+  });
+});
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -50,6 +50,7 @@
     requestsPerS: number;
     forMs: number;
   }
+  | { kind: "replica_says_leaving"; replica: number; forMs: number }
   | { kind: "store_way"; vm: number; mode: RelayMode; forMs: number }
   | { kind: "store"; mode: StoreMode; forMs: number }
   | { kind: "store_forgets" }
@@ -107,7 +108,11 @@
   const forMs = SHORTEST_SIGNAL_MS +
     random.nextInt(LONGEST_SIGNAL_MS - SHORTEST_SIGNAL_MS);
   const requestsPerS = 1 + random.nextInt(MOST_REQUESTS_PER_S);
-  return { kind: "replica_limits", replica, requestsPerS, forMs };
+  const signals: Fault[] = [
+    { kind: "replica_limits", replica, requestsPerS, forMs },
+    { kind: "replica_says_leaving", replica, forMs },
+  ];
+  return random.pick(signals)!;
 }
 
 function pickFault(random: SeededRandom, options: PlanOptions): Fault {
