--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -66,6 +66,12 @@
   readonly seen: StandInCall[] = [];
   /** When each of those came, by `performance.now()`. */
   readonly seenAt: number[] = [];
+  /** Requests that it said not to have run, and what else it said then. */
+  readonly refusals: {
+    call: StandInCall;
+    at: number;
+    headers: Record<string, string>;
+  }[] = [];
   /** Requests whose connection the other side closed before the end. */
   readonly cancelled: string[] = [];
   /** Connections on which an answer went out before. */
@@ -100,6 +106,8 @@
       return;
     }
     if (this.mode === "shed") {
+      const at = performance.now();
+      this.refusals.push({ call, at, headers: this.extraHeaders });
       const headers = { "x-not-executed": "1" };
       sendJson(response, { status: 503, body: {}, headers });
       return;
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -102,6 +102,7 @@
       published: fleet.published,
       limits: fleet.limits.list(),
       leaving: fleet.leaving.list(),
+      backOffs: fleet.backOffs.list(),
       isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
       isMachineBusy: machine.isBusy,
     }) satisfies BrokenPromise[],
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -16,6 +16,7 @@
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
 import { POISON_BODY } from "./soak_callers.ts";
+import { SoakBackOffs } from "./soak_back_offs.ts";
 import { SoakLeaving } from "./soak_leaving.ts";
 import { SoakLimits } from "./soak_limits.ts";
 import type { Fault } from "./soak_plan.ts";
@@ -52,6 +53,7 @@
   readonly revoked: RevokedKey[] = [];
   readonly limits = SoakLimits.create();
   readonly leaving = SoakLeaving.create();
+  readonly backOffs = SoakBackOffs.create();
   /** When the newest key was published. */
   readonly published = new Map<string, number>();
   readonly #store = StoreStandIn.create();
@@ -159,6 +161,12 @@
         { kind: "replica_says_leaving" },
         ({ replica, forMs }) => this.#runLeaving(replica, forMs),
       )
+      .with({ kind: "replica_backs_off" }, async ({ replica, forS, forMs }) => {
+        const { standIn } = this.replicas[replica]!;
+        const end = this.backOffs.start(standIn, forS);
+        await sleep(forMs);
+        end();
+      })
       .with({ kind: "store_way" }, async ({ vm, mode, forMs }) => {
         this.#noteStore();
         await this.#setRelay(this.#storeRelays[vm]!, mode, forMs);
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -5,6 +5,7 @@
  */
 import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
 import type { RevokedKey } from "./soak_fleet.ts";
+import { type AskedBackOff, findRepeat } from "./soak_back_offs.ts";
 import { findLateArrival, type SaidLeaving } from "./soak_leaving.ts";
 import { findExcess, type NamedLimit } from "./soak_limits.ts";
 
@@ -35,7 +36,8 @@
     | "an end comes in time"
     | "what crashes replicas is kept from them"
     | "a replica gets no more than it takes"
-    | "a replica that leaves gets nothing new";
+    | "a replica that leaves gets nothing new"
+    | "a VM backs off where a replica asks for it";
   detail: string;
 }
 
@@ -51,6 +53,8 @@
   limits: readonly NamedLimit[];
   /** Replicas that said that they leave. */
   leaving: readonly SaidLeaving[];
+  /** Replicas that asked VMs to back off. */
+  backOffs: readonly AskedBackOff[];
   /** Whether VMs may have been unable to read what was published. */
   isStoreDisturbed: (from: number, to: number) => boolean;
   /** Whether this machine kept processes waiting for a processor. */
@@ -81,6 +85,10 @@
       promise: "a replica that leaves gets nothing new" as const,
       found: findLateArrival(leaving, options),
     })),
+    ...record.backOffs.map((backOff) => ({
+      promise: "a VM backs off where a replica asks for it" as const,
+      found: findRepeat(backOff, options),
+    })),
   ].flatMap(({ promise, found }) =>
     found === undefined ? [] : [build(promise, found.request, found.what)]
   );
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -32,6 +32,7 @@
     published: new Map([["key-2", 500]]),
     limits: [],
     leaving: [],
+    backOffs: [],
     isStoreDisturbed: () => false,
     isMachineBusy: () => false,
     ...changes,
@@ -203,3 +204,37 @@
     expect(checkLater(9_000)).toEqual([]);
   });
 });
+
+describe("a replica that asked a VM to back off", () => {
+  /** Requests at so many ms after the first, which was turned away for 3 s. */
+  function checkRepeats(times: number[], changes: Partial<SoakRequest> = {}) {
+    const requests = [0, ...times].map((ms, index) =>
+      buildRequest({
+        id: `request-${index + 1}`,
+        sentAt: 1_000 + ms,
+        endedAt: 1_010 + ms,
+        status: 503,
+        body: "",
+        ...(index === 0 ? {} : changes),
+      })
+    );
+    const arrivals = requests
+      .map(({ id, sentAt }) => ({ requestId: id, at: sentAt }));
+    const refusals = [{ requestId: "request-1", at: 1_000, forMs: 3_000 }];
+    const backOffs = [{ replica: "i-1", refusals, arrivals }];
+    return check(requests[0]!, { requests, runs: new Map(), backOffs });
+  }
+
+  it("is broken by more than two of its requests in that time", () => {
+    const promise = ["a VM backs off where a replica asks for it"];
+    expect(checkRepeats([600, 700])).toEqual([]);
+    expect(checkRepeats([600, 700, 2_900])).toEqual(promise);
+    expect(checkRepeats([100, 600, 700, 3_100])).toEqual([]);
+  });
+
+  it("does not count at other VMs, or at those that have just started", () => {
+    const times = [600, 700, 2_900];
+    expect(checkRepeats(times, { vm: "vm-2" })).toEqual([]);
+    expect(checkRepeats(times, { isDisturbed: true })).toEqual([]);
+  });
+});
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -16,6 +16,7 @@
 const SHORTEST_SIGNAL_MS = 4_000;
 const LONGEST_SIGNAL_MS = 9_000;
 const MOST_REQUESTS_PER_S = 8;
+const LONGEST_BACK_OFF_S = 4;
 /** What replicas ask is drawn apart: the faults of a seed stay what they are. */
 const SIGNAL_SEED = 1_000_000_007;
 /** One configuration in so many takes a key away. */
@@ -51,6 +52,7 @@
     forMs: number;
   }
   | { kind: "replica_says_leaving"; replica: number; forMs: number }
+  | { kind: "replica_backs_off"; replica: number; forS: number; forMs: number }
   | { kind: "store_way"; vm: number; mode: RelayMode; forMs: number }
   | { kind: "store"; mode: StoreMode; forMs: number }
   | { kind: "store_forgets" }
@@ -111,6 +113,12 @@
   const signals: Fault[] = [
     { kind: "replica_limits", replica, requestsPerS, forMs },
     { kind: "replica_says_leaving", replica, forMs },
+    {
+      kind: "replica_backs_off",
+      replica,
+      forS: 1 + random.nextInt(LONGEST_BACK_OFF_S),
+      forMs,
+    },
   ];
   return random.pick(signals)!;
 }
