Tell other VMs no more of a rate limit that ended long ago

A replica that had named a limit once stood in every heartbeat from then on, for as long as it answered; its end is told for two seconds now, as answers and requests are. Ages are whole milliseconds. What callers hear of a full pool names no cause that may not be the one. Found in reading; no caller saw it.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -157,9 +157,7 @@
     const roomMs = this.#chooser.computeRoomWaitMs(needs);
     return new RefusalError({
       code: "queue_full",
-      message:
-        "The service's replicas warm up or take few requests a second, " +
-        "and have no room now",
+      message: "No replica of the service has room for more requests now",
       outcome: "not_run",
       retryAfterMs: Math.round(
         Number.isFinite(roomMs) ? Math.max(roomMs, spreadMs) : spreadMs,
--- a/src/process/placement/replica_rate_limits.ts
+++ b/src/process/placement/replica_rate_limits.ts
@@ -17,9 +17,12 @@
 import type { ListedReplica } from "./replica_list.ts";
 import type { DecisionShare } from "./slow_start.ts";
 
-/** Limits that differ by less, as a share of the one before, are not told. */
-const TOLD_CHANGE = 0.25;
-/** Others are told for so long of an answer or a request, in milliseconds. */
+/** Limits that differ by less, as a share of the one before, are not logged. */
+const LOGGED_CHANGE = 0.25;
+/**
+ * Others are told for so long, in milliseconds, of an answer, of a request and
+ * of the end of a limit: a message may be lost.
+ */
 const TOLD_FOR_MS = 2_000;
 /**
  * The part of a limit that VMs share that hear no owner. They hear nothing of
@@ -58,17 +61,17 @@
 
 interface Record {
   rate: RequestRate;
-  /** Whether the replica has named a limit at any time. */
-  hasNamed: boolean;
-  /** The limit in its last answer to this VM, and when that came. */
+  /** When its last limit ended. */
+  endedAt: number;
+  /** What its last answer to this VM named, and when that came. */
   own: { requestsPerS: number; at: number } | undefined;
   /** Requests sent by this VM's decision, and when the last one was. */
   sent: number;
   sentAt: number;
   /** The same of other VMs, as they told. */
   sentByPeers: Map<VmId, number>;
-  /** The limit that was logged last. */
-  toldPerS: number;
+  /** The limit that was logged last; infinite for none. */
+  loggedPerS: number;
 }
 
 /** Limits by replica, and what was sent under them. */
@@ -126,9 +129,7 @@
   listNews(): RateLimitEntry[] {
     const now = this.#options.clock.now();
     return [...this.#records]
-      .filter(([, { hasNamed, own, sentAt }]) =>
-        hasNamed && now - Math.max(own?.at ?? -Infinity, sentAt) < TOLD_FOR_MS
-      )
+      .filter(([, record]) => isNews(record, now))
       .map(([replica, record]) => buildEntry(replica, record, now));
   }
 
@@ -151,24 +152,26 @@
     }
   }
 
-  /** The word that the replica gave last holds, whichever VM it came to. */
+  /** The replica's last answer holds, whichever VM it came to. */
   #noteLimit(replica: VmId, requestsPerS: number, namedAt: number): Record {
     const now = this.#options.clock.now();
     const record = this.#records.get(replica) ?? buildRecord(now);
     this.#records.set(replica, record);
-    record.rate.noteLimit(requestsPerS, namedAt);
-    record.hasNamed ||= record.rate.limit !== undefined;
+    const { rate } = record;
+    const wasLimited = rate.limit !== undefined;
+    rate.noteLimit(requestsPerS, namedAt);
+    if (wasLimited && rate.limit === undefined) record.endedAt = now;
     this.#announce(replica, record);
     return record;
   }
 
   #announce(replica: VmId, record: Record): void {
-    const { toldPerS, rate } = record;
+    const { loggedPerS, rate } = record;
     const perS = rate.limit ?? Infinity;
-    const isKnown = perS === toldPerS ||
-      Math.abs(perS - toldPerS) < TOLD_CHANGE * toldPerS;
+    const isKnown = perS === loggedPerS ||
+      Math.abs(perS - loggedPerS) < LOGGED_CHANGE * loggedPerS;
     if (isKnown) return;
-    record.toldPerS = perS;
+    record.loggedPerS = perS;
     this.#options.onChange(replica, rate.limit);
   }
 
@@ -204,15 +207,22 @@
 function buildRecord(now: number): Record {
   return {
     rate: RequestRate.create(now),
-    hasNamed: false,
+    endedAt: -Infinity,
     own: undefined,
     sent: 0,
     sentAt: -Infinity,
     sentByPeers: new Map(),
-    toldPerS: Infinity,
+    loggedPerS: Infinity,
   };
 }
 
+function isNews({ rate, endedAt, own, sentAt }: Record, now: number): boolean {
+  const since = now - TOLD_FOR_MS;
+  const isLimited = rate.limit !== undefined || endedAt > since;
+  const isActive = sentAt > since || (own?.at ?? -Infinity) > since;
+  return isLimited && isActive;
+}
+
 function buildEntry(
   replica: VmId,
   { own, sent }: Record,
@@ -221,5 +231,5 @@
   if (own === undefined) return [replica, NO_LIMIT, NEVER, sent];
   const { requestsPerS, at } = own;
   const named = requestsPerS === Infinity ? NO_LIMIT : requestsPerS;
-  return [replica, named, now - at, sent];
+  return [replica, named, Math.round(now - at), sent];
 }
--- a/test/process/placement/replica_rate_limits_test.ts
+++ b/test/process/placement/replica_rate_limits_test.ts
@@ -233,6 +233,17 @@
     expect(limits.listNews()).toEqual([]);
   });
 
+  it("is told of for a while once it has ended, and then no more", async () => {
+    const clock = VirtualClock.create();
+    const { limits, note } = createLimits(clock);
+    note(1);
+    note(Infinity);
+    expect(limits.listNews()).toEqual([[REPLICA.id, -1, 0, 0]]);
+    await clock.run(3_000);
+    note(Infinity);
+    expect(limits.listNews()).toEqual([]);
+  });
+
   it("is shared with VMs that are not heard", async () => {
     const clock = VirtualClock.create();
     const others = listVms(7);
