--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -73,7 +73,7 @@
   readonly backOffs: ReplicaBackOffs;
 
   constructor(options: PlacementStateOptions) {
-    const { clock, onNews, onEjected } = options;
+    const { clock, onNews, onEjected, onBackOff = () => {} } = options;
     const { slowStart = NO_WARM_UP, rateLimits = NO_FLEET } = options;
     this.loads = ReplicaLoads.create(clock, onNews);
     this.health = ReplicaHealth.create(clock, (replica, forMs) => {
@@ -86,7 +86,6 @@
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
-    const { onBackOff = () => {} } = options;
     this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
     this.rateLimits = ReplicaRateLimits.create({
       clock,
