--- a/src/process/seeded_fleet/replica_changes.ts
+++ b/src/process/seeded_fleet/replica_changes.ts
@@ -41,7 +41,10 @@
     before.startedAt !== after.startedAt;
 }
 
-/** Logs one line per change, or a single line for the first list. */
+/**
+ * Logs one line per change, or a single line for the first list, with the
+ * replicas that it names as leaving.
+ */
 export function writeChanges(
   log: Log,
   changes: readonly ReplicaChange[],
@@ -50,7 +53,10 @@
 ): void {
   const { from, list: { revision } } = source;
   if (source.isFirst) {
-    log.info("replicas_listed", { count: changes.length, revision, from });
+    const leaving = changes.filter(({ change }) => change === "draining")
+      .map(({ replica }) => replica).join(",");
+    const count = changes.length;
+    log.info("replicas_listed", { count, revision, from, leaving });
     return;
   }
   for (const { replica, change } of changes) {
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -278,7 +278,7 @@
   ): void {
     if (configuration.version <= (this.#configuration?.version ?? 0)) return;
     this.#configuration = configuration;
-    this.#lag.noteApplied(configuration.version, from);
+    this.#lag.noteApplied(configuration.version, from, this.getListAgeMs());
     this.#snapshot = buildRoutedSnapshot(configuration);
     this.#options.log.info("configuration_accepted", {
       version: configuration.version,
@@ -292,7 +292,7 @@
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     if (!replicas.apply(list)) return;
-    this.#lag.noteApplied(list.revision, from);
+    this.#lag.noteApplied(list.revision, from, this.getListAgeMs());
     const after = replicas.getList();
     this.#options.onList(after);
     const changes = listChanges(before, after);
--- a/src/process/seeded_fleet/state_lag.ts
+++ b/src/process/seeded_fleet/state_lag.ts
@@ -36,11 +36,23 @@
     this.#since ??= this.#clock.now();
   }
 
-  /** Records that newer state was applied, and from where it came. */
-  noteApplied(revision: number, from: VmId | "store"): void {
+  /**
+   * Records that newer state was applied, from where it came, and how old this
+   * VM took its list to be until then: less than the lag if it was mistaken.
+   */
+  noteApplied(
+    revision: number,
+    from: VmId | "store",
+    listAgeMs: number,
+  ): void {
     const lagMs = Math.round(this.getMs());
     this.#since = undefined;
     if (lagMs < LOGGED_LAG_MS) return;
-    this.#log.info("state_applied_late", { revision, from, lag_ms: lagMs });
+    this.#log.info("state_applied_late", {
+      revision,
+      from,
+      lag_ms: lagMs,
+      list_age_ms: listAgeMs,
+    });
   }
 }
--- a/test/process/seeded_fleet/state_lag_test.ts
+++ b/test/process/seeded_fleet/state_lag_test.ts
@@ -15,12 +15,12 @@
   lag.noteBehind();
   await clock.run(400);
   expect(lag.getMs()).toBe(800);
-  lag.noteApplied(7, PEER);
+  lag.noteApplied(7, PEER, 300);
   expect(lag.getMs()).toBe(0);
   expect(log.lines).toEqual([{
     level: "info",
     event: "state_applied_late",
-    fields: { revision: 7, from: PEER, lag_ms: 800 },
+    fields: { revision: 7, from: PEER, lag_ms: 800, list_age_ms: 300 },
   }]);
 });
 
@@ -30,6 +30,6 @@
   const lag = StateLag.create(clock, log);
   lag.noteBehind();
   await clock.run(100);
-  lag.noteApplied(7, PEER);
+  lag.noteApplied(7, PEER, 300);
   expect(log.lines).toEqual([]);
 });
--- a/test/soak/at_size/at_size_report.ts
+++ b/test/soak/at_size/at_size_report.ts
@@ -17,6 +17,9 @@
 const LOG_MARGIN_MS = 1_000;
 const LEAVING_LINE =
   /event=replica_changed replica=(\S+) change=(draining|gone)/;
+/** The first list of a process, with the replicas that are leaving in it. */
+const FIRST_LIST_LINE = /event=replicas_listed .*leaving=(\S+)/;
+const LAG_LINE = /event=state_applied_late .*lag_ms=(\d+) list_age_ms=(\d+)$/;
 const STATE_LINE = /event=(peer_fetch|store_|replica_changed|state_)/;
 
 /** A request that reached a leaving replica too late. */
@@ -48,6 +51,11 @@
   learnt: { count: number; median: number; p999: number; max: number };
   /** VMs in touch that knew of a leaving too late. */
   lateVms: { vm: string; replica: string; afterMs: number; log: string[] }[];
+  /**
+   * By how much VMs took their list to be younger than they had known of a
+   * newer one, where they wrote it, in milliseconds.
+   */
+  understated: { count: number; max: number };
   /** Log events of all VMs by name. */
   events: Record<string, number>;
 }
@@ -74,6 +82,7 @@
     ),
     late: afterLeaving.filter(({ afterMs }) => afterMs > DRAIN_MS)
       .map((arrival) => buildLateArrival(fleet, arrival)),
+    understated: computeUnderstated(fleet.vms),
     events: countEvents(fleet.vms),
   };
 }
@@ -86,9 +95,9 @@
 ): Learnt[] {
   const knownAt = new Map<string, number>();
   for (const line of vm.readLog()) {
-    const replica = LEAVING_LINE.exec(line)?.[1];
-    if (replica === undefined || knownAt.has(replica)) continue;
-    knownAt.set(replica, readTime(line));
+    for (const replica of listLeaving(line)) {
+      if (!knownAt.has(replica)) knownAt.set(replica, readTime(line));
+    }
   }
   return leaves.flatMap(({ replica, at }) => {
     const known = knownAt.get(replica);
@@ -98,6 +107,13 @@
   });
 }
 
+/** Replicas of which a line tells that they leave. */
+function listLeaving(line: string): string[] {
+  const changed = LEAVING_LINE.exec(line)?.[1];
+  if (changed !== undefined) return [changed];
+  return FIRST_LIST_LINE.exec(line)?.[1]?.replaceAll('"', "").split(",") ?? [];
+}
+
 function computeQuantiles(learnt: readonly Learnt[]): AtSizeReport["learnt"] {
   const times = learnt.map(({ afterMs }) => afterMs).toSorted((a, b) => a - b);
   const getQuantile = (share: number) =>
@@ -139,6 +155,16 @@
   };
 }
 
+function computeUnderstated(
+  vms: readonly SoakVm[],
+): AtSizeReport["understated"] {
+  const times = vms.flatMap((vm) => vm.readLog()).flatMap((line) => {
+    const [, lagMs, ageMs] = LAG_LINE.exec(line) ?? [];
+    return lagMs === undefined ? [] : [Number(lagMs) - Number(ageMs)];
+  }).filter((ms) => ms > 0);
+  return { count: times.length, max: Math.max(0, ...times) };
+}
+
 function countEvents(vms: readonly SoakVm[]): Record<string, number> {
   const counts: Record<string, number> = {};
   for (const line of vms.flatMap((vm) => vm.readLog())) {
--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -17,6 +17,7 @@
 import { Relay, type RelayMode } from "../../support/relay.ts";
 import { SOAK_ROUTES } from "../soak_callers.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
+import { ProcessorQuota } from "./processor_quota.ts";
 import { type SoakPorts, SoakVm } from "../soak_vm.ts";
 
 const ZONES = 4;
@@ -36,6 +37,8 @@
 const WATCHERS = 3;
 const CENTRAL_PAUSE_AFTER_MS = 8_000;
 const CENTRAL_PAUSE_MS = 15_000;
+/** Time until the VMs of a herd are started again. */
+const HERD_DOWN_MS = 2_000;
 const RELAY_MODES: RelayMode[] = ["swallow", "swallow_back", "refuse"];
 
 /** Options of a fleet. */
@@ -45,6 +48,12 @@
   requestsPerS: number;
   /** Mean time between two faults; 0 for none. */
   faultGapMs: number;
+  /** Time between two herds of VMs that are killed at once; 0 for none. */
+  herdGapMs: number;
+  /** Share of the VMs that are killed at once. */
+  herdShare: number;
+  /** Share of its time for which a VM runs; 1 for all of it. */
+  quotaShare: number;
 }
 
 /** Where the fleet's processes run. */
@@ -98,11 +107,16 @@
   /** Sends requests and injects faults; requests go on for `settleMs`. */
   async runFor(ms: number, settleMs: number): Promise<void> {
     const until = performance.now() + ms;
+    const quota = ProcessorQuota.create(this.vms, this.#options.quotaShare);
+    const limited = quota.run();
     await Promise.all([
       this.#sendUntil(until + settleMs),
       this.#applyFaultsUntil(until),
+      this.#killHerdsUntil(until),
       this.#pauseCentralVms(),
     ]);
+    quota.end();
+    await limited;
   }
 
   /** Whether a VM was undisturbed for a while before a time of day. */
@@ -211,6 +225,36 @@
     });
   }
 
+  async #killHerdsUntil(until: number): Promise<void> {
+    const { herdGapMs } = this.#options;
+    if (herdGapMs === 0) return;
+    const herds: Promise<void>[] = [];
+    while (performance.now() + herdGapMs < until) {
+      await sleep(herdGapMs);
+      herds.push(this.#killHerd());
+    }
+    await Promise.all(herds);
+  }
+
+  /** Kills a share of the VMs at the same moment and starts them again. */
+  async #killHerd(): Promise<void> {
+    const running = this.vms.filter(({ isEndExpected }) => !isEndExpected);
+    const count = Math.round(this.#options.herdShare * running.length);
+    const herd = this.#random.pickSample(running, count);
+    this.faults["herd"] = (this.faults["herd"] ?? 0) + 1;
+    herd.forEach((vm) => {
+      vm.isEndExpected = true;
+      vm.send("SIGKILL");
+    });
+    await this.#runDisturbance(herd, async () => {
+      await sleep(HERD_DOWN_MS);
+      herd.forEach((vm) => vm.start());
+      for (const vm of herd) {
+        while (!vm.hasStarted) await sleep(CHECK_INTERVAL_MS);
+      }
+    });
+  }
+
   /**
    * Pauses the VMs that watch the store and those that place requests, all at
    * once.
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -31,6 +31,17 @@
     default: 500,
     describe: "Mean time between two faults; 0 for none",
   })
+  .option("herd-gap-ms", {
+    type: "number",
+    default: 0,
+    describe: "Time between two herds of VMs that are killed; 0 for none",
+  })
+  .option("herd-share", { type: "number", default: 0.55 })
+  .option("quota-share", {
+    type: "number",
+    default: 1,
+    describe: "Share of its time for which a VM runs",
+  })
   .option("busy-loops", { type: "number", default: 0 })
   .strict()
   .parseAsync();
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -48,6 +48,7 @@
   #logOffset = 0;
   /** When the VM was last disturbed, by `performance.now()`. */
   disturbedAt = -Infinity;
+  #isPaused = false;
   /** Whether the process was told to end. */
   isEndExpected = false;
 
@@ -101,9 +102,21 @@
   /** Sends a signal to this process alone. */
   send(signal: "SIGTERM" | "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP"): void {
     if (signal !== "SIGHUP") this.noteDisturbed();
+    if (signal === "SIGSTOP") this.#isPaused = true;
+    if (signal === "SIGCONT") this.#isPaused = false;
     if (!this.hasEnded) this.#child!.process.kill(signal);
   }
 
+  /** Stops the process for a moment, which counts as no disturbance. */
+  hold(): void {
+    if (!this.#isPaused && !this.hasEnded) this.#child!.process.kill("SIGSTOP");
+  }
+
+  /** Ends `hold`; a VM that is paused stays so. */
+  resume(): void {
+    if (!this.#isPaused && !this.hasEnded) this.#child!.process.kill("SIGCONT");
+  }
+
   noteDisturbed(): void {
     this.disturbedAt = performance.now();
   }
