Test that an old list does not pass for a new one: it does

The age in a heartbeat is that of its sending; what it spent on its way is lost at each VM that passes it on, and the youngest claim wins. - calls between VMs go unanswered: a VM that hears of a newer list learns of a leaving after 9,080 ms, since VMs that lack the newer list too go on confirming the old one.

--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -82,6 +82,9 @@
   readonly vms: VirtualVm[] = [];
   /** Whether a datagram or call between two VMs is dropped. */
   isCut: (from: VirtualVm, to: VirtualVm) => boolean = () => false;
+  /** Milliseconds until a datagram is read. */
+  computeDatagramMs: (from: VirtualVm, to: VirtualVm) => number = () =>
+    DATAGRAM_MS;
   /** Whether a call between two VMs is left unanswered. */
   isSilent: (from: VirtualVm, to: VirtualVm) => boolean = () => false;
   /** Whether a call of the VM to the store fails, after the given time. */
@@ -192,7 +195,7 @@
   send(from: VirtualVm, to: string, bytes: Uint8Array): void {
     const receiver = this.vms.find(({ index }) => toEndpoint(index) === to);
     if (receiver === undefined || this.isCut(from, receiver)) return;
-    this.clock.startTimer(DATAGRAM_MS, () => {
+    this.clock.startTimer(this.computeDatagramMs(from, receiver), () => {
       this.#handles.get(to)?.(bytes, toEndpoint(from.index));
     });
   }
