Pass on when the store confirmed a list, not how old that is

What callers saw: requests that reached a replica after it had left; none failed for it. Cause: a heartbeat carried the age of its sender's view at the sending. The receiver counted the age from its reading, so the time on the way was lost, at each VM anew, and the youngest claim won. Where VMs read their sockets late, the whole fleet went on confirming an old list to itself and did not turn to the store, though nobody who reads the store was left.

A heartbeat now carries which process got the store's answer and when, by that process's clock, and when the heartbeat itself was sent. An answer 'nothing new' counts from the end of the watch, not from its reading.

--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -124,6 +124,7 @@
     });
     this.follower = StateFollower.create({
       vm,
+      incarnation: options.incarnation,
       clock,
       random,
       log,
@@ -235,6 +236,7 @@
       listAgeMs: this.follower.getListAgeMs(),
       isStoreLost: this.follower.isStoreLost,
       cores,
+      confirmed: this.follower.getConfirmation(),
     };
   }
 
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -235,6 +235,7 @@
     const text = JSON.stringify({
       ...this.#options.buildHeartbeat(),
       listAgeMs: 0,
+      confirmed: undefined,
     });
     const isUnchanged = text === this.#lastFullHeartbeat.text &&
       [...toOwners].every((each) => this.#ownerEndpoints.has(each));
@@ -314,6 +315,7 @@
       sequence: this.#sequence,
       nextMs,
       heard: this.#peerCount,
+      sentAt: Math.floor(this.#options.clock.now()),
       ...this.#options.buildHeartbeat(),
     };
   }
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -22,6 +22,7 @@
 const TEXT = z.string();
 const COUNT = z.number();
 const VM = TEXT.transform((text) => text as VmId);
+const INCARNATION = TEXT.transform((text) => text as Incarnation);
 
 /** Work of a VM. Loads are sent with each report, the other entries once. */
 const WORK = z.object({
@@ -38,10 +39,16 @@
   leaving: z.array(z.tuple([VM, COUNT])).default([]),
 });
 
+/**
+ * The process whose call to the store showed that a list is the newest, and the
+ * time of the answer by its clock, in milliseconds.
+ */
+const CONFIRMATION = z.tuple([INCARNATION, COUNT]);
+
 const HEARTBEAT = z.object({
   kind: z.literal("heartbeat"),
   vm: VM,
-  incarnation: TEXT.transform((text) => text as Incarnation),
+  incarnation: INCARNATION,
   /** Increases with each message of one incarnation. */
   sequence: COUNT,
   dataCentre: TEXT.transform((text) => text as DataCentre),
@@ -58,7 +65,10 @@
   listRevision: COUNT,
   /** Whether the store refuses the sender or is unavailable. */
   isStoreLost: z.boolean(),
-  /** Time since the list was last known to be the newest; -1 for never. */
+  /**
+   * Time since the list was last known to be the newest; -1 for never. Only older
+   * versions read it.
+   */
   listAgeMs: COUNT,
   /** Time within which the receiver gets the next message. */
   nextMs: COUNT,
@@ -68,6 +78,10 @@
   cores: COUNT,
   /** Undefined for VMs that do not place requests. */
   work: WORK.optional(),
+  /** Time of sending by the sender's clock; undefined from older versions. */
+  sentAt: COUNT.optional(),
+  /** Undefined if the list was never known to be the newest. */
+  confirmed: CONFIRMATION.optional(),
 });
 
 const MEMBERS = z.object({
@@ -84,7 +98,7 @@
 const ALIVE = z.object({
   kind: z.literal("alive"),
   vm: VM,
-  incarnation: TEXT.transform((text) => text as Incarnation),
+  incarnation: INCARNATION,
   /** Increases with each message of one incarnation, heartbeats included. */
   sequence: COUNT,
   listAgeMs: COUNT,
@@ -108,7 +122,7 @@
   entries: z.array(z.tuple([
     TEXT.transform((text) => text as RequestFingerprint),
     z.array(z.tuple([
-      TEXT.transform((text) => text as Incarnation),
+      INCARNATION,
       COUNT,
       z.boolean(),
     ])),
@@ -143,7 +157,7 @@
   isSuspect: z.boolean().optional(),
   workspace: TEXT.transform((text) => text as WorkspaceName).optional(),
   /** Process of the sender; undefined where the request must not wait. */
-  incarnation: TEXT.transform((text) => text as Incarnation).optional(),
+  incarnation: INCARNATION.optional(),
   /** Undefined where the request must not wait at the owner. */
   waiting: WAITING.optional(),
 });
@@ -203,6 +217,8 @@
 ]);
 const RAW_MESSAGE = z.tuple([z.enum(listKinds())]).rest(z.unknown());
 
+/** When the store showed that a list is the newest, and to which process. */
+export type Confirmation = z.infer<typeof CONFIRMATION>;
 /** State of a VM, sent several times a second. */
 export type FleetHeartbeat = z.infer<typeof HEARTBEAT>;
 /** Confirmation that the sender's last heartbeat still holds. */
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -98,7 +98,8 @@
     if (peer === undefined || !peer.isLive) return undefined;
     if (peer.heartbeat.incarnation !== incarnation) return undefined;
     if (sequence <= peer.heartbeat.sequence) return undefined;
-    const { work: _work, ...heartbeat } = peer.heartbeat;
+    // Neither is said anew: the work, and when the heartbeat was sent.
+    const { work: _work, sentAt: _sentAt, ...heartbeat } = peer.heartbeat;
     const { listRevision = heartbeat.listRevision } = alive;
     peer.heartbeat = { ...heartbeat, sequence, listAgeMs, listRevision };
     peer.lastReceivedAt = this.#clock.now();
--- a/src/process/seeded_fleet/heartbeat_options.ts
+++ b/src/process/seeded_fleet/heartbeat_options.ts
@@ -31,7 +31,7 @@
 /** What a VM reports about itself in a heartbeat. */
 export type HeartbeatContent = Omit<
   FleetHeartbeat,
-  "kind" | "sequence" | "nextMs" | "heard" | "work"
+  "kind" | "sequence" | "nextMs" | "heard" | "work" | "sentAt"
 >;
 
 /** Options of `FleetHeartbeats`. */
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import type { VmId } from "../../ids.ts";
+import type { Incarnation, VmId } from "../../ids.ts";
 import {
   buildRoutedSnapshot,
   type PublishedConfiguration,
@@ -18,7 +18,9 @@
   ReplicaList,
 } from "../placement/replica_list.ts";
 import type { Random } from "../random.ts";
+import type { Confirmation } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
+import { ListConfirmation } from "./list_confirmation.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { RecentlyExpired } from "./recently_expired.ts";
 import { StateFetcher } from "./state_fetcher.ts";
@@ -61,6 +63,7 @@
 /** Options of `StateFollower`. */
 export interface StateFollowerOptions {
   vm: VmId;
+  incarnation: Incarnation;
   clock: Clock;
   random: Random;
   log: Log;
@@ -95,7 +98,7 @@
   readonly #fetcher: StateFetcher;
   #configuration: PublishedConfiguration | undefined;
   #snapshot: RoutedSnapshot | undefined;
-  #confirmedAt = -Infinity;
+  readonly #confirmation: ListConfirmation;
   #lastHeardAt = -Infinity;
   /** `Clock.now()` when another VM was heard after a gap. */
   #resumedAt = -Infinity;
@@ -107,6 +110,10 @@
     this.#options = options;
     this.#expired = RecentlyExpired.create(options);
     this.#lag = StateLag.create(options.clock, options.log);
+    this.#confirmation = ListConfirmation.create(
+      options.incarnation,
+      options.clock,
+    );
     this.#fetcher = StateFetcher.create({
       ...options,
       isAhead: (peer) => this.#isAhead(peer),
@@ -119,12 +126,14 @@
       isViewStale: () => this.#isViewStale(),
       getListAgeMs: () => this.getListAgeMs(),
       isRetaining: () => this.#expired.isRetaining,
-      onState: (state) => this.#applyState(state),
+      onState: (state, newestAt) => this.#applyState(state, newestAt),
       onLost: options.onStoreLost,
       // A view that another VM confirmed meanwhile shows that the store answered
       // that VM.
       onRegained: (calledAt) =>
-        this.#expired.noteStoreRegained(calledAt - this.#confirmedAt),
+        this.#expired.noteStoreRegained(
+          calledAt - this.#confirmation.confirmedAt,
+        ),
     });
   }
 
@@ -155,10 +164,15 @@
 
   /** Time since the list was last known to be the newest; -1 for never. */
   getListAgeMs(): number {
-    const age = this.#options.clock.now() - this.#confirmedAt;
+    const age = this.#options.clock.now() - this.#confirmation.confirmedAt;
     return Number.isFinite(age) ? Math.round(age) : -1;
   }
 
+  /** What shows other VMs how old the list of this VM is. */
+  getConfirmation(): Confirmation | undefined {
+    return this.#confirmation.current;
+  }
+
   /** Time for which other VMs have had newer state; 0 if none has. */
   getLagMs(): number {
     return this.#lag.getMs();
@@ -201,11 +215,9 @@
     const { heartbeat } = peer;
     this.#watcher.noteHeard(heartbeat.vm);
     this.#noteGap();
-    const revision = this.#options.replicas.revision;
-    if (heartbeat.listRevision === revision && heartbeat.listAgeMs >= 0) {
-      const at = this.#options.clock.now() - heartbeat.listAgeMs;
-      this.#confirmedAt = Math.max(this.#confirmedAt, at);
-    }
+    const isSameList =
+      heartbeat.listRevision === this.#options.replicas.revision;
+    this.#confirmation.noteHeartbeat(heartbeat, isSameList);
     if (!this.#isAhead(peer)) return;
     this.#lag.noteBehind();
     this.#fetcher.noteAhead(peer);
@@ -243,7 +255,8 @@
   }
 
   #isViewStale(): boolean {
-    return this.#options.clock.now() - this.#confirmedAt > STALE_VIEW_MS;
+    const { clock } = this.#options;
+    return clock.now() - this.#confirmation.confirmedAt > STALE_VIEW_MS;
   }
 
   /** Whether newer state is on its way, or a confirmation that there is none. */
@@ -262,14 +275,15 @@
     return isConfirming || (isResuming && this.#lag.getMs() > 0);
   }
 
-  #applyState(state: PublishedState): void {
-    const { clock, replicas } = this.#options;
+  #applyState(state: PublishedState, newestAt: number): void {
+    const { replicas } = this.#options;
     if (state.configuration) {
       this.#applyConfiguration(state.configuration, "store");
     }
     const list = this.#expired.apply(state.replicas, replicas.getList());
     this.#applyReplicas(list, "store");
-    if (replicas.revision === list.revision) this.#confirmedAt = clock.now();
+    if (replicas.revision !== list.revision) return;
+    this.#confirmation.noteStore(newestAt);
   }
 
   #applyConfiguration(
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -47,7 +47,8 @@
   getListAgeMs: () => number;
   /** Whether replicas are retained that are missing in the store's list. */
   isRetaining: () => boolean;
-  onState: (state: PublishedState) => void;
+  /** `newestAt` is a time (`Clock.now()`) at which the state was the newest. */
+  onState: (state: PublishedState, newestAt: number) => void;
   /** Called when the store stops answering this VM. */
   onLost: () => void;
   /**
@@ -67,6 +68,8 @@
   #wasStale = false;
   /** Whether this process has read the store before. */
   #hasReadStore = false;
+  /** Revision of the state that the store last returned. */
+  #revision = 0;
   /** `Clock.now()` of the first failure since the store last answered. */
   #lostSince: number | undefined;
   /** Whether a call failed since this VM began to watch. */
@@ -170,13 +173,18 @@
     const { clock, random, store, onState } = this.#options;
     const calledAt = clock.now();
     try {
+      const waitMs = this.#computeWatchWaitMs();
       const state = this.#hasReadStore
-        ? await this.#watchState()
+        ? await this.#watchState(waitMs)
         : await store.fetchState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#noteRegained(state.revision, calledAt);
-      onState(state);
+      const isUnchanged = state.revision === this.#revision;
+      this.#revision = state.revision;
+      // The store answers a watch without a change after the wait. The time for
+      // which the answer was on its way, or lay in the socket, doesn't count.
+      onState(state, isUnchanged ? calledAt + waitMs : clock.now());
     } catch (thrown) {
       this.#hasFailed = true;
       this.#retry.noteFailed();
@@ -188,9 +196,9 @@
     }
   }
 
-  async #watchState(): Promise<PublishedState> {
+  async #watchState(waitMs: number): Promise<PublishedState> {
     const { store, log } = this.#options;
-    const update = await store.watch(this.#computeWatchWaitMs());
+    const update = await store.watch(waitMs);
     if (update.kind === "state") return update.state;
     log.info("store_history_lost");
     return await store.fetchState();
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -37,6 +37,7 @@
   const known: number[] = [];
   const follower = StateFollower.create({
     vm: toId<VmId>("vm-1"),
+    incarnation: toId("process-1"),
     clock,
     random: SeededRandom.create(1),
     log,
@@ -71,6 +72,8 @@
     nextMs: 150,
     heard: 1,
     cores: 1,
+    sentAt: clock.now(),
+    confirmed: [toId("life-1"), clock.now()],
   }, "10.0.0.2:1");
   follower.notePeer(peers.find(PEER)!);
   return { clock, peers, follower, known };
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -61,6 +61,7 @@
   let announced = 0;
   const follower = StateFollower.create({
     vm: toId<VmId>("vm"),
+    incarnation: toId("process-1"),
     clock,
     random: SeededRandom.create(1),
     log,
