Take the store's answer to any VM for a sign that it is available

What callers saw: requests that reached a replica after it had left. Cause: a VM took the time for which its own list was not confirmed for an outage of the store, as soon as one of its calls had failed. VMs with a newer list than its own confirm nothing to it, although they show that the store answers. So a VM whose call was slow or whose connection was silent retained a replica that had just left, for 2.2 s more, and beside a stale view of 1.7 s and a failed call of 0.7 s the 3 s were over.

Any confirmation counts now, whichever list it is of.

--- a/src/process/seeded_fleet/list_confirmation.ts
+++ b/src/process/seeded_fleet/list_confirmation.ts
@@ -20,6 +20,7 @@
   readonly #offsets: ClockOffsets;
   #confirmation: Confirmation | undefined;
   #confirmedAt = -Infinity;
+  #answeredAt = -Infinity;
 
   constructor(process: Incarnation, clock: Clock) {
     this.#process = process;
@@ -42,12 +43,21 @@
     return this.#confirmedAt;
   }
 
+  /**
+   * `Clock.now()` at which the store last answered any VM that this one has heard
+   * of, with this list or another; -Infinity if there was no answer.
+   */
+  get answeredAt(): number {
+    return this.#answeredAt;
+  }
+
   /**
    * Records that an answer of the store has the list of this VM, and a time
    * (`Clock.now()`) at which it was the newest.
    */
   noteStore(newestAt: number): void {
     const confirmedAt = Math.min(newestAt, this.#clock.now());
+    this.#answeredAt = Math.max(this.#answeredAt, confirmedAt);
     if (confirmedAt <= this.#confirmedAt) return;
     this.#confirmedAt = confirmedAt;
     this.#confirmation = [this.#process, Math.floor(confirmedAt)];
@@ -60,11 +70,13 @@
   ): void {
     if (sentAt === undefined) return;
     this.#offsets.noteMessage(incarnation, sentAt);
-    if (!isSameList || confirmed === undefined) return;
+    if (confirmed === undefined) return;
     const [process, at] = confirmed;
     if (process === this.#process) return;
     const confirmedAt = this.#offsets.computeLocalTime(process, at);
-    if (confirmedAt === undefined || confirmedAt <= this.#confirmedAt) return;
+    if (confirmedAt === undefined) return;
+    this.#answeredAt = Math.max(this.#answeredAt, confirmedAt);
+    if (!isSameList || confirmedAt <= this.#confirmedAt) return;
     this.#confirmedAt = confirmedAt;
     this.#confirmation = confirmed;
   }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -128,11 +128,9 @@
       isRetaining: () => this.#expired.isRetaining,
       onState: (state, newestAt) => this.#applyState(state, newestAt),
       onLost: options.onStoreLost,
-      // A view that another VM confirmed meanwhile shows that the store answered
-      // that VM.
       onRegained: (calledAt) =>
         this.#expired.noteStoreRegained(
-          calledAt - this.#confirmation.confirmedAt,
+          calledAt - this.#confirmation.answeredAt,
         ),
     });
   }
--- a/test/process/seeded_fleet/list_confirmation_test.ts
+++ b/test/process/seeded_fleet/list_confirmation_test.ts
@@ -54,6 +54,16 @@
   expect(confirmation.current).toEqual([READER, 9_900]);
 });
 
+// Guards against an outage of the store that is none: it answered others, which
+// have a newer list.
+it("a confirmation of another list shows that the store answers", async () => {
+  const { confirmation, receive } = await startConfirmation();
+  expect(confirmation.answeredAt).toBe(-Infinity);
+  receive(READER, { sentAt: 10_000, confirmed: [READER, 9_900] }, false);
+  expect(confirmation.answeredAt).toBe(9_900);
+  expect(confirmation.confirmedAt).toBe(-Infinity);
+});
+
 // Guards against a list that counts as the newest although it is not, or for an
 // unknown time.
 it("other lists, unknown readers and own answers confirm nothing", async () => {
