Take a failed call beside an old list for no outage of the store

What callers saw: requests that reached a replica after its entry was removed. Cause: the outage was counted from when the list was last known to be the newest. A VM that heard nobody for two seconds, or whose watchers were gone, found its list old after 1.7 s, called the store, and if that one call failed (0.7 s on a silent connection), the next one ended an 'outage' of over two renewals: all replicas that were missing by then were retained for 2.2 s.

An outage now also needs calls of this VM that failed for a renewal's interval.

Evidence (test/failures/retained_without_outage_test.ts): a VM that hears from no other while a replica's entry is removed, and whose first call fails, had the replica as ready for 5,610 ms; now for less than 3,000. Cost: after an outage of 2.4 to some 2.8 s a VM may see too few failed calls to retain the first entries that expire; they are back within two seconds.

--- a/src/process/seeded_fleet/recently_expired.ts
+++ b/src/process/seeded_fleet/recently_expired.ts
@@ -18,6 +18,12 @@
  * shorter than this many intervals.
  */
 const MIN_OUTAGE_RENEWALS = 2;
+/**
+ * A VM whose list gets old calls the store after 1.7 s, and fails for at least so
+ * many intervals of renewal in an outage in which many entries expire. A silent
+ * connection and a retry take less.
+ */
+const MIN_FAILING_RENEWALS = 1;
 /**
  * Healthy replicas renew their entries within this time after the store is
  * available again.
@@ -37,6 +43,14 @@
   entryRenewalMs: number;
 }
 
+/** What a VM saw of the time before the store answered it again. */
+export interface StoreOutage {
+  /** Since the store last answered this VM or another that it heard from. */
+  unansweredMs: number;
+  /** Since the first of this VM's calls that failed. */
+  failingMs: number;
+}
+
 /** A replica that is missing in the store's list. */
 interface MissingReplica {
   replica: ListedReplica;
@@ -48,14 +62,14 @@
 export class RecentlyExpired {
   readonly #clock: Clock;
   readonly #log: Log;
-  readonly #minOutageMs: number;
+  readonly #entryRenewalMs: number;
   readonly #missing = new Map<VmId, MissingReplica>();
   #retainUntil = -Infinity;
 
   constructor({ clock, log, entryRenewalMs }: RecentlyExpiredOptions) {
     this.#clock = clock;
     this.#log = log;
-    this.#minOutageMs = MIN_OUTAGE_RENEWALS * entryRenewalMs;
+    this.#entryRenewalMs = entryRenewalMs;
   }
 
   static create(options: RecentlyExpiredOptions): RecentlyExpired {
@@ -68,11 +82,12 @@
   }
 
   /**
-   * Records that the store answers again, after `unavailableMs` without an
-   * answer to this VM or another that it heard from.
+   * Records that the store answers again. A VM that hears from no other and
+   * whose call fails once has not seen an outage, however old its list is.
    */
-  noteStoreRegained(unavailableMs: number): void {
-    if (unavailableMs < this.#minOutageMs) return;
+  noteStoreRegained({ unansweredMs, failingMs }: StoreOutage): void {
+    if (unansweredMs < MIN_OUTAGE_RENEWALS * this.#entryRenewalMs) return;
+    if (failingMs < MIN_FAILING_RENEWALS * this.#entryRenewalMs) return;
     this.#retainUntil = this.#clock.now() + RENEWAL_WAIT_MS;
   }
 
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -128,10 +128,11 @@
       isRetaining: () => this.#expired.isRetaining,
       onState: (state, newestAt) => this.#applyState(state, newestAt),
       onLost: options.onStoreLost,
-      onRegained: (calledAt) =>
-        this.#expired.noteStoreRegained(
-          calledAt - this.#confirmation.answeredAt,
-        ),
+      onRegained: ({ calledAt, failingMs }) =>
+        this.#expired.noteStoreRegained({
+          unansweredMs: calledAt - this.#confirmation.answeredAt,
+          failingMs,
+        }),
     });
   }
 
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -51,11 +51,16 @@
   onState: (state: PublishedState, newestAt: number) => void;
   /** Called when the store stops answering this VM. */
   onLost: () => void;
-  /**
-   * Called before `onState` if the calls before failed, with the start of the
-   * call that succeeded (`Clock.now()`).
-   */
-  onRegained: (calledAt: number) => void;
+  /** Called before `onState` if the calls before failed. */
+  onRegained: (regained: StoreRegained) => void;
+}
+
+/** A call to the store that succeeded after others had failed. */
+export interface StoreRegained {
+  /** `Clock.now()` when it was sent. */
+  calledAt: number;
+  /** Time since the first of the calls that failed was sent. */
+  failingMs: number;
 }
 
 /** Reads the store while this VM is one of those that watch it. */
@@ -70,7 +75,7 @@
   #hasReadStore = false;
   /** Revision of the state that the store last returned. */
   #revision = 0;
-  /** `Clock.now()` of the first failure since the store last answered. */
+  /** `Clock.now()` at the start of the first call since then that failed. */
   #lostSince: number | undefined;
   /** Whether a call failed since this VM began to watch. */
   #hasFailed = false;
@@ -188,7 +193,7 @@
     } catch (thrown) {
       this.#hasFailed = true;
       this.#retry.noteFailed();
-      this.#noteLost(toError(thrown));
+      this.#noteLost(calledAt, toError(thrown));
       await clock.sleep(
         this.#computeRetryMs() * (0.5 + random.next()),
         this.#stopped.signal,
@@ -216,10 +221,10 @@
     return this.#retry.computeStaleMs(peers.listLive().length);
   }
 
-  #noteLost(error: Error): void {
-    const { clock, log, isViewStale, onLost } = this.#options;
+  #noteLost(calledAt: number, error: Error): void {
+    const { log, isViewStale, onLost } = this.#options;
     if (this.#lostSince !== undefined) return;
-    this.#lostSince = clock.now();
+    this.#lostSince = calledAt;
     log.warn("store_lost", { error: error.message });
     // With a stale view each VM watches the store itself and needs no report
     // that others cannot.
@@ -228,13 +233,13 @@
 
   #noteRegained(revision: number, calledAt: number): void {
     if (this.#lostSince === undefined) return;
-    const lostMs = calledAt - this.#lostSince;
+    const failingMs = calledAt - this.#lostSince;
     this.#lostSince = undefined;
     this.#options.log.info("store_regained", {
       revision,
-      away_ms: Math.round(lostMs),
+      away_ms: Math.round(failingMs),
     });
-    if (this.#hasFailed) this.#options.onRegained(calledAt);
+    if (this.#hasFailed) this.#options.onRegained({ calledAt, failingMs });
     this.#hasFailed = false;
   }
 }
--- a/test/failures/retained_without_outage_test.ts
+++ b/test/failures/retained_without_outage_test.ts
@@ -4,6 +4,10 @@
 
 const LEFT = toId<VmId>("i-1");
 const FAILED_CALL_MS = 300;
+/** Time after which a short watch on a silent connection fails. */
+const SILENT_CALL_MS = 720;
+/** Time within which all VMs have to know that a replica left. */
+const LEAVING_BOUND_MS = 3_000;
 /** Longer than two renewals of an entry. */
 const CUT_MS = 4_000;
 const REMOVED_AFTER_MS = 1_000;
@@ -34,3 +38,25 @@
   expect(cutOff.follower.isStoreLost).toBe(false);
   expect(cutOff.replicas.isReady(LEFT)).toBe(false);
 });
+
+// Guards against a VM that hears from no other for two seconds and takes one call
+// that failed after that for an outage of the store.
+it("a VM retains nothing for a single failed call beside an old view", async () => {
+  const fleet = await VirtualSeededFleet.create({
+    vms: 89,
+    dataCentres: 4,
+    replicas: 10,
+  });
+  const cutOff = fleet.vms.find(({ follower }) => !follower.isWatching)!;
+  fleet.isCut = (from, to) => from === cutOff || to === cutOff;
+  let failures = 0;
+  fleet.failStoreCall = (vm) => {
+    if (vm !== cutOff || failures > 0) return undefined;
+    failures += 1;
+    return SILENT_CALL_MS;
+  };
+  const times = await fleet.runRemoval(LEFT, 2 * LEAVING_BOUND_MS);
+  fleet.stop();
+  expect(failures).toBe(1);
+  expect(times[cutOff.index]).toBeLessThan(LEAVING_BOUND_MS);
+});
--- a/test/process/seeded_fleet/recently_expired_test.ts
+++ b/test/process/seeded_fleet/recently_expired_test.ts
@@ -56,7 +56,7 @@
     const expired = createExpired(clock);
     const directory = ReplicaDirectory.create();
     directory.apply(buildList(1, ["a", "b"]));
-    expired.noteStoreRegained(4_000);
+    expired.noteStoreRegained({ unansweredMs: 4_000, failingMs: 4_000 });
     directory.apply(expired.apply(buildList(3, []), directory.getList()));
     expect(listIds(directory.getList()).sort()).toEqual(["a", "b"]);
     await clock.run(500);
@@ -70,7 +70,14 @@
 
   it("are not retained after a short failure of the store", () => {
     const expired = createExpired(VirtualClock.create());
-    expired.noteStoreRegained(300);
+    expired.noteStoreRegained({ unansweredMs: 300, failingMs: 300 });
+    const list = expired.apply(buildList(2, []), buildList(1, ["a"]));
+    expect(listIds(list)).toEqual([]);
+  });
+
+  it("are not retained after a single failed call beside an old list", () => {
+    const expired = createExpired(VirtualClock.create());
+    expired.noteStoreRegained({ unansweredMs: 4_000, failingMs: 1_100 });
     const list = expired.apply(buildList(2, []), buildList(1, ["a"]));
     expect(listIds(list)).toEqual([]);
   });
@@ -83,7 +90,7 @@
     const directory = ReplicaDirectory.create();
     directory.apply(buildList(1, ["a", "b"]));
     for (let revision = 2; revision <= 6; revision++) {
-      expired.noteStoreRegained(3_000);
+      expired.noteStoreRegained({ unansweredMs: 3_000, failingMs: 3_000 });
       directory.apply(
         expired.apply(buildList(revision, ["b"]), directory.getList()),
       );
@@ -96,7 +103,7 @@
     const expired = createExpired(VirtualClock.create());
     const directory = ReplicaDirectory.create();
     directory.apply(buildList(2, ["b"]));
-    expired.noteStoreRegained(4_000);
+    expired.noteStoreRegained({ unansweredMs: 4_000, failingMs: 4_000 });
     const retained = expired.apply(
       buildList(4, ["b"]),
       buildList(1, ["a", "b"]),
