Read the store where others have newer state and do not send it

What callers saw: requests that reached a replica after it had left. Cause: a VM that heard of a newer list and could not fetch it from others turned to the store only when its own list counted as old, 1.7 s after the last confirmation of it. A lag also ended with any newer list, although others were known that were newer still.

A VM that has known for half a second of a version that it lacks reads the store. The lag counts from the oldest version that is missing, for configurations and lists apart.

--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -34,6 +34,11 @@
  * spreads counts as cut off from the store.
  */
 const STALE_VIEW_MS = 1_700;
+/**
+ * A VM that has known of newer state for so long reads the store itself: calls to
+ * other VMs take a few milliseconds, so those that it knows do not answer.
+ */
+const MAX_LAG_MS = 500;
 /**
  * Requests wait at most this long for newer state, from when this VM notices
  * that it may lack some: the caller is better off with a replica that has just
@@ -94,7 +99,8 @@
 export class StateFollower {
   readonly #options: StateFollowerOptions;
   readonly #expired: RecentlyExpired;
-  readonly #lag: StateLag;
+  readonly #configurationLag: StateLag;
+  readonly #listLag: StateLag;
   readonly #fetcher: StateFetcher;
   #configuration: PublishedConfiguration | undefined;
   #snapshot: RoutedSnapshot | undefined;
@@ -109,7 +115,8 @@
   constructor(options: StateFollowerOptions) {
     this.#options = options;
     this.#expired = RecentlyExpired.create(options);
-    this.#lag = StateLag.create(options.clock, options.log);
+    this.#configurationLag = StateLag.create(options.clock, options.log);
+    this.#listLag = StateLag.create(options.clock, options.log);
     this.#confirmation = ListConfirmation.create(
       options.incarnation,
       options.clock,
@@ -124,6 +131,7 @@
       hasState: () =>
         this.#snapshot !== undefined && options.replicas.revision > 0,
       isViewStale: () => this.#isViewStale(),
+      isBehind: () => this.getLagMs() > MAX_LAG_MS,
       getListAgeMs: () => this.getListAgeMs(),
       isRetaining: () => this.#expired.isRetaining,
       onState: (state, newestAt) => this.#applyState(state, newestAt),
@@ -174,7 +182,7 @@
 
   /** Time for which other VMs have had newer state; 0 if none has. */
   getLagMs(): number {
-    return this.#lag.getMs();
+    return Math.max(this.#configurationLag.getMs(), this.#listLag.getMs());
   }
 
   /** Calls to other VMs for newer state that failed. */
@@ -218,7 +226,12 @@
       heartbeat.listRevision === this.#options.replicas.revision;
     this.#confirmation.noteHeartbeat(heartbeat, isSameList);
     if (!this.#isAhead(peer)) return;
-    this.#lag.noteBehind();
+    if (this.#hasNewerConfiguration(peer)) {
+      this.#configurationLag.noteBehind(heartbeat.configVersion);
+    }
+    if (this.#hasNewerList(peer)) {
+      this.#listLag.noteBehind(heartbeat.listRevision);
+    }
     this.#fetcher.noteAhead(peer);
   }
 
@@ -229,9 +242,16 @@
   }
 
   /** Whether a peer has a newer configuration or list than this VM. */
-  #isAhead({ heartbeat }: FleetPeer): boolean {
-    return heartbeat.listRevision > this.#options.replicas.revision ||
-      heartbeat.configVersion > (this.#configuration?.version ?? 0);
+  #isAhead(peer: FleetPeer): boolean {
+    return this.#hasNewerList(peer) || this.#hasNewerConfiguration(peer);
+  }
+
+  #hasNewerList({ heartbeat }: FleetPeer): boolean {
+    return heartbeat.listRevision > this.#options.replicas.revision;
+  }
+
+  #hasNewerConfiguration({ heartbeat }: FleetPeer): boolean {
+    return heartbeat.configVersion > (this.#configuration?.version ?? 0);
   }
 
   async #fetchFrom(
@@ -271,7 +291,7 @@
     // Otherwise newer state comes within moments, and each of many changes in a
     // row would delay requests.
     const isResuming = now - this.#resumedAt < MAX_REFRESH_WAIT_MS;
-    return isConfirming || (isResuming && this.#lag.getMs() > 0);
+    return isConfirming || (isResuming && this.getLagMs() > 0);
   }
 
   #applyState(state: PublishedState, newestAt: number): void {
@@ -291,7 +311,11 @@
   ): void {
     if (configuration.version <= (this.#configuration?.version ?? 0)) return;
     this.#configuration = configuration;
-    this.#lag.noteApplied(configuration.version, from, this.getListAgeMs());
+    this.#configurationLag.noteApplied(
+      configuration.version,
+      from,
+      this.getListAgeMs(),
+    );
     this.#snapshot = buildRoutedSnapshot(configuration);
     this.#options.log.info("configuration_accepted", {
       version: configuration.version,
@@ -305,7 +329,7 @@
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     if (!replicas.apply(list)) return;
-    this.#lag.noteApplied(list.revision, from, this.getListAgeMs());
+    this.#listLag.noteApplied(list.revision, from, this.getListAgeMs());
     const after = replicas.getList();
     this.#options.onList(after);
     const changes = listChanges(before, after);
--- a/src/process/seeded_fleet/state_lag.ts
+++ b/src/process/seeded_fleet/state_lag.ts
@@ -9,13 +9,25 @@
 
 /** A lag this long is logged; a call to another VM takes a few milliseconds. */
 const LOGGED_LAG_MS = 500;
+/** Versions that a VM lacks; only the oldest ones are kept of a long row. */
+const MAX_MISSING = 100;
 
-/** Time since this VM first heard of state that is newer than its own. */
+/** A version that this VM has heard of. */
+interface MissingVersion {
+  version: number;
+  /** `Clock.now()` when this VM first heard of it, or of a newer one. */
+  since: number;
+}
+
+/**
+ * Time since this VM first heard of the oldest version that is newer than its
+ * own. A version that comes while others are still missing does not end it.
+ */
 export class StateLag {
   readonly #clock: Clock;
   readonly #log: Log;
-  /** `Clock.now()` when it first heard of newer state than it has. */
-  #since: number | undefined;
+  /** Ordered by version and by time. */
+  #missing: MissingVersion[] = [];
 
   constructor(clock: Clock, log: Log) {
     this.#clock = clock;
@@ -26,30 +38,34 @@
     return new StateLag(clock, log);
   }
 
-  /** Milliseconds since this VM first heard of newer state; 0 if it has all. */
+  /** Milliseconds since this VM first heard of what it lacks; 0 for nothing. */
   getMs(): number {
-    return this.#since === undefined ? 0 : this.#clock.now() - this.#since;
+    const oldest = this.#missing[0];
+    return oldest === undefined ? 0 : this.#clock.now() - oldest.since;
   }
 
-  /** Records that another VM has newer state. */
-  noteBehind(): void {
-    this.#since ??= this.#clock.now();
+  /** Records that another VM has a version which this one lacks. */
+  noteBehind(version: number): void {
+    const newest = this.#missing.at(-1);
+    const isKnown = newest !== undefined && newest.version >= version;
+    if (isKnown || this.#missing.length >= MAX_MISSING) return;
+    this.#missing.push({ version, since: this.#clock.now() });
   }
 
   /**
-   * Records that newer state was applied, from where it came, and how old this
-   * VM took its list to be until then: less than the lag if it was mistaken.
+   * Records that a version was applied, from where it came, and how old this VM
+   * took its list to be until then: less than the lag if it was mistaken.
    */
   noteApplied(
-    revision: number,
+    version: number,
     from: VmId | "store",
     listAgeMs: number,
   ): void {
     const lagMs = Math.round(this.getMs());
-    this.#since = undefined;
+    this.#missing = this.#missing.filter((each) => each.version > version);
     if (lagMs < LOGGED_LAG_MS) return;
     this.#log.info("state_applied_late", {
-      revision,
+      revision: version,
       from,
       lag_ms: lagMs,
       list_age_ms: listAgeMs,
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -43,6 +43,8 @@
   hasState: () => boolean;
   /** Whether this VM's view was not confirmed for some time. */
   isViewStale: () => boolean;
+  /** Whether this VM has known of newer state for some time. */
+  isBehind: () => boolean;
   /** Age of this VM's list in milliseconds, for the log. */
   getListAgeMs: () => number;
   /** Whether replicas are retained that are missing in the store's list. */
@@ -152,8 +154,8 @@
    * revoked key may remain valid.
    */
   #isNeeded(): boolean {
-    const { hasState, isViewStale } = this.#options;
-    return !hasState() || isViewStale() ||
+    const { hasState, isBehind, isViewStale } = this.#options;
+    return !hasState() || isViewStale() || isBehind() ||
       this.#election.isChosen(this.#listCandidates());
   }
 
--- a/test/failures/leaving_replica_heard_late_test.ts
+++ b/test/failures/leaving_replica_heard_late_test.ts
@@ -80,3 +80,31 @@
   };
   expect(await removeReplicas(fleet, 4)).toBeLessThan(LARGE_FLEET_BOUND_MS);
 }, 60_000);
+
+// Guards against a VM that knows of a newer list which no VM sends it, and turns
+// to the store only when its own list counts as old.
+it(
+  "a VM that gets no newer list from others reads the store in time",
+  async () => {
+    const times: number[] = [];
+    for (const seed of [1, 2, 3]) {
+      const fleet = await VirtualSeededFleet.create({
+        vms: 8,
+        dataCentres: 4,
+        replicas: 10,
+        seed,
+      });
+      fleet.isSilent = () => true;
+      const failing = new Set(
+        fleet.vms.filter(({ follower }) => !follower.isWatching),
+      );
+      fleet.failStoreCall = (vm) =>
+        failing.delete(vm) ? CONNECT_TIMEOUT_MS : undefined;
+      await fleet.clock.run(seed * PAUSE_STEP_MS);
+      times.push(...await fleet.runRemoval(toId<VmId>("i-1"), WAIT_MS));
+      fleet.stop();
+    }
+    expect(Math.max(...times)).toBeLessThan(SMALL_FLEET_BOUND_MS);
+  },
+  60_000,
+);
--- a/test/process/seeded_fleet/state_lag_test.ts
+++ b/test/process/seeded_fleet/state_lag_test.ts
@@ -10,9 +10,10 @@
   const clock = VirtualClock.create();
   const log = new FakeLog();
   const lag = StateLag.create(clock, log);
-  lag.noteBehind();
+  lag.noteBehind(7);
   await clock.run(400);
-  lag.noteBehind();
+  lag.noteBehind(7);
+  lag.noteBehind(6);
   await clock.run(400);
   expect(lag.getMs()).toBe(800);
   lag.noteApplied(7, PEER, 300);
@@ -28,8 +29,23 @@
   const clock = VirtualClock.create();
   const log = new FakeLog();
   const lag = StateLag.create(clock, log);
-  lag.noteBehind();
+  lag.noteBehind(7);
   await clock.run(100);
   lag.noteApplied(7, PEER, 300);
   expect(log.lines).toEqual([]);
 });
+
+// Guards against a VM that applies one newer list after the other, each an old
+// one already, and never counts as behind.
+it("a version that is older than others heard of ends no lag", async () => {
+  const clock = VirtualClock.create();
+  const lag = StateLag.create(clock, new FakeLog());
+  lag.noteBehind(7);
+  await clock.run(100);
+  lag.noteBehind(9);
+  await clock.run(100);
+  lag.noteApplied(8, PEER, 0);
+  expect(lag.getMs()).toBe(100);
+  lag.noteApplied(9, PEER, 0);
+  expect(lag.getMs()).toBe(0);
+});
