Split the wait for fresh state from the follower of store and peers

Requests' wait for newer state is a class of its own, and what one VM has beyond another a file of types. No change of behaviour: the tests of the seeded fleet pass as before (71).

--- /dev/null
+++ b/src/process/seeded_fleet/newer_state.ts
@@ -0,0 +1,22 @@
+/**
+ * State that one VM has and another lacks.
+ *
+ * @module
+ */
+import type { PublishedConfiguration } from "../../version/published_configuration.ts";
+import type { ReplicaList } from "../placement/replica_list.ts";
+
+/** Versions that a VM already has. */
+export interface KnownVersions {
+  configVersion: number;
+  listRevision: number;
+}
+
+/**
+ * Configuration and replica list, where newer than the versions of the VM that
+ * asked.
+ */
+export interface NewerState {
+  configuration?: PublishedConfiguration;
+  replicas?: ReplicaList;
+}
--- a/src/process/seeded_fleet/peer_calls.ts
+++ b/src/process/seeded_fleet/peer_calls.ts
@@ -7,7 +7,7 @@
 import { fetchBuffered, parseReport } from "../../connection/buffered_call.ts";
 import type { VmId } from "../../ids.ts";
 import type { PlacementEntry } from "../placement/index.ts";
-import type { KnownVersions, NewerState } from "./state_follower.ts";
+import type { KnownVersions, NewerState } from "./newer_state.ts";
 
 /** Path for configuration and replicas that are newer than the caller's. */
 export const STATE_PATH = "/v1/state";
--- /dev/null
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -0,0 +1,86 @@
+/**
+ * Lets requests wait for newer state while this VM may lack some.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+
+/**
+ * Requests wait at most this long for newer state, from when this VM notices
+ * that it may lack some: the caller is better off with a replica that has just
+ * left than with none. A call to the store or another VM takes a few
+ * milliseconds.
+ */
+const MAX_REFRESH_WAIT_MS = 200;
+const REFRESH_CHECK_INTERVAL_MS = 10;
+/** A VM that heard from no other for so long was stalled, or cut off. */
+const MIN_GAP_MS = 1_000;
+
+/** Options of `RefreshWait`. */
+export interface RefreshWaitOptions {
+  clock: Clock;
+  /** Whether this VM has a configuration. */
+  hasSnapshot: () => boolean;
+  /** Whether this VM's view was not confirmed for some time. */
+  isViewStale: () => boolean;
+  isStoreLost: () => boolean;
+  /** Time for which other VMs have had newer state; 0 if none has. */
+  getLagMs: () => number;
+  /** Reads the store at once if this VM has to. */
+  checkStore: () => void;
+}
+
+/** Holds requests that would be handled by what this VM knew before. */
+export class RefreshWait {
+  readonly #options: RefreshWaitOptions;
+  #lastHeardAt = -Infinity;
+  /** `Clock.now()` when another VM was heard after a gap. */
+  #resumedAt = -Infinity;
+  /** `Clock.now()` when the view was first found stale. */
+  #staleSince: number | undefined;
+
+  constructor(options: RefreshWaitOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RefreshWaitOptions): RefreshWait {
+    return new RefreshWait(options);
+  }
+
+  /** Records that another VM was heard. */
+  noteHeard(): void {
+    const now = this.#options.clock.now();
+    if (now - this.#lastHeardAt > MIN_GAP_MS) this.#resumedAt = now;
+    this.#lastHeardAt = now;
+  }
+
+  /**
+   * Resolves once a request may be handled: at once, unless this VM has not
+   * confirmed its state for some time, or was stalled and knows of newer state.
+   */
+  async waitForFreshState(): Promise<void> {
+    if (!this.#isRefreshing()) return;
+    this.#options.checkStore();
+    while (this.#isRefreshing()) {
+      await this.#options.clock.sleep(REFRESH_CHECK_INTERVAL_MS);
+    }
+  }
+
+  /** Whether newer state is on its way, or a confirmation that there is none. */
+  #isRefreshing(): boolean {
+    const { clock, hasSnapshot, isViewStale, isStoreLost, getLagMs } =
+      this.#options;
+    if (!hasSnapshot()) return false;
+    const now = clock.now();
+    if (isViewStale()) this.#staleSince ??= now;
+    else this.#staleSince = undefined;
+    const staleMs = this.#staleSince === undefined
+      ? Infinity
+      : now - this.#staleSince;
+    const isConfirming = staleMs < MAX_REFRESH_WAIT_MS && !isStoreLost();
+    // Otherwise newer state comes within moments, and each of many changes in a
+    // row would delay requests.
+    const isResuming = now - this.#resumedAt < MAX_REFRESH_WAIT_MS;
+    return isConfirming || (isResuming && getLagMs() > 0);
+  }
+}
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -21,8 +21,10 @@
 import type { Confirmation } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { ListConfirmation } from "./list_confirmation.ts";
+import type { KnownVersions, NewerState } from "./newer_state.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { RecentlyExpired } from "./recently_expired.ts";
+import { RefreshWait } from "./refresh_wait.ts";
 import { StateFetcher } from "./state_fetcher.ts";
 import { StateLag } from "./state_lag.ts";
 import { listChanges, writeChanges } from "./replica_changes.ts";
@@ -39,32 +41,6 @@
  * other VMs take a few milliseconds, so those that it knows do not answer.
  */
 const MAX_LAG_MS = 500;
-/**
- * Requests wait at most this long for newer state, from when this VM notices
- * that it may lack some: the caller is better off with a replica that has just
- * left than with none. A call to the store or another VM takes a few
- * milliseconds.
- */
-const MAX_REFRESH_WAIT_MS = 200;
-const REFRESH_CHECK_INTERVAL_MS = 10;
-/** A VM that heard from no other for so long was stalled, or cut off. */
-const MIN_GAP_MS = 1_000;
-
-/** Versions that a VM already has. */
-export interface KnownVersions {
-  configVersion: number;
-  listRevision: number;
-}
-
-/**
- * Configuration and replica list, where newer than the versions of the VM that
- * asked.
- */
-export interface NewerState {
-  configuration?: PublishedConfiguration;
-  replicas?: ReplicaList;
-}
-
 /** Options of `StateFollower`. */
 export interface StateFollowerOptions {
   vm: VmId;
@@ -105,12 +81,8 @@
   #configuration: PublishedConfiguration | undefined;
   #snapshot: RoutedSnapshot | undefined;
   readonly #confirmation: ListConfirmation;
-  #lastHeardAt = -Infinity;
-  /** `Clock.now()` when another VM was heard after a gap. */
-  #resumedAt = -Infinity;
-  /** `Clock.now()` when the view was first found stale. */
-  #staleSince: number | undefined;
   readonly #watcher: StoreWatcher;
+  readonly #refreshWait: RefreshWait;
 
   constructor(options: StateFollowerOptions) {
     this.#options = options;
@@ -142,6 +114,14 @@
           failingMs,
         }),
     });
+    this.#refreshWait = RefreshWait.create({
+      clock: options.clock,
+      hasSnapshot: () => this.#snapshot !== undefined,
+      isViewStale: () => this.#isViewStale(),
+      isStoreLost: () => this.isStoreLost,
+      getLagMs: () => this.getLagMs(),
+      checkStore: () => this.#watcher.checkNow(),
+    });
   }
 
   static create(options: StateFollowerOptions): StateFollower {
@@ -190,17 +170,9 @@
     return this.#fetcher.failures;
   }
 
-  /**
-   * Resolves once a request may be handled: at once, unless this VM has not
-   * confirmed its state for some time, or was stalled and knows of newer state.
-   * It would otherwise handle requests by what it knew before.
-   */
-  async waitForFreshState(): Promise<void> {
-    if (!this.#isRefreshing()) return;
-    this.#watcher.checkNow();
-    while (this.#isRefreshing()) {
-      await this.#options.clock.sleep(REFRESH_CHECK_INTERVAL_MS);
-    }
+  /** See `RefreshWait.waitForFreshState`. */
+  waitForFreshState(): Promise<void> {
+    return this.#refreshWait.waitForFreshState();
   }
 
   /** State of this VM that is newer than `known`. */
@@ -221,7 +193,7 @@
   notePeer(peer: FleetPeer): void {
     const { heartbeat } = peer;
     this.#watcher.noteHeard(heartbeat.vm);
-    this.#noteGap();
+    this.#refreshWait.noteHeard();
     const isSameList =
       heartbeat.listRevision === this.#options.replicas.revision;
     this.#confirmation.noteHeartbeat(heartbeat, isSameList);
@@ -235,12 +207,6 @@
     this.#fetcher.noteAhead(peer);
   }
 
-  #noteGap(): void {
-    const now = this.#options.clock.now();
-    if (now - this.#lastHeardAt > MIN_GAP_MS) this.#resumedAt = now;
-    this.#lastHeardAt = now;
-  }
-
   /** Whether a peer has a newer configuration or list than this VM. */
   #isAhead(peer: FleetPeer): boolean {
     return this.#hasNewerList(peer) || this.#hasNewerConfiguration(peer);
@@ -278,22 +244,6 @@
     return clock.now() - this.#confirmation.confirmedAt > STALE_VIEW_MS;
   }
 
-  /** Whether newer state is on its way, or a confirmation that there is none. */
-  #isRefreshing(): boolean {
-    if (this.#snapshot === undefined) return false;
-    const now = this.#options.clock.now();
-    if (this.#isViewStale()) this.#staleSince ??= now;
-    else this.#staleSince = undefined;
-    const staleMs = this.#staleSince === undefined
-      ? Infinity
-      : now - this.#staleSince;
-    const isConfirming = staleMs < MAX_REFRESH_WAIT_MS && !this.isStoreLost;
-    // Otherwise newer state comes within moments, and each of many changes in a
-    // row would delay requests.
-    const isResuming = now - this.#resumedAt < MAX_REFRESH_WAIT_MS;
-    return isConfirming || (isResuming && this.getLagMs() > 0);
-  }
-
   #applyState(state: PublishedState, newestAt: number): void {
     const { replicas } = this.#options;
     if (state.configuration) {
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -15,7 +15,7 @@
   PREFIXES_PATH,
   STATE_PATH,
 } from "./seeded_fleet/peer_calls.ts";
-import type { KnownVersions } from "./seeded_fleet/state_follower.ts";
+import type { KnownVersions } from "./seeded_fleet/newer_state.ts";
 
 const STATUS_PATH = "/v1/status";
 const REQUEST_STATUS_PATH = /^\/v1\/requests\/([^/]+)$/;
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -32,7 +32,7 @@
 import type {
   KnownVersions,
   NewerState,
-} from "../../src/process/seeded_fleet/state_follower.ts";
+} from "../../src/process/seeded_fleet/newer_state.ts";
 import type { PublishedConfiguration } from "../../src/version/published_configuration.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 
