--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -101,8 +101,9 @@
   incarnation: INCARNATION,
   /** Increases with each message of one incarnation, heartbeats included. */
   sequence: COUNT,
+  /** Only older versions read it. */
   listAgeMs: COUNT,
-  /** The list that `listAgeMs` is about; undefined from older versions. */
+  /** The list that the sender has; undefined from older versions. */
   listRevision: COUNT.optional(),
 });
 
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -41,6 +41,7 @@
  * other VMs take a few milliseconds, so those that it knows do not answer.
  */
 const MAX_LAG_MS = 500;
+
 /** Options of `StateFollower`. */
 export interface StateFollowerOptions {
   vm: VmId;
@@ -155,7 +156,7 @@
     return Number.isFinite(age) ? Math.round(age) : -1;
   }
 
-  /** What shows other VMs how old the list of this VM is. */
+  /** What shows other VMs when the list of this VM was the newest. */
   getConfirmation(): Confirmation | undefined {
     return this.#confirmation.current;
   }
