Show which pools a VM reaches by its own connections

A refusal at a VM that has lost its links looked like replicas that are down: no line and no gauge said what the VM's own connections show. Each new connection to a replica, and each that fails, is now recorded by replica and pool; pool_unreachable and pool_reachable in the log, two gauges, two fields of the status page. Nothing decides by it yet. Tests can open a VM's connections themselves.

--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -20,7 +20,7 @@
 } from "./engine_reports.ts";
 import { isListening } from "./listening_check.ts";
 import type { ClientTls } from "./tls_material.ts";
-import { createUpstreamAgent } from "./upstream_agent.ts";
+import { createUpstreamAgent, type OpenConnection } from "./upstream_agent.ts";
 import { runUpstreamCall } from "./upstream_call.ts";
 import type {
   CacheEvent,
@@ -58,6 +58,13 @@
   tls?: ClientTls | undefined;
   /** Timeout of connecting, TLS handshake included; 1,000 ms by default. */
   connectTimeoutMs?: number;
+  /** `net.connect` by default. */
+  openConnection?: OpenConnection | undefined;
+  /**
+   * Called when a new connection to an upstream was established, or could not
+   * be.
+   */
+  onConnection?: ((vm: VmId, isEstablished: boolean) => void) | undefined;
   /**
    * Whether to accept answers that are delimited by the close of their
    * connection. If the connection is reset, the answer counts as broken.
@@ -100,6 +107,8 @@
         tls: this.#options.tls,
         allowsCloseDelimited: this.#options.allowsCloseDelimited ?? false,
         onSilentConnection: () => closeIdleConnections(agent),
+        onConnection: (isEstablished) =>
+          this.#options.onConnection?.(call.upstream, isEstablished),
       });
     } catch (thrown) {
       this.#noteFailure(call, thrown);
@@ -122,11 +131,17 @@
     }
   }
 
-  override isListening(upstream: VmId): Promise<boolean> {
-    const { clock, findAddress } = this.#options;
+  override async isListening(upstream: VmId): Promise<boolean> {
+    const { clock, findAddress, openConnection, onConnection } = this.#options;
     const endpoint = findAddress(upstream);
-    if (endpoint === undefined) return Promise.resolve(false);
-    return isListening(endpoint, { clock, timeoutMs: LISTENING_TIMEOUT_MS });
+    if (endpoint === undefined) return false;
+    const isEstablished = await isListening(endpoint, {
+      clock,
+      timeoutMs: LISTENING_TIMEOUT_MS,
+      openConnection,
+    });
+    onConnection?.(upstream, isEstablished);
+    return isEstablished;
   }
 
   async fetchLoad(upstream: VmId): Promise<LoadReport> {
@@ -220,12 +235,13 @@
   }
 
   #createAgent(agent: http.AgentOptions): http.Agent {
-    const { clock, tls, connectTimeoutMs } = this.#options;
+    const { clock, tls, connectTimeoutMs, openConnection } = this.#options;
     return createUpstreamAgent({
       clock,
       tls,
       agent,
       connectTimeoutMs,
+      openConnection,
     });
   }
 
--- a/src/connection/listening_check.ts
+++ b/src/connection/listening_check.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
+import type { OpenConnection } from "./upstream_agent.ts";
 import type { Clock } from "../process/clock.ts";
 import type { SocketAddress } from "./endpoint.ts";
 
@@ -13,10 +14,16 @@
  */
 export function isListening(
   { address, port }: SocketAddress,
-  options: { clock: Clock; timeoutMs: number },
+  options: {
+    clock: Clock;
+    timeoutMs: number;
+    /** `net.connect` by default. */
+    openConnection?: OpenConnection | undefined;
+  },
 ): Promise<boolean> {
+  const { openConnection = connect } = options;
   return new Promise((resolve) => {
-    const socket = connect(port, address);
+    const socket = openConnection({ host: address, port });
     const settle = (isOpen: boolean) => {
       cancelTimer();
       socket.destroy();
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -19,6 +19,9 @@
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
+/** Opens a TCP connection, which may still be connecting on return. */
+export type OpenConnection = (options: net.TcpNetConnectOpts) => Socket;
+
 type OnCreated = (error: Error | null, stream: Duplex) => void;
 
 /** Options of `createUpstreamAgent`. */
@@ -29,6 +32,8 @@
   agent: http.AgentOptions;
   /** Timeout of connecting, TLS handshake included; 1,000 ms by default. */
   connectTimeoutMs?: number | undefined;
+  /** `net.connect` by default; TLS connections always use Node's own. */
+  openConnection?: OpenConnection | undefined;
 }
 
 /** Creates an agent that uses only established connections. */
@@ -50,7 +55,8 @@
     options: http.ClientRequestArgs,
     onCreated?: OnCreated,
   ): undefined {
-    const socket = net.connect(options as net.NetConnectOpts);
+    const { openConnection = net.connect } = this.#options;
+    const socket = openConnection(options as net.TcpNetConnectOpts);
     waitConnected(this.#options, socket, { event: "connect", onCreated });
   }
 }
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -32,6 +32,8 @@
   allowsCloseDelimited: boolean;
   /** Called when no first byte arrived on a reused connection in time. */
   onSilentConnection: () => void;
+  /** Called when a new connection was established, or could not be. */
+  onConnection: (isEstablished: boolean) => void;
 }
 
 /** Sends `call`; resolves at the answer's head, rejects with `UpstreamError`. */
@@ -77,7 +79,9 @@
       this.#fail = (cause) => {
         this.#body?.destroy(cause);
         this.#end();
-        reject(this.#createError(cause));
+        const error = this.#createError(cause);
+        if (error.kind === "connect") this.#options.onConnection(false);
+        reject(error);
       };
       request.on("error", this.#fail);
       request.on("response", (message) => {
@@ -126,6 +130,7 @@
    * keep-alive connection while the request is written.
    */
   #handleSocket(): void {
+    if (!this.#request?.reusedSocket) this.#options.onConnection(true);
     if (this.#call.canSend?.() === false) {
       this.#cancel("not_sent");
       return;
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -16,6 +16,7 @@
 import { type OnBackOff, ReplicaBackOffs } from "./replica_back_offs.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
+import { ReplicaLinks, type ReplicaLinksOptions } from "./replica_links.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
 import type { ListedReplica } from "./replica_list.ts";
 import {
@@ -47,6 +48,8 @@
   onUpdate: () => void;
   onEjected: (replica: VmId, forMs: number) => void;
   onBackOff?: OnBackOff;
+  /** Omitted where connections are not observed. */
+  links?: Omit<ReplicaLinksOptions, "clock">;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted by a VM without a fleet. */
@@ -66,6 +69,11 @@
   onChange: () => {},
 };
 
+const NO_LINKS: Omit<ReplicaLinksOptions, "clock"> = {
+  listReady: () => [],
+  onChange: () => {},
+};
+
 /** State that the choice of a replica is based on. */
 export class PlacementState {
   readonly loads: ReplicaLoads;
@@ -79,10 +87,12 @@
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
   readonly backOffs: ReplicaBackOffs;
+  readonly links: ReplicaLinks;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onUpdate, onEjected, onBackOff = () => {} } = options;
     const { slowStart = NO_WARM_UP, rateLimits = NO_FLEET } = options;
+    const { links = NO_LINKS } = options;
     this.loads = ReplicaLoads.create(clock, onUpdate);
     this.health = ReplicaHealth.create(clock, (replica, forMs) => {
       this.slowStart.noteFailing(replica, forMs);
@@ -96,6 +106,7 @@
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
     this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
+    this.links = ReplicaLinks.create({ clock, ...links });
     this.rateLimits = ReplicaRateLimits.create({
       clock,
       ...rateLimits,
@@ -165,5 +176,6 @@
     this.liveness.dropUnlisted(isListed);
     this.rateLimits.dropUnlisted(isListed);
     this.backOffs.dropUnlisted(isListed);
+    this.links.dropUnlisted(isListed);
   }
 }
--- /dev/null
+++ b/src/process/placement/replica_links.ts
@@ -0,0 +1,103 @@
+/**
+ * Paths of this VM to the replicas, as its own connections show them.
+ *
+ * A connection that cannot be established does not tell whether the replica is
+ * down or this VM is cut off from it. All VMs together can tell: what one of
+ * them fails to reach, others may reach at the same time.
+ *
+ * @module
+ */
+import type { PoolName, VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type { ListedReplica } from "./replica_list.ts";
+
+/**
+ * A pool counts as lost once connections to this many of its replicas failed in
+ * a row, or to all if it has fewer.
+ */
+const MIN_LOST_REPLICAS = 3;
+
+/** Options of `ReplicaLinks`. */
+export interface ReplicaLinksOptions {
+  clock: Clock;
+  /** Replicas of a pool that take new work. */
+  listReady: (pool: PoolName) => readonly ListedReplica[];
+  /** Called when this VM loses all paths to a pool, or has one again. */
+  onChange: (pool: PoolName, isLost: boolean) => void;
+}
+
+/** Results of this VM's connections, by replica. */
+export class ReplicaLinks {
+  readonly #options: ReplicaLinksOptions;
+  /** When the last connection to each unreachable replica failed. */
+  readonly #failedAt = new Map<VmId, number>();
+  /** When the last connection to any replica of a pool was established. */
+  readonly #openedAt = new Map<PoolName, number>();
+  readonly #lost = new Set<PoolName>();
+
+  constructor(options: ReplicaLinksOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ReplicaLinksOptions): ReplicaLinks {
+    return new ReplicaLinks(options);
+  }
+
+  /** Records that a connection was established. */
+  noteOpened({ id, pool }: ListedReplica): void {
+    this.#failedAt.delete(id);
+    this.#openedAt.set(pool, this.#options.clock.now());
+    if (this.#lost.delete(pool)) this.#options.onChange(pool, false);
+  }
+
+  /** Records that a connection could not be established. */
+  noteFailed({ id, pool }: ListedReplica): void {
+    this.#failedAt.set(id, this.#options.clock.now());
+    if (this.#lost.has(pool) || !this.#hasOnlyFailed(pool)) return;
+    this.#lost.add(pool);
+    this.#options.onChange(pool, true);
+  }
+
+  /** Whether this VM reaches no replica of the pool. */
+  isLost(pool: PoolName): boolean {
+    return this.#lost.has(pool);
+  }
+
+  /** Pools of which this VM reaches no replica. */
+  listLost(): PoolName[] {
+    return [...this.#lost];
+  }
+
+  /** Whether the last connection to the replica failed. */
+  isUnreachable(replica: VmId): boolean {
+    return this.#failedAt.has(replica);
+  }
+
+  /** Replicas to which the last connection failed. */
+  countUnreachable(): number {
+    return this.#failedAt.size;
+  }
+
+  /** Forgets replicas that are no longer listed, and pools without any. */
+  dropUnlisted(isListed: (replica: VmId) => boolean): void {
+    for (const replica of this.#failedAt.keys()) {
+      if (!isListed(replica)) this.#failedAt.delete(replica);
+    }
+    for (const pool of this.#lost) {
+      if (this.#hasOnlyFailed(pool)) continue;
+      this.#lost.delete(pool);
+      this.#options.onChange(pool, false);
+    }
+  }
+
+  /** Whether enough connections failed and none was established since. */
+  #hasOnlyFailed(pool: PoolName): boolean {
+    const openedAt = this.#openedAt.get(pool) ?? -Infinity;
+    const ready = this.#options.listReady(pool);
+    const failed = ready.filter(({ id }) =>
+      (this.#failedAt.get(id) ?? -Infinity) > openedAt
+    );
+    return failed.length > 0 &&
+      failed.length >= Math.min(MIN_LOST_REPLICAS, ready.length);
+  }
+}
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -8,7 +8,11 @@
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
-import { type PlacementRole, PlacementState } from "./placement/index.ts";
+import {
+  type PlacementRole,
+  PlacementState,
+  type ReplicaDirectory,
+} from "./placement/index.ts";
 import type { RoutedFleet } from "./routed_fleet.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
@@ -17,6 +21,7 @@
   clock: Clock;
   log: Log;
   settings: RoutedSettings;
+  replicas: ReplicaDirectory;
   getSnapshot: () => RoutedSnapshot | undefined;
   /** Undefined until the VM has started. */
   getFleet: () => RoutedFleet | undefined;
@@ -38,6 +43,13 @@
     onBackOff: (replica, forMs) => {
       log.info("replica_back_off", { replica, for_ms: Math.round(forMs) });
     },
+    links: {
+      listReady: (pool) => options.replicas.listReady(pool),
+      onChange: (pool, isLost) => {
+        if (isLost) log.warn("pool_unreachable", { pool });
+        else log.info("pool_reachable", { pool });
+      },
+    },
     rateLimits: {
       getRole,
       countReachable: () => getFleet()?.listLive().length ?? 0,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -59,11 +59,13 @@
       crashes: request.crashes,
       left_ms: Math.round(request.leftMs),
     })),
+    unreachable_pools: sources.placement.links.listLost(),
     evacuated: sources.replicas.getList().evacuated ?? [],
     replicas: sources.replicas.getList().replicas.map((replica) => ({
       id: replica.id,
       pool: replica.pool,
       state: replica.state,
+      unreachable: sources.placement.links.isUnreachable(replica.id),
       ejected: sources.placement.health.isEjected(replica.id),
       warming: sources.placement.slowStart.isWarming(replica),
       back_off_ms: sources.placement.backOffs.getRemainingMs(replica.id),
@@ -123,6 +125,14 @@
       "Waits at this VM that ended because the caller or its VM left, since the start",
     read: () => sources.getWaiting()?.counts.withdrawn ?? 0,
   });
+  metrics.addGauge("unreachable_pools", {
+    help: "Pools of which this VM reaches no replica",
+    read: () => sources.placement.links.listLost().length,
+  });
+  metrics.addGauge("unreachable_replicas", {
+    help: "Replicas to which this VM's last connection failed",
+    read: () => sources.placement.links.countUnreachable(),
+  });
   metrics.addGauge("warming_replicas", {
     help: "Replicas with limited load while they warm up",
     read: () => countWarming(sources),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -8,6 +8,7 @@
 import type { SimpleListener } from "../connection/simple_listener.ts";
 import { CallerListener } from "../connection/caller_listener.ts";
 import { parseEndpoint } from "../connection/endpoint.ts";
+import type { OpenConnection } from "../connection/upstream_agent.ts";
 import {
   type HttpTransportOptions,
   HttpUpstreamTransport,
@@ -76,6 +77,8 @@
   random?: Random;
   /** Opens the datagram link; UDP by default. */
   openLink?: () => Promise<DatagramLink>;
+  /** Opens connections to replicas; `net.connect` by default. */
+  openConnection?: OpenConnection;
 }
 
 /** One entry VM. */
@@ -120,12 +123,16 @@
     });
     this.#upstreams = this.#createTransport((vm) => this.replicas.find(vm), {
       allowsCloseDelimited: true,
+      openConnection: options.openConnection,
+      onConnection: (id, isEstablished) =>
+        this.#noteConnection(id, isEstablished),
     });
     this.#locality = Locality.create(options.settings.regions);
     this.#placement = createRoutedPlacement({
       clock: this.#clock,
       log: this.#log,
       settings: options.settings,
+      replicas: this.replicas,
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
@@ -325,6 +332,14 @@
     });
   }
 
+  #noteConnection(id: VmId, isEstablished: boolean): void {
+    const replica = this.replicas.find(id);
+    if (replica === undefined) return;
+    const { links } = this.#placement;
+    if (isEstablished) links.noteOpened(replica);
+    else links.noteFailed(replica);
+  }
+
   /** Drops idle connections to processes that no longer exist. */
   #dropConnections(restarted: readonly VmId[]): void {
     const gone = restarted.map((id) => this.replicas.find(id));
@@ -359,7 +374,7 @@
 
   #createTransport(
     findAddress: HttpTransportOptions["findAddress"],
-    options: { allowsCloseDelimited?: boolean } = {},
+    options: Partial<HttpTransportOptions> = {},
   ): HttpUpstreamTransport {
     return HttpUpstreamTransport.create({
       clock: this.#clock,
