--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -15,6 +15,7 @@
 import type { RoutedSettings } from "../../src/process/routed_settings.ts";
 import { RoutedVm } from "../../src/process/routed_vm.ts";
 import { findFreePorts } from "../../demo/free_ports.ts";
+import { CuttableLinks } from "../support/cuttable_links.ts";
 import { LOOPBACK, waitUntil } from "../support/loopback.ts";
 import { sendCall, type TestAnswer, type TestCall } from "./test_call.ts";
 import { buildConfiguration, HOST, KEY } from "./configurations.ts";
@@ -37,6 +38,8 @@
 export interface TestVm {
   vm: RoutedVm;
   settings: RoutedSettings;
+  /** Its connections to replicas. */
+  links: CuttableLinks;
 }
 
 /** The store, the replicas and the VMs of a test. */
@@ -110,17 +113,19 @@
       maxWaitingRequests,
     };
     const log = options.log ?? SilentLog.create();
+    const links = CuttableLinks.create();
     const vm = RoutedVm.create({
       settings,
       log,
       headerCodec: PlatformHeaderCodec.create(),
       createStore: (transport) => PlatformStore.create(transport, log),
       fetchCachedParts,
+      openConnection: links.open,
     });
     onTestFinished(() => vm.stop());
     await this.#startSides(vm, settings);
     await vm.start();
-    const started = { vm, settings };
+    const started = { vm, settings, links };
     this.vms.push(started);
     if (options.isAwaited ?? true) await waitUntil(() => vm.isServing());
     return started;
