Tell failures of replicas from failures of a VM's own links

Cause: each failed attempt counted against its replica and went to all VMs, also a connection that was never established. Class: what one VM sees on its own links is taken for the state of a replica by all.

Change: a failure without an answer is attributed first. A replica that still accepts connections from here failed the request. One that does not is reported only if another replica of its pool is reached at that moment, and a VM that hears such a report counts it only if it does not reach the replica either, or reaches none and places for others.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -184,7 +184,7 @@
       const loads = formatLoads(part, this.#requester.listWaiting());
       sentLoads.set(key, loads);
       const isNew = loads !== (this.#lastSentLoads.get(key) ?? NO_LOADS) ||
-        [part.results, part.speeds, part.placements, part.reads]
+        [part.results, part.unreached, part.speeds, part.placements, part.reads]
           .some((entries) => entries.length > 0);
       return { owners: vms, work: part, isNew };
     });
@@ -317,6 +317,7 @@
       ...work,
       loads: work.loads.filter(isIncluded),
       results: work.results.filter(isIncluded),
+      unreached: work.unreached.filter(isIncluded),
       speeds: work.speeds.filter(isIncluded),
       placements: work.placements.filter(isIncluded),
       reads: work.reads.filter(isIncluded),
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -54,6 +54,7 @@
   readonly #startedAt: number | undefined;
   readonly #grantedAt: number;
   #hasOutput = false;
+  #hasTransportFailed = false;
   #isReleased = false;
 
   constructor(lease: LeaseId, options: PlacedLeaseOptions) {
@@ -136,6 +137,10 @@
     );
   }
 
+  override noteTransportFailure(): void {
+    this.#hasTransportFailed = true;
+  }
+
   override noteSignals(signals: UpstreamSignals): void {
     if (!this.#isSameProcess()) return;
     const { directory, state } = this.#options;
@@ -150,9 +155,11 @@
     this.#work.end();
     if (state === "done") this.#addCallTime();
     if (!this.#isSameProcess()) return;
-    const { health } = this.#options.state;
+    const { health, failures } = this.#options.state;
     if (state === "done") health.noteResult(this.upstream, true);
-    if (state === "failed") health.noteResult(this.upstream, false);
+    if (state !== "failed") return;
+    if (this.#hasTransportFailed) void failures.note(this.upstream);
+    else health.noteResult(this.upstream, false);
   }
 
   #addCallTime(): void {
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -29,6 +29,8 @@
 import type { ReplicaDirectory } from "./replica_list.ts";
 
 const NO_REPLICA_RETRY_MS = 400;
+/** Unreachable replicas that a datagram to an owner names at most. */
+const MAX_AVOIDED = 32;
 /** Time between the end of a wait and the arrival at the replica. */
 const SEND_MARGIN_MS = 50;
 /**
@@ -127,7 +129,7 @@
     await this.#options.waitForFreshState();
     if (decision === "full") throw this.#createPoolFullError(request, needs);
     if (decision === "expired") throw this.#createExpiredError(request, needs);
-    const placement = decision ?? this.#chooser.choose(needs);
+    const placement = decision ?? this.#choose(request, needs);
     if (placement === undefined) throw this.#createRefusal(request, needs);
     if (decision === undefined) {
       this.#options.state.addSent(placement.replica);
@@ -141,6 +143,20 @@
     });
   }
 
+  #choose(
+    request: LeaseRequest,
+    needs: PlacementRequest,
+  ): Placement | undefined {
+    const placement = this.#chooser.choose(needs);
+    const { pool, avoid } = request;
+    if (placement !== undefined || this.#listUnreachable(pool).length === 0) {
+      return placement;
+    }
+    // A replica that was unreachable may be the only one left.
+    const withUnreachable = [...avoid, ...this.#listBackedOff(pool)];
+    return this.#chooser.choose({ ...needs, avoid: withUnreachable });
+  }
+
   #buildNeeds(request: LeaseRequest): PlacementRequest {
     const isInteractive = isInteractivePrompt(
       request.promptTokens,
@@ -148,8 +164,13 @@
     );
     return {
       pool: request.pool,
-      // A back-off applies to this VM only, so the owner has to be told of it.
-      avoid: [...request.avoid, ...this.#listBackedOff(request.pool)],
+      // A back-off and an unreachable replica concern this VM only, so the owner
+      // has to be told of them.
+      avoid: [
+        ...request.avoid,
+        ...this.#listBackedOff(request.pool),
+        ...this.#listUnreachable(request.pool),
+      ],
       dataCentre: this.#options.dataCentre,
       regions: request.regions,
       parts: request.prefixes,
@@ -187,6 +208,16 @@
       .filter((replica) => directory.find(replica)?.pool === pool);
   }
 
+  /** Replicas that this VM does not reach, unless it reaches none. */
+  #listUnreachable(pool: PoolName): VmId[] {
+    const { state, directory } = this.#options;
+    if (state.links.countUnreachable() === 0) return [];
+    const ready = directory.listReady(pool);
+    const unreachable = ready.filter(({ id }) => state.links.isUnreachable(id));
+    if (unreachable.length === ready.length) return [];
+    return unreachable.map(({ id }) => id).slice(0, MAX_AVOIDED);
+  }
+
   #createRefusal(request: LeaseRequest, needs: PlacementRequest): RefusalError {
     const unfiltered = { ...needs, avoid: request.avoid };
     return this.#chooser.hasCandidates(unfiltered)
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -16,6 +16,8 @@
 import { type OnBackOff, ReplicaBackOffs } from "./replica_back_offs.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
+import { type Random, SystemRandom } from "../random.ts";
+import { LinkChecks, type LinkChecksOptions } from "./link_checks.ts";
 import { ReplicaLinks, type ReplicaLinksOptions } from "./replica_links.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
 import type { ListedReplica } from "./replica_list.ts";
@@ -25,6 +27,10 @@
   type ReplicaRateLimitsOptions,
 } from "./replica_rate_limits.ts";
 import { ReplicaSpeeds, type SpeedEntry } from "./replica_speed.ts";
+import {
+  TransportFailures,
+  type UnreachedEntry,
+} from "./transport_failures.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
 
@@ -35,12 +41,22 @@
 export interface PlacementUpdate {
   loads: LoadEntry[];
   results: ResultEntry[];
+  unreached: UnreachedEntry[];
   speeds: SpeedEntry[];
   placements: PlacementEntry[];
   reads: ReadEntry[];
   limits: RateLimitEntry[];
 }
 
+/** What the state needs to know of this VM's connections to replicas. */
+export interface PlacementLinksOptions
+  extends
+    Omit<ReplicaLinksOptions, "clock">,
+    Pick<LinkChecksOptions, "isListening"> {
+  random: Random;
+  findReplica: (replica: VmId) => ListedReplica | undefined;
+}
+
 /** Options of `PlacementState`. */
 export interface PlacementStateOptions {
   clock: Clock;
@@ -49,7 +65,7 @@
   onEjected: (replica: VmId, forMs: number) => void;
   onBackOff?: OnBackOff;
   /** Omitted where connections are not observed. */
-  links?: Omit<ReplicaLinksOptions, "clock">;
+  links?: PlacementLinksOptions;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted by a VM without a fleet. */
@@ -69,8 +85,11 @@
   onChange: () => {},
 };
 
-const NO_LINKS: Omit<ReplicaLinksOptions, "clock"> = {
+const NO_LINKS: PlacementLinksOptions = {
+  random: SystemRandom.create(),
   listReady: () => [],
+  findReplica: () => undefined,
+  isListening: () => Promise.resolve(true),
   onChange: () => {},
 };
 
@@ -88,6 +107,8 @@
   readonly rateLimits: ReplicaRateLimits;
   readonly backOffs: ReplicaBackOffs;
   readonly links: ReplicaLinks;
+  readonly checks: LinkChecks;
+  readonly failures: TransportFailures;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onUpdate, onEjected, onBackOff = () => {} } = options;
@@ -107,6 +128,13 @@
     this.slowStart = SlowStart.create({ clock, ...slowStart });
     this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
     this.links = ReplicaLinks.create({ clock, ...links });
+    this.checks = LinkChecks.create({ clock, ...links, links: this.links });
+    this.failures = TransportFailures.create({
+      health: this.health,
+      links: this.links,
+      checks: this.checks,
+      findReplica: links.findReplica,
+    });
     this.rateLimits = ReplicaRateLimits.create({
       clock,
       ...rateLimits,
@@ -128,6 +156,7 @@
     return {
       loads: this.loads.listOwn(),
       results: this.health.takeUnsent(),
+      unreached: this.failures.takeUnsent(),
       speeds: this.speeds.takeUnsent(),
       placements: this.prefixes.takeUnsent(),
       reads: this.prefixes.takeUnsentPrefilled(),
@@ -139,6 +168,7 @@
   applyUpdate(vm: VmId, update: PlacementUpdate): void {
     this.loads.putPeerLoads(vm, update.loads);
     this.health.notePeerResults(update.results);
+    void this.failures.notePeers(update.unreached);
     this.speeds.notePeerSpeeds(update.speeds);
     this.prefixes.notePeerPlacements(update.placements);
     this.prefixes.notePeerPrefilled(update.reads);
@@ -149,6 +179,21 @@
     }
   }
 
+  /** Records whether a new connection to the replica was established. */
+  noteConnection(replica: ListedReplica, isEstablished: boolean): void {
+    if (isEstablished) {
+      this.links.noteOpened(replica);
+      return;
+    }
+    this.links.noteFailed(replica);
+    void this.checks.startRechecks(replica);
+  }
+
+  /** Ends all checks of links. */
+  stop(): void {
+    this.checks.stop();
+  }
+
   /** Whether this VM may place one more request there now. */
   hasCapacity(replica: ListedReplica): boolean {
     return this.slowStart.hasCapacity(replica) &&
--- a/src/process/placement/replica_health.ts
+++ b/src/process/placement/replica_health.ts
@@ -56,12 +56,16 @@
     return new ReplicaHealth(clock, onEjected);
   }
 
-  /** Records the result of one of this VM's own requests. */
-  noteResult(replica: VmId, isDone: boolean): void {
-    const unsent = this.#unsent.get(replica) ?? { done: 0, failed: 0 };
-    this.#unsent.set(replica, unsent);
-    if (isDone) unsent.done += 1;
-    else unsent.failed += 1;
+  /**
+   * Records the result of one of this VM's own requests; `isShared` tells
+   * whether the other VMs count it as it is.
+   */
+  noteResult(
+    replica: VmId,
+    isDone: boolean,
+    { isShared = true }: { isShared?: boolean } = {},
+  ): void {
+    if (isShared) this.#addUnsent(replica, isDone);
     this.#add(replica, isDone ? 1 : 0, isDone ? 0 : 1);
   }
 
@@ -94,6 +98,13 @@
     }
   }
 
+  #addUnsent(replica: VmId, isDone: boolean): void {
+    const unsent = this.#unsent.get(replica) ?? { done: 0, failed: 0 };
+    this.#unsent.set(replica, unsent);
+    if (isDone) unsent.done += 1;
+    else unsent.failed += 1;
+  }
+
   #add(replica: VmId, done: number, failed: number): void {
     const record = this.#getRecord(replica);
     this.#applyAge(record);
--- a/src/process/placement/replica_links.ts
+++ b/src/process/placement/replica_links.ts
@@ -73,7 +73,7 @@
     return this.#failedAt.has(replica);
   }
 
-  /** Replicas to which the last connection failed. */
+  /** Number of replicas to which the last connection failed. */
   countUnreachable(): number {
     return this.#failedAt.size;
   }
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { PoolName } from "../ids.ts";
+import type { PoolName, VmId } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
 import type { Log } from "./log.ts";
@@ -13,6 +13,7 @@
   PlacementState,
   type ReplicaDirectory,
 } from "./placement/index.ts";
+import type { Random } from "./random.ts";
 import type { RoutedFleet } from "./routed_fleet.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
@@ -22,6 +23,9 @@
   log: Log;
   settings: RoutedSettings;
   replicas: ReplicaDirectory;
+  random: Random;
+  /** Whether a new connection to a replica is established; never rejects. */
+  isListening: (replica: VmId) => Promise<boolean>;
   getSnapshot: () => RoutedSnapshot | undefined;
   /** Undefined until the VM has started. */
   getFleet: () => RoutedFleet | undefined;
@@ -44,7 +48,10 @@
       log.info("replica_back_off", { replica, for_ms: Math.round(forMs) });
     },
     links: {
+      random: options.random,
       listReady: (pool) => options.replicas.listReady(pool),
+      findReplica: (id) => options.replicas.find(id),
+      isListening: options.isListening,
       onChange: (pool, isLost) => {
         if (isLost) log.warn("pool_unreachable", { pool });
         else log.info("pool_reachable", { pool });
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -133,6 +133,8 @@
       log: this.#log,
       settings: options.settings,
       replicas: this.replicas,
+      random: this.#random,
+      isListening: (replica) => this.#upstreams.isListening(replica),
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
@@ -256,6 +258,7 @@
 
   async #runStop(): Promise<void> {
     this.#fleet?.stop();
+    this.#placement.stop();
     this.#callers.closeAll();
     this.#state.closeAll();
     this.#upstreams.close();
@@ -335,9 +338,7 @@
   #noteConnection(id: VmId, isEstablished: boolean): void {
     const replica = this.replicas.find(id);
     if (replica === undefined) return;
-    const { links } = this.#placement;
-    if (isEstablished) links.noteOpened(replica);
-    else links.noteFailed(replica);
+    this.#placement.noteConnection(replica, isEstablished);
   }
 
   /** Drops idle connections to processes that no longer exist. */
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -37,6 +37,7 @@
   openAsks: z.array(COUNT),
   limits: z.array(z.tuple([VM, COUNT, COUNT, COUNT])).default([]),
   leaving: z.array(z.tuple([VM, COUNT])).default([]),
+  unreached: z.array(z.tuple([VM, COUNT])).default([]),
 });
 
 /**
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -103,6 +103,8 @@
   }
 
   abstract noteProgress(progress: LeaseProgress): void;
+  /** Records that the call failed without the upstream saying so. */
+  noteTransportFailure(): void {}
   /** Applies the signals in the upstream's answer. */
   noteSignals(_signals: UpstreamSignals): void {}
   /** Releases the slot; only the first call has an effect. */
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import type { CallTimeouts } from "../connection/upstream_transport.ts";
+import {
+  type CallTimeouts,
+  UpstreamError,
+} from "../connection/upstream_transport.ts";
 import { toError } from "../errors.ts";
 import type { VmId } from "../ids.ts";
 import { RefusalError } from "../outcome.ts";
@@ -285,6 +288,7 @@
     execution.note("preempted", { peer: lease.upstream });
     return { kind: "preempted" };
   }
+  if (error instanceof UpstreamError) lease.noteTransportFailure();
   lease.release("failed", progress.getProgress());
   execution.note("stream_broken", {
     peer: lease.upstream,
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -105,6 +105,7 @@
       const work: WorkReport = {
         loads: [],
         results,
+        unreached: [],
         speeds: [],
         placements: [],
         reads: [],
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -286,6 +286,7 @@
 
 const NO_WORK: WorkReport = {
   loads: [],
+  unreached: [],
   results: [],
   speeds: [],
   placements: [],
