Take a lost connection for a crash only if no VM reaches the replica

What callers saw: innocent requests were refused as quarantined by all VMs.

Cause: a VM whose links are reset loses the connections of its requests, finds no replica listening, and tells all VMs that each crashed under each request.

Change: a crash is one only if this VM reaches another replica of the pool, and none of up to three other VMs, which it asks, reaches this one. In the product's own mode, with a published fleet, the check is as it was.

--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -37,8 +37,11 @@
 export interface RequestQuarantineOptions {
   clock: Clock;
   log: Log;
-  /** Whether a replica accepts connections; false where this is unknown. */
-  isListening: (replica: VmId) => Promise<boolean>;
+  /**
+   * Whether a replica whose connection was lost has crashed: a live one resets
+   * connections too, when it has too many or fails part of its requests.
+   */
+  hasCrashed: (replica: VmId) => Promise<boolean>;
   /** Sends the entries to the other VMs. */
   announce: (entries: readonly SuspectEntry[]) => void;
 }
@@ -158,16 +161,12 @@
     return this.#ledger.listSuspects().length;
   }
 
-  /**
-   * Whether the replica has crashed: a live one resets connections too, when it
-   * has too many or fails part of its requests. One check counts for all
-   * requests that were cut off at once.
-   */
+  /** One check counts for all requests that were cut off at once. */
   #checkCrash(id: VmId, replica: Incarnation): Promise<boolean> {
-    const { clock, isListening } = this.#options;
+    const { clock, hasCrashed } = this.#options;
     const known = this.#checks.get(replica);
     if (known !== undefined) return known;
-    const check = isListening(id).then((isOpen) => !isOpen);
+    const check = hasCrashed(id);
     this.#checks.set(replica, check);
     clock.startTimer(CHECK_TTL_MS, () => this.#checks.delete(replica));
     return check;
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -73,6 +73,7 @@
   readonly #options: RoutedFleetOptions;
   readonly #heartbeats: FleetHeartbeats;
   readonly #peerTransport: HttpUpstreamTransport;
+  readonly #calls: PeerCalls;
   readonly #priming: PrefixPriming;
   readonly #ownedPlacement: OwnedPlacement;
   readonly #suspectGossip: SuspectGossip<FleetPeer>;
@@ -86,6 +87,7 @@
       this.#findPeer(peer)
     );
     const calls = PeerCalls.create(this.#peerTransport);
+    this.#calls = calls;
     this.#heartbeats = FleetHeartbeats.create({
       vm,
       clock,
@@ -171,6 +173,11 @@
     return this.#heartbeats.peers.listLive();
   }
 
+  /** Whether `vm` reaches a replica; rejects with `StepError`. */
+  fetchReach(vm: VmId, replica: VmId): Promise<boolean> {
+    return this.#calls.fetchReach(vm, replica);
+  }
+
   /** See `OwnedPlacement.fetchPlacement`. */
   fetchPlacement(
     request: PlacementRequest,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -25,6 +25,7 @@
 import { type Clock, SystemClock } from "./clock.ts";
 import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
 import { RequestStatusStore } from "./request_status_store.ts";
+import { CrashCheck } from "./crash_check.ts";
 import type { Log } from "./log.ts";
 import {
   Locality,
@@ -138,10 +139,18 @@
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
+    const crashCheck = CrashCheck.create({
+      random: this.#random,
+      checks: this.#placement.checks,
+      replicas: this.replicas,
+      listPeers: () => this.#listLive().map(({ heartbeat }) => heartbeat.vm),
+      fetchReach: (peer, replica) =>
+        this.#fleet?.fetchReach(peer, replica) ?? Promise.resolve(false),
+    });
     this.#quarantine = RequestQuarantine.create({
       clock: this.#clock,
       log: this.#log,
-      isListening: (replica) => this.#upstreams.isListening(replica),
+      hasCrashed: (replica) => crashCheck.hasCrashed(replica),
       announce: (entries) => this.#fleet?.announceSuspects(entries),
     });
     this.#handler = this.#createHandler();
@@ -156,6 +165,7 @@
       buildNewerState: (known) =>
         this.#fleet?.follower.buildNewerState(known) ?? {},
       listPrefixes: () => this.#placement.prefixes.listAll(),
+      checkReach: (replica) => this.#placement.checks.check(replica),
       buildStatus: () => buildStatus(statusSources),
       findRequestStatus: (requestId) => this.requestStatuses.find(requestId),
     });
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -142,7 +142,8 @@
     this.quarantine = RequestQuarantine.create({
       clock: environment.clock,
       log: environment.log,
-      isListening: (upstream) => environment.upstreams.isListening(upstream),
+      hasCrashed: async (upstream) =>
+        !await environment.upstreams.isListening(upstream),
       announce: (entries) => this.#suspectGossip.announce(entries),
     });
     this.#suspectGossip = createPeerSuspectGossip({
--- a/src/process/seeded_fleet/peer_calls.ts
+++ b/src/process/seeded_fleet/peer_calls.ts
@@ -13,7 +13,11 @@
 export const STATE_PATH = "/v1/state";
 /** Path for the prefixes that replicas have cached. */
 export const PREFIXES_PATH = "/v1/prefixes";
+/** Path for whether the VM reaches a replica; the id follows. */
+export const REACH_PATH = "/v1/reach/";
 const FETCH_TIMEOUT_MS = 1_000;
+/** Longer than a check of a replica takes. */
+const REACH_TIMEOUT_MS = 400;
 const MAX_ANSWER_BYTES = 8_388_608;
 
 /** Calls to other VMs at the state endpoints of their heartbeats. */
@@ -46,10 +50,19 @@
     return this.#fetch(vm, PREFIXES_PATH);
   }
 
+  /** Whether `vm` reaches the replica now; rejects with `StepError`. */
+  async fetchReach(vm: VmId, replica: VmId): Promise<boolean> {
+    const path = `${REACH_PATH}${encodeURIComponent(replica)}`;
+    const answer = await this.#fetch<{ isReached: boolean }>(vm, path, {
+      timeoutMs: REACH_TIMEOUT_MS,
+    });
+    return answer.isReached;
+  }
+
   async #fetch<T>(
     vm: VmId,
     path: string,
-    options: { freshConnection?: boolean } = {},
+    options: { freshConnection?: boolean; timeoutMs?: number } = {},
   ): Promise<T> {
     const step = "fetch_from_peer";
     const answer = await fetchBuffered(this.#transport, vm, {
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -8,11 +8,12 @@
   type SimpleAnswer,
   SimpleListener,
 } from "../connection/simple_listener.ts";
-import { type RequestId, toId } from "../ids.ts";
+import { type RequestId, toId, type VmId } from "../ids.ts";
 import type { Log } from "./log.ts";
 import {
   parseKnownVersions,
   PREFIXES_PATH,
+  REACH_PATH,
   STATE_PATH,
 } from "./seeded_fleet/peer_calls.ts";
 import type { KnownVersions } from "./seeded_fleet/newer_state.ts";
@@ -24,6 +25,8 @@
 export interface StateHandlers {
   buildNewerState: (known: KnownVersions) => object;
   listPrefixes: () => object;
+  /** Whether this VM reaches a replica now. */
+  checkReach: (replica: VmId) => Promise<boolean>;
   /** The fleet and the replicas as this VM sees them. */
   buildStatus: () => object;
   /** The status of a request; undefined if the request is unknown. */
@@ -45,7 +48,10 @@
   });
 }
 
-function answerGet(url: URL, handlers: StateHandlers): SimpleAnswer {
+async function answerGet(
+  url: URL,
+  handlers: StateHandlers,
+): Promise<SimpleAnswer> {
   switch (url.pathname) {
     case STATE_PATH: {
       const known = parseKnownVersions(url.searchParams);
@@ -56,6 +62,11 @@
     case STATUS_PATH:
       return buildJsonAnswer(200, handlers.buildStatus());
   }
+  if (url.pathname.startsWith(REACH_PATH)) {
+    const replica = decodeURIComponent(url.pathname.slice(REACH_PATH.length));
+    const isReached = await handlers.checkReach(toId<VmId>(replica));
+    return buildJsonAnswer(200, { isReached });
+  }
   const id = REQUEST_STATUS_PATH.exec(url.pathname)?.[1];
   if (id === undefined) return buildNotFound("Unknown path or method");
   const status = handlers.findRequestStatus(toId<RequestId>(id));
--- a/test/process/quarantine/quarantine_fleet.ts
+++ b/test/process/quarantine/quarantine_fleet.ts
@@ -63,7 +63,7 @@
       quarantine: RequestQuarantine.create({
         clock,
         log: SilentLog.create(),
-        isListening: () => Promise.resolve(this.areReplicasUp),
+        hasCrashed: () => Promise.resolve(!this.areReplicasUp),
         announce: (entries) => vm.gossip.announce(entries),
       }),
       gossip: SuspectGossip.create({
--- a/test/process/quarantine/request_quarantine_test.ts
+++ b/test/process/quarantine/request_quarantine_test.ts
@@ -128,9 +128,9 @@
   const quarantine = RequestQuarantine.create({
     clock,
     log: SilentLog.create(),
-    isListening: () => {
+    hasCrashed: () => {
       checks += 1;
-      return Promise.resolve(false);
+      return Promise.resolve(true);
     },
     announce: () => {},
   });
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -88,7 +88,7 @@
     this.quarantine = RequestQuarantine.create({
       clock,
       log: this.log,
-      isListening: () => Promise.resolve(false),
+      hasCrashed: () => Promise.resolve(true),
       announce: () => {},
     });
     this.claims = ProcessExecutionClaims.create(environment);
