Pass requests on from a VM without paths to the replicas

Cause: a VM has no way but its own to a replica, so what reached such a VM could only be refused there, whatever the others could do. Class: a request depends on one VM's links where the fleet has others.

Change: a VM that reaches no replica of a pool, or failed to reach one for this request and none since, passes the request on to a VM that says in its heartbeats that it reaches the pool. That VM checks route and key again, sends with what is left of time and sends, and streams the answer back; it passes nothing on itself. The way is a listener at the port for datagrams, for addresses of the fleet's VMs only. Where all VMs say that a pool is lost, nothing is passed on. A silent connection is checked at once, so that the next attempt knows.

--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -58,6 +58,8 @@
   tls?: ClientTls | undefined;
   /** Timeout of connecting, TLS handshake included; 1,000 ms by default. */
   connectTimeoutMs?: number;
+  /** IP address that connections are made from; any by default. */
+  localAddress?: string;
   /** `net.connect` by default. */
   openConnection?: OpenConnection | undefined;
   /**
@@ -236,10 +238,11 @@
 
   #createAgent(agent: http.AgentOptions): http.Agent {
     const { clock, tls, connectTimeoutMs, openConnection } = this.#options;
+    const { localAddress } = this.#options;
     return createUpstreamAgent({
       clock,
       tls,
-      agent,
+      agent: localAddress === undefined ? agent : { ...agent, localAddress },
       connectTimeoutMs,
       openConnection,
     });
--- a/src/outcome.ts
+++ b/src/outcome.ts
@@ -12,29 +12,33 @@
 export type ExecutionOutcome = "not_run" | "ran" | "unknown";
 
 /** Stable machine-readable causes, documented in docs/CALLING.md. */
-export type RefusalCode =
-  | "bad_request"
-  | "unauthorized"
-  | "forbidden"
-  | "not_found"
-  | "payload_too_large"
-  | "rate_limited"
-  | "queue_full"
-  | "deadline_unreachable"
-  | "shed"
-  | "quarantined"
-  | "draining"
-  | "no_upstream"
-  | "owner_unreachable"
-  | "not_ready"
-  | "upstream_failed"
-  | "upstream_timeout"
-  | "deadline_passed"
-  | "already_submitted"
-  | "fate_unknown"
-  | "paused"
-  | "cancelled"
-  | "internal";
+export const REFUSAL_CODES = [
+  "bad_request",
+  "unauthorized",
+  "forbidden",
+  "not_found",
+  "payload_too_large",
+  "rate_limited",
+  "queue_full",
+  "deadline_unreachable",
+  "shed",
+  "quarantined",
+  "draining",
+  "no_upstream",
+  "owner_unreachable",
+  "not_ready",
+  "upstream_failed",
+  "upstream_timeout",
+  "deadline_passed",
+  "already_submitted",
+  "fate_unknown",
+  "paused",
+  "cancelled",
+  "internal",
+] as const;
+
+/** One of `REFUSAL_CODES`. */
+export type RefusalCode = typeof REFUSAL_CODES[number];
 
 /** A refusal, as returned to the caller. */
 export interface Refusal {
--- a/src/process/placement/link_checks.ts
+++ b/src/process/placement/link_checks.ts
@@ -23,6 +23,8 @@
   links: ReplicaLinks;
   /** Replicas of a pool that take new work. */
   listReady: (pool: PoolName) => readonly ListedReplica[];
+  /** Pools that have replicas. */
+  listPools: () => PoolName[];
   /** Whether a new connection to a replica is established; never rejects. */
   isListening: (replica: VmId) => Promise<boolean>;
 }
@@ -75,6 +77,7 @@
     const { clock, links } = this.#options;
     const { signal } = this.#ended;
     await this.checkOthers(replica);
+    if (links.isLost(pool)) this.#checkOtherPools(pool);
     let delayMs = FIRST_RECHECK_MS;
     while (!signal.aborted && this.#listUnreachable(pool).length > 0) {
       await clock.sleep(delayMs, signal);
@@ -93,6 +96,14 @@
     this.#ended.abort();
   }
 
+  /** A VM that lost one pool may have lost others that it rarely uses. */
+  #checkOtherPools(pool: PoolName): void {
+    const { listPools, listReady } = this.#options;
+    for (const other of listPools()) {
+      if (other !== pool) void this.#checkSome(listReady(other));
+    }
+  }
+
   #listUnreachable(pool: PoolName): ListedReplica[] {
     const { links, listReady } = this.#options;
     return listReady(pool).filter(({ id }) => links.isUnreachable(id));
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -137,8 +137,10 @@
     );
   }
 
-  override noteTransportFailure(): void {
+  override noteTransportFailure(): Promise<void> {
+    if (this.#isReleased || !this.#isSameProcess()) return Promise.resolve();
     this.#hasTransportFailed = true;
+    return this.#options.state.failures.note(this.upstream);
   }
 
   override noteSignals(signals: UpstreamSignals): void {
@@ -155,11 +157,11 @@
     this.#work.end();
     if (state === "done") this.#addCallTime();
     if (!this.#isSameProcess()) return;
-    const { health, failures } = this.#options.state;
+    const { health } = this.#options.state;
     if (state === "done") health.noteResult(this.upstream, true);
-    if (state !== "failed") return;
-    if (this.#hasTransportFailed) void failures.note(this.upstream);
-    else health.noteResult(this.upstream, false);
+    if (state === "failed" && !this.#hasTransportFailed) {
+      health.noteResult(this.upstream, false);
+    }
   }
 
   #addCallTime(): void {
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -78,6 +78,8 @@
   locality: Locality;
   state: PlacementState;
   fetchPlacement: FetchPlacement;
+  /** Leases the request to another VM; undefined if it is to run here. */
+  forward: (request: LeaseRequest) => HeldLease | undefined;
   /**
    * Resolves once the data that has arrived on this process's sockets has been
    * read.
@@ -111,6 +113,11 @@
     request: LeaseRequest,
     options: { signal: AbortSignal; onStep: (step: RequestStep) => void },
   ): Promise<HeldLease> {
+    const forwarded = this.#options.forward(request);
+    if (forwarded !== undefined) {
+      await this.#options.waitForSocketReads();
+      return forwarded;
+    }
     const needs = this.#buildNeeds(request);
     const decision = await this.#options.fetchPlacement(needs, {
       signal: options.signal,
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -52,7 +52,7 @@
 export interface PlacementLinksOptions
   extends
     Omit<ReplicaLinksOptions, "clock">,
-    Pick<LinkChecksOptions, "isListening"> {
+    Pick<LinkChecksOptions, "isListening" | "listPools"> {
   random: Random;
   findReplica: (replica: VmId) => ListedReplica | undefined;
 }
@@ -88,6 +88,7 @@
 const NO_LINKS: PlacementLinksOptions = {
   random: SystemRandom.create(),
   listReady: () => [],
+  listPools: () => [],
   findReplica: () => undefined,
   isListening: () => Promise.resolve(true),
   onChange: () => {},
--- a/src/process/placement/replica_links.ts
+++ b/src/process/placement/replica_links.ts
@@ -58,6 +58,11 @@
     this.#options.onChange(pool, true);
   }
 
+  /** Whether a connection failed and none to the pool was established since. */
+  isDoubtful(pool: PoolName): boolean {
+    return this.#failedAt.size > 0 && this.#listFailed(pool).length > 0;
+  }
+
   /** Whether this VM reaches no replica of the pool. */
   isLost(pool: PoolName): boolean {
     return this.#lost.has(pool);
@@ -92,12 +97,16 @@
 
   /** Whether enough connections failed and none was established since. */
   #hasOnlyFailed(pool: PoolName): boolean {
+    const count = this.#listFailed(pool).length;
+    const { length } = this.#options.listReady(pool);
+    return count > 0 && count >= Math.min(MIN_LOST_REPLICAS, length);
+  }
+
+  /** Replicas to which connections failed after the last established one. */
+  #listFailed(pool: PoolName): ListedReplica[] {
     const openedAt = this.#openedAt.get(pool) ?? -Infinity;
-    const ready = this.#options.listReady(pool);
-    const failed = ready.filter(({ id }) =>
+    return this.#options.listReady(pool).filter(({ id }) =>
       (this.#failedAt.get(id) ?? -Infinity) > openedAt
     );
-    return failed.length > 0 &&
-      failed.length >= Math.min(MIN_LOST_REPLICAS, ready.length);
   }
 }
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -136,6 +136,11 @@
     return this.#ready.get(pool) ?? [];
   }
 
+  /** Pools with replicas that take new work. */
+  listPools(): PoolName[] {
+    return [...this.#ready.keys()];
+  }
+
   /**
    * Whether the listed process of `id` is the one that started at `startedAt`;
    * true where either start is unknown.
--- a/src/process/placement/transport_failures.ts
+++ b/src/process/placement/transport_failures.ts
@@ -38,15 +38,17 @@
     return new TransportFailures(options);
   }
 
-  /** Attributes the failure of one of this VM's own requests. */
+  /**
+   * Attributes the failure of one of this VM's own requests. Resolves once it is
+   * known whether this VM reaches the replica.
+   */
   async note(id: VmId): Promise<void> {
     const { health, links, checks, findReplica } = this.#options;
     const replica = findReplica(id);
     if (replica === undefined) return;
     const isReached = !links.isUnreachable(id) && await checks.check(id);
-    if (!isReached && !await checks.checkOthers(replica)) return;
-    health.noteResult(id, false, { isShared: isReached });
-    if (!isReached) this.#unsent.set(id, (this.#unsent.get(id) ?? 0) + 1);
+    if (isReached) health.noteResult(id, false);
+    else void this.#noteUnreached(replica);
   }
 
   /**
@@ -69,4 +71,11 @@
     this.#unsent = new Map();
     return entries;
   }
+
+  async #noteUnreached(replica: ListedReplica): Promise<void> {
+    const { health, checks } = this.#options;
+    if (!await checks.checkOthers(replica)) return;
+    health.noteResult(replica.id, false, { isShared: false });
+    this.#unsent.set(replica.id, (this.#unsent.get(replica.id) ?? 0) + 1);
+  }
 }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -12,6 +12,7 @@
 import type { Incarnation, PoolName, VmId } from "../ids.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
+import { RequestForwarding } from "./forwarding/index.ts";
 import type { Log } from "./log.ts";
 import { OwnedPlacement } from "./owned_placement.ts";
 import {
@@ -58,6 +59,7 @@
   getSettings: () => RoutedSettings;
   createTransport: (
     findAddress: HttpTransportOptions["findAddress"],
+    options?: Partial<HttpTransportOptions>,
   ) => HttpUpstreamTransport;
   fetchCachedParts: (replica: VmId) => Promise<string[]>;
   isServing: () => boolean;
@@ -74,6 +76,8 @@
   readonly #heartbeats: FleetHeartbeats;
   readonly #peerTransport: HttpUpstreamTransport;
   readonly #calls: PeerCalls;
+  readonly #forwardTransport: HttpUpstreamTransport;
+  readonly #forwarding: RequestForwarding;
   readonly #priming: PrefixPriming;
   readonly #ownedPlacement: OwnedPlacement;
   readonly #suspectGossip: SuspectGossip<FleetPeer>;
@@ -117,6 +121,17 @@
       getSelf: () => this.#buildMember(),
       send: (to, message) => this.#heartbeats.send(to, message),
     });
+    this.#forwardTransport = options.createTransport(
+      (peer) => this.#findForwardAddress(peer),
+      { allowsCloseDelimited: true, localAddress: address },
+    );
+    this.#forwarding = RequestForwarding.create({
+      random,
+      links: options.placement.links,
+      transport: this.#forwardTransport,
+      listLive: () => this.listLive(),
+      getConfigVersion: () => this.follower.getSnapshot()?.version ?? 0,
+    });
     this.#suspectGossip = SuspectGossip.create({
       clock,
       random,
@@ -166,6 +181,7 @@
     this.#suspectGossip.stop();
     this.#options.link.close();
     this.#peerTransport.close();
+    this.#forwardTransport.close();
   }
 
   /** Other VMs that are live. */
@@ -178,6 +194,18 @@
     return this.#calls.fetchReach(vm, replica);
   }
 
+  /** Requests that are passed on to other VMs. */
+  get forwarding(): RequestForwarding {
+    return this.#forwarding;
+  }
+
+  /** Whether a VM of the fleet has this IP address. */
+  isPeerAddress(address: string): boolean {
+    return this.listLive().some(({ endpoint }) =>
+      parseEndpoint(endpoint).address === address
+    );
+  }
+
   /** See `OwnedPlacement.fetchPlacement`. */
   fetchPlacement(
     request: PlacementRequest,
@@ -227,7 +255,8 @@
   }
 
   #buildHeartbeat(): HeartbeatContent {
-    const { getSettings, replicas } = this.#options;
+    const { getSettings, replicas, placement } = this.#options;
+    const lostPools = placement.links.listLost();
     const { vm, dataCentre, listeners, cores } = getSettings();
     return {
       vm,
@@ -244,6 +273,7 @@
       isStoreLost: this.follower.isStoreLost,
       cores,
       confirmed: this.follower.getConfirmation(),
+      ...(lostPools.length === 0 ? {} : { lostPools }),
     };
   }
 
@@ -314,6 +344,12 @@
       .map(({ id }) => id);
   }
 
+  /** VMs accept requests that are passed on at the port for datagrams. */
+  #findForwardAddress(vm: VmId): SocketAddress | undefined {
+    const peer = this.#heartbeats.peers.find(vm);
+    return peer && parseEndpoint(peer.endpoint);
+  }
+
   #findPeer(vm: VmId): SocketAddress | undefined {
     const peer = this.#heartbeats.peers.find(vm);
     return peer && parseEndpoint(peer.heartbeat.state);
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -50,11 +50,13 @@
     links: {
       random: options.random,
       listReady: (pool) => options.replicas.listReady(pool),
+      listPools: () => options.replicas.listPools(),
       findReplica: (id) => options.replicas.find(id),
       isListening: options.isListening,
       onChange: (pool, isLost) => {
         if (isLost) log.warn("pool_unreachable", { pool });
         else log.info("pool_reachable", { pool });
+        getFleet()?.announceNow();
       },
     },
     rateLimits: {
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -19,7 +19,7 @@
 } from "./placement/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
-import type { Quarantine } from "./services.ts";
+import type { HeldLease, LeaseRequest, Quarantine } from "./services.ts";
 import { UnlimitedSource } from "./unlimited_source.ts";
 import { UnreadableHeaderLog } from "./unreadable_header_log.ts";
 
@@ -47,6 +47,8 @@
   locality: Locality;
   placement: PlacementState;
   fetchPlacement: FetchPlacement;
+  /** Leases a request to another VM; undefined if it is to run here. */
+  forward: (request: LeaseRequest) => HeldLease | undefined;
   requestStatuses: RequestStatusStore;
   metrics: ProcessMetrics;
   getSnapshot: () => RoutedSnapshot | undefined;
@@ -73,6 +75,7 @@
       dataCentre: options.dataCentre,
       state: placement,
       fetchPlacement: options.fetchPlacement,
+      forward: options.forward,
       waitForSocketReads,
       waitForFreshState: options.waitForFreshState,
     }),
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -29,6 +29,8 @@
   getLagMs: () => number;
   /** Calls to other VMs for newer state that failed. */
   countFailedFetches: () => number;
+  /** Requests passed on to other VMs; undefined until the VM has started. */
+  getForwarding: () => { inFlight: number; count: number } | undefined;
   isWatching: () => boolean;
   /** Requests that wait at this VM; undefined until the VM has started. */
   getWaiting: () => { size: number; counts: WaitCounts } | undefined;
@@ -133,6 +135,14 @@
     help: "Replicas to which this VM's last connection failed",
     read: () => sources.placement.links.countUnreachable(),
   });
+  metrics.addGauge("forwarded_requests", {
+    help: "Requests passed on to other VMs since the start",
+    read: () => sources.getForwarding()?.count ?? 0,
+  });
+  metrics.addGauge("forwarded_in_flight", {
+    help: "Requests that other VMs run for this one now",
+    read: () => sources.getForwarding()?.inFlight ?? 0,
+  });
   metrics.addGauge("warming_replicas", {
     help: "Replicas with limited load while they warm up",
     read: () => countWarming(sources),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -26,6 +26,7 @@
 import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
 import { RequestStatusStore } from "./request_status_store.ts";
 import { CrashCheck } from "./crash_check.ts";
+import { ForwardedHandler } from "./forwarding/index.ts";
 import type { Log } from "./log.ts";
 import {
   Locality,
@@ -101,6 +102,7 @@
   readonly #quarantine: RequestQuarantine;
   readonly #handler: RoutedHandler;
   readonly #callers: CallerListener;
+  readonly #forwarded: CallerListener;
   readonly #state: SimpleListener;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
@@ -161,6 +163,16 @@
       handler: this,
     });
     const statusSources = this.#buildStatusSources();
+    this.#forwarded = CallerListener.create({
+      clock: this.#clock,
+      log: this.#log,
+      limits: INITIAL_CALLER_LIMITS,
+      handler: ForwardedHandler.create({
+        log: this.#log,
+        handler: this,
+        isPeer: (address) => this.#fleet?.isPeerAddress(address) ?? false,
+      }),
+    });
     this.#state = createStateListener(this.#log, {
       buildNewerState: (known) =>
         this.#fleet?.follower.buildNewerState(known) ?? {},
@@ -178,10 +190,11 @@
 
   /** Opens the listeners and starts all tasks. Rejects with `StepError`. */
   async start(): Promise<void> {
-    const { listeners, vm, dataCentre } = this.#settings;
+    const { listeners, vm, dataCentre, address, peerPort } = this.#settings;
     this.#fleet = this.#createFleet(await this.#openLink());
     this.#fleet.start();
     await this.#state.startAt(listeners.state);
+    await this.#forwarded.start(address, peerPort);
     await this.#callers.startAt(listeners.callers);
     this.#log.info("started", {
       vm,
@@ -260,19 +273,24 @@
       settings: this.#settings,
       getInFlight: () => this.#inFlight,
       announceNow: () => this.#fleet?.announceNow(),
-      closeCallers: () => this.#callers.stop(),
+      closeCallers: () => this.#closeCallers(),
       stop: () => this.stop(),
     });
     return this.#draining;
   }
 
+  async #closeCallers(): Promise<void> {
+    await Promise.all([this.#callers.stop(), this.#forwarded.stop()]);
+  }
+
   async #runStop(): Promise<void> {
     this.#fleet?.stop();
     this.#placement.stop();
     this.#callers.closeAll();
+    this.#forwarded.closeAll();
     this.#state.closeAll();
     this.#upstreams.close();
-    await Promise.all([this.#callers.stop(), this.#state.stop()]);
+    await Promise.all([this.#closeCallers(), this.#state.stop()]);
   }
 
   #createHandler(): RoutedHandler {
@@ -295,6 +313,7 @@
         fetchPlacement: (request, wait) =>
           this.#fleet?.fetchPlacement(request, wait) ??
             Promise.resolve(undefined),
+        forward: (request) => this.#fleet?.forwarding.createLease(request),
         requestStatuses: this.requestStatuses,
         metrics: this.metrics,
         getSnapshot: () => this.getSnapshot(),
@@ -335,13 +354,18 @@
       placement: this.#placement,
       quarantine: this.#quarantine,
       getSettings: () => this.#settings,
-      createTransport: (findAddress) => this.#createTransport(findAddress),
+      createTransport: (findAddress, transport) =>
+        this.#createTransport(findAddress, transport),
       fetchCachedParts: (id) => fetchCachedParts(this.#upstreams, id),
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
       onRestarted: (restarted) => this.#dropConnections(restarted),
-      onSnapshot: ({ callerBounds }) =>
-        this.#callers.updateLimits(buildCallerLimits(callerBounds)),
+      onSnapshot: ({ callerBounds }) => {
+        const limits = buildCallerLimits(callerBounds);
+        this.#callers.updateLimits(limits);
+        const { keepAliveMs } = INITIAL_CALLER_LIMITS;
+        this.#forwarded.updateLimits({ ...limits, keepAliveMs });
+      },
     });
   }
 
@@ -374,6 +398,7 @@
       getLagMs: () => this.#fleet?.follower.getLagMs() ?? 0,
       getWaiting: () => this.#fleet?.waiting,
       countFailedFetches: () => this.#fleet?.follower.failedFetches ?? 0,
+      getForwarding: () => this.#fleet?.forwarding,
       isWatching: () => this.#fleet?.follower.isWatching ?? false,
       listLive: () => this.#listLive(),
     };
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -83,6 +83,8 @@
   sentAt: COUNT.optional(),
   /** Undefined if the list was never known to be the newest. */
   confirmed: CONFIRMATION.optional(),
+  /** Pools of which the sender reaches no replica; undefined for none. */
+  lostPools: z.array(TEXT.transform((text) => text as PoolName)).optional(),
 });
 
 const MEMBERS = z.object({
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Endpoint } from "../connection/endpoint.ts";
+import type { UpstreamTransport } from "../connection/upstream_transport.ts";
 import type {
   ClassName,
   Incarnation,
@@ -61,7 +62,10 @@
   regions?: Region[] | undefined;
   /** Whether the request is suspected of crashing replicas. */
   isSuspect?: boolean;
+  /** Replicas, and VMs that it was passed on to, that must not get it. */
   avoid: VmId[];
+  /** Whether another VM passed the request on to this one. */
+  isForwarded?: boolean;
 }
 
 /** The progress of the work under a lease. */
@@ -80,6 +84,8 @@
   readonly upstreamIncarnation?: Incarnation;
   /** Why this upstream was chosen, for the log. */
   readonly reason?: string;
+  /** Set where another VM runs the request: the transport to it. */
+  readonly peerTransport?: UpstreamTransport;
   /** Another upstream to fetch cached prompt parts from. */
   readonly fetchFrom?: Endpoint | undefined;
   /** Aborts when the owner preempts the slot for a higher tier. */
@@ -103,8 +109,14 @@
   }
 
   abstract noteProgress(progress: LeaseProgress): void;
-  /** Records that the call failed without the upstream saying so. */
-  noteTransportFailure(): void {}
+  /**
+   * Records that the call failed without the upstream saying so. Resolves once
+   * it is known whether this VM reaches the upstream; never rejects.
+   */
+  noteTransportFailure(): Promise<void> {
+    return Promise.resolve();
+  }
+
   /** Applies the signals in the upstream's answer. */
   noteSignals(_signals: UpstreamSignals): void {}
   /** Releases the slot; only the first call has an effect. */
--- a/src/request/attempt_failure.ts
+++ b/src/request/attempt_failure.ts
@@ -10,6 +10,7 @@
 } from "../connection/upstream_transport.ts";
 import type { VmId } from "../ids.ts";
 import type { RefusalCode } from "../outcome.ts";
+import { PeerRefusalError } from "./forwarded_request.ts";
 import { BrokenAnswerError } from "./upstream_work.ts";
 
 const LOST_KINDS: ReadonlySet<UpstreamErrorKind> = new Set(["broken", "write"]);
@@ -23,12 +24,33 @@
   mayHaveRun: boolean;
   /** Whether any byte of the request was written. */
   wasSent: boolean;
+  /** Upstreams that may have got it, if it was sent. */
+  sends: number;
   /** Whether the connection to the upstream was lost during the request. */
   isConnectionLost: boolean;
 }
 
-/** Classifies the error that ended an attempt. */
-export function toFailure(error: Error, upstream: VmId): AttemptFailure {
+/**
+ * Classifies the error that ended an attempt, which `maxSends` upstreams may
+ * have got.
+ */
+export function toFailure(
+  error: Error,
+  { upstream, maxSends }: { upstream: VmId; maxSends: number },
+): AttemptFailure {
+  if (error instanceof PeerRefusalError) {
+    const { code, message, outcome } = error.refusal;
+    const mayHaveRun = outcome !== "not_run";
+    return {
+      upstream,
+      code,
+      message,
+      mayHaveRun,
+      wasSent: mayHaveRun,
+      sends: maxSends,
+      isConnectionLost: false,
+    };
+  }
   if (error instanceof UpstreamError) {
     return {
       upstream,
@@ -36,6 +58,7 @@
       message: error.message,
       mayHaveRun: error.mayHaveRun,
       wasSent: error.mayHaveRun,
+      sends: maxSends,
       isConnectionLost: error.mayHaveRun && LOST_KINDS.has(error.kind),
     };
   }
@@ -46,6 +69,7 @@
     message: error.message,
     mayHaveRun: !notStarted,
     wasSent: true,
+    sends: maxSends,
     isConnectionLost: false,
   };
 }
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -20,6 +20,7 @@
   FAILED_RETRY_AFTER_MS,
   isWorthWaiting,
 } from "./retry_rules.ts";
+import { PeerRefusalError } from "./forwarded_request.ts";
 import { type AttemptFailure, toFailure } from "./attempt_failure.ts";
 import { AttemptProgress } from "./attempt_progress.ts";
 import type { UpstreamWork } from "./upstream_work.ts";
@@ -39,8 +40,11 @@
   /** The lease expired before anything was sent. */
   | { kind: "expired" }
   | { kind: "preempted" }
-  /** `crashCheck` resolves once it is known whether the replica crashed. */
-  | { kind: "failed"; failure: AttemptFailure; crashCheck: Promise<void> };
+  /**
+   * `checks` resolve once it is known whether the replica crashed, and whether
+   * this VM reaches it.
+   */
+  | { kind: "failed"; failure: AttemptFailure; checks: Promise<void>[] };
 
 /**
  * Runs the work, with retries. Resolves when the caller has the complete
@@ -50,7 +54,10 @@
   execution: RequestExecution,
   work: UpstreamWork,
 ): Promise<void> {
-  execution.services.retryBudget.noteFirstAttempt(work.pool.name);
+  const { isForwarded = false } = execution.options;
+  if (!isForwarded) {
+    execution.services.retryBudget.noteFirstAttempt(work.pool.name);
+  }
   execution.pool = work.pool;
   const avoid: VmId[] = [];
   let failures = 0;
@@ -58,7 +65,7 @@
   for (let attempt = 1; attempt <= MAX_LEASES; attempt++) {
     checkQuarantine(execution);
     const lease = await acquireLease(execution, work, { attempt, avoid });
-    const result = await runAttempt(execution, work, lease);
+    const result = await runAttempt(execution, work, { lease, sends });
     if (result.kind === "answered") {
       execution.services.quarantine.noteAnswered(execution.options.fingerprint);
       noteCallerDisconnect(execution);
@@ -75,7 +82,7 @@
       continue;
     }
     failures++;
-    if (result.failure.wasSent) sends++;
+    if (result.failure.wasSent) sends += result.failure.sends;
     avoid.push(result.failure.upstream);
     await checkRetry(execution, work, { ...result, failures, sends });
     execution.note("retried", { detail: result.failure.message });
@@ -112,6 +119,7 @@
       idempotent: options.idempotent,
       avoid: [...leaseOptions.avoid],
       isSuspect: services.quarantine.isSuspect(options.fingerprint),
+      isForwarded: options.isForwarded ?? false,
       ...work.buildLeaseRequirements(),
     }, {
       signal: options.sink.signal,
@@ -131,7 +139,7 @@
 async function runAttempt(
   execution: RequestExecution,
   work: UpstreamWork,
-  lease: HeldLease,
+  { lease, sends }: { lease: HeldLease; sends: number },
 ): Promise<AttemptResult> {
   const { environment } = execution.services;
   const cancel = new AbortController();
@@ -163,7 +171,7 @@
     );
   }
   try {
-    return await sendWork(execution, work, { lease, cancel, progress });
+    return await sendWork(execution, work, { lease, cancel, progress, sends });
   } finally {
     preempted?.removeEventListener("abort", onPreempted);
     execution.options.sink.signal.removeEventListener(
@@ -184,22 +192,26 @@
     lease: HeldLease;
     cancel: AbortController;
     progress: AttemptProgress;
+    sends: number;
   },
 ): Promise<AttemptResult> {
-  const { lease, cancel, progress } = options;
-  const call = work.buildCall(lease);
+  const { lease, cancel, progress, sends } = options;
+  const call = work.buildCall(lease, sends);
+  const isForwarded = lease.peerTransport !== undefined;
   const early = findEarlyResult(execution, lease);
   if (early !== undefined) {
     lease.release("unused", NO_PROGRESS);
     return early;
   }
   execution.upstream = lease.upstream;
-  execution.note("sent", {
+  execution.note(isForwarded ? "forwarded" : "sent", {
     peer: lease.upstream,
     detail: lease.formatState(),
   });
   try {
-    const answer = await execution.services.environment.upstreams.send({
+    const { environment } = execution.services;
+    const transport = lease.peerTransport ?? environment.upstreams;
+    const answer = await transport.send({
       ...call,
       upstream: lease.upstream,
       freshConnection: !execution.options.idempotent,
@@ -221,10 +233,16 @@
         lease.noteSignals(signals);
       },
       onComplete: () => lease.release("done", progress.getProgress()),
+      isForwarded,
     });
     return { kind: "answered" };
   } catch (thrown) {
-    return handleFailure(execution, toError(thrown), { lease, progress });
+    const maxSends = isForwarded ? work.maxSends - sends : 1;
+    return handleFailure(execution, toError(thrown), {
+      lease,
+      progress,
+      maxSends,
+    });
   }
 }
 
@@ -265,12 +283,17 @@
 function handleFailure(
   execution: RequestExecution,
   error: Error,
-  options: { lease: HeldLease; progress: AttemptProgress },
+  options: { lease: HeldLease; progress: AttemptProgress; maxSends: number },
 ): AttemptResult {
-  const { lease, progress } = options;
-  const failure = toFailure(error, lease.upstream);
+  const { lease, progress, maxSends } = options;
+  const failure = toFailure(error, { upstream: lease.upstream, maxSends });
   if (failure.mayHaveRun) execution.noteMayHaveRun();
-  const crashCheck = failure.isConnectionLost
+  if (error instanceof PeerRefusalError && !error.canTryElsewhere) {
+    lease.release("failed", progress.getProgress());
+    throw createRefusal(execution, error.refusal);
+  }
+  const isForwarded = lease.peerTransport !== undefined;
+  const crashCheck = failure.isConnectionLost && !isForwarded
     ? execution.services.quarantine.noteConnectionLoss(
       execution.options.fingerprint,
       {
@@ -288,13 +311,15 @@
     execution.note("preempted", { peer: lease.upstream });
     return { kind: "preempted" };
   }
-  if (error instanceof UpstreamError) lease.noteTransportFailure();
+  const linkCheck = error instanceof UpstreamError
+    ? lease.noteTransportFailure()
+    : Promise.resolve();
   lease.release("failed", progress.getProgress());
   execution.note("stream_broken", {
     peer: lease.upstream,
     detail: error.message,
   });
-  return { kind: "failed", failure, crashCheck };
+  return { kind: "failed", failure, checks: [crashCheck, linkCheck] };
 }
 
 function computeTimeouts(
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -22,6 +22,14 @@
   remoteAddress: string;
   /** `Clock.now()` when the request's head had been read. */
   arrivedAt: number;
+  /** Set if another VM passed the request on to this one. */
+  forwarded?: ForwardedLimits;
+}
+
+/** What is left of a request that was passed on. */
+export interface ForwardedLimits {
+  /** Sends that may still reach an upstream. */
+  sendsLeft: number;
 }
 
 /** Handles callers' requests. */
--- /dev/null
+++ b/src/request/forwarded_request.ts
@@ -0,0 +1,86 @@
+/**
+ * Headers between a VM that passes a request on and the VM that runs it.
+ *
+ * @module
+ */
+import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
+import {
+  type ExecutionOutcome,
+  type Refusal,
+  REFUSAL_CODES,
+  type RefusalCode,
+  RefusalError,
+} from "../outcome.ts";
+import type { CallerRequest } from "./caller_request.ts";
+
+/** Sends of the request that may still reach an upstream. */
+const SENDS_LEFT_HEADER = "persimmonslip-sends-left";
+/** `CODE OUTCOME` of the VM's own refusals. */
+const REFUSAL_HEADER = "persimmonslip-refusal";
+const MS_PER_SECOND = 1_000;
+const OUTCOMES: readonly string[] = ["not_run", "ran", "unknown"];
+/** Codes of a VM that could not reach a replica either. */
+const UNREACHED_CODES: ReadonlySet<RefusalCode> = new Set([
+  "upstream_failed",
+  "no_upstream",
+]);
+
+/** A refusal by the VM to which a request was passed on. */
+export class PeerRefusalError extends RefusalError {
+  /** Whether yet another VM may reach a replica. */
+  get canTryElsewhere(): boolean {
+    const { outcome, code } = this.refusal;
+    return outcome === "not_run" && UNREACHED_CODES.has(code);
+  }
+}
+
+/** Builds the header that a request is passed on with. */
+export function buildForwardedHeader(
+  sendsLeft: number,
+): Record<string, string> {
+  return { [SENDS_LEFT_HEADER]: String(sendsLeft) };
+}
+
+/** Builds the header by which another VM knows a refusal. */
+export function buildRefusalHeader(
+  { code, outcome }: Refusal,
+): Record<string, string> {
+  return { [REFUSAL_HEADER]: `${code} ${outcome}` };
+}
+
+/**
+ * Reads a request that another VM passed on; undefined if it is none. The
+ * result has the caller's headers only.
+ */
+export function readForwarded(
+  request: CallerRequest,
+): CallerRequest | undefined {
+  const { [SENDS_LEFT_HEADER]: text, ...headers } = request.headers;
+  const sendsLeft = Number(text);
+  if (!Number.isInteger(sendsLeft) || sendsLeft < 1) return undefined;
+  return { ...request, headers, forwarded: { sendsLeft } };
+}
+
+/** Throws `PeerRefusalError` if another VM refused the request. */
+export function checkPeerRefusal(
+  { status, headers }: Pick<UpstreamAnswer, "status" | "headers">,
+): void {
+  const [code, outcome] = headers[REFUSAL_HEADER]?.split(" ") ?? [];
+  const known = REFUSAL_CODES.find((each) => each === code);
+  if (known === undefined || !OUTCOMES.includes(outcome ?? "")) return;
+  const retryAfterMs = MS_PER_SECOND * Number(headers["retry-after"]);
+  throw new PeerRefusalError({
+    code: known,
+    message: `Another VM refused the request with ${status}`,
+    outcome: outcome as ExecutionOutcome,
+    ...(Number.isFinite(retryAfterMs) ? { retryAfterMs } : {}),
+  });
+}
+
+/** The headers without those between VMs, which a replica may not set. */
+export function dropPeerHeaders(
+  headers: Record<string, string>,
+): Record<string, string> {
+  const { [REFUSAL_HEADER]: _refusal, ...others } = headers;
+  return others;
+}
--- a/src/request/header_codec.ts
+++ b/src/request/header_codec.ts
@@ -47,6 +47,12 @@
   fetchFrom?: string | undefined;
 }
 
+/** What changes in the headers of a request that is passed on to another VM. */
+export type ForwardedMetadata = Pick<
+  UpstreamMetadata,
+  "leftMs" | "lastEventId"
+>;
+
 /** The contents of an answer's head. */
 export interface AnswerMetadata {
   /** The id of the answered request; undefined if the answer has none. */
@@ -69,6 +75,11 @@
     callerHeaders: Record<string, string>,
     metadata: UpstreamMetadata,
   ): Record<string, string>;
+  /** The caller's headers, credentials included, for another VM. */
+  abstract buildForwardedHeaders(
+    callerHeaders: Record<string, string>,
+    metadata: ForwardedMetadata,
+  ): Record<string, string>;
   abstract readAnswer(
     status: number,
     headers: Record<string, string>,
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -44,6 +44,8 @@
   isClaimValid: () => boolean;
   /** Whether to retain the answer, because the caller may resubmit the id. */
   retainsAnswer: boolean;
+  /** Whether another VM passed the request on to this one. */
+  isForwarded?: boolean;
   /** `Clock.now()` at the caller's deadline, if before the class's target. */
   deadlineAt?: number;
 }
@@ -191,7 +193,11 @@
     requestStatuses.end(this.id, { outcome, code, tokens: this.tokens });
     claims.settleExecution(this.id, outcome);
     const finished = this.#buildFinished(result, lastPhase);
-    if (isCounted(result)) this.services.metrics.noteFinished(finished);
+    // The VM that passed it on counts it.
+    const isOwn = this.options.isForwarded !== true;
+    if (isOwn && isCounted(result)) {
+      this.services.metrics.noteFinished(finished);
+    }
     this.#writeFinished(finished, { outcome, code });
   }
 
--- a/src/request/request_phases.ts
+++ b/src/request/request_phases.ts
@@ -80,7 +80,7 @@
       () => "queue",
     )
     .with("granted", "resumed", () => "send")
-    .with("sent", () => "upstream")
+    .with("sent", "forwarded", () => "upstream")
     .with("first_token", () => "stream")
     .with("answered", "refused", "cancelled", "unknown", () => "end")
     .exhaustive();
--- a/src/request/request_status.ts
+++ b/src/request/request_status.ts
@@ -15,6 +15,7 @@
   | "passed_on"
   | "granted"
   | "sent"
+  | "forwarded"
   | "first_token"
   | "stream_broken"
   | "preempted"
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -20,13 +20,13 @@
   work: UpstreamWork,
   options: {
     failure: AttemptFailure;
-    /** Resolves once it is known whether the replica crashed. */
-    crashCheck: Promise<void>;
+    /** Resolve once the next attempt can be chosen. */
+    checks: readonly Promise<void>[];
     failures: number;
     sends: number;
   },
 ): Promise<void> {
-  const { failure, crashCheck, failures, sends } = options;
+  const { failure, checks, failures, sends } = options;
   const createFailure = (
     why: string,
     retryAfterMs = FAILED_RETRY_AFTER_MS,
@@ -44,7 +44,7 @@
   if (failures >= MAX_FAILED_ATTEMPTS || sends >= work.maxSends) {
     throw createFailure("the limit on attempts is reached");
   }
-  await crashCheck;
+  await Promise.all(checks);
   const leftMs = getQuarantineMs(execution);
   if (leftMs > 0) throw createFailure("the request crashes replicas", leftMs);
   checkCanContinue(execution, work, failure.message);
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -18,6 +18,7 @@
 import { checkCaller } from "./authenticate.ts";
 import { CallerHandler, type CallerRequest } from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
+import { buildRefusalHeader } from "./forwarded_request.ts";
 import { computeFingerprint, readHost } from "./request_fingerprint.ts";
 import { RequestExecution } from "./request_execution.ts";
 import type { RequestServices } from "./request_services.ts";
@@ -137,6 +138,7 @@
       idempotent: isRepeatable(route.kind),
       isClaimValid: () => true,
       retainsAnswer: false,
+      isForwarded: request.forwarded !== undefined,
     });
     await runExecution(execution, () => this.#buildWork(execution, checked));
   }
@@ -215,7 +217,7 @@
 ): { status: number; headers: Record<string, string> } {
   const { status } = getRefusalKind(refusal.code);
   const isNotRun = refusal.outcome === "not_run";
-  const headers: Record<string, string> = {};
+  const headers = buildRefusalHeader(refusal);
   if (refusal.retryAfterMs !== undefined && isNotRun) {
     headers["retry-after"] = String(refusal.retryAfterMs / MS_PER_SECOND);
   }
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -15,6 +15,11 @@
 import { isRepeatable } from "../version/routes.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import {
+  buildForwardedHeader,
+  checkPeerRefusal,
+  dropPeerHeaders,
+} from "./forwarded_request.ts";
 import type { RequestExecution } from "./request_execution.ts";
 import type { HeaderCodec, RoutedCall } from "./header_codec.ts";
 import {
@@ -48,6 +53,7 @@
 /** Forwards a routed call or stream to one replica at a time. */
 export abstract class RoutedWork extends UpstreamWork {
   protected readonly context: RoutedWorkContext;
+  /** Sends that may reach an upstream, including the one in progress. */
   #sends = 0;
 
   constructor(context: RoutedWorkContext) {
@@ -60,7 +66,9 @@
   }
 
   override get maxSends(): number {
-    return this.context.route.maxSends;
+    const { route, request } = this.context;
+    const sendsLeft = request.forwarded?.sendsLeft ?? Infinity;
+    return Math.min(route.maxSends, sendsLeft);
   }
 
   override buildLeaseRequirements(): LeaseRequirements {
@@ -88,25 +96,20 @@
     };
   }
 
-  override buildCall(lease: HeldLease): WorkCall {
-    const { request, execution, headerCodec, route } = this.context;
-    this.#sends += 1;
+  override buildCall(lease: HeldLease, sends: number): WorkCall {
+    const { request } = this.context;
+    const isForwarded = lease.peerTransport !== undefined;
+    const headers = isForwarded
+      ? this.#buildForwardedHeaders(sends)
+      : this.#buildUpstreamHeaders(lease);
+    this.#sends = isForwarded ? this.maxSends : sends + 1;
     return {
       method: request.method,
       path: request.query === ""
         ? request.path
         : `${request.path}?${request.query}`,
       host: request.headers["host"],
-      headers: headerCodec.buildHeaders(request.headers, {
-        upstream: lease.upstream,
-        workspace: route.isPublic
-          ? undefined
-          : execution.options.workspace.name,
-        leftMs: Math.max(1, Math.floor(this.getLeftMs())),
-        priority: lease.priority,
-        lastEventId: this.getLastEventId(),
-        fetchFrom: lease.fetchFrom,
-      }),
+      headers,
       body: request.body,
     };
   }
@@ -121,6 +124,31 @@
     return this.context.call.lastEventId;
   }
 
+  #buildUpstreamHeaders(lease: HeldLease): Record<string, string> {
+    const { request, execution, headerCodec, route } = this.context;
+    return headerCodec.buildHeaders(request.headers, {
+      upstream: lease.upstream,
+      workspace: route.isPublic ? undefined : execution.options.workspace.name,
+      leftMs: this.#getWholeLeftMs(),
+      priority: lease.priority,
+      lastEventId: this.getLastEventId(),
+      fetchFrom: lease.fetchFrom,
+    });
+  }
+
+  #buildForwardedHeaders(sends: number): Record<string, string> {
+    const { request, headerCodec } = this.context;
+    const headers = headerCodec.buildForwardedHeaders(request.headers, {
+      leftMs: this.#getWholeLeftMs(),
+      lastEventId: this.getLastEventId(),
+    });
+    return { ...headers, ...buildForwardedHeader(this.maxSends - sends) };
+  }
+
+  #getWholeLeftMs(): number {
+    return Math.max(1, Math.floor(this.getLeftMs()));
+  }
+
   /** Time until the caller's deadline, in milliseconds. */
   protected getLeftMs(): number {
     const { execution } = this.context;
@@ -138,8 +166,11 @@
    *
    * Checks the request id because a replica may send a second answer late, in
    * place of the next one: a caller would receive another caller's answer.
+   * Throws `PeerRefusalError` if the VM that the request was passed on to
+   * refused it.
    */
   protected checkHead(answer: UpstreamAnswer, options: RelayOptions): void {
+    if (options.isForwarded) checkPeerRefusal(answer);
     const { execution, route, headerCodec } = this.context;
     const metadata = headerCodec.readAnswer(answer.status, answer.headers);
     const isMismatch = metadata.requestId !== undefined &&
@@ -178,7 +209,10 @@
     if (execution.options.sink.headWritten) return;
     execution.options.sink.writeHead(
       answer.status,
-      buildAnswerHeaders(execution, { ...answer.headers, ...headers }),
+      buildAnswerHeaders(execution, {
+        ...dropPeerHeaders(answer.headers),
+        ...headers,
+      }),
     );
   }
 
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -49,6 +49,8 @@
   onSignals: (signals: UpstreamSignals) => void;
   /** Call once the upstream has completed its answer: releases the slot. */
   onComplete: () => void;
+  /** Whether another VM answers for the upstream. */
+  isForwarded: boolean;
 }
 
 /** Throws `BrokenAnswerError` if the attempt has been cancelled. */
@@ -94,8 +96,11 @@
 
   /** Builds the requirements for the lease of the next attempt. */
   abstract buildLeaseRequirements(): LeaseRequirements;
-  /** Builds the request of the next attempt. */
-  abstract buildCall(lease: HeldLease): WorkCall;
+  /**
+   * Builds the request of the next attempt; `sends` earlier ones may have
+   * reached an upstream.
+   */
+  abstract buildCall(lease: HeldLease, sends: number): WorkCall;
   /**
    * Forwards an upstream's answer to the caller. Resolves when the caller has
    * the complete answer; throws `UpstreamError` or `BrokenAnswerError`.
--- a/test/process/crash_check_test.ts
+++ b/test/process/crash_check_test.ts
@@ -29,6 +29,7 @@
     random,
     links,
     listReady,
+    listPools: () => [],
     isListening: (id) => Promise.resolve(reached["self"]!.includes(id)),
   });
   return CrashCheck.create({
--- a/test/process/placement/on_time_test.ts
+++ b/test/process/placement/on_time_test.ts
@@ -72,6 +72,7 @@
       locality: Locality.create(new Map()),
       state: this.state,
       waitForSocketReads: () => Promise.resolve(),
+      forward: () => undefined,
       fetchPlacement: () => Promise.resolve(undefined),
     });
   }
@@ -291,6 +292,7 @@
         onEjected: () => {},
       }),
       waitForSocketReads: () => Promise.resolve(),
+      forward: () => undefined,
       fetchPlacement: () => Promise.resolve("full"),
     });
     const retries: number[] = [];
--- a/test/process/placement/replica_liveness_test.ts
+++ b/test/process/placement/replica_liveness_test.ts
@@ -45,6 +45,7 @@
       onUpdate: () => {},
       onEjected: () => {},
     }),
+    forward: () => undefined,
     fetchPlacement: () => Promise.resolve(undefined),
     waitForSocketReads: () => Promise.resolve(),
   });
--- a/test/process/placement/transport_failures_test.ts
+++ b/test/process/placement/transport_failures_test.ts
@@ -20,6 +20,7 @@
     links: {
       random: SeededRandom.create(1),
       listReady: () => REPLICAS,
+      listPools: () => [],
       findReplica: find,
       isListening: (id) => {
         checks += 1;
@@ -31,6 +32,7 @@
   });
   const fail = async (id: VmId, times = 2) => {
     for (let time = 0; time < times; time++) await state.failures.note(id);
+    await clock.run(1);
   };
   return { clock, state, fail, countChecks: () => checks };
 }
