Give calls of unknown length no room beyond the slots

What callers saw: replicas of a plain service were sent 28 or 30 calls at once where 16 are allowed (twice the slots), before anybody knew how long such calls take; what a replica can't hold it turns away.

Cause: an unknown length counted as 40 ms, the shortest one, which leaves room for 3.5 times the slots.

Change: while the length is unknown there is room for the slots alone. A call that has ended makes it known.

--- a/src/process/waiting/call_room.ts
+++ b/src/process/waiting/call_room.ts
@@ -16,17 +16,19 @@
  * ended, and then for the next free slot.
  */
 export const MAX_REPLICA_WAIT_MS = 1.5 * LOAD_REPORT_LAG_MS;
-/** Calls that are shorter, or of unknown length, count as this long. */
+/** Shorter calls count as this long. */
 const MIN_CALL_MS = 40;
 
 /**
  * Requests at a replica, as a share of its slots, up to which it has room.
  * Reported loads lag, so a replica gets the next calls while those before them
- * are about to end.
+ * are about to end; of calls whose length nobody knows yet, none may be.
  */
 export function computeMaxRunningShare(
   { waiting }: PlacementRequest,
 ): number {
-  const expectedMs = Math.max(MIN_CALL_MS, waiting?.expectedMs ?? 0);
+  const knownMs = waiting?.expectedMs ?? 0;
+  if (knownMs === 0) return 1;
+  const expectedMs = Math.max(MIN_CALL_MS, knownMs);
   return 1 + LOAD_REPORT_LAG_MS / expectedMs;
 }
