Keep replicas that say they are brittle from falling over

What callers saw: replicas of a service turned requests away and fell over one after the other, for seconds each.

Each VM asked full replicas again and again, and counted at most what it was turned away itself.

Change: while replicas of a pool say so, VMs that decide for themselves divide its slots among each other by the lists that all have, with a few requests beyond them; an owner keeps the same total. Rejections go to all VMs: after one a replica gets nothing beyond its slots for a second, and nothing at all once it has rejected half of what it bears. A request waits at its VM for a quarter of its time at most, and is refused then.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -184,7 +184,14 @@
       const loads = formatLoads(part, this.#requester.listWaiting());
       sentLoads.set(key, loads);
       const isNew = loads !== (this.#lastSentLoads.get(key) ?? NO_LOADS) ||
-        [part.results, part.unreached, part.speeds, part.placements, part.reads]
+        [
+          part.results,
+          part.unreached,
+          part.rejections,
+          part.speeds,
+          part.placements,
+          part.reads,
+        ]
           .some((entries) => entries.length > 0);
       return { owners: vms, work: part, isNew };
     });
@@ -322,6 +329,7 @@
       placements: work.placements.filter(isIncluded),
       reads: work.reads.filter(isIncluded),
       limits: work.limits.filter(isIncluded),
+      rejections: work.rejections.filter(isIncluded),
       leaving: work.leaving.filter(isIncluded),
     };
   }
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -149,12 +149,14 @@
     if (signals.isLeaving) directory.noteLeaving(this.upstream);
     state.rateLimits.noteSignals(this.upstream, signals);
     state.backOffs.noteSignals(this.upstream, signals);
+    state.brittle.noteSignals(this.upstream, signals);
   }
 
   release(state: "done" | "failed" | "cancelled" | "unused"): void {
     if (this.#isReleased) return;
     this.#isReleased = true;
     this.#work.end();
+    this.#options.state.rooms.endFirstWait(this.#options.request.pool);
     if (state === "done") this.#addCallTime();
     if (!this.#isSameProcess()) return;
     const { health } = this.#options.state;
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -29,6 +29,8 @@
 import type { ReplicaDirectory } from "./replica_list.ts";
 
 const NO_REPLICA_RETRY_MS = 400;
+/** Share of its time that a request waits for room at brittle replicas. */
+const MAX_WAIT_SHARE = 0.25;
 /** Unreachable replicas that a datagram to an owner names at most. */
 const MAX_AVOIDED = 32;
 /** Time between the end of a wait and the arrival at the replica. */
@@ -136,7 +138,8 @@
     await this.#options.waitForFreshState();
     if (decision === "full") throw this.#createPoolFullError(request, needs);
     if (decision === "expired") throw this.#createExpiredError(request, needs);
-    const placement = decision ?? this.#choose(request, needs);
+    const placement = decision ??
+      await this.#chooseOrWait(request, options.signal);
     if (placement === undefined) throw this.#createRefusal(request, needs);
     if (decision === undefined) {
       this.#options.state.addSent(placement.replica);
@@ -150,6 +153,32 @@
     });
   }
 
+  /**
+   * Chooses a replica; lets the request wait a while where the replicas are
+   * brittle and this VM's slots are taken.
+   */
+  async #chooseOrWait(
+    request: LeaseRequest,
+    signal: AbortSignal,
+  ): Promise<Placement | undefined> {
+    const { clock, state } = this.#options;
+    const { pool, arrivedAt, deadlineAt, priority = 0 } = request;
+    const turn = { pool, priority, arrivedAt };
+    const until = clock.now() + MAX_WAIT_SHARE * (deadlineAt - clock.now());
+    while (true) {
+      const isFirst = !state.rooms.hasEarlier(turn);
+      const placement = isFirst
+        ? this.#choose(request, this.#buildNeeds(request))
+        : undefined;
+      if (placement !== undefined || !state.brittle.isPoolBrittle(pool)) {
+        return placement;
+      }
+      if (state.rooms.isFull || clock.now() >= until) return undefined;
+      await state.rooms.wait(turn);
+      if (signal.aborted) throw createCancelledError();
+    }
+  }
+
   #choose(
     request: LeaseRequest,
     needs: PlacementRequest,
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -6,6 +6,11 @@
  */
 import { toId, type VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
+import {
+  BrittleReplicas,
+  type BrittleReplicasOptions,
+  type RejectionEntry,
+} from "./brittle_replicas.ts";
 import { CallTimes } from "./call_times.ts";
 import {
   type PlacementEntry,
@@ -31,6 +36,7 @@
   TransportFailures,
   type UnreachedEntry,
 } from "./transport_failures.ts";
+import { RoomQueue } from "./room_queue.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
 
@@ -46,6 +52,7 @@
   placements: PlacementEntry[];
   reads: ReadEntry[];
   limits: RateLimitEntry[];
+  rejections: RejectionEntry[];
 }
 
 /** What the state needs to know of this VM's connections to replicas. */
@@ -68,6 +75,8 @@
   links?: PlacementLinksOptions;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
+  /** Omitted where no replica is brittle. */
+  brittle?: Omit<BrittleReplicasOptions, "clock" | "loads">;
   /** Omitted by a VM without a fleet. */
   rateLimits?: Omit<ReplicaRateLimitsOptions, "clock">;
 }
@@ -85,6 +94,13 @@
   onChange: () => {},
 };
 
+const NOT_BRITTLE: Omit<BrittleReplicasOptions, "clock" | "loads"> = {
+  vm: toId<VmId>("none"),
+  listReady: () => [],
+  getRole: () => ({ role: "equal", others: [] }),
+  onChange: () => {},
+};
+
 const NO_LINKS: PlacementLinksOptions = {
   random: SystemRandom.create(),
   listReady: () => [],
@@ -107,6 +123,8 @@
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
   readonly backOffs: ReplicaBackOffs;
+  readonly brittle: BrittleReplicas;
+  readonly rooms: RoomQueue;
   readonly links: ReplicaLinks;
   readonly checks: LinkChecks;
   readonly failures: TransportFailures;
@@ -114,7 +132,7 @@
   constructor(options: PlacementStateOptions) {
     const { clock, onUpdate, onEjected, onBackOff = () => {} } = options;
     const { slowStart = NO_WARM_UP, rateLimits = NO_FLEET } = options;
-    const { links = NO_LINKS } = options;
+    const { links = NO_LINKS, brittle = NOT_BRITTLE } = options;
     this.loads = ReplicaLoads.create(clock, onUpdate);
     this.health = ReplicaHealth.create(clock, (replica, forMs) => {
       this.slowStart.noteFailing(replica, forMs);
@@ -128,6 +146,12 @@
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
     this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
+    this.brittle = BrittleReplicas.create({
+      clock,
+      ...brittle,
+      loads: this.loads,
+    });
+    this.rooms = RoomQueue.create(clock);
     this.links = ReplicaLinks.create({ clock, ...links });
     this.checks = LinkChecks.create({ clock, ...links, links: this.links });
     this.failures = TransportFailures.create({
@@ -162,6 +186,7 @@
       placements: this.prefixes.takeUnsent(),
       reads: this.prefixes.takeUnsentPrefilled(),
       limits: this.rateLimits.listUpdates(),
+      rejections: this.brittle.takeUnsent(),
     };
   }
 
@@ -174,6 +199,7 @@
     this.prefixes.notePeerPlacements(update.placements);
     this.prefixes.notePeerPrefilled(update.reads);
     this.rateLimits.applyUpdates(vm, update.limits);
+    this.brittle.notePeers(update.rejections);
     for (const [replica, , prefillTokens] of update.placements) {
       const msPerToken = this.speeds.getMsPerToken(replica);
       this.prefills.addPrefill(replica, prefillTokens * msPerToken);
@@ -198,7 +224,8 @@
   /** Whether this VM may place one more request there now. */
   hasCapacity(replica: ListedReplica): boolean {
     return this.slowStart.hasCapacity(replica) &&
-      this.rateLimits.hasCapacity(replica);
+      this.rateLimits.hasCapacity(replica) &&
+      this.brittle.hasCapacity(replica);
   }
 
   /** Counts a request that this VM placed there. */
@@ -223,5 +250,6 @@
     this.rateLimits.dropUnlisted(isListed);
     this.backOffs.dropUnlisted(isListed);
     this.links.dropUnlisted(isListed);
+    this.brittle.dropUnlisted(isListed);
   }
 }
--- a/src/process/placement/replica_loads.ts
+++ b/src/process/placement/replica_loads.ts
@@ -163,6 +163,11 @@
     return addLoads(this.#own.get(replica) ?? NO_LOAD, peerLoad);
   }
 
+  /** Requests of this VM at `replica`. */
+  countOwn(replica: VmId): number {
+    return this.#own.get(replica)?.running ?? 0;
+  }
+
   /** This VM's own load, as reported to the others. */
   listOwn(): LoadEntry[] {
     return [...this.#own].map(([replica, load]) => [
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -59,6 +59,17 @@
         getFleet()?.announceNow();
       },
     },
+    brittle: {
+      vm: settings.vm,
+      listReady: (pool) => options.replicas.listReady(pool),
+      getRole,
+      onChange: (replica, maxRejectionsPerS) => {
+        log.info("replica_brittle", {
+          replica,
+          max_rejections_per_s: maxRejectionsPerS ?? "none",
+        });
+      },
+    },
     rateLimits: {
       getRole,
       countReachable: () => getFleet()?.listLive().length ?? 0,
--- a/src/request/upstream_signals.ts
+++ b/src/request/upstream_signals.ts
@@ -25,6 +25,13 @@
    * requests from this VM, in milliseconds; 0 if it requests no back-off.
    */
   backOffMs: number;
+  /** Whether the upstream had no room for the request. */
+  isRejected: boolean;
+  /**
+   * Rejections in a second above which the upstream falls over; undefined if it
+   * does not say so.
+   */
+  maxRejectionsPerS: number | undefined;
   /** Headers whose values are malformed or out of range. */
   unreadable: readonly UnreadableHeader[];
 }
@@ -43,6 +50,8 @@
   leaving: string;
   /** Seconds, in refusals for lack of capacity. */
   retryAfter: string;
+  /** Rejections in a second, as a decimal number. */
+  brittle: string;
 }
 
 /** The headers of engines and plain services. */
@@ -50,6 +59,7 @@
   rateLimit: "x-max-requests-per-second",
   leaving: "x-leaving",
   retryAfter: "retry-after",
+  brittle: "x-max-rejections-per-second",
 };
 
 interface AnswerHead {
@@ -101,6 +111,8 @@
     requestsPerS: isUnlimited ? Infinity : rateLimit,
     isLeaving,
     backOffMs: Math.min(requestedMs, MAX_BACK_OFF_MS),
+    isRejected: isRefusal && !answer.hasRun,
+    maxRejectionsPerS: read(names.brittle, parseDecimal),
     unreadable,
   };
 }
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -12,6 +12,8 @@
   type StandInCall,
 } from "../../standin/http_stand_in.ts";
 
+import type { ReplicaCapacity } from "./replica_capacity.ts";
+
 /** How a replica handles requests. */
 export type ReplicaMode =
   | "answer"
@@ -65,6 +67,8 @@
   mode: ReplicaMode = "answer";
   /** Headers added to all answers. */
   extraHeaders: Record<string, string> = {};
+  /** Unlimited where it is left out. */
+  capacity: ReplicaCapacity | undefined;
   /** Selects requests that crash the replica soon after their start. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
@@ -120,6 +124,16 @@
       sendJson(response, { status: 503, body: {}, headers });
       return;
     }
+    const admission = await this.capacity?.run() ?? "run";
+    if (admission === "down") {
+      response.destroy();
+      return;
+    }
+    if (admission === "rejected") {
+      const headers = { "x-not-executed": "1" };
+      sendJson(response, { status: 503, body: {}, headers });
+      return;
+    }
     this.ran.push(call);
     response.on("close", () => {
       if (!response.writableFinished) this.cancelled.push(requestId);
--- a/test/process/placement/replica_back_offs_test.ts
+++ b/test/process/placement/replica_back_offs_test.ts
@@ -14,6 +14,8 @@
       requestsPerS: undefined,
       isLeaving: false,
       backOffMs,
+      isRejected: false,
+      maxRejectionsPerS: undefined,
       unreadable: [],
     });
   return { clock, logged, backOffs, note };
--- a/test/process/placement/replica_rate_limits_test.ts
+++ b/test/process/placement/replica_rate_limits_test.ts
@@ -42,6 +42,8 @@
       requestsPerS,
       isLeaving: false,
       backOffMs: 0,
+      isRejected: false,
+      maxRejectionsPerS: undefined,
       unreadable: [],
     });
   return { limits, note, logged };
--- a/test/process/scheduler/lease_sync_test.ts
+++ b/test/process/scheduler/lease_sync_test.ts
@@ -62,6 +62,8 @@
     requestsPerS: 2,
     isLeaving: false,
     backOffMs: 0,
+    isRejected: false,
+    maxRejectionsPerS: undefined,
     unreadable: [],
   });
   slot.release("done", {
--- a/test/process/scheduler/local_upstream_limits_test.ts
+++ b/test/process/scheduler/local_upstream_limits_test.ts
@@ -15,6 +15,8 @@
     requestsPerS,
     isLeaving: false,
     backOffMs: 0,
+    isRejected: false,
+    maxRejectionsPerS: undefined,
     unreadable: [],
   });
 }
@@ -59,6 +61,8 @@
     requestsPerS: undefined,
     isLeaving: false,
     backOffMs: 3_000,
+    isRejected: false,
+    maxRejectionsPerS: undefined,
     unreadable: [],
   });
   applyLimit(limits, Infinity);
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -106,6 +106,7 @@
         loads: [],
         results,
         unreached: [],
+        rejections: [],
         speeds: [],
         placements: [],
         reads: [],
--- a/test/process/seeded_fleet/fleet_message_test.ts
+++ b/test/process/seeded_fleet/fleet_message_test.ts
@@ -38,6 +38,7 @@
       limits: [[REPLICA, 3.5, 12, 4]],
       leaving: [[REPLICA, 8]],
       unreached: [[REPLICA, 2]],
+      rejections: [[REPLICA, 5]],
     },
     sentAt: 1_234,
     confirmed: [toId("life"), 1_200],
@@ -59,9 +60,15 @@
   const decode = (changed: unknown[]) =>
     decodeMessage(Buffer.from(JSON.stringify(changed)));
   const { sentAt: _sentAt, confirmed: _confirmed, ...older } = heartbeat;
-  expect(decode([...values.slice(0, workIndex), work.slice(0, -3)])).toEqual({
+  expect(decode([...values.slice(0, workIndex), work.slice(0, -4)])).toEqual({
     ...older,
-    work: { ...heartbeat.work, limits: [], leaving: [], unreached: [] },
+    work: {
+      ...heartbeat.work,
+      limits: [],
+      leaving: [],
+      unreached: [],
+      rejections: [],
+    },
   });
   expect(decode(values.with(workIndex, [...work, "later"]))).toEqual(heartbeat);
   expect(decode([...values, "later"])).toEqual(heartbeat);
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -287,6 +287,7 @@
 const NO_WORK: WorkReport = {
   loads: [],
   unreached: [],
+  rejections: [],
   results: [],
   speeds: [],
   placements: [],
