--- a/test/platform/headers_test.ts
+++ b/test/platform/headers_test.ts
@@ -15,6 +15,8 @@
           requestsPerS,
           isLeaving: false,
           backOffMs: 0,
+          isRejected: false,
+          maxRejectionsPerS: undefined,
           unreadable: [],
         });
     }
@@ -43,6 +45,8 @@
         requestsPerS: undefined,
         isLeaving: false,
         backOffMs: 0,
+        isRejected: false,
+        maxRejectionsPerS: undefined,
         unreadable: [{ name: "server-limit", value }],
       });
     }
@@ -73,6 +77,19 @@
     expect(readSignals(200, refused)!.backOffMs).toBe(0);
   });
 
+  it("parses how many rejections a replica bears in a second", () => {
+    const brittle = { "server-brittle": "8" };
+    expect(readSignals(200, brittle)!.maxRejectionsPerS).toBe(8);
+    expect(readSignals(200, {})!.maxRejectionsPerS).toBeUndefined();
+    const rejection = { ...brittle, "x-not-executed": "1" };
+    expect(readSignals(503, rejection)!.isRejected).toBe(true);
+    expect(readSignals(503, rejection)!.maxRejectionsPerS).toBe(8);
+    expect(readSignals(503, brittle)!.isRejected).toBe(false);
+    const unreadable = readSignals(200, { "server-brittle": "much" })!;
+    expect(unreadable.maxRejectionsPerS).toBeUndefined();
+    expect(unreadable.unreadable).toHaveLength(1);
+  });
+
   it("reports and ignores an invalid retry-after and caps a huge one", () => {
     for (const value of ["", "-3", "soon", "Thu, 03 Dec 2026 09:00:00 GMT"]) {
       const signals = readSignals(503, { "retry-after": value })!;
