Wait on for a replica that is silent but there

What callers saw: a sound replica that says nothing for a second and goes on had its resumable streams cut off after that second and its idempotent calls after half of their time; all were run again elsewhere and took from the retry budget.

Cause: one second without a byte counted as death, and an extension was granted as a whole second, so a caller could leave before a retry came.

Change: when a time-out on silence has passed, the replica's connection is tested. While it accepts connections it may be silent for 1.5 s in all, if a retry after that still has time; one that accepts none is given up at the next look, a quarter of a second later.

--- a/src/connection/call_timer.ts
+++ b/src/connection/call_timer.ts
@@ -29,8 +29,8 @@
   readonly #onTimeout: (kind: TimeoutKind) => void;
   readonly #deadline: number;
   #waitingSince: number | undefined;
-  /** When the silence timeout was last extended; it restarts from there. */
-  #extendedAt = -Infinity;
+  /** End of the last extension of the silence timeout. */
+  #extendedUntil = -Infinity;
   #hasByte = false;
   #checkAt = Infinity;
   #cancelTimer: CancelTimer | undefined;
@@ -95,13 +95,17 @@
     // The timer is set to this very sum. Comparing another expression, such
     // as `now - start`, could round to just below the timeout, and the timer
     // would be rearmed with 0 ms in an endless loop.
-    const expiresAt = this.#computeSilenceStart(now) + timeoutMs;
-    if (now >= expiresAt && this.#timeouts.canExtendTimeout?.() === true) {
-      this.#extendedAt = now;
-      this.#startTimer(Math.min(this.#deadline, now + timeoutMs), now);
-      return;
-    }
+    const expiresAt = Math.max(
+      this.#extendedUntil,
+      (this.#waitingSince ?? now) + timeoutMs,
+    );
     if (now >= expiresAt) {
+      const extensionMs = this.#timeouts.computeExtensionMs?.() ?? 0;
+      if (extensionMs > 0) {
+        this.#extendedUntil = now + extensionMs;
+        this.#startTimer(Math.min(this.#deadline, this.#extendedUntil), now);
+        return;
+      }
       this.#onTimeout(
         this.#hasByte ? "between_bytes_timeout" : "first_byte_timeout",
       );
@@ -110,10 +114,6 @@
     this.#startTimer(Math.min(this.#deadline, expiresAt), now);
   }
 
-  #computeSilenceStart(now: number): number {
-    return Math.max(this.#waitingSince ?? now, this.#extendedAt);
-  }
-
   #startTimer(checkAt: number, now: number): void {
     this.#cancelTimer?.();
     this.#checkAt = checkAt;
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -13,10 +13,10 @@
   betweenBytesMs: number;
   totalMs: number;
   /**
-   * Called when a timeout on silence has passed: true grants the same time
-   * again. It does not extend the total timeout.
+   * Called when a timeout on silence has passed: the time to wait on, in
+   * milliseconds; 0 to give up. It does not extend the total timeout.
    */
-  canExtendTimeout?: () => boolean;
+  computeExtensionMs?: () => number;
 }
 
 /** One call to one upstream. */
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -25,6 +25,8 @@
  * which come between the chunks of a prefill and at most double it.
  */
 const MAX_WAIT_RATIO = 2;
+/** A sound replica may send nothing for a second or so, and then go on. */
+const MAX_SILENCE_MS = 1_500;
 
 /** Options of `PlacedLease`. */
 export interface PlacedLeaseOptions {
@@ -118,6 +120,17 @@
     return isExpected || state.liveness.isAlive(this.upstream);
   }
 
+  /** Checks at the same time whether the replica is there at all. */
+  override computeSilenceLeftMs(): number {
+    const { clock, state } = this.#options;
+    if (!this.#isSameProcess()) return 0;
+    if (state.links.isUnreachable(this.upstream)) return 0;
+    void state.checks.check(this.upstream);
+    const activeAt = state.liveness.getActiveAt(this.upstream);
+    const silentSince = Math.max(this.#grantedAt, activeAt);
+    return Math.max(0, silentSince + MAX_SILENCE_MS - clock.now());
+  }
+
   noteProgress(progress: LeaseProgress): void {
     if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.liveness.note(this.upstream);
--- a/src/process/placement/replica_liveness.ts
+++ b/src/process/placement/replica_liveness.ts
@@ -39,8 +39,12 @@
 
   /** Whether data from it arrived recently. */
   isAlive(replica: VmId): boolean {
-    const activeAt = this.#activeAt.get(replica) ?? -Infinity;
-    return this.#clock.now() - activeAt < ALIVE_MS;
+    return this.#clock.now() - this.getActiveAt(replica) < ALIVE_MS;
+  }
+
+  /** When data last arrived from it, as `Clock.now()`; -Infinity for never. */
+  getActiveAt(replica: VmId): number {
+    return this.#activeAt.get(replica) ?? -Infinity;
   }
 
   /** Forgets replicas that are no longer listed. */
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -103,6 +103,14 @@
     return false;
   }
 
+  /**
+   * Time for which the upstream may stay silent on all its calls before it
+   * counts as failed, in milliseconds; 0 if that has passed.
+   */
+  computeSilenceLeftMs(): number {
+    return 0;
+  }
+
   /** The state that `isValid` is judged by, for the log. */
   formatState(): string | undefined {
     return undefined;
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -16,9 +16,9 @@
   checkCanContinue,
   checkQuarantine,
   checkRetry,
+  computeExtensionMs,
   createRefusal,
   FAILED_RETRY_AFTER_MS,
-  isWorthWaiting,
 } from "./retry_rules.ts";
 import { PeerRefusalError } from "./forwarded_request.ts";
 import { type AttemptFailure, toFailure } from "./attempt_failure.ts";
@@ -217,7 +217,7 @@
       freshConnection: !execution.options.idempotent,
       timeouts: {
         ...computeTimeouts(execution, work),
-        canExtendTimeout: () => isWorthWaiting(execution, work, lease),
+        computeExtensionMs: () => computeExtensionMs(execution, work, lease),
       },
       signal: cancel.signal,
       canSend: () => execution.options.isClaimValid() && lease.isValid(),
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -11,6 +11,10 @@
 
 /** Limit on failed attempts of one request, including the first. */
 const MAX_FAILED_ATTEMPTS = 4;
+/** Time that an attempt after a tolerated silence needs. */
+const MIN_RETRY_MS = 300;
+/** Whether to wait on for a silent attempt is decided this often. */
+const MAX_EXTENSION_MS = 250;
 /** Retry-after that callers receive when an attempt failed, in milliseconds. */
 export const FAILED_RETRY_AFTER_MS = 1_000;
 
@@ -96,8 +100,9 @@
 }
 
 /**
- * Whether to keep waiting for a silent attempt: its replica is still working on
- * other requests, or there is no budget for a retry.
+ * Time to wait on for a silent attempt, in milliseconds; 0 to give up. It is
+ * waited for while its replica works on other requests, or may go on soon, or
+ * there is no budget for a retry.
  *
  * Without this rule, a replica with a long queue is treated as failed: waiting
  * requests are cancelled and prefilled again at another replica that is just as
@@ -105,13 +110,19 @@
  * budget is spent before a real failure needs it. Without budget, cancelling
  * the attempt would only lose the answer.
  */
-export function isWorthWaiting(
+export function computeExtensionMs(
   execution: RequestExecution,
   work: UpstreamWork,
   lease: HeldLease,
-): boolean {
-  return lease.isUpstreamAlive() ||
+): number {
+  const isWorthWaiting = lease.isUpstreamAlive() ||
     !execution.services.retryBudget.hasRetry(work.pool.name);
+  if (isWorthWaiting) return MAX_EXTENSION_MS;
+  const silenceMs = lease.computeSilenceLeftMs();
+  const now = execution.services.environment.clock.now();
+  const leftMs = execution.deadlineAt - now - silenceMs;
+  // A retry after the silence has to have time to answer.
+  return leftMs < MIN_RETRY_MS ? 0 : Math.min(silenceMs, MAX_EXTENSION_MS);
 }
 
 /** Creates a refusal whose outcome covers all attempts of the execution. */
--- a/test/connection/call_timer_test.ts
+++ b/test/connection/call_timer_test.ts
@@ -45,7 +45,7 @@
     firstByteMs: 1_000,
     betweenBytesMs: 1_000,
     totalMs: 60_000,
-    canExtendTimeout: () => canExtendTimeout,
+    computeExtensionMs: () => canExtendTimeout ? 1_000 : 0,
   }, { onTimeout: (kind) => expired.push([kind, clock.now()]) });
   await clock.run(2_500);
   expect(expired).toEqual([]);
@@ -62,7 +62,7 @@
     firstByteMs: 400,
     betweenBytesMs: 400,
     totalMs: 1_000,
-    canExtendTimeout: () => true,
+    computeExtensionMs: () => 1_000,
   }, { onTimeout: (kind) => expired.push(kind) });
   await clock.run(1_001);
   timer.stop();
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -69,6 +69,7 @@
   extraHeaders: Record<string, string> = {};
   /** Unlimited where it is left out. */
   capacity: ReplicaCapacity | undefined;
+  eventGapMs = EVENT_GAP_MS;
   /** Selects requests that crash the replica soon after their start. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
@@ -86,6 +87,8 @@
   }[] = [];
   /** Ids of requests that the router disconnected before the answer's end. */
   readonly cancelled: string[] = [];
+  /** Resolves when the replica may send bytes again. */
+  #silence: Promise<unknown> = Promise.resolve();
   /** Connections that have carried an answer. */
   readonly #answered = new Set<unknown>();
   #hasCrashed = false;
@@ -99,6 +102,11 @@
     return new ReplicaStandIn(id);
   }
 
+  /** Sends nothing for `ms`, then goes on with all it runs. */
+  startSilence(ms: number): void {
+    this.#silence = sleep(ms);
+  }
+
   get hasCrashed(): boolean {
     return this.#hasCrashed;
   }
@@ -151,6 +159,7 @@
       return;
     }
     if (this.mode === "slow") await sleep(SLOW_MS);
+    await this.#silence;
     const { socket } = response;
     if (this.mode === "extra_late" && this.#answered.has(socket!)) {
       socket!.write(EXTRA_ANSWER);
@@ -199,9 +208,10 @@
         response.destroy();
         return;
       }
+      await this.#silence;
       response.write(`id: ${id}\ndata: ${this.id}\n\n`);
       const isPause = this.mode === "pause" && id === last + BROKEN_AFTER;
-      await sleep(isPause ? PAUSE_MS : EVENT_GAP_MS);
+      await sleep(isPause ? PAUSE_MS : this.eventGapMs);
     }
     response.end();
   }
