Soak VMs without links, silent and brittle replicas

The soak never cut a VM from its replicas: relays stand before replicas and the store, not between one VM and all replicas. A module that is loaded before the daemon now cuts its connections in three ways, as a file says; one to all but one VM at a time, in series, beside all other faults; at size one to seven eighths (--cut-gap-ms). Callers of VMs that are cut must be served two thirds as often as the others from three seconds on. Replicas also fall silent and are brittle for a while.

Limits and back-offs bind the VM that sends.

--- a/test/soak/at_size/at_size_report.ts
+++ b/test/soak/at_size/at_size_report.ts
@@ -44,6 +44,8 @@
   leaves: number;
   sent: number;
   statuses: Record<string, number>;
+  /** Cuts under which callers of the VMs concerned were served far worse. */
+  badCuts: string[];
   faults: Record<string, number>;
   maxAfterMs: number;
   late: LateArrival[];
@@ -72,6 +74,7 @@
     leaves: leaves.length,
     sent: fleet.sent,
     statuses: fleet.statuses,
+    badCuts: fleet.listBadCuts(),
     faults: fleet.faults,
     maxAfterMs: Math.round(
       Math.max(0, ...afterLeaving.map(({ afterMs }) => afterMs)),
--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -16,6 +16,12 @@
 import { sendCall } from "../../platform/test_call.ts";
 import { Relay, type RelayMode } from "../../support/relay.ts";
 import { SOAK_ROUTES } from "../soak_callers.ts";
+import { LINK_CUTS } from "../../support/cuttable_links.ts";
+import {
+  LinkControl,
+  listBadCuts,
+  type ObservedRequest,
+} from "../link_control.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
 import { ProcessorQuota } from "./processor_quota.ts";
 import { type SoakPorts, SoakVm } from "../soak_vm.ts";
@@ -39,6 +45,8 @@
 const CENTRAL_PAUSE_MS = 15_000;
 /** Time until the VMs of a herd are started again. */
 const HERD_DOWN_MS = 2_000;
+const MAX_CUT_EIGHTHS = 7;
+const CUT_MS = 6_000;
 const RELAY_MODES: RelayMode[] = ["swallow", "swallow_back", "refuse"];
 
 /** Options of a fleet. */
@@ -52,6 +60,8 @@
   herdGapMs: number;
   /** Share of the VMs that are killed at once. */
   herdShare: number;
+  /** Time between two cuts of the links of some VMs; 0 for none. */
+  cutGapMs: number;
   /** Share of its time for which a VM runs; 1 for all of it. */
   quotaShare: number;
 }
@@ -60,6 +70,7 @@
 export interface FleetPlace {
   directory: string;
   children: ChildProcessGroup;
+  links: LinkControl;
 }
 
 interface Disturbance {
@@ -81,6 +92,7 @@
     keepAlive: true,
     maxSockets: MAX_CONNECTIONS_PER_VM,
   });
+  readonly #observed: ObservedRequest[] = [];
   #sent = 0;
 
   constructor(options: FleetAtSizeOptions, place: FleetPlace) {
@@ -113,6 +125,7 @@
       this.#sendUntil(until + settleMs),
       this.#applyFaultsUntil(until),
       this.#destroyHerdsUntil(until),
+      this.#cutLinksUntil(until),
       this.#pauseCentralVms(),
     ]);
     quota.end();
@@ -121,10 +134,12 @@
 
   /** Whether a VM was undisturbed for a while before a time of day. */
   isInTouch(vm: SoakVm, timeOfDay: number): boolean {
-    const at = timeOfDay - performance.timeOrigin;
-    return !this.#disturbances.get(vm)!.some(({ from, to }) =>
-      from <= at && to >= at - STABLE_WINDOW_MS
-    );
+    return !this.#isDisturbed(vm, timeOfDay - performance.timeOrigin);
+  }
+
+  /** Cuts under which callers of the VMs concerned were served far worse. */
+  listBadCuts(): string[] {
+    return listBadCuts(this.#place.links.cuts, this.#observed);
   }
 
   async close(): Promise<void> {
@@ -132,6 +147,12 @@
     for (const relay of this.#relays) await relay.close();
   }
 
+  #isDisturbed(vm: SoakVm, at: number): boolean {
+    return this.#disturbances.get(vm)!.some(({ from, to }) =>
+      from <= at && to >= at - STABLE_WINDOW_MS
+    );
+  }
+
   async #addVms(storePort: number): Promise<void> {
     const names = ["callers", "readiness", "state", "directory", "peers"];
     const free = await findFreePorts(names.length);
@@ -179,7 +200,14 @@
       dueAt = Math.max(dueAt + gapMs, performance.now() - MAX_BACKLOG_MS);
       const vm = this.#random.pick(this.vms)!;
       const { path } = this.#random.pick(SOAK_ROUTES)!;
+      const sentAt = performance.now();
       void this.#send(vm, path).then((status) => {
+        this.#observed.push({
+          vm: vm.name,
+          sentAt,
+          isServed: status === 200,
+          isDisturbed: this.#isDisturbed(vm, sentAt),
+        });
         this.statuses[status] = (this.statuses[status] ?? 0) + 1;
       });
       await sleep(Math.max(0, dueAt - performance.now()));
@@ -236,6 +264,20 @@
     await Promise.all(herds);
   }
 
+  /** Cuts the links of one to seven in eight VMs to all replicas. */
+  async #cutLinksUntil(until: number): Promise<void> {
+    const { cutGapMs, vms } = this.#options;
+    if (cutGapMs === 0) return;
+    while (performance.now() + cutGapMs < until) {
+      await sleep(cutGapMs);
+      const eighths = 1 + this.#random.nextInt(MAX_CUT_EIGHTHS);
+      const names = this.vms.map(({ name }) => name);
+      const cut = this.#random.pickSample(names, Math.ceil(vms * eighths / 8));
+      this.faults["links"] = (this.faults["links"] ?? 0) + 1;
+      await this.#place.links.cut(cut, this.#random.pick(LINK_CUTS)!, CUT_MS);
+    }
+  }
+
   /** Kills a share of the VMs at the same moment and starts them again. */
   async #destroyHerd(): Promise<void> {
     const running = this.vms.filter(({ isEndExpected }) => !isEndExpected);
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -37,6 +37,11 @@
     describe: "Time between two herds of VMs that are killed; 0 for none",
   })
   .option("herd-share", { type: "number", default: 0.55 })
+  .option("cut-gap-ms", {
+    type: "number",
+    default: 0,
+    describe: "Time between two cuts of all links of some VMs; 0 for none",
+  })
   .option("quota-share", {
     type: "number",
     default: 1,
@@ -61,5 +66,7 @@
   `${report.late.length} late arrivals, ${broken.length} from VMs in touch; ` +
     `${report.lateVms.length} VMs in touch knew too late\n`,
 );
-if (broken.length + report.lateVms.length > 0) process.exitCode = 1;
+for (const cut of report.badCuts) process.stdout.write(`BROKEN ${cut}\n`);
+const count = broken.length + report.lateVms.length + report.badCuts.length;
+if (count > 0) process.exitCode = 1;
 process.exit();
--- a/test/soak/at_size/run_at_size.ts
+++ b/test/soak/at_size/run_at_size.ts
@@ -13,6 +13,7 @@
   ChildProcessGroup,
 } from "../../../demo/child_process_group.ts";
 import { type AtSizeReport, buildReport } from "./at_size_report.ts";
+import { LinkControl } from "../link_control.ts";
 import { FleetAtSize, type FleetAtSizeOptions } from "./fleet_at_size.ts";
 import type { ObserverOptions, ObserverReport } from "./observer.ts";
 
@@ -32,7 +33,8 @@
 export async function runAtSize(options: AtSizeOptions): Promise<AtSizeReport> {
   const directory = mkdtempSync(join(tmpdir(), "persimmonslip-size-"));
   const children = ChildProcessGroup.create(directory);
-  const fleet = FleetAtSize.create(options, { directory, children });
+  const links = await LinkControl.create(directory);
+  const fleet = FleetAtSize.create(options, { directory, children, links });
   const reportFile = join(directory, "observed.json");
   try {
     const line = await children.startAndReadLine({
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -104,6 +104,9 @@
       leaving: fleet.leaving.list(),
       listedLeaving: fleet.leaving.listListed(),
       backOffs: fleet.backOffs.list(),
+      senders: fleet.listSenders(),
+      cuts: fleet.links.cuts,
+      falls: fleet.brittle.listFalls(),
       isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
       isStoreDisturbedFor: (vm, from, to) =>
         fleet.isStoreDisturbedFor(vm, from, to),
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -17,6 +17,8 @@
 import { Relay } from "../support/relay.ts";
 import { POISON_BODY } from "./soak_callers.ts";
 import { SoakBackOffs } from "./soak_back_offs.ts";
+import { LinkControl } from "./link_control.ts";
+import { SoakBrittleness } from "./soak_brittleness.ts";
 import { SoakLeaving } from "./soak_leaving.ts";
 import { SoakLimits } from "./soak_limits.ts";
 import type { Fault } from "./soak_plan.ts";
@@ -24,6 +26,7 @@
 
 /** A key that every configuration accepts. */
 export const PERMANENT_KEY = "key-standing";
+const FORWARDED_LINE = /request_id=(\S+) step=forwarded .*?peer=(\S+)/;
 const DRAIN_GRACE_MS = 4_000;
 /** Delay before a crashed replica is replaced. */
 const REPLACEMENT_DELAY_MS = 1_000;
@@ -54,6 +57,7 @@
   readonly limits = SoakLimits.create();
   readonly leaving = SoakLeaving.create();
   readonly backOffs = SoakBackOffs.create();
+  readonly brittle = SoakBrittleness.create();
   /** When each key that changes was first published. */
   readonly published = new Map<string, number>();
   readonly #store = StoreStandIn.create();
@@ -64,6 +68,7 @@
   readonly #crashed: ReplicaStandIn[] = [];
   /** When a fault of the store, or of one VM's relay to it, began or ended. */
   readonly #storeFaults: { at: number; vm: string | undefined }[] = [];
+  #links: LinkControl | undefined;
   #version = 1;
   #key = "key-1";
   #isClosed = false;
@@ -77,6 +82,7 @@
     options: { vms: number; replicas: number },
   ): Promise<SoakFleet> {
     const fleet = new SoakFleet();
+    fleet.#links = await LinkControl.create(fleet.#directory);
     await fleet.#store.start();
     fleet.#announceConfiguration();
     for (let index = 1; index <= options.replicas; index++) {
@@ -96,6 +102,20 @@
     return last === undefined ? [this.#key] : [this.#key, last.key];
   }
 
+  /** The links of the VMs to the replicas. */
+  get links(): LinkControl {
+    return this.#links!;
+  }
+
+  /** The VM that each request was passed on to last, by the VMs' logs. */
+  listSenders(): Map<string, string> {
+    const lines = this.vms.flatMap((vm) => vm.readLog());
+    return new Map(lines.flatMap((line) => {
+      const [, id, vm] = FORWARDED_LINE.exec(line) ?? [];
+      return id === undefined || vm === undefined ? [] : [[id, vm]];
+    }));
+  }
+
   /** Counts the runs of each request by its id. */
   countRuns(): Map<string, number> {
     const counts = new Map<string, number>();
@@ -179,6 +199,18 @@
         await sleep(forMs);
         end();
       })
+      .with({ kind: "links" }, ({ vms, how, forMs }) => {
+        const names = vms.map((index) => this.vms[index]!.name);
+        return this.links.cut(names, how, forMs);
+      })
+      .with({ kind: "replica_silent" }, ({ replica, forMs }) => {
+        this.replicas[replica]!.standIn.startSilence(forMs);
+      })
+      .with({ kind: "replica_brittle" }, async ({ replica, forMs }) => {
+        const end = this.brittle.start(this.replicas[replica]!.standIn);
+        await sleep(forMs);
+        end();
+      })
       .with({ kind: "store_way" }, async ({ vm, mode, forMs }) => {
         const { name } = this.vms[vm]!;
         this.#noteStoreFault(name);
@@ -260,6 +292,7 @@
         ports,
         seeds,
         storePort: relay.port,
+        links: this.links,
         drainGraceMs: DRAIN_GRACE_MS,
         directory: this.#directory,
         children: this.#children,
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
-import type { RevokedKey } from "./soak_fleet.ts";
+import { listBadCuts, type RecordedCut } from "./link_control.ts";
+import { PERMANENT_KEY, type RevokedKey } from "./soak_fleet.ts";
 import { findRepeat, type RequestedBackOff } from "./soak_back_offs.ts";
 import {
   findLateArrival,
@@ -43,7 +44,9 @@
     | "a replica gets no more than its rate limit"
     | "a leaving replica gets no new requests"
     | "a replica that left the list gets no requests"
-    | "a VM respects a requested back-off";
+    | "a VM respects a requested back-off"
+    | "a VM without links to replicas serves like the others"
+    | "a brittle replica does not fall over";
   detail: string;
 }
 
@@ -63,6 +66,15 @@
   listedLeaving: readonly ListedLeaving[];
   /** Back-offs that replicas requested. */
   backOffs: readonly RequestedBackOff[];
+  /**
+   * The VM that sent a request to replicas, where it is not the one that the
+   * caller reached.
+   */
+  senders: ReadonlyMap<string, string>;
+  /** Cuts of all links of some VMs. */
+  cuts: readonly RecordedCut[];
+  /** Brittle times with too many falls. */
+  falls: readonly string[];
   /** Whether a VM may have been unable to read the store in that time. */
   isStoreDisturbed: (from: number, to: number) => boolean;
   /** The same for one VM, without time to recover after `to`. */
@@ -81,12 +93,42 @@
     ...checkKey(request, record),
     ...checkTime(request, record),
   ]);
-  return [...broken, ...checkPoison(record), ...checkSignals(record)];
+  return [
+    ...broken,
+    ...checkPoison(record),
+    ...checkSignals(record),
+    ...checkCuts(record),
+    ...record.falls.map((detail) => ({
+      promise: "a brittle replica does not fall over" as const,
+      detail,
+    })),
+  ];
+}
+
+function checkCuts({ cuts, requests }: SoakRecord): Violation[] {
+  const observed = requests
+    .filter(({ isPoison, key }) => !isPoison && key === PERMANENT_KEY)
+    .map(({ vm, sentAt, isDisturbed, status, isWhole }) => ({
+      vm,
+      sentAt,
+      isDisturbed,
+      isServed: status === 200 && isWhole,
+    }));
+  return listBadCuts(cuts, observed).map((detail) => ({
+    promise: "a VM without links to replicas serves like the others" as const,
+    detail,
+  }));
 }
 
 /** Checks that VMs respected the limits, notices and back-offs of replicas. */
 function checkSignals(record: SoakRecord): Violation[] {
-  const requests = new Map(record.requests.map((each) => [each.id, each]));
+  // Limits and notices bind the VM that sends.
+  const requests = new Map(
+    record.requests.map((each) => [
+      each.id,
+      { ...each, vm: record.senders.get(each.id) ?? each.vm },
+    ]),
+  );
   const options = { ...record, requests };
   return [
     ...record.limits.map((limit) => ({
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -1,3 +1,4 @@
+import { listBadCuts } from "./link_control.ts";
 import { describe, expect, it } from "vitest";
 import { SOAK_ROUTES, type SoakRequest } from "./soak_callers.ts";
 import { listViolations, type SoakRecord } from "./soak_oracle.ts";
@@ -31,6 +32,9 @@
     revoked: [],
     published: new Map([["key-2", 500]]),
     limits: [],
+    senders: new Map(),
+    cuts: [],
+    falls: [],
     leaving: [],
     listedLeaving: [],
     backOffs: [],
@@ -265,3 +269,33 @@
     expect(checkRepeats(times, { isDisturbed: true })).toEqual([]);
   });
 });
+
+describe("a cut of some VMs' links", () => {
+  const cut = {
+    vms: new Set(["vm-1"]),
+    how: "reset" as const,
+    from: 0,
+    to: 6_000,
+  };
+  const observe = (vm: string, served: number, failed: number) =>
+    Array.from({ length: served + failed }, (_, index) => ({
+      vm,
+      sentAt: 4_000,
+      isServed: index < served,
+      isDisturbed: false,
+    }));
+
+  it("is violated by callers served far worse than the others", () => {
+    const others = observe("vm-2", 100, 0);
+    expect(listBadCuts([cut], [...observe("vm-1", 0, 30), ...others]))
+      .toHaveLength(1);
+    expect(listBadCuts([cut], [...observe("vm-1", 30, 0), ...others]))
+      .toEqual([]);
+  });
+
+  it("does not count in its first three seconds", () => {
+    const early = [...observe("vm-1", 0, 30), ...observe("vm-2", 100, 0)]
+      .map((each) => ({ ...each, sentAt: 2_000 }));
+    expect(listBadCuts([cut], early)).toEqual([]);
+  });
+});
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { SeededRandom } from "../../src/process/random.ts";
+import { LINK_CUTS, type LinkCut } from "../support/cuttable_links.ts";
 import type { RelayMode } from "../support/relay.ts";
 import type { ReplicaMode } from "../platform/replica_stand_in.ts";
 import type { StoreMode } from "../platform/store_stand_in.ts";
@@ -21,6 +22,14 @@
 const SIGNAL_SEED = 1_000_000_007;
 /** So do replicas that leave for long. */
 const LEAVING_SEED = 2_000_000_011;
+/** So do cuts of all links of some VMs, silences and brittle replicas. */
+const LINKS_SEED = 3_000_000_019;
+const MAX_LINKS_GAP_MS = 6_000;
+const LINK_CUT_SHARE = 0.5;
+const MIN_CUT_MS = 1_000;
+const MAX_CUT_MS = 7_000;
+const MIN_SILENCE_MS = 500;
+const MAX_SILENCE_MS = 1_300;
 /** One configuration in this many revokes a key. */
 const REVOKING_ONE_IN = 3;
 
@@ -62,6 +71,9 @@
   }
   | { kind: "replica_says_leaving"; replica: number; forMs: number }
   | { kind: "replica_backs_off"; replica: number; forS: number; forMs: number }
+  | { kind: "links"; vms: number[]; how: LinkCut; forMs: number }
+  | { kind: "replica_silent"; replica: number; forMs: number }
+  | { kind: "replica_brittle"; replica: number; forMs: number }
   | { kind: "store_way"; vm: number; mode: RelayMode; forMs: number }
   | { kind: "store"; mode: StoreMode; forMs: number }
   | { kind: "store_forgets" }
@@ -101,7 +113,13 @@
     MAX_SIGNAL_GAP_MS,
     pickLeaving,
   );
-  return [...faults, ...signals, ...leaves]
+  const links = buildSeries(
+    SeededRandom.create(options.seed + LINKS_SEED),
+    options,
+    MAX_LINKS_GAP_MS,
+    pickLinkFault,
+  );
+  return [...faults, ...signals, ...leaves, ...links]
     .toSorted((left, right) => left.at - right.at);
 }
 
@@ -129,6 +147,33 @@
   };
 }
 
+/** Picks VMs whose links are cut, or a replica that is silent or brittle. */
+function pickLinkFault(random: SeededRandom, options: PlanOptions): Fault {
+  const replica = random.nextInt(options.replicas);
+  const vms = Array.from({ length: options.vms }, (_, index) => index);
+  // At least one VM is left.
+  const count = 1 + random.nextInt(Math.max(1, options.vms - 1));
+  const faults: Fault[] = [
+    {
+      kind: "links",
+      vms: random.pickSample(vms, count),
+      how: random.pick(LINK_CUTS)!,
+      forMs: MIN_CUT_MS + random.nextInt(MAX_CUT_MS - MIN_CUT_MS),
+    },
+    {
+      kind: "replica_silent",
+      replica,
+      forMs: MIN_SILENCE_MS + random.nextInt(MAX_SILENCE_MS - MIN_SILENCE_MS),
+    },
+    {
+      kind: "replica_brittle",
+      replica,
+      forMs: MIN_SIGNAL_MS + random.nextInt(MAX_SIGNAL_MS - MIN_SIGNAL_MS),
+    },
+  ];
+  return random.next() < LINK_CUT_SHARE ? faults[0]! : random.pick(faults)!;
+}
+
 /** Picks a signal that a replica sends in its answers. */
 function pickSignal(random: SeededRandom, options: PlanOptions): Fault {
   const replica = random.nextInt(options.replicas);
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -9,6 +9,7 @@
 const CHECKED_MS = 8_000;
 const RELOAD_AT_START_SEED = 217;
 const LISTED_ANEW_SEED = 742;
+const LOST_LINKS_SEED = 543;
 
 describe("the daemon under external faults", () => {
   beforeAll(async () => {
@@ -51,4 +52,17 @@
     });
     expect(report.broken, report.logs).toEqual([]);
   });
+
+  // Guards against VMs that refuse requests because they have lost their links to
+  // all replicas, while others serve.
+  it("violates no guarantee when VMs lose their links to replicas", async () => {
+    const report = await runSoak({
+      seed: LOST_LINKS_SEED,
+      forMs: 18_000,
+      vms: 8,
+      replicas: 6,
+      callers: 24,
+    });
+    expect(report.broken, report.logs).toEqual([]);
+  });
 });
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -12,6 +12,8 @@
   readLogTail,
 } from "../../demo/child_process_group.ts";
 
+import type { LinkControl } from "./link_control.ts";
+
 const PROGRAM = "target/persimmonslip-platform.js";
 const SETTINGS_VARIABLE = "PERSIMMONSLIP_SETTINGS";
 
@@ -32,6 +34,8 @@
   seeds: string[];
   storePort: number;
   drainGraceMs: number;
+  /** Omitted where the links to replicas are never cut. */
+  links?: LinkControl;
   /** `dc-1` by default. */
   dataCentre?: string;
   directory: string;
@@ -84,7 +88,7 @@
   }
 
   start(): void {
-    const { name, directory, children } = this.#options;
+    const { name, directory, children, links, storePort } = this.#options;
     const file = join(directory, `${name}.json`);
     writeFileSync(file, JSON.stringify(this.#buildSettings()));
     this.isEndExpected = false;
@@ -94,8 +98,13 @@
       : readFileSync(this.#child.logFile, "utf8").length;
     this.#child = children.start({
       name,
-      args: [PROGRAM],
-      environment: { [SETTINGS_VARIABLE]: file },
+      args: links === undefined
+        ? [PROGRAM]
+        : ["--import", links.preload, PROGRAM],
+      environment: {
+        [SETTINGS_VARIABLE]: file,
+        ...links?.buildEnvironment(name, storePort),
+      },
     });
   }
 
--- a/test/support/cuttable_links.ts
+++ b/test/support/cuttable_links.ts
@@ -15,8 +15,11 @@
   /** Open connections live on, new ones are refused. */
   | "refuse_new";
 
+/** All ways to lose connections. */
+export const LINK_CUTS: readonly LinkCut[] = ["reset", "silent", "refuse_new"];
+
 /** A port of loopback without a listener. */
-const CLOSED_PORT = 1;
+export const CLOSED_PORT = 1;
 
 /** Opens connections, and cuts them like a network. */
 export class CuttableLinks {
@@ -32,20 +35,31 @@
 
   readonly open: OpenConnection = (options) => {
     const { port } = options;
-    if (this.#isCut(port) && this.#cut === "silent") return new Socket();
-    if (this.#isCut(port)) return connect({ ...options, port: CLOSED_PORT });
+    const cut = this.getCut(port);
+    if (cut === "silent") return new Socket();
+    if (cut !== undefined) return connect({ ...options, port: CLOSED_PORT });
     const socket = connect(options);
-    this.#sockets.set(socket, port);
-    socket.on("close", () => this.#sockets.delete(socket));
+    this.add(socket, port);
     return socket;
   };
 
+  /** Adds an open connection that a cut applies to. */
+  add(socket: Socket, port: number): void {
+    this.#sockets.set(socket, port);
+    socket.on("close", () => this.#sockets.delete(socket));
+  }
+
+  /** How new connections to `port` are cut; undefined where they are not. */
+  getCut(port: number): LinkCut | undefined {
+    return this.#ports?.has(port) ?? true ? this.#cut : undefined;
+  }
+
   /** Cuts the links to the replicas at `ports`, by default to all. */
   cut(cut: LinkCut, ports?: readonly number[]): void {
     this.#cut = cut;
     this.#ports = ports && new Set(ports);
     for (const [socket, port] of this.#sockets) {
-      if (!this.#isCut(port)) continue;
+      if (this.getCut(port) === undefined) continue;
       if (cut === "reset") socket.resetAndDestroy();
       if (cut === "silent") dropBytes(socket);
     }
@@ -55,10 +69,6 @@
   heal(): void {
     this.#cut = undefined;
   }
-
-  #isCut(port: number): boolean {
-    return this.#cut !== undefined && (this.#ports?.has(port) ?? true);
-  }
 }
 
 /** Drops the bytes of both directions from now on, as a partition does. */
