Do not pass on an empty index of a VM that reached no replica

Same class as the lost links, found by reading: a VM that starts without paths to the replicas and is the one to ask them counted as primed with nothing, and all others took its empty index. It asks again each second now; after two seconds others ask the replicas themselves, as before. No caller was seen with this; the test fails on the code before.

--- a/src/process/placement/prefix_priming.ts
+++ b/src/process/placement/prefix_priming.ts
@@ -20,6 +20,7 @@
 /** VMs that start at the same time discover each other within this time. */
 const DISCOVERY_MS = 250;
 const RETRY_MS = 100;
+const CUT_OFF_RETRY_MS = 1_000;
 /**
  * The responsible VM may be dead: after this time every VM asks the replicas
  * itself.
@@ -36,6 +37,8 @@
   fetchFromReplica: (replica: VmId) => Promise<string[]>;
   /** Whether this VM is the one that asks the replicas. */
   isResponsible: () => boolean;
+  /** Whether this VM has no path to the replicas of a pool. */
+  isCutOff: () => boolean;
 }
 
 /** Options of `PrefixPriming`. */
@@ -74,7 +77,9 @@
     await clock.sleep(DISCOVERY_MS, signal);
     while (!this.#isPrimed && !signal.aborted) {
       await this.#runOnce(clock.now() - startedAt);
-      if (!this.#isPrimed) await clock.sleep(RETRY_MS, signal);
+      if (this.#isPrimed) return;
+      const isCutOff = this.#options.sources.isCutOff();
+      await clock.sleep(isCutOff ? CUT_OFF_RETRY_MS : RETRY_MS, signal);
     }
   }
 
@@ -107,6 +112,8 @@
       replicas.map((replica) => this.#fetchFromReplica(replica)),
     );
     const count = fetched.filter((isFetched) => isFetched).length;
+    // Others would take an empty index from this VM.
+    if (count === 0 && this.#options.sources.isCutOff()) return;
     // Caches of replicas that did not answer become known through requests.
     this.#end({ from: "replicas", replicas: count });
   }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -322,6 +322,7 @@
         listReplicas: () => this.#listModelReplicas(),
         fetchFromReplica: fetchCachedParts,
         isResponsible: () => this.#isResponsible("prefixes"),
+        isCutOff: () => placement.links.listLost().length > 0,
       },
     });
   }
--- a/test/process/placement/prefix_priming_test.ts
+++ b/test/process/placement/prefix_priming_test.ts
@@ -30,6 +30,7 @@
         return Promise.resolve(["part"]);
       },
       isResponsible: () => true,
+      isCutOff: () => false,
       ...sources,
     },
   });
@@ -72,6 +73,26 @@
     expect(fetchedFrom).toEqual([REPLICA]);
   });
 
+  // Guards against a VM without links to replicas from which all others take an
+  // empty index.
+  it("is not primed by replicas that it cannot reach", async () => {
+    let isCut = true;
+    const { clock, priming } = createPriming({
+      fetchFromReplica: () =>
+        isCut
+          ? Promise.reject(new Error("refused"))
+          : Promise.resolve(["part"]),
+      isCutOff: () => isCut,
+    });
+    const ended = priming.run(new AbortController().signal);
+    await clock.run(5_000);
+    expect(priming.isPrimed).toBe(false);
+    isCut = false;
+    await clock.run(3_000);
+    await ended;
+    expect(priming.isPrimed).toBe(true);
+  });
+
   it("completes where a replica does not answer", async () => {
     const { clock, priming } = createPriming({
       fetchFromReplica: () => Promise.reject(new Error("busy")),
