--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -136,13 +136,15 @@
     if (progress.tokens > 0) this.#options.state.liveness.note(this.upstream);
     if (this.#hasOutput || progress.tokens === 0) return;
     const { clock, request, state, placement } = this.#options;
-    const { prefixes, speeds } = state;
+    const { prefixes, speeds, links } = state;
     this.#hasOutput = true;
     prefixes.notePrefilled(this.upstream, request.prefixes);
     this.#work.noteFirstOutput();
     // A deferred prompt has waited for more than `tokensAhead`, so its time
     // says nothing about speed.
     if (placement.isDeferred) return;
+    // Nor does it if this VM had lost its link meanwhile.
+    if (links.hasFailedSince(this.upstream, this.#grantedAt)) return;
     speeds.noteFirstOutput(
       this.upstream,
       placement.ownTokens - placement.fetchedTokens + placement.tokensAhead,
--- a/src/process/placement/replica_links.ts
+++ b/src/process/placement/replica_links.ts
@@ -31,6 +31,8 @@
   readonly #options: ReplicaLinksOptions;
   /** When the last connection to each unreachable replica failed. */
   readonly #failedAt = new Map<VmId, number>();
+  /** The same for replicas that were reached again. */
+  readonly #lastFailedAt = new Map<VmId, number>();
   /** When the last connection to any replica of a pool was established. */
   readonly #openedAt = new Map<PoolName, number>();
   readonly #lost = new Set<PoolName>();
@@ -52,7 +54,9 @@
 
   /** Records that a connection could not be established. */
   noteFailed({ id, pool }: ListedReplica): void {
-    this.#failedAt.set(id, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.#failedAt.set(id, now);
+    this.#lastFailedAt.set(id, now);
     if (this.#lost.has(pool) || !this.#hasOnlyFailed(pool)) return;
     this.#lost.add(pool);
     this.#options.onChange(pool, true);
@@ -78,6 +82,11 @@
     return this.#failedAt.has(replica);
   }
 
+  /** Whether a connection to the replica failed at `at` or later. */
+  hasFailedSince(replica: VmId, at: number): boolean {
+    return (this.#lastFailedAt.get(replica) ?? -Infinity) >= at;
+  }
+
   /** Number of replicas to which the last connection failed. */
   countUnreachable(): number {
     return this.#failedAt.size;
@@ -85,8 +94,10 @@
 
   /** Forgets replicas that are no longer listed, and pools without any. */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
-    for (const replica of this.#failedAt.keys()) {
-      if (!isListed(replica)) this.#failedAt.delete(replica);
+    for (const byReplica of [this.#failedAt, this.#lastFailedAt]) {
+      for (const replica of byReplica.keys()) {
+        if (!isListed(replica)) byReplica.delete(replica);
+      }
     }
     for (const pool of this.#lost) {
       if (this.#hasOnlyFailed(pool)) continue;
--- a/test/process/placement/replica_links_test.ts
+++ b/test/process/placement/replica_links_test.ts
@@ -49,6 +49,17 @@
     expect(changes).toEqual([true, false]);
   });
 
+  it("tells whether a connection failed since", async () => {
+    const { clock, links, replicas } = createLinks(2);
+    const [replica] = replicas;
+    await clock.run(10);
+    links.noteFailed(replica!);
+    links.noteOpened(replica!);
+    expect(links.hasFailedSince(replica!.id, 10)).toBe(true);
+    await clock.run(10);
+    expect(links.hasFailedSince(replica!.id, clock.now())).toBe(false);
+  });
+
   it("forgets replicas that left the list", () => {
     const { links, replicas } = createLinks(1);
     links.noteFailed(replicas[0]!);
--- a/test/process/placement/replica_liveness_test.ts
+++ b/test/process/placement/replica_liveness_test.ts
@@ -18,20 +18,24 @@
 function createPool() {
   const clock = VirtualClock.create();
   const directory = ReplicaDirectory.create();
+  const replica: ListedReplica = {
+    id: toId<VmId>("i-1"),
+    pool: toId("pool"),
+    address: "10.0.0.1",
+    port: 80,
+    dataCentre: toId("dc"),
+    slots: 64,
+    state: "ready",
+  };
   const list = (revision: number, startedAt: number) => {
-    const replica: ListedReplica = {
-      id: toId<VmId>("i-1"),
-      pool: toId("pool"),
-      address: "10.0.0.1",
-      port: 80,
-      dataCentre: toId("dc"),
-      slots: 64,
-      state: "ready",
-      startedAt,
-    };
-    directory.apply({ revision, replicas: [replica] });
+    directory.apply({ revision, replicas: [{ ...replica, startedAt }] });
   };
   list(1, 1_000);
+  const state = PlacementState.create({
+    clock,
+    onUpdate: () => {},
+    onEjected: () => {},
+  });
   const source = PlacementSource.create({
     waitForFreshState: () => Promise.resolve(),
     getListAgeMs: () => 0,
@@ -40,19 +44,18 @@
     dataCentre: toId("dc"),
     directory,
     locality: Locality.create(new Map()),
-    state: PlacementState.create({
-      clock,
-      onUpdate: () => {},
-      onEjected: () => {},
-    }),
+    state,
     forward: () => undefined,
     fetchPlacement: () => Promise.resolve(undefined),
     waitForSocketReads: () => Promise.resolve(),
   });
-  return { clock, list, source };
+  return { clock, list, source, state, replica };
 }
 
-function acquire(source: PlacementSource): Promise<HeldLease> {
+function acquire(
+  source: PlacementSource,
+  { promptTokens = 100 }: { promptTokens?: number } = {},
+): Promise<HeldLease> {
   const signal = new AbortController().signal;
   return source.acquire({
     requestId: toId("request"),
@@ -64,7 +67,8 @@
     adapter: undefined,
     arrivedAt: 0,
     deadlineAt: 15_000,
-    promptTokens: 100,
+    promptTokens,
+    partTokens: [promptTokens],
     maxTokens: 10,
     doneTokens: 0,
     idempotent: true,
@@ -106,3 +110,16 @@
     expect(before.isUpstreamAlive()).toBe(false);
   });
 });
+
+// Guards against sound replicas that all VMs count as slow, because the links of
+// one VM to them were cut until the first output.
+it("a replica is not slow for the time that a link to it was cut", async () => {
+  const { clock, source, state, replica } = createPool();
+  const lease = await acquire(source, { promptTokens: 5_000 });
+  await clock.run(SILENT_MS);
+  state.links.noteFailed(replica);
+  state.links.noteOpened(replica);
+  lease.noteProgress(PROGRESS);
+  expect(state.speeds.getSlowdown(replica.id)).toBe(1);
+  expect(state.takeUpdate().speeds).toEqual([]);
+});
