Let a VM that does not know the sender refuse so that it tries another

The answer stays 403 for who is outside; for a VM of the fleet it says that nothing ran and that another VM may be tried.

--- a/src/process/forwarding/forwarded_handler.ts
+++ b/src/process/forwarding/forwarded_handler.ts
@@ -9,9 +9,20 @@
   type CallerRequest,
 } from "../../request/caller_request.ts";
 import type { CallerSink } from "../../request/caller_sink.ts";
-import { readForwarded } from "../../request/forwarded_request.ts";
+import type { Refusal } from "../../outcome.ts";
+import {
+  buildRefusalHeader,
+  readForwarded,
+} from "../../request/forwarded_request.ts";
 import type { Log } from "../log.ts";
 
+const FORBIDDEN = 403;
+const UNKNOWN_SENDER: Refusal = {
+  code: "no_upstream",
+  message: "Only VMs of the fleet pass requests on",
+  outcome: "not_run",
+};
+
 /** Options of `ForwardedHandler`. */
 export interface ForwardedHandlerOptions {
   log: Log;
@@ -45,10 +56,12 @@
       return;
     }
     log.warn("forwarded_rejected", { peer: request.remoteAddress });
-    await writeRefusal(sink, {
-      code: "forbidden",
-      message: "Only VMs of the fleet pass requests on",
-      outcome: "not_run",
-    }, { requestId: undefined });
+    await writeRefusal(sink, UNKNOWN_SENDER, {
+      requestId: undefined,
+      status: FORBIDDEN,
+      // A VM that has just started may not know the sender yet, which then has to
+      // try another one.
+      headers: buildRefusalHeader(UNKNOWN_SENDER),
+    });
   }
 }
