Try a request at yet another VM only if nothing of it was sent

A refusal says now whether anything was sent; only then is another VM tried. The test failed before.

--- a/src/outcome.ts
+++ b/src/outcome.ts
@@ -47,6 +47,8 @@
   outcome: ExecutionOutcome;
   /** Delay before a retry, in milliseconds; absent if a retry is useless. */
   retryAfterMs?: number;
+  /** Whether no byte of the request was sent to any upstream. */
+  isUnsent?: boolean;
 }
 
 /** Thrown to end a request with a refusal. */
--- a/src/process/forwarding/forwarded_handler.ts
+++ b/src/process/forwarding/forwarded_handler.ts
@@ -21,6 +21,7 @@
   code: "no_upstream",
   message: "Only VMs of the fleet pass requests on",
   outcome: "not_run",
+  isUnsent: true,
 };
 
 /** Options of `ForwardedHandler`. */
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -288,6 +288,7 @@
   const { lease, progress, maxSends } = options;
   const failure = toFailure(error, { upstream: lease.upstream, maxSends });
   if (failure.mayHaveRun) execution.noteMayHaveRun();
+  if (failure.wasSent) execution.wasSent = true;
   if (error instanceof PeerRefusalError && !error.canTryElsewhere) {
     lease.release("failed", progress.getProgress());
     throw createRefusal(execution, error.refusal);
--- a/src/request/forwarded_request.ts
+++ b/src/request/forwarded_request.ts
@@ -15,8 +15,9 @@
 
 /** Sends of the request that may still reach an upstream. */
 const SENDS_LEFT_HEADER = "persimmonslip-sends-left";
-/** `CODE OUTCOME` of the VM's own refusals. */
+/** `CODE OUTCOME` of the VM's own refusals; with `UNSENT` if nothing was sent. */
 const REFUSAL_HEADER = "persimmonslip-refusal";
+const UNSENT = "unsent";
 const MS_PER_SECOND = 1_000;
 const OUTCOMES: readonly string[] = ["not_run", "ran", "unknown"];
 /** Codes of a VM that could not reach a replica either. */
@@ -29,8 +30,8 @@
 export class PeerRefusalError extends RefusalError {
   /** Whether yet another VM may reach a replica. */
   get canTryElsewhere(): boolean {
-    const { outcome, code } = this.refusal;
-    return outcome === "not_run" && UNREACHED_CODES.has(code);
+    const { outcome, code, isUnsent = false } = this.refusal;
+    return outcome === "not_run" && isUnsent && UNREACHED_CODES.has(code);
   }
 }
 
@@ -43,9 +44,10 @@
 
 /** Builds the header by which another VM knows a refusal. */
 export function buildRefusalHeader(
-  { code, outcome }: Refusal,
+  { code, outcome, isUnsent = false }: Refusal,
 ): Record<string, string> {
-  return { [REFUSAL_HEADER]: `${code} ${outcome}` };
+  const parts = [code, outcome, ...(isUnsent ? [UNSENT] : [])];
+  return { [REFUSAL_HEADER]: parts.join(" ") };
 }
 
 /**
@@ -65,7 +67,7 @@
 export function checkPeerRefusal(
   { status, headers }: Pick<UpstreamAnswer, "status" | "headers">,
 ): void {
-  const [code, outcome] = headers[REFUSAL_HEADER]?.split(" ") ?? [];
+  const [code, outcome, sent] = headers[REFUSAL_HEADER]?.split(" ") ?? [];
   const known = REFUSAL_CODES.find((each) => each === code);
   if (known === undefined || !OUTCOMES.includes(outcome ?? "")) return;
   const retryAfterMs = MS_PER_SECOND * Number(headers["retry-after"]);
@@ -73,6 +75,7 @@
     code: known,
     message: `Another VM refused the request with ${status}`,
     outcome: outcome as ExecutionOutcome,
+    isUnsent: sent === UNSENT,
     ...(Number.isFinite(retryAfterMs) ? { retryAfterMs } : {}),
   });
 }
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -70,6 +70,8 @@
   readonly deadlineAt: number;
   pool: UpstreamPool | undefined;
   upstream: VmId | undefined;
+  /** Whether an attempt was sent, whether its upstream ran it or not. */
+  wasSent = false;
   /** Tokens that were sent to the caller. */
   tokens = 0;
   /** Tokens that were generated but not part of a complete answer. */
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -131,7 +131,8 @@
   refusal: Omit<Refusal, "outcome">,
 ): RefusalError {
   const outcome = execution.getOutcome();
-  return new RefusalError({ ...refusal, outcome });
+  const isUnsent = !execution.wasSent;
+  return new RefusalError({ ...refusal, outcome, isUnsent });
 }
 
 /** Remaining quarantine of the request, in whole milliseconds. */
--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -115,6 +115,23 @@
     expect(listRuns(fleet)).toEqual([]);
   });
 
+  // Guards against a replica's rejection that is taken for a VM without links, so
+  // that one VM after the other asks the replicas again.
+  it("is not tried at more VMs after a replica rejected it", async () => {
+    const { fleet, cut, logs } = await createCutFleet();
+    setMode(fleet, "shed");
+    for (const path of ["/unsafe/x", "/safe/x"]) {
+      const before = countSteps(logs[0], "forwarded");
+      expect((await sendRequest(cut, { path })).status).toBe(503);
+      expect(countSteps(logs[0], "forwarded")).toBe(before + 1);
+    }
+    const seen = fleet.replicas.reduce(
+      (sum, each) => sum + each.seen.length,
+      0,
+    );
+    expect(seen).toBe(3);
+  });
+
   // Guards against a refusal that says "not run" of a request that may have run.
   it("is not reported as not run if its replica was lost", async () => {
     const { fleet, cut } = await createCutFleet();
