--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -142,18 +142,14 @@
   async #buildSettings(store?: number): Promise<RoutedSettings> {
     const address = buildLoopbackAddress(nextAddress++);
     const first = this.vms[0]?.settings;
-    // Find all ports at once; separate calls may return the same port.
     const [ownPort, ...ports] = await findFreePorts(5);
-    const peerPort = first?.peerPort ?? ownPort!;
-    // All VMs use the first one's port for peers, which may be found again.
-    if (ports.includes(peerPort)) return await this.#buildSettings(store);
     const [callers, readiness, state, directory] = ports
       .map((port) => `${address}:${port}`) as [string, string, string, string];
     return {
       vm: toId(`vm-${this.vms.length + 1}`),
       dataCentre: toId("dc-1"),
       address,
-      peerPort,
+      peerPort: first?.peerPort ?? ownPort!,
       seeds: first === undefined ? [] : [first.listeners.state],
       listeners: { callers, readiness, state, directory },
       metricsPort: undefined,
