Keep what a replica asked for while its entry is away

Each VM forgot the back-off with the entry, although an entry may expire while its replica goes on. Limits of rate and brittleness, which replicas name in the same way, were forgotten with it, by all VMs at once.

What a VM has observed itself is dropped as before, and everything at once where a process was replaced under its id.

--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -37,6 +37,7 @@
   type UnreachedEntry,
 } from "./transport_failures.ts";
 import { RoomQueue } from "./room_queue.ts";
+import { UnlistedReplicas } from "./unlisted_replicas.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
 
@@ -128,6 +129,7 @@
   readonly links: ReplicaLinks;
   readonly checks: LinkChecks;
   readonly failures: TransportFailures;
+  readonly #unlisted: UnlistedReplicas;
 
   constructor(options: PlacementStateOptions) {
     const { clock, onUpdate, onEjected, onBackOff = () => {} } = options;
@@ -152,6 +154,7 @@
       loads: this.loads,
     });
     this.rooms = RoomQueue.create(clock);
+    this.#unlisted = UnlistedReplicas.create(clock);
     this.links = ReplicaLinks.create({ clock, ...links });
     this.checks = LinkChecks.create({ clock, ...links, links: this.links });
     this.failures = TransportFailures.create({
@@ -236,20 +239,34 @@
 
   /** Forgets everything about a replica whose process was replaced. */
   dropReplica(replica: VmId): void {
+    const isOther = (id: VmId) => id !== replica;
     this.loads.dropOwn(replica);
-    this.dropUnlisted((id) => id !== replica);
+    this.#dropObserved(isOther);
+    this.#dropAsked(isOther);
   }
 
-  /** Forgets replicas that are no longer listed. */
+  /**
+   * Forgets replicas that are no longer listed; what they asked for only later.
+   */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
+    this.#dropObserved(isListed);
+    this.#dropAsked((id) => this.#unlisted.noteListing(id, isListed(id)));
+    this.#unlisted.dropExpired();
+  }
+
+  #dropObserved(isListed: (replica: VmId) => boolean): void {
     this.health.dropUnlisted(isListed);
     this.speeds.dropUnlisted(isListed);
     this.prefixes.dropUnlisted(isListed);
     this.prefills.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
+    this.links.dropUnlisted(isListed);
+  }
+
+  /** Forgets what replicas have asked for in their answers. */
+  #dropAsked(isListed: (replica: VmId) => boolean): void {
     this.rateLimits.dropUnlisted(isListed);
     this.backOffs.dropUnlisted(isListed);
-    this.links.dropUnlisted(isListed);
     this.brittle.dropUnlisted(isListed);
   }
 }
--- a/test/platform/replica_back_off_test.ts
+++ b/test/platform/replica_back_off_test.ts
@@ -73,6 +73,22 @@
   }
 }, 15_000);
 
+// Guards against a VM that forgets a back-off with the entry of the replica,
+// which may expire and return while the replica goes on.
+it("a VM backs off from a replica whose entry goes and returns", async () => {
+  const fleet = await PlatformFleet.create({ replicas: 1 });
+  const fullReplica = fleet.replicas[0]!;
+  setFull(fullReplica);
+  await sendFor(fleet.vms, IN_FLIGHT_MS);
+  for (let returns = 0; returns < 4; returns++) {
+    fleet.store.remove(`servers/${fullReplica.id}`);
+    await sendFor(fleet.vms, IN_FLIGHT_MS / 2);
+    fleet.listReplica(fullReplica);
+    await sendFor(fleet.vms, IN_FLIGHT_MS / 2);
+  }
+  expect(countRepeats(fullReplica)).toBeLessThanOrEqual(MAX_REPEATS);
+}, 15_000);
+
 it("a replica gets its share again after its back-off", async () => {
   const fleet = await PlatformFleet.create({ replicas: 2 });
   const [fullReplica] = fleet.replicas;
