Ask other VMs before a lost connection counts as a crash, published fleets too

In the product's own interface, with a published list of VMs, an upstream counted as crashed if the VM that lost a connection to it could not open another. A VM that lost its links finds no upstream listening, so the requests that it was sending were suspected, and all VMs held them after the third: innocent callers were refused by the whole fleet for ten minutes.

The check is now the same for both: a crash is one only if this VM reaches another upstream of the pool, if there is any, and none of three others that it asks reaches this one. VMs ask with a new peer call, `checkReach`; an older VM refuses it, which counts as no answer.

Upstreams in virtual time now say whether they are up; the two tests that were there no longer wait for a check before they let time run, and check as much.

--- a/src/connection/peer_client.ts
+++ b/src/connection/peer_client.ts
@@ -215,6 +215,14 @@
     );
   }
 
+  checkReach(upstream: VmId): Promise<boolean> {
+    return this.#send(
+      "check_reach",
+      this.#timeouts.shortMs,
+      (client, options) => client.checkReach.mutate(upstream, options),
+    );
+  }
+
   /**
    * Makes one call with a timeout. A connection can go silent for good without
    * an error, which only a timeout detects. The timeout also closes the call's
--- a/src/connection/peer_router.ts
+++ b/src/connection/peer_router.ts
@@ -56,6 +56,9 @@
   noteSuspects: PROCEDURE.input(PEER_INPUTS.noteSuspects).mutation(
     ({ ctx, input }) => ctx.api.noteSuspects(input),
   ),
+  checkReach: PROCEDURE.input(PEER_INPUTS.checkReach).mutation(
+    ({ ctx, input }) => ctx.api.checkReach(input),
+  ),
 });
 
 /** The router's type, for the client. */
--- a/src/connection/peer_schemas.ts
+++ b/src/connection/peer_schemas.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import { z } from "zod";
-import type { AnyId } from "../ids.ts";
+import type { AnyId, VmId } from "../ids.ts";
 import type {
   AcquireCall,
   ClaimCall,
@@ -151,6 +151,7 @@
       z.number(),
     ])),
   })),
+  checkReach: createInput<VmId>(createIdSchema()),
 };
 
 function createIdSchema(): z.ZodType<AnyId, unknown> {
--- a/src/process/crash_check.ts
+++ b/src/process/crash_check.ts
@@ -8,17 +8,20 @@
  * @module
  */
 import type { VmId } from "../ids.ts";
-import type { LinkChecks, ReplicaDirectory } from "./placement/index.ts";
 import type { Random } from "./random.ts";
 
 /** Other VMs that are asked whether they reach a replica. */
 const MAX_ASKED_VMS = 3;
+/** Other replicas by which this VM tells whether its own links work. */
+const MAX_CHECKED_REPLICAS = 3;
 
 /** Options of `CrashCheck`. */
 export interface CrashCheckOptions {
   random: Random;
-  checks: LinkChecks;
-  replicas: ReplicaDirectory;
+  /** Whether this VM reaches a replica now; never rejects. */
+  checkReach: (replica: VmId) => Promise<boolean>;
+  /** Other replicas of the same pool that take new work. */
+  listOthers: (replica: VmId) => readonly VmId[];
   /** Other VMs that are live. */
   listPeers: () => VmId[];
   /** Whether another VM reaches a replica; rejects if it does not answer. */
@@ -42,19 +45,22 @@
    * pool, if there is any. Never rejects.
    */
   async hasCrashed(id: VmId): Promise<boolean> {
-    const { checks, replicas } = this.#options;
-    if (await checks.check(id)) return false;
-    const replica = replicas.find(id);
-    if (replica === undefined) return true;
-    const isAlone = replicas.listReady(replica.pool)
-      .every((other) => other.id === id);
+    const { checkReach, listOthers } = this.#options;
+    if (await checkReach(id)) return false;
+    const others = listOthers(id);
     const [hasLinks, isReached] = await Promise.all([
-      isAlone || checks.checkOthers(replica),
+      others.length === 0 || this.#isAnyReached(others),
       this.#isReachedElsewhere(id),
     ]);
     return hasLinks && !isReached;
   }
 
+  async #isAnyReached(replicas: readonly VmId[]): Promise<boolean> {
+    const { random, checkReach } = this.#options;
+    const checked = random.pickSample(replicas, MAX_CHECKED_REPLICAS);
+    return (await Promise.all(checked.map(checkReach))).includes(true);
+  }
+
   async #isReachedElsewhere(replica: VmId): Promise<boolean> {
     const { random, listPeers, fetchReach } = this.#options;
     const asked = random.pickSample(listPeers(), MAX_ASKED_VMS);
--- a/src/process/local_peer.ts
+++ b/src/process/local_peer.ts
@@ -43,6 +43,7 @@
   requestStatusFinder: RequestStatusFinder;
   quarantine: RequestQuarantine;
   collectStats: () => StatsAnswer;
+  checkReach: (upstream: VmId) => Promise<boolean>;
 }
 
 /** Dispatches calls of other VMs to the components of this process. */
@@ -114,4 +115,8 @@
       entries,
     );
   }
+
+  async checkReach(upstream: VmId): Promise<boolean> {
+    return await this.#getComponents().checkReach(upstream);
+  }
 }
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -328,6 +328,8 @@
   abstract collectStats(): Promise<StatsAnswer>;
   /** Resolves to the entries for which the caller lacks newer evidence. */
   abstract noteSuspects(call: SuspectsCall): Promise<SuspectEntry[]>;
+  /** Whether the asked VM reaches an upstream now. */
+  abstract checkReach(upstream: VmId): Promise<boolean>;
 }
 
 /** Finds the client of another VM. */
--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-export { LinkChecks } from "./link_checks.ts";
 export { Locality } from "./locality.ts";
 export { PlacementSource } from "./placement_source.ts";
 export type {
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -136,6 +136,14 @@
     return this.#ready.get(pool) ?? [];
   }
 
+  /** Other replicas of the same pool that take new work. */
+  listOthers(id: VmId): VmId[] {
+    const pool = this.#byId.get(id)?.pool;
+    if (pool === undefined) return [];
+    return this.listReady(pool).map((each) => each.id)
+      .filter((other) => other !== id);
+  }
+
   /** Pools with replicas that take new work. */
   listPools(): PoolName[] {
     return [...this.#ready.keys()];
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -146,8 +146,8 @@
     });
     const crashCheck = CrashCheck.create({
       random: this.#random,
-      checks: this.#placement.checks,
-      replicas: this.replicas,
+      checkReach: (replica) => this.#placement.checks.check(replica),
+      listOthers: (replica) => this.replicas.listOthers(replica),
       listPeers: () => this.#listLive().map(({ heartbeat }) => heartbeat.vm),
       fetchReach: (peer, replica) =>
         this.#fleet?.fetchReach(peer, replica) ?? Promise.resolve(false),
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -30,6 +30,7 @@
   RequestQuarantine,
   type SuspectGossip,
 } from "./quarantine/index.ts";
+import { createPeerCrashCheck } from "./peer_crash_check.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
 import { UnreadableHeaderLog } from "./unreadable_header_log.ts";
@@ -139,11 +140,11 @@
     });
     this.claims = ProcessExecutionClaims.create(environment);
     this.requestStatuses = RequestStatusStore.create();
+    const crashCheck = createPeerCrashCheck({ environment, membership });
     this.quarantine = RequestQuarantine.create({
       clock: environment.clock,
       log: environment.log,
-      hasCrashed: async (upstream) =>
-        !await environment.upstreams.isListening(upstream),
+      hasCrashed: (upstream) => crashCheck.hasCrashed(upstream),
       announce: (entries) => this.#suspectGossip.announce(entries),
     });
     this.#suspectGossip = createPeerSuspectGossip({
@@ -180,6 +181,7 @@
       requestStatusFinder: this.requestStatusFinder,
       quarantine: this.quarantine,
       collectStats: () => this.collectStats(),
+      checkReach: (upstream) => environment.upstreams.isListening(upstream),
     }));
   }
 
--- a/standin/virtual_fleet.ts
+++ b/standin/virtual_fleet.ts
@@ -204,6 +204,7 @@
   override handOver = refuseCall;
   override collectStats = refuseCall;
   override noteSuspects = refuseCall;
+  override checkReach = refuseCall;
 }
 
 function refuseCall(): Promise<never> {
--- a/standin/virtual_network.ts
+++ b/standin/virtual_network.ts
@@ -406,6 +406,10 @@
     return this.#sendCall("noteSuspects", call);
   }
 
+  checkReach(upstream: VmId): ReturnType<PeerApi["checkReach"]> {
+    return this.#sendCall("checkReach", upstream);
+  }
+
   #sendCall<T>(method: keyof PeerApi, ...args: unknown[]): Promise<T> {
     const invoke: Invoke = (api, received) => {
       const run = api[method] as (...given: unknown[]) => Promise<unknown>;
--- a/test/connection/peers_test.ts
+++ b/test/connection/peers_test.ts
@@ -103,6 +103,9 @@
   override noteSuspects(call: Peer.SuspectsCall) {
     return this.#note<SuspectEntry[]>("noteSuspects", call);
   }
+  override checkReach(upstream: VmId) {
+    return this.#note<boolean>("checkReach", upstream);
+  }
 
   async #note<T>(name: string, ...values: unknown[]): Promise<T> {
     this.calls.push([name, ...values]);
@@ -191,6 +194,7 @@
       ["handOver", [handOver], () => peer.handOver(handOver)],
       ["collectStats", [], () => peer.collectStats()],
       ["noteSuspects", [suspects], () => peer.noteSuspects(suspects)],
+      ["checkReach", [VM], () => peer.checkReach(VM)],
     ];
     const methods = Object.getOwnPropertyNames(FakeApi.prototype)
       .filter((name) => name !== "constructor");
--- a/test/failures/poison_request_test.ts
+++ b/test/failures/poison_request_test.ts
@@ -1,6 +1,7 @@
 import { expect, it } from "vitest";
 import { type RequestFingerprint, toId, type VmId } from "../../src/ids.ts";
 import { SilentLog } from "../../src/process/log.ts";
+import type { FuzzVm } from "../fuzz/fuzz_vm.ts";
 import { FuzzWorld } from "../fuzz/fuzz_world.ts";
 
 const POISON = toId<RequestFingerprint>("poison");
@@ -21,15 +22,26 @@
 
 /** Notes an engine crash caused by the request on each VM. */
 async function noteEngineCrashes(world: FuzzWorld): Promise<void> {
-  for (const [index, { runtime }] of world.listLiveVms().entries()) {
-    if (index === CRASHES) break;
-    await runtime.quarantine.noteConnectionLoss(POISON, {
-      id: toId<VmId>(`engine-${index}`),
+  const vms = world.listLiveVms().slice(0, CRASHES);
+  const engines = vms.map((_vm, index) => toId<VmId>(`engine-${index}`));
+  await noteConnectionLosses(world, vms, engines);
+}
+
+/** Notes that each VM lost its connection to one of the engines. */
+async function noteConnectionLosses(
+  world: FuzzWorld,
+  vms: readonly FuzzVm[],
+  engines: readonly VmId[],
+): Promise<void> {
+  const noted = vms.map(({ runtime }, index) =>
+    runtime.quarantine.noteConnectionLoss(POISON, {
+      id: engines[index]!,
       incarnation: undefined,
       hadOutput: true,
-    });
-  }
+    })
+  );
   await world.run(ANNOUNCEMENT_MS);
+  await Promise.all(noted);
 }
 
 function listQuarantineMs(world: FuzzWorld): number[] {
@@ -57,3 +69,29 @@
   expect(Math.min(...listQuarantineMs(world))).toBeGreaterThan(0);
   world.close();
 });
+
+// Guards against VMs without paths to the upstreams that take their own lost
+// connections for crashes, and so have an innocent request held by all VMs.
+it("quarantines nothing by the evidence of VMs that lost their links", async () => {
+  const world = await createWorld();
+  const cut = world.listLiveVms().slice(0, 2);
+  cut.forEach((vm) => world.upstreams.cutOff.add(vm.incarnation));
+  const engines = [...world.upstreams.engines.keys()];
+  await noteConnectionLosses(world, cut, engines);
+  await noteConnectionLosses(world, cut, engines.toReversed());
+  expect(listQuarantineMs(world)).toEqual([0, 0, 0]);
+  world.close();
+});
+
+it("quarantines the request under which engines of the list crashed", async () => {
+  const world = await createWorld();
+  const vms = world.listLiveVms();
+  const engines = [...world.upstreams.engines].slice(0, CRASHES);
+  for (const [index, [id, core]] of engines.entries()) {
+    core.setCrashAfter(0);
+    await noteConnectionLosses(world, [vms[index]!], [id]);
+    core.restart();
+  }
+  expect(Math.min(...listQuarantineMs(world))).toBeGreaterThan(0);
+  world.close();
+});
--- a/test/fuzz/fuzz_upstreams.ts
+++ b/test/fuzz/fuzz_upstreams.ts
@@ -77,6 +77,8 @@
   readonly extraHeaders = new Map<VmId, Record<string, string>>();
   /** Engines whose load reports fail. */
   readonly unreported = new Set<VmId>();
+  /** Incarnations of VMs that have no path to any upstream. */
+  readonly cutOff = new Set<string>();
   readonly clock: VirtualClock;
 
   constructor(
@@ -106,6 +108,13 @@
     }
   }
 
+  /** Whether the upstream's process is running. */
+  isUp(upstream: VmId): boolean {
+    const core = this.engines.get(upstream);
+    if (core !== undefined) return !core.isCrashed;
+    return this.services.get(upstream)?.isDown === false;
+  }
+
   createTransport(sender: Sender): FuzzTransport {
     return new FuzzTransport(this, sender);
   }
@@ -152,10 +161,7 @@
     await clock.sleep(DELAY_MS);
     const core = engines.get(call.upstream);
     const service = services.get(call.upstream);
-    const isUp = core === undefined
-      ? service?.isDown === false
-      : !core.isCrashed;
-    if (!isUp) {
+    if (!this.#isReached(call.upstream)) {
       await this.#sender.clock.sleep(DELAY_MS);
       throw createUpstreamError(call, "connect", false);
     }
@@ -178,6 +184,11 @@
     return { ...answer, headers: { ...answer.headers, ...extra } };
   }
 
+  override async isListening(upstream: VmId): Promise<boolean> {
+    await this.#sender.clock.sleep(2 * DELAY_MS);
+    return this.#isReached(upstream);
+  }
+
   override async fetchLoad(upstream: VmId): Promise<LoadReport> {
     return (await this.#fetchEngine(upstream)).getLoad();
   }
@@ -206,6 +217,11 @@
     return target.addCached(source.listCached(prefixes));
   }
 
+  #isReached(upstream: VmId): boolean {
+    return this.#upstreams.isUp(upstream) &&
+      !this.#upstreams.cutOff.has(this.#sender.incarnation);
+  }
+
   async #fetchEngine(upstream: VmId): Promise<EngineCore> {
     await this.#sender.clock.sleep(2 * DELAY_MS);
     const core = this.#upstreams.engines.get(upstream);
--- a/test/process/crash_check_test.ts
+++ b/test/process/crash_check_test.ts
@@ -1,13 +1,8 @@
 import { describe, expect, it } from "vitest";
 import { toId, type VmId } from "../../src/ids.ts";
 import { CrashCheck } from "../../src/process/crash_check.ts";
-import {
-  LinkChecks,
-  ReplicaDirectory,
-} from "../../src/process/placement/index.ts";
-import { ReplicaLinks } from "../../src/process/placement/replica_links.ts";
+import { ReplicaDirectory } from "../../src/process/placement/index.ts";
 import { SeededRandom } from "../../src/process/random.ts";
-import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { buildListedReplicas } from "../support/listed_replicas.ts";
 
 const FIRST = toId<VmId>("i-0");
@@ -19,23 +14,12 @@
   count = 4,
 ): CrashCheck {
   const random = SeededRandom.create(1);
-  const clock = VirtualClock.create();
   const replicas = ReplicaDirectory.create();
   replicas.apply({ revision: 1, replicas: buildListedReplicas(count) });
-  const listReady = replicas.listReady.bind(replicas);
-  const links = ReplicaLinks.create({ clock, listReady, onChange: () => {} });
-  const checks = LinkChecks.create({
-    clock,
-    random,
-    links,
-    listReady,
-    listPools: () => [],
-    isListening: (id) => Promise.resolve(reached["self"]!.includes(id)),
-  });
   return CrashCheck.create({
     random,
-    checks,
-    replicas,
+    checkReach: (id) => Promise.resolve(reached["self"]!.includes(id)),
+    listOthers: (id) => replicas.listOthers(id),
     listPeers: () => PEERS,
     fetchReach: (peer, id) => {
       const answer = reached[peer];
