--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -21,7 +21,7 @@
   type PlacementRequest,
   type PlacementRole,
   type PlacementState,
-  PrefixPriming,
+  type PrefixPriming,
   type ReplicaDirectory,
   type WaitOptions,
 } from "./placement/index.ts";
@@ -31,7 +31,7 @@
   SuspectGossip,
 } from "./quarantine/index.ts";
 import type { Random } from "./random.ts";
-import { pickRendezvousFirst } from "./rendezvous.ts";
+import { createRoutedPriming } from "./routed_priming.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import {
   type DatagramLink,
@@ -159,7 +159,13 @@
       onReplicas: (restarted) => this.#noteReplicas(restarted),
       onStoreLost: () => this.#heartbeats.announceNow(),
     });
-    this.#priming = this.#createPriming(calls);
+    this.#priming = createRoutedPriming({
+      ...options,
+      vm,
+      calls,
+      listLive: () => this.listLive(),
+      getSnapshot: () => this.follower.getSnapshot(),
+    });
   }
 
   static create(options: RoutedFleetOptions): RoutedFleet {
@@ -310,41 +316,6 @@
     this.#heartbeats.announceState();
   }
 
-  #createPriming(calls: PeerCalls): PrefixPriming {
-    const { clock, log, placement, fetchCachedParts } = this.#options;
-    return PrefixPriming.create({
-      clock,
-      log,
-      prefixes: placement.prefixes,
-      sources: {
-        listPrimedPeers: () => this.#listVms((heartbeat) => heartbeat.isPrimed),
-        fetchFromPeer: (vm) => calls.fetchPrefixes(vm),
-        listReplicas: () => this.#listModelReplicas(),
-        fetchFromReplica: fetchCachedParts,
-        isResponsible: () => this.#isResponsible("prefixes"),
-        isCutOff: () => placement.links.listLost().length > 0,
-      },
-    });
-  }
-
-  #isResponsible(task: string): boolean {
-    const { vm } = this.#options.getSettings();
-    const vms = [vm, ...this.#listVms((heartbeat) => !heartbeat.isDraining)];
-    return pickRendezvousFirst(task, vms) === vm;
-  }
-
-  #listVms(isWanted: (heartbeat: FleetPeer["heartbeat"]) => boolean): VmId[] {
-    return this.listLive().filter(({ heartbeat }) => isWanted(heartbeat))
-      .map(({ heartbeat }) => heartbeat.vm);
-  }
-
-  #listModelReplicas(): VmId[] {
-    const pools = [...this.follower.getSnapshot()?.pools.values() ?? []];
-    return pools.filter(({ type }) => type === "model")
-      .flatMap(({ name }) => this.#options.replicas.listReady(name))
-      .map(({ id }) => id);
-  }
-
   /** VMs accept requests that are passed on at the port for datagrams. */
   #findForwardAddress(vm: VmId): SocketAddress | undefined {
     const peer = this.#heartbeats.peers.find(vm);
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -5,8 +5,6 @@
  * @module
  */
 import process from "node:process";
-import type { SimpleListener } from "../connection/simple_listener.ts";
-import { CallerListener } from "../connection/caller_listener.ts";
 import { parseEndpoint } from "../connection/endpoint.ts";
 import type { OpenConnection } from "../connection/upstream_agent.ts";
 import {
@@ -25,27 +23,20 @@
 import { type Clock, SystemClock } from "./clock.ts";
 import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
 import { RequestStatusStore } from "./request_status_store.ts";
-import { CrashCheck } from "./crash_check.ts";
-import {
-  buildForwardedLimits,
-  createForwardedListener,
-} from "./forwarding/index.ts";
 import type { Log } from "./log.ts";
 import {
   Locality,
   type PlacementState,
   ReplicaDirectory,
 } from "./placement/index.ts";
-import { RequestQuarantine } from "./quarantine/index.ts";
+import type { RequestQuarantine } from "./quarantine/index.ts";
 import { type Random, SystemRandom } from "./random.ts";
 import { ProcessMetrics } from "./request_metrics.ts";
-import {
-  buildCallerLimits,
-  INITIAL_CALLER_LIMITS,
-} from "./routed_caller_limits.ts";
 import { runDrain } from "./routed_drain.ts";
 import { RoutedFleet } from "./routed_fleet.ts";
+import { RoutedListeners } from "./routed_listeners.ts";
 import { createRoutedPlacement } from "./routed_placement.ts";
+import { createRoutedQuarantine } from "./routed_quarantine.ts";
 import { buildRoutedServices } from "./routed_services.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import { addGauges, buildStatus, type StatusSources } from "./routed_status.ts";
@@ -55,7 +46,6 @@
   type PublishedStore,
   UdpLink,
 } from "./seeded_fleet/index.ts";
-import { createStateListener } from "./state_listener.ts";
 
 const INCARNATION_LENGTH = 12;
 const MS_PER_SECOND = 1_000;
@@ -104,9 +94,7 @@
   readonly #placement: PlacementState;
   readonly #quarantine: RequestQuarantine;
   readonly #handler: RoutedHandler;
-  readonly #callers: CallerListener;
-  readonly #forwarded: CallerListener;
-  readonly #state: SimpleListener;
+  readonly #listeners: RoutedListeners;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
   #inFlight = 0;
@@ -144,43 +132,18 @@
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
-    const crashCheck = CrashCheck.create({
-      random: this.#random,
-      checkReach: (replica) => this.#placement.checks.check(replica),
-      listOthers: (replica) => this.replicas.listOthers(replica),
-      listPeers: () => this.#listLive().map(({ heartbeat }) => heartbeat.vm),
-      fetchReach: (peer, replica) =>
-        this.#fleet?.fetchReach(peer, replica) ?? Promise.resolve(false),
-    });
-    this.#quarantine = RequestQuarantine.create({
+    this.#quarantine = createRoutedQuarantine({
       clock: this.#clock,
       log: this.#log,
-      hasCrashed: (replica) => crashCheck.hasCrashed(replica),
-      announce: (entries) => this.#fleet?.announceSuspects(entries),
+      random: this.#random,
+      replicas: this.replicas,
+      placement: this.#placement,
+      getFleet: () => this.#fleet,
     });
     this.#handler = this.#createHandler();
-    this.#callers = CallerListener.create({
-      clock: this.#clock,
-      log: this.#log,
-      limits: INITIAL_CALLER_LIMITS,
-      handler: this,
-    });
     const statusSources = this.#buildStatusSources();
-    this.#forwarded = createForwardedListener({
-      clock: this.#clock,
-      log: this.#log,
-      handler: this,
-      isPeer: (address) => this.#fleet?.isPeerAddress(address) ?? false,
-    });
-    this.#state = createStateListener(this.#log, {
-      buildNewerState: (known) =>
-        this.#fleet?.follower.buildNewerState(known) ?? {},
-      listPrefixes: () => this.#placement.prefixes.listAll(),
-      checkReach: (replica) => this.#placement.checks.check(replica),
-      buildStatus: () => buildStatus(statusSources),
-      findRequestStatus: (requestId) => this.requestStatuses.find(requestId),
-    });
     addGauges(this.metrics, statusSources);
+    this.#listeners = this.#createListeners(statusSources);
   }
 
   static create(options: RoutedVmOptions): RoutedVm {
@@ -189,12 +152,10 @@
 
   /** Opens the listeners and starts all tasks. Rejects with `StepError`. */
   async start(): Promise<void> {
-    const { listeners, vm, dataCentre, address, peerPort } = this.#settings;
+    const { vm, dataCentre } = this.#settings;
     this.#fleet = this.#createFleet(await this.#openLink());
     this.#fleet.start();
-    await this.#state.startAt(listeners.state);
-    await this.#forwarded.start(address, peerPort);
-    await this.#callers.startAt(listeners.callers);
+    await this.#listeners.start(this.#settings);
     this.#log.info("started", {
       vm,
       incarnation: this.#incarnation,
@@ -272,24 +233,35 @@
       settings: this.#settings,
       getInFlight: () => this.#inFlight,
       announceNow: () => this.#fleet?.announceNow(),
-      closeCallers: () => this.#closeCallers(),
+      closeCallers: () => this.#listeners.closeForCallers(),
       stop: () => this.stop(),
     });
     return this.#draining;
   }
 
-  async #closeCallers(): Promise<void> {
-    await Promise.all([this.#callers.stop(), this.#forwarded.stop()]);
-  }
-
   async #runStop(): Promise<void> {
     this.#fleet?.stop();
     this.#placement.stop();
-    this.#callers.closeAll();
-    this.#forwarded.closeAll();
-    this.#state.closeAll();
+    const stopped = this.#listeners.stop();
     this.#upstreams.close();
-    await Promise.all([this.#closeCallers(), this.#state.stop()]);
+    await stopped;
+  }
+
+  #createListeners(statusSources: StatusSources): RoutedListeners {
+    return RoutedListeners.create({
+      clock: this.#clock,
+      log: this.#log,
+      handler: this,
+      isPeer: (address) => this.#fleet?.isPeerAddress(address) ?? false,
+      state: {
+        buildNewerState: (known) =>
+          this.#fleet?.follower.buildNewerState(known) ?? {},
+        listPrefixes: () => this.#placement.prefixes.listAll(),
+        checkReach: (replica) => this.#placement.checks.check(replica),
+        buildStatus: () => buildStatus(statusSources),
+        findRequestStatus: (requestId) => this.requestStatuses.find(requestId),
+      },
+    });
   }
 
   #createHandler(): RoutedHandler {
@@ -359,11 +331,8 @@
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
       onRestarted: (restarted) => this.#dropConnections(restarted),
-      onSnapshot: ({ callerBounds }) => {
-        const limits = buildCallerLimits(callerBounds);
-        this.#callers.updateLimits(limits);
-        this.#forwarded.updateLimits(buildForwardedLimits(limits));
-      },
+      onSnapshot: ({ callerBounds }) =>
+        this.#listeners.updateLimits(callerBounds),
     });
   }
 
