Count a placement at its owner until the lease counts at its VM

Full replicas got calls that nobody had room for, and brittle ones fell over for it. A VM that had the owner's answer stopped naming the placement as open at once, but counts the call in its own load only with the lease, after it has read its sockets and may have waited 200 ms for newer state. A report in between made the owner count the call neither as placed nor as running, so it gave the slot away once more. Calls that waited at their owner had the same gap on the owner itself.

The VM now names a placement as open until its lease is there or the placement is not used, and the owner keeps its own until then.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -249,10 +249,11 @@
   /** Lets a request of this VM wait here, where this VM owns its pool. */
   #waitHere(
     request: PlacementRequest,
-    { signal, onWaiting }: WaitOptions,
+    { signal, onWaiting, settled }: WaitOptions,
   ): Promise<OwnerDecision> {
     this.#lastOwnRequest += 1;
-    const { incarnation } = this.#options;
+    const { incarnation, placement } = this.#options;
+    const { unreported } = placement.loads;
     const id = { vm: this.#vm, incarnation, number: this.#lastOwnRequest };
     return new Promise((resolve) => {
       const onAbort = () => {
@@ -261,7 +262,9 @@
       };
       const onResult = (result: WaitResult) => {
         signal.removeEventListener("abort", onAbort);
-        resolve(this.#takeOwnResult(id.number, result));
+        // From then on it counts in this VM's own load.
+        void settled.then(() => unreported.remove(this.#vm, id.number));
+        resolve(result.kind === "placed" ? result.placement : result.kind);
       };
       const decision = this.#waiting.admit(id, request, onResult);
       if (decision === undefined) return resolve(undefined);
@@ -271,15 +274,6 @@
     });
   }
 
-  /**
-   * The lease that follows counts in this VM's own load, so the placement no
-   * longer counts as unreported.
-   */
-  #takeOwnResult(number: number, result: WaitResult): OwnerDecision {
-    this.#options.placement.loads.unreported.settle(this.#vm, number, []);
-    return result.kind === "placed" ? result.placement : result.kind;
-  }
-
   #sendResult(vm: VmId, ask: number, result: WaitResult): void {
     const peer = this.#options.peers.find(vm);
     if (peer !== undefined) this.#options.send(peer, buildAnswer(ask, result));
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -49,6 +49,11 @@
   signal: AbortSignal;
   /** Called once if the request waits; `owner` is the VM where it does. */
   onWaiting: (owner: VmId) => void;
+  /**
+   * Resolves once the placement counts in this VM's own load, or is not used.
+   * Until then the VM that placed it has to count it.
+   */
+  settled: Promise<void>;
 }
 
 /**
@@ -83,6 +88,11 @@
   waitForFreshState: () => Promise<void>;
 }
 
+interface AcquireOptions {
+  signal: AbortSignal;
+  onStep: (step: RequestStep) => void;
+}
+
 /** Grants a lease at once, or refuses; it has no queue. */
 export class PlacementSource extends LeaseSource {
   readonly #options: PlacementSourceOptions;
@@ -110,16 +120,30 @@
 
   override async acquire(
     request: LeaseRequest,
-    options: { signal: AbortSignal; onStep: (step: RequestStep) => void },
+    options: AcquireOptions,
   ): Promise<HeldLease> {
     const forwarded = this.#options.forward(request);
     if (forwarded !== undefined) {
       await this.#options.waitForSocketReads();
       return forwarded;
     }
+    let settle = () => {};
+    const settled = new Promise<void>((resolve) => settle = resolve);
+    try {
+      return await this.#grant(request, { ...options, settled });
+    } finally {
+      settle();
+    }
+  }
+
+  async #grant(
+    request: LeaseRequest,
+    options: AcquireOptions & Pick<WaitOptions, "settled">,
+  ): Promise<HeldLease> {
     const needs = this.#buildNeeds(request);
     const decision = await this.#options.fetchPlacement(needs, {
       signal: options.signal,
+      settled: options.settled,
       onWaiting: (owner) =>
         options.onStep({
           step: "queued",
--- a/src/process/placement/unreported_loads.ts
+++ b/src/process/placement/unreported_loads.ts
@@ -67,6 +67,13 @@
     }
   }
 
+  /** Removes what was placed for one placement request. */
+  remove(vm: VmId, number: number): void {
+    for (const placement of this.#byVm.get(vm) ?? []) {
+      if (placement.number === number) this.#drop(placement);
+    }
+  }
+
   get(replica: VmId): Readonly<ReplicaLoad> {
     this.#dropExpired();
     return this.#totals.get(replica);
--- a/src/process/seeded_fleet/placement_requester.ts
+++ b/src/process/seeded_fleet/placement_requester.ts
@@ -53,6 +53,11 @@
   signal: AbortSignal;
   /** Called once if the request waits at an owner. */
   onWaiting: (owner: VmId) => void;
+  /**
+   * Resolves once a placement counts in this VM's own load, or is not used;
+   * omitted where that is so at once.
+   */
+  settled?: Promise<void>;
 }
 
 /** Options of `PlacementRequester`. */
@@ -77,6 +82,8 @@
 export class PlacementRequester {
   readonly #options: PlacementRequesterOptions;
   readonly #pending = new Map<number, PendingRequest>();
+  /** Placed requests that this VM's own load does not include yet. */
+  readonly #unsettled = new Set<number>();
   readonly #avoidedUntil = new Map<VmId, number>();
   #lastRequest = 0;
   #lastWaitAt = -Infinity;
@@ -94,7 +101,8 @@
    * heartbeat.
    */
   get requestNumbers(): { lastAsk: number; openAsks: number[] } {
-    return { lastAsk: this.#lastRequest, openAsks: [...this.#pending.keys()] };
+    const openAsks = [...this.#pending.keys(), ...this.#unsettled];
+    return { lastAsk: this.#lastRequest, openAsks };
   }
 
   /** Whether a request of this VM has waited at an owner lately. */
@@ -158,6 +166,7 @@
         cancelTimer();
         wait.signal.removeEventListener("abort", onAbort);
         this.#pending.delete(number);
+        if (answer?.placed !== undefined) this.#addUnsettled(number, wait);
         resolve(answer);
       };
       const onAbort = () => settle();
@@ -184,6 +193,12 @@
     });
   }
 
+  #addUnsettled(number: number, { settled }: OwnerWait): void {
+    if (settled === undefined) return;
+    this.#unsettled.add(number);
+    void settled.then(() => this.#unsettled.delete(number));
+  }
+
   #noteSilent(vm: VmId, pool: PoolName): void {
     const { clock, log } = this.#options;
     this.#avoidedUntil.set(vm, clock.now() + SILENT_OWNER_BACK_OFF_MS);
--- a/test/process/seeded_fleet/pool_owners_test.ts
+++ b/test/process/seeded_fleet/pool_owners_test.ts
@@ -119,6 +119,26 @@
     expect(requester.requestNumbers).toEqual({ lastAsk: 1, openAsks: [] });
   });
 
+  // Guards against an owner that counts a call neither as placed nor as running,
+  // because its VM reported its load between the answer and the lease.
+  it("names a request as open until its placement counts", async () => {
+    const { requester } = createRequester(["vm-1"]);
+    let settle = () => {};
+    const settled = new Promise<void>((resolve) => settle = resolve);
+    const placed = requester.fetchPlacement(REQUEST, { ...WAIT, settled });
+    requester.noteAnswer({
+      kind: "answer",
+      ask: 1,
+      placed: PLACED,
+      isFull: false,
+    });
+    await placed;
+    expect(requester.requestNumbers.openAsks).toEqual([1]);
+    settle();
+    await settled;
+    expect(requester.requestNumbers.openAsks).toEqual([]);
+  });
+
   // Guards against a request that is sent to a replica although none has
   // capacity for it. The owner answers that the pool is full, so its substitute
   // is not asked. Such an answer, which names no replica, must not be taken for
