Let one VM alone give away the slots of brittle replicas

Brittle replicas of fleets with owners fell over one after the other as soon as the owner was silent for 40 ms. VMs then ask the next owner, or decide by themselves, and both give away the slots that the first has given away: reports between them are 25 ms old at best. An extra request for each replica was also rounded up, so that one which bears three rejections a second got one at all times.

While a pool is brittle only the first owner places its requests, a VM that has no answer sends a few at most, and extra requests are whole ones.

--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -122,7 +122,7 @@
     if (placed === "full" || placed === "expired") return placed;
     if (wait.signal.aborted) return undefined;
     if (placed === undefined) {
-      const isOwner = owners.listOwners(request.pool).includes(this.#vm);
+      const isOwner = this.#listOwners(request.pool).includes(this.#vm);
       return isOwner ? this.#waitHere(request, wait) : undefined;
     }
     const { replicas } = this.#options;
@@ -228,7 +228,7 @@
     if (others.length === 0 && this.#options.hasSeeds()) {
       return { role: "unsettled", others };
     }
-    if (this.#findOwners()?.listOwners(pool).includes(vm)) {
+    if (this.#listOwners(pool).includes(vm)) {
       return { role: "owner", others };
     }
     // A VM that knows of only a few others in a large fleet is cut off; the
@@ -279,10 +279,21 @@
     if (peer !== undefined) this.#options.send(peer, buildAnswer(ask, result));
   }
 
+  /**
+   * VMs that place requests of a pool, in order. There is one while replicas are
+   * brittle: a substitute would give away the same slots while the owner does
+   * not answer for a moment.
+   */
+  #listOwners(pool: PoolName): readonly VmId[] {
+    const owners = this.#findOwners()?.listOwners(pool) ?? [];
+    const { brittle } = this.#options.placement;
+    return brittle.isPoolBrittle(pool) ? owners.slice(0, 1) : owners;
+  }
+
   /** Owners that precede this VM for a pool; all owners if it is none. */
   #listOwnersBefore(pool: PoolName): FleetPeer[] {
     const { vm, peers } = this.#options;
-    const owners = this.#findOwners()?.listOwners(pool) ?? [];
+    const owners = this.#listOwners(pool);
     const ownIndex = owners.indexOf(vm);
     const before = ownIndex < 0 ? owners : owners.slice(0, ownIndex);
     return before.map((each) => peers.find(each))
--- a/src/process/placement/brittle_replicas.ts
+++ b/src/process/placement/brittle_replicas.ts
@@ -132,6 +132,8 @@
     }
     const own = loads.countOwn(replica.id);
     if (role === "unsettled") return own === 0 && running < replica.slots;
+    // The owner, which does not answer this VM, may have given all slots away.
+    if (role === "alone") return own === 0 && this.#canBorrow(replica);
     const slots = ownSlots.get(replica.id) ?? 0;
     if (own < slots) return true;
     // One request may wait there, so that no slot is idle between two calls.
@@ -184,7 +186,8 @@
    */
   #countExtra(replica: VmId): number {
     const max = this.#brittle.get(replica)?.maxRejectionsPerS ?? 0;
-    return this.#listRecent(replica).length > 0 ? 0 : EXTRA_SHARE * max;
+    if (this.#listRecent(replica).length > 0) return 0;
+    return Math.floor(EXTRA_SHARE * max);
   }
 
   #addRejections(replica: VmId, count: number): void {
--- a/test/platform/brittle_replica_test.ts
+++ b/test/platform/brittle_replica_test.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { describe, expect, it } from "vitest";
+import { describe, expect, it, onTestFinished } from "vitest";
 import { waitUntil } from "../support/loopback.ts";
 import { PlatformFleet, sendRequest } from "./platform_fleet.ts";
 import { ReplicaCapacity } from "./replica_capacity.ts";
@@ -17,9 +17,22 @@
 /** Share of what the replicas can serve. */
 const MIN_SERVED_SHARE = 0.8;
 
+interface BrittleOptions {
+  vms: number;
+  callMs: number;
+  /** Calls that may wait at each replica. */
+  maxWaiting?: number;
+  maxRejectionsPerS?: number;
+}
+
 /** Replicas that say that they are brittle, and fall over if pressed. */
 async function createBrittleFleet(
-  { vms, callMs }: { vms: number; callMs: number },
+  {
+    vms,
+    callMs,
+    maxWaiting = 2,
+    maxRejectionsPerS = MAX_REJECTIONS_PER_S,
+  }: BrittleOptions,
 ): Promise<
   { fleet: PlatformFleet; capacities: ReplicaCapacity[] }
 > {
@@ -31,12 +44,12 @@
     fleet.vms.every(({ vm }) => vm.listEntries().length === vms)
   );
   const capacities = fleet.replicas.map((replica) => {
-    replica.extraHeaders = { "server-brittle": String(MAX_REJECTIONS_PER_S) };
+    replica.extraHeaders = { "server-brittle": String(maxRejectionsPerS) };
     replica.capacity = ReplicaCapacity.create({
       slots: SLOTS,
       callMs,
-      maxWaiting: 2,
-      maxRejectionsPerS: MAX_REJECTIONS_PER_S,
+      maxWaiting,
+      maxRejectionsPerS,
       downMs: 3_000,
     });
     return replica.capacity;
@@ -70,10 +83,17 @@
 
 /** Falls, and the share of what the replicas can do that was served. */
 async function runLoad(
-  { vms, load, callMs }: { vms: number; load: number; callMs: number },
+  { load, disturb = () => {}, ...options }: BrittleOptions & {
+    load: number;
+    /** Called each second with the number of the call. */
+    disturb?: (fleet: PlatformFleet, turn: number) => void;
+  },
 ): Promise<{ falls: number; servedShare: number }> {
-  const { fleet, capacities } = await createBrittleFleet({ vms, callMs });
-  const perS = computeCapacityPerS(callMs);
+  const { fleet, capacities } = await createBrittleFleet(options);
+  const perS = computeCapacityPerS(options.callMs);
+  let turn = 0;
+  const timer = setInterval(() => disturb(fleet, turn++), 1_000);
+  onTestFinished(() => clearInterval(timer));
   const statuses = await sendAtRate(fleet, load * perS);
   const served = statuses.filter((status) => status === 200).length;
   return {
@@ -93,6 +113,42 @@
     }, 60_000);
   }
 
+  // No call may wait there, and a few rejections are too many.
+  const sensitive = {
+    vms: 14,
+    load: 2,
+    callMs: SHORT_CALL_MS,
+    maxWaiting: 0,
+    maxRejectionsPerS: 3,
+  };
+
+  it("do not fall over where no call may wait", async () => {
+    const run = await runLoad(sensitive);
+    expect(run.falls).toBeLessThanOrEqual(MAX_FALLS);
+  }, 60_000);
+
+  it("do not fall over while VMs lose their links", async () => {
+    const disturb = ({ vms }: PlatformFleet, turn: number) => {
+      vms.forEach(({ links }) => links.heal());
+      vms.slice(turn % 4, turn % 4 + 3).forEach(({ links }) =>
+        links.cut("reset")
+      );
+    };
+    const run = await runLoad({ ...sensitive, disturb });
+    expect(run.falls).toBeLessThanOrEqual(MAX_FALLS);
+  }, 60_000);
+
+  it("do not fall over while entries go and return", async () => {
+    const disturb = (fleet: PlatformFleet, turn: number) => {
+      const { store, replicas } = fleet;
+      const { id } = replicas[turn % REPLICAS]!;
+      if (turn % 2 === 0) store.remove(`servers/${id}`);
+      else replicas.forEach((replica) => fleet.listReplica(replica));
+    };
+    const run = await runLoad({ ...sensitive, disturb });
+    expect(run.falls).toBeLessThanOrEqual(MAX_FALLS);
+  }, 60_000);
+
   for (const vms of [8, 14]) {
     it(`serve most of what they can, ${vms} VMs`, async () => {
       const run = await runLoad({ vms, load: 2, callMs: LONG_CALL_MS });
--- a/test/process/placement/brittle_replicas_test.ts
+++ b/test/process/placement/brittle_replicas_test.ts
@@ -26,7 +26,11 @@
 }
 
 /** A VM that knows the first replica to be brittle. */
-function createVm(vm: VmId, role: PlacementRole["role"] = "equal") {
+function createVm(
+  vm: VmId,
+  role: PlacementRole["role"] = "equal",
+  maxRejectionsPerS = MAX_REJECTIONS_PER_S,
+) {
   const clock = VirtualClock.create();
   const loads = ReplicaLoads.create(clock, () => {});
   const brittle = BrittleReplicas.create({
@@ -37,7 +41,7 @@
     getRole: () => ({ role, others: VMS.filter((other) => other !== vm) }),
     onChange: () => {},
   });
-  brittle.noteSignals(REPLICAS[0]!.id, buildSignals());
+  brittle.noteSignals(REPLICAS[0]!.id, buildSignals({ maxRejectionsPerS }));
   return { clock, loads, brittle };
 }
 
@@ -94,6 +98,19 @@
     owner.brittle.notePeers([[REPLICAS[1]!.id, 1]]);
     expect(countAllowed(owner, 1)).toBe(SLOTS);
   });
+
+  // Guards against a request too many a second for replicas that bear few.
+  it("an owner sends none beyond the slots of replicas that bear three", () => {
+    expect(countAllowed(createVm(VMS[0]!, "owner", 3), 0)).toBe(SLOTS);
+  });
+
+  // Guards against VMs that give away the slots which their owner has given away
+  // while it was silent for a moment.
+  it("VMs whose owner is silent send a few at most", () => {
+    const total = VMS.map((vm) => countAllowed(createVm(vm, "alone"), 0))
+      .reduce((sum, count) => sum + count, 0);
+    expect(total).toBeLessThanOrEqual(MAX_REJECTIONS_PER_S / 4);
+  });
 });
 
 it("nothing is limited once the answers no longer say so", () => {
