Tell the other VMs which replicas are brittle

A VM knew that a replica is brittle only by an answer to itself. The owner of a pool may get none: in a large fleet it places the requests of all, and its own callers may not use the pool. It then placed requests as ever, and what others reported as rejected did not count, as it knew of no bound.

Reports now say with the rejections how many a replica bears, and name each brittle replica again every two seconds.

--- a/src/process/placement/brittle_replicas.ts
+++ b/src/process/placement/brittle_replicas.ts
@@ -2,7 +2,8 @@
  * Replicas that fall over if they have to turn away too many requests within a
  * second, and say so in their answers.
  *
- * What a replica has turned away counts for all VMs together. While replicas
+ * What a replica has said and turned away counts for all VMs together, also for
+ * one that places requests and gets no answers itself. While replicas
  * are brittle, VMs that decide for themselves divide the slots of a pool among
  * each other, since their reports are too late to share a free one: without any
  * message, each finds its own slots from the lists of replicas and of VMs.
@@ -35,8 +36,19 @@
 /** The division of a pool's slots is computed again this often. */
 const DIVISION_TTL_MS = 50;
 
-/** Requests that a replica rejected since the sender's last update. */
-export type RejectionEntry = [replica: VmId, rejections: number];
+/** Brittle replicas are named to the other VMs again after this time. */
+const REPORT_INTERVAL_MS = 2_000;
+const NOT_BRITTLE = -1;
+
+/**
+ * Requests that a replica rejected since the sender's last update, and how many
+ * it bears in a second; below 0 if it is not brittle.
+ */
+export type RejectionEntry = [
+  replica: VmId,
+  rejections: number,
+  maxRejectionsPerS: number,
+];
 
 /** Called when a replica begins or ends to be brittle; undefined for the end. */
 export type OnBrittle = (
@@ -75,6 +87,8 @@
   readonly #rejections = new Map<VmId, { at: number; count: number }[]>();
   readonly #divisions = new Map<PoolName, Division>();
   #unsent = new Map<VmId, number>();
+  /** What was reported last of each replica. */
+  readonly #reported = new Map<VmId, Brittleness>();
 
   constructor(options: BrittleReplicasOptions) {
     this.#options = options;
@@ -90,19 +104,31 @@
     { maxRejectionsPerS, isRejected }: UpstreamSignals,
   ): void {
     this.#noteBrittle(replica, maxRejectionsPerS);
-    if (!isRejected || maxRejectionsPerS === undefined) return;
-    this.#addRejections(replica, 1);
-    this.#unsent.set(replica, (this.#unsent.get(replica) ?? 0) + 1);
+    const isCounted = isRejected && maxRejectionsPerS !== undefined;
+    if (!isCounted && !this.#isReportDue(replica, maxRejectionsPerS)) return;
+    const rejections = isCounted ? 1 : 0;
+    if (isCounted) this.#addRejections(replica, rejections);
+    const unsent = this.#unsent.get(replica) ?? 0;
+    this.#unsent.set(replica, unsent + rejections);
   }
 
-  /** Records rejections that another VM reported. */
+  /** Records what another VM reported. */
   notePeers(entries: readonly RejectionEntry[]): void {
-    for (const [replica, count] of entries) this.#addRejections(replica, count);
+    for (const [replica, count, maxRejectionsPerS] of entries) {
+      const isBrittle = maxRejectionsPerS !== NOT_BRITTLE;
+      this.#noteBrittle(replica, isBrittle ? maxRejectionsPerS : undefined);
+      if (count > 0) this.#addRejections(replica, count);
+    }
   }
 
   /** Takes the rejections that were not sent to the other VMs yet. */
   takeUnsent(): RejectionEntry[] {
-    const entries = [...this.#unsent];
+    const notedAt = this.#options.clock.now();
+    const entries = [...this.#unsent].map(([replica, count]) => {
+      const maxRejectionsPerS = this.#getMaxRejections(replica);
+      this.#reported.set(replica, { maxRejectionsPerS, notedAt });
+      return [replica, count, maxRejectionsPerS] as RejectionEntry;
+    });
     this.#unsent = new Map();
     return entries;
   }
@@ -143,13 +169,29 @@
 
   /** Forgets replicas that are no longer listed. */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
-    for (const byReplica of [this.#brittle, this.#rejections]) {
+    for (const byReplica of [this.#brittle, this.#rejections, this.#reported]) {
       for (const replica of byReplica.keys()) {
         if (!isListed(replica)) byReplica.delete(replica);
       }
     }
   }
 
+  #getMaxRejections(replica: VmId): number {
+    return this.#brittle.get(replica)?.maxRejectionsPerS ?? NOT_BRITTLE;
+  }
+
+  /** Whether the other VMs are to hear of the replica's last answer. */
+  #isReportDue(
+    replica: VmId,
+    maxRejectionsPerS: number = NOT_BRITTLE,
+  ): boolean {
+    const reported = this.#reported.get(replica);
+    const last = reported?.maxRejectionsPerS ?? NOT_BRITTLE;
+    if (last !== maxRejectionsPerS) return true;
+    return maxRejectionsPerS !== NOT_BRITTLE &&
+      this.#options.clock.now() >= reported!.notedAt + REPORT_INTERVAL_MS;
+  }
+
   #noteBrittle(replica: VmId, maxRejectionsPerS: number | undefined): void {
     const before = this.#brittle.get(replica)?.maxRejectionsPerS;
     if (maxRejectionsPerS === undefined) this.#brittle.delete(replica);
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -38,7 +38,7 @@
   limits: z.array(z.tuple([VM, COUNT, COUNT, COUNT])).default([]),
   leaving: z.array(z.tuple([VM, COUNT])).default([]),
   unreached: z.array(z.tuple([VM, COUNT])).default([]),
-  rejections: z.array(z.tuple([VM, COUNT])).default([]),
+  rejections: z.array(z.tuple([VM, COUNT, COUNT])).default([]),
 });
 
 /**
--- a/test/process/placement/brittle_replicas_test.ts
+++ b/test/process/placement/brittle_replicas_test.ts
@@ -71,7 +71,9 @@
   it("each VM has as many slots as the others, give or take one", () => {
     const counts = VMS.map((each) => {
       const vm = createVm(each);
-      vm.brittle.notePeers(REPLICAS.map(({ id }) => [id, 1]));
+      vm.brittle.notePeers(
+        REPLICAS.map(({ id }) => [id, 1, MAX_REJECTIONS_PER_S]),
+      );
       return [...REPLICAS.keys()]
         .reduce((sum, index) => sum + countAllowed(vm, index), 0);
     });
@@ -85,17 +87,17 @@
     const vm = createVm(VMS[0]!);
     const { id } = REPLICAS[0]!;
     vm.brittle.noteSignals(id, buildSignals({ isRejected: true }));
-    vm.brittle.notePeers([[id, 3]]);
+    vm.brittle.notePeers([[id, 3, MAX_REJECTIONS_PER_S]]);
     expect(vm.brittle.hasCapacity(REPLICAS[0]!)).toBe(false);
     await vm.clock.run(1_100);
     expect(countAllowed(vm, 0)).toBeGreaterThan(0);
-    expect(vm.brittle.takeUnsent()).toEqual([[id, 1]]);
+    expect(vm.brittle.takeUnsent()).toEqual([[id, 1, MAX_REJECTIONS_PER_S]]);
   });
 
   it("an owner sends no more than slots and a few", () => {
     const owner = createVm(VMS[0]!, "owner");
     expect(countAllowed(owner, 0)).toBe(SLOTS + MAX_REJECTIONS_PER_S / 4);
-    owner.brittle.notePeers([[REPLICAS[1]!.id, 1]]);
+    owner.brittle.notePeers([[REPLICAS[1]!.id, 1, MAX_REJECTIONS_PER_S]]);
     expect(countAllowed(owner, 1)).toBe(SLOTS);
   });
 
@@ -113,6 +115,28 @@
   });
 });
 
+// Guards against an owner that places requests as ever, because no answer of a
+// brittle replica has come to itself.
+it("a VM keeps to what the others heard of a replica, and to its end", async () => {
+  const [replica] = REPLICAS;
+  const heard = createVm(VMS[0]!);
+  const owner = createVm(VMS[1]!, "owner");
+  owner.brittle.noteSignals(
+    replica!.id,
+    buildSignals({ maxRejectionsPerS: undefined }),
+  );
+  owner.brittle.notePeers(heard.brittle.takeUnsent());
+  expect(countAllowed(owner, 0)).toBe(SLOTS + MAX_REJECTIONS_PER_S / 4);
+  await heard.clock.run(3_000);
+  heard.brittle.noteSignals(replica!.id, buildSignals());
+  expect(heard.brittle.takeUnsent())
+    .toEqual([[replica!.id, 0, MAX_REJECTIONS_PER_S]]);
+  const ended = buildSignals({ maxRejectionsPerS: undefined });
+  heard.brittle.noteSignals(replica!.id, ended);
+  owner.brittle.notePeers(heard.brittle.takeUnsent());
+  expect(owner.brittle.isBrittle(replica!.id)).toBe(false);
+});
+
 it("nothing is limited once the answers no longer say so", () => {
   const vm = createVm(VMS[0]!);
   const signals = buildSignals({ maxRejectionsPerS: undefined });
--- a/test/process/seeded_fleet/fleet_message_test.ts
+++ b/test/process/seeded_fleet/fleet_message_test.ts
@@ -38,7 +38,7 @@
       limits: [[REPLICA, 3.5, 12, 4]],
       leaving: [[REPLICA, 8]],
       unreached: [[REPLICA, 2]],
-      rejections: [[REPLICA, 5]],
+      rejections: [[REPLICA, 5, 8]],
     },
     sentAt: 1_234,
     confirmed: [toId("life"), 1_200],
