Settle a placement at once where the VM decides itself

The owner counted a placement that its VM could not use (a replica that the VM does not list, say) for as long as the request then waited for room at that VM, up to a quarter of its time.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -93,6 +93,11 @@
   onStep: (step: RequestStep) => void;
 }
 
+interface Settlement extends Pick<WaitOptions, "settled"> {
+  /** Resolves `settled`. */
+  settle: () => void;
+}
+
 /** Grants a lease at once, or refuses; it has no queue. */
 export class PlacementSource extends LeaseSource {
   readonly #options: PlacementSourceOptions;
@@ -130,15 +135,16 @@
     let settle = () => {};
     const settled = new Promise<void>((resolve) => settle = resolve);
     try {
-      return await this.#grant(request, { ...options, settled });
+      return await this.#grant(request, { ...options, settled, settle });
     } finally {
       settle();
     }
   }
 
+  /** Calls `settle` once no placement of an owner is left to be counted. */
   async #grant(
     request: LeaseRequest,
-    options: AcquireOptions & Pick<WaitOptions, "settled">,
+    { settle, ...options }: AcquireOptions & Settlement,
   ): Promise<HeldLease> {
     const needs = this.#buildNeeds(request);
     const decision = await this.#options.fetchPlacement(needs, {
@@ -163,6 +169,7 @@
     if (decision === "expired") {
       throw this.#refusals.createExpiredError(request, needs);
     }
+    if (decision === undefined) settle();
     // The choice counts from the lease on: nothing may run between the two.
     const until = this.#computeWaitEnd(request);
     let placement = decision ?? this.#chooseInTurn(request);
--- a/test/process/placement/placement_source_test.ts
+++ b/test/process/placement/placement_source_test.ts
@@ -2,6 +2,7 @@
 import { toId } from "../../../src/ids.ts";
 import {
   Locality,
+  type OwnerDecision,
   PlacementSource,
   PlacementState,
   ReplicaDirectory,
@@ -21,13 +22,19 @@
   predictedMs: 0,
 };
 
-/** A VM whose owner places all requests, and its load when they settled. */
-function createSource() {
+/** A VM with an owner, and the VM's load when each request was settled. */
+function createSource(decision: OwnerDecision) {
   const clock = VirtualClock.create();
   const state = PlacementState.create({
     clock,
     onUpdate: () => {},
     onEjected: () => {},
+    brittle: {
+      vm: toId("vm-1"),
+      listReady: () => [REPLICA],
+      getRole: () => ({ role: "equal", others: [] }),
+      onChange: () => {},
+    },
   });
   const directory = ReplicaDirectory.create();
   directory.apply({ revision: 1, replicas: [REPLICA] });
@@ -47,10 +54,10 @@
       void settled.then(() =>
         loadsWhenSettled.push(state.loads.countOwn(REPLICA.id))
       );
-      return Promise.resolve(PLACEMENT);
+      return Promise.resolve(decision);
     },
   });
-  return { clock, source, loadsWhenSettled };
+  return { clock, state, source, loadsWhenSettled };
 }
 
 function buildRequest(): LeaseRequest {
@@ -78,7 +85,7 @@
 // Guards against an owner that believes a slot to be free which a call is about
 // to take: no VM counted the call until its lease was there.
 it("the owner counts a placement until its lease does", async () => {
-  const { clock, source, loadsWhenSettled } = createSource();
+  const { clock, source, loadsWhenSettled } = createSource(PLACEMENT);
   const { signal } = new AbortController();
   const lease = source.acquire(buildRequest(), { signal, onStep: () => {} });
   await clock.run(50);
@@ -89,7 +96,7 @@
 });
 
 it("the owner counts no placement that is not used", async () => {
-  const { clock, source, loadsWhenSettled } = createSource();
+  const { clock, source, loadsWhenSettled } = createSource(PLACEMENT);
   const caller = new AbortController();
   const lease = source.acquire(buildRequest(), {
     signal: caller.signal,
@@ -101,3 +108,21 @@
   await refused;
   expect(loadsWhenSettled).toEqual([0]);
 });
+
+it("the owner counts no placement while a request waits here", async () => {
+  const { clock, state, source, loadsWhenSettled } = createSource(undefined);
+  state.brittle.noteSignals(REPLICA.id, {
+    requestsPerS: undefined,
+    isLeaving: false,
+    backOffMs: 0,
+    isRejected: true,
+    maxRejectionsPerS: 1,
+    unreadable: [],
+  });
+  const { signal } = new AbortController();
+  const lease = source.acquire(buildRequest(), { signal, onStep: () => {} });
+  await clock.run(500);
+  expect(loadsWhenSettled).toEqual([0]);
+  await clock.run(1_000);
+  await lease;
+});
