--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -262,7 +262,7 @@
       };
       const onResult = (result: WaitResult) => {
         signal.removeEventListener("abort", onAbort);
-        // From then on it counts in this VM's own load.
+        // The lease counts in this VM's own load from then on.
         void settled.then(() => unreported.remove(this.#vm, id.number));
         resolve(result.kind === "placed" ? result.placement : result.kind);
       };
--- a/src/process/placement/brittle_replicas.ts
+++ b/src/process/placement/brittle_replicas.ts
@@ -121,7 +121,7 @@
     }
   }
 
-  /** Takes the rejections that were not sent to the other VMs yet. */
+  /** Takes what was not sent to the other VMs yet. */
   takeUnsent(): RejectionEntry[] {
     const notedAt = this.#options.clock.now();
     const entries = [...this.#unsent].map(([replica, count]) => {
--- a/src/process/placement/unreported_loads.ts
+++ b/src/process/placement/unreported_loads.ts
@@ -57,8 +57,8 @@
 
   /**
    * Removes what the loads reported by `vm` include: all its placement requests
-   * up to `lastRequest` but those in `openRequests`, whose answers it had not
-   * received.
+   * up to `lastRequest` but those in `openRequests`, which it had no answer to or
+   * no lease for.
    */
   settle(vm: VmId, lastRequest: number, openRequests: readonly number[]): void {
     for (const placement of this.#byVm.get(vm) ?? []) {
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -33,7 +33,7 @@
   reads: z.array(z.tuple([VM, z.array(TEXT)])),
   /** Number of the sender's last placement request. */
   lastAsk: COUNT,
-  /** Placement requests up to `lastAsk` that are still unanswered. */
+  /** Those up to `lastAsk` that are unanswered or not in `loads` yet. */
   openAsks: z.array(COUNT),
   limits: z.array(z.tuple([VM, COUNT, COUNT, COUNT])).default([]),
   leaving: z.array(z.tuple([VM, COUNT])).default([]),
