--- a/test/process/placement/placement_source_test.ts
+++ b/test/process/placement/placement_source_test.ts
@@ -95,6 +95,7 @@
   expect(loadsWhenSettled).toEqual([1]);
 });
 
+// Guards against a slot that stays taken for a caller who has left.
 it("the owner counts no placement that is not used", async () => {
   const { clock, source, loadsWhenSettled } = createSource(PLACEMENT);
   const caller = new AbortController();
@@ -109,6 +110,7 @@
   expect(loadsWhenSettled).toEqual([0]);
 });
 
+// Guards against a slot that stays taken for a request which waits elsewhere.
 it("the owner counts no placement while a request waits here", async () => {
   const { clock, state, source, loadsWhenSettled } = createSource(undefined);
   state.brittle.noteSignals(REPLICA.id, {
