Log and count streams that upstreams broke off and ended in order

A scanner now follows the lines of an event stream without buffering them (LF, CR LF and CR, comments, a byte-order mark), and a stream that ends within an event, or before its first one without a length or chunks, is logged as `answer_truncated` with its upstream and the number of complete events, and counted in `truncated_answers_total`. Callers still get what they got.

--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -158,6 +158,7 @@
     return {
       status: message.statusCode ?? 0,
       headers: copyEndToEndHeaders(message.headers),
+      isCloseDelimited,
       body,
     };
   }
--- a/src/connection/upstream_transport.ts
+++ b/src/connection/upstream_transport.ts
@@ -50,6 +50,11 @@
 export interface UpstreamAnswer {
   status: number;
   headers: Record<string, string>;
+  /**
+   * Whether the answer has neither a length nor chunks, so that its end looks
+   * like a crash of the upstream.
+   */
+  isCloseDelimited?: boolean;
   /** Applies backpressure; iteration throws `UpstreamError`. */
   body: AsyncIterable<Uint8Array>;
 }
--- a/src/process/request_metrics.ts
+++ b/src/process/request_metrics.ts
@@ -37,6 +37,7 @@
   readonly #requests: Counter<"class" | "result" | "step">;
   readonly #tokens: Counter<"class">;
   readonly #wastedTokens: Counter<"class">;
+  readonly #truncated: Counter<"class">;
 
   constructor(clock: Clock) {
     super();
@@ -62,6 +63,13 @@
       labelNames: ["class"],
       registers,
     });
+    this.#truncated = new Counter({
+      name: `${PREFIX}truncated_answers_total`,
+      help:
+        "Answers that upstreams broke off within an event and ended in order, by class",
+      labelNames: ["class"],
+      registers,
+    });
     this.#addStepGauges();
   }
 
@@ -106,6 +114,10 @@
     this.#burn.record(request);
   }
 
+  noteTruncated(className: ClassName): void {
+    this.#truncated.inc({ class: className });
+  }
+
   /**
    * Adds a gauge that is read at each scrape. `name` does not include the
    * product's prefix.
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -230,6 +230,8 @@
 export abstract class RequestMetrics {
   abstract noteStep(className: ClassName, step: string, ms: number): void;
   abstract noteFinished(request: FinishedRequest): void;
+  /** Counts an answer that an upstream broke off and ended in order. */
+  abstract noteTruncated(className: ClassName): void;
 }
 
 /** The measurements of one finished request. */
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -14,6 +14,7 @@
   Workspace,
 } from "../version/records.ts";
 import type { CallerSink } from "./caller_sink.ts";
+import type { StreamTruncation } from "./event_stream.ts";
 import type { RequestStatus, RequestStepName } from "./request_status.ts";
 import type { RequestServices } from "./request_services.ts";
 import { RequestPhases } from "./request_phases.ts";
@@ -146,6 +147,18 @@
     this.#hasRun = true;
   }
 
+  /** Records that the upstream broke its answer off and ended it in order. */
+  noteTruncated({ events, detail }: StreamTruncation): void {
+    const { environment, metrics } = this.services;
+    metrics.noteTruncated(this.options.requestClass.name);
+    environment.log.warn("answer_truncated", {
+      request_id: this.id,
+      upstream: this.upstream,
+      events,
+      detail,
+    });
+  }
+
   /** Counts tokens that are about to be sent to the caller. */
   noteTokens(count: number): void {
     if (count === 0) return;
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import { SseBoundary } from "../connection/sse_boundary.ts";
 import { SseFramer } from "../connection/sse_frames.ts";
 import type {
   CallTimeouts,
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
+import { findTruncation, isEventStream } from "./event_stream.ts";
 import { RoutedWork, type RoutedWorkContext } from "./routed_work.ts";
 import {
   BrokenAnswerError,
@@ -39,13 +41,19 @@
   ): Promise<void> {
     this.checkHead(answer, options);
     const { execution } = this.context;
+    const boundary = SseBoundary.create();
     for await (const bytes of answer.body) {
       checkNotCancelled(options);
       this.writeHead(answer);
       options.progress.noteTokens(1);
       execution.noteTokens(1);
+      boundary.push(bytes);
       await execution.options.sink.write(bytes);
     }
+    const truncation = isEventStream(answer)
+      ? findTruncation(boundary, { ...answer, isResumed: false })
+      : undefined;
+    if (truncation !== undefined) execution.noteTruncated(truncation);
     options.onComplete();
     this.writeHead(answer);
     await execution.options.sink.end();
--- a/test/support/request_fakes.ts
+++ b/test/support/request_fakes.ts
@@ -200,6 +200,7 @@
 export class FakeMetrics extends RequestMetrics {
   finished: FinishedRequest[] = [];
   phases: string[] = [];
+  truncated: unknown[] = [];
 
   noteStep(_className: unknown, step: string): void {
     this.phases.push(step);
@@ -208,6 +209,10 @@
   noteFinished(figures: FinishedRequest): void {
     this.finished.push(figures);
   }
+
+  noteTruncated(className: unknown): void {
+    this.truncated.push(className);
+  }
 }
 
 /** Upstreams whose answers a function computes. */
