Break off a single stream whose replica ended it within an event

Cause: the work of a stream that may not be resumed forwarded bytes and ended the answer wherever the body ended in order, although a replica that crashes may close its connection in order, in the middle of an event, and no length or chunk says otherwise.

An end within an event, or before the first one where neither a length nor chunks end the answer, fails the attempt as `answer_truncated`: a caller that has bytes sees its connection break, one that has none gets 502 (it may have run). The replica counts as lost as at a broken connection, so that a crash is evidence against the request.

Without events and with a length of 0, or chunks that end, a stream is whole: the replica has said so itself.

--- a/src/connection/refusal_body.ts
+++ b/src/connection/refusal_body.ts
@@ -59,7 +59,9 @@
     })
     .with("cancelled", () => toKind(499, "cancelled_error"))
     .with("internal", () => toKind(500, "internal_error"))
-    .with("upstream_failed", () => toKind(502, "upstream_error"))
+    .with("upstream_failed", "answer_truncated", () => {
+      return toKind(502, "upstream_error");
+    })
     .with("upstream_timeout", "deadline_passed", () => {
       return toKind(504, "upstream_error");
     })
--- a/src/outcome.ts
+++ b/src/outcome.ts
@@ -28,6 +28,7 @@
   "owner_unreachable",
   "not_ready",
   "upstream_failed",
+  "answer_truncated",
   "upstream_timeout",
   "deadline_passed",
   "already_submitted",
--- a/src/request/attempt_failure.ts
+++ b/src/request/attempt_failure.ts
@@ -11,7 +11,7 @@
 import type { VmId } from "../ids.ts";
 import type { RefusalCode } from "../outcome.ts";
 import { PeerRefusalError } from "./forwarded_request.ts";
-import { BrokenAnswerError } from "./upstream_work.ts";
+import { BrokenAnswerError, TruncatedAnswerError } from "./upstream_work.ts";
 
 const LOST_KINDS: ReadonlySet<UpstreamErrorKind> = new Set(["broken", "write"]);
 
@@ -63,14 +63,16 @@
     };
   }
   const notStarted = error instanceof BrokenAnswerError && error.notStarted;
+  const isTruncated = error instanceof TruncatedAnswerError;
   return {
     upstream,
-    code: "upstream_failed",
+    code: isTruncated ? "answer_truncated" : "upstream_failed",
     message: error.message,
     mayHaveRun: !notStarted,
     wasSent: true,
     sends: maxSends,
-    isConnectionLost: false,
+    // An upstream that crashes may close its connections in order.
+    isConnectionLost: isTruncated,
   };
 }
 
--- a/src/request/event_stream.ts
+++ b/src/request/event_stream.ts
@@ -16,6 +16,14 @@
   detail: string;
 }
 
+/** How a stream that ended in order was framed. */
+export interface StreamEnd {
+  /** Whether it had neither a length nor chunks. */
+  isCloseDelimited?: boolean;
+  /** Whether it is the rest of a stream of which the caller has events. */
+  isResumed: boolean;
+}
+
 /**
  * Whether an answer on a streaming route is a stream of events: it says so, or
  * is a success that names no type. Encoded bytes cannot be read as events.
@@ -30,15 +38,12 @@
 /**
  * Finds whether a stream whose connection or framing ended in order has been
  * broken off; undefined if it is whole. It is broken off if it ended within an
- * event. Without an event, only a length or chunks show that nothing is
- * missing, unless the stream `isResumed` after its last event.
+ * event. Without an event, only a length or chunks show that nothing is missing;
+ * the rest of a stream may be empty.
  */
 export function findTruncation(
   boundary: SseBoundary,
-  { isCloseDelimited = false, isResumed }: {
-    isCloseDelimited?: boolean | undefined;
-    isResumed: boolean;
-  },
+  { isCloseDelimited = false, isResumed }: StreamEnd,
 ): StreamTruncation | undefined {
   const { events, isBetweenEvents } = boundary;
   if (!isBetweenEvents) return { events, detail: "within an event" };
--- a/src/request/routed_stream_work.ts
+++ b/src/request/routed_stream_work.ts
@@ -9,12 +9,18 @@
   CallTimeouts,
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
-import { findTruncation, isEventStream } from "./event_stream.ts";
+import {
+  findTruncation,
+  isEventStream,
+  type StreamEnd,
+} from "./event_stream.ts";
+import type { RequestExecution } from "./request_execution.ts";
 import { RoutedWork, type RoutedWorkContext } from "./routed_work.ts";
 import {
   BrokenAnswerError,
   checkNotCancelled,
   type RelayOptions,
+  TruncatedAnswerError,
 } from "./upstream_work.ts";
 
 /**
@@ -50,10 +56,9 @@
       boundary.push(bytes);
       await execution.options.sink.write(bytes);
     }
-    const truncation = isEventStream(answer)
-      ? findTruncation(boundary, { ...answer, isResumed: false })
-      : undefined;
-    if (truncation !== undefined) execution.noteTruncated(truncation);
+    if (isEventStream(answer)) {
+      checkWhole(execution, boundary, { ...answer, isResumed: false });
+    }
     options.onComplete();
     this.writeHead(answer);
     await execution.options.sink.end();
@@ -135,3 +140,17 @@
     await execution.options.sink.write(frame.bytes);
   }
 }
+
+/** Throws `TruncatedAnswerError` if the stream was broken off. */
+function checkWhole(
+  execution: RequestExecution,
+  boundary: SseBoundary,
+  end: StreamEnd,
+): void {
+  const truncation = findTruncation(boundary, end);
+  if (truncation === undefined) return;
+  execution.noteTruncated(truncation);
+  throw TruncatedAnswerError.create(
+    `Upstream ended the stream ${truncation.detail}`,
+  );
+}
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -40,6 +40,13 @@
   }
 }
 
+/** An answer that its upstream broke off and then ended in order. */
+export class TruncatedAnswerError extends BrokenAnswerError {
+  static override create(message: string): TruncatedAnswerError {
+    return new TruncatedAnswerError(message, { notStarted: false });
+  }
+}
+
 /** The context of an attempt, for forwarding its answer. */
 export interface RelayOptions {
   /** Aborts if the caller disconnects or the slot is preempted. */
--- a/test/connection/refusal_body_test.ts
+++ b/test/connection/refusal_body_test.ts
@@ -20,6 +20,7 @@
   owner_unreachable: 503,
   not_ready: 503,
   upstream_failed: 502,
+  answer_truncated: 502,
   upstream_timeout: 504,
   deadline_passed: 504,
   already_submitted: 409,
