Pass on answers of other types on routes whose streams can be resumed

On such a route a replica's own answer that is no stream of events (400, 404, 500 with JSON, in any framing) reached its caller as our 502: its body was held back as an incomplete event. The route kind that may not be resumed passes them through. Both now share the decision what is a stream of events, in a base class, and write any other answer as it comes; an answer of another type to the resumption of a stream is still broken.

The two kinds of work are files of their own.

--- a/src/request/routed_stream_work.ts
+++ b/src/request/resumable_stream_work.ts
@@ -1,26 +1,19 @@
 /**
- * Routed calls whose answer is an event stream.
+ * Routed streams that another replica can resume.
  *
  * @module
  */
-import { SseBoundary } from "../connection/sse_boundary.ts";
 import { SseFramer } from "../connection/sse_frames.ts";
 import type {
   CallTimeouts,
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
-import {
-  findTruncation,
-  isEventStream,
-  type StreamEnd,
-} from "./event_stream.ts";
-import type { RequestExecution } from "./request_execution.ts";
-import { RoutedWork, type RoutedWorkContext } from "./routed_work.ts";
+import type { RoutedWorkContext } from "./routed_work.ts";
+import { StreamWork } from "./stream_work.ts";
 import {
   BrokenAnswerError,
   checkNotCancelled,
   type RelayOptions,
-  TruncatedAnswerError,
 } from "./upstream_work.ts";
 
 /**
@@ -30,47 +23,8 @@
 const IDLE_TIMEOUT_MS = 1_000;
 const EVENT_ID = /^id: ?(.*)$/gm;
 
-/** A stream that must not be repeated: forwarded, and aborted if it breaks. */
-export class SingleStreamWork extends RoutedWork {
-  static create(context: RoutedWorkContext): SingleStreamWork {
-    return new SingleStreamWork(context);
-  }
-
-  /** Only the deadline ends a silent stream: no other replica can resume it. */
-  override computeTimeouts(leftMs: number): CallTimeouts {
-    return { firstByteMs: leftMs, betweenBytesMs: leftMs, totalMs: leftMs };
-  }
-
-  override async handleAnswer(
-    answer: UpstreamAnswer,
-    options: RelayOptions,
-  ): Promise<void> {
-    this.checkHead(answer, options);
-    const { execution } = this.context;
-    const boundary = SseBoundary.create();
-    for await (const bytes of answer.body) {
-      checkNotCancelled(options);
-      this.writeHead(answer);
-      options.progress.noteTokens(1);
-      execution.noteTokens(1);
-      boundary.push(bytes);
-      await execution.options.sink.write(bytes);
-    }
-    if (isEventStream(answer)) {
-      checkWhole(execution, boundary, { ...answer, isResumed: false });
-    }
-    options.onComplete();
-    this.writeHead(answer);
-    await execution.options.sink.end();
-  }
-
-  override canContinue(): boolean {
-    return !this.context.execution.options.sink.headWritten;
-  }
-}
-
 /** A stream that another replica can resume after its last complete event. */
-export class ResumableStreamWork extends RoutedWork {
+export class ResumableStreamWork extends StreamWork {
   #lastEventId: string | undefined;
 
   static create(context: RoutedWorkContext): ResumableStreamWork {
@@ -92,11 +46,15 @@
     return this.#lastEventId ?? this.context.call.lastEventId;
   }
 
-  override async handleAnswer(
+  override canContinue(): boolean {
+    return !this.context.execution.options.sink.headWritten ||
+      this.#lastEventId !== undefined;
+  }
+
+  protected override async writeEvents(
     answer: UpstreamAnswer,
     options: RelayOptions,
   ): Promise<void> {
-    this.checkHead(answer, options);
     const { sink } = this.context.execution.options;
     if (sink.headWritten && answer.status !== 200) {
       throw BrokenAnswerError.create(
@@ -116,14 +74,6 @@
         "Upstream ended the stream within an event",
       );
     }
-    options.onComplete();
-    this.writeHead(answer);
-    await sink.end();
-  }
-
-  override canContinue(): boolean {
-    return !this.context.execution.options.sink.headWritten ||
-      this.#lastEventId !== undefined;
   }
 
   async #sendEvents(
@@ -140,17 +90,3 @@
     await execution.options.sink.write(frame.bytes);
   }
 }
-
-/** Throws `TruncatedAnswerError` if the stream was broken off. */
-function checkWhole(
-  execution: RequestExecution,
-  boundary: SseBoundary,
-  end: StreamEnd,
-): void {
-  const truncation = findTruncation(boundary, end);
-  if (truncation === undefined) return;
-  execution.noteTruncated(truncation);
-  throw TruncatedAnswerError.create(
-    `Upstream ended the stream ${truncation.detail}`,
-  );
-}
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -25,7 +25,8 @@
 import { type CheckedWork, runExecution } from "./request_task.ts";
 import { RoutedCallWork } from "./routed_call_work.ts";
 import type { HeaderCodec, RoutedCall } from "./header_codec.ts";
-import { ResumableStreamWork, SingleStreamWork } from "./routed_stream_work.ts";
+import { ResumableStreamWork } from "./resumable_stream_work.ts";
+import { SingleStreamWork } from "./single_stream_work.ts";
 import type { RoutedWork, RoutedWorkContext } from "./routed_work.ts";
 
 const NOT_READY_RETRY_MS = 300;
--- a/test/failures/truncated_stream_test.ts
+++ b/test/failures/truncated_stream_test.ts
@@ -149,17 +149,37 @@
   expect(await send("/stream/x")).toMatchObject({ isWhole: true, body: event });
 });
 
-// Guards against an answer of another type that is taken for a stream and broken
-// off because it does not end with a blank line.
+// Guards against an answer of another type that is taken for a stream: it would be
+// broken off, or answered 502, because it does not end with a blank line.
 it("an answer that is no event stream keeps its status and body", async () => {
-  const { replica, send } = await createFleet("directly");
-  for (const [status, framing] of [[500, "length"], [404, "close"]] as const) {
-    const body = Buffer.from('{"error": "x"}');
-    const contentType = "application/json";
-    replica.answer = buildAnswer({ status, framing, body, contentType });
-    expect(await send("/stream/x"))
-      .toMatchObject({ status, isWhole: true, body: body.toString() });
+  const { fleet, replica, send } = await createFleet("directly");
+  const other = RawReplica.create("i-other", buildAnswer());
+  await other.start();
+  onTestFinished(() => other.stop());
+  fleet.listReplica(other);
+  const body = Buffer.from('{"error": "x"}');
+  const seen: unknown[] = [];
+  const wanted: unknown[] = [];
+  for (const path of ["/stream/x", "/restream/x"]) {
+    for (const status of [200, 400, 404, 500]) {
+      for (const framing of ["length", "chunked", "close"] as const) {
+        const contentType = "application/json";
+        replica.answer = { status, framing, body, contentType };
+        other.answer = replica.answer;
+        const answer = await send(path);
+        const { isWhole } = answer;
+        const sent = { path, framing };
+        seen.push({
+          ...sent,
+          status: answer.status,
+          isWhole,
+          body: answer.body,
+        });
+        wanted.push({ ...sent, status, isWhole: true, body: body.toString() });
+      }
+    }
   }
+  expect(seen).toEqual(wanted);
 });
 
 // Guards against a stream that its replica broke off and that counts as answered.
