Find the ends of all events of streams that can be resumed

Where a stream can be resumed, whole answers were broken off: those whose lines end in CR alone (nothing was forwarded until an event exceeded the size limit) and those whose last line is a comment. An answer that was closed after its head was framed as a complete, empty stream. Both kinds of work now use the same scanner and the same decision what is whole; the rest of a stream may be empty, since its last event may have come before the break. An id is no longer read from the middle of a line with U+2028, and the rest of a stream brings no byte-order mark into its middle.

--- a/src/connection/sse_boundary.ts
+++ b/src/connection/sse_boundary.ts
@@ -7,7 +7,8 @@
 const LF = 0x0a;
 const CR = 0x0d;
 const COLON = 0x3a;
-const BYTE_ORDER_MARK: readonly number[] = [0xef, 0xbb, 0xbf];
+/** Bytes that may come before the first line of a stream. */
+export const BYTE_ORDER_MARK: readonly number[] = [0xef, 0xbb, 0xbf];
 
 /**
  * Follows one stream of server-sent events. Lines end in LF, CR LF or CR; a
--- a/src/connection/sse_frames.ts
+++ b/src/connection/sse_frames.ts
@@ -7,10 +7,8 @@
 import type { EventSourceMessage } from "eventsource-parser";
 import { createParser } from "eventsource-parser";
 import { StepError } from "../errors.ts";
+import { SseBoundary } from "./sse_boundary.ts";
 
-const LF = 0x0a;
-const CR = 0x0d;
-const COLON = 0x3a;
 const INITIAL_PENDING_BYTES = 1_024;
 const MAX_EVENT_BYTES = 262_144;
 const MAX_DONE_BYTES = 20;
@@ -27,10 +25,9 @@
 /** Splits chunks into complete events; one instance per stream. */
 export class SseFramer {
   readonly #maxEventBytes: number;
+  readonly #boundary = SseBoundary.create();
   #pending: Buffer = Buffer.alloc(0);
   #pendingLength = 0;
-  /** Offset in the pending bytes from which to search for a blank line. */
-  #searchFrom = 0;
   #hasDone = false;
 
   constructor(maxEventBytes: number) {
@@ -46,42 +43,48 @@
     return this.#hasDone;
   }
 
-  /** Number of bytes of the incomplete event at the end. */
+  /** Where the stream stands after all chunks. */
+  get boundary(): SseBoundary {
+    return this.#boundary;
+  }
+
+  /** Number of bytes after the last complete event. */
   get pendingBytes(): number {
     return this.#pendingLength;
   }
 
+  /** The bytes after the last complete event. */
+  getPending(): Uint8Array {
+    return this.#pending.subarray(0, this.#pendingLength);
+  }
+
   /**
    * Adds a chunk and returns the events that it completes, possibly none. A
    * chunk of complete events is returned without a copy. Throws `StepError` if
    * an event exceeds the size limit.
    */
   push(chunk: Uint8Array): SseFrame {
-    const bytes = this.#pendingLength === 0
+    const searchFrom = this.#pendingLength;
+    const bytes = searchFrom === 0
       ? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength)
       : this.#addPending(chunk);
-    const found = this.#findEvents(bytes);
-    this.#setPending(bytes, found.end);
-    const whole = found.end === bytes.length
-      ? bytes
-      : bytes.subarray(0, found.end);
-    return { bytes: whole, events: found.events };
+    const eventsBefore = this.#boundary.events;
+    const end = this.#findEnd(bytes, searchFrom);
+    this.#setPending(bytes, end);
+    const whole = end === bytes.length ? bytes : bytes.subarray(0, end);
+    return { bytes: whole, events: this.#boundary.events - eventsBefore };
   }
 
-  #findEvents(bytes: Buffer): { end: number; events: number } {
+  /** The index after the last event that ends in `bytes`; 0 for none. */
+  #findEnd(bytes: Buffer, searchFrom: number): number {
     let end = 0;
-    let events = 0;
-    let newline = bytes.indexOf(LF, this.#searchFrom);
-    while (newline >= 0) {
-      const blank = findBlankLineEnd(bytes, newline);
-      if (blank > 0) {
-        if (bytes[end] !== COLON && newline > end) events += 1;
-        if (blank - end <= MAX_DONE_BYTES) this.#checkDone(bytes, end, blank);
-        end = blank;
-      }
-      newline = bytes.indexOf(LF, blank > 0 ? blank : newline + 1);
+    let next = this.#boundary.findNext(bytes, searchFrom);
+    while (next !== undefined) {
+      if (next - end <= MAX_DONE_BYTES) this.#checkDone(bytes, end, next);
+      end = next;
+      next = this.#boundary.findNext(bytes, end);
     }
-    return { end, events };
+    return end;
   }
 
   #checkDone(bytes: Buffer, start: number, end: number): void {
@@ -112,7 +115,6 @@
     }
     if (rest === 0) {
       this.#pendingLength = 0;
-      this.#searchFrom = 0;
       return;
     }
     if (end > 0 || this.#pendingLength === 0) {
@@ -122,8 +124,6 @@
       this.#pending = copy;
     }
     this.#pendingLength = rest;
-    // The next chunk may complete a blank line: search the last two bytes again.
-    this.#searchFrom = Math.max(0, rest - 2);
   }
 }
 
@@ -131,7 +131,9 @@
 export function parseEvents(bytes: Uint8Array): EventSourceMessage[] {
   const events: EventSourceMessage[] = [];
   const parser = createParser({ onEvent: (event) => events.push(event) });
-  parser.feed(new TextDecoder().decode(bytes));
+  const text = new TextDecoder().decode(bytes);
+  // The parser waits for what follows a CR at the end.
+  parser.feed(text.endsWith("\r") ? `${text}\n` : text);
   return events;
 }
 
@@ -139,11 +141,3 @@
 export function parseEvent(bytes: Uint8Array): EventSourceMessage | undefined {
   return parseEvents(bytes)[0];
 }
-
-/** The index after the blank line that follows `newline`; 0 if there is none. */
-function findBlankLineEnd(bytes: Buffer, newline: number): number {
-  const next = bytes[newline + 1];
-  if (next === LF) return newline + 2;
-  if (next === CR && bytes[newline + 2] === LF) return newline + 3;
-  return 0;
-}
--- a/src/request/resumable_stream_work.ts
+++ b/src/request/resumable_stream_work.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { BYTE_ORDER_MARK } from "../connection/sse_boundary.ts";
 import { SseFramer } from "../connection/sse_frames.ts";
 import type {
   CallTimeouts,
@@ -21,7 +22,8 @@
  * the 2 s after which callers disconnect from a silent stream.
  */
 const IDLE_TIMEOUT_MS = 1_000;
-const EVENT_ID = /^id: ?(.*)$/gm;
+/** A line with an event's id, the first one after a byte-order mark included. */
+const EVENT_ID = /(?:^\ufeff?|[\r\n])id: ?([^\r\n]*)/g;
 
 /** A stream that another replica can resume after its last complete event. */
 export class ResumableStreamWork extends StreamWork {
@@ -62,16 +64,22 @@
       );
     }
     const framer = SseFramer.create();
+    let isRestStart = sink.headWritten;
     for await (const bytes of answer.body) {
       checkNotCancelled(options);
       const frame = framer.push(bytes);
-      if (frame.bytes.length > 0) {
-        await this.#sendEvents(answer, frame, options);
-      }
+      if (frame.bytes.length === 0) continue;
+      if (isRestStart) frame.bytes = dropByteOrderMark(frame.bytes);
+      isRestStart = false;
+      await this.#sendEvents(answer, frame, options);
     }
+    const isResumed = this.getLastEventId() !== undefined;
+    this.checkWhole(framer.boundary, { ...answer, isResumed });
     if (framer.pendingBytes > 0) {
-      throw BrokenAnswerError.create(
-        "Upstream ended the stream within an event",
+      await this.#sendEvents(
+        answer,
+        { bytes: framer.getPending(), events: 0 },
+        options,
       );
     }
   }
@@ -90,3 +98,9 @@
     await execution.options.sink.write(frame.bytes);
   }
 }
+
+/** A byte-order mark may begin a stream, but not its rest. */
+function dropByteOrderMark(bytes: Uint8Array): Uint8Array {
+  const isMarked = BYTE_ORDER_MARK.every((byte, at) => bytes[at] === byte);
+  return isMarked ? bytes.subarray(BYTE_ORDER_MARK.length) : bytes;
+}
--- a/src/request/sse_events.ts
+++ b/src/request/sse_events.ts
@@ -3,10 +3,9 @@
  *
  * @module
  */
+import { SseBoundary } from "../connection/sse_boundary.ts";
 import { parseEvent } from "../connection/sse_frames.ts";
 
-const LINE_FEED = 0x0a;
-const CARRIAGE_RETURN = 0x0d;
 const DATA_PREFIX = "data: ";
 /** Length of the two line feeds that end a one-line event. */
 const END_LENGTH = 2;
@@ -23,9 +22,11 @@
 export function listEvents(frame: Uint8Array): SseEvent[] {
   const bytes = Buffer.from(frame.buffer, frame.byteOffset, frame.byteLength);
   const events: SseEvent[] = [];
+  const boundary = SseBoundary.create();
   let start = 0;
   while (start < bytes.length) {
-    const raw = bytes.subarray(start, findEnd(bytes, start));
+    const end = boundary.findNext(bytes, start);
+    const raw = bytes.subarray(start, end);
     events.push({ raw, data: readData(raw) });
     start += raw.length;
   }
@@ -43,16 +44,3 @@
   if (isOneLine) return text.slice(DATA_PREFIX.length, -END_LENGTH);
   return parseEvent(raw)?.data;
 }
-
-/** The index after the blank line of the event that begins at `start`. */
-function findEnd(bytes: Buffer, start: number): number {
-  let at = bytes.indexOf(LINE_FEED, start);
-  while (at >= 0) {
-    if (bytes[at + 1] === LINE_FEED) return at + 2;
-    if (bytes[at + 1] === CARRIAGE_RETURN && bytes[at + 2] === LINE_FEED) {
-      return at + 3;
-    }
-    at = bytes.indexOf(LINE_FEED, at + 1);
-  }
-  return bytes.length;
-}
--- a/test/connection/sse_frames_test.ts
+++ b/test/connection/sse_frames_test.ts
@@ -106,3 +106,15 @@
     expect(Buffer.from(frame.bytes).toString()).toBe(before);
   });
 });
+
+describe("SseFramer with other line ends", () => {
+  // Guards against a stream with lines that end in CR alone, of which nothing is
+  // forwarded until it exceeds the limit on an event's size.
+  it("finds events whose lines end in CR", () => {
+    const framer = SseFramer.create();
+    const frame = framer.push(Buffer.from("data: a\r\rdata: b\r\rdata: c"));
+    expect(Buffer.from(frame.bytes).toString()).toBe("data: a\r\rdata: b\r\r");
+    expect(frame.events).toBe(2);
+    expect(Buffer.from(framer.getPending()).toString()).toBe("data: c");
+  });
+});
--- a/test/failures/truncated_stream_test.ts
+++ b/test/failures/truncated_stream_test.ts
@@ -24,7 +24,10 @@
 interface RawFleet {
   fleet: PlatformFleet;
   replica: RawReplica;
-  send: (path: string) => ReturnType<typeof sendRequest>;
+  send: (
+    path: string,
+    headers?: Record<string, string>,
+  ) => ReturnType<typeof sendRequest>;
 }
 
 /** One replica; requests reach it through one VM, or through two. */
@@ -44,7 +47,8 @@
   );
   const [vm] = fleet.vms;
   if (way === "passed on") vm!.links.cut("reset");
-  const send = (path: string) => sendRequest(vm!, { path });
+  const send = (path: string, headers: Record<string, string> = {}) =>
+    sendRequest(vm!, { path, headers });
   return { fleet, replica, send };
 }
 
@@ -114,6 +118,25 @@
   }
 }, 60_000);
 
+// Guards against a whole stream that is broken off where streams can be resumed,
+// because its lines end in CR alone or its last line is a comment.
+it("a stream that can be resumed is whole at the same places", async () => {
+  const { replica, send } = await createFleet("directly");
+  const seen: unknown[] = [];
+  const wanted: unknown[] = [];
+  for (const { isWhole, ...answer } of listAnswers()) {
+    replica.answer = answer;
+    const { framing, body } = answer;
+    const received = await send("/restream/x");
+    const text = body.toString();
+    const isTakenForWhole = received.status === 200 && received.isWhole;
+    seen.push({ framing, text, isWhole: isTakenForWhole });
+    wanted.push({ framing, text, isWhole });
+    if (isWhole) expect(received.body).toBe(text);
+  }
+  expect(seen).toEqual(wanted);
+}, 60_000);
+
 // Guards against a replica that crashes after the head of its answer and whose
 // empty answer reaches the caller as a complete stream.
 it("a stream without any event is refused unless its framing ends it", async () => {
@@ -121,6 +144,7 @@
     const { replica, send } = await createFleet(way);
     replica.answer = buildAnswer({ body: Buffer.alloc(0) });
     expect(await send("/stream/x")).toMatchObject({ status: 502 });
+    expect(await send("/restream/x")).toMatchObject({ status: 502 });
     for (const framing of ["chunked", "length"] as const) {
       replica.answer = buildAnswer({ framing, body: Buffer.alloc(0) });
       expect(await send("/stream/x"))
@@ -195,3 +219,11 @@
   expect(find("request_finished"))
     .toMatchObject({ result: "lost", code: "answer_truncated" });
 });
+
+it("the rest of a stream may have no event left", async () => {
+  const { replica, send } = await createFleet("directly");
+  replica.answer = buildAnswer({ body: Buffer.alloc(0) });
+  const rest = { "last-event-id": "2" };
+  expect(await send("/restream/x", rest))
+    .toMatchObject({ status: 200, isWhole: true, body: "" });
+});
