Show the versions of replicas' software, and which streams are taken up

The list now holds each replica's version; it stands in `granted` steps, in `replica_changed` (also `new_version` under the same id) and on the status page, and a gauge counts pools with several. `stream_taken_up` names the request that brought the stream's first event. Decisions are unchanged.

--- a/src/ids.ts
+++ b/src/ids.ts
@@ -35,6 +35,8 @@
 export type TicketId = Brand<string, "TicketId">;
 /** Identifies the lease of one slot on one replica. */
 export type LeaseId = Brand<string, "LeaseId">;
+/** The version of an upstream's software, as it publishes it. */
+export type SoftwareVersion = Brand<string, "SoftwareVersion">;
 /** Identifies a shard of a pool, as `POOL/INDEX`. */
 export type ShardId = Brand<string, "ShardId">;
 
@@ -57,6 +59,7 @@
   | TicketId
   | LeaseId
   | ShardId
+  | SoftwareVersion
   | RouteName;
 
 /** Brands a text that is known to be an identifier of type `T`. */
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -15,7 +15,7 @@
 } from "../services.ts";
 import type { Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
-import type { ReplicaDirectory } from "./replica_list.ts";
+import { getSoftwareVersion, type ReplicaDirectory } from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
 
 const DEFAULT_PRIORITY = 5;
@@ -210,10 +210,10 @@
 }
 
 function formatReason(placement: Placement): string {
-  const { ownTokens, fetchedTokens, tokensAhead, owner } = placement;
+  const { replica, ownTokens, fetchedTokens, tokensAhead, owner } = placement;
   const { running, predictedMs, isDeferred } = placement;
-  return `by=${
-    owner ?? "self"
+  return `by=${owner ?? "self"} version=${
+    getSoftwareVersion(replica) || "none"
   } running=${running} tokens_ahead=${tokensAhead} ` +
     `own_tokens=${ownTokens} fetched=${fetchedTokens} predicted_ms=${
       Math.round(predictedMs)
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -3,7 +3,16 @@
  *
  * @module
  */
-import type { DataCentre, PoolName, VmId } from "../../ids.ts";
+import {
+  type DataCentre,
+  type PoolName,
+  type SoftwareVersion,
+  toId,
+  type VmId,
+} from "../../ids.ts";
+
+/** Stands for the software of replicas that publish no version. */
+const NO_VERSION = toId<SoftwareVersion>("");
 
 /** One replica. It may restart under the same id, with an empty cache. */
 export interface ListedReplica {
@@ -15,6 +24,11 @@
   dataCentre: DataCentre;
   /** Requests that it runs at once. */
   slots: number;
+  /**
+   * Version of its software; undefined where it publishes none. Versions are
+   * equal or not, in no order.
+   */
+  version?: SoftwareVersion | undefined;
   /** `draining` takes no new work. */
   state: "ready" | "draining";
   /**
@@ -28,6 +42,13 @@
   isRetained?: boolean;
 }
 
+/** The version of a replica's software; none is a version of its own. */
+export function getSoftwareVersion(
+  { version = NO_VERSION }: ListedReplica,
+): SoftwareVersion {
+  return version;
+}
+
 /** Warm-up as the replica itself reports it. */
 export interface ReplicaWarmUp {
   /** Milliseconds that were left when the entry was written. */
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { RoutedSnapshot } from "../version/routes.ts";
-import type { PlacementState, ReplicaDirectory } from "./placement/index.ts";
+import {
+  getSoftwareVersion,
+  type PlacementState,
+  type ReplicaDirectory,
+} from "./placement/index.ts";
 import type { RequestQuarantine } from "./quarantine/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import type { FleetPeer } from "./seeded_fleet/index.ts";
@@ -62,10 +66,12 @@
       left_ms: Math.round(request.leftMs),
     })),
     unreachable_pools: sources.placement.links.listLost(),
+    software_versions: listVersions(sources),
     evacuated: sources.replicas.getList().evacuated ?? [],
     replicas: sources.replicas.getList().replicas.map((replica) => ({
       id: replica.id,
       pool: replica.pool,
+      version: replica.version,
       state: replica.state,
       unreachable: sources.placement.links.isUnreachable(replica.id),
       ejected: sources.placement.health.isEjected(replica.id),
@@ -164,6 +170,10 @@
     help: "Replicas that set a limit on requests a second",
     read: () => countRateLimited(sources),
   });
+  metrics.addGauge("pools_with_several_versions", {
+    help: "Pools whose replicas run different versions of their software",
+    read: () => countMixedPools(sources),
+  });
   metrics.addGauge("leaving_replicas", {
     help:
       "Replicas that reported that they are leaving and are still listed as ready",
@@ -179,10 +189,26 @@
   });
 }
 
+/** Versions of the software of each pool's replicas that take new work. */
+function listVersions({ replicas }: StatusSources): object {
+  const entries = replicas.listPools().map((pool) => {
+    const versions = replicas.listReady(pool).map(getSoftwareVersion);
+    return [pool, [...new Set(versions)]];
+  });
+  return Object.fromEntries(entries);
+}
+
 function getVersion(sources: StatusSources): number {
   return sources.getSnapshot()?.version ?? 0;
 }
 
+function countMixedPools({ replicas }: StatusSources): number {
+  return replicas.listPools().filter((pool) => {
+    const versions = replicas.listReady(pool).map(getSoftwareVersion);
+    return new Set(versions).size > 1;
+  }).length;
+}
+
 function countEjected({ replicas, placement }: StatusSources): number {
   return replicas.getList().replicas
     .filter(({ id }) => placement.health.isEjected(id)).length;
--- a/src/process/seeded_fleet/replica_changes.ts
+++ b/src/process/seeded_fleet/replica_changes.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
-import type { VmId } from "../../ids.ts";
+import type { SoftwareVersion, VmId } from "../../ids.ts";
 import type { Log } from "../log.ts";
 import type { ListedReplica, ReplicaList } from "../placement/replica_list.ts";
 
 /** State change, restart or removal of a replica. */
 export interface ReplicaChange {
   replica: VmId;
-  change: ListedReplica["state"] | "restarted" | "gone";
+  change: ListedReplica["state"] | "restarted" | "new_version" | "gone";
+  /** Version of its software; undefined if it publishes none or is gone. */
+  version?: SoftwareVersion | undefined;
 }
 
 /** Replicas that were added or removed, changed their state, or restarted. */
@@ -21,11 +23,15 @@
   const old = new Map(before.replicas.map((each) => [each.id, each]));
   const changes: ReplicaChange[] = [];
   for (const replica of after.replicas) {
-    const { id, state } = replica;
+    const { id, state, version } = replica;
     const known = old.get(id);
-    if (known?.state !== state) changes.push({ replica: id, change: state });
+    const about = { replica: id, version };
+    if (known?.state !== state) changes.push({ ...about, change: state });
     if (isRestarted(known, replica)) {
-      changes.push({ replica: id, change: "restarted" });
+      changes.push({ ...about, change: "restarted" });
+    }
+    if (known !== undefined && known.version !== version) {
+      changes.push({ ...about, change: "new_version" });
     }
     old.delete(id);
   }
@@ -59,7 +65,7 @@
     log.info("replicas_listed", { count, revision, from, leaving });
     return;
   }
-  for (const { replica, change } of changes) {
-    log.info("replica_changed", { replica, change, revision, from });
+  for (const { replica, change, version } of changes) {
+    log.info("replica_changed", { replica, change, version, revision, from });
   }
 }
--- a/src/request/header_codec.ts
+++ b/src/request/header_codec.ts
@@ -30,6 +30,8 @@
   prompt: PromptMetadata | undefined;
   /** The id of the last event that the caller has received of a stream. */
   lastEventId: string | undefined;
+  /** The request that brought the stream's first event, if it is taken up. */
+  resumes: string | undefined;
 }
 
 /** The contents of the headers that the router adds for an upstream. */
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -141,9 +141,20 @@
       retainsAnswer: false,
       isForwarded: request.forwarded !== undefined,
     });
+    this.#writeTakenUp(checked);
     await runExecution(execution, () => this.#buildWork(execution, checked));
   }
 
+  /** Logs which stream a caller takes up again. */
+  #writeTakenUp({ requestId, call: { resumes, lastEventId } }: CheckedCall) {
+    if (resumes === undefined && lastEventId === undefined) return;
+    this.#options.services.environment.log.info("stream_taken_up", {
+      request_id: requestId,
+      resumes,
+      last_event_id: lastEventId,
+    });
+  }
+
   #buildWork(execution: RequestExecution, checked: CheckedCall): CheckedWork {
     const { request, route, snapshot, call, workspace } = checked;
     const { random } = this.#options.services.environment;
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -65,12 +65,16 @@
     return fleet;
   }
 
-  async addReplica(id: string, service = "pool"): Promise<ReplicaStandIn> {
+  async addReplica(
+    id: string,
+    service = "pool",
+    version?: string,
+  ): Promise<ReplicaStandIn> {
     const replica = ReplicaStandIn.create(id);
     await replica.start();
     onTestFinished(() => replica.stop());
     this.replicas.push(replica);
-    this.listReplica(replica, { service });
+    this.listReplica(replica, { service, version });
     return replica;
   }
 
@@ -83,6 +87,7 @@
       born?: unknown;
       zone?: string;
       coldMs?: number;
+      version?: unknown;
     } = {},
   ): void {
     this.store.put(`servers/${replica.id}`, {
@@ -94,6 +99,7 @@
       ...(changes.coldMs === undefined
         ? {}
         : { "cold-remaining-ms": changes.coldMs }),
+      ...(changes.version === undefined ? {} : { version: changes.version }),
       ...(changes.born === undefined ? {} : { born: changes.born }),
     });
   }
