--- a/test/platform/configurations.ts
+++ b/test/platform/configurations.ts
@@ -30,6 +30,7 @@
   { name: "unsafe", type: "unsafe", attempts: 1 },
   { name: "stream", type: "streaming", attempts: 1 },
   { name: "restream", type: "streaming", attempts: 2, resumable: true },
+  { name: "retake", type: "streaming", attempts: 1, resumable: true },
 ];
 
 /** Builds a configuration as stored. */
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -70,6 +70,10 @@
   /** Unlimited where it is left out. */
   capacity: ReplicaCapacity | undefined;
   eventGapMs = EVENT_GAP_MS;
+  /** Events of each stream. */
+  events = EVENTS;
+  /** Selects streams that break off after some more events. */
+  isBroken: (call: StandInCall) => boolean = () => false;
   /** Selects requests that crash the replica soon after their start. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
@@ -201,8 +205,9 @@
       "x-response-seal": this.id,
     });
     const last = Number(call.headers["last-event-id"] ?? 0);
-    for (let id = last + 1; id <= EVENTS; id++) {
-      if (this.mode === "break" && id > last + BROKEN_AFTER) {
+    const isBroken = this.mode === "break" || this.isBroken(call);
+    for (let id = last + 1; id <= this.events; id++) {
+      if (isBroken && id > last + BROKEN_AFTER) {
         response.write(`id: ${id}\nda`);
         await sleep(EVENT_GAP_MS);
         response.destroy();
