Let a stream go on only at the software version that began it

Cause: no decision knew of versions. A retry of a broken stream chose among all replicas of the pool, and the request that a caller names when it takes a stream up was read nowhere.

The origin of a stream (pool and version of its first event) is now a requirement of each further lease, in placement requests to owners and in what is passed on between VMs. The VM that gets a first event tells other VMs before the event goes out; one that is asked to go on asks those that may know, and refuses with 503 (not run) what nobody knows, unless its pool had only one version for as long as a stream may last.

--- a/src/connection/refusal_body.ts
+++ b/src/connection/refusal_body.ts
@@ -72,6 +72,8 @@
       "quarantined",
       "draining",
       "no_upstream",
+      "version_gone",
+      "origin_unknown",
       "owner_unreachable",
       "not_ready",
       "paused",
--- a/src/ids.ts
+++ b/src/ids.ts
@@ -35,6 +35,8 @@
 export type TicketId = Brand<string, "TicketId">;
 /** Identifies the lease of one slot on one replica. */
 export type LeaseId = Brand<string, "LeaseId">;
+/** Identifies a stream by what began it, for messages between VMs. */
+export type StreamKey = Brand<string, "StreamKey">;
 /** The version of an upstream's software, as it publishes it. */
 export type SoftwareVersion = Brand<string, "SoftwareVersion">;
 /** Identifies a shard of a pool, as `POOL/INDEX`. */
@@ -60,6 +62,7 @@
   | LeaseId
   | ShardId
   | SoftwareVersion
+  | StreamKey
   | RouteName;
 
 /** Brands a text that is known to be an identifier of type `T`. */
--- a/src/outcome.ts
+++ b/src/outcome.ts
@@ -25,6 +25,8 @@
   "quarantined",
   "draining",
   "no_upstream",
+  "version_gone",
+  "origin_unknown",
   "owner_unreachable",
   "not_ready",
   "upstream_failed",
--- a/src/process/owned_placement.ts
+++ b/src/process/owned_placement.ts
@@ -9,6 +9,7 @@
 import type { Log } from "./log.ts";
 import type { Random } from "./random.ts";
 import {
+  hasVersion,
   type Locality,
   type OwnerDecision,
   type PlacementRequest,
@@ -132,6 +133,8 @@
     if (replica?.pool !== request.pool || !replicas.isReady(replica.id)) {
       return undefined;
     }
+    // Its list may be older, or its software, which ignores versions then.
+    if (!hasVersion(replica, request.version)) return undefined;
     return { ...placed, replica };
   }
 
--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -16,7 +16,11 @@
 export { PlacementState } from "./placement_state.ts";
 export type { PlacementEntry } from "./prefix_index.ts";
 export { PrefixPriming } from "./prefix_priming.ts";
-export { getSoftwareVersion, ReplicaDirectory } from "./replica_list.ts";
+export {
+  getSoftwareVersion,
+  hasVersion,
+  ReplicaDirectory,
+} from "./replica_list.ts";
 export type {
   LeavingEntry,
   ListedReplica,
--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -5,7 +5,13 @@
  * @module
  */
 import type { Endpoint } from "../../connection/endpoint.ts";
-import { type Incarnation, type LeaseId, toId, type VmId } from "../../ids.ts";
+import {
+  type Incarnation,
+  type LeaseId,
+  type SoftwareVersion,
+  toId,
+  type VmId,
+} from "../../ids.ts";
 import type { UpstreamSignals } from "../../request/upstream_signals.ts";
 import type { Clock } from "../clock.ts";
 import {
@@ -15,7 +21,11 @@
 } from "../services.ts";
 import type { Placement } from "./placement_choice.ts";
 import type { PlacementState } from "./placement_state.ts";
-import { getSoftwareVersion, type ReplicaDirectory } from "./replica_list.ts";
+import {
+  getSoftwareVersion,
+  hasVersion,
+  type ReplicaDirectory,
+} from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
 
 const DEFAULT_PRIORITY = 5;
@@ -102,6 +112,19 @@
       !state.backOffs.isBackingOff(this.upstream);
   }
 
+  /**
+   * Undefined if the list names another process under the replica's id since the
+   * choice: either may have the work.
+   */
+  override getUpstreamVersion(): SoftwareVersion | undefined {
+    const { directory, placement: { replica } } = this.#options;
+    const version = getSoftwareVersion(replica);
+    const listed = directory.find(this.upstream);
+    if (listed === undefined) return version;
+    const isSame = this.#isSameProcess() && hasVersion(listed, version);
+    return isSame ? version : undefined;
+  }
+
   override formatState(): string {
     const { directory, getListAgeMs } = this.#options;
     return `list_revision=${directory.revision} list_age_ms=${getListAgeMs()}`;
--- a/src/process/placement/placement_refusals.ts
+++ b/src/process/placement/placement_refusals.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { SoftwareVersion } from "../../ids.ts";
 import { RefusalError } from "../../outcome.ts";
 import type { Clock } from "../clock.ts";
 import type { Random } from "../random.ts";
@@ -41,9 +42,12 @@
   /** For a request that no replica may get now; `needs` has all to avoid. */
   createRefusal(request: LeaseRequest, needs: PlacementRequest): RefusalError {
     const unfiltered = { ...needs, avoid: request.avoid };
-    return this.#options.chooser.hasCandidates(unfiltered)
-      ? this.createPoolFullError(request, unfiltered)
-      : createNoReplicaError();
+    if (this.#options.chooser.hasCandidates(unfiltered)) {
+      return this.createPoolFullError(request, unfiltered);
+    }
+    return request.version === undefined
+      ? createNoReplicaError()
+      : createVersionGoneError(request.version);
   }
 
   /** For a request that no replica has capacity for. */
@@ -97,3 +101,14 @@
     retryAfterMs: NO_REPLICA_RETRY_MS,
   });
 }
+
+function createVersionGoneError(version: SoftwareVersion): RefusalError {
+  return new RefusalError({
+    code: "version_gone",
+    message: `No replica with the stream's software version ${
+      JSON.stringify(version)
+    } takes new work`,
+    outcome: "not_run",
+    retryAfterMs: NO_REPLICA_RETRY_MS,
+  });
+}
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -34,6 +34,8 @@
 const MAX_WAIT_SHARE = 0.25;
 /** Unreachable replicas that a datagram to an owner names at most. */
 const MAX_AVOIDED = 32;
+/** Interval at which a request that waits for a version looks for a replica. */
+const VERSION_CHECK_MS = 20;
 /** Time between the end of a wait and the arrival at the replica. */
 const SEND_MARGIN_MS = 50;
 /**
@@ -178,6 +180,11 @@
       if (options.signal.aborted) throw createCancelledError();
       placement = this.#chooseInTurn(request);
     }
+    while (placement === undefined && this.#canWaitForVersion(request, until)) {
+      await this.#options.clock.sleep(VERSION_CHECK_MS, options.signal);
+      if (options.signal.aborted) throw createCancelledError();
+      placement = this.#choose(request, this.#buildNeeds(request));
+    }
     if (placement === undefined) {
       throw this.#refusals.createRefusal(request, needs);
     }
@@ -200,6 +207,17 @@
       clock.now() < until;
   }
 
+  /**
+   * Whether the request may wait for a replica of its version: new streams have
+   * all others to choose from.
+   */
+  #canWaitForVersion(request: LeaseRequest, until: number): boolean {
+    if (request.version === undefined) return false;
+    const needs = { ...this.#buildNeeds(request), avoid: request.avoid };
+    return this.#options.clock.now() < until &&
+      this.#chooser.hasCandidates(needs);
+  }
+
   #computeWaitEnd({ deadlineAt }: LeaseRequest): number {
     const now = this.#options.clock.now();
     return now + MAX_WAIT_SHARE * (deadlineAt - now);
@@ -248,6 +266,7 @@
       promptTokens: request.promptTokens,
       isInteractive,
       targetMs: isInteractive ? undefined : chooseTargetMs(request),
+      version: request.version,
       isSuspect: request.isSuspect,
       workspace: request.workspace,
       waiting: this.#buildWaiting(request),
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -8,6 +8,7 @@
   DataCentre,
   PoolName,
   Region,
+  SoftwareVersion,
   VmId,
   WorkspaceName,
 } from "../../ids.ts";
@@ -20,7 +21,11 @@
 import { type Random, SystemRandom } from "../random.ts";
 import { Locality } from "./locality.ts";
 import type { PlacementState } from "./placement_state.ts";
-import type { ListedReplica, ReplicaDirectory } from "./replica_list.ts";
+import {
+  hasVersion,
+  type ListedReplica,
+  type ReplicaDirectory,
+} from "./replica_list.ts";
 import type { ScoredPlacement } from "./replica_score.ts";
 
 /** Failing replicas are left out while this share of the pool is healthy. */
@@ -38,6 +43,8 @@
   dataCentre: DataCentre;
   /** Regions whose replicas may get it; undefined where any may. */
   regions?: Region[] | undefined;
+  /** Version that its replica's software must have; undefined for any. */
+  version?: SoftwareVersion | undefined;
   /** Whether it is suspected of crashing replicas. */
   isSuspect?: boolean | undefined;
   /** Undefined where workspaces need no fair shares. */
@@ -234,7 +241,8 @@
     const ready = this.#directory.listReady(request.pool)
       .filter(({ dataCentre }) =>
         this.#options.locality.isWithin(dataCentre, request.regions)
-      );
+      )
+      .filter((replica) => hasVersion(replica, request.version));
     const isNotAvoided = ({ id }: ListedReplica) => !request.avoid.includes(id);
     const healthy = ready.filter(({ id }) => !health.isEjected(id));
     // Where most replicas fail, the cause is probably not theirs, and the few
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -49,6 +49,14 @@
   return version;
 }
 
+/** Whether a replica runs `version`; true for any where it is undefined. */
+export function hasVersion(
+  replica: ListedReplica,
+  version: SoftwareVersion | undefined,
+): boolean {
+  return version === undefined || getSoftwareVersion(replica) === version;
+}
+
 /** Warm-up as the replica itself reports it. */
 export interface ReplicaWarmUp {
   /** Milliseconds that were left when the entry was written. */
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -43,6 +43,10 @@
   type PublishedStore,
   StateFollower,
 } from "./seeded_fleet/index.ts";
+import { StreamOrigins } from "./stream_origins/index.ts";
+
+/** Origins of streams are remembered for this time at least. */
+const MIN_RETENTION_MS = 30_000;
 
 /** Options of `RoutedFleet`. */
 export interface RoutedFleetOptions {
@@ -72,6 +76,7 @@
 /** Everything between this VM, the other VMs and the store. */
 export class RoutedFleet {
   readonly follower: StateFollower;
+  readonly streamOrigins: StreamOrigins;
   readonly #options: RoutedFleetOptions;
   readonly #heartbeats: FleetHeartbeats;
   readonly #peerTransport: HttpUpstreamTransport;
@@ -111,6 +116,9 @@
       onPlacementRequest: (request) =>
         this.#ownedPlacement.answerRequest(request),
       onPlacementAnswer: (answer) => this.#ownedPlacement.noteAnswer(answer),
+      onOrigin: (origin) => this.streamOrigins.noteAnnounced(origin),
+      onOriginQuery: (query) => this.streamOrigins.answerQuery(query),
+      onOriginAnswer: (answer) => this.streamOrigins.noteAnswer(answer),
     });
     this.#ownedPlacement = OwnedPlacement.create({
       ...options,
@@ -121,6 +129,14 @@
       getSelf: () => this.#buildMember(),
       send: (to, message) => this.#heartbeats.send(to, message),
     });
+    this.streamOrigins = StreamOrigins.create({
+      vm,
+      clock,
+      listPeers: () => this.listLive(),
+      send: (to, message) => this.#heartbeats.send(to, message),
+      getListAgeMs: () => this.follower.getListAgeMs(),
+      getRetentionMs: () => this.#computeStreamRetentionMs(),
+    });
     this.#forwardTransport = options.createTransport(
       (peer) => this.#findForwardAddress(peer),
       { allowsCloseDelimited: true, localAddress: address },
@@ -155,7 +171,10 @@
         options.onSnapshot(snapshot);
         this.#heartbeats.announceState();
       },
-      onList: (list) => options.placement.slowStart.noteList(list),
+      onList: (list) => {
+        options.placement.slowStart.noteList(list);
+        this.streamOrigins.noteList(list.replicas);
+      },
       onReplicas: (restarted) => this.#noteReplicas(restarted),
       onStoreLost: () => this.#heartbeats.announceNow(),
     });
@@ -255,6 +274,16 @@
     return seeds.map((seed) => `${parseEndpoint(seed).address}:${peerPort}`);
   }
 
+  /**
+   * A stream may be taken up until the deadline of the request that brought its
+   * first event, and go on for as long again.
+   */
+  #computeStreamRetentionMs(): number {
+    const classes = this.follower.getSnapshot()?.classes.values() ?? [];
+    const longest = [...classes].map(({ targets }) => targets.totalMs);
+    return Math.max(MIN_RETENTION_MS, 2 * Math.max(0, ...longest));
+  }
+
   #hasOtherSeeds(): boolean {
     const { address, peerPort } = this.#options.getSettings();
     return this.#listSeeds().some((seed) => seed !== `${address}:${peerPort}`);
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -295,6 +295,12 @@
       getSnapshot: () => this.getSnapshot(),
       waitForFreshState: () => this.#waitForFreshState(),
       headerCodec: this.#options.headerCodec,
+      streamOrigins: {
+        announce: (stream, origin) =>
+          this.#fleet?.streamOrigins.announce(stream, origin),
+        find: async (stream, options) =>
+          await this.#fleet?.streamOrigins.find(stream, options),
+      },
     });
   }
 
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -14,6 +14,8 @@
   PoolName,
   Region,
   RequestFingerprint,
+  SoftwareVersion,
+  StreamKey,
   VmId,
   WorkspaceName,
 } from "../../ids.ts";
@@ -165,6 +167,8 @@
   incarnation: INCARNATION.optional(),
   /** Undefined where the request must not wait at the owner. */
   waiting: WAITING.optional(),
+  /** Version of the replica's software; undefined for any. */
+  version: TEXT.transform((text) => text as SoftwareVersion).optional(),
 });
 
 const PLACED = z.object({
@@ -191,6 +195,46 @@
   isExpired: z.boolean().optional(),
 });
 
+const STREAM_KEY = TEXT.transform((text) => text as StreamKey);
+const POOL = TEXT.transform((text) => text as PoolName);
+const VERSION = TEXT.transform((text) => text as SoftwareVersion);
+
+/**
+ * Sent when a stream begins. Its loss does no harm to what a caller gets, but the
+ * stream may then be refused when it is taken up.
+ */
+const ORIGIN = z.object({
+  kind: z.literal("origin"),
+  key: STREAM_KEY,
+  pool: POOL,
+  version: VERSION,
+});
+
+const ORIGIN_QUERY = z.object({
+  kind: z.literal("origin_query"),
+  /** Number of the query, counted by the sender. */
+  ask: COUNT,
+  key: STREAM_KEY,
+  /** The pool that the stream would go on in. */
+  pool: POOL,
+});
+
+const ORIGIN_ANSWER = z.object({
+  kind: z.literal("origin_answer"),
+  ask: COUNT,
+  vm: VM,
+  /** Where the stream began; undefined if the sender does not know. */
+  pool: POOL.optional(),
+  version: VERSION.optional(),
+  /**
+   * The only version in the asked pool for as long as a stream may last;
+   * undefined if there were several or the sender cannot tell.
+   */
+  onlyVersion: VERSION.optional(),
+  /** Whether there were several. */
+  hasSeveral: z.boolean().optional(),
+});
+
 const MESSAGE = z.discriminatedUnion("kind", [
   HEARTBEAT,
   ALIVE,
@@ -199,6 +243,9 @@
   SUSPECTS,
   PLACEMENT_REQUEST,
   PLACEMENT_ANSWER,
+  ORIGIN,
+  ORIGIN_QUERY,
+  ORIGIN_ANSWER,
 ]);
 
 /**
@@ -213,6 +260,9 @@
   suspects: listNames(SUSPECTS),
   ask: listNames(PLACEMENT_REQUEST),
   answer: listNames(PLACEMENT_ANSWER),
+  origin: listNames(ORIGIN),
+  origin_query: listNames(ORIGIN_QUERY),
+  origin_answer: listNames(ORIGIN_ANSWER),
 };
 /** Fields of nested objects, by the field that holds the object. */
 const NESTED_FIELDS = new Map([
@@ -236,6 +286,12 @@
 export type PlacementRequestMessage = z.infer<typeof PLACEMENT_REQUEST>;
 /** Answer to a placement request. */
 export type PlacementAnswerMessage = z.infer<typeof PLACEMENT_ANSWER>;
+/** Where a stream began, from the VM that began it. */
+export type OriginMessage = z.infer<typeof ORIGIN>;
+/** Query for where a stream began. */
+export type OriginQueryMessage = z.infer<typeof ORIGIN_QUERY>;
+/** Answer to such a query. */
+export type OriginAnswerMessage = z.infer<typeof ORIGIN_ANSWER>;
 /** Any datagram. */
 export type FleetMessage = z.infer<typeof MESSAGE>;
 
--- a/src/process/seeded_fleet/heartbeat_options.ts
+++ b/src/process/seeded_fleet/heartbeat_options.ts
@@ -12,6 +12,9 @@
 import type { DatagramLink } from "./datagram_link.ts";
 import type {
   FleetHeartbeat,
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
   PlacementAnswerMessage,
   PlacementRequestMessage,
   WorkReport,
@@ -60,4 +63,7 @@
     request: PlacementRequestMessage,
   ) => PlacementAnswerMessage;
   onPlacementAnswer: (answer: PlacementAnswerMessage) => void;
+  onOrigin: (origin: OriginMessage) => void;
+  onOriginQuery: (query: OriginQueryMessage) => OriginAnswerMessage;
+  onOriginAnswer: (answer: OriginAnswerMessage) => void;
 }
--- a/src/process/seeded_fleet/message_receiver.ts
+++ b/src/process/seeded_fleet/message_receiver.ts
@@ -16,6 +16,9 @@
   type FleetHeartbeat,
   type FleetMessage,
   type MembersMessage,
+  type OriginAnswerMessage,
+  type OriginMessage,
+  type OriginQueryMessage,
   type PlacementAnswerMessage,
   type PlacementRequestMessage,
 } from "./fleet_message.ts";
@@ -48,6 +51,9 @@
     request: PlacementRequestMessage,
   ) => PlacementAnswerMessage;
   onPlacementAnswer: (answer: PlacementAnswerMessage) => void;
+  onOrigin: (origin: OriginMessage) => void;
+  onOriginQuery: (query: OriginQueryMessage) => OriginAnswerMessage;
+  onOriginAnswer: (answer: OriginAnswerMessage) => void;
 }
 
 /** Decodes datagrams and dispatches their messages. */
@@ -82,6 +88,7 @@
 
   #handleMessage(message: FleetMessage, from: Endpoint): void {
     const { link, onPlacementRequest, onPlacementAnswer } = this.#options;
+    const { onOrigin, onOriginQuery, onOriginAnswer } = this.#options;
     match(message)
       .with(
         { kind: "heartbeat" },
@@ -102,6 +109,11 @@
         link.send(from, encodeMessage(onPlacementRequest(request)));
       })
       .with({ kind: "answer" }, (answer) => onPlacementAnswer(answer))
+      .with({ kind: "origin" }, (origin) => onOrigin(origin))
+      .with({ kind: "origin_query" }, (query) => {
+        link.send(from, encodeMessage(onOriginQuery(query)));
+      })
+      .with({ kind: "origin_answer" }, (answer) => onOriginAnswer(answer))
       .exhaustive();
   }
 
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -14,6 +14,7 @@
   Region,
   RequestFingerprint,
   RequestId,
+  SoftwareVersion,
   VmId,
   WorkspaceName,
 } from "../ids.ts";
@@ -60,6 +61,8 @@
   latePriority?: number;
   /** Regions whose upstreams may run the request; undefined for any. */
   regions?: Region[] | undefined;
+  /** Version of the upstream's software; undefined for any. */
+  version?: SoftwareVersion | undefined;
   /** Whether the request is suspected of crashing replicas. */
   isSuspect?: boolean;
   /** Replicas, and VMs that it was passed on to, that must not get it. */
@@ -95,6 +98,14 @@
    * each send: the process may have been paused past the expiry.
    */
   abstract isValid(): boolean;
+  /**
+   * Version of the software of the upstream's process that has the work;
+   * undefined if it is not known.
+   */
+  getUpstreamVersion(): SoftwareVersion | undefined {
+    return undefined;
+  }
+
   /**
    * Whether any work on the upstream shows that it is alive. Silence on this
    * lease's call then means that it is queued, not that the upstream failed.
@@ -134,6 +145,50 @@
   ): void;
 }
 
+/** A stream, by the request that brought its first event. */
+export interface StreamName {
+  workspace: WorkspaceName;
+  requestId: RequestId;
+}
+
+/** The replicas that a stream may go on at. */
+export interface StreamOrigin {
+  pool: PoolName;
+  version: SoftwareVersion;
+}
+
+/** An origin, and the VM that knew it or why it is certain. */
+export interface FoundOrigin {
+  origin: StreamOrigin;
+  knownBy: VmId | "only_version";
+}
+
+/** What a search for a stream's origin may rely on. */
+export interface FindOriginOptions {
+  /** The pool that the request would go to. */
+  pool: PoolName;
+  /** `Clock.now()` when the request arrived, after the stream began. */
+  arrivedAt: number;
+  /** `Clock.now()` at the request's deadline. */
+  deadlineAt: number;
+  /** Aborts when the caller disconnects. */
+  signal: AbortSignal;
+}
+
+/** Knows at which software version streams began. */
+export abstract class StreamOriginSource {
+  /** Tells other VMs; call before the stream's first event is sent. */
+  abstract announce(stream: StreamName, origin: StreamOrigin): void;
+  /**
+   * Finds the origin of a stream, undefined where the caller did not name it.
+   * Resolves to undefined if nobody knows it.
+   */
+  abstract find(
+    stream: StreamName | undefined,
+    options: FindOriginOptions,
+  ): Promise<FoundOrigin | undefined>;
+}
+
 /** Grants leases of slots. */
 export abstract class LeaseSource {
   /**
--- /dev/null
+++ b/src/process/stream_origins/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Software versions at which streams began.
+ *
+ * @module
+ */
+export { StreamOrigins } from "./stream_origins.ts";
--- /dev/null
+++ b/src/process/stream_origins/origin_queries.ts
@@ -0,0 +1,110 @@
+/**
+ * Asks other VMs where a stream began.
+ *
+ * @module
+ */
+import type { PoolName, StreamKey, VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type {
+  OriginAnswerMessage,
+  OriginQueryMessage,
+} from "../seeded_fleet/fleet_message.ts";
+import type { FleetPeer } from "../seeded_fleet/fleet_peers.ts";
+import type { StreamOrigin } from "../services.ts";
+import type { PoolVersions } from "./version_history.ts";
+
+/** A VM that has not answered by then is down, unreachable or overloaded. */
+const ANSWER_TIMEOUT_MS = 60;
+/** A query may be lost, and is sent again once to those that did not answer. */
+const RESEND_AFTER_MS = 15;
+
+/** What other VMs know about a stream. */
+export interface OriginAnswer {
+  origin: StreamOrigin | undefined;
+  /** VM that knew it. */
+  knownBy?: VmId;
+  /** What those that answered can tell of the pool's versions. */
+  versions: PoolVersions[];
+}
+
+/** Options of `OriginQueries`. */
+export interface OriginQueriesOptions {
+  clock: Clock;
+  send: (to: FleetPeer, message: OriginQueryMessage) => void;
+}
+
+interface PendingQuery {
+  onAnswer: (answer: OriginAnswerMessage) => void;
+}
+
+/** Sends queries and matches their answers. */
+export class OriginQueries {
+  readonly #options: OriginQueriesOptions;
+  readonly #pending = new Map<number, PendingQuery>();
+  #lastQuery = 0;
+
+  constructor(options: OriginQueriesOptions) {
+    this.#options = options;
+  }
+
+  static create(options: OriginQueriesOptions): OriginQueries {
+    return new OriginQueries(options);
+  }
+
+  /** Resolves at the first VM that knows, or once all have answered or time out. */
+  ask(
+    vms: readonly FleetPeer[],
+    { key, pool }: { key: StreamKey; pool: PoolName },
+  ): Promise<OriginAnswer> {
+    const { clock, send } = this.#options;
+    this.#lastQuery += 1;
+    const ask = this.#lastQuery;
+    const open = new Map(vms.map((peer) => [peer.heartbeat.vm, peer]));
+    const versions: PoolVersions[] = [];
+    return new Promise((resolve) => {
+      const settle = (origin?: StreamOrigin, knownBy?: VmId) => {
+        cancelResend();
+        cancelTimeout();
+        this.#pending.delete(ask);
+        const by = knownBy === undefined ? {} : { knownBy };
+        resolve({ origin, versions, ...by });
+      };
+      const sendOpen = () => {
+        const query = { kind: "origin_query" as const, ask, key, pool };
+        for (const peer of open.values()) send(peer, query);
+      };
+      const cancelResend = clock.startTimer(RESEND_AFTER_MS, sendOpen);
+      const cancelTimeout = clock.startTimer(
+        ANSWER_TIMEOUT_MS,
+        () => settle(),
+      );
+      this.#pending.set(ask, {
+        onAnswer: (answer) => {
+          const { vm, pool: from, version } = answer;
+          if (from !== undefined && version !== undefined) {
+            return settle({ pool: from, version }, vm);
+          }
+          if (!open.delete(vm)) return;
+          versions.push(toPoolVersions(answer));
+          if (open.size === 0) settle();
+        },
+      });
+      sendOpen();
+      if (open.size === 0) settle();
+    });
+  }
+
+  /** Handles an answer; one that arrives after the timeout is ignored. */
+  noteAnswer(answer: OriginAnswerMessage): void {
+    this.#pending.get(answer.ask)?.onAnswer(answer);
+  }
+}
+
+function toPoolVersions(
+  { onlyVersion, hasSeveral }: OriginAnswerMessage,
+): PoolVersions {
+  if (hasSeveral) return { kind: "several" };
+  return onlyVersion === undefined
+    ? { kind: "unknown" }
+    : { kind: "only", version: onlyVersion };
+}
--- /dev/null
+++ b/src/process/stream_origins/stream_key.ts
@@ -0,0 +1,25 @@
+/**
+ * The keys by which VMs tell each other of streams.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { type StreamKey, toId } from "../../ids.ts";
+import type { StreamName } from "../services.ts";
+
+/** 64 bits, so that keys of different streams do not meet. */
+const KEY_LENGTH = 16;
+
+/**
+ * Computes the key of a stream. Callers choose ids of any length, and those of
+ * different workspaces may be the same.
+ */
+export function computeStreamKey(
+  { workspace, requestId }: StreamName,
+): StreamKey {
+  const hash = createHash("sha256").update(JSON.stringify([
+    workspace,
+    requestId,
+  ]));
+  return toId<StreamKey>(hash.digest("hex").slice(0, KEY_LENGTH));
+}
--- /dev/null
+++ b/src/process/stream_origins/stream_origins.ts
@@ -0,0 +1,177 @@
+/**
+ * Knows at which software version streams began, over all VMs.
+ *
+ * The VM that gets the first event of a stream tells other VMs before it passes
+ * the event on, since it may be gone when the caller takes the stream up.
+ * Messages may be lost, so a VM that was not told asks. What nobody knows is not
+ * guessed: a stream goes on at the only version of its pool if there was no
+ * other for as long as a stream may last, and is refused otherwise.
+ *
+ * @module
+ */
+import { match } from "ts-pattern";
+import type { PoolName, VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type { ListedReplica } from "../placement/replica_list.ts";
+import type {
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
+} from "../seeded_fleet/fleet_message.ts";
+import type { FleetPeer } from "../seeded_fleet/fleet_peers.ts";
+import {
+  type FindOriginOptions,
+  type FoundOrigin,
+  type StreamName,
+  type StreamOrigin,
+  StreamOriginSource,
+} from "../services.ts";
+import { chooseAsked, chooseHolders } from "./origin_holders.ts";
+import { OriginQueries } from "./origin_queries.ts";
+import { OriginStore } from "./origin_store.ts";
+import { computeStreamKey } from "./stream_key.ts";
+import { type PoolVersions, VersionHistory } from "./version_history.ts";
+
+/** A list is confirmed once a second while the store answers. */
+const MAX_CONFIRMATION_WAIT_MS = 1_300;
+const CONFIRMATION_CHECK_MS = 20;
+/** Time that a stream that goes on needs at least. */
+const MIN_LEFT_MS = 100;
+
+/** Options of `StreamOrigins`. */
+export interface StreamOriginsOptions {
+  vm: VmId;
+  clock: Clock;
+  listPeers: () => readonly FleetPeer[];
+  send: (to: FleetPeer, message: OriginMessage | OriginQueryMessage) => void;
+  /** Time since the list was last known to be the newest; -1 for never. */
+  getListAgeMs: () => number;
+  /** Time for which a stream may be taken up, in milliseconds. */
+  getRetentionMs: () => number;
+}
+
+/** Tells, remembers and finds the origins of streams. */
+export class StreamOrigins extends StreamOriginSource {
+  readonly #options: StreamOriginsOptions;
+  readonly #store: OriginStore;
+  readonly #history: VersionHistory;
+  readonly #queries: OriginQueries;
+
+  constructor(options: StreamOriginsOptions) {
+    super();
+    this.#options = options;
+    this.#store = OriginStore.create(options);
+    this.#history = VersionHistory.create(options);
+    this.#queries = OriginQueries.create(options);
+  }
+
+  static create(options: StreamOriginsOptions): StreamOrigins {
+    return new StreamOrigins(options);
+  }
+
+  /** Streams whose origin this VM remembers. */
+  get size(): number {
+    return this.#store.size;
+  }
+
+  /** Records a newer list; call before it is confirmed. */
+  noteList(replicas: readonly ListedReplica[]): void {
+    this.#history.noteList(replicas);
+  }
+
+  override announce(stream: StreamName, origin: StreamOrigin): void {
+    const { listPeers, send } = this.#options;
+    const key = computeStreamKey(stream);
+    this.#store.put(key, origin);
+    for (const peer of chooseHolders(key, listPeers())) {
+      send(peer, { kind: "origin", key, ...origin });
+    }
+  }
+
+  /** Records what another VM told. */
+  noteAnnounced({ key, pool, version }: OriginMessage): void {
+    this.#store.put(key, { pool, version });
+  }
+
+  answerQuery({ ask, key, pool }: OriginQueryMessage): OriginAnswerMessage {
+    const answer = {
+      kind: "origin_answer" as const,
+      ask,
+      vm: this.#options.vm,
+    };
+    const origin = this.#store.find(key);
+    if (origin !== undefined) return { ...answer, ...origin };
+    const versions = this.#getVersionsLately(pool);
+    return match(versions)
+      .with({ kind: "only" }, ({ version }) => {
+        return { ...answer, onlyVersion: version };
+      })
+      .with({ kind: "several" }, () => ({ ...answer, hasSeveral: true }))
+      .with({ kind: "unknown" }, () => answer)
+      .exhaustive();
+  }
+
+  noteAnswer(answer: OriginAnswerMessage): void {
+    this.#queries.noteAnswer(answer);
+  }
+
+  override async find(
+    stream: StreamName | undefined,
+    options: FindOriginOptions,
+  ): Promise<FoundOrigin | undefined> {
+    const { pool } = options;
+    const { listPeers, vm } = this.#options;
+    if (stream === undefined) return await this.#findOnly(options, []);
+    const key = computeStreamKey(stream);
+    const own = this.#store.find(key);
+    if (own !== undefined) return { origin: own, knownBy: vm };
+    const peers = chooseAsked(key, listPeers());
+    const answer = await this.#queries.ask(peers, { key, pool });
+    const { origin, knownBy = vm } = answer;
+    if (origin !== undefined) {
+      this.#store.put(key, origin);
+      return { origin, knownBy };
+    }
+    return await this.#findOnly(options, answer.versions);
+  }
+
+  /**
+   * The origin of any stream of the pool, if there has been but one version for
+   * as long as a stream may last. `told` are the versions for which other VMs
+   * say so; those that have just started cannot tell themselves.
+   */
+  async #findOnly(
+    { pool, arrivedAt, deadlineAt, signal }: FindOriginOptions,
+    told: readonly PoolVersions[],
+  ): Promise<FoundOrigin | undefined> {
+    const { clock } = this.#options;
+    const waitUntil = Math.min(
+      clock.now() + MAX_CONFIRMATION_WAIT_MS,
+      deadlineAt - MIN_LEFT_MS,
+    );
+    while (true) {
+      const version = this.#history.findOnlyNow(pool);
+      if (version === undefined) return undefined;
+      const known = [this.#getVersionsLately(pool), ...told]
+        .filter(({ kind }) => kind !== "unknown");
+      const isOnly = known.length > 0 &&
+        known.every((each) => each.kind === "only" && each.version === version);
+      if (!isOnly) return undefined;
+      // The stream's own VM may have had a newer list than this one.
+      if (this.#isConfirmedSince(arrivedAt)) {
+        return { origin: { pool, version }, knownBy: "only_version" };
+      }
+      if (signal.aborted || clock.now() >= waitUntil) return undefined;
+      await clock.sleep(CONFIRMATION_CHECK_MS);
+    }
+  }
+
+  #getVersionsLately(pool: PoolName): PoolVersions {
+    return this.#history.getVersions(pool, this.#options.getRetentionMs());
+  }
+
+  #isConfirmedSince(at: number): boolean {
+    const ageMs = this.#options.getListAgeMs();
+    return ageMs >= 0 && this.#options.clock.now() - ageMs >= at;
+  }
+}
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -234,6 +234,7 @@
       },
       onComplete: () => lease.release("done", progress.getProgress()),
       isForwarded,
+      getUpstreamVersion: () => lease.getUpstreamVersion(),
     });
     return { kind: "answered" };
   } catch (thrown) {
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { StreamOrigin } from "../process/services.ts";
 import type { CallerSink } from "./caller_sink.ts";
 
 /** In requests an id from `POST /v1/requests`; in answers the request's id. */
@@ -30,6 +31,8 @@
 export interface ForwardedLimits {
   /** Sends that may still reach an upstream. */
   sendsLeft: number;
+  /** Where the stream began, if the request takes one up. */
+  origin?: StreamOrigin | undefined;
 }
 
 /** Handles callers' requests. */
--- a/src/request/forwarded_request.ts
+++ b/src/request/forwarded_request.ts
@@ -11,10 +11,21 @@
   type RefusalCode,
   RefusalError,
 } from "../outcome.ts";
+import type { StreamOrigin } from "../process/services.ts";
+import {
+  type AnyId,
+  type PoolName,
+  type SoftwareVersion,
+  toId,
+} from "../ids.ts";
 import type { CallerRequest } from "./caller_request.ts";
 
 /** Sends of the request that may still reach an upstream. */
 const SENDS_LEFT_HEADER = "persimmonslip-sends-left";
+/** `POOL/VERSION` that a stream began at, each URI-encoded. */
+const ORIGIN_HEADER = "persimmonslip-origin";
+/** Software version of the replica that answers, URI-encoded. */
+const VERSION_HEADER = "persimmonslip-version";
 /** `CODE OUTCOME` of the VM's own refusals; with `UNSENT` if nothing was sent. */
 const REFUSAL_HEADER = "persimmonslip-refusal";
 const UNSENT = "unsent";
@@ -35,11 +46,32 @@
   }
 }
 
-/** Builds the header that a request is passed on with. */
+/** Builds the headers that a request is passed on with. */
 export function buildForwardedHeader(
   sendsLeft: number,
+  origin?: StreamOrigin,
+): Record<string, string> {
+  const headers = { [SENDS_LEFT_HEADER]: String(sendsLeft) };
+  if (origin === undefined) return headers;
+  const parts = [origin.pool, origin.version].map(encodeURIComponent);
+  return { ...headers, [ORIGIN_HEADER]: parts.join("/") };
+}
+
+/** Builds the header by which another VM knows the replica's version. */
+export function buildVersionHeader(
+  version: SoftwareVersion | undefined,
 ): Record<string, string> {
-  return { [SENDS_LEFT_HEADER]: String(sendsLeft) };
+  return version === undefined
+    ? {}
+    : { [VERSION_HEADER]: encodeURIComponent(version) };
+}
+
+/** The version of the replica that answered another VM, if that one said it. */
+export function readVersion(
+  { headers }: Pick<UpstreamAnswer, "headers">,
+): SoftwareVersion | undefined {
+  const text = headers[VERSION_HEADER];
+  return text === undefined ? undefined : decodePart<SoftwareVersion>(text);
 }
 
 /** Builds the header by which another VM knows a refusal. */
@@ -57,10 +89,15 @@
 export function readForwarded(
   request: CallerRequest,
 ): CallerRequest | undefined {
-  const { [SENDS_LEFT_HEADER]: text, ...headers } = request.headers;
+  const {
+    [SENDS_LEFT_HEADER]: text,
+    [ORIGIN_HEADER]: originText,
+    ...headers
+  } = request.headers;
   const sendsLeft = Number(text);
   if (!Number.isInteger(sendsLeft) || sendsLeft < 1) return undefined;
-  return { ...request, headers, forwarded: { sendsLeft } };
+  const origin = parseOrigin(originText);
+  return { ...request, headers, forwarded: { sendsLeft, origin } };
 }
 
 /** Throws `PeerRefusalError` if another VM refused the request. */
@@ -84,6 +121,31 @@
 export function dropPeerHeaders(
   headers: Record<string, string>,
 ): Record<string, string> {
-  const { [REFUSAL_HEADER]: _refusal, ...others } = headers;
+  const {
+    [REFUSAL_HEADER]: _refusal,
+    [VERSION_HEADER]: _version,
+    ...others
+  } = headers;
   return others;
 }
+
+function parseOrigin(text: string | undefined): StreamOrigin | undefined {
+  const [pool, version, ...more] = text?.split("/") ?? [];
+  if (!pool || version === undefined || more.length > 0) return undefined;
+  const origin = {
+    pool: decodePart<PoolName>(pool),
+    version: decodePart<SoftwareVersion>(version),
+  };
+  return origin.pool === undefined || origin.version === undefined
+    ? undefined
+    : { pool: origin.pool, version: origin.version };
+}
+
+/** Undefined if the text is not URI-encoded. */
+function decodePart<T extends AnyId>(text: string): T | undefined {
+  try {
+    return toId<T>(decodeURIComponent(text));
+  } catch {
+    return undefined;
+  }
+}
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -94,11 +94,13 @@
 /** Runs a claimed request and writes a refusal to the caller if it fails. */
 export async function runExecution(
   execution: RequestExecution,
-  checkWork: (execution: RequestExecution) => CheckedWork,
+  checkWork: (
+    execution: RequestExecution,
+  ) => CheckedWork | Promise<CheckedWork>,
 ): Promise<void> {
   let checked: CheckedWork | undefined;
   try {
-    checked = checkWork(execution);
+    checked = await checkWork(execution);
     await runAdmitted(execution, checked);
     execution.end({ kind: "answered" });
   } catch (thrown) {
--- a/src/request/resumable_stream_work.ts
+++ b/src/request/resumable_stream_work.ts
@@ -9,6 +9,9 @@
   CallTimeouts,
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
+import { type RequestId, toId } from "../ids.ts";
+import type { StreamOrigin } from "../process/services.ts";
+import { buildVersionHeader, readVersion } from "./forwarded_request.ts";
 import type { RoutedWorkContext } from "./routed_work.ts";
 import { StreamWork } from "./stream_work.ts";
 import {
@@ -25,9 +28,19 @@
 /** A line with an event's id, the first one after a byte-order mark included. */
 const EVENT_ID = /(?:^\ufeff?|[\r\n])id: ?([^\r\n]*)/g;
 
-/** A stream that another replica can resume after its last complete event. */
+/**
+ * A stream that another replica can resume after its last complete event, if its
+ * software has the version that began the stream: what two versions write does
+ * not fit together.
+ */
 export class ResumableStreamWork extends StreamWork {
   #lastEventId: string | undefined;
+  #origin: StreamOrigin | undefined;
+
+  constructor(context: RoutedWorkContext) {
+    super(context);
+    this.#origin = context.origin;
+  }
 
   static create(context: RoutedWorkContext): ResumableStreamWork {
     return new ResumableStreamWork(context);
@@ -50,7 +63,11 @@
 
   override canContinue(): boolean {
     return !this.context.execution.options.sink.headWritten ||
-      this.#lastEventId !== undefined;
+      this.#lastEventId !== undefined && this.#origin !== undefined;
+  }
+
+  protected override getOrigin(): StreamOrigin | undefined {
+    return this.#origin;
   }
 
   protected override async writeEvents(
@@ -64,13 +81,17 @@
       );
     }
     const framer = SseFramer.create();
-    let isRestStart = sink.headWritten;
+    const isRest = sink.headWritten;
+    let isStart = true;
     for await (const bytes of answer.body) {
       checkNotCancelled(options);
       const frame = framer.push(bytes);
       if (frame.bytes.length === 0) continue;
-      if (isRestStart) frame.bytes = dropByteOrderMark(frame.bytes);
-      isRestStart = false;
+      if (isStart) {
+        this.#noteVersion(answer, options);
+        if (isRest) frame.bytes = dropByteOrderMark(frame.bytes);
+      }
+      isStart = false;
       await this.#sendEvents(answer, frame, options);
     }
     const isResumed = this.getLastEventId() !== undefined;
@@ -84,13 +105,40 @@
     }
   }
 
+  /**
+   * Checks the version before the attempt's first events are sent, and tells it
+   * to other VMs: they may be asked to go on with the stream.
+   */
+  #noteVersion(answer: UpstreamAnswer, options: RelayOptions): void {
+    const version = options.isForwarded
+      ? readVersion(answer)
+      : options.getUpstreamVersion();
+    const known = this.#origin;
+    if (known !== undefined && version !== known.version) {
+      throw BrokenAnswerError.create(
+        "Upstream's software version is not the one that began the stream",
+      );
+    }
+    if (version === undefined) return;
+    const { call, execution, pool, streamOrigins } = this.context;
+    this.#origin = { pool: pool.name, version };
+    const requestId = call.resumes === undefined
+      ? execution.id
+      : toId<RequestId>(call.resumes);
+    const workspace = execution.options.workspace.name;
+    streamOrigins.announce({ workspace, requestId }, this.#origin);
+  }
+
   async #sendEvents(
     answer: UpstreamAnswer,
     frame: { bytes: Uint8Array; events: number },
     options: RelayOptions,
   ): Promise<void> {
-    const { execution } = this.context;
-    this.writeHead(answer);
+    const { execution, request } = this.context;
+    const headers = request.forwarded === undefined
+      ? {}
+      : buildVersionHeader(this.#origin?.version);
+    this.writeHead(answer, headers);
     options.progress.noteTokens(frame.events);
     execution.noteTokens(frame.events);
     const ids = Buffer.from(frame.bytes).toString("utf8").matchAll(EVENT_ID);
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -8,6 +8,7 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId, type WorkspaceName } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
+import type { StreamOriginSource } from "../process/services.ts";
 import type { Workspace } from "../version/records.ts";
 import {
   chooseTarget,
@@ -24,7 +25,8 @@
 import type { RequestServices } from "./request_services.ts";
 import { type CheckedWork, runExecution } from "./request_task.ts";
 import { RoutedCallWork } from "./routed_call_work.ts";
-import type { HeaderCodec, RoutedCall } from "./header_codec.ts";
+import type { HeaderCodec } from "./header_codec.ts";
+import { type CheckedCall, findOrigin, isTakenUp } from "./taken_up_stream.ts";
 import { ResumableStreamWork } from "./resumable_stream_work.ts";
 import { SingleStreamWork } from "./single_stream_work.ts";
 import type { RoutedWork, RoutedWorkContext } from "./routed_work.ts";
@@ -53,17 +55,7 @@
   /** Resolves once the snapshot is the newest, as far as this VM can tell. */
   waitForFreshState: () => Promise<void>;
   headerCodec: HeaderCodec;
-}
-
-/** A call with its route and its authenticated caller. */
-interface CheckedCall {
-  request: CallerRequest;
-  sink: CallerSink;
-  snapshot: RoutedSnapshot;
-  route: Route;
-  workspace: Workspace;
-  call: RoutedCall;
-  requestId: RequestId;
+  streamOrigins: StreamOriginSource;
 }
 
 /** Handles callers' requests on a VM that is configured with routes. */
@@ -141,25 +133,21 @@
       retainsAnswer: false,
       isForwarded: request.forwarded !== undefined,
     });
-    this.#writeTakenUp(checked);
     await runExecution(execution, () => this.#buildWork(execution, checked));
   }
 
-  /** Logs which stream a caller takes up again. */
-  #writeTakenUp({ requestId, call: { resumes, lastEventId } }: CheckedCall) {
-    if (resumes === undefined && lastEventId === undefined) return;
-    this.#options.services.environment.log.info("stream_taken_up", {
-      request_id: requestId,
-      resumes,
-      last_event_id: lastEventId,
-    });
-  }
-
-  #buildWork(execution: RequestExecution, checked: CheckedCall): CheckedWork {
+  async #buildWork(
+    execution: RequestExecution,
+    checked: CheckedCall,
+  ): Promise<CheckedWork> {
     const { request, route, snapshot, call, workspace } = checked;
-    const { random } = this.#options.services.environment;
-    const target = chooseTarget(route.targets, random.next());
-    const pool = target && snapshot.pools.get(target.pool);
+    const { streamOrigins, services } = this.#options;
+    const origin = isTakenUp(checked)
+      ? await findOrigin(execution, checked, streamOrigins)
+      : undefined;
+    const poolName = origin?.pool ??
+      chooseTarget(route.targets, services.environment.random.next())?.pool;
+    const pool = poolName && snapshot.pools.get(poolName);
     if (pool === undefined) {
       throw createNotRun(
         "no_upstream",
@@ -176,6 +164,8 @@
       latePriority: snapshot.ranks.getLateRank(route),
       isInteractive: snapshot.interactiveClasses.has(route.className),
       headerCodec: this.#options.headerCodec,
+      streamOrigins,
+      origin,
     });
     const promptTokens = call.prompt?.promptTokens ?? 0;
     const expectedTokens = call.prompt?.maxTokens ?? 0;
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -8,7 +8,11 @@
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
-import type { HeldLease } from "../process/services.ts";
+import type {
+  HeldLease,
+  StreamOrigin,
+  StreamOriginSource,
+} from "../process/services.ts";
 import { findCommonRegions } from "../version/allowed_regions.ts";
 import type { UpstreamPool } from "../version/records.ts";
 import type { Route } from "../version/routes.ts";
@@ -48,6 +52,9 @@
   latePriority: number;
   isInteractive: boolean;
   headerCodec: HeaderCodec;
+  streamOrigins: StreamOriginSource;
+  /** Where the stream began, if the request takes one up. */
+  origin: StreamOrigin | undefined;
 }
 
 /** Forwards a routed call or stream to one replica at a time. */
@@ -93,6 +100,7 @@
         this.context.route.allowedRegions,
         this.context.execution.options.workspace.allowedRegions,
       ),
+      version: this.getOrigin()?.version,
     };
   }
 
@@ -124,6 +132,11 @@
     return this.context.call.lastEventId;
   }
 
+  /** Where the stream began; undefined before its first event. */
+  protected getOrigin(): StreamOrigin | undefined {
+    return undefined;
+  }
+
   #buildUpstreamHeaders(lease: HeldLease): Record<string, string> {
     const { request, execution, headerCodec, route } = this.context;
     return headerCodec.buildHeaders(request.headers, {
@@ -142,7 +155,8 @@
       leftMs: this.#getWholeLeftMs(),
       lastEventId: this.getLastEventId(),
     });
-    return { ...headers, ...buildForwardedHeader(this.maxSends - sends) };
+    const sendsLeft = this.maxSends - sends;
+    return { ...headers, ...buildForwardedHeader(sendsLeft, this.getOrigin()) };
   }
 
   #getWholeLeftMs(): number {
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -7,6 +7,7 @@
   CallTimeouts,
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
+import type { SoftwareVersion } from "../ids.ts";
 import type { Refusal } from "../outcome.ts";
 import type { HeldLease, LeaseRequest } from "../process/services.ts";
 import type { UpstreamPool } from "../version/records.ts";
@@ -58,6 +59,11 @@
   onComplete: () => void;
   /** Whether another VM answers for the upstream. */
   isForwarded: boolean;
+  /**
+   * Version of the software of the upstream that answers; undefined if it is not
+   * known. Another VM says it in its answer's head.
+   */
+  getUpstreamVersion: () => SoftwareVersion | undefined;
 }
 
 /** Throws `BrokenAnswerError` if the attempt has been cancelled. */
@@ -82,6 +88,7 @@
   | "priority"
   | "latePriority"
   | "regions"
+  | "version"
 >;
 
 /** Default limit on sends of one request that may reach an upstream. */
--- a/test/connection/refusal_body_test.ts
+++ b/test/connection/refusal_body_test.ts
@@ -17,6 +17,8 @@
   shed: 503,
   draining: 503,
   no_upstream: 503,
+  version_gone: 503,
+  origin_unknown: 503,
   owner_unreachable: 503,
   not_ready: 503,
   upstream_failed: 502,
--- a/test/failures/mixed_versions_test.ts
+++ b/test/failures/mixed_versions_test.ts
@@ -3,7 +3,7 @@
 import { waitUntil } from "../support/loopback.ts";
 import { PlatformFleet, type TestVm } from "../platform/platform_fleet.ts";
 import type { ReplicaStandIn } from "../platform/replica_stand_in.ts";
-import { type CalledStream, callStream } from "../platform/stream_caller.ts";
+import { type CalledStream, sendStream } from "../platform/stream_caller.ts";
 
 const VMS = 4;
 const STREAMS = 60;
@@ -67,7 +67,7 @@
 }
 
 /** Calls streams one after the other; `vms` says where each try goes. */
-async function playStreams(
+async function runStreams(
   created: VersionedFleet,
   options: {
     path: string;
@@ -79,7 +79,7 @@
   const calls: Promise<CalledStream>[] = [];
   for (let stream = 0; stream < STREAMS; stream++) {
     const vms = options.vms(stream);
-    calls.push(callStream({ ...options, id: String(stream), vms }));
+    calls.push(sendStream({ ...options, id: String(stream), vms }));
     await sleep(START_GAP_MS);
   }
   return countStreams(created, await Promise.all(calls));
@@ -114,7 +114,7 @@
   ["replicas break streams off and the VM goes on", async () => {
     const created = await createFleet(["v1", "v1.1"]);
     created.isBroken = (stream) => stream % 5 < 2;
-    return playStreams(created, {
+    return runStreams(created, {
       path: "/restream/x",
       vms: (stream) => [() => created.fleet.vms[stream % VMS]!],
     });
@@ -122,12 +122,12 @@
   ["the caller takes its stream up at another VM", async () => {
     const created = await createFleet(["v1", "v1.1"]);
     const vms = chooseNext(created);
-    return playStreams(created, { path: "/retake/stream", vms, pauseMs: 100 });
+    return runStreams(created, { path: "/retake/stream", vms, pauseMs: 100 });
   }],
   ["the caller takes its stream up at once", async () => {
     const created = await createFleet(["v1", "v1.1"]);
     const vms = chooseNext(created);
-    return playStreams(created, { path: "/retake/stream", vms });
+    return runStreams(created, { path: "/retake/stream", vms });
   }],
   ["the VM that began the stream is stopped", async () => {
     const created = await createFleet(["v1", "v1.1"]);
@@ -136,7 +136,7 @@
     const stopped = sleep(START_GAP_MS * STREAMS / 2).then(() =>
       first!.vm.stop()
     );
-    const played = await playStreams(created, {
+    const played = await runStreams(created, {
       path: "/retake/stream",
       vms: (stream) => [
         () => first!,
@@ -150,7 +150,7 @@
     const created = await createFleet(["v1", "v1.1"]);
     const { fleet } = created;
     let started: Promise<TestVm> | undefined;
-    return playStreams(created, {
+    return runStreams(created, {
       path: "/retake/stream",
       vms: (stream) => [
         () => fleet.vms[stream % VMS]!,
@@ -162,7 +162,7 @@
   ["the other version appears only after streams began", async () => {
     const created = await createFleet(["v1"]);
     let added: Promise<unknown> | undefined;
-    return playStreams(created, {
+    return runStreams(created, {
       path: "/retake/stream",
       vms: chooseNext(created),
       onBroken: async () => {
@@ -180,7 +180,7 @@
     const created = await createFleet(["v1", "v1.1"]);
     const { fleet } = created;
     fleet.vms[0]!.links.cut("reset");
-    return playStreams(created, {
+    return runStreams(created, {
       path: "/retake/stream",
       vms: (stream) => [
         () => fleet.vms[1 + stream % (VMS - 1)]!,
@@ -192,7 +192,7 @@
     const created = await createFleet(["v1", "v1.1"]);
     const { fleet } = created;
     fleet.vms[0]!.links.cut("reset");
-    return playStreams(created, {
+    return runStreams(created, {
       path: "/retake/stream",
       vms: (stream) => [
         () => fleet.vms[0]!,
@@ -234,7 +234,7 @@
   let listed: Promise<unknown> | undefined;
   const streams = await Promise.all(
     Array.from({ length: 20 }, (_, stream) =>
-      callStream({
+      sendStream({
         path: "/retake/stream",
         id: String(stream),
         vms: chooseNext(created)(stream),
@@ -273,7 +273,7 @@
 it("all streams go on where there is one version", async () => {
   const created = await createFleet(["v1"]);
   const vms = chooseNext(created);
-  const played = await playStreams(created, { path: "/retake/stream", vms });
+  const played = await runStreams(created, { path: "/retake/stream", vms });
   expect(played)
     .toEqual({ streams: STREAMS, mixed: 0, broken: STREAMS, wentOn: STREAMS });
 });
--- a/test/platform/stream_caller.ts
+++ b/test/platform/stream_caller.ts
@@ -18,7 +18,7 @@
   statuses: number[];
 }
 
-/** Options of `callStream`. */
+/** Options of `sendStream`. */
 export interface CallOptions {
   id: string;
   path: string;
@@ -31,7 +31,7 @@
 }
 
 /** Calls a stream, and takes it up again until it is whole or tries run out. */
-export async function callStream(options: CallOptions): Promise<CalledStream> {
+export async function sendStream(options: CallOptions): Promise<CalledStream> {
   const stream: CalledStream = { replicas: [], isWhole: false, statuses: [] };
   let first: string | undefined;
   for (const [index, choose] of options.vms.entries()) {
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -123,6 +123,9 @@
     onSuspects: () => [],
     listSuspects: () => [],
     onPlacementAnswer: () => {},
+    onOrigin: () => {},
+    onOriginQuery: ({ ask }) => ({ kind: "origin_answer", ask, vm }),
+    onOriginAnswer: () => {},
   });
   started.start();
   return started;
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -262,6 +262,13 @@
       onSuspects: () => [],
       listSuspects: () => [],
       onPlacementAnswer: () => {},
+      onOrigin: () => {},
+      onOriginQuery: ({ ask }) => ({
+        kind: "origin_answer",
+        ask,
+        vm: vm.name,
+      }),
+      onOriginAnswer: () => {},
     });
   }
 
