--- a/test/failures/truncated_stream_test.ts
+++ b/test/failures/truncated_stream_test.ts
@@ -222,8 +222,9 @@
 
 it("the rest of a stream may have no event left", async () => {
   const { replica, send } = await createFleet("directly");
+  await send("/restream/x", { "x-request-id": "first" });
   replica.answer = buildAnswer({ body: Buffer.alloc(0) });
-  const rest = { "last-event-id": "2" };
+  const rest = { resumes: "first", "last-event-id": "2" };
   expect(await send("/restream/x", rest))
     .toMatchObject({ status: 200, isWhole: true, body: "" });
 });
