Test origins of streams: losses, history, odd entries

One fault found: a history whose first list was already confirmed never became complete, so the only version of a pool was refused for good.

--- a/src/process/stream_origins/version_history.ts
+++ b/src/process/stream_origins/version_history.ts
@@ -50,7 +50,8 @@
   /** Records a newer list; call before it is confirmed. */
   noteList(replicas: readonly ListedReplica[]): void {
     const now = this.#options.clock.now();
-    if (!this.#isConfirmed()) this.#completeSince = now;
+    const isFirst = this.#completeSince === Infinity;
+    if (isFirst || !this.#isConfirmed()) this.#completeSince = now;
     const before = this.#current;
     this.#current = collectVersions(replicas);
     for (const [pool, versions] of before) {
--- /dev/null
+++ b/test/process/stream_origins/stream_origins_test.ts
@@ -0,0 +1,198 @@
+import { describe, expect, it } from "vitest";
+import {
+  type PoolName,
+  type RequestId,
+  type SoftwareVersion,
+  toId,
+  type WorkspaceName,
+} from "../../../src/ids.ts";
+import type { ListedReplica } from "../../../src/process/placement/index.ts";
+import type { FleetPeer } from "../../../src/process/seeded_fleet/index.ts";
+import { StreamOrigins } from "../../../src/process/stream_origins/index.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const POOL = toId<PoolName>("pool");
+const V1 = toId<SoftwareVersion>("v1");
+const V2 = toId<SoftwareVersion>("v2");
+const RETENTION_MS = 30_000;
+const DELAY_MS = 2;
+
+interface TestFleet {
+  clock: VirtualClock;
+  vms: StreamOrigins[];
+  /** Whether a message between two VMs, by index, gets lost. */
+  isLost: (from: number, to: number) => boolean;
+  /** Age of each VM's list. */
+  ageMs: number[];
+}
+
+/** VMs that send each other messages, with a delay. */
+function createFleet(count: number): TestFleet {
+  const clock = VirtualClock.create();
+  const fleet: TestFleet = {
+    clock,
+    vms: [],
+    isLost: () => false,
+    ageMs: new Array(count).fill(0),
+  };
+  const peers = fleet.ageMs.map((_, index) =>
+    ({ heartbeat: { vm: `vm-${index}`, dataCentre: "dc-1" } }) as FleetPeer
+  );
+  const deliver = (from: number, to: number, handle: () => void) => {
+    if (fleet.isLost(from, to)) return;
+    clock.startTimer(DELAY_MS, handle);
+  };
+  for (let index = 0; index < count; index++) {
+    fleet.vms.push(StreamOrigins.create({
+      vm: peers[index]!.heartbeat.vm,
+      clock,
+      listPeers: () => peers.filter((_, each) => each !== index),
+      send: (peer, message) => {
+        const to = peers.indexOf(peer);
+        deliver(index, to, () => {
+          const receiver = fleet.vms[to]!;
+          if (message.kind === "origin") {
+            receiver.noteAnnounced(message);
+            return;
+          }
+          const answer = receiver.answerQuery(message);
+          deliver(to, index, () => fleet.vms[index]!.noteAnswer(answer));
+        });
+      },
+      getListAgeMs: () => fleet.ageMs[index]!,
+      getRetentionMs: () => RETENTION_MS,
+    }));
+  }
+  return fleet;
+}
+
+function buildStream(id: string) {
+  const workspace = toId<WorkspaceName>("workspace");
+  return { workspace, requestId: toId<RequestId>(id) };
+}
+
+function listVersions(...versions: string[]): ListedReplica[] {
+  return versions.map((version) => ({
+    id: toId(version),
+    pool: POOL,
+    address: "127.0.0.1",
+    port: 1,
+    dataCentre: toId("dc-1"),
+    slots: 1,
+    state: "ready",
+    version: toId(version),
+  }));
+}
+
+/** Searches at VM `index` for a stream that was taken up now. */
+async function findAt(fleet: TestFleet, index: number, id: string | undefined) {
+  const now = fleet.clock.now();
+  const found = fleet.vms[index]!.find(
+    id === undefined ? undefined : buildStream(id),
+    {
+      pool: POOL,
+      arrivedAt: now,
+      deadlineAt: now + 10_000,
+      signal: new AbortController().signal,
+    },
+  );
+  await fleet.clock.run(2_000);
+  return await found;
+}
+
+describe("the origin of a stream", () => {
+  it("is known to all VMs that were told", async () => {
+    const fleet = createFleet(4);
+    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
+    await fleet.clock.run(DELAY_MS);
+    fleet.isLost = () => true;
+    for (const index of [0, 1, 2, 3]) {
+      expect(await findAt(fleet, index, "a"))
+        .toMatchObject({ origin: { pool: POOL, version: V1 } });
+    }
+  });
+
+  // Guards against streams that are refused because one message got lost.
+  it("is found by asking where the message got lost", async () => {
+    const fleet = createFleet(4);
+    fleet.isLost = (_from, to) => to === 3;
+    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
+    await fleet.clock.run(DELAY_MS);
+    let sent = 0;
+    // The first query to each VM gets lost as well, and the first VM is gone.
+    fleet.isLost = (from, to) =>
+      from === 0 || to === 0 || from === 3 && (sent += 1) <= 3;
+    const found = await findAt(fleet, 3, "a");
+    expect(found).toMatchObject({ origin: { version: V1 } });
+    expect(["vm-1", "vm-2"]).toContain(found!.knownBy);
+  });
+
+  // Guards against a guess: what nobody was told is refused while, or shortly
+  // after, another version served.
+  it("is unknown if nobody was told and there were two versions", async () => {
+    const fleet = createFleet(3);
+    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    await fleet.clock.run(RETENTION_MS);
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1")));
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+    await fleet.clock.run(RETENTION_MS);
+    expect(await findAt(fleet, 0, "a"))
+      .toEqual({
+        origin: { pool: POOL, version: V1 },
+        knownBy: "only_version",
+      });
+  });
+
+  // Guards against a VM whose list lags: the stream's own VM may have had a newer
+  // one, with another version, before it was lost.
+  it("is unknown unless the list was confirmed since the request", async () => {
+    const fleet = createFleet(2);
+    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1")));
+    await fleet.clock.run(RETENTION_MS);
+    fleet.ageMs = [2_500, 2_500];
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+    fleet.ageMs = [0, 0];
+    expect(await findAt(fleet, 0, "a")).toMatchObject({
+      knownBy: "only_version",
+    });
+  });
+
+  it("is told by others to a VM that has just started", async () => {
+    const fleet = createFleet(3);
+    fleet.vms.slice(1).forEach((vm) => vm.noteList(listVersions("v1")));
+    await fleet.clock.run(RETENTION_MS);
+    fleet.ageMs[0] = -1;
+    fleet.vms[0]!.noteList(listVersions("v1"));
+    fleet.ageMs[0] = 0;
+    expect(await findAt(fleet, 0, "a")).toMatchObject({
+      knownBy: "only_version",
+    });
+    // One that saw another version is enough.
+    fleet.vms[2]!.noteList(listVersions("v1", "v2"));
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+  });
+
+  it("is that of the caller's own workspace", async () => {
+    const fleet = createFleet(2);
+    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
+    const other = { ...buildStream("a"), workspace: toId("other") };
+    fleet.vms[1]!.announce({ ...other, workspace: toId("other") }, {
+      pool: POOL,
+      version: V2,
+    });
+    await fleet.clock.run(DELAY_MS);
+    expect(await findAt(fleet, 1, "a"))
+      .toMatchObject({ origin: { version: V1 } });
+  });
+
+  it("is forgotten when the stream cannot be taken up any more", async () => {
+    const fleet = createFleet(1);
+    const origin = { pool: POOL, version: V1 };
+    fleet.vms[0]!.announce(buildStream("a"), origin);
+    await fleet.clock.run(RETENTION_MS + 1);
+    fleet.vms[0]!.announce(buildStream("b"), origin);
+    expect(fleet.vms[0]!.size).toBe(1);
+  });
+});
