Let the soak release replicas, break streams off and take them up

Replicas get other software at random, send streams without a length and end half of them within an event at a byte that the request's id chooses; callers take broken streams up at random VMs, twice at most, naming the first event's request. The oracle checks the versions of all events a caller holds, within an answer and over its tries. The faults have a seed of their own, so that a seed's other faults stay as they were.

--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ServerResponse } from "node:http";
 import {
@@ -37,6 +39,8 @@
   | "close_delimited"
   /** Closes the connection in the middle of a stream's third event. */
   | "break"
+  /** Sends streams without a length, some of them ended within an event. */
+  | "unframed"
   /** Pauses once in the middle of a stream. */
   | "pause"
   /** Sends an unsolicited second answer right after the first. */
@@ -199,6 +203,10 @@
     call: StandInCall,
     response: ServerResponse,
   ): Promise<void> {
+    if (this.mode === "unframed") {
+      await this.#sendUnframed(call, response.socket!);
+      return;
+    }
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "x-request-id": call.headers["x-request-id"]!,
@@ -220,4 +228,36 @@
     }
     response.end();
   }
+
+  /** Every second stream ends within an event, at a byte that its id chooses. */
+  async #sendUnframed(call: StandInCall, socket: Socket): Promise<void> {
+    const id = call.headers["x-request-id"]!;
+    socket.write(
+      `HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n` +
+        `x-request-id: ${id}\r\nx-response-seal: ${this.id}\r\n\r\n`,
+    );
+    const last = Number(call.headers["last-event-id"] ?? 0);
+    const events = Array.from(
+      { length: Math.max(0, this.events - last) },
+      (_, index) => `id: ${last + index + 1}\ndata: ${this.id}\n\n`,
+    );
+    const hash = createHash("sha256").update(id).digest();
+    const text = events.join("");
+    const cutAt = hash[0]! % 2 === 0
+      ? text.length
+      : hash.readUInt16BE(1) % Math.max(1, text.length);
+    let sent = 0;
+    for (const event of events) {
+      socket.write(event.slice(0, Math.max(0, cutAt - sent)));
+      sent += event.length;
+      if (sent >= cutAt) break;
+      await sleep(this.eventGapMs);
+    }
+    // An end between two events, or before the first, would look like the last.
+    const isWhole = cutAt === text.length;
+    const isBetween = events.some((_, index) =>
+      events.slice(0, index).join("").length === cutAt
+    );
+    socket.end(!isWhole && isBetween ? "id" : "");
+  }
 }
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -34,6 +34,9 @@
   requests: number;
   /** Number of requests by HTTP status; 0 where no answer began. */
   statuses: Record<string, number>;
+  /** Requests that took a stream up, and those of them that went on. */
+  takenUp: number;
+  wentOn: number;
   faults: Record<string, number>;
   /** The greatest lateness of a timer of this process, in milliseconds. */
   mostLateMs: number;
@@ -98,6 +101,7 @@
     ...listViolations({
       requests,
       runs: fleet.countRuns(),
+      versions: fleet.versions,
       revoked: fleet.revoked,
       published: fleet.published,
       limits: fleet.limits.list(),
@@ -114,9 +118,12 @@
       getLateMs: machine.getLateMs,
     }) satisfies Violation[],
   );
+  const takenUp = requests.filter((each) => each.takesUp !== undefined);
   return {
     requests: requests.length,
     statuses: countBy(requests.map(({ status }) => String(status))),
+    takenUp: takenUp.length,
+    wentOn: takenUp.filter(({ status }) => status === 200).length,
     faults: countBy(plan.map(({ fault }) => fault.kind)),
     mostLateMs: machine.getMostLateMs(),
     broken,
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -22,20 +22,31 @@
 
 /** The routes that callers use, and how often a request may run on each. */
 export const SOAK_ROUTES = [
-  { path: "/safe/x", mostRuns: 2, isStream: false },
-  { path: "/unsafe/x", mostRuns: 1, isStream: false },
-  { path: "/stream/x", mostRuns: 1, isStream: true },
-  { path: "/restream/x", mostRuns: 2, isStream: true },
+  { path: "/safe/x", mostRuns: 2, isStream: false, isResumable: false },
+  { path: "/unsafe/x", mostRuns: 1, isStream: false, isResumable: false },
+  { path: "/stream/x", mostRuns: 1, isStream: true, isResumable: false },
+  { path: "/restream/x", mostRuns: 2, isStream: true, isResumable: true },
 ] as const;
 
 /** The body of the request that crashes every replica that starts it. */
 export const POISON_BODY = "poison";
 const POISON_EVERY_MS = 300;
 
+/** Tries that take one stream up again. */
+const MAX_TAKE_UPS = 2;
+
+interface SendOptions {
+  body?: string;
+  key?: string;
+  takesUp?: TakenUpStream;
+}
+
 /** One request and its answer; times by `performance.now()`. */
 export interface SoakRequest extends TestAnswer {
   id: string;
   isPoison: boolean;
+  /** What the caller has of the stream that the request takes up. */
+  takesUp?: TakenUpStream | undefined;
   route: typeof SOAK_ROUTES[number];
   key: string;
   vm: string;
@@ -45,6 +56,21 @@
   endedAt: number;
 }
 
+/** A stream that broke, as its caller has it. */
+export interface TakenUpStream {
+  /** The request that brought the first event. */
+  first: string;
+  /** Replicas of the events so far, the first one's first. */
+  replicas: string[];
+}
+
+const EVENT = /id: \d+\ndata: (\S+)\n\n/g;
+
+/** The replicas that sent the complete events of a body. */
+export function listEventReplicas(body: string): string[] {
+  return [...body.matchAll(EVENT)].map(([, replica]) => replica!);
+}
+
 /** A caller that sends one request after the other. */
 export class SoakCaller {
   readonly #agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
@@ -73,7 +99,7 @@
     while (!isOver()) {
       const vm = this.#random.pick(this.#fleet.vms)!;
       const route = this.#random.pick(SOAK_ROUTES)!;
-      requests.push(await this.send(vm, route));
+      requests.push(...await this.#sendWithTries(vm, route));
       await new Promise((resolve) =>
         setTimeout(resolve, this.#random.nextInt(MAX_THINK_TIME_MS))
       );
@@ -82,6 +108,22 @@
     return requests;
   }
 
+  /** Sends a request, and takes a stream up at other VMs if it breaks. */
+  async #sendWithTries(
+    vm: SoakVm,
+    route: typeof SOAK_ROUTES[number],
+  ): Promise<SoakRequest[]> {
+    const requests = [await this.send(vm, route)];
+    for (let retry = 0; retry < MAX_TAKE_UPS; retry++) {
+      const stream = findBrokenStream(requests.at(-1)!);
+      if (stream === undefined) break;
+      const other = this.#random.pick(this.#fleet.vms)!;
+      const { key } = requests[0]!;
+      requests.push(await this.send(other, route, { key, takesUp: stream }));
+    }
+    return requests;
+  }
+
   /** Sends the poison request to random VMs repeatedly until `isOver`. */
   async runPoison(isOver: () => boolean): Promise<SoakRequest[]> {
     const route = this.#random.pick(SOAK_ROUTES)!;
@@ -102,7 +144,7 @@
   async send(
     vm: SoakVm,
     route: typeof SOAK_ROUTES[number],
-    { body = "", key = this.#pickKey() }: { body?: string; key?: string } = {},
+    { body = "", key = this.#pickKey(), takesUp }: SendOptions = {},
   ): Promise<SoakRequest> {
     this.#sent += 1;
     const isPoison = body === POISON_BODY;
@@ -118,13 +160,17 @@
         authorization: `Bearer ${key}`,
         "x-request-id": id,
         "x-timeout-ms": String(CALL_TIMEOUT_MS),
+        ...(takesUp && {
+          resumes: takesUp.first,
+          "last-event-id": String(takesUp.replicas.length),
+        }),
       },
     });
     const isDisturbed = vm.hasEnded || vm.isEndExpected ||
       vm.disturbedAt > sentAt - DISTURBED_MS;
     const endedAt = performance.now();
     const request = { id, isPoison, route, key, vm: vm.name, sentAt, endedAt };
-    return { ...request, isDisturbed, ...answer };
+    return { ...request, takesUp, isDisturbed, ...answer };
   }
 
   #pickKey(): string {
@@ -134,3 +180,13 @@
       : PERMANENT_KEY;
   }
 }
+
+/** The stream that a caller has after a broken answer; undefined without one. */
+function findBrokenStream(request: SoakRequest): TakenUpStream | undefined {
+  const { route, id, takesUp, status, isWhole, body } = request;
+  if (!route.isResumable || isWhole && status === 200) return undefined;
+  const added = status === 200 ? listEventReplicas(body) : [];
+  const replicas = [...takesUp?.replicas ?? [], ...added];
+  if (replicas.length === 0) return undefined;
+  return { first: takesUp?.first ?? id, replicas };
+}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -27,6 +27,7 @@
 /** A key that every configuration accepts. */
 export const PERMANENT_KEY = "key-standing";
 const FORWARDED_LINE = /request_id=(\S+) step=forwarded .*?peer=(\S+)/;
+const FIRST_VERSION = "v1";
 const DRAIN_GRACE_MS = 4_000;
 /** Delay before a crashed replica is replaced. */
 const REPLACEMENT_DELAY_MS = 1_000;
@@ -58,6 +59,8 @@
   readonly leaving = SoakLeaving.create();
   readonly backOffs = SoakBackOffs.create();
   readonly brittle = SoakBrittleness.create();
+  /** Version of the software of each replica by its id. */
+  readonly versions = new Map<string, string>();
   /** When each key that changes was first published. */
   readonly published = new Map<string, number>();
   readonly #store = StoreStandIn.create();
@@ -66,6 +69,11 @@
   readonly #children: ChildProcessGroup;
   readonly #restarts: Promise<void>[] = [];
   readonly #crashed: ReplicaStandIn[] = [];
+  /** Replicas that were replaced in a release. */
+  readonly #released: SoakReplica[] = [];
+  /** Version of the software of each replica by its place. */
+  readonly #slotVersions: string[] = [];
+  #releases = 0;
   /** When a fault of the store, or of one VM's relay to it, began or ended. */
   readonly #storeFaults: { at: number; vm: string | undefined }[] = [];
   #links: LinkControl | undefined;
@@ -203,6 +211,10 @@
         const names = vms.map((index) => this.vms[index]!.name);
         return this.links.cut(names, how, forMs);
       })
+      .with(
+        { kind: "replica_released" },
+        ({ replica, version }) => this.#releaseReplica(replica, version),
+      )
       .with({ kind: "replica_silent" }, ({ replica, forMs }) => {
         this.replicas[replica]!.standIn.startSilence(forMs);
       })
@@ -246,6 +258,10 @@
     const relays = this.replicas.map(({ relay }) => relay);
     for (const relay of [...relays, ...this.#storeRelays]) await relay.close();
     for (const { standIn } of this.replicas) await standIn.stop();
+    for (const { standIn, relay } of this.#released) {
+      await relay.close();
+      await standIn.stop();
+    }
     await this.#store.stop();
     rmSync(this.#directory, { recursive: true, force: true });
   }
@@ -256,6 +272,7 @@
 
   async #startReplica(index: number, id: string): Promise<void> {
     const standIn = ReplicaStandIn.create(id);
+    this.versions.set(id, this.#slotVersions[index] ?? FIRST_VERSION);
     const relay = await Relay.create(await standIn.start());
     standIn.isPoison = ({ body }) =>
       new TextDecoder().decode(body) === POISON_BODY;
@@ -275,6 +292,23 @@
     await this.#startReplica(index, `${standIn.id}-next`);
   }
 
+  /**
+   * Starts a replica with another version of the software in place of one that
+   * leaves. The one that leaves goes on with what it has.
+   */
+  async #releaseReplica(index: number, version: string): Promise<void> {
+    const old = this.replicas[index]!;
+    if (old.standIn.hasCrashed || this.#isClosed) return;
+    this.#releases += 1;
+    this.#slotVersions[index] = version;
+    this.#released.push(old);
+    this.#crashed.push(old.standIn);
+    // Nothing is to replace it if it crashes now.
+    old.standIn.onCrash = () => {};
+    await this.#startReplica(index, `i-r${this.#releases}-${version}`);
+    this.#store.remove(`servers/${old.standIn.id}`);
+  }
+
   async #addVms(count: number): Promise<void> {
     const names = ["callers", "readiness", "state", "directory", "peers"];
     const free = await findFreePorts(names.length);
@@ -310,6 +344,7 @@
       address: `127.0.0.1:${relay.port}`,
       zone: "dc-1",
       slots: 16,
+      version: this.versions.get(standIn.id),
       state,
     });
   }
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -3,7 +3,11 @@
  *
  * @module
  */
-import { CALL_TIMEOUT_MS, type SoakRequest } from "./soak_callers.ts";
+import {
+  CALL_TIMEOUT_MS,
+  listEventReplicas,
+  type SoakRequest,
+} from "./soak_callers.ts";
 import { listBadCuts, type RecordedCut } from "./link_control.ts";
 import { PERMANENT_KEY, type RevokedKey } from "./soak_fleet.ts";
 import { findRepeat, type RequestedBackOff } from "./soak_back_offs.ts";
@@ -37,6 +41,7 @@
     | "a refused request has not run"
     | "an answer belongs to its request"
     | "an answer is complete or visibly broken"
+    | "a stream goes on only at the version that began it"
     | "a valid key is accepted"
     | "a revoked key is refused"
     | "a request ends in time"
@@ -55,6 +60,8 @@
   requests: readonly SoakRequest[];
   /** Runs by request id. */
   runs: ReadonlyMap<string, number>;
+  /** Version of the software of each replica by its id. */
+  versions: ReadonlyMap<string, string>;
   revoked: readonly RevokedKey[];
   /** When each key that changes was first published. */
   published: ReadonlyMap<string, number>;
@@ -90,6 +97,7 @@
   const broken = record.requests.flatMap((request) => [
     ...checkRuns(request, record),
     ...checkAnswer(request),
+    ...checkVersions(request, record),
     ...checkKey(request, record),
     ...checkTime(request, record),
   ]);
@@ -108,6 +116,8 @@
 function checkCuts({ cuts, requests }: SoakRecord): Violation[] {
   const observed = requests
     .filter(({ isPoison, key }) => !isPoison && key === PERMANENT_KEY)
+    // A stream is also refused where replicas of its version are gone.
+    .filter(({ takesUp }) => takesUp === undefined)
     .map(({ vm, sentAt, isDisturbed, status, isWhole }) => ({
       vm,
       sentAt,
@@ -209,7 +219,10 @@
     );
   }
   if (!request.isWhole) return broken;
-  const isComplete = route.isStream ? isWholeStream(body) : isWholeCall(body);
+  const before = request.takesUp?.replicas.length ?? 0;
+  const isComplete = route.isStream
+    ? isWholeStream(body, before)
+    : isWholeCall(body);
   if (!isComplete) {
     const detail = JSON.stringify(body);
     broken.push(
@@ -268,14 +281,33 @@
   }
 }
 
-function isWholeStream(body: string): boolean {
+/** Whether a body is the rest of a stream of which `before` events came. */
+function isWholeStream(body: string, before: number): boolean {
   const events = body.split("\n\n").filter((event) => event !== "");
-  return events.length === STREAM_EVENTS &&
+  return events.length === STREAM_EVENTS - before &&
     events.every((event, index) =>
-      event.startsWith(`id: ${index + 1}\ndata: i-`)
+      event.startsWith(`id: ${before + index + 1}\ndata: i-`)
     );
 }
 
+function checkVersions(
+  request: SoakRequest,
+  { versions }: SoakRecord,
+): Violation[] {
+  const { route, status, body, takesUp } = request;
+  if (!route.isStream || status !== 200) return [];
+  const replicas = [...takesUp?.replicas ?? [], ...listEventReplicas(body)];
+  const seen = new Set(replicas.map((each) => versions.get(each)));
+  if (seen.size <= 1) return [];
+  return [
+    buildViolation(
+      "a stream goes on only at the version that began it",
+      request,
+      `events of ${[...seen].join(", ")}`,
+    ),
+  ];
+}
+
 function buildViolation(
   promise: Violation["promise"],
   request: SoakRequest,
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -3,7 +3,7 @@
 import { SOAK_ROUTES, type SoakRequest } from "./soak_callers.ts";
 import { listViolations, type SoakRecord } from "./soak_oracle.ts";
 
-const [SAFE, UNSAFE, STREAM] = SOAK_ROUTES;
+const [SAFE, UNSAFE, STREAM, RESTREAM] = SOAK_ROUTES;
 const WHOLE_STREAM = [1, 2, 3, 4, 5, 6]
   .map((id) => `id: ${id}\ndata: i-1\n\n`).join("");
 
@@ -29,6 +29,7 @@
   const broken = listViolations({
     requests: [request],
     runs: new Map([["request-1", 1]]),
+    versions: new Map([["i-1", "v1"], ["i-2", "v1"], ["i-3", "v2"]]),
     revoked: [],
     published: new Map([["key-2", 500]]),
     limits: [],
@@ -60,6 +61,26 @@
     expect(check(buildRequest({ route: SAFE }), { runs })).toEqual([]);
   });
 
+  it("include a stream with events of two versions", () => {
+    const buildStream = (replicas: string[], from = 1) =>
+      replicas.map((id, index) => `id: ${from + index}\ndata: ${id}\n\n`)
+        .join("");
+    const promise = ["a stream goes on only at the version that began it"];
+    const checkReplicas = (replicas: string[]) =>
+      check(buildRequest({ route: RESTREAM, body: buildStream(replicas) }));
+    expect(checkReplicas(["i-1", "i-1", "i-2", "i-2", "i-2", "i-2"]))
+      .toEqual([]);
+    expect(checkReplicas(["i-1", "i-1", "i-3", "i-3", "i-3", "i-3"]))
+      .toEqual(promise);
+    const takesUp = { first: "request-0", replicas: ["i-1", "i-1"] };
+    const checkRest = (replica: string) => {
+      const body = buildStream(new Array(4).fill(replica), 3);
+      return check(buildRequest({ route: RESTREAM, body, takesUp }));
+    };
+    expect(checkRest("i-2")).toEqual([]);
+    expect(checkRest("i-3")).toEqual(promise);
+  });
+
   it("include the refusal of a request that ran", () => {
     const refused = buildRequest({ status: 503, body: "" });
     expect(check(refused)).toEqual(["a refused request has not run"]);
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -25,6 +25,10 @@
 /** So do cuts of all links of some VMs, silences and brittle replicas. */
 const LINKS_SEED = 3_000_000_019;
 const MAX_LINKS_GAP_MS = 6_000;
+/** So do releases of replicas, and streams without a length. */
+const STREAMS_SEED = 4_000_000_007;
+const MAX_STREAMS_GAP_MS = 4_000;
+const VERSIONS: readonly string[] = ["v1", "v1.1", "v2"];
 const LINK_CUT_SHARE = 0.5;
 const MIN_CUT_MS = 1_000;
 const MAX_CUT_MS = 7_000;
@@ -72,6 +76,7 @@
   | { kind: "replica_says_leaving"; replica: number; forMs: number }
   | { kind: "replica_backs_off"; replica: number; forS: number; forMs: number }
   | { kind: "links"; vms: number[]; how: LinkCut; forMs: number }
+  | { kind: "replica_released"; replica: number; version: string }
   | { kind: "replica_silent"; replica: number; forMs: number }
   | { kind: "replica_brittle"; replica: number; forMs: number }
   | { kind: "store_way"; vm: number; mode: RelayMode; forMs: number }
@@ -119,7 +124,13 @@
     MAX_LINKS_GAP_MS,
     pickLinkFault,
   );
-  return [...faults, ...signals, ...leaves, ...links]
+  const streams = buildSeries(
+    SeededRandom.create(options.seed + STREAMS_SEED),
+    options,
+    MAX_STREAMS_GAP_MS,
+    pickStreamFault,
+  );
+  return [...faults, ...signals, ...leaves, ...links, ...streams]
     .toSorted((left, right) => left.at - right.at);
 }
 
@@ -147,6 +158,19 @@
   };
 }
 
+/** Picks a replica that gets other software, or breaks streams off. */
+function pickStreamFault(random: SeededRandom, options: PlanOptions): Fault {
+  const replica = random.nextInt(options.replicas);
+  const version = random.pick(VERSIONS)!;
+  const forMs = MIN_FAULT_MS + random.nextInt(MAX_FAULT_MS - MIN_FAULT_MS);
+  const faults: Fault[] = [
+    { kind: "replica_released", replica, version },
+    { kind: "replica", replica, mode: "unframed", forMs },
+    { kind: "replica", replica, mode: "break", forMs },
+  ];
+  return random.pick(faults)!;
+}
+
 /** Picks VMs whose links are cut, or a replica that is silent or brittle. */
 function pickLinkFault(random: SeededRandom, options: PlanOptions): Fault {
   const replica = random.nextInt(options.replicas);
