Count refusals by their code

`refusals_total` tells how many streams were refused because the version that began them is gone or not known, and any other refusal by its code.

--- a/src/process/request_metrics.ts
+++ b/src/process/request_metrics.ts
@@ -6,6 +6,7 @@
  */
 import { Counter, Gauge, Registry } from "prom-client";
 import type { ClassName } from "../ids.ts";
+import type { RefusalCode } from "../outcome.ts";
 import { BurnRecorder } from "./burn_recorder.ts";
 import type { BurnSeries } from "./burn_stats.ts";
 import type { Clock } from "./clock.ts";
@@ -37,6 +38,7 @@
   readonly #requests: Counter<"class" | "result" | "step">;
   readonly #tokens: Counter<"class">;
   readonly #wastedTokens: Counter<"class">;
+  readonly #refusals: Counter<"class" | "code">;
   readonly #truncated: Counter<"class">;
 
   constructor(clock: Clock) {
@@ -63,6 +65,12 @@
       labelNames: ["class"],
       registers,
     });
+    this.#refusals = new Counter({
+      name: `${PREFIX}refusals_total`,
+      help: "Refused requests by class and code",
+      labelNames: ["class", "code"],
+      registers,
+    });
     this.#truncated = new Counter({
       name: `${PREFIX}truncated_answers_total`,
       help:
@@ -114,6 +122,10 @@
     this.#burn.record(request);
   }
 
+  noteRefused(className: ClassName, code: RefusalCode): void {
+    this.#refusals.inc({ class: className, code });
+  }
+
   noteTruncated(className: ClassName): void {
     this.#truncated.inc({ class: className });
   }
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -18,7 +18,7 @@
   VmId,
   WorkspaceName,
 } from "../ids.ts";
-import type { ExecutionOutcome } from "../outcome.ts";
+import type { ExecutionOutcome, RefusalCode } from "../outcome.ts";
 import type { RequestStep } from "../request/request_status.ts";
 import type { UpstreamSignals } from "../request/upstream_signals.ts";
 import type { ClaimAnswer, LeaseUpdate } from "./peer_api.ts";
@@ -285,6 +285,8 @@
 export abstract class RequestMetrics {
   abstract noteStep(className: ClassName, step: string, ms: number): void;
   abstract noteFinished(request: FinishedRequest): void;
+  /** Counts a refusal of a request. */
+  abstract noteRefused(className: ClassName, code: RefusalCode): void;
   /** Counts an answer that an upstream broke off and ended in order. */
   abstract noteTruncated(className: ClassName): void;
 }
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -213,6 +213,13 @@
     if (isOwn && isCounted(result)) {
       this.services.metrics.noteFinished(finished);
     }
+    if (isOwn && result.kind === "refused") {
+      const { requestClass } = this.options;
+      this.services.metrics.noteRefused(
+        requestClass.name,
+        result.refusal.code,
+      );
+    }
     this.#writeFinished(finished, { outcome, code });
   }
 
--- a/test/process/request_metrics_test.ts
+++ b/test/process/request_metrics_test.ts
@@ -239,6 +239,8 @@
         totalMs: 3_000,
       }),
     );
+    metrics.noteRefused(toId("chat"), "version_gone");
+    metrics.noteTruncated(toId("chat"));
     metrics.noteStep(toId("chat"), "queued", 250);
     metrics.addGauge("in_flight", { help: "Requests now", read: () => 4 });
     const lines = (await metrics.renderPrometheus()).split("\n");
@@ -250,6 +252,8 @@
         'persimmonslip_wasted_tokens_total{class="chat"} 7',
         'persimmonslip_step_seconds_sum{class="chat",step="total"} 4',
         'persimmonslip_step_seconds_count{class="chat",step="total"} 2',
+        'persimmonslip_refusals_total{class="chat",code="version_gone"} 1',
+        'persimmonslip_truncated_answers_total{class="chat"} 1',
         "persimmonslip_in_flight 4",
       ]
     ) expect(lines).toContain(line);
--- a/test/support/request_fakes.ts
+++ b/test/support/request_fakes.ts
@@ -10,7 +10,7 @@
 } from "../../src/connection/upstream_transport.ts";
 import { type DataCentre, type LeaseId, toId } from "../../src/ids.ts";
 import type { Incarnation, VmId } from "../../src/ids.ts";
-import { RefusalError } from "../../src/outcome.ts";
+import { type RefusalCode, RefusalError } from "../../src/outcome.ts";
 import type { Clock } from "../../src/process/clock.ts";
 import type { Environment } from "../../src/process/environment.ts";
 import { Log, SilentLog } from "../../src/process/log.ts";
@@ -201,6 +201,7 @@
   finished: FinishedRequest[] = [];
   phases: string[] = [];
   truncated: unknown[] = [];
+  refused: RefusalCode[] = [];
 
   noteStep(_className: unknown, step: string): void {
     this.phases.push(step);
@@ -210,6 +211,10 @@
     this.finished.push(figures);
   }
 
+  noteRefused(_className: unknown, code: RefusalCode): void {
+    this.refused.push(code);
+  }
+
   noteTruncated(className: unknown): void {
     this.truncated.push(className);
   }
