Let the soak at size break streams off and serve three versions

Replicas of three versions leave and come all the time, a quarter of them send streams without a length, one stream in eight breaks off; callers take broken streams up once, at random VMs. A stream with events of two versions fails the run. Not run yet at size.

--- a/test/soak/at_size/at_size_report.ts
+++ b/test/soak/at_size/at_size_report.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { SoakVm } from "../soak_vm.ts";
-import type { FleetAtSize } from "./fleet_at_size.ts";
+import type { FleetAtSize, StreamCounts } from "./fleet_at_size.ts";
 import type {
   ArrivalAfterLeaving,
   Leaving,
@@ -43,6 +43,8 @@
   extends Omit<ObserverReport, "afterLeaving" | "leaves"> {
   leaves: number;
   sent: number;
+  /** Streams that broke; none may hold events of two versions. */
+  streams: StreamCounts;
   statuses: Record<string, number>;
   /** Cuts under which callers of the VMs concerned were served far worse. */
   badCuts: string[];
@@ -73,6 +75,7 @@
     ...figures,
     leaves: leaves.length,
     sent: fleet.sent,
+    streams: fleet.streams,
     statuses: fleet.statuses,
     badCuts: fleet.listBadCuts(),
     faults: fleet.faults,
--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -13,9 +13,9 @@
 import { computeRendezvousOrder } from "../../../src/process/rendezvous.ts";
 import { listPartitionOwners } from "../../../src/process/seeded_fleet/pool_owners.ts";
 import { HOST } from "../../platform/configurations.ts";
-import { sendCall } from "../../platform/test_call.ts";
+import { sendCall, type TestAnswer } from "../../platform/test_call.ts";
 import { Relay, type RelayMode } from "../../support/relay.ts";
-import { SOAK_ROUTES } from "../soak_callers.ts";
+import { listEventReplicas, SOAK_ROUTES } from "../soak_callers.ts";
 import { LINK_CUTS } from "../../support/cuttable_links.ts";
 import {
   LinkControl,
@@ -23,6 +23,7 @@
   type ObservedRequest,
 } from "../link_control.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
+import { getReplicaVersion } from "./versioned_replica.ts";
 import { ProcessorQuota } from "./processor_quota.ts";
 import { type SoakPorts, SoakVm } from "../soak_vm.ts";
 
@@ -66,6 +67,14 @@
   quotaShare: number;
 }
 
+/** Streams that broke and were taken up at other VMs. */
+export interface StreamCounts {
+  takenUp: number;
+  wentOn: number;
+  /** Those with events of two software versions, with their replicas. */
+  mixed: string[];
+}
+
 /** Where the fleet's processes run. */
 export interface FleetPlace {
   directory: string;
@@ -83,6 +92,7 @@
   readonly vms: SoakVm[] = [];
   readonly statuses: Record<string, number> = {};
   readonly faults: Record<string, number> = {};
+  readonly streams: StreamCounts = { takenUp: 0, wentOn: 0, mixed: [] };
   readonly #options: FleetAtSizeOptions;
   readonly #place: FleetPlace;
   readonly #random: SeededRandom;
@@ -185,10 +195,10 @@
       if (performance.now() > until) {
         throw new Error(`${waiting.length} VMs do not serve`);
       }
-      const statuses = await Promise.all(
+      const answers = await Promise.all(
         waiting.map((vm) => this.#send(vm, SOAK_ROUTES[0].path)),
       );
-      waiting = waiting.filter((_vm, index) => statuses[index] !== 200);
+      waiting = waiting.filter((_vm, index) => answers[index]!.status !== 200);
       await sleep(CHECK_INTERVAL_MS);
     }
   }
@@ -199,9 +209,9 @@
     while (performance.now() < until) {
       dueAt = Math.max(dueAt + gapMs, performance.now() - MAX_BACKLOG_MS);
       const vm = this.#random.pick(this.vms)!;
-      const { path } = this.#random.pick(SOAK_ROUTES)!;
+      const route = this.#random.pick(SOAK_ROUTES)!;
       const sentAt = performance.now();
-      void this.#send(vm, path).then((status) => {
+      void this.#sendWithTry(vm, route).then(({ status }) => {
         this.#observed.push({
           vm: vm.name,
           sentAt,
@@ -214,8 +224,41 @@
     }
   }
 
-  async #send(vm: SoakVm, path: string): Promise<number> {
+  /** Sends a request, and takes a stream up at another VM if it breaks. */
+  async #sendWithTry(
+    vm: SoakVm,
+    { path, isStream, isResumable }: typeof SOAK_ROUTES[number],
+  ): Promise<TestAnswer> {
+    const answer = await this.#send(vm, path);
+    if (!isStream) return answer;
+    const replicas = listEventReplicas(answer.body);
+    if (isResumable && !answer.isWhole && replicas.length > 0) {
+      const first = answer.requestId;
+      const other = this.#random.pick(this.vms)!;
+      const rest = await this.#send(other, path, {
+        resumes: first,
+        "last-event-id": String(replicas.length),
+      });
+      this.streams.takenUp += 1;
+      if (rest.status === 200) {
+        this.streams.wentOn += 1;
+        replicas.push(...listEventReplicas(rest.body));
+      }
+    }
+    const versions = new Set(replicas.map(getReplicaVersion));
+    if (versions.size > 1) {
+      this.streams.mixed.push(`${answer.requestId}: ${replicas.join(" ")}`);
+    }
+    return answer;
+  }
+
+  async #send(
+    vm: SoakVm,
+    path: string,
+    headers: Record<string, string> = {},
+  ): Promise<TestAnswer & { requestId: string }> {
     this.#sent += 1;
+    const requestId = `${vm.name}~${this.#sent}`;
     const answer = await sendCall(`${vm.address}:${vm.callersPort}`, {
       agent: this.#agent,
       path,
@@ -223,11 +266,12 @@
       headers: {
         host: HOST,
         authorization: `Bearer ${PERMANENT_KEY}`,
-        "x-request-id": `${vm.name}~${this.#sent}`,
+        "x-request-id": requestId,
         "x-timeout-ms": String(CALL_TIMEOUT_MS),
+        ...headers,
       },
     });
-    return answer.status;
+    return { ...answer, requestId };
   }
 
   async #applyFaultsUntil(until: number): Promise<void> {
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -67,6 +67,10 @@
     `${report.lateVms.length} VMs in touch knew too late\n`,
 );
 for (const cut of report.badCuts) process.stdout.write(`BROKEN ${cut}\n`);
-const count = broken.length + report.lateVms.length + report.badCuts.length;
+const { takenUp, wentOn, mixed } = report.streams;
+process.stdout.write(`${takenUp} streams taken up, ${wentOn} went on\n`);
+for (const each of mixed) process.stdout.write(`BROKEN mixed ${each}\n`);
+const count = broken.length + report.lateVms.length + report.badCuts.length +
+  mixed.length;
 if (count > 0) process.exitCode = 1;
 process.exit();
--- a/test/soak/at_size/observer.ts
+++ b/test/soak/at_size/observer.ts
@@ -11,6 +11,7 @@
 import { StoreStandIn } from "../../platform/store_stand_in.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
+import { getReplicaVersion, startBreaking } from "./versioned_replica.ts";
 
 const SLOTS = 16;
 const ZONES = 4;
@@ -132,6 +133,7 @@
   async #startReplica(): Promise<ReplicaStandIn> {
     this.#started += 1;
     const standIn = ReplicaStandIn.create(`i-${this.#started}`);
+    startBreaking(standIn);
     await standIn.start();
     this.#serving.push(standIn);
     return standIn;
@@ -195,6 +197,7 @@
       address: `127.0.0.1:${port}`,
       zone: `dc-${1 + port % ZONES}`,
       slots: SLOTS,
+      version: getReplicaVersion(id),
       state: entry.state,
       "cold-remaining-ms": entry.coldMs ?? 0,
     });
