Attribute what replicas got in a soak to the VM that sent it

The sender is now the VM that logged the attempt at that replica, for back-offs, limits and leaves alike; a new test has both sides.

--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -26,7 +26,7 @@
 
 /** A key that every configuration accepts. */
 export const PERMANENT_KEY = "key-standing";
-const FORWARDED_LINE = /request_id=(\S+) step=forwarded .*?peer=(\S+)/;
+const SENT_LINE = /request_id=(\S+) step=sent .*?peer=(\S+)/;
 const FIRST_VERSION = "v1";
 const DRAIN_GRACE_MS = 4_000;
 /** Delay before a crashed replica is replaced. */
@@ -115,13 +115,17 @@
     return this.#links!;
   }
 
-  /** The VM that each request was passed on to last, by the VMs' logs. */
+  /**
+   * The VM that sent a request to a replica, by `REQUEST REPLICA`, as the VMs'
+   * logs say.
+   */
   listSenders(): Map<string, string> {
-    const lines = this.vms.flatMap((vm) => vm.readLog());
-    return new Map(lines.flatMap((line) => {
-      const [, id, vm] = FORWARDED_LINE.exec(line) ?? [];
-      return id === undefined || vm === undefined ? [] : [[id, vm]];
-    }));
+    return new Map(this.vms.flatMap((vm) =>
+      vm.readLog().flatMap((line) => {
+        const [, id, replica] = SENT_LINE.exec(line) ?? [];
+        return id === undefined ? [] : [[`${id} ${replica}`, vm.name]];
+      })
+    ));
   }
 
   /** Counts the runs of each request by its id. */
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -74,8 +74,8 @@
   /** Back-offs that replicas requested. */
   backOffs: readonly RequestedBackOff[];
   /**
-   * The VM that sent a request to replicas, where it is not the one that the
-   * caller reached.
+   * The VM that sent a request to a replica, by `REQUEST REPLICA`; the one that
+   * the caller reached where there is none.
    */
   senders: ReadonlyMap<string, string>;
   /** Cuts of all links of some VMs. */
@@ -132,30 +132,33 @@
 
 /** Checks that VMs respected the limits, notices and back-offs of replicas. */
 function checkSignals(record: SoakRecord): Violation[] {
-  // Limits and notices bind the VM that sends.
-  const requests = new Map(
-    record.requests.map((each) => [
-      each.id,
-      { ...each, vm: record.senders.get(each.id) ?? each.vm },
-    ]),
-  );
-  const options = { ...record, requests };
+  // Limits and notices bind the VM that sends, which may be another one at each
+  // replica that a request is tried at.
+  const buildOptions = (replica: string) => ({
+    ...record,
+    requests: new Map(
+      record.requests.map((each) => [each.id, {
+        ...each,
+        vm: record.senders.get(`${each.id} ${replica}`) ?? each.vm,
+      }]),
+    ),
+  });
   return [
     ...record.limits.map((limit) => ({
       promise: "a replica gets no more than its rate limit" as const,
-      found: findExcess(limit, options),
+      found: findExcess(limit, buildOptions(limit.replica)),
     })),
     ...record.leaving.map((leaving) => ({
       promise: "a leaving replica gets no new requests" as const,
-      found: findLateArrival(leaving, options),
+      found: findLateArrival(leaving, buildOptions(leaving.replica)),
     })),
     ...record.listedLeaving.map((leaving) => ({
       promise: "a replica that left the list gets no requests" as const,
-      found: findListedArrival(leaving, options),
+      found: findListedArrival(leaving, buildOptions(leaving.replica)),
     })),
     ...record.backOffs.map((backOff) => ({
       promise: "a VM respects a requested back-off" as const,
-      found: findRepeat(backOff, options),
+      found: findRepeat(backOff, buildOptions(backOff.replica)),
     })),
   ].flatMap(({ promise, found }) =>
     found === undefined
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -259,7 +259,11 @@
 
 describe("a replica that requested a back-off", () => {
   /** Requests `times` ms after the first, which got a back-off of 3 s. */
-  function checkRepeats(times: number[], changes: Partial<SoakRequest> = {}) {
+  function checkRepeats(
+    times: number[],
+    changes: Partial<SoakRequest> = {},
+    senders: SoakRecord["senders"] = new Map(),
+  ) {
     const requests = [0, ...times].map((ms, index) =>
       buildRequest({
         id: `request-${index + 1}`,
@@ -274,7 +278,8 @@
       .map(({ id, sentAt }) => ({ requestId: id, at: sentAt }));
     const refusals = [{ requestId: "request-1", at: 1_000, forMs: 3_000 }];
     const backOffs = [{ replica: "i-1", refusals, arrivals }];
-    return check(requests[0]!, { requests, runs: new Map(), backOffs });
+    const runs = new Map();
+    return check(requests[0]!, { requests, runs, backOffs, senders });
   }
 
   it("must not get more than two requests of the VM in that time", () => {
@@ -284,6 +289,19 @@
     expect(checkRepeats([100, 600, 700, 3_100])).toEqual([]);
   });
 
+  // Guards against a refusal that binds a VM which never got it: a request was
+  // passed on, came back and was refused where its caller had sent it.
+  it("binds the VM that sent it the refused request", () => {
+    const promise = ["a VM respects a requested back-off"];
+    const times = [600, 700, 2_900];
+    const sentBy = (vm: string) => new Map([["request-1 i-1", vm]]);
+    expect(checkRepeats(times, {}, sentBy("vm-2"))).toEqual([]);
+    expect(checkRepeats(times, { vm: "vm-2" }, sentBy("vm-2")))
+      .toEqual(promise);
+    const atOther = new Map([["request-1 i-2", "vm-2"]]);
+    expect(checkRepeats(times, {}, atOther)).toEqual(promise);
+  });
+
   it("may get requests of other VMs, or of those that have just started", () => {
     const times = [600, 700, 2_900];
     expect(checkRepeats(times, { vm: "vm-2" })).toEqual([]);
