Keep new streams off replicas that streams of their version wait for

A stream that goes on has only the replicas of its version to go to; while all of them are at a limit it waits (also where the owner says that the pool is full), and new streams of the same VM go to other versions, as long as there are any. Without the wait, and without the rule for new ones, the test fails.

--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -8,6 +8,7 @@
   type DataCentre,
   type LeaseId,
   type PoolName,
+  type SoftwareVersion,
   toId,
   type VmId,
 } from "../../ids.ts";
@@ -165,22 +166,26 @@
     // caller may have disconnected, and its request must not be sent then.
     await this.#options.waitForSocketReads();
     await this.#options.waitForFreshState();
-    if (decision === "full") {
+    // A stream that goes on waits for a replica of its version.
+    if (decision === "full" && request.version === undefined) {
       throw this.#refusals.createPoolFullError(request, needs);
     }
     if (decision === "expired") {
       throw this.#refusals.createExpiredError(request, needs);
     }
-    if (decision === undefined) settle();
+    if (typeof decision !== "object") settle();
     // The choice counts from the lease on: nothing may run between the two.
     const until = this.#computeWaitEnd(request);
-    let placement = decision ?? this.#chooseInTurn(request);
+    let placement = typeof decision === "object"
+      ? decision
+      : this.#chooseInTurn(request);
     while (placement === undefined && this.#canWait(request, until)) {
       await this.#options.state.rooms.wait(buildTurn(request));
       if (options.signal.aborted) throw createCancelledError();
       placement = this.#chooseInTurn(request);
     }
     while (placement === undefined && this.#canWaitForVersion(request, until)) {
+      this.#options.state.versionWaits.noteWait(request.pool, request.version);
       await this.#options.clock.sleep(VERSION_CHECK_MS, options.signal);
       if (options.signal.aborted) throw createCancelledError();
       placement = this.#choose(request, this.#buildNeeds(request));
@@ -188,7 +193,7 @@
     if (placement === undefined) {
       throw this.#refusals.createRefusal(request, needs);
     }
-    if (decision === undefined) {
+    if (typeof decision !== "object") {
       this.#options.state.addSent(placement.replica);
     }
     this.#granted += 1;
@@ -211,7 +216,10 @@
    * Whether the request may wait for a replica of its version: new streams have
    * all others to choose from.
    */
-  #canWaitForVersion(request: LeaseRequest, until: number): boolean {
+  #canWaitForVersion(
+    request: LeaseRequest,
+    until: number,
+  ): request is LeaseRequest & { version: SoftwareVersion } {
     if (request.version === undefined) return false;
     const needs = { ...this.#buildNeeds(request), avoid: request.avoid };
     return this.#options.clock.now() < until &&
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -40,6 +40,7 @@
 import { UnlistedReplicas } from "./unlisted_replicas.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
+import { VersionWaits } from "./version_waits.ts";
 
 /**
  * Update for the other VMs. Loads and limits are repeated; everything else is
@@ -126,6 +127,7 @@
   readonly backOffs: ReplicaBackOffs;
   readonly brittle: BrittleReplicas;
   readonly rooms: RoomQueue;
+  readonly versionWaits: VersionWaits;
   readonly links: ReplicaLinks;
   readonly checks: LinkChecks;
   readonly failures: TransportFailures;
@@ -154,6 +156,7 @@
       loads: this.loads,
     });
     this.rooms = RoomQueue.create(clock);
+    this.versionWaits = VersionWaits.create(options.clock);
     this.#unlisted = UnlistedReplicas.create(clock);
     this.links = ReplicaLinks.create({ clock, ...links });
     this.checks = LinkChecks.create({ clock, ...links, links: this.links });
--- a/src/process/placement/replica_chooser.ts
+++ b/src/process/placement/replica_chooser.ts
@@ -250,6 +250,11 @@
     const isTrusted =
       healthy.length >= Math.ceil(ready.length * MIN_HEALTHY_SHARE);
     const trusted = isTrusted ? healthy.filter(isNotAvoided) : [];
-    return trusted.length > 0 ? trusted : ready.filter(isNotAvoided);
+    const candidates = trusted.length > 0
+      ? trusted
+      : ready.filter(isNotAvoided);
+    return request.version === undefined
+      ? this.#state.versionWaits.listFree(request.pool, candidates)
+      : candidates;
   }
 }
