--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -6,6 +6,9 @@
  */
 export { encodeMessage } from "./fleet_message.ts";
 export type {
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
   PlacementAnswerMessage,
   PlacementRequestMessage,
   WorkReport,
--- a/src/process/stream_origins/origin_holders.ts
+++ b/src/process/stream_origins/origin_holders.ts
@@ -5,8 +5,7 @@
  */
 import type { DataCentre, StreamKey } from "../../ids.ts";
 import { computeRendezvousOrder } from "../rendezvous.ts";
-import type { FleetPeer } from "../seeded_fleet/fleet_peers.ts";
-import { isSmallFleet } from "../seeded_fleet/pool_owners.ts";
+import { type FleetPeer, isSmallFleet } from "../seeded_fleet/index.ts";
 
 /** VMs that are told in a large fleet. */
 const HOLDERS = 4;
--- a/src/process/stream_origins/origin_queries.ts
+++ b/src/process/stream_origins/origin_queries.ts
@@ -6,10 +6,10 @@
 import type { PoolName, StreamKey, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type {
+  FleetPeer,
   OriginAnswerMessage,
   OriginQueryMessage,
-} from "../seeded_fleet/fleet_message.ts";
-import type { FleetPeer } from "../seeded_fleet/fleet_peers.ts";
+} from "../seeded_fleet/index.ts";
 import type { StreamOrigin } from "../services.ts";
 import type { PoolVersions } from "./version_history.ts";
 
--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -12,13 +12,13 @@
 import { match } from "ts-pattern";
 import type { PoolName, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import type { ListedReplica } from "../placement/replica_list.ts";
+import type { ListedReplica } from "../placement/index.ts";
 import type {
+  FleetPeer,
   OriginAnswerMessage,
   OriginMessage,
   OriginQueryMessage,
-} from "../seeded_fleet/fleet_message.ts";
-import type { FleetPeer } from "../seeded_fleet/fleet_peers.ts";
+} from "../seeded_fleet/index.ts";
 import {
   type FindOriginOptions,
   type FoundOrigin,
--- a/src/process/stream_origins/version_history.ts
+++ b/src/process/stream_origins/version_history.ts
@@ -5,10 +5,7 @@
  */
 import type { PoolName, SoftwareVersion } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import {
-  getSoftwareVersion,
-  type ListedReplica,
-} from "../placement/replica_list.ts";
+import { getSoftwareVersion, type ListedReplica } from "../placement/index.ts";
 
 /**
  * A list that was not confirmed for so long may have missed replicas that came
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -19,6 +19,7 @@
 import { checkCaller } from "./authenticate.ts";
 import { CallerHandler, type CallerRequest } from "./caller_request.ts";
 import type { CallerSink } from "./caller_sink.ts";
+import type { CheckedCall } from "./checked_call.ts";
 import { buildRefusalHeader } from "./forwarded_request.ts";
 import { computeFingerprint, readHost } from "./request_fingerprint.ts";
 import { RequestExecution } from "./request_execution.ts";
@@ -26,7 +27,7 @@
 import { type CheckedWork, runExecution } from "./request_task.ts";
 import { RoutedCallWork } from "./routed_call_work.ts";
 import type { HeaderCodec } from "./header_codec.ts";
-import { type CheckedCall, findOrigin, isTakenUp } from "./taken_up_stream.ts";
+import { findOrigin, isTakenUp } from "./taken_up_stream.ts";
 import { ResumableStreamWork } from "./resumable_stream_work.ts";
 import { SingleStreamWork } from "./single_stream_work.ts";
 import type { RoutedWork, RoutedWorkContext } from "./routed_work.ts";
--- a/src/request/taken_up_stream.ts
+++ b/src/request/taken_up_stream.ts
@@ -5,30 +5,17 @@
  */
 import { type RequestId, toId } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
-import type {
-  FoundOrigin,
-  StreamOrigin,
-  StreamOriginSource,
-} from "../process/services.ts";
-import type { Workspace } from "../version/records.ts";
-import type { Route, RoutedSnapshot } from "../version/routes.ts";
-import type { CallerRequest } from "./caller_request.ts";
-import type { CallerSink } from "./caller_sink.ts";
-import type { RoutedCall } from "./header_codec.ts";
+import type { StreamOrigin, StreamOriginSource } from "../process/services.ts";
+import type { CheckedCall } from "./checked_call.ts";
 import type { RequestExecution } from "./request_execution.ts";
 
 /** Another VM may know more, or this one soon. */
 const RETRY_AFTER_MS = 300;
 
-/** A call with its route and its authenticated caller. */
-export interface CheckedCall {
-  request: CallerRequest;
-  sink: CallerSink;
-  snapshot: RoutedSnapshot;
-  route: Route;
-  workspace: Workspace;
-  call: RoutedCall;
-  requestId: RequestId;
+/** An origin and how it is known: by which VM, or why. */
+interface KnownOrigin {
+  origin: StreamOrigin;
+  knownBy: string;
 }
 
 /** Whether the call goes on with a stream of which its caller has events. */
@@ -44,66 +31,68 @@
  */
 export async function findOrigin(
   execution: RequestExecution,
-  { request, route, call, workspace }: CheckedCall,
+  checked: CheckedCall,
   streamOrigins: StreamOriginSource,
 ): Promise<StreamOrigin> {
-  const targets = route.targets.filter(({ weight }) => weight > 0);
-  const [target, ...others] = targets;
-  if (target === undefined) {
-    throw createRefusal("no_upstream", "The route leads to no pool");
-  }
-  const stream = call.resumes === undefined ? undefined : {
-    workspace: workspace.name,
-    requestId: toId<RequestId>(call.resumes),
-  };
-  const found = await findByCaller(request, () =>
-    streamOrigins.find(stream, {
-      pool: target.pool,
-      arrivedAt: request.arrivedAt,
-      deadlineAt: execution.deadlineAt,
-      signal: execution.options.sink.signal,
-    }));
-  writeTakenUp(execution, call, found);
-  // Which of several pools a stream began in follows from no version.
-  const isCertain = others.length === 0 || found?.knownBy !== "only_version";
-  if (found === undefined || !isCertain) {
+  const { route, request } = checked;
+  const passedOn = request.forwarded?.origin;
+  const known = passedOn === undefined
+    ? await fetchOrigin(execution, checked, streamOrigins)
+    : { origin: passedOn, knownBy: "passed_on" };
+  writeTakenUp(execution, checked, known);
+  if (known === undefined) {
     throw createRefusal(
       "origin_unknown",
       "It is not known at which software version the stream began",
     );
   }
-  if (!targets.some(({ pool }) => pool === found.origin.pool)) {
+  const { origin } = known;
+  const leadsThere = route.targets.some(({ pool, weight }) =>
+    pool === origin.pool && weight > 0
+  );
+  if (!leadsThere) {
     throw createRefusal(
       "version_gone",
-      `The route leads no more to pool ${found.origin.pool}, where the ` +
-        "stream began",
+      `The route leads no more to pool ${origin.pool}, where the stream began`,
     );
   }
-  return found.origin;
+  return origin;
 }
 
-/** The origin that another VM passed on, or what `find` resolves to. */
-async function findByCaller(
-  { forwarded }: CallerRequest,
-  find: () => Promise<FoundOrigin | undefined>,
-): Promise<Pick<FoundOrigin, "origin"> & { knownBy: string } | undefined> {
-  return forwarded?.origin === undefined
-    ? await find()
-    : { origin: forwarded.origin, knownBy: "passed_on" };
+async function fetchOrigin(
+  execution: RequestExecution,
+  { request, route, call, workspace }: CheckedCall,
+  streamOrigins: StreamOriginSource,
+): Promise<KnownOrigin | undefined> {
+  const [target, ...others] = route.targets;
+  if (target === undefined) return undefined;
+  const stream = call.resumes === undefined ? undefined : {
+    workspace: workspace.name,
+    requestId: toId<RequestId>(call.resumes),
+  };
+  const found = await streamOrigins.find(stream, {
+    pool: target.pool,
+    arrivedAt: request.arrivedAt,
+    deadlineAt: execution.deadlineAt,
+    signal: execution.options.sink.signal,
+  });
+  // Which of several pools a stream began in follows from no version.
+  const isGuess = found?.knownBy === "only_version" && others.length > 0;
+  return isGuess ? undefined : found;
 }
 
 function writeTakenUp(
   { id, services }: RequestExecution,
-  { resumes, lastEventId }: RoutedCall,
-  found: { origin: StreamOrigin; knownBy: string } | undefined,
+  { call: { resumes, lastEventId } }: CheckedCall,
+  known: KnownOrigin | undefined,
 ): void {
   services.environment.log.info("stream_taken_up", {
     request_id: id,
     resumes,
     last_event_id: lastEventId,
-    pool: found?.origin.pool,
-    version: found?.origin.version,
-    known_by: found?.knownBy,
+    pool: known?.origin.pool,
+    version: known?.origin.version,
+    known_by: known?.knownBy,
   });
 }
 
