--- a/src/connection/sse_boundary.ts
+++ b/src/connection/sse_boundary.ts
@@ -55,9 +55,14 @@
    * Each byte of the stream must be read once, in order.
    */
   findNext(bytes: Uint8Array, start: number): number | undefined {
-    for (let at = start; at < bytes.length; at++) {
+    let at = start;
+    while (at < bytes.length) {
+      // Within a line only its end matters.
+      if (!this.#isLineStart) at = findLineEnd(bytes, at);
+      if (at === bytes.length) return undefined;
       const end = this.#readByte(bytes[at]!, at);
       if (end !== undefined) return end;
+      at += 1;
     }
     return undefined;
   }
@@ -127,3 +132,10 @@
     return false;
   }
 }
+
+/** The index of the next LF or CR, or the length of `bytes`. */
+function findLineEnd(bytes: Uint8Array, start: number): number {
+  let at = start;
+  while (at < bytes.length && bytes[at] !== LF && bytes[at] !== CR) at += 1;
+  return at;
+}
