--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -15,11 +15,11 @@
   Region,
   RequestFingerprint,
   SoftwareVersion,
-  StreamKey,
   VmId,
   WorkspaceName,
 } from "../../ids.ts";
 import { toError } from "../../errors.ts";
+import { ORIGIN, ORIGIN_ANSWER, ORIGIN_QUERY } from "./origin_message.ts";
 
 const TEXT = z.string();
 const COUNT = z.number();
@@ -195,46 +195,6 @@
   isExpired: z.boolean().optional(),
 });
 
-const STREAM_KEY = TEXT.transform((text) => text as StreamKey);
-const POOL = TEXT.transform((text) => text as PoolName);
-const VERSION = TEXT.transform((text) => text as SoftwareVersion);
-
-/**
- * Sent when a stream begins. Its loss does no harm to what a caller gets, but the
- * stream may then be refused when it is taken up.
- */
-const ORIGIN = z.object({
-  kind: z.literal("origin"),
-  key: STREAM_KEY,
-  pool: POOL,
-  version: VERSION,
-});
-
-const ORIGIN_QUERY = z.object({
-  kind: z.literal("origin_query"),
-  /** Number of the query, counted by the sender. */
-  ask: COUNT,
-  key: STREAM_KEY,
-  /** The pool that the stream would go on in. */
-  pool: POOL,
-});
-
-const ORIGIN_ANSWER = z.object({
-  kind: z.literal("origin_answer"),
-  ask: COUNT,
-  vm: VM,
-  /** Where the stream began; undefined if the sender does not know. */
-  pool: POOL.optional(),
-  version: VERSION.optional(),
-  /**
-   * The only version in the asked pool for as long as a stream may last;
-   * undefined if there were several or the sender cannot tell.
-   */
-  onlyVersion: VERSION.optional(),
-  /** Whether there were several. */
-  hasSeveral: z.boolean().optional(),
-});
-
 const MESSAGE = z.discriminatedUnion("kind", [
   HEARTBEAT,
   ALIVE,
@@ -286,12 +246,6 @@
 export type PlacementRequestMessage = z.infer<typeof PLACEMENT_REQUEST>;
 /** Answer to a placement request. */
 export type PlacementAnswerMessage = z.infer<typeof PLACEMENT_ANSWER>;
-/** Where a stream began, from the VM that began it. */
-export type OriginMessage = z.infer<typeof ORIGIN>;
-/** Query for where a stream began. */
-export type OriginQueryMessage = z.infer<typeof ORIGIN_QUERY>;
-/** Answer to such a query. */
-export type OriginAnswerMessage = z.infer<typeof ORIGIN_ANSWER>;
 /** Any datagram. */
 export type FleetMessage = z.infer<typeof MESSAGE>;
 
--- a/src/process/seeded_fleet/heartbeat_options.ts
+++ b/src/process/seeded_fleet/heartbeat_options.ts
@@ -12,14 +12,16 @@
 import type { DatagramLink } from "./datagram_link.ts";
 import type {
   FleetHeartbeat,
-  OriginAnswerMessage,
-  OriginMessage,
-  OriginQueryMessage,
   PlacementAnswerMessage,
   PlacementRequestMessage,
   WorkReport,
 } from "./fleet_message.ts";
 import type { FleetPeer } from "./fleet_peers.ts";
+import type {
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
+} from "./origin_message.ts";
 
 /** Work of this VM for some of the VMs that place requests. */
 export interface WorkUpdate {
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -6,13 +6,15 @@
  */
 export { encodeMessage } from "./fleet_message.ts";
 export type {
-  OriginAnswerMessage,
-  OriginMessage,
-  OriginQueryMessage,
   PlacementAnswerMessage,
   PlacementRequestMessage,
   WorkReport,
 } from "./fleet_message.ts";
+export type {
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
+} from "./origin_message.ts";
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 export { FleetHeartbeats } from "./fleet_heartbeats.ts";
--- a/src/process/seeded_fleet/message_receiver.ts
+++ b/src/process/seeded_fleet/message_receiver.ts
@@ -16,13 +16,15 @@
   type FleetHeartbeat,
   type FleetMessage,
   type MembersMessage,
-  type OriginAnswerMessage,
-  type OriginMessage,
-  type OriginQueryMessage,
   type PlacementAnswerMessage,
   type PlacementRequestMessage,
 } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
+import type {
+  OriginAnswerMessage,
+  OriginMessage,
+  OriginQueryMessage,
+} from "./origin_message.ts";
 import type { HeartbeatTargets } from "./heartbeat_targets.ts";
 import { buildSuspectMessages } from "./suspect_messages.ts";
 
--- a/src/process/stream_origins/origin_queries.ts
+++ b/src/process/stream_origins/origin_queries.ts
@@ -10,7 +10,7 @@
   OriginAnswerMessage,
   OriginQueryMessage,
 } from "../seeded_fleet/index.ts";
-import type { StreamOrigin } from "../services.ts";
+import type { StreamOrigin } from "../stream_origin_source.ts";
 import type { PoolVersions } from "./version_history.ts";
 
 /** A VM that has not answered by then is down, unreachable or overloaded. */
--- a/src/process/stream_origins/origin_store.ts
+++ b/src/process/stream_origins/origin_store.ts
@@ -5,7 +5,7 @@
  */
 import type { StreamKey } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import type { StreamOrigin } from "../services.ts";
+import type { StreamOrigin } from "../stream_origin_source.ts";
 
 /** Some 10 MB; the oldest are dropped, and count as unknown then. */
 const MAX_ORIGINS = 50_000;
--- a/src/process/stream_origins/stream_key.ts
+++ b/src/process/stream_origins/stream_key.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { type StreamKey, toId } from "../../ids.ts";
-import type { StreamName } from "../services.ts";
+import type { StreamName } from "../stream_origin_source.ts";
 
 /** 64 bits, so that keys of different streams do not meet. */
 const KEY_LENGTH = 16;
--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -25,7 +25,7 @@
   type StreamName,
   type StreamOrigin,
   StreamOriginSource,
-} from "../services.ts";
+} from "../stream_origin_source.ts";
 import { chooseAsked, chooseHolders } from "./origin_holders.ts";
 import { OriginQueries } from "./origin_queries.ts";
 import { OriginStore } from "./origin_store.ts";
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { StreamOrigin } from "../process/services.ts";
+import type { StreamOrigin } from "../process/stream_origin_source.ts";
 import type { CallerSink } from "./caller_sink.ts";
 
 /** In requests an id from `POST /v1/requests`; in answers the request's id. */
--- a/src/request/forwarded_request.ts
+++ b/src/request/forwarded_request.ts
@@ -11,7 +11,7 @@
   type RefusalCode,
   RefusalError,
 } from "../outcome.ts";
-import type { StreamOrigin } from "../process/services.ts";
+import type { StreamOrigin } from "../process/stream_origin_source.ts";
 import {
   type AnyId,
   type PoolName,
--- a/src/request/resumable_stream_work.ts
+++ b/src/request/resumable_stream_work.ts
@@ -10,7 +10,7 @@
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
 import { type RequestId, toId } from "../ids.ts";
-import type { StreamOrigin } from "../process/services.ts";
+import type { StreamOrigin } from "../process/stream_origin_source.ts";
 import { buildVersionHeader, readVersion } from "./forwarded_request.ts";
 import type { RoutedWorkContext } from "./routed_work.ts";
 import { StreamWork } from "./stream_work.ts";
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -8,7 +8,7 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId, type WorkspaceName } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
-import type { StreamOriginSource } from "../process/services.ts";
+import type { StreamOriginSource } from "../process/stream_origin_source.ts";
 import type { Workspace } from "../version/records.ts";
 import {
   chooseTarget,
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -8,11 +8,11 @@
   UpstreamAnswer,
 } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
+import type { HeldLease } from "../process/services.ts";
 import type {
-  HeldLease,
   StreamOrigin,
   StreamOriginSource,
-} from "../process/services.ts";
+} from "../process/stream_origin_source.ts";
 import { findCommonRegions } from "../version/allowed_regions.ts";
 import type { UpstreamPool } from "../version/records.ts";
 import type { Route } from "../version/routes.ts";
--- a/src/request/taken_up_stream.ts
+++ b/src/request/taken_up_stream.ts
@@ -5,7 +5,10 @@
  */
 import { type RequestId, toId } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
-import type { StreamOrigin, StreamOriginSource } from "../process/services.ts";
+import type {
+  StreamOrigin,
+  StreamOriginSource,
+} from "../process/stream_origin_source.ts";
 import type { CheckedCall } from "./checked_call.ts";
 import type { RequestExecution } from "./request_execution.ts";
 
