Serve callers that name no stream at the only version of its pool

Such callers know of no versions, so the version that is listed now decides, at once; with several listed they are refused. Callers that name their stream are bound as before. The new test failed without the change.

--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -121,7 +121,7 @@
   ): Promise<FoundOrigin | undefined> {
     const { pool } = options;
     const { listPeers, vm } = this.#options;
-    if (stream === undefined) return await this.#findOnly(options, []);
+    if (stream === undefined) return this.#findOnlyNow(pool);
     const key = computeStreamKey(stream);
     const own = this.#store.find(key);
     if (own !== undefined) return { origin: own, knownBy: vm };
@@ -132,7 +132,18 @@
       this.#store.put(key, origin);
       return { origin, knownBy };
     }
-    return await this.#findOnly(options, answer.versions);
+    return await this.#findOnlyLately(options, answer.versions);
+  }
+
+  /**
+   * The origin of a stream that its caller does not name. Such a caller does not
+   * know of versions, and is served as long as there is one.
+   */
+  #findOnlyNow(pool: PoolName): FoundOrigin | undefined {
+    const version = this.#history.findOnlyNow(pool);
+    return version === undefined
+      ? undefined
+      : { origin: { pool, version }, knownBy: "only_version" };
   }
 
   /**
@@ -140,7 +151,7 @@
    * as long as a stream may last. `told` are the versions for which other VMs
    * say so; those that have just started cannot tell themselves.
    */
-  async #findOnly(
+  async #findOnlyLately(
     { pool, arrivedAt, deadlineAt, signal }: FindOriginOptions,
     told: readonly PoolVersions[],
   ): Promise<FoundOrigin | undefined> {
--- a/test/process/stream_origins/stream_origins_test.ts
+++ b/test/process/stream_origins/stream_origins_test.ts
@@ -159,6 +159,21 @@
     });
   });
 
+  // Guards against callers who name no stream, as all did before there were
+  // several versions, and who are refused because their VM has just started.
+  it("is the only version listed if the caller names no stream", async () => {
+    const fleet = createFleet(1);
+    fleet.vms[0]!.noteList(listVersions("v1"));
+    expect(await findAt(fleet, 0, undefined))
+      .toEqual({
+        origin: { pool: POOL, version: V1 },
+        knownBy: "only_version",
+      });
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+    fleet.vms[0]!.noteList(listVersions("v1", "v2"));
+    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+  });
+
   it("is told by others to a VM that has just started", async () => {
     const fleet = createFleet(3);
     fleet.vms.slice(1).forEach((vm) => vm.noteList(listVersions("v1")));
