--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -109,6 +109,7 @@
       listedLeaving: fleet.leaving.listListed(),
       backOffs: fleet.backOffs.list(),
       senders: fleet.listSenders(),
+      receivedRefusals: fleet.listReceivedRefusals(),
       cuts: fleet.links.cuts,
       falls: fleet.brittle.listFalls(),
       isStoreDisturbed: (from, to) => fleet.isStoreDisturbed(from, to),
--- a/test/soak/soak_back_offs.ts
+++ b/test/soak/soak_back_offs.ts
@@ -64,11 +64,15 @@
   { replica, refusals, arrivals }: RequestedBackOff,
   options: {
     requests: ReadonlyMap<string, SoakRequest>;
+    /** Refusals that reached a VM, by `REQUEST REPLICA`. */
+    receivedRefusals: ReadonlySet<string>;
     isMachineBusy: (from: number, to: number) => boolean;
   },
 ): { request: SoakRequest; what: string } | undefined {
-  const { requests, isMachineBusy } = options;
+  const { requests, receivedRefusals, isMachineBusy } = options;
   for (const { requestId, at: refusedAt, forMs } of refusals) {
+    // A cut may have swallowed it.
+    if (!receivedRefusals.has(`${requestId} ${replica}`)) continue;
     const vm = requests.get(requestId)?.vm;
     const repeats = arrivals.flatMap(({ requestId: id, at }) => {
       const request = requests.get(id);
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -27,6 +27,8 @@
 /** A key that every configuration accepts. */
 export const PERMANENT_KEY = "key-standing";
 const SENT_LINE = /request_id=(\S+) step=sent .*?peer=(\S+)/;
+const REFUSED_LINE =
+  /request_id=(\S+) step=stream_broken .*?peer=(\S+) detail="Upstream answered/;
 const FIRST_VERSION = "v1";
 const DRAIN_GRACE_MS = 4_000;
 /** Delay before a crashed replica is replaced. */
@@ -128,6 +130,18 @@
     ));
   }
 
+  /**
+   * Refusals of replicas that reached a VM, by `REQUEST REPLICA`, as the VMs' logs
+   * say.
+   */
+  listReceivedRefusals(): Set<string> {
+    const lines = this.vms.flatMap((vm) => vm.readLog());
+    return new Set(lines.flatMap((line) => {
+      const [, id, replica] = REFUSED_LINE.exec(line) ?? [];
+      return id === undefined ? [] : [`${id} ${replica}`];
+    }));
+  }
+
   /** Counts the runs of each request by its id. */
   countRuns(): Map<string, number> {
     const counts = new Map<string, number>();
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -78,6 +78,8 @@
    * the caller reached where there is none.
    */
   senders: ReadonlyMap<string, string>;
+  /** Refusals of replicas that reached a VM, by `REQUEST REPLICA`. */
+  receivedRefusals: ReadonlySet<string>;
   /** Cuts of all links of some VMs. */
   cuts: readonly RecordedCut[];
   /** Brittle times with too many falls. */
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -34,6 +34,7 @@
     published: new Map([["key-2", 500]]),
     limits: [],
     senders: new Map(),
+    receivedRefusals: new Set(["request-1 i-1"]),
     cuts: [],
     falls: [],
     leaving: [],
@@ -302,6 +303,28 @@
     expect(checkRepeats(times, {}, atOther)).toEqual(promise);
   });
 
+  // Guards against a refusal that counts although a cut swallowed it: its VM never
+  // got it, and cannot know of the back-off.
+  it("binds no VM that the refusal did not reach", () => {
+    const requests = [0, 600, 700, 2_900].map((ms, index) =>
+      buildRequest({ id: `request-${index + 1}`, sentAt: 1_000 + ms })
+    );
+    const arrivals = requests
+      .map(({ id, sentAt }) => ({ requestId: id, at: sentAt }));
+    const refusals = [{ requestId: "request-1", at: 1_000, forMs: 3_000 }];
+    const record = {
+      requests,
+      runs: new Map(),
+      backOffs: [{ replica: "i-1", refusals, arrivals }],
+    };
+    const promise = ["a VM respects a requested back-off"];
+    const checkReceived = (receivedRefusals: ReadonlySet<string>) =>
+      check(requests[0]!, { ...record, receivedRefusals })
+        .filter((each) => promise.includes(each));
+    expect(checkReceived(new Set(["request-1 i-1"]))).toEqual(promise);
+    expect(checkReceived(new Set(["request-1 i-2"]))).toEqual([]);
+  });
+
   it("may get requests of other VMs, or of those that have just started", () => {
     const times = [600, 700, 2_900];
     expect(checkRepeats(times, { vm: "vm-2" })).toEqual([]);
