--- a/src/process/stream_origins/origin_queries.ts
+++ b/src/process/stream_origins/origin_queries.ts
@@ -13,10 +13,13 @@
 import type { StreamOrigin } from "../stream_origin_source.ts";
 import type { PoolVersions } from "./version_history.ts";
 
-/** A VM that has not answered by then is down, unreachable or overloaded. */
-const ANSWER_TIMEOUT_MS = 60;
-/** A query may be lost, and is sent again once to those that did not answer. */
-const RESEND_AFTER_MS = 15;
+/**
+ * A VM that has not answered by then is down or unreachable. Answers take a few
+ * milliseconds; a refusal costs the caller more than a wait for a busy VM.
+ */
+const ANSWER_TIMEOUT_MS = 200;
+/** A query may be lost, and is sent again to those that did not answer. */
+const RESEND_INTERVAL_MS = 40;
 
 /** What other VMs know about a stream. */
 export interface OriginAnswer {
@@ -69,11 +72,12 @@
         const by = knownBy === undefined ? {} : { knownBy };
         resolve({ origin, versions, ...by });
       };
+      let cancelResend = () => {};
       const sendOpen = () => {
         const query = { kind: "origin_query" as const, ask, key, pool };
         for (const peer of open.values()) send(peer, query);
+        cancelResend = clock.startTimer(RESEND_INTERVAL_MS, sendOpen);
       };
-      const cancelResend = clock.startTimer(RESEND_AFTER_MS, sendOpen);
       const cancelTimeout = clock.startTimer(
         ANSWER_TIMEOUT_MS,
         () => settle(),
