Name the parts of prompts in the lines of streams that a crash cut off

The logs of the incident can't tell which hypothesis holds: no line names a part of a prompt. The keys of a request (fingerprint, pool, shared parts) are built once, and lines of stream_broken name the parts.

The abstract class of the quarantine and what VMs exchange stand in files of their own now, which undoes a circle of six files. No decision changes.

--- a/src/ids.ts
+++ b/src/ids.ts
@@ -31,6 +31,8 @@
 export type RequestId = Brand<string, "RequestId">;
 /** A hash of a request's content, the same each time a caller sends it. */
 export type RequestFingerprint = Brand<string, "RequestFingerprint">;
+/** A part of prompts that requests to a pool share, as `POOL/PART`. */
+export type PartKey = Brand<string, "PartKey">;
 /** Identifies one attempt of a request in a shard's queue. */
 export type TicketId = Brand<string, "TicketId">;
 /** Identifies the lease of one slot on one replica. */
@@ -58,6 +60,7 @@
   | ModelName
   | RequestId
   | RequestFingerprint
+  | PartKey
   | TicketId
   | LeaseId
   | ShardId
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -19,7 +19,7 @@
 } from "../ids.ts";
 import type { ExecutionOutcome, Refusal } from "../outcome.ts";
 import type { RequestStatus } from "../request/request_status.ts";
-import type { SuspectEntry } from "./quarantine/index.ts";
+import type { SuspectEntry } from "./quarantine/suspect_entry.ts";
 
 /** Identity of the calling VM. */
 export interface PeerIdentity {
--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -11,6 +11,7 @@
  * @module
  */
 import type { Incarnation, RequestFingerprint } from "../../ids.ts";
+import type { SuspectEntry } from "./suspect_entry.ts";
 
 const MS_PER_MINUTE = 60_000;
 const MS_PER_HOUR = 60 * MS_PER_MINUTE;
@@ -40,16 +41,6 @@
 /** Largest number of crashes kept per request. */
 const MAX_CRASHES = 16;
 
-/**
- * Evidence against one request, as VMs exchange it; ages are in milliseconds.
- */
-export type SuspectEntry = [
-  fingerprint: RequestFingerprint,
-  crashes: [replica: Incarnation, ageMs: number, hadOutput: boolean][],
-  /** Time since its last complete answer; -1 for never. */
-  answeredAgeMs: number,
-];
-
 /** Crash of one replica that ran the request. */
 interface Crash {
   /** As `Clock.now()`. */
--- a/src/process/quarantine/crash_ledger.ts
+++ b/src/process/quarantine/crash_ledger.ts
@@ -5,7 +5,8 @@
  */
 import type { Incarnation, RequestFingerprint } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import { CrashEvidence, type SuspectEntry } from "./crash_evidence.ts";
+import { CrashEvidence } from "./crash_evidence.ts";
+import type { SuspectEntry } from "./suspect_entry.ts";
 
 /** Requests with evidence; those that were never held are evicted first. */
 const MAX_SUSPECTS = 2_000;
--- a/src/process/quarantine/index.ts
+++ b/src/process/quarantine/index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-export { type SuspectEntry } from "./crash_evidence.ts";
 export { createPeerSuspectGossip } from "./peer_suspect_gossip.ts";
 export { RequestQuarantine } from "./request_quarantine.ts";
+export type { SuspectEntry } from "./suspect_entry.ts";
 export { SuspectGossip } from "./suspect_gossip.ts";
--- a/src/process/quarantine/peer_suspect_gossip.ts
+++ b/src/process/quarantine/peer_suspect_gossip.ts
@@ -7,8 +7,8 @@
 import type { VmId } from "../../ids.ts";
 import type { Environment } from "../environment.ts";
 import type { MembershipView } from "../membership_view.ts";
-import type { SuspectEntry } from "./crash_evidence.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
+import type { SuspectEntry } from "./suspect_entry.ts";
 import { SuspectGossip } from "./suspect_gossip.ts";
 
 /** Options of `createPeerSuspectGossip`. */
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -11,10 +11,11 @@
   type VmId,
 } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
+import { type DisconnectedReplica, Quarantine } from "../crash_quarantine.ts";
 import type { Log } from "../log.ts";
-import { type DisconnectedReplica, Quarantine } from "../services.ts";
-import { HOLD_AFTER_CRASHES, type SuspectEntry } from "./crash_evidence.ts";
+import { HOLD_AFTER_CRASHES } from "./crash_evidence.ts";
 import { CrashLedger } from "./crash_ledger.ts";
+import type { SuspectEntry } from "./suspect_entry.ts";
 
 /**
  * Requests cut off by one crash fail one after the other; after this delay they
--- a/src/process/quarantine/suspect_gossip.ts
+++ b/src/process/quarantine/suspect_gossip.ts
@@ -10,7 +10,7 @@
  */
 import type { Clock } from "../clock.ts";
 import type { Random } from "../random.ts";
-import type { SuspectEntry } from "./crash_evidence.ts";
+import type { SuspectEntry } from "./suspect_entry.ts";
 
 const GOSSIP_INTERVAL_MS = 1_000;
 /** Entries in a message, of some 80 bytes each. */
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -7,6 +7,7 @@
 import { buildRoutedRefusal } from "../request/routed_handler.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import { AnswerStore } from "./answer_store.ts";
+import type { Quarantine } from "./crash_quarantine.ts";
 import { UncheckedExecutionClaims } from "./unchecked_execution_claims.ts";
 import type { LocalEnvironment } from "./environment.ts";
 import type { RequestStatusStore } from "./request_status_store.ts";
@@ -19,7 +20,7 @@
 } from "./placement/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import { WindowRetryBudget } from "./retry_budget.ts";
-import type { HeldLease, LeaseRequest, Quarantine } from "./services.ts";
+import type { HeldLease, LeaseRequest } from "./services.ts";
 import { UnlimitedSource } from "./unlimited_source.ts";
 import { UnreadableHeaderLog } from "./unreadable_header_log.ts";
 
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -12,6 +12,7 @@
 import { RefusalError } from "../outcome.ts";
 import type { HeldLease, LeaseProgress } from "../process/services.ts";
 import type { RequestExecution } from "./request_execution.ts";
+import { buildRequestKeys } from "./request_keys.ts";
 import {
   checkCanContinue,
   checkQuarantine,
@@ -59,6 +60,7 @@
     execution.services.retryBudget.noteFirstAttempt(work.pool.name);
   }
   execution.pool = work.pool;
+  execution.keys = buildRequestKeys(execution.options.fingerprint, work);
   const avoid: VmId[] = [];
   let failures = 0;
   let sends = 0;
--- a/src/request/completion_work.ts
+++ b/src/request/completion_work.ts
@@ -34,6 +34,10 @@
     return this.context.completion.pool;
   }
 
+  override listSharedParts(): string[] {
+    return this.context.completion.prefixes;
+  }
+
   override buildLeaseRequirements(): LeaseRequirements {
     const { model, adapter, promptTokens, maxTokens, prefixes } =
       this.context.completion;
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -6,6 +6,7 @@
 import { match } from "ts-pattern";
 import type { RequestFingerprint, RequestId, VmId } from "../ids.ts";
 import type { ExecutionOutcome, Refusal } from "../outcome.ts";
+import type { RequestKeys } from "../process/crash_quarantine.ts";
 import type { FinishedRequest } from "../process/services.ts";
 import type {
   RequestClass,
@@ -69,6 +70,8 @@
   readonly options: ExecutionOptions;
   /** `Clock.now()` at the caller's deadline or the end of the total target. */
   readonly deadlineAt: number;
+  /** Its parts are known once its work is. */
+  keys: RequestKeys;
   pool: UpstreamPool | undefined;
   upstream: VmId | undefined;
   /** Whether an attempt was sent, whether its upstream ran it or not. */
@@ -88,6 +91,7 @@
   constructor(services: RequestServices, options: ExecutionOptions) {
     this.services = services;
     this.options = options;
+    this.keys = { fingerprint: options.fingerprint, parts: [] };
     this.deadlineAt = options.deadlineAt ??
       options.arrivedAt + options.requestClass.targets.totalMs;
     this.#phases = RequestPhases.create(options.arrivedAt, (phase, ms) => {
@@ -132,6 +136,9 @@
       fingerprint: FINGERPRINTED_STEPS.has(step)
         ? this.options.fingerprint
         : undefined,
+      parts: step === "stream_broken" && this.keys.parts.length > 0
+        ? this.keys.parts.join()
+        : undefined,
       ...options,
     });
   }
--- a/src/request/request_services.ts
+++ b/src/request/request_services.ts
@@ -6,6 +6,7 @@
 import type { RequestId } from "../ids.ts";
 import type { Refusal } from "../outcome.ts";
 import type { AnswerStore } from "../process/answer_store.ts";
+import type { Quarantine } from "../process/crash_quarantine.ts";
 import type { LocalEnvironment } from "../process/environment.ts";
 import type { RequestStatusStore } from "../process/request_status_store.ts";
 import type { RequestStatusAnswer } from "../process/peer_api.ts";
@@ -13,7 +14,6 @@
   ExecutionClaims,
   LeaseSource,
   LimitSource,
-  Quarantine,
   RequestMetrics,
   RetryBudget,
 } from "../process/services.ts";
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -78,6 +78,12 @@
     return Math.min(route.maxSends, sendsLeft);
   }
 
+  /** The last part belongs to the request or its session alone. */
+  override listSharedParts(): string[] {
+    const parts = this.context.call.prompt?.parts ?? [];
+    return parts.slice(0, -1).map(({ id }) => id);
+  }
+
   override buildLeaseRequirements(): LeaseRequirements {
     const { prompt } = this.context.call;
     const parts = prompt?.parts ?? [];
--- a/src/request/upstream_work.ts
+++ b/src/request/upstream_work.ts
@@ -108,6 +108,11 @@
     return this.pool.timeouts;
   }
 
+  /** The parts of the prompt that other requests may have as well. */
+  listSharedParts(): string[] {
+    return [];
+  }
+
   /** Builds the requirements for the lease of the next attempt. */
   abstract buildLeaseRequirements(): LeaseRequirements;
   /**
--- a/test/process/quarantine/crash_ledger_test.ts
+++ b/test/process/quarantine/crash_ledger_test.ts
@@ -5,11 +5,9 @@
   type RequestFingerprint,
   toId,
 } from "../../../src/ids.ts";
-import {
-  HOLD_AFTER_CRASHES,
-  type SuspectEntry,
-} from "../../../src/process/quarantine/crash_evidence.ts";
+import { HOLD_AFTER_CRASHES } from "../../../src/process/quarantine/crash_evidence.ts";
 import { CrashLedger } from "../../../src/process/quarantine/crash_ledger.ts";
+import type { SuspectEntry } from "../../../src/process/quarantine/suspect_entry.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
 const REQUEST = toId<RequestFingerprint>("request");
