--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -81,6 +81,8 @@
   /** Selects requests that crash the replica soon after their start. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
+  /** Events that a stream has sent when such a request crashes the replica. */
+  eventsBeforeCrash = 0;
   /** Requests that were run. */
   readonly ran: StandInCall[] = [];
   /** All received requests, refused ones included. */
@@ -155,6 +157,7 @@
       if (!response.writableFinished) this.cancelled.push(requestId);
     });
     if (this.isPoison(call)) {
+      await this.#sendBeforeCrash(call, response);
       await sleep(CRASH_AFTER_MS);
       this.#hasCrashed = true;
       this.onCrash();
@@ -187,6 +190,26 @@
     else this.#answer(call, response);
   }
 
+  async #sendBeforeCrash(
+    call: StandInCall,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.eventsBeforeCrash === 0) return;
+    this.#writeStreamHead(call, response);
+    for (let id = 1; id <= this.eventsBeforeCrash; id++) {
+      response.write(`id: ${id}\ndata: ${this.id}\n\n`);
+      await sleep(this.eventGapMs);
+    }
+  }
+
+  #writeStreamHead(call: StandInCall, response: ServerResponse): void {
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-request-id": call.headers["x-request-id"]!,
+      "x-response-seal": this.id,
+    });
+  }
+
   #answer(call: StandInCall, response: ServerResponse): void {
     const own = call.headers["x-request-id"]!;
     sendJson(response, {
@@ -207,11 +230,7 @@
       await this.#sendUnframed(call, response.socket!);
       return;
     }
-    response.writeHead(200, {
-      "content-type": "text/event-stream",
-      "x-request-id": call.headers["x-request-id"]!,
-      "x-response-seal": this.id,
-    });
+    this.#writeStreamHead(call, response);
     const last = Number(call.headers["last-event-id"] ?? 0);
     const isBroken = this.mode === "break" || this.isBroken(call);
     for (let id = last + 1; id <= this.events; id++) {
