--- a/src/connection/peer_schemas.ts
+++ b/src/connection/peer_schemas.ts
@@ -150,6 +150,16 @@
       z.array(z.tuple([createIdSchema(), MS, z.boolean()])),
       z.number(),
     ])),
+    reports: z.array(z.tuple([
+      createIdSchema(),
+      z.number(),
+      z.number(),
+      createIdSchema(),
+      z.array(createIdSchema()),
+      createIdSchema(),
+      COUNT,
+    ])).optional(),
+    answers: z.array(z.tuple([createIdSchema(), z.number()])).optional(),
   })),
   checkReach: createInput<VmId>(createIdSchema()),
 };
--- a/src/process/crash_quarantine.ts
+++ b/src/process/crash_quarantine.ts
@@ -26,24 +26,41 @@
   incarnation: Incarnation | undefined;
   /** Whether the replica had sent any output of the request. */
   hadOutput: boolean;
+  /** `Clock.now()` at which the request was sent to it. */
+  sentAt: number;
+}
+
+/** Why a request must not be sent. */
+export interface RequestHold {
+  leftMs: number;
+  /** The part of its prompt that is held; undefined for the request itself. */
+  part?: PartKey;
 }
 
 /** Requests that are not sent to replicas because they crash replicas. */
 export abstract class Quarantine {
+  /** The hold that a request falls under; undefined if it may be sent. */
+  abstract findHold(keys: RequestKeys): RequestHold | undefined;
+  /** Counts a request that was refused because of a hold. */
+  abstract noteRefused(hold: RequestHold): void;
+  /** Whether the request may have crashed replicas on which it was running. */
+  abstract isSuspect(keys: RequestKeys): boolean;
   /**
-   * Remaining quarantine of a request, in milliseconds; 0 if it may be sent.
+   * Whether a part of the request may have crashed two replicas, one after the
+   * other, so that another attempt would be likely to crash one more.
    */
-  abstract getQuarantineMs(fingerprint: RequestFingerprint): number;
-  /** Whether the request may have crashed replicas on which it was running. */
-  abstract isSuspect(fingerprint: RequestFingerprint): boolean;
+  abstract isAccused(keys: RequestKeys): boolean;
   /**
    * Records that the connection to a replica was lost during the request.
    * Resolves once it is known whether the replica crashed; never rejects.
    */
   abstract noteConnectionLoss(
-    fingerprint: RequestFingerprint,
+    keys: RequestKeys,
     replica: DisconnectedReplica,
   ): Promise<void>;
-  /** Records that a replica answered the request completely. */
-  abstract noteAnswered(fingerprint: RequestFingerprint): void;
+  /**
+   * Records that a replica answered the request completely; `beganAt` is
+   * `Clock.now()` at the first output of that answer.
+   */
+  abstract noteAnswered(keys: RequestKeys, beganAt: number): void;
 }
--- a/src/process/local_peer.ts
+++ b/src/process/local_peer.ts
@@ -109,11 +109,12 @@
     return await this.#getComponents().collectStats();
   }
 
-  async noteSuspects({ from, entries }: SuspectsCall): Promise<SuspectEntry[]> {
-    return await this.#getComponents().quarantine.mergeEntries(
-      from.vm,
-      entries,
-    );
+  async noteSuspects(
+    { from, entries, reports = [], answers = [] }: SuspectsCall,
+  ): Promise<SuspectEntry[]> {
+    const { quarantine } = this.#getComponents();
+    const news = { entries, reports, answers };
+    return await quarantine.mergeNews(from.vm, news).entries;
   }
 
   async checkReach(upstream: VmId): Promise<boolean> {
--- a/src/process/peer_api.ts
+++ b/src/process/peer_api.ts
@@ -19,7 +19,11 @@
 } from "../ids.ts";
 import type { ExecutionOutcome, Refusal } from "../outcome.ts";
 import type { RequestStatus } from "../request/request_status.ts";
-import type { SuspectEntry } from "./quarantine/suspect_entry.ts";
+import type {
+  CrashReport,
+  PartAnswer,
+  SuspectEntry,
+} from "./quarantine/suspect_entry.ts";
 
 /** Identity of the calling VM. */
 export interface PeerIdentity {
@@ -300,6 +304,10 @@
 export interface SuspectsCall {
   from: PeerIdentity;
   entries: SuspectEntry[];
+  /** Undefined from older versions. */
+  reports?: CrashReport[] | undefined;
+  /** Undefined from older versions. */
+  answers?: PartAnswer[] | undefined;
 }
 
 /** Mergeable statistics of one VM, for the error budget report. */
--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -51,10 +51,18 @@
 /** Crashes and answers of one request. All times are those of `Clock.now()`. */
 export class CrashEvidence {
   readonly #crashes = new Map<Incarnation, Crash>();
+  readonly #explained: ReadonlySet<Incarnation>;
   #answeredAt = -Infinity;
 
-  static create(): CrashEvidence {
-    return new CrashEvidence();
+  constructor(explained: ReadonlySet<Incarnation>) {
+    this.#explained = explained;
+  }
+
+  /** Crashes of the `explained` replicas are no evidence. */
+  static create(
+    explained: ReadonlySet<Incarnation> = new Set(),
+  ): CrashEvidence {
+    return new CrashEvidence(explained);
   }
 
   /** Merges the evidence of another VM; returns whether any of it is new. */
@@ -137,8 +145,11 @@
   }
 
   #listCrashes(): Crash[] {
-    return [...this.#crashes.values()]
-      .filter(({ at }) => at > this.#answeredAt);
+    return [...this.#crashes]
+      .filter(([replica, { at }]) =>
+        at > this.#answeredAt && !this.#explained.has(replica)
+      )
+      .map(([, crash]) => crash);
   }
 
   #getLastCrashAt(): number {
--- a/src/process/quarantine/crash_ledger.ts
+++ b/src/process/quarantine/crash_ledger.ts
@@ -10,12 +10,15 @@
 
 /** Requests with evidence; those that were never held are evicted first. */
 const MAX_SUSPECTS = 2_000;
+/** Crashes that are explained by what is held. */
+const MAX_EXPLAINED = 1_000;
 
 /** Evidence by request. */
 export class CrashLedger {
   readonly #clock: Clock;
   /** In order of the last evidence. */
   readonly #evidence = new Map<RequestFingerprint, CrashEvidence>();
+  readonly #explained = new Set<Incarnation>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -34,6 +37,14 @@
     return this.mergeEntry([fingerprint, [[replica, 0, hadOutput]], -1]);
   }
 
+  /** Something else is known to have crashed the replica. */
+  noteExplained(replica: Incarnation): void {
+    this.#explained.add(replica);
+    if (this.#explained.size <= MAX_EXPLAINED) return;
+    const [oldest] = this.#explained;
+    this.#explained.delete(oldest!);
+  }
+
   noteAnswered(fingerprint: RequestFingerprint): void {
     this.#evidence.get(fingerprint)?.noteAnswered(this.#clock.now());
   }
@@ -41,7 +52,8 @@
   /** Merges the evidence of another VM; returns whether any of it is new. */
   mergeEntry(entry: SuspectEntry): boolean {
     const [fingerprint] = entry;
-    const evidence = this.#findCurrent(fingerprint) ?? CrashEvidence.create();
+    const evidence = this.#findCurrent(fingerprint) ??
+      CrashEvidence.create(this.#explained);
     if (!evidence.mergeEntry(entry, this.#clock.now())) return false;
     this.#putLast(fingerprint, evidence);
     return true;
--- /dev/null
+++ b/src/process/quarantine/culprits.ts
@@ -0,0 +1,206 @@
+/**
+ * Decides which parts crash replicas, and which were only there.
+ *
+ * A part that crashes replicas is in all crashes that it causes; a sound one is
+ * at a replica that crashes by chance, the less likely the more replicas there
+ * are. A part is held once chance explains its crashes no more. The crashes of
+ * a held part are evidence against no other one.
+ *
+ * @module
+ */
+import type { Incarnation, PartKey, PoolName } from "../../ids.ts";
+import {
+  listSuccessive,
+  type PartCrash,
+  type PartEvidence,
+} from "./part_evidence.ts";
+
+/** Probability that any sound part of a crash is held. */
+const MAX_ERROR = 0.1;
+/**
+ * Share of replicas that run a request with a part that was answered lately: it
+ * may be a popular one.
+ */
+const POPULAR_SHARE = 0.35;
+/** With fewer replicas left, sound work meets crashes too often to tell. */
+const MIN_REPLICAS = 8;
+/** Probability that one request is cut off again when it is retried. */
+const RETRY_SHARE = 0.3;
+/**
+ * Time after the second crash in which other VMs may tell that they had an
+ * answer to the part.
+ */
+export const OBJECTION_MS = 100;
+/** Successive crashes without which no part is held. */
+const MIN_CRASHES = 3;
+/**
+ * A part is held only if each other part that explains most of its crashes is
+ * less likely by this factor: requests that were retried together crash together.
+ */
+const RIVAL_FACTOR = 5;
+
+/** A crash of a replica that ran requests with shared parts. */
+export interface PoolCrash {
+  pool: PoolName;
+  /** As `Clock.now()`. */
+  at: number;
+  /** Number of parts whose requests it cut off. */
+  parts: number;
+}
+
+/** Parts that must not be sent together. */
+export interface Culprit {
+  part: PartKey;
+  /**
+   * Parts that came with it each time and that no answer has cleared. Requests
+   * without all of them are not held.
+   */
+  company: PartKey[];
+  /** Replicas that crashed under it. */
+  crashes: PartCrash[];
+}
+
+/** What the decision is based on. */
+export interface CulpritEvidence {
+  /** As `Clock.now()`. */
+  now: number;
+  evidence: ReadonlyMap<PartKey, PartEvidence>;
+  crashes: ReadonlyMap<Incarnation, PoolCrash>;
+}
+
+interface Candidate extends Culprit {
+  evidence: PartEvidence;
+  /** Crashes of requests that were each sent after the crash before. */
+  successive: PartCrash[];
+  /** Probability that chance explains them. */
+  error: number;
+}
+
+/** Lists the parts to hold, the most certain one first. */
+export function listCulprits(context: CulpritEvidence): Culprit[] {
+  const explained = new Set<Incarnation>();
+  const culprits: Culprit[] = [];
+  let candidates = listCandidates(context);
+  while (true) {
+    const first = candidates.toSorted(compareCandidates)
+      .find((each) => isCertain(each, candidates, context));
+    if (first === undefined) return culprits;
+    const { part, company, crashes } = first;
+    culprits.push({ part, company, crashes });
+    crashes.forEach(({ replica }) => explained.add(replica));
+    candidates = candidates
+      .map((each) => dropExplained(each, explained, context))
+      .filter(({ successive }) => successive.length > 1);
+  }
+}
+
+/** The parts that came with it each time and that no answer has cleared. */
+export function listCompany(
+  each: PartEvidence,
+  evidence: ReadonlyMap<PartKey, PartEvidence>,
+): PartKey[] {
+  const [first] = each.listCrashes();
+  if (first === undefined) return [];
+  return [...each.company].filter((part) =>
+    (evidence.get(part)?.answeredAt ?? -Infinity) < first.at
+  );
+}
+
+/** Parts that were in two successive crashes at least. */
+function listCandidates(context: CulpritEvidence): Candidate[] {
+  const candidates: Candidate[] = [];
+  for (const evidence of context.evidence.values()) {
+    if (evidence.size < 2) continue;
+    const crashes = evidence.listCrashes();
+    const successive = listSuccessive(crashes);
+    if (successive.length < 2) continue;
+    const candidate = {
+      part: evidence.part,
+      company: listCompany(evidence, context.evidence),
+      crashes,
+      evidence,
+      successive,
+    };
+    const error = computeError(candidate, new Set(), context);
+    candidates.push({ ...candidate, error });
+  }
+  return candidates;
+}
+
+function dropExplained(
+  candidate: Candidate,
+  explained: ReadonlySet<Incarnation>,
+  context: CulpritEvidence,
+): Candidate {
+  const crashes = candidate.crashes
+    .filter(({ replica }) => !explained.has(replica));
+  const left = { ...candidate, crashes, successive: listSuccessive(crashes) };
+  if (left.successive.length < 2) return left;
+  return { ...left, error: computeError(left, explained, context) };
+}
+
+/** Whether neither chance nor another part explains its crashes as well. */
+function isCertain(
+  { part, company, crashes, successive, error }: Candidate,
+  candidates: readonly Candidate[],
+  { now }: CulpritEvidence,
+): boolean {
+  if (now - crashes[1]!.at < OBJECTION_MS) return false;
+  if (successive.length < MIN_CRASHES || error > MAX_ERROR) return false;
+  const replicas = new Set(crashes.map(({ replica }) => replica));
+  return candidates.every((other) => {
+    if (other.part === part || company.includes(other.part)) return true;
+    if (other.error >= RIVAL_FACTOR * error) return true;
+    const shared = other.crashes.filter(({ replica }) => replicas.has(replica));
+    return 2 * shared.length <= crashes.length;
+  });
+}
+
+/**
+ * Probability that some sound part of the first crash is at as many of the later
+ * ones.
+ */
+function computeError(
+  { evidence, crashes, successive }: Omit<Candidate, "error">,
+  explained: ReadonlySet<Incarnation>,
+  { crashes: all }: CulpritEvidence,
+): number {
+  const { pool } = evidence;
+  const first = successive[0]!;
+  const last = successive.at(-1)!;
+  const own = new Set(crashes.map(({ replica }) => replica));
+  let misses = 0;
+  for (const [replica, crash] of all) {
+    const isBetween = crash.at > first.at && crash.at < last.at;
+    if (!isBetween || crash.pool !== pool) continue;
+    if (!own.has(replica) && !explained.has(replica)) misses += 1;
+  }
+  const share = evidence.hasAnswerBefore(first)
+    ? POPULAR_SHARE
+    : 1 / Math.max(MIN_REPLICAS, ...crashes.map(({ replicas }) => replicas));
+  const hits = successive.length - 1;
+  const accused = all.get(first.replica)?.parts ?? 1;
+  const requests = new Set([first.request]);
+  let error = accused * countChoices(hits + misses, hits);
+  for (const { request } of successive.slice(1)) {
+    error *= requests.has(request) ? Math.max(share, RETRY_SHARE) : share;
+    requests.add(request);
+  }
+  return error;
+}
+
+/** Number of ways to choose `count` of `total`. */
+function countChoices(total: number, count: number): number {
+  let choices = 1;
+  for (let each = 1; each <= count; each++) {
+    choices *= (total - count + each) / each;
+  }
+  return choices;
+}
+
+/** The least likely chance first; then the one that holds least. */
+function compareCandidates(left: Candidate, right: Candidate): number {
+  return left.error - right.error ||
+    right.company.length - left.company.length ||
+    (left.part < right.part ? -1 : 1);
+}
--- a/src/process/quarantine/peer_suspect_gossip.ts
+++ b/src/process/quarantine/peer_suspect_gossip.ts
@@ -8,7 +8,7 @@
 import type { Environment } from "../environment.ts";
 import type { MembershipView } from "../membership_view.ts";
 import type { RequestQuarantine } from "./request_quarantine.ts";
-import type { SuspectEntry } from "./suspect_entry.ts";
+import type { CrashNews } from "./suspect_entry.ts";
 import { SuspectGossip } from "./suspect_gossip.ts";
 
 /** Options of `createPeerSuspectGossip`. */
@@ -24,11 +24,10 @@
 ): SuspectGossip<VmId> {
   const { clock, log, peers, random, vm, incarnation } = environment;
   const from = { vm, incarnation };
-  const sendTo = async (peer: VmId, entries: readonly SuspectEntry[]) => {
-    const call = { from, entries: [...entries] };
+  const sendTo = async (peer: VmId, news: CrashNews) => {
     try {
-      const newer = await peers.getPeer(peer).noteSuspects(call);
-      quarantine.mergeEntries(peer, newer);
+      const entries = await peers.getPeer(peer).noteSuspects({ from, ...news });
+      quarantine.mergeNews(peer, { entries, reports: [], answers: [] });
     } catch (thrown) {
       // The next gossip sends it again.
       log.debug("suspects_not_told", { peer, error: toError(thrown).message });
@@ -40,7 +39,7 @@
     listPeers: () =>
       membership.listEntryVms().map(({ id }) => id)
         .filter((id) => id !== vm && membership.isReachable(id)),
-    send: (to, entries) => to.forEach((peer) => void sendTo(peer, entries)),
-    listEntries: (count) => quarantine.listEntries(count),
+    send: (to, news) => to.forEach((peer) => void sendTo(peer, news)),
+    listNews: (count) => quarantine.listNews(count),
   });
 }
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -1,21 +1,33 @@
 /**
- * Keeps a request that crashes every replica that begins it away from the
- * others.
+ * Keeps requests that crash every replica that begins them away from the
+ * others: the same request sent again, and others with the same part.
  *
  * @module
  */
 import {
   type Incarnation,
+  type PoolName,
   type RequestFingerprint,
   toId,
   type VmId,
 } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import { type DisconnectedReplica, Quarantine } from "../crash_quarantine.ts";
+import {
+  type DisconnectedReplica,
+  Quarantine,
+  type RequestHold,
+  type RequestKeys,
+} from "../crash_quarantine.ts";
 import type { Log } from "../log.ts";
+import type { Random } from "../random.ts";
 import { HOLD_AFTER_CRASHES } from "./crash_evidence.ts";
 import { CrashLedger } from "./crash_ledger.ts";
-import type { SuspectEntry } from "./suspect_entry.ts";
+import { PartQuarantine } from "./part_quarantine.ts";
+import {
+  type CrashNews,
+  isEmptyNews,
+  type SuspectEntry,
+} from "./suspect_entry.ts";
 
 /**
  * Requests cut off by one crash fail one after the other; after this delay they
@@ -34,17 +46,22 @@
 /** A replica takes longer than this to restart. */
 const MIN_RESTART_MS = 1_000;
 
+const EMPTY_NEWS = { reports: [], answers: [] };
+
 /** Options of `RequestQuarantine`. */
 export interface RequestQuarantineOptions {
   clock: Clock;
   log: Log;
+  random: Random;
+  /** Replicas of a pool that take new work. */
+  countReplicas: (pool: PoolName) => number;
   /**
    * Whether a replica whose connection was lost has crashed: a live one resets
    * connections too, when it has too many or fails part of its requests.
    */
   hasCrashed: (replica: VmId) => Promise<boolean>;
-  /** Sends the entries to the other VMs. */
-  announce: (entries: readonly SuspectEntry[]) => void;
+  /** Sends the evidence to the other VMs. */
+  announce: (news: CrashNews) => void;
 }
 
 /** A request that must not be sent. */
@@ -62,33 +79,86 @@
   /** When requests were answered completely, recent ones only, oldest first. */
   readonly #answers = new Map<RequestFingerprint, number>();
   readonly #checks = new Map<Incarnation, Promise<boolean>>();
+  readonly #parts: PartQuarantine;
   readonly #unsent = new Set<RequestFingerprint>();
+  #unsentParts: Pick<CrashNews, "reports" | "answers"> = EMPTY_NEWS;
+  #isAnnouncing = false;
+  #refused = 0;
 
   constructor(options: RequestQuarantineOptions) {
     super();
     this.#options = options;
     this.#ledger = CrashLedger.create(options.clock);
+    this.#parts = PartQuarantine.create({
+      ...options,
+      announce: ({ reports = [], answers = [] }) => {
+        this.#unsentParts = {
+          reports: [...this.#unsentParts.reports, ...reports],
+          answers: [...this.#unsentParts.answers, ...answers],
+        };
+        this.#announceSoon();
+      },
+      onHeld: ({ crashes }) =>
+        crashes.forEach(({ replica }) => this.#ledger.noteExplained(replica)),
+    });
   }
 
   static create(options: RequestQuarantineOptions): RequestQuarantine {
     return new RequestQuarantine(options);
   }
 
+  /** Parts that are held, and which requests were refused because of them. */
+  get parts(): PartQuarantine {
+    return this.#parts;
+  }
+
+  /** Requests refused by their fingerprint since the start. */
+  get refused(): number {
+    return this.#refused;
+  }
+
+  /** Time for which the request itself is held; 0 if it is not. */
   getQuarantineMs(fingerprint: RequestFingerprint): number {
     return this.#ledger.getQuarantineMs(fingerprint);
   }
 
-  isSuspect(fingerprint: RequestFingerprint): boolean {
+  override findHold(keys: RequestKeys): RequestHold | undefined {
+    const partHold = this.#parts.findHold(keys);
+    if (partHold !== undefined) return partHold;
+    const leftMs = this.getQuarantineMs(keys.fingerprint);
+    return leftMs > 0 ? { leftMs } : undefined;
+  }
+
+  override noteRefused({ part }: RequestHold): void {
+    if (part === undefined) this.#refused += 1;
+    else this.#parts.noteRefused(part);
+  }
+
+  override isSuspect({ fingerprint }: RequestKeys): boolean {
     return this.#ledger.isSuspect(fingerprint);
   }
 
+  override isAccused(keys: RequestKeys): boolean {
+    return this.#parts.isAccused(keys);
+  }
+
   override async noteConnectionLoss(
-    fingerprint: RequestFingerprint,
-    { id, incarnation, hadOutput }: DisconnectedReplica,
+    keys: RequestKeys,
+    { id, incarnation, hadOutput, sentAt }: DisconnectedReplica,
   ): Promise<void> {
+    const at = this.#options.clock.now();
     const replica = incarnation ?? this.#buildIncarnation(id);
-    const hasCrashed = await this.#checkCrash(id, replica);
-    if (!hasCrashed || this.#isRecentlyAnswered(fingerprint)) return;
+    if (!await this.#checkCrash(id, replica)) return;
+    this.#parts.noteCrash(keys, { replica, at, sentAt });
+    this.#noteCrash(keys.fingerprint, replica, hadOutput);
+  }
+
+  #noteCrash(
+    fingerprint: RequestFingerprint,
+    replica: Incarnation,
+    hadOutput: boolean,
+  ): void {
+    if (this.#isRecentlyAnswered(fingerprint)) return;
     const wasHeld = this.getQuarantineMs(fingerprint) > 0;
     if (!this.#ledger.addCrash(fingerprint, replica, hadOutput)) return;
     this.#options.log.info("crash_noted", {
@@ -98,11 +168,13 @@
       crashes: this.#ledger.countCrashes(fingerprint),
     });
     if (!wasHeld) this.#recordQuarantined(fingerprint, "self");
-    this.#announceSoon(fingerprint);
+    this.#announceRequest(fingerprint);
   }
 
-  noteAnswered(fingerprint: RequestFingerprint): void {
+  override noteAnswered(keys: RequestKeys, beganAt: number): void {
+    const { fingerprint } = keys;
     const { clock, log } = this.#options;
+    this.#parts.noteAnswered(keys, beganAt);
     this.#answers.delete(fingerprint);
     this.#answers.set(fingerprint, clock.now());
     this.#dropExpiredAnswers();
@@ -112,14 +184,24 @@
     log.info("suspect_cleared", { fingerprint, crashes });
     // A single crash does not hold a request, and most requests that one cuts
     // off are answered soon after.
-    if (crashes > 1) this.#announceSoon(fingerprint);
+    if (crashes > 1) this.#announceRequest(fingerprint);
   }
 
   /**
-   * Merges the entries of another VM; returns those that are newer here, for
-   * that VM.
+   * Merges the evidence of another VM; returns what is newer here, for that VM.
    */
-  mergeEntries(
+  mergeNews(
+    from: string,
+    { entries, reports, answers }: CrashNews,
+  ): CrashNews {
+    return {
+      entries: this.#mergeEntries(from, entries),
+      reports: [],
+      answers: this.#parts.mergeNews(from, { reports, answers }),
+    };
+  }
+
+  #mergeEntries(
     from: string,
     entries: readonly SuspectEntry[],
   ): SuspectEntry[] {
@@ -140,12 +222,15 @@
   }
 
   /**
-   * Evidence against the requests with the most crashes, at most `count` of
-   * them.
+   * Evidence against the requests with the most crashes, and that by which parts
+   * are held, for at most `count` of each.
    */
-  listEntries(count: number): SuspectEntry[] {
+  listNews(count: number): CrashNews {
     const suspects = this.#ledger.listSuspects().slice(0, count);
-    return this.#ledger.buildEntries(suspects);
+    return {
+      entries: this.#ledger.buildEntries(suspects),
+      ...this.#parts.listNews(count),
+    };
   }
 
   /** Requests that are held now, those with the most crashes first. */
@@ -182,13 +267,23 @@
     return toId<Incarnation>(`${id}@${generation}`);
   }
 
-  #announceSoon(fingerprint: RequestFingerprint): void {
+  #announceRequest(fingerprint: RequestFingerprint): void {
     this.#unsent.add(fingerprint);
-    if (this.#unsent.size > 1) return;
+    this.#announceSoon();
+  }
+
+  #announceSoon(): void {
+    if (this.#isAnnouncing) return;
+    this.#isAnnouncing = true;
     this.#options.clock.startTimer(ANNOUNCE_DELAY_MS, () => {
-      const entries = this.#ledger.buildEntries(this.#unsent);
+      const news = {
+        entries: this.#ledger.buildEntries(this.#unsent),
+        ...this.#unsentParts,
+      };
+      this.#isAnnouncing = false;
       this.#unsent.clear();
-      this.#options.announce(entries);
+      this.#unsentParts = EMPTY_NEWS;
+      if (!isEmptyNews(news)) this.#options.announce(news);
     });
   }
 
--- a/src/process/quarantine/suspect_gossip.ts
+++ b/src/process/quarantine/suspect_gossip.ts
@@ -10,7 +10,7 @@
  */
 import type { Clock } from "../clock.ts";
 import type { Random } from "../random.ts";
-import type { SuspectEntry } from "./suspect_entry.ts";
+import { type CrashNews, isEmptyNews } from "./suspect_entry.ts";
 
 const GOSSIP_INTERVAL_MS = 1_000;
 /** Entries in a message, of some 80 bytes each. */
@@ -21,12 +21,9 @@
   clock: Clock;
   random: Random;
   listPeers: () => readonly Peer[];
-  send: (to: readonly Peer[], entries: readonly SuspectEntry[]) => void;
-  /**
-   * Evidence against the requests with the most crashes, at most `count` of
-   * them.
-   */
-  listEntries: (count: number) => SuspectEntry[];
+  send: (to: readonly Peer[], news: CrashNews) => void;
+  /** Evidence against the requests and parts with the most crashes. */
+  listNews: (count: number) => CrashNews;
 }
 
 /** Sends evidence to the other VMs. */
@@ -53,16 +50,16 @@
   }
 
   /**
-   * Entries for a VM that has just become reachable, and for the regular
+   * Evidence for a VM that has just become reachable, and for the regular
    * gossip.
    */
-  listTopSuspects(): SuspectEntry[] {
-    return this.#options.listEntries(MAX_GOSSIP_ENTRIES);
+  listTopSuspects(): CrashNews {
+    return this.#options.listNews(MAX_GOSSIP_ENTRIES);
   }
 
-  /** Sends the entries to all other VMs at once. */
-  announce(entries: readonly SuspectEntry[]): void {
-    this.#options.send(this.#options.listPeers(), entries);
+  /** Sends the evidence to all other VMs at once. */
+  announce(news: CrashNews): void {
+    this.#options.send(this.#options.listPeers(), news);
   }
 
   async #runGossip(): Promise<void> {
@@ -70,8 +67,9 @@
     const { signal } = this.#abort;
     while (!signal.aborted) {
       await clock.sleep(GOSSIP_INTERVAL_MS, signal);
-      const entries = signal.aborted ? [] : this.listTopSuspects();
-      if (entries.length > 0) send(random.pickSample(listPeers(), 1), entries);
+      if (signal.aborted) return;
+      const news = this.listTopSuspects();
+      if (!isEmptyNews(news)) send(random.pickSample(listPeers(), 1), news);
     }
   }
 }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -26,8 +26,9 @@
   type WaitOptions,
 } from "./placement/index.ts";
 import {
+  type CrashNews,
+  NewsQueries,
   type RequestQuarantine,
-  type SuspectEntry,
   SuspectGossip,
 } from "./quarantine/index.ts";
 import type { Random } from "./random.ts";
@@ -86,6 +87,7 @@
   readonly #priming: PrefixPriming;
   readonly #ownedPlacement: OwnedPlacement;
   readonly #suspectGossip: SuspectGossip<FleetPeer>;
+  readonly #newsQueries: NewsQueries<FleetPeer>;
   readonly #ended = new AbortController();
 
   constructor(options: RoutedFleetOptions) {
@@ -110,9 +112,9 @@
       takeWorkUpdates: () => this.#ownedPlacement.takeWorkUpdates(),
       listOwners: () => this.#ownedPlacement.listOwners(),
       onHeartbeat: (peer) => this.#notePeer(peer),
-      onSuspects: (entries, from) =>
-        options.quarantine.mergeEntries(from, entries),
+      onSuspects: (news, from) => options.quarantine.mergeNews(from, news),
       listSuspects: () => this.#suspectGossip.listTopSuspects(),
+      onNewsAnswer: () => this.#newsQueries.noteAnswer(),
       onPlacementRequest: (request) =>
         this.#ownedPlacement.answerRequest(request),
       onPlacementAnswer: (answer) => this.#ownedPlacement.noteAnswer(answer),
@@ -152,8 +154,14 @@
       clock,
       random,
       listPeers: () => this.listLive(),
-      send: (to, entries) => this.#heartbeats.sendSuspects(to, entries),
-      listEntries: (count) => options.quarantine.listEntries(count),
+      send: (to, news) => this.#heartbeats.sendSuspects(to, news),
+      listNews: (count) => options.quarantine.listNews(count),
+    });
+    this.#newsQueries = NewsQueries.create({
+      clock,
+      random,
+      listPeers: () => this.listLive(),
+      send: (to) => this.#heartbeats.send(to, { kind: "news_query" }),
     });
     this.follower = StateFollower.create({
       vm,
@@ -195,6 +203,7 @@
     this.follower.start();
     this.#heartbeats.start();
     this.#suspectGossip.start();
+    if (this.#hasOtherSeeds()) this.#newsQueries.start();
     void this.#priming.run(this.#ended.signal);
   }
 
@@ -214,6 +223,15 @@
     return this.#heartbeats.peers.listLive();
   }
 
+  /**
+   * Resolves once this VM has the newest configuration and evidence of crashes,
+   * as far as it can tell.
+   */
+  async waitForFreshState(): Promise<void> {
+    await this.follower.waitForFreshState();
+    await this.#newsQueries.waitForAnswer();
+  }
+
   /** Whether `vm` reaches a replica; rejects with `StepError`. */
   fetchReach(vm: VmId, replica: VmId): Promise<boolean> {
     return this.#calls.fetchReach(vm, replica);
@@ -254,9 +272,9 @@
     this.#heartbeats.announceWork();
   }
 
-  /** Sends evidence against requests to other VMs. */
-  announceSuspects(entries: readonly SuspectEntry[]): void {
-    this.#suspectGossip.announce(entries);
+  /** Sends evidence about crashes to the other VMs. */
+  announceSuspects(news: CrashNews): void {
+    this.#suspectGossip.announce(news);
   }
 
   /**
@@ -327,6 +345,7 @@
 
   #notePeer(peer: FleetPeer): void {
     const { vm, work } = peer.heartbeat;
+    this.#newsQueries.notePeer();
     if (work === undefined) this.#ownedPlacement.noteAlive(vm);
     else this.#ownedPlacement.applyWork(peer.heartbeat, work);
     this.follower.notePeer(peer);
--- a/src/process/routed_quarantine.ts
+++ b/src/process/routed_quarantine.ts
@@ -41,7 +41,9 @@
   return RequestQuarantine.create({
     clock,
     log,
+    random,
+    countReplicas: (pool) => replicas.listReady(pool).length,
     hasCrashed: (replica) => crashCheck.hasCrashed(replica),
-    announce: (entries) => getFleet()?.announceSuspects(entries),
+    announce: (news) => getFleet()?.announceSuspects(news),
   });
 }
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -26,6 +26,8 @@
   getSnapshot: () => RoutedSnapshot | undefined;
   isServing: () => boolean;
   isDraining: () => boolean;
+  /** See `Clock.now`. */
+  getNow: () => number;
   getInFlight: () => number;
   /** -1 if the list was never known to be the newest. */
   getListAgeMs: () => number;
@@ -65,6 +67,13 @@
       crashes: request.crashes,
       left_ms: Math.round(request.leftMs),
     })),
+    quarantined_parts: sources.quarantine.parts.listHolds().map((hold) => ({
+      part: hold.part,
+      company: hold.company,
+      crashes: hold.crashes.length,
+      refused: sources.quarantine.parts.countRefused(hold.part),
+      left_ms: Math.round(hold.heldUntil - sources.getNow()),
+    })),
     unreachable_pools: sources.placement.links.listLost(),
     software_versions: listVersions(sources),
     evacuated: sources.replicas.getList().evacuated ?? [],
@@ -166,6 +175,22 @@
       "Requests under which a replica crashed and that were not answered since",
     read: () => sources.quarantine.countSuspects(),
   });
+  metrics.addGauge("quarantined_parts", {
+    help: "Parts of prompts in quarantine because replicas crashed under them",
+    read: () => sources.quarantine.parts.listHolds().length,
+  });
+  metrics.addGauge("accused_parts", {
+    help: "Parts of prompts of requests that crashes cut off lately",
+    read: () => sources.quarantine.parts.countAccused(),
+  });
+  metrics.addGauge("refused_by_part", {
+    help: "Requests refused because a part is in quarantine, since the start",
+    read: () => sources.quarantine.parts.refused,
+  });
+  metrics.addGauge("refused_by_fingerprint", {
+    help: "Requests refused because they are in quarantine, since the start",
+    read: () => sources.quarantine.refused,
+  });
   metrics.addGauge("rate_limited_replicas", {
     help: "Replicas that set a limit on requests a second",
     read: () => countRateLimited(sources),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -11,7 +11,13 @@
   type HttpTransportOptions,
   HttpUpstreamTransport,
 } from "../connection/http_transport.ts";
-import { type Incarnation, type Region, toId, type VmId } from "../ids.ts";
+import {
+  type Incarnation,
+  type PartKey,
+  type Region,
+  toId,
+  type VmId,
+} from "../ids.ts";
 import {
   CallerHandler,
   type CallerRequest,
@@ -192,6 +198,11 @@
     return this.#draining !== undefined;
   }
 
+  /** Parts of prompts that this VM sends to no replica. */
+  listHeldParts(): PartKey[] {
+    return this.#quarantine.parts.listHolds().map(({ part }) => part);
+  }
+
   /**
    * Addresses to which callers may connect now, including this VM's own if it
    * serves. The order is random: an answer to a caller has space for some of
@@ -305,7 +316,7 @@
   }
 
   async #waitForFreshState(): Promise<void> {
-    await this.#fleet?.follower.waitForFreshState();
+    await this.#fleet?.waitForFreshState();
   }
 
   #openLink(): Promise<DatagramLink> {
@@ -366,6 +377,7 @@
       getSnapshot: () => this.getSnapshot(),
       isServing: () => this.isServing(),
       isDraining: () => this.isDraining(),
+      getNow: () => this.#clock.now(),
       getInFlight: () => this.#inFlight,
       getListAgeMs: () => this.#fleet?.follower.getListAgeMs() ?? -1,
       getLagMs: () => this.#fleet?.follower.getLagMs() ?? 0,
--- a/src/process/runtime.ts
+++ b/src/process/runtime.ts
@@ -144,8 +144,10 @@
     this.quarantine = RequestQuarantine.create({
       clock: environment.clock,
       log: environment.log,
+      random: environment.random,
+      countReplicas: (pool) => membership.listUpstreams(pool).length,
       hasCrashed: (upstream) => crashCheck.hasCrashed(upstream),
-      announce: (entries) => this.#suspectGossip.announce(entries),
+      announce: (news) => this.#suspectGossip.announce(news),
     });
     this.#suspectGossip = createPeerSuspectGossip({
       environment,
--- a/src/process/seeded_fleet/fleet_heartbeats.ts
+++ b/src/process/seeded_fleet/fleet_heartbeats.ts
@@ -11,7 +11,7 @@
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import { EarliestTimer } from "../earliest_timer.ts";
-import type { SuspectEntry } from "../quarantine/index.ts";
+import type { CrashNews } from "../quarantine/suspect_entry.ts";
 import {
   HEARTBEAT_INTERVAL_MS,
   HeartbeatInterval,
@@ -148,13 +148,10 @@
     this.#options.link.send(to.endpoint, encodeMessage(message));
   }
 
-  /** Sends evidence against requests to other VMs. */
-  sendSuspects(
-    to: readonly FleetPeer[],
-    entries: readonly SuspectEntry[],
-  ): void {
+  /** Sends evidence about crashes to other VMs. */
+  sendSuspects(to: readonly FleetPeer[], news: CrashNews): void {
     const endpoints = new Set(to.map(({ endpoint }) => endpoint));
-    for (const message of buildSuspectMessages(entries)) {
+    for (const message of buildSuspectMessages(news)) {
       this.#sendAll(endpoints, message);
     }
   }
--- a/src/process/seeded_fleet/heartbeat_options.ts
+++ b/src/process/seeded_fleet/heartbeat_options.ts
@@ -7,7 +7,7 @@
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
-import type { SuspectEntry } from "../quarantine/index.ts";
+import type { CrashNews } from "../quarantine/suspect_entry.ts";
 import type { Random } from "../random.ts";
 import type { DatagramLink } from "./datagram_link.ts";
 import type {
@@ -59,8 +59,9 @@
   listOwners: () => ReadonlySet<VmId> | undefined;
   onHeartbeat: (peer: FleetPeer) => void;
   /** See `MessageReceiverOptions`. */
-  onSuspects: (entries: SuspectEntry[], from: Endpoint) => SuspectEntry[];
-  listSuspects: () => SuspectEntry[];
+  onSuspects: (news: CrashNews, from: Endpoint) => CrashNews;
+  onNewsAnswer: () => void;
+  listSuspects: () => CrashNews;
   onPlacementRequest: (
     request: PlacementRequestMessage,
   ) => PlacementAnswerMessage;
--- a/src/process/seeded_fleet/message_receiver.ts
+++ b/src/process/seeded_fleet/message_receiver.ts
@@ -8,7 +8,7 @@
 import type { Endpoint } from "../../connection/endpoint.ts";
 import type { VmId } from "../../ids.ts";
 import type { Log } from "../log.ts";
-import type { SuspectEntry } from "../quarantine/index.ts";
+import type { CrashNews } from "../quarantine/suspect_entry.ts";
 import type { DatagramLink } from "./datagram_link.ts";
 import {
   decodeMessage,
@@ -28,6 +28,8 @@
 import type { HeartbeatTargets } from "./heartbeat_targets.ts";
 import { buildSuspectMessages } from "./suspect_messages.ts";
 
+const EMPTY_NEWS: CrashNews = { entries: [], reports: [], answers: [] };
+
 /**
  * A new peer gets no member list if it has at least this share of this VM's
  * number of live peers.
@@ -45,10 +47,12 @@
   /** Sends a heartbeat without work. */
   sendWithoutWork: (to: ReadonlySet<Endpoint>) => void;
   onHeartbeat: (peer: FleetPeer) => void;
-  /** Returns the entries for which the sender lacks newer evidence. */
-  onSuspects: (entries: SuspectEntry[], from: Endpoint) => SuspectEntry[];
-  /** Entries for a VM that was just discovered. */
-  listSuspects: () => SuspectEntry[];
+  /** Returns what is newer here than what the sender told. */
+  onSuspects: (news: CrashNews, from: Endpoint) => CrashNews;
+  /** Called when another VM has answered this one's query for evidence. */
+  onNewsAnswer: () => void;
+  /** Evidence for a VM that was just discovered. */
+  listSuspects: () => CrashNews;
   onPlacementRequest: (
     request: PlacementRequestMessage,
   ) => PlacementAnswerMessage;
@@ -104,8 +108,19 @@
       .with({ kind: "silent" }, ({ vms }) => {
         for (const [vm, ms] of vms) this.#options.peers.noteSilent(vm, ms);
       })
-      .with({ kind: "suspects" }, ({ entries }) => {
-        this.#sendSuspects(from, this.#options.onSuspects(entries, from));
+      .with({ kind: "suspects" }, (told) => {
+        const { entries, reports = [], answers = [], isAnswer } = told;
+        const news = { entries, reports, answers };
+        this.#sendSuspects(from, this.#options.onSuspects(news, from));
+        if (isAnswer) this.#options.onNewsAnswer();
+      })
+      .with({ kind: "news_query" }, () => {
+        const news = this.#options.listSuspects();
+        const messages = buildSuspectMessages(news);
+        const last = messages.pop() ?? { kind: "suspects", ...EMPTY_NEWS };
+        for (const message of [...messages, { ...last, isAnswer: true }]) {
+          link.send(from, encodeMessage(message));
+        }
       })
       .with({ kind: "ask" }, (request) => {
         link.send(from, encodeMessage(onPlacementRequest(request)));
@@ -143,8 +158,8 @@
     this.#sendSuspects(to, this.#options.listSuspects());
   }
 
-  #sendSuspects(to: Endpoint, entries: readonly SuspectEntry[]): void {
-    for (const message of buildSuspectMessages(entries)) {
+  #sendSuspects(to: Endpoint, news: CrashNews): void {
+    for (const message of buildSuspectMessages(news)) {
       this.#options.link.send(to, encodeMessage(message));
     }
   }
--- a/src/request/attempt_progress.ts
+++ b/src/request/attempt_progress.ts
@@ -9,7 +9,8 @@
 /** Counts the tokens of one attempt and their times. */
 export class AttemptProgress {
   readonly #clock: Clock;
-  readonly #sentAt: number;
+  /** `Clock.now()` at which the attempt was sent. */
+  readonly sentAt: number;
   readonly #onProgress: (progress: LeaseProgress) => void;
   #tokens = 0;
   #firstAt: number | undefined;
@@ -21,7 +22,7 @@
   ) {
     this.#clock = clock;
     this.#onProgress = onProgress;
-    this.#sentAt = clock.now();
+    this.sentAt = clock.now();
   }
 
   /**
@@ -35,6 +36,11 @@
     return new AttemptProgress(clock, onProgress);
   }
 
+  /** `Clock.now()` at the first output, or at the send where that is unknown. */
+  get beganAt(): number {
+    return this.#firstAt ?? this.sentAt;
+  }
+
   get tokens(): number {
     return this.#tokens;
   }
@@ -57,7 +63,7 @@
     const first = this.#firstAt;
     return {
       tokens: this.#tokens,
-      firstTokenMs: first === undefined ? undefined : first - this.#sentAt,
+      firstTokenMs: first === undefined ? undefined : first - this.sentAt,
       betweenTokensMs: first === undefined || this.#tokens < 2
         ? undefined
         : (this.#lastAt! - first) / (this.#tokens - 1),
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -36,7 +36,8 @@
 
 /** How one attempt ended. */
 type AttemptResult =
-  | { kind: "answered" }
+  /** `beganAt` is `Clock.now()` at the first output. */
+  | { kind: "answered"; beganAt: number }
   | { kind: "cancelled" }
   /** The lease expired before anything was sent. */
   | { kind: "expired" }
@@ -69,7 +70,10 @@
     const lease = await acquireLease(execution, work, { attempt, avoid });
     const result = await runAttempt(execution, work, { lease, sends });
     if (result.kind === "answered") {
-      execution.services.quarantine.noteAnswered(execution.options.fingerprint);
+      execution.services.quarantine.noteAnswered(
+        execution.keys,
+        result.beganAt,
+      );
       noteCallerDisconnect(execution);
       return;
     }
@@ -120,7 +124,7 @@
       deadlineAt: execution.deadlineAt,
       idempotent: options.idempotent,
       avoid: [...leaseOptions.avoid],
-      isSuspect: services.quarantine.isSuspect(options.fingerprint),
+      isSuspect: services.quarantine.isSuspect(execution.keys),
       isForwarded: options.isForwarded ?? false,
       ...work.buildLeaseRequirements(),
     }, {
@@ -238,7 +242,7 @@
       isForwarded,
       getUpstreamVersion: () => lease.getUpstreamVersion(),
     });
-    return { kind: "answered" };
+    return { kind: "answered", beganAt: progress.beganAt };
   } catch (thrown) {
     const maxSends = isForwarded ? work.maxSends - sends : 1;
     return handleFailure(execution, toError(thrown), {
@@ -299,11 +303,12 @@
   const isForwarded = lease.peerTransport !== undefined;
   const crashCheck = failure.isConnectionLost && !isForwarded
     ? execution.services.quarantine.noteConnectionLoss(
-      execution.options.fingerprint,
+      execution.keys,
       {
         id: lease.upstream,
         incarnation: lease.upstreamIncarnation,
         hadOutput: progress.getProgress().tokens > 0,
+        sentAt: progress.sentAt,
       },
     )
     : Promise.resolve();
--- a/src/request/retry_rules.ts
+++ b/src/request/retry_rules.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Refusal, RefusalError } from "../outcome.ts";
+import type { RequestHold } from "../process/crash_quarantine.ts";
 import type { HeldLease } from "../process/services.ts";
 import type { RequestExecution } from "./request_execution.ts";
 import type { AttemptFailure } from "./attempt_failure.ts";
@@ -49,8 +50,13 @@
     throw createFailure("the limit on attempts is reached");
   }
   await Promise.all(checks);
-  const leftMs = getQuarantineMs(execution);
-  if (leftMs > 0) throw createFailure("the request crashes replicas", leftMs);
+  const hold = findHold(execution);
+  if (hold !== undefined) {
+    throw createFailure(formatHold(hold), Math.ceil(hold.leftMs));
+  }
+  if (execution.services.quarantine.isAccused(execution.keys)) {
+    throw createFailure("replicas crash under a part of its prompt");
+  }
   checkCanContinue(execution, work, failure.message);
   // An attempt that was not sent put no load on an upstream: no budget needed.
   if (!failure.wasSent) return;
@@ -89,13 +95,14 @@
   execution: RequestExecution,
   onQuarantined: () => void = () => {},
 ): void {
-  const leftMs = getQuarantineMs(execution);
-  if (leftMs === 0) return;
+  const hold = findHold(execution);
+  if (hold === undefined) return;
   onQuarantined();
+  execution.services.quarantine.noteRefused(hold);
   throw createRefusal(execution, {
     code: "quarantined",
-    message: "The request crashes replicas and is quarantined",
-    retryAfterMs: leftMs,
+    message: `Quarantined: ${formatHold(hold)}`,
+    retryAfterMs: Math.ceil(hold.leftMs),
   });
 }
 
@@ -135,7 +142,14 @@
   return new RefusalError({ ...refusal, outcome, isUnsent });
 }
 
-/** Remaining quarantine of the request, in whole milliseconds. */
-function getQuarantineMs({ services, options }: RequestExecution): number {
-  return Math.ceil(services.quarantine.getQuarantineMs(options.fingerprint));
+function findHold(
+  { services, keys }: RequestExecution,
+): RequestHold | undefined {
+  return services.quarantine.findHold(keys);
+}
+
+function formatHold({ part }: RequestHold): string {
+  return part === undefined
+    ? "the request crashes replicas"
+    : `part ${part} of its prompt crashes replicas`;
 }
--- a/test/failures/poison_request_test.ts
+++ b/test/failures/poison_request_test.ts
@@ -34,10 +34,11 @@
   engines: readonly VmId[],
 ): Promise<void> {
   const noted = vms.map(({ runtime }, index) =>
-    runtime.quarantine.noteConnectionLoss(POISON, {
+    runtime.quarantine.noteConnectionLoss({ fingerprint: POISON, parts: [] }, {
       id: engines[index]!,
       incarnation: undefined,
       hadOutput: true,
+      sentAt: world.clock.now(),
     })
   );
   await world.run(ANNOUNCEMENT_MS);
--- a/test/platform/part_storm.ts
+++ b/test/platform/part_storm.ts
@@ -186,7 +186,7 @@
 }
 
 /** The parts of a call without the last one, which is its own. */
-export function readSharedParts({ headers }: StandInCall): SharedParts {
+function readSharedParts({ headers }: StandInCall): SharedParts {
   const entries = headers["x-prompt-prefix"]?.split(",") ?? [];
   return entries.slice(0, -1).map((entry) => entry.split(":")[0]!);
 }
--- /dev/null
+++ b/test/process/quarantine/part_quarantine_test.ts
@@ -0,0 +1,226 @@
+import { describe, expect, it } from "vitest";
+import {
+  type Incarnation,
+  type PartKey,
+  type PoolName,
+  type RequestFingerprint,
+  toId,
+  type VmId,
+} from "../../../src/ids.ts";
+import type { RequestKeys } from "../../../src/process/crash_quarantine.ts";
+import { PartTraffic, type PartTrafficOptions } from "./part_traffic.ts";
+import { QuarantineFleet } from "./quarantine_fleet.ts";
+
+const SEEDS = 8;
+const POISON = { perSecond: 5, part: "bad", crashMs: 100, fromMs: 8_000 };
+const RUN_MS = 30_000;
+/** Crashes and time after which few requests with the part are sent. */
+const KNOWN_CRASHES = 5;
+const STABLE_WINDOW_MS = 3_000;
+const MAX_LATE_SENDS = 3;
+const SPREAD_MS = 3_000;
+const POOL = toId<PoolName>("pool");
+
+/** Sends of poison requests later than is allowed. */
+function countLateSends({ crashes, poisonSends }: PartTraffic): number {
+  const knownAt = (crashes[KNOWN_CRASHES - 1] ?? Infinity) + STABLE_WINDOW_MS;
+  return poisonSends.filter((at) => at > knownAt).length;
+}
+
+/** Runs the traffic and lists parts that were held wrongly at any time. */
+async function runWatched(
+  traffic: PartTraffic,
+  ms = RUN_MS,
+): Promise<string[]> {
+  const held = new Set<string>();
+  const watch = () => {
+    traffic.listWronglyHeld().forEach((each) => held.add(each));
+    traffic.fleet.clock.startTimer(50, watch);
+  };
+  watch();
+  await traffic.run(ms);
+  return [...held];
+}
+
+function toPartKeys(index: number, parts: string[]): RequestKeys {
+  return {
+    fingerprint: toId<RequestFingerprint>(`request-${index}`),
+    pool: POOL,
+    parts: parts.map((part) => toId<PartKey>(`${POOL}/${part}`)),
+  };
+}
+
+/** Crashes a replica under requests with these parts, one after the other. */
+async function endUnder(
+  fleet: QuarantineFleet,
+  requests: string[][],
+): Promise<void> {
+  for (const [index, parts] of requests.entries()) {
+    const sentAt = fleet.clock.now();
+    await fleet.clock.run(200);
+    const id = toId<VmId>(`i-${sentAt}-${index}`);
+    void fleet.getQuarantine(index % 4).noteConnectionLoss(
+      toPartKeys(sentAt + index, parts),
+      { id, incarnation: toId<Incarnation>(id), hadOutput: false, sentAt },
+    );
+    await fleet.clock.run(30);
+  }
+  await fleet.clock.run(200);
+}
+
+function listHeldAt(fleet: QuarantineFleet, vm: number): string[][] {
+  return fleet.getQuarantine(vm).parts.listHolds()
+    .map(({ part, company }) => [part, ...company].toSorted());
+}
+
+// Guards against ever new requests with one part that crash replica after
+// replica, beside much sound work that each crash cuts off too.
+describe("a part that crashes replicas under full work", () => {
+  const situations: Record<string, Partial<PartTrafficOptions>> = {
+    "is held in time": {},
+    "is held in time with lost messages": { lossRate: 0.2 },
+    "is held in time where it comes rarely": {
+      poison: [{ ...POISON, perSecond: 0.5 }],
+    },
+  };
+  for (const [name, options] of Object.entries(situations)) {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      it(`${name}, and no sound part is, seed ${seed}`, async () => {
+        const traffic = PartTraffic.create({
+          seed,
+          poison: [POISON],
+          ...options,
+        });
+        expect(await runWatched(traffic)).toEqual([]);
+        expect(traffic.crashes.length).toBeGreaterThan(2);
+        expect(countLateSends(traffic)).toBeLessThanOrEqual(MAX_LATE_SENDS);
+      });
+    }
+  }
+});
+
+// Guards against holding sound parts since many replicas crash for reasons of
+// their own, and what they cut off is retried at the next ones.
+describe("no part is held", () => {
+  const series: Record<string, [count: number, gapMs: number]> = {
+    "by a dozen crashes in series": [12, 300],
+    "by a dozen crashes in a second": [12, 100],
+    "by the crash of a rack": [6, 0],
+  };
+  for (const [name, [count, gapMs]] of Object.entries(series)) {
+    for (let seed = 1; seed <= SEEDS; seed++) {
+      it(`${name}, seed ${seed}`, async () => {
+        const traffic = PartTraffic.create({ seed });
+        traffic.fleet.clock.startTimer(
+          POISON.fromMs,
+          () => traffic.endReplicas(count, gapMs),
+        );
+        expect(await runWatched(traffic)).toEqual([]);
+        expect(traffic.crashes).toHaveLength(count);
+      });
+    }
+  }
+});
+
+describe("evidence against parts", () => {
+  it("holds those together that always came together", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    await endUnder(fleet, Array.from({ length: 5 }, () => ["a", "bad"]));
+    for (let vm = 0; vm < 4; vm++) {
+      expect(listHeldAt(fleet, vm)).toEqual([["pool/a", "pool/bad"]]);
+    }
+    const { parts } = fleet.getQuarantine(0);
+    expect(parts.findHold(toPartKeys(0, ["a", "other"]))).toBeUndefined();
+    expect(parts.findHold(toPartKeys(0, ["a", "bad"]))).toBeDefined();
+  });
+
+  it("is narrowed at all VMs by an answer to one of them", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    await endUnder(fleet, Array.from({ length: 5 }, () => ["a", "bad"]));
+    const now = fleet.clock.now();
+    fleet.getQuarantine(2).noteAnswered(toPartKeys(0, ["a"]), now);
+    await fleet.clock.run(100);
+    for (let vm = 0; vm < 4; vm++) {
+      expect(listHeldAt(fleet, vm)).toEqual([["pool/bad"]]);
+    }
+  });
+
+  it("is not cleared by an answer that began before the crashes", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    const beganAt = fleet.clock.now();
+    await endUnder(
+      fleet,
+      Array.from({ length: 9 }, (_, at) => [`${at}`, "bad"]),
+    );
+    fleet.getQuarantine(1).noteAnswered(toPartKeys(0, ["bad"]), beganAt);
+    await fleet.clock.run(100);
+    expect(listHeldAt(fleet, 1)).toEqual([["pool/bad"]]);
+  });
+
+  // Guards against two parts of which each hides the other.
+  it("holds two parts that crash replicas in turn", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    await endUnder(
+      fleet,
+      Array.from({ length: 16 }, (_, at) => [`${at}`, `bad-${at % 2}`]),
+    );
+    expect(listHeldAt(fleet, 3).toSorted()).toEqual([
+      ["pool/bad-0"],
+      ["pool/bad-1"],
+    ]);
+  });
+
+  it("is known to a VM that starts, and to one that was cut off", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    fleet.isLinkDown = (from, to) => from === 3 || to === 3;
+    await endUnder(
+      fleet,
+      Array.from({ length: 6 }, (_, at) => [`${at}`, "bad"])
+        .filter((_, at) => at % 4 !== 3),
+    );
+    fleet.startVm(2);
+    fleet.isLinkDown = () => false;
+    await fleet.clock.run(SPREAD_MS);
+    for (let vm = 0; vm < 4; vm++) {
+      expect(listHeldAt(fleet, vm)).toEqual([["pool/bad"]]);
+    }
+  });
+
+  // Guards against parts of innocent requests that push out the guilty one.
+  it("is kept beside that against thousands of other parts", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    const many = (crash: number, request: number) =>
+      Array.from({ length: 8 }, (_, part) => `${crash}-${request}-${part}`);
+    for (let crash = 0; crash < 20; crash++) {
+      const isBad = crash % 4 === 0;
+      await endUnder(fleet, [isBad ? [`${crash}`, "bad"] : many(crash, 0)]);
+      const id = toId<VmId>(`other-${crash}`);
+      const replica = {
+        id,
+        incarnation: toId<Incarnation>(id),
+        hadOutput: true,
+        sentAt: fleet.clock.now(),
+      };
+      for (let request = 1; request <= 40; request++) {
+        void fleet.getQuarantine(request % 4).noteConnectionLoss(
+          toPartKeys(1_000 * crash + request, many(crash, request)),
+          replica,
+        );
+      }
+      await fleet.clock.run(50);
+    }
+    for (let crash = 0; crash < 6; crash++) {
+      await endUnder(fleet, [[`again-${crash}`, "bad"]]);
+    }
+    for (let vm = 0; vm < 4; vm++) {
+      expect(listHeldAt(fleet, vm)).toEqual([["pool/bad"]]);
+    }
+  });
+
+  it("costs nothing for requests without shared parts", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    await endUnder(fleet, Array.from({ length: 5 }, () => []));
+    expect(fleet.getQuarantine(0).parts.countAccused()).toBe(0);
+    expect(fleet.getQuarantine(0).listNews(12).reports).toEqual([]);
+  });
+});
--- a/test/process/quarantine/quarantine_fleet.ts
+++ b/test/process/quarantine/quarantine_fleet.ts
@@ -10,15 +10,19 @@
   toId,
   type VmId,
 } from "../../../src/ids.ts";
+import type { RequestKeys } from "../../../src/process/crash_quarantine.ts";
 import { SilentLog } from "../../../src/process/log.ts";
 import {
+  type CrashNews,
+  isEmptyNews,
   RequestQuarantine,
-  type SuspectEntry,
   SuspectGossip,
 } from "../../../src/process/quarantine/index.ts";
 import { type Random, SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
+/** Replicas of the pool. */
+const REPLICAS = 14;
 /** One-way delay between two VMs. */
 const DELAY_MS = 1;
 
@@ -29,6 +33,11 @@
   isUp: boolean;
 }
 
+/** The keys of a request without shared parts. */
+export function toKeys(fingerprint: RequestFingerprint): RequestKeys {
+  return { fingerprint, parts: [] };
+}
+
 /** Quarantines of VMs that exchange evidence. */
 export class QuarantineFleet {
   readonly clock = VirtualClock.create();
@@ -63,16 +72,17 @@
       quarantine: RequestQuarantine.create({
         clock,
         log: SilentLog.create(),
+        random: this.random,
+        countReplicas: () => REPLICAS,
         hasCrashed: () => Promise.resolve(!this.areReplicasUp),
-        announce: (entries) => vm.gossip.announce(entries),
+        announce: (news) => vm.gossip.announce(news),
       }),
       gossip: SuspectGossip.create({
         clock,
         random: this.random,
         listPeers: () => this.#listPeers(index),
-        send: (to, entries) =>
-          to.forEach((peer) => this.#send(vm, peer, entries)),
-        listEntries: (count) => vm.quarantine.listEntries(count),
+        send: (to, news) => to.forEach((peer) => this.#send(vm, peer, news)),
+        listNews: (count) => vm.quarantine.listNews(count),
       }),
     };
     this.#vms[index] = vm;
@@ -105,10 +115,11 @@
     const id = toId<VmId>(`i-${this.#replicas}`);
     const incarnation = toId<Incarnation>(id);
     for (const [vm, request] of requests) {
-      void this.getQuarantine(vm).noteConnectionLoss(request, {
+      void this.getQuarantine(vm).noteConnectionLoss(toKeys(request), {
         id,
         incarnation,
         hadOutput,
+        sentAt: this.clock.now(),
       });
     }
   }
@@ -121,7 +132,7 @@
   #send(
     from: TestVm,
     to: number,
-    entries: readonly SuspectEntry[],
+    news: CrashNews,
   ): void {
     const isLost = this.random.next() < this.#lossRate ||
       this.isLinkDown(from.index, to) || !from.isUp;
@@ -130,8 +141,8 @@
     this.clock.startTimer(DELAY_MS, () => {
       if (!receiver.isUp) return;
       const name = String(from.index);
-      const newer = receiver.quarantine.mergeEntries(name, entries);
-      if (newer.length > 0) this.#send(receiver, from.index, newer);
+      const newer = receiver.quarantine.mergeNews(name, news);
+      if (!isEmptyNews(newer)) this.#send(receiver, from.index, newer);
     });
   }
 }
--- a/test/process/quarantine/request_quarantine_test.ts
+++ b/test/process/quarantine/request_quarantine_test.ts
@@ -7,8 +7,9 @@
 } from "../../../src/ids.ts";
 import { SilentLog } from "../../../src/process/log.ts";
 import { RequestQuarantine } from "../../../src/process/quarantine/index.ts";
+import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
-import { QuarantineFleet } from "./quarantine_fleet.ts";
+import { QuarantineFleet, toKeys } from "./quarantine_fleet.ts";
 
 const POISON = toId<RequestFingerprint>("poison");
 const HARMLESS = toId<RequestFingerprint>("harmless");
@@ -80,10 +81,10 @@
     const fleet = QuarantineFleet.create({ vms: 8 });
     for (const vm of [0, 1, 2]) fleet.endReplica([[vm, HARMLESS]]);
     await fleet.clock.run(ANNOUNCE_MS);
-    fleet.getQuarantine(5).noteAnswered(HARMLESS);
+    fleet.getQuarantine(5).noteAnswered(toKeys(HARMLESS), fleet.clock.now());
     await fleet.clock.run(ANNOUNCE_MS);
     for (let vm = 0; vm < 8; vm++) {
-      expect(fleet.getQuarantine(vm).isSuspect(HARMLESS)).toBe(false);
+      expect(fleet.getQuarantine(vm).isSuspect(toKeys(HARMLESS))).toBe(false);
     }
   });
 
@@ -92,18 +93,18 @@
     for (const vm of [0, 0, 0]) fleet.endReplica([[vm, HARMLESS]]);
     await fleet.clock.run(ANNOUNCE_MS);
     fleet.isLinkDown = () => true;
-    fleet.getQuarantine(0).noteAnswered(HARMLESS);
+    fleet.getQuarantine(0).noteAnswered(toKeys(HARMLESS), fleet.clock.now());
     await fleet.clock.run(ANNOUNCE_MS);
     expect(fleet.getQuarantine(1).getQuarantineMs(HARMLESS)).toBeGreaterThan(0);
     fleet.isLinkDown = () => false;
     await fleet.clock.run(SPREAD_MS);
-    expect(fleet.getQuarantine(1).isSuspect(HARMLESS)).toBe(false);
+    expect(fleet.getQuarantine(1).isSuspect(toKeys(HARMLESS))).toBe(false);
   });
 
   // Guards against holding a request that many callers send when a rack fails.
   it("is not held where any VM had an answer to it just before", async () => {
     const fleet = QuarantineFleet.create({ vms: 8 });
-    fleet.getQuarantine(6).noteAnswered(HARMLESS);
+    fleet.getQuarantine(6).noteAnswered(toKeys(HARMLESS), fleet.clock.now());
     await fleet.clock.run(ANNOUNCE_MS);
     for (const vm of [0, 1, 2, 3]) fleet.endReplica([[vm, HARMLESS]]);
     await fleet.clock.run(SPREAD_MS);
@@ -118,7 +119,7 @@
     fleet.areReplicasUp = true;
     for (let time = 0; time < 5; time++) fleet.endReplica([[0, HARMLESS]]);
     await fleet.clock.run(ANNOUNCE_MS);
-    expect(fleet.getQuarantine(0).isSuspect(HARMLESS)).toBe(false);
+    expect(fleet.getQuarantine(0).isSuspect(toKeys(HARMLESS))).toBe(false);
   });
 });
 
@@ -128,6 +129,8 @@
   const quarantine = RequestQuarantine.create({
     clock,
     log: SilentLog.create(),
+    random: SeededRandom.create(1),
+    countReplicas: () => 14,
     hasCrashed: () => {
       checks += 1;
       return Promise.resolve(true);
@@ -138,9 +141,13 @@
     id: toId<VmId>("i-1"),
     incarnation: toId<Incarnation>("i-1"),
     hadOutput: true,
+    sentAt: 0,
   };
   for (let index = 0; index < 20; index++) {
-    void quarantine.noteConnectionLoss(toId(`request-${index}`), replica);
+    void quarantine.noteConnectionLoss(
+      toKeys(toId(`request-${index}`)),
+      replica,
+    );
   }
   await clock.run(ANNOUNCE_MS);
   expect(quarantine.countSuspects()).toBe(20);
--- a/test/process/seeded_fleet/fleet_heartbeats_test.ts
+++ b/test/process/seeded_fleet/fleet_heartbeats_test.ts
@@ -12,6 +12,8 @@
 import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
+const NO_NEWS = { entries: [], reports: [], answers: [] };
+
 type Handle = (bytes: Uint8Array, from: string) => void;
 
 /** Datagrams between VMs in virtual time; single directions can be cut. */
@@ -120,8 +122,9 @@
     listOwners: () => owners,
     onHeartbeat: options.onHeartbeat ?? (() => {}),
     onPlacementRequest: ({ ask }) => ({ kind: "answer", ask, isFull: false }),
-    onSuspects: () => [],
-    listSuspects: () => [],
+    onSuspects: () => NO_NEWS,
+    listSuspects: () => NO_NEWS,
+    onNewsAnswer: () => {},
     onPlacementAnswer: () => {},
     onOrigin: () => {},
     onOriginQuery: ({ ask }) => ({ kind: "origin_answer", ask, vm }),
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -11,6 +11,8 @@
 import { listViolations, type Violation } from "./soak_oracle.ts";
 import { buildPlan } from "./soak_plan.ts";
 
+const POISON_KINDS = ["request", "part"] as const;
+
 /** Time for all VMs to serve again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 15_000;
 const READY_TIMEOUT_MS = 30_000;
@@ -77,12 +79,11 @@
   const calls = callers.map((caller) =>
     caller.run(() => performance.now() >= endsAt)
   );
-  const poison = SoakCaller.create(
-    fleet,
-    SeededRandom.create(options.seed),
-    "poison",
-  );
-  calls.push(poison.runPoison(() => performance.now() >= endsAt));
+  for (const [index, kind] of POISON_KINDS.entries()) {
+    const random = SeededRandom.create(options.seed + index);
+    const poison = SoakCaller.create(fleet, random, `poison-${kind}`);
+    calls.push(poison.runPoison(kind, () => performance.now() >= endsAt));
+  }
   const ended = watchExits(fleet);
   const startedAt = endsAt - options.forMs;
   const faults = plan.map(async ({ at, fault }) => {
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -30,13 +30,24 @@
 
 /** The body of the request that crashes every replica that starts it. */
 export const POISON_BODY = "poison";
+/** The part of prompts that crashes every replica that starts a request with it. */
+export const POISON_PART = "poison-part";
 const POISON_EVERY_MS = 300;
+/** Shared parts of sound requests: first parts, and sessions beside them. */
+const FIRST_PARTS = 3;
+const SESSIONS = 30;
+const TOKENS_PER_PART = 10;
 
 /** Tries that take one stream up again. */
 const MAX_TAKE_UPS = 2;
 
+/** What crashes the replicas that start a request. */
+export type PoisonKind = "request" | "part";
+
 interface SendOptions {
   body?: string;
+  /** The second part of its prompt. */
+  part?: string;
   key?: string;
   takesUp?: TakenUpStream;
 }
@@ -44,7 +55,8 @@
 /** One request and its answer; times by `performance.now()`. */
 export interface SoakRequest extends TestAnswer {
   id: string;
-  isPoison: boolean;
+  /** Undefined for a sound request. */
+  poison: PoisonKind | undefined;
   /** What the caller has of the stream that the request takes up. */
   takesUp?: TakenUpStream | undefined;
   route: typeof SOAK_ROUTES[number];
@@ -124,13 +136,20 @@
     return requests;
   }
 
-  /** Sends the poison request to random VMs repeatedly until `isOver`. */
-  async runPoison(isOver: () => boolean): Promise<SoakRequest[]> {
+  /** Sends poison requests to random VMs repeatedly until `isOver`. */
+  async runPoison(
+    kind: PoisonKind,
+    isOver: () => boolean,
+  ): Promise<SoakRequest[]> {
     const route = this.#random.pick(SOAK_ROUTES)!;
     const requests: SoakRequest[] = [];
     while (!isOver()) {
       const vm = this.#random.pick(this.#fleet.vms)!;
-      requests.push(await this.send(vm, route, { body: POISON_BODY }));
+      // No two requests with the part are alike.
+      const poison = kind === "request"
+        ? { body: POISON_BODY }
+        : { body: `body-${this.#sent}`, part: POISON_PART };
+      requests.push(await this.send(vm, route, poison));
       await new Promise((resolve) => setTimeout(resolve, POISON_EVERY_MS));
     }
     this.#agent.destroy();
@@ -144,10 +163,10 @@
   async send(
     vm: SoakVm,
     route: typeof SOAK_ROUTES[number],
-    { body = "", key = this.#pickKey(), takesUp }: SendOptions = {},
+    { body = "", part, key = this.#pickKey(), takesUp }: SendOptions = {},
   ): Promise<SoakRequest> {
     this.#sent += 1;
-    const isPoison = body === POISON_BODY;
+    const poison = findPoison(body, part);
     const id = `${this.#name}-${this.#sent}`;
     const sentAt = performance.now();
     const answer = await sendCall(`${vm.address}:${vm.callersPort}`, {
@@ -160,6 +179,10 @@
         authorization: `Bearer ${key}`,
         "x-request-id": id,
         "x-timeout-ms": String(CALL_TIMEOUT_MS),
+        // Calls have no prompts, and may wait where prompts do not.
+        ...(route.isStream || part !== undefined
+          ? this.#buildPrompt(id, part)
+          : {}),
         ...(takesUp && {
           resumes: takesUp.first,
           "last-event-id": String(takesUp.replicas.length),
@@ -169,10 +192,21 @@
     const isDisturbed = vm.hasEnded || vm.isEndExpected ||
       vm.disturbedAt > sentAt - DISTURBED_MS;
     const endedAt = performance.now();
-    const request = { id, isPoison, route, key, vm: vm.name, sentAt, endedAt };
+    const request = { id, poison, route, key, vm: vm.name, sentAt, endedAt };
     return { ...request, takesUp, isDisturbed, ...answer };
   }
 
+  #buildPrompt(id: string, second?: string): Record<string, string> {
+    const first = `first-${this.#random.nextInt(FIRST_PARTS)}`;
+    const session = `session-${this.#random.nextInt(SESSIONS)}`;
+    const parts = [first, second ?? session, id]
+      .map((part) => `${part}:${TOKENS_PER_PART}`);
+    return {
+      "x-token-count": `${parts.length * TOKENS_PER_PART},${TOKENS_PER_PART}`,
+      "x-prompt-prefix": parts.join(),
+    };
+  }
+
   #pickKey(): string {
     const isChanging = this.#random.nextInt(CHANGING_KEY_ONE_IN) === 0;
     return isChanging
@@ -181,6 +215,14 @@
   }
 }
 
+function findPoison(
+  body: string,
+  part: string | undefined,
+): PoisonKind | undefined {
+  if (body === POISON_BODY) return "request";
+  return part === POISON_PART ? "part" : undefined;
+}
+
 /** The stream that a caller has after a broken answer; undefined without one. */
 function findBrokenStream(request: SoakRequest): TakenUpStream | undefined {
   const { route, id, takesUp, status, isWhole, body } = request;
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -15,7 +15,7 @@
 import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
-import { POISON_BODY } from "./soak_callers.ts";
+import { POISON_BODY, POISON_PART } from "./soak_callers.ts";
 import { SoakBackOffs } from "./soak_back_offs.ts";
 import { LinkControl } from "./link_control.ts";
 import { SoakBrittleness } from "./soak_brittleness.ts";
@@ -292,8 +292,9 @@
     const standIn = ReplicaStandIn.create(id);
     this.versions.set(id, this.#slotVersions[index] ?? FIRST_VERSION);
     const relay = await Relay.create(await standIn.start());
-    standIn.isPoison = ({ body }) =>
-      new TextDecoder().decode(body) === POISON_BODY;
+    standIn.isPoison = ({ body, headers }) =>
+      new TextDecoder().decode(body) === POISON_BODY ||
+      (headers["x-prompt-prefix"] ?? "").includes(`,${POISON_PART}:`);
     standIn.onCrash = () => this.#restarts.push(this.#replaceReplica(index));
     this.replicas[index] = { standIn, relay };
     this.#listReplica(index, "ready");
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -6,6 +6,7 @@
 import {
   CALL_TIMEOUT_MS,
   listEventReplicas,
+  type PoisonKind,
   type SoakRequest,
 } from "./soak_callers.ts";
 import { listBadCuts, type RecordedCut } from "./link_control.ts";
@@ -29,8 +30,8 @@
 /** Allowed beyond the caller's time-out, as the machine may be shared. */
 const MAX_LATENESS_MS = 3_000;
 
-/** Runs that crash a replica before VMs must quarantine the request. */
-const POISON_KNOWN_AFTER_RUNS = 3;
+/** Runs that crash a replica before VMs must quarantine the request or part. */
+const KNOWN_AFTER_RUNS = { request: 3, part: 5 };
 const POISON_KNOWN_WITHIN_MS = 3_000;
 const MAX_LATE_RUNS = 3;
 
@@ -46,6 +47,8 @@
     | "a revoked key is refused"
     | "a request ends in time"
     | "a poison request is kept from replicas"
+    | "a part that crashes replicas is kept from them"
+    | "sound requests are not held by their parts"
     | "a replica gets no more than its rate limit"
     | "a leaving replica gets no new requests"
     | "a replica that left the list gets no requests"
@@ -105,7 +108,9 @@
   ]);
   return [
     ...broken,
-    ...checkPoison(record),
+    ...checkPoison(record, "request"),
+    ...checkPoison(record, "part"),
+    ...checkHeldParts(record),
     ...checkSignals(record),
     ...checkCuts(record),
     ...record.falls.map((detail) => ({
@@ -117,7 +122,7 @@
 
 function checkCuts({ cuts, requests }: SoakRecord): Violation[] {
   const observed = requests
-    .filter(({ isPoison, key }) => !isPoison && key === PERMANENT_KEY)
+    .filter(({ poison, key }) => poison === undefined && key === PERMANENT_KEY)
     // A stream is also refused where replicas of its version are gone.
     .filter(({ takesUp }) => takesUp === undefined)
     .map(({ vm, sentAt, isDisturbed, status, isWhole }) => ({
@@ -169,14 +174,18 @@
   );
 }
 
-/** Checks the runs of the poison request after all VMs should refuse it. */
-function checkPoison({ requests, runs }: SoakRecord): Violation[] {
-  const poison = requests.filter(({ isPoison }) => isPoison)
+/** Checks the runs of poison requests after all VMs should refuse them. */
+function checkPoison(
+  { requests, runs }: SoakRecord,
+  kind: PoisonKind,
+): Violation[] {
+  const poison = requests.filter((each) => each.poison === kind)
     .flatMap((each) =>
       Array.from({ length: runs.get(each.id) ?? 0 }, () => each)
     )
     .toSorted((left, right) => left.sentAt - right.sentAt);
-  const knownAt = (poison[POISON_KNOWN_AFTER_RUNS - 1]?.endedAt ?? Infinity) +
+  const knownAfter = KNOWN_AFTER_RUNS[kind];
+  const knownAt = (poison[knownAfter - 1]?.endedAt ?? Infinity) +
     POISON_KNOWN_WITHIN_MS;
   const late = poison.filter(({ sentAt, isDisturbed }) =>
     sentAt > knownAt && !isDisturbed
@@ -185,13 +194,29 @@
   const what = `ran ${late.length} times after it was known`;
   return [
     buildViolation(
-      "a poison request is kept from replicas",
+      kind === "request"
+        ? "a poison request is kept from replicas"
+        : "a part that crashes replicas is kept from them",
       late.at(-1)!,
       what,
     ),
   ];
 }
 
+/** Checks that sound requests are not refused because of a part. */
+function checkHeldParts({ requests }: SoakRecord): Violation[] {
+  return requests.filter(({ poison, body }) =>
+    poison === undefined && body.includes('"code":"quarantined"') &&
+    body.includes(" of its prompt crashes replicas")
+  ).slice(0, 1).map((request) =>
+    buildViolation(
+      "sound requests are not held by their parts",
+      request,
+      request.body,
+    )
+  );
+}
+
 function checkRuns(request: SoakRequest, record: SoakRecord): Violation[] {
   const runs = record.runs.get(request.id) ?? 0;
   const broken: Violation[] = [];
--- a/test/soak/soak_oracle_test.ts
+++ b/test/soak/soak_oracle_test.ts
@@ -10,7 +10,7 @@
 function buildRequest(changes: Partial<SoakRequest> = {}): SoakRequest {
   return {
     id: "request-1",
-    isPoison: false,
+    poison: undefined,
     route: UNSAFE,
     key: "key-standing",
     vm: "vm-1",
@@ -134,13 +134,23 @@
   });
 });
 
+it("a sound request that is held by its part is a violation", () => {
+  const message = "Quarantined: part pool/x of its prompt crashes replicas";
+  const body = JSON.stringify({ error: { code: "quarantined", message } });
+  const held = buildRequest({ status: 503, body });
+  const changes = { runs: new Map<string, number>() };
+  expect(check(held, changes))
+    .toContain("sound requests are not held by their parts");
+  expect(check({ ...held, poison: "part" }, changes)).toEqual([]);
+});
+
 describe("runs of a poison request", () => {
   /** One request a second, each at an undisturbed VM. */
   function checkRuns(count: number, changes: Partial<SoakRequest> = {}) {
     const requests = Array.from({ length: count }, (_, index) =>
       buildRequest({
         id: `poison-${index}`,
-        isPoison: true,
+        poison: "request",
         sentAt: index * 1_000,
         endedAt: index * 1_000 + 100,
         status: 502,
@@ -155,6 +165,12 @@
     expect(checkRuns(10)).toEqual(["a poison request is kept from replicas"]);
   });
 
+  it("are violations after the fifth where a part crashes replicas", () => {
+    const expected = ["a part that crashes replicas is kept from them"];
+    expect(checkRuns(11, { poison: "part" })).toEqual([]);
+    expect(checkRuns(12, { poison: "part" })).toEqual(expected);
+  });
+
   it("are ignored at VMs that have just started", () => {
     expect(checkRuns(20, { isDisturbed: true })).toEqual([]);
   });
--- a/test/support/request_vm.ts
+++ b/test/support/request_vm.ts
@@ -88,6 +88,8 @@
     this.quarantine = RequestQuarantine.create({
       clock,
       log: this.log,
+      random: environment.random,
+      countReplicas: () => 5,
       hasCrashed: () => Promise.resolve(true),
       announce: () => {},
     });
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -36,6 +36,8 @@
 import type { PublishedConfiguration } from "../../src/version/published_configuration.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 
+const NO_NEWS = { entries: [], reports: [], answers: [] };
+
 const DATAGRAM_MS = 1;
 const PEER_CALL_MS = 2;
 const STORE_CALL_MS = 4;
@@ -259,8 +261,9 @@
       listOwners: () => listOwners(vm),
       onHeartbeat: (peer) => vm.follower.notePeer(peer),
       onPlacementRequest: ({ ask }) => ({ kind: "answer", ask, isFull: false }),
-      onSuspects: () => [],
-      listSuspects: () => [],
+      onSuspects: () => NO_NEWS,
+      listSuspects: () => NO_NEWS,
+      onNewsAnswer: () => {},
       onPlacementAnswer: () => {},
       onOrigin: () => {},
       onOriginQuery: ({ ask }) => ({
