--- a/src/process/quarantine/part_quarantine.ts
+++ b/src/process/quarantine/part_quarantine.ts
@@ -104,6 +104,19 @@
     return this.#ledger.listHolds();
   }
 
+  /**
+   * Ends a hold at all VMs by an operator's word, as an answer would; returns
+   * whether the part was held.
+   */
+  endHold(part: PartKey): boolean {
+    if (!this.listHolds().some((hold) => hold.part === part)) return false;
+    const crashes = this.#ledger.countCrashes(part);
+    this.#ledger.noteAnswered(part, this.#options.clock.now());
+    this.#noteCleared(part, crashes, "operator");
+    this.#announceAnswers([part]);
+    return true;
+  }
+
   /** Number of parts with evidence against them. */
   countAccused(): number {
     return this.#ledger.size;
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -270,6 +270,7 @@
         listPrefixes: () => this.#placement.prefixes.listAll(),
         checkReach: (replica) => this.#placement.checks.check(replica),
         buildStatus: () => buildStatus(statusSources),
+        endHold: (part) => this.#quarantine.parts.endHold(part),
         findRequestStatus: (requestId) => this.requestStatuses.find(requestId),
       },
     });
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
+import { match } from "ts-pattern";
 import {
   buildJsonAnswer,
   type SimpleAnswer,
   SimpleListener,
 } from "../connection/simple_listener.ts";
-import { type RequestId, toId, type VmId } from "../ids.ts";
+import { type PartKey, type RequestId, toId, type VmId } from "../ids.ts";
 import type { Log } from "./log.ts";
 import {
   parseKnownVersions,
@@ -19,6 +20,8 @@
 import type { KnownVersions } from "./seeded_fleet/newer_state.ts";
 
 const STATUS_PATH = "/v1/status";
+/** Followed by a held part. */
+const HELD_PARTS_PATH = "/v1/quarantined-parts/";
 const REQUEST_STATUS_PATH = /^\/v1\/requests\/([^/]+)$/;
 
 /** Handlers of the listener's paths; results are sent as JSON. */
@@ -29,6 +32,8 @@
   checkReach: (replica: VmId) => Promise<boolean>;
   /** The fleet and the replicas as this VM sees them. */
   buildStatus: () => object;
+  /** Ends the hold of a part; returns whether it was held. */
+  endHold: (part: PartKey) => boolean;
   /** The status of a request; undefined if the request is unknown. */
   findRequestStatus: (requestId: RequestId) => object | undefined;
 }
@@ -42,9 +47,11 @@
     name: "state",
     log,
     buildAnswer: (method, url) =>
-      method === "GET"
-        ? answerGet(url, handlers)
-        : buildNotFound("Unknown path or method"),
+      match(method)
+        .returnType<SimpleAnswer | Promise<SimpleAnswer>>()
+        .with("GET", () => answerGet(url, handlers))
+        .with("DELETE", () => answerDelete(url, handlers))
+        .otherwise(() => buildNotFound("Unknown path or method")),
   });
 }
 
@@ -75,6 +82,19 @@
     : buildJsonAnswer(200, status);
 }
 
+function answerDelete(
+  { pathname }: URL,
+  { endHold }: StateHandlers,
+): SimpleAnswer {
+  if (!pathname.startsWith(HELD_PARTS_PATH)) {
+    return buildNotFound("Unknown path or method");
+  }
+  const part = decodeURIComponent(pathname.slice(HELD_PARTS_PATH.length));
+  return endHold(toId<PartKey>(part))
+    ? buildJsonAnswer(200, { part })
+    : buildNotFound(`Part ${part} is not held`);
+}
+
 function buildNotFound(error: string): SimpleAnswer {
   return buildJsonAnswer(404, { error });
 }
--- a/test/platform/poison_part_test.ts
+++ b/test/platform/poison_part_test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, expect, it } from "vitest";
+import { sendCall } from "./test_call.ts";
 import { PartStorm, type SharedParts } from "./part_storm.ts";
 
 const BAD = "bad";
@@ -150,6 +151,27 @@
   expect(storm.countReached()).toBe(reached);
 });
 
+it("an operator releases a part at all VMs", async () => {
+  let isMended = false;
+  const storm = await PartStorm.create({
+    isBad: (parts) => !isMended && isBad(parts),
+  });
+  const bad = (index: number) => [`first-${index % 3}`, BAD];
+  await storm.run(3_000, { bad, sound: chooseSound });
+  isMended = true;
+  const [first] = storm.fleet.vms;
+  const path = `/v1/quarantined-parts/pool/${BAD}`;
+  const release = () =>
+    sendCall(first!.settings.listeners.state, { method: "DELETE", path });
+  expect((await storm.send(bad(0))).answer.status).toBe(503);
+  expect((await release()).status).toBe(200);
+  await sleep(200);
+  for (const vm of storm.fleet.vms) {
+    expect((await storm.send(bad(1), vm)).answer.status).toBe(200);
+  }
+  expect((await release()).status).toBe(404);
+});
+
 it("a second such part is held too, and the first stays held", async () => {
   const isEither = (parts: SharedParts) => isBad(parts) || isNext(parts);
   const isNext = (parts: SharedParts) => parts.includes("next");
