--- a/src/process/quarantine/culprits.ts
+++ b/src/process/quarantine/culprits.ts
@@ -145,12 +145,13 @@
   candidates: readonly Candidate[],
   { now }: CulpritEvidence,
 ): boolean {
-  if (now - crashes[1]!.at < OBJECTION_MS) return false;
   if (successive.length < MIN_CRASHES || error > MAX_ERROR) return false;
+  if (now - crashes[1]!.at < OBJECTION_MS) return false;
+  const likely = candidates
+    .filter((other) => other.error < RIVAL_FACTOR * error);
   const replicas = new Set(crashes.map(({ replica }) => replica));
-  return candidates.every((other) => {
+  return likely.every((other) => {
     if (other.part === part || company.includes(other.part)) return true;
-    if (other.error >= RIVAL_FACTOR * error) return true;
     const shared = other.crashes.filter(({ replica }) => replicas.has(replica));
     return 2 * shared.length <= crashes.length;
   });
--- a/src/process/quarantine/part_ledger.ts
+++ b/src/process/quarantine/part_ledger.ts
@@ -19,8 +19,11 @@
 const MS_PER_HOUR = 60 * MS_PER_MINUTE;
 /** Parts with evidence; those with a single crash are evicted first. */
 const MAX_PARTS = 4_000;
+const EVICTED_AT_ONCE = 400;
 /** Parts of which the last answer is remembered; some 2 MB. */
 const MAX_ANSWERS = 10_000;
+/** Accuracy with which answers before any crash are remembered. */
+const ANSWER_RESOLUTION_MS = 1_000;
 /** Crashes of the last time. */
 const MAX_CRASHES = 200;
 /** How long evidence lasts against a part that is not held. */
@@ -94,11 +97,11 @@
    * it clears the part of crashes.
    */
   addAnswer(part: PartKey, beganAt: number): boolean {
-    this.#answers.delete(part);
-    this.#answers.set(part, beganAt);
-    if (this.#answers.size > MAX_ANSWERS) {
-      const [oldest] = this.#answers.keys();
-      this.#answers.delete(oldest!);
+    const known = this.#answers.get(part) ?? -Infinity;
+    if (beganAt - known > ANSWER_RESOLUTION_MS) {
+      this.#answers.delete(part);
+      this.#answers.set(part, beganAt);
+      this.#dropOldestAnswer();
     }
     return this.noteAnswered(part, beganAt);
   }
@@ -202,6 +205,12 @@
     return evidence;
   }
 
+  #dropOldestAnswer(): void {
+    if (this.#answers.size <= MAX_ANSWERS) return;
+    const [oldest] = this.#answers.keys();
+    this.#answers.delete(oldest!);
+  }
+
   #countPart(
     replica: Incarnation,
     { pool, at }: { pool: PoolName; at: number },
@@ -221,7 +230,7 @@
   }
 
   #dropOldest(): void {
-    if (this.#evidence.size <= MAX_PARTS) return;
+    if (this.#evidence.size <= MAX_PARTS + EVICTED_AT_ONCE) return;
     const parts = [...this.#evidence.values()];
     const single = parts.filter((each) => each.listCrashes().length < 2);
     const others = parts.filter((each) => !this.#isHeld(each.part));
