Refuse streams that their caller does not name after another version left

A caller that names no stream went on at the only version listed, also a moment after this VM had seen another one leave: decided without knowledge. It is refused now for as long as a stream may last. Where there was one version nothing changes. The test failed before.

--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -137,9 +137,10 @@
 
   /**
    * The origin of a stream that its caller does not name. Such a caller does not
-   * know of versions, and is served as long as there is one.
+   * know of versions, and is served as long as this VM has seen but one.
    */
   #findOnlyNow(pool: PoolName): FoundOrigin | undefined {
+    if (this.#getVersionsLately(pool).kind === "several") return undefined;
     const version = this.#history.findOnlyNow(pool);
     return version === undefined
       ? undefined
--- a/test/process/stream_origins/stream_origins_test.ts
+++ b/test/process/stream_origins/stream_origins_test.ts
@@ -174,6 +174,23 @@
     expect(await findAt(fleet, 0, undefined)).toBeUndefined();
   });
 
+  // Guards against a stream that its caller does not name, and that goes on at
+  // the version which is left a moment after another one was gone.
+  it("is unknown while another version was listed lately", async () => {
+    const fleet = createFleet(1);
+    const [vm] = fleet.vms;
+    vm!.noteList(listVersions("v1", "v2"));
+    await fleet.clock.run(1_000);
+    vm!.noteList(listVersions("v2"));
+    await fleet.clock.run(1_000);
+    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+    for (let each = 0; each < RETENTION_MS / 1_000; each++) {
+      await fleet.clock.run(1_000);
+      vm!.noteList(listVersions("v2"));
+    }
+    expect(await findAt(fleet, 0, undefined)).toBeDefined();
+  });
+
   it("is told by others to a VM that has just started", async () => {
     const fleet = createFleet(3);
     fleet.vms.slice(1).forEach((vm) => vm.noteList(listVersions("v1")));
