Let the soak at size send requests with a part that crashes replicas

--poison-gap-ms; the report counts such requests that VMs in touch sent later than 3 s after the fifth crash, and sound requests refused because of a part. Streams have prompts with shared parts now, in both soaks.

--- a/test/soak/at_size/at_size_report.ts
+++ b/test/soak/at_size/at_size_report.ts
@@ -13,6 +13,9 @@
 
 /** A replica may get requests for this long after the store's word. */
 const DRAIN_MS = 3_000;
+/** Crashes and time after which a part that causes them must be held. */
+const KNOWN_CRASHES = 5;
+const STABLE_WINDOW_MS = 3_000;
 const LOG_LINES = 40;
 const LOG_MARGIN_MS = 1_000;
 const LEAVING_LINE =
@@ -38,9 +41,21 @@
   afterMs: number;
 }
 
+/** What became of requests with a part that crashes replicas. */
+export interface PoisonReport {
+  arrivals: number;
+  crashes: number;
+  /** Arrivals from VMs in touch, 3 s after the fifth crash and later. */
+  late: string[];
+  /** Sound requests that were refused since a part is held. */
+  heldSound: string[];
+}
+
 /** The result of a soak at size. */
 export interface AtSizeReport
-  extends Omit<ObserverReport, "afterLeaving" | "leaves"> {
+  extends
+    Omit<ObserverReport, "afterLeaving" | "leaves" | "poison" | "crashes"> {
+  poison: PoisonReport;
   leaves: number;
   sent: number;
   /** Streams that broke; none may hold events of two versions. */
@@ -69,10 +84,11 @@
   fleet: FleetAtSize,
   observed: ObserverReport,
 ): AtSizeReport {
-  const { afterLeaving, leaves, ...figures } = observed;
+  const { afterLeaving, leaves, poison, crashes, ...figures } = observed;
   const learnt = fleet.vms.flatMap((vm) => listLearnt(fleet, vm, leaves));
   return {
     ...figures,
+    poison: buildPoisonReport(fleet, { poison, crashes }),
     leaves: leaves.length,
     sent: fleet.sent,
     streams: fleet.streams,
@@ -93,6 +109,25 @@
   };
 }
 
+function buildPoisonReport(
+  fleet: FleetAtSize,
+  { poison, crashes }: Pick<ObserverReport, "poison" | "crashes">,
+): PoisonReport {
+  const fifth = crashes.toSorted((a, b) => a - b)[KNOWN_CRASHES - 1];
+  const knownAt = (fifth ?? Infinity) + STABLE_WINDOW_MS;
+  const late = poison.filter(({ at, requestId }) => {
+    const name = requestId.split("~")[0]!;
+    const vm = fleet.vms.find((each) => each.name === name)!;
+    return at > knownAt && fleet.isInTouch(vm, at);
+  });
+  return {
+    arrivals: poison.length,
+    crashes: crashes.length,
+    late: late.map(({ requestId }) => requestId),
+    heldSound: fleet.heldSound,
+  };
+}
+
 /** When a VM wrote that it knows of each leaving, where it was in touch. */
 function listLearnt(
   fleet: FleetAtSize,
--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -25,6 +25,11 @@
 import { PERMANENT_KEY } from "../soak_fleet.ts";
 import { getReplicaVersion } from "./versioned_replica.ts";
 import { ProcessorQuota } from "./processor_quota.ts";
+import {
+  buildPromptHeaders,
+  isHeldByPart,
+  POISON_PART,
+} from "../prompt_parts.ts";
 import { type SoakPorts, SoakVm } from "../soak_vm.ts";
 
 const ZONES = 4;
@@ -42,6 +47,8 @@
 const MAX_FAULT_MS = 3_000;
 /** VMs that watch the store. */
 const WATCHERS = 3;
+/** Sound requests are answered before the first one that crashes replicas. */
+const POISON_AFTER_MS = 5_000;
 const CENTRAL_PAUSE_AFTER_MS = 8_000;
 const CENTRAL_PAUSE_MS = 15_000;
 /** Time until the VMs of a herd are started again. */
@@ -65,6 +72,8 @@
   cutGapMs: number;
   /** Share of its time for which a VM runs; 1 for all of it. */
   quotaShare: number;
+  /** Time between two requests that crash replicas; 0 for none. */
+  poisonGapMs: number;
 }
 
 /** Streams that broke and were taken up at other VMs. */
@@ -92,6 +101,8 @@
   readonly vms: SoakVm[] = [];
   readonly statuses: Record<string, number> = {};
   readonly faults: Record<string, number> = {};
+  /** Sound requests that were refused since a part is held. */
+  readonly heldSound: string[] = [];
   readonly streams: StreamCounts = { takenUp: 0, wentOn: 0, mixed: [] };
   readonly #options: FleetAtSizeOptions;
   readonly #place: FleetPlace;
@@ -136,6 +147,7 @@
       this.#applyFaultsUntil(until),
       this.#destroyHerdsUntil(until),
       this.#cutLinksUntil(until),
+      this.#sendPoisonUntil(until),
       this.#pauseCentralVms(),
     ]);
     quota.end();
@@ -224,6 +236,18 @@
     }
   }
 
+  /** Sends ever new requests with a part that crashes replicas. */
+  async #sendPoisonUntil(until: number): Promise<void> {
+    const { poisonGapMs } = this.#options;
+    if (poisonGapMs === 0) return;
+    await sleep(POISON_AFTER_MS);
+    while (performance.now() < until) {
+      const vm = this.#random.pick(this.vms)!;
+      void this.#send(vm, "/restream/x", {}, POISON_PART);
+      await sleep(poisonGapMs);
+    }
+  }
+
   /** Sends a request, and takes a stream up at another VM if it breaks. */
   async #sendWithTry(
     vm: SoakVm,
@@ -256,6 +280,7 @@
     vm: SoakVm,
     path: string,
     headers: Record<string, string> = {},
+    part?: string,
   ): Promise<TestAnswer & { requestId: string }> {
     this.#sent += 1;
     const requestId = `${vm.name}~${this.#sent}`;
@@ -268,12 +293,26 @@
         authorization: `Bearer ${PERMANENT_KEY}`,
         "x-request-id": requestId,
         "x-timeout-ms": String(CALL_TIMEOUT_MS),
+        ...this.#buildPrompt(path, { own: requestId, second: part }),
         ...headers,
       },
     });
+    if (part === undefined && isHeldByPart(answer)) {
+      this.heldSound.push(`${requestId}: ${answer.body}`);
+    }
     return { ...answer, requestId };
   }
 
+  /** Calls have no prompts. */
+  #buildPrompt(
+    path: string,
+    parts: { own: string; second: string | undefined },
+  ): Record<string, string> {
+    return path.includes("stream")
+      ? buildPromptHeaders(this.#random, parts)
+      : {};
+  }
+
   async #applyFaultsUntil(until: number): Promise<void> {
     const { faultGapMs } = this.#options;
     if (faultGapMs === 0) return;
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -9,6 +9,8 @@
 import { runAtSize } from "./run_at_size.ts";
 
 const MS_PER_MINUTE = 60_000;
+/** Requests with a part that crashes replicas that may still reach them. */
+const MAX_LATE_POISON = 3;
 
 const options = await yargs(hideBin(process.argv))
   .option("seed", { type: "number", default: 1 })
@@ -42,6 +44,11 @@
     default: 0,
     describe: "Time between two cuts of all links of some VMs; 0 for none",
   })
+  .option("poison-gap-ms", {
+    type: "number",
+    default: 0,
+    describe: "Time between two requests that crash replicas; 0 for none",
+  })
   .option("quota-share", {
     type: "number",
     default: 1,
@@ -70,7 +77,17 @@
 const { takenUp, wentOn, mixed } = report.streams;
 process.stdout.write(`${takenUp} streams taken up, ${wentOn} went on\n`);
 for (const each of mixed) process.stdout.write(`BROKEN mixed ${each}\n`);
-const count = broken.length + report.lateVms.length + report.badCuts.length +
+const { poison } = report;
+process.stdout.write(
+  `${poison.arrivals} requests with a bad part, ${poison.crashes} crashes\n`,
+);
+const badParts = [
+  ...poison.late.slice(MAX_LATE_POISON),
+  ...poison.heldSound,
+];
+for (const each of badParts) process.stdout.write(`BROKEN part ${each}\n`);
+const count = badParts.length + broken.length + report.lateVms.length +
+  report.badCuts.length +
   mixed.length;
 if (count > 0) process.exitCode = 1;
 process.exit();
--- a/test/soak/at_size/observer.ts
+++ b/test/soak/at_size/observer.ts
@@ -11,6 +11,7 @@
 import { StoreStandIn } from "../../platform/store_stand_in.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
+import { hasPoisonPart } from "../prompt_parts.ts";
 import { getReplicaVersion, startBreaking } from "./versioned_replica.ts";
 
 const SLOTS = 16;
@@ -24,6 +25,7 @@
 const MIN_DRAINING_MS = 4_000;
 const MAX_DRAINING_MS = 8_000;
 const LATENESS_INTERVAL_MS = 20;
+const ENTRY_EXPIRY_MS = 2_000;
 
 /** How a replica leaves: announced in its entry, or by the entry's removal. */
 export type LeavingKind = "draining" | "removed";
@@ -46,8 +48,18 @@
   at: number;
 }
 
+/** A request with a part that crashes replicas. */
+export interface PoisonArrival {
+  /** Time of day. */
+  at: number;
+  requestId: string;
+}
+
 /** What the observer saw. */
 export interface ObserverReport {
+  poison: PoisonArrival[];
+  /** Times of day of the crashes that they caused. */
+  crashes: number[];
   leaves: Leaving[];
   arrivals: number;
   afterLeaving: ArrivalAfterLeaving[];
@@ -76,6 +88,7 @@
   readonly #gone: ReplicaStandIn[] = [];
   readonly #afterLeaving: ArrivalAfterLeaving[] = [];
   readonly #leaves: Leaving[] = [];
+  readonly #crashes: number[] = [];
   #changes = 0;
   #started = 0;
   #maxLateMs = 0;
@@ -121,6 +134,8 @@
   buildReport(): ObserverReport {
     const all = [...this.#serving, ...this.#gone];
     return {
+      poison: all.flatMap(listPoison),
+      crashes: this.#crashes,
       leaves: this.#leaves,
       arrivals: all.reduce((sum, { seen }) => sum + seen.length, 0),
       afterLeaving: this.#afterLeaving,
@@ -134,6 +149,8 @@
     this.#started += 1;
     const standIn = ReplicaStandIn.create(`i-${this.#started}`);
     startBreaking(standIn);
+    standIn.isPoison = ({ headers }) => hasPoisonPart(headers);
+    standIn.onCrash = () => void this.#replaceCrashed(standIn);
     await standIn.start();
     this.#serving.push(standIn);
     return standIn;
@@ -158,6 +175,18 @@
     await standIn.stop();
   }
 
+  /** Its entry expires, and another replica starts in its place. */
+  async #replaceCrashed(standIn: ReplicaStandIn): Promise<void> {
+    this.#crashes.push(performance.timeOrigin + performance.now());
+    const index = this.#serving.indexOf(standIn);
+    if (index === -1) return;
+    this.#serving.splice(index, 1);
+    this.#gone.push(standIn);
+    await sleep(ENTRY_EXPIRY_MS);
+    this.#remove(standIn);
+    this.#list(await this.#startReplica(), { state: "ready" });
+  }
+
   #pickServingMs(kind: LeavingKind): number {
     if (kind === "removed") return SERVES_AFTER_REMOVAL_MS;
     return MIN_DRAINING_MS +
@@ -222,3 +251,14 @@
     }
   }
 }
+
+function listPoison({ seen, seenAt }: ReplicaStandIn): PoisonArrival[] {
+  return seen.flatMap(({ headers }, index) =>
+    hasPoisonPart(headers)
+      ? [{
+        at: performance.timeOrigin + seenAt[index]!,
+        requestId: headers["x-request-id"] ?? "",
+      }]
+      : []
+  );
+}
--- a/test/soak/soak_callers.ts
+++ b/test/soak/soak_callers.ts
@@ -7,6 +7,7 @@
 import type { SeededRandom } from "../../src/process/random.ts";
 import { sendCall, type TestAnswer } from "../platform/test_call.ts";
 import { HOST } from "../platform/configurations.ts";
+import { buildPromptHeaders, POISON_PART } from "./prompt_parts.ts";
 import { PERMANENT_KEY, type SoakFleet } from "./soak_fleet.ts";
 import type { SoakVm } from "./soak_vm.ts";
 
@@ -30,13 +31,7 @@
 
 /** The body of the request that crashes every replica that starts it. */
 export const POISON_BODY = "poison";
-/** The part of prompts that crashes every replica that starts a request with it. */
-export const POISON_PART = "poison-part";
 const POISON_EVERY_MS = 300;
-/** Shared parts of sound requests: first parts, and sessions beside them. */
-const FIRST_PARTS = 3;
-const SESSIONS = 30;
-const TOKENS_PER_PART = 10;
 
 /** Tries that take one stream up again. */
 const MAX_TAKE_UPS = 2;
@@ -181,7 +176,7 @@
         "x-timeout-ms": String(CALL_TIMEOUT_MS),
         // Calls have no prompts, and may wait where prompts do not.
         ...(route.isStream || part !== undefined
-          ? this.#buildPrompt(id, part)
+          ? buildPromptHeaders(this.#random, { own: id, second: part })
           : {}),
         ...(takesUp && {
           resumes: takesUp.first,
@@ -196,17 +191,6 @@
     return { ...request, takesUp, isDisturbed, ...answer };
   }
 
-  #buildPrompt(id: string, second?: string): Record<string, string> {
-    const first = `first-${this.#random.nextInt(FIRST_PARTS)}`;
-    const session = `session-${this.#random.nextInt(SESSIONS)}`;
-    const parts = [first, second ?? session, id]
-      .map((part) => `${part}:${TOKENS_PER_PART}`);
-    return {
-      "x-token-count": `${parts.length * TOKENS_PER_PART},${TOKENS_PER_PART}`,
-      "x-prompt-prefix": parts.join(),
-    };
-  }
-
   #pickKey(): string {
     const isChanging = this.#random.nextInt(CHANGING_KEY_ONE_IN) === 0;
     return isChanging
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -15,7 +15,8 @@
 import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
-import { POISON_BODY, POISON_PART } from "./soak_callers.ts";
+import { hasPoisonPart } from "./prompt_parts.ts";
+import { POISON_BODY } from "./soak_callers.ts";
 import { SoakBackOffs } from "./soak_back_offs.ts";
 import { LinkControl } from "./link_control.ts";
 import { SoakBrittleness } from "./soak_brittleness.ts";
@@ -294,7 +295,7 @@
     const relay = await Relay.create(await standIn.start());
     standIn.isPoison = ({ body, headers }) =>
       new TextDecoder().decode(body) === POISON_BODY ||
-      (headers["x-prompt-prefix"] ?? "").includes(`,${POISON_PART}:`);
+      hasPoisonPart(headers);
     standIn.onCrash = () => this.#restarts.push(this.#replaceReplica(index));
     this.replicas[index] = { standIn, relay };
     this.#listReplica(index, "ready");
--- a/test/soak/soak_oracle.ts
+++ b/test/soak/soak_oracle.ts
@@ -18,6 +18,7 @@
   type LeavingNotice,
   type ListedLeaving,
 } from "./soak_leaving.ts";
+import { isHeldByPart } from "./prompt_parts.ts";
 import { type AnnouncedLimit, findExcess } from "./soak_limits.ts";
 
 /** Statuses that mean that the request has not run and never will. */
@@ -205,9 +206,8 @@
 
 /** Checks that sound requests are not refused because of a part. */
 function checkHeldParts({ requests }: SoakRecord): Violation[] {
-  return requests.filter(({ poison, body }) =>
-    poison === undefined && body.includes('"code":"quarantined"') &&
-    body.includes(" of its prompt crashes replicas")
+  return requests.filter((request) =>
+    request.poison === undefined && isHeldByPart(request)
   ).slice(0, 1).map((request) =>
     buildViolation(
       "sound requests are not held by their parts",
