Split the quarantine by job, and bound what is gossiped of a held part

A hold is told by its last eight successive crashes at most: twelve held parts with 24 crashes each were some 29 KB a second, now under 10 (worked out). The test of a dozen crashes reads the status page.

--- a/src/process/quarantine/part_ledger.ts
+++ b/src/process/quarantine/part_ledger.ts
@@ -26,6 +26,8 @@
 const ANSWER_RESOLUTION_MS = 1_000;
 /** Crashes of the last time. */
 const MAX_CRASHES = 200;
+/** Crashes of one part that other VMs are told of, enough to hold it. */
+const MAX_TOLD_CRASHES = 8;
 /** How long evidence lasts against a part that is not held. */
 const EVIDENCE_TTL_MS = 10 * MS_PER_MINUTE;
 /**
@@ -175,7 +177,8 @@
     const now = this.#clock.now();
     return holds.flatMap(({ part, company, crashes }) => {
       const { pool } = this.#evidence.get(part)!;
-      return crashes.map((crash): CrashReport => [
+      const told = listSuccessive(crashes).slice(-MAX_TOLD_CRASHES);
+      return told.map((crash): CrashReport => [
         crash.replica,
         Math.round(now - crash.at),
         Math.round(now - crash.sentAt),
--- a/src/process/quarantine/part_quarantine.ts
+++ b/src/process/quarantine/part_quarantine.ts
@@ -11,17 +11,8 @@
 import { OBJECTION_MS } from "./culprits.ts";
 import { type PartHold, PartLedger } from "./part_ledger.ts";
 import type { CrashNews, CrashReport, PartAnswer } from "./suspect_entry.ts";
+import { TOLD_CRASHES, ToldAnswers } from "./told_answers.ts";
 
-/** Crashes at which other VMs are told whether a part was answered lately. */
-const TOLD_CRASHES = 2;
-/**
- * Several VMs know of an answer; within this time, one of them tells the others.
- */
-const MAX_TELL_DELAY_MS = 50;
-/** A difference in age of an answer that makes none to a decision. */
-const ANSWER_TOLERANCE_MS = 5_000;
-/** Parts of which it is remembered what other VMs know. */
-const MAX_TOLD = 4_000;
 /** Reports of one crash arrive one after the other, and are judged together. */
 const UPDATE_DELAY_MS = 10;
 
@@ -58,12 +49,16 @@
   #refusedInAll = 0;
   /** From whom the evidence is that an update is due for. */
   #updateFrom: string | undefined;
-  /** When answers began that all VMs know of. */
-  readonly #told = new Map<PartKey, number>();
+  readonly #told: ToldAnswers;
 
   constructor(options: PartQuarantineOptions) {
     this.#options = options;
     this.#ledger = PartLedger.create(options.clock);
+    this.#told = ToldAnswers.create({
+      ...options,
+      ledger: this.#ledger,
+      announce: (answers) => options.announce({ answers }),
+    });
   }
 
   static create(options: PartQuarantineOptions): PartQuarantine {
@@ -113,7 +108,7 @@
     const crashes = this.#ledger.countCrashes(part);
     this.#ledger.noteAnswered(part, this.#options.clock.now());
     this.#noteCleared(part, crashes, "operator");
-    this.#announceAnswers([part]);
+    this.#told.announce([part]);
     return true;
   }
 
@@ -160,7 +155,7 @@
       // One crash holds nothing, and most parts are answered soon after it.
       return crashes >= TOLD_CRASHES || held.has(part);
     });
-    if (cleared.length > 0) this.#announceAnswers(cleared);
+    if (cleared.length > 0) this.#told.announce(cleared);
   }
 
   /** Merges what another VM told; returns newer answers, for that VM. */
@@ -171,7 +166,7 @@
     const now = this.#options.clock.now();
     for (const [part, ageMs] of answers) {
       const crashes = this.#ledger.countCrashes(part);
-      this.#noteTold(part, now - ageMs);
+      this.#told.noteTold(part, now - ageMs);
       if (!this.#ledger.noteAnswered(part, now - ageMs)) continue;
       this.#noteCleared(part, crashes, from);
     }
@@ -182,7 +177,7 @@
     }
     this.#noteMerged([...parts], from);
     const known = reports.flatMap(([, , , , each]) => each);
-    return this.#listNewer(known, answers);
+    return this.#told.listNewer(new Set(known), answers);
   }
 
   /** Evidence by which another VM holds what this one holds. */
@@ -200,40 +195,12 @@
   #noteMerged(parts: readonly PartKey[], from: string): void {
     if (parts.length === 0) return;
     this.#updateSoon(from);
-    const { clock, random } = this.#options;
-    const repeated = parts.filter((part) =>
-      this.#ledger.countCrashes(part) >= TOLD_CRASHES && this.#isUntold(part)
+    this.#told.announceUntold(parts);
+    if (parts.every((part) => this.#ledger.countCrashes(part) < 2)) return;
+    this.#options.clock.startTimer(
+      OBJECTION_MS + 1,
+      () => this.#updateSoon(from),
     );
-    if (parts.some((part) => this.#ledger.countCrashes(part) > 1)) {
-      clock.startTimer(OBJECTION_MS + 1, () => this.#updateSoon(from));
-    }
-    if (repeated.length === 0) return;
-    clock.startTimer(random.next() * MAX_TELL_DELAY_MS, () => {
-      const untold = repeated.filter((part) => this.#isUntold(part));
-      if (untold.length > 0) this.#announceAnswers(untold);
-    });
-  }
-
-  /** Whether this VM knows of a much later answer than the others. */
-  #isUntold(part: PartKey): boolean {
-    return this.#ledger.getAnsweredAt(part) >
-      (this.#told.get(part) ?? -Infinity) + ANSWER_TOLERANCE_MS;
-  }
-
-  #noteTold(part: PartKey, answeredAt: number): void {
-    const known = this.#told.get(part) ?? -Infinity;
-    this.#told.delete(part);
-    this.#told.set(part, Math.max(known, answeredAt));
-    if (this.#told.size <= MAX_TOLD) return;
-    const [oldest] = this.#told.keys();
-    this.#told.delete(oldest!);
-  }
-
-  #announceAnswers(parts: readonly PartKey[]): void {
-    const answers = this.#ledger.buildAnswers(parts);
-    const now = this.#options.clock.now();
-    answers.forEach(([part, ageMs]) => this.#noteTold(part, now - ageMs));
-    this.#options.announce({ answers });
   }
 
   /** Messages may have been lost by which the others would hold it too. */
@@ -245,19 +212,6 @@
     });
   }
 
-  /** Answers that began later than those that the sender told. */
-  #listNewer(
-    parts: readonly PartKey[],
-    told: readonly PartAnswer[],
-  ): PartAnswer[] {
-    const ages = new Map(told);
-    return this.#ledger.buildAnswers(new Set(parts)).filter(([part, ageMs]) => {
-      const toldMs = ages.get(part) ?? Infinity;
-      return ageMs < toldMs - ANSWER_TOLERANCE_MS &&
-        this.#ledger.countCrashes(part) === 0;
-    });
-  }
-
   #noteCleared(part: PartKey, crashes: number, from: string): void {
     const level = crashes >= TOLD_CRASHES ? "info" : "debug";
     this.#options.log.write(level, "part_cleared", { part, crashes, from });
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -8,8 +8,6 @@
   type Incarnation,
   type PoolName,
   type RequestFingerprint,
-  toId,
-  type VmId,
 } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import {
@@ -20,6 +18,7 @@
 } from "../crash_quarantine.ts";
 import type { Log } from "../log.ts";
 import type { Random } from "../random.ts";
+import { CrashChecks, type CrashChecksOptions } from "./crash_checks.ts";
 import { HOLD_AFTER_CRASHES } from "./crash_evidence.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 import { PartQuarantine } from "./part_quarantine.ts";
@@ -41,25 +40,15 @@
  */
 const ANSWER_TRUST_MS = 10_000;
 
-/** How long the result of a check is reused. */
-const CHECK_TTL_MS = 50;
-/** A replica takes longer than this to restart. */
-const MIN_RESTART_MS = 1_000;
-
 const EMPTY_NEWS = { reports: [], answers: [] };
 
 /** Options of `RequestQuarantine`. */
-export interface RequestQuarantineOptions {
+export interface RequestQuarantineOptions extends CrashChecksOptions {
   clock: Clock;
   log: Log;
   random: Random;
   /** Replicas of a pool that take new work. */
   countReplicas: (pool: PoolName) => number;
-  /**
-   * Whether a replica whose connection was lost has crashed: a live one resets
-   * connections too, when it has too many or fails part of its requests.
-   */
-  hasCrashed: (replica: VmId) => Promise<boolean>;
   /** Sends the evidence to the other VMs. */
   announce: (news: CrashNews) => void;
 }
@@ -78,7 +67,7 @@
   readonly #ledger: CrashLedger;
   /** When requests were answered completely, recent ones only, oldest first. */
   readonly #answers = new Map<RequestFingerprint, number>();
-  readonly #checks = new Map<Incarnation, Promise<boolean>>();
+  readonly #checks: CrashChecks;
   readonly #parts: PartQuarantine;
   readonly #unsent = new Set<RequestFingerprint>();
   #unsentParts: Pick<CrashNews, "reports" | "answers"> = EMPTY_NEWS;
@@ -89,6 +78,7 @@
     super();
     this.#options = options;
     this.#ledger = CrashLedger.create(options.clock);
+    this.#checks = CrashChecks.create(options);
     this.#parts = PartQuarantine.create({
       ...options,
       announce: ({ reports = [], answers = [] }) => {
@@ -147,8 +137,8 @@
     { id, incarnation, hadOutput, sentAt }: DisconnectedReplica,
   ): Promise<void> {
     const at = this.#options.clock.now();
-    const replica = incarnation ?? this.#buildIncarnation(id);
-    if (!await this.#checkCrash(id, replica)) return;
+    const replica = incarnation ?? this.#checks.buildIncarnation(id);
+    if (!await this.#checks.check(id, replica)) return;
     this.#parts.noteCrash(keys, { replica, at, sentAt });
     this.#noteCrash(keys.fingerprint, replica, hadOutput);
   }
@@ -247,26 +237,6 @@
     return this.#ledger.listSuspects().length;
   }
 
-  /** One check counts for all requests that were cut off at once. */
-  #checkCrash(id: VmId, replica: Incarnation): Promise<boolean> {
-    const { clock, hasCrashed } = this.#options;
-    const known = this.#checks.get(replica);
-    if (known !== undefined) return known;
-    const check = hasCrashed(id);
-    this.#checks.set(replica, check);
-    clock.startTimer(CHECK_TTL_MS, () => this.#checks.delete(replica));
-    return check;
-  }
-
-  /**
-   * Incarnation of a replica that reports none: if it crashes again, it has
-   * restarted in between.
-   */
-  #buildIncarnation(id: VmId): Incarnation {
-    const generation = Math.floor(this.#options.clock.now() / MIN_RESTART_MS);
-    return toId<Incarnation>(`${id}@${generation}`);
-  }
-
   #announceRequest(fingerprint: RequestFingerprint): void {
     this.#unsent.add(fingerprint);
     this.#announceSoon();
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -11,13 +11,7 @@
   type HttpTransportOptions,
   HttpUpstreamTransport,
 } from "../connection/http_transport.ts";
-import {
-  type Incarnation,
-  type PartKey,
-  type Region,
-  toId,
-  type VmId,
-} from "../ids.ts";
+import { type Incarnation, type Region, toId, type VmId } from "../ids.ts";
 import {
   CallerHandler,
   type CallerRequest,
@@ -198,11 +192,6 @@
     return this.#draining !== undefined;
   }
 
-  /** Parts of prompts that this VM sends to no replica. */
-  listHeldParts(): PartKey[] {
-    return this.#quarantine.parts.listHolds().map(({ part }) => part);
-  }
-
   /**
    * Addresses to which callers may connect now, including this VM's own if it
    * serves. The order is random: an answer to a caller has space for some of
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -11,23 +11,19 @@
 import type {
   DataCentre,
   Incarnation,
-  PartKey,
   PoolName,
   Region,
-  RequestFingerprint,
   SoftwareVersion,
   VmId,
   WorkspaceName,
 } from "../../ids.ts";
 import { toError } from "../../errors.ts";
 import { ORIGIN, ORIGIN_ANSWER, ORIGIN_QUERY } from "./origin_message.ts";
+import { NEWS_QUERY, SUSPECTS } from "./suspect_schema.ts";
 
 const TEXT = z.string();
 const COUNT = z.number();
 const VM = TEXT.transform((text) => text as VmId);
-const POOL = TEXT.transform((text) => text as PoolName);
-const FINGERPRINT = TEXT.transform((text) => text as RequestFingerprint);
-const PART = TEXT.transform((text) => text as PartKey);
 const INCARNATION = TEXT.transform((text) => text as Incarnation);
 
 /** Work of a VM. Loads are sent with each report, the other entries once. */
@@ -124,46 +120,6 @@
   vms: z.array(z.tuple([VM, COUNT])),
 });
 
-const SUSPECTS = z.object({
-  kind: z.literal("suspects"),
-  /**
-   * Requests under which replicas crashed: age of each crash, whether there was
-   * any output before, and time since the request was answered completely.
-   */
-  entries: z.array(z.tuple([
-    FINGERPRINT,
-    z.array(z.tuple([
-      INCARNATION,
-      COUNT,
-      z.boolean(),
-    ])),
-    COUNT,
-  ])),
-  /**
-   * Requests that crashes cut off: age of the crash, time since the request was
-   * sent, pool, shared parts of its prompt, its fingerprint and the number of
-   * replicas. Undefined from older versions.
-   */
-  reports: z.array(
-    z.tuple([
-      INCARNATION,
-      COUNT,
-      COUNT,
-      POOL,
-      z.array(PART),
-      FINGERPRINT,
-      COUNT,
-    ]),
-  ).optional(),
-  /** Time since the last answer to each part began. */
-  answers: z.array(z.tuple([PART, COUNT])).optional(),
-  /** Whether it answers a query, which it may do with nothing to tell. */
-  isAnswer: z.boolean().optional(),
-});
-
-/** Asks for evidence about crashes; sent by a VM that may have missed some. */
-const NEWS_QUERY = z.object({ kind: z.literal("news_query") });
-
 /** Times in milliseconds from when the placement request was sent. */
 const WAITING = z.object({
   priority: COUNT,
@@ -269,8 +225,6 @@
 export type AliveMessage = z.infer<typeof ALIVE>;
 /** Live peers of the sender, for a VM that it has just discovered. */
 export type MembersMessage = z.infer<typeof MEMBERS>;
-/** Evidence about crashes. */
-export type SuspectsMessage = z.infer<typeof SUSPECTS>;
 /** Work of a VM. */
 export type WorkReport = z.infer<typeof WORK>;
 /** Request for a replica, sent to a pool owner. */
--- a/src/process/seeded_fleet/suspect_messages.ts
+++ b/src/process/seeded_fleet/suspect_messages.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { CrashNews } from "../quarantine/suspect_entry.ts";
-import type { SuspectsMessage } from "./fleet_message.ts";
+import type { SuspectsMessage } from "./suspect_schema.ts";
 
 /** Characters of a message that fits into one frame, nearly. */
 const MAX_CHARACTERS = 1_100;
--- a/test/platform/poison_part_test.ts
+++ b/test/platform/poison_part_test.ts
@@ -215,6 +215,11 @@
     end(),
   ]);
   await sleep(1_000);
-  const held = storm.fleet.vms.flatMap(({ vm }) => vm.listHeldParts());
-  expect(held).toEqual([]);
+  for (const { settings } of storm.fleet.vms) {
+    const status = await sendCall(settings.listeners.state, {
+      method: "GET",
+      path: "/v1/status",
+    });
+    expect(JSON.parse(status.body).quarantined_parts).toEqual([]);
+  }
 });
