--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -196,10 +196,12 @@
 
   /** Bytes that have not arrived yet must not run the request later. */
   #destroyRequest(cause?: Error): void {
-    const socket = this.#request?.socket;
+    const request = this.#request;
+    // The connection of a request that is over may serve another one by now.
+    if (request === undefined || request.destroyed) return;
     const canReset = this.#options.tls === undefined;
-    if (socket != null && canReset) setResetOnDestroy(socket);
-    this.#request?.destroy(cause);
+    if (request.socket != null && canReset) setResetOnDestroy(request.socket);
+    request.destroy(cause);
   }
 
   #end(): void {
