Let a replica stand-in crash once, whatever crashes it

Traced: both kinds of poison requests reached one replica within 15 ms, its crash was announced twice, it was replaced twice, and the runs of the crashed stand-in were counted twice; the soak then did not exit, since one of the two replacements was never stopped.

--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -159,6 +159,8 @@
     if (this.isPoison(call)) {
       await this.#sendBeforeCrash(call, response);
       await sleep(CRASH_AFTER_MS);
+      // Another such request may have crashed it meanwhile.
+      if (this.#hasCrashed) return;
       this.#hasCrashed = true;
       this.onCrash();
       await this.stop();
