Let stand-ins that crash end streams without a length within an event

Nobody can tell that from a whole answer; the stand-in avoids it where it cuts a stream, and did not where it crashes. The check is as it was.

--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -102,6 +102,8 @@
   /** Connections that have carried an answer. */
   readonly #answered = new Set<unknown>();
   #hasCrashed = false;
+  /** Connections of streams without a length that are not over. */
+  readonly #unframed = new Set<Socket>();
 
   constructor(id: string) {
     super();
@@ -162,6 +164,8 @@
       // Another such request may have crashed it meanwhile.
       if (this.#hasCrashed) return;
       this.#hasCrashed = true;
+      // A stream without a length that ends between two events looks complete.
+      for (const socket of this.#unframed) socket.write("id");
       this.onCrash();
       await this.stop();
       return;
@@ -268,12 +272,14 @@
       ? text.length
       : hash.readUInt16BE(1) % Math.max(1, text.length);
     let sent = 0;
+    this.#unframed.add(socket);
     for (const event of events) {
       socket.write(event.slice(0, Math.max(0, cutAt - sent)));
       sent += event.length;
       if (sent >= cutAt) break;
       await sleep(this.eventGapMs);
     }
+    this.#unframed.delete(socket);
     // An end between two events, or before the first, would look like the last.
     const isWhole = cutAt === text.length;
     const isBetween = events.some((_, index) =>
