Keep a request held that crashes replicas beside a held part

Cause, by reading and by a test that fails before: crashes of a held part counted no more against any fingerprint, so the poison request that had been at the same replicas was released with the hold and had to crash three more. They are left out now only where all of a request's crashes are those of a held part.

--- a/src/process/quarantine/crash_evidence.ts
+++ b/src/process/quarantine/crash_evidence.ts
@@ -58,7 +58,10 @@
     this.#explained = explained;
   }
 
-  /** Crashes of the `explained` replicas are no evidence. */
+  /**
+   * Crashes of the `explained` replicas are no evidence, unless the request was
+   * in others too.
+   */
   static create(
     explained: ReadonlySet<Incarnation> = new Set(),
   ): CrashEvidence {
@@ -145,11 +148,11 @@
   }
 
   #listCrashes(): Crash[] {
-    return [...this.#crashes]
-      .filter(([replica, { at }]) =>
-        at > this.#answeredAt && !this.#explained.has(replica)
-      )
-      .map(([, crash]) => crash);
+    const crashes = [...this.#crashes]
+      .filter(([, { at }]) => at > this.#answeredAt);
+    const isExplained = crashes
+      .every(([replica]) => this.#explained.has(replica));
+    return isExplained ? [] : crashes.map(([, crash]) => crash);
   }
 
   #getLastCrashAt(): number {
--- a/test/process/quarantine/part_quarantine_test.ts
+++ b/test/process/quarantine/part_quarantine_test.ts
@@ -162,6 +162,34 @@
     for (let vm = 0; vm < 4; vm++) expect(listHeldAt(fleet, vm)).toEqual([]);
   });
 
+  // Guards against a request that crashes replicas beside a part that does: what
+  // the part explains must not release the request for good.
+  it("leaves a request held that also crashes replicas by itself", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    const poison = toPartKeys(-1, ["shared"]);
+    for (let crash = 0; crash < 6; crash++) {
+      const sentAt = fleet.clock.now();
+      await fleet.clock.run(200);
+      const id = toId<VmId>(`i-${crash}`);
+      const replica = { id, incarnation: toId<Incarnation>(id), sentAt };
+      // Both are at the first replicas, and the request alone at the last one.
+      const cutOff = crash < 5
+        ? [poison, toPartKeys(crash, [`${crash}`, "bad"])]
+        : [poison];
+      for (const keys of cutOff) {
+        void fleet.getQuarantine(crash % 4)
+          .noteConnectionLoss(keys, { ...replica, hadOutput: true });
+      }
+      await fleet.clock.run(30);
+    }
+    await fleet.clock.run(200);
+    for (let vm = 0; vm < 4; vm++) {
+      const { fingerprint } = poison;
+      expect(fleet.getQuarantine(vm).getQuarantineMs(fingerprint))
+        .toBeGreaterThan(0);
+    }
+  });
+
   it("holds those together that always came together", async () => {
     const fleet = QuarantineFleet.create({ vms: 4 });
     await endUnder(fleet, Array.from({ length: 5 }, () => ["a", "bad"]));
