--- a/review/stand_ins/case.js
+++ b/review/stand_ins/case.js
@@ -11,6 +11,8 @@
 import { Fleet } from "./fleet.js";
 import { Replica } from "./replica.js";
 
+const FIRST_VERSION = 7;
+const DEFAULT_VMS = 4;
 const LIMIT_MS = 110_000;
 /** Time without a start, after which all machines are in touch. */
 const STABLE_WINDOW_MS = 3_000;
@@ -44,7 +46,10 @@
  * Runs a case in `folder`. `runTraffic` resolves to the ways in which the rule
  * was broken; it gets the deployment and whether the disruption is to occur.
  */
-export async function runCase(folder, { createReplica, runTraffic }) {
+export async function runCase(
+  folder,
+  { createReplica, runTraffic, vms = DEFAULT_VMS, configuration },
+) {
   const record = new Record();
   const hasTrouble = process.env.TROUBLE !== "0";
   record.add("case", { hasTrouble });
@@ -66,9 +71,16 @@
     process.on(signal, () => void end(NOT_RUN));
   }
   try {
-    fleet = await Fleet.create();
+    fleet = await Fleet.create({ vms });
     const runs = new Map();
-    await startReplicas({ fleet, replicas, runs, record, createReplica });
+    await startReplicas({
+      fleet,
+      replicas,
+      runs,
+      record,
+      createReplica,
+      configuration,
+    });
     await fleet.start();
     await sleep(STABLE_WINDOW_MS);
     record.add("in_touch", { vms: fleet.vms.map(({ name }) => name) });
@@ -87,10 +99,17 @@
 }
 
 async function startReplicas(
-  { fleet, replicas, runs, record, createReplica = Replica.create },
+  {
+    fleet,
+    replicas,
+    runs,
+    record,
+    createReplica = Replica.create,
+    configuration = buildConfiguration(FIRST_VERSION),
+  },
 ) {
-  fleet.store.put("op/config", buildConfiguration(7));
-  record.add("configuration", { version: 7 });
+  fleet.store.put("op/config", configuration);
+  record.add("configuration", { version: configuration.version });
   let number = 0;
   for (const { service, count, slots } of SERVICES) {
     for (let each = 0; each < count; each++) {
--- a/review/stand_ins/configuration.js
+++ b/review/stand_ins/configuration.js
@@ -60,16 +60,27 @@
   },
 ];
 
-/** Builds the configuration `version`. */
-export function buildConfiguration(version, { timeoutMs } = {}) {
+/** A key of the same tenant, which a later version takes away. */
+export const SECOND_KEY = "wsjnbanfqasnmgkcuyj8";
+
+/**
+ * Builds the configuration `version`, with `added` routes beside those of the
+ * sheet, and the keys of the tenant.
+ */
+export function buildConfiguration(
+  version,
+  { added = 0, keys = [KEY, SECOND_KEY] } = {},
+) {
   return {
     version,
-    routes: ROUTES.map((route) => ({
-      host: HOST,
-      public: false,
-      ...route,
-      "timeout-ms": timeoutMs ?? route["timeout-ms"],
-    })),
+    routes: [
+      ...ROUTES,
+      ...Array.from({ length: added }, (_each, number) => ({
+        ...ROUTES.at(-1),
+        name: `r-added-${number}`,
+        prefix: `/added-${number}/`,
+      })),
+    ].map((route) => ({ host: HOST, public: false, ...route })),
     services: [
       {
         name: "motor-llano",
@@ -98,7 +109,7 @@
       "header-timeout-ms": 3_000,
       "idle-timeout-ms": 15_000,
     },
-    tenants: [{ name: TENANT, "api-keys": [KEY], priority: 1 }],
+    tenants: [{ name: TENANT, "api-keys": keys, priority: 1 }],
   };
 }
 
--- a/review/stand_ins/fleet.js
+++ b/review/stand_ins/fleet.js
@@ -18,6 +18,7 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const START_LIMIT_MS = 20_000;
 const ZONES = ["sala-ciudad-vieja", "sala-pocitos", "sala-cerro"];
+const WATCH_PATH = "/api/kv-watch";
 /** Addresses and ports are drawn anew until all are free. */
 const MAX_DRAWS = 50;
 
@@ -34,8 +35,12 @@
   static async create({ vms = 4 } = {}) {
     const fleet = new Fleet();
     await fleet.#chooseAddresses(vms);
-    await fleet.store.start(fleet.address, fleet.takePort());
     fleet.vms = Array.from({ length: vms }, (_each, at) => fleet.#buildVm(at));
+    for (const vm of fleet.vms) {
+      await fleet.store.start(fleet.address, vm.storePort, (path) => {
+        if (path === WATCH_PATH) vm.watchedAt = performance.now();
+      });
+    }
     return fleet;
   }
 
@@ -99,6 +104,7 @@
     const ip = this.#buildAddress(at);
     const { front, ready, control, directory, internal } = this.#ports;
     const name = `front-${at + 1}`;
+    const storePort = this.takePort();
     return {
       name,
       ip,
@@ -108,6 +114,9 @@
       settingsFile: join(this.#directory, `${name}.json`),
       logFile: join(this.#directory, `${name}.log`),
       ended: undefined,
+      storePort,
+      /** When it last called a watch of the store. */
+      watchedAt: -Infinity,
       fields: {
         "node-name": name,
         zone: ZONES[at % ZONES.length],
@@ -123,7 +132,7 @@
           control: `${ip}:${control}`,
           directory: `${ip}:${directory}`,
         },
-        platform: { address: `${this.address}:${this.#ports.store}` },
+        platform: { address: `${this.address}:${storePort}` },
         "heartbeat-ms": 1_200,
         limits: { cores: 1, "cpu-share": 0.675 },
         bounds: {
@@ -150,7 +159,6 @@
         control: base + 2,
         directory: base + 3,
         internal: base + 10,
-        store: base + 40,
       };
       this.#nextPort = base + 40;
       const places = Array.from({ length: vms }, (_each, at) => at)
--- a/review/stand_ins/store.js
+++ b/review/stand_ins/store.js
@@ -8,30 +8,44 @@
 import { Buffer } from "node:buffer";
 
 const PAGE_ITEMS = 500;
+/** `history-s` of the settings. */
+const HISTORY_MS = 20_000;
 
 /** The store. The operator and the replicas write by `put` and `remove`. */
 export class Store {
   #items = new Map();
   #history = [];
   #revision = 1;
+  /** Revision of the newest change that is no longer in the history. */
+  #forgotten = 0;
   #waiting = new Set();
-  #server = http.createServer((request, response) => {
-    this.#handleCall(new URL(request.url, "http://store"), response);
-  });
+  #servers = [];
 
   static create() {
     return new Store();
   }
 
-  start(address, port) {
+  /**
+   * Listens on a port; each VM has one of its own, so that the store can tell
+   * them apart. `onCall` gets the path of each call.
+   */
+  start(address, port, onCall = () => {}) {
+    const server = http.createServer((request, response) => {
+      const url = new URL(request.url, "http://store");
+      onCall(url.pathname);
+      this.#handleCall(url, response);
+    });
+    this.#servers.push(server);
     return new Promise((resolve) =>
-      this.#server.listen(port, address, () => resolve())
+      server.listen(port, address, () => resolve())
     );
   }
 
   stop() {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      server.close();
+    }
   }
 
   /** Writes a value and returns the revision, which is the acknowledgement. */
@@ -59,7 +73,11 @@
   }
 
   #addEvent(event) {
-    this.#history.push(event);
+    const now = performance.now();
+    this.#history.push({ event, at: now });
+    while (this.#history[0].at < now - HISTORY_MS) {
+      this.#forgotten = this.#history.shift().event.revision;
+    }
     const waiting = [...this.#waiting];
     this.#waiting.clear();
     waiting.forEach((wake) => wake());
@@ -95,8 +113,9 @@
   #answerWatch(query, response) {
     const after = Number(query.get("after"));
     const prefix = query.get("prefix");
+    if (after < this.#forgotten) return this.#answer(response, 410, {});
     const listEvents = () =>
-      this.#history.filter(({ key, revision }) =>
+      this.#history.map(({ event }) => event).filter(({ key, revision }) =>
         revision > after && key.startsWith(prefix)
       );
     const send = () => {
