--- a/review/stand_ins/case.js
+++ b/review/stand_ins/case.js
@@ -67,6 +67,10 @@
     record.write(folder);
     process.exit(status);
   };
+  process.on("uncaughtException", (error) => {
+    record.add("not_run", { why: String(error) });
+    void end(NOT_RUN);
+  });
   for (const signal of ["SIGINT", "SIGTERM"]) {
     process.on(signal, () => void end(NOT_RUN));
   }
--- a/review/stand_ins/fleet.js
+++ b/review/stand_ins/fleet.js
@@ -34,6 +34,10 @@
 
   static async create({ vms = 4 } = {}) {
     const fleet = new Fleet();
+    // Whatever ends this process, it leaves none behind.
+    process.on("exit", () => {
+      fleet.vms.forEach(({ child }) => child?.kill("SIGKILL"));
+    });
     await fleet.#chooseAddresses(vms);
     fleet.vms = Array.from({ length: vms }, (_each, at) => fleet.#buildVm(at));
     for (const vm of fleet.vms) {
@@ -96,8 +100,7 @@
       await exited;
     }
     this.store.stop();
-    if (process.env.KEEP === "1") console.log(this.#directory);
-    else rmSync(this.#directory, { recursive: true, force: true });
+    rmSync(this.#directory, { recursive: true, force: true });
   }
 
   #buildVm(at) {
