--- a/review/stand_ins/case.js
+++ b/review/stand_ins/case.js
@@ -120,7 +120,8 @@
       number += 1;
       const id = `i-${number}`;
       const onRun = (run) => {
-        runs.set(run.id, [...runs.get(run.id) ?? [], run]);
+        const at = performance.now();
+        runs.set(run.id, [...runs.get(run.id) ?? [], { ...run, at }]);
         record.add("run", {
           id: run.id,
           replica: id,
@@ -137,6 +138,7 @@
       const zone = ZONES[each % ZONES.length];
       const entry = buildEntry({ service, address, zone, slots });
       fleet.store.put(`servers/${id}`, entry);
+      fleet.entries.set(id, entry);
       record.add("replica", { id, service, address });
     }
   }
--- a/review/stand_ins/fleet.js
+++ b/review/stand_ins/fleet.js
@@ -26,6 +26,8 @@
 export class Fleet {
   store = Store.create();
   vms = [];
+  /** What replicas have written to the store, by id. */
+  entries = new Map();
   /** Loopback address of the store and the replicas. */
   address;
   #directory = mkdtempSync(join(tmpdir(), "review-"));
