--- a/review/4/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec node "$(dirname "$0")/main.js"
