Let the soak at size play a store whose watches hear nothing

The store stand-in can be deaf: watches end after their wait without a change and with the revision they asked from; then the history is dropped and all connections are cut. soak:size plays it (--deaf-gap-ms) with replicas that leave meanwhile, can leave out the pause of the central VMs (--no-central-pause), and counts the datagrams that the kernel drops for full receive buffers.

--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -39,6 +39,8 @@
   #revision = 1;
   #oldest = 1;
   #waiting: (() => void)[] = [];
+  /** Whether watches hear of no change. */
+  #isDeaf = false;
 
   static create(): StoreStandIn {
     return new StoreStandIn();
@@ -66,6 +68,18 @@
     this.#flushWaiting();
   }
 
+  /** Until `endDeafness`, watches end without a change after their wait. */
+  startDeafness(): void {
+    this.#isDeaf = true;
+  }
+
+  /** Drops the history and cuts all connections, and with them all watches. */
+  endDeafness(): void {
+    this.#isDeaf = false;
+    this.destroyConnections();
+    this.dropHistory();
+  }
+
   protected override async handleCall(
     call: StandInCall,
     response: ServerResponse,
@@ -113,6 +127,7 @@
   }
 
   #flushWaiting(): void {
+    if (this.#isDeaf) return;
     const waiting = this.#waiting;
     this.#waiting = [];
     waiting.forEach((wake) => wake());
@@ -162,7 +177,8 @@
     response: ServerResponse,
   ): Promise<void> {
     const after = Number(query.get("after"));
-    if (after + 1 >= this.#oldest && after >= this.#revision) {
+    const isNewest = after >= this.#revision;
+    if (after + 1 >= this.#oldest && (isNewest || this.#isDeaf)) {
       await this.#waitForChange(Number(query.get("wait-ms")));
     }
     if (this.mode !== "up") {
@@ -173,6 +189,11 @@
       sendJson(response, { status: 410, body: {} });
       return;
     }
+    if (this.#isDeaf) {
+      const body = { events: [], "store-revision": after };
+      sendJson(response, { status: 200, body });
+      return;
+    }
     const events = this.#history
       .filter(({ revision }) => revision > after)
       .map((change) =>
--- a/test/soak/at_size/at_size_report.ts
+++ b/test/soak/at_size/at_size_report.ts
@@ -75,6 +75,8 @@
    * of a newer one, where they wrote it, in milliseconds.
    */
   understated: { count: number; max: number };
+  /** Datagrams to VMs that found a full receive buffer. */
+  droppedDatagrams: number;
   /** Log events of all VMs by name. */
   events: Record<string, number>;
 }
@@ -105,6 +107,7 @@
     late: afterLeaving.filter(({ afterMs }) => afterMs > DRAIN_MS)
       .map((arrival) => buildLateArrival(fleet, arrival)),
     understated: computeUnderstated(fleet),
+    droppedDatagrams: fleet.droppedDatagrams,
     events: countEvents(fleet.vms),
   };
 }
--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -24,6 +24,7 @@
 } from "../link_control.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
 import { getReplicaVersion } from "./versioned_replica.ts";
+import { KernelDrops } from "./kernel_drops.ts";
 import { ProcessorQuota } from "./processor_quota.ts";
 import {
   buildPromptHeaders,
@@ -74,6 +75,8 @@
   quotaShare: number;
   /** Time between two requests that crash replicas; 0 for none. */
   poisonGapMs: number;
+  /** Whether those that watch the store and place requests are paused once. */
+  centralPause: boolean;
 }
 
 /** Streams that broke and were taken up at other VMs. */
@@ -114,6 +117,7 @@
     maxSockets: MAX_CONNECTIONS_PER_VM,
   });
   readonly #observed: ObservedRequest[] = [];
+  readonly #kernelDrops = KernelDrops.create();
   #sent = 0;
 
   constructor(options: FleetAtSizeOptions, place: FleetPlace) {
@@ -130,6 +134,11 @@
     return this.#sent;
   }
 
+  /** Datagrams to VMs that found a full receive buffer. */
+  get droppedDatagrams(): number {
+    return this.#kernelDrops.sum;
+  }
+
   /** Starts the VMs before a store and waits until all of them serve. */
   async start(storePort: number): Promise<void> {
     await this.#addVms(storePort);
@@ -142,6 +151,7 @@
     const until = performance.now() + ms;
     const quota = ProcessorQuota.create(this.vms, this.#options.quotaShare);
     const limited = quota.run();
+    this.#kernelDrops.start();
     await Promise.all([
       this.#sendUntil(until + settleMs),
       this.#applyFaultsUntil(until),
@@ -150,6 +160,7 @@
       this.#sendPoisonUntil(until),
       this.#pauseCentralVms(),
     ]);
+    this.#kernelDrops.stop();
     quota.end();
     await limited;
   }
@@ -385,6 +396,7 @@
    * once.
    */
   async #pauseCentralVms(): Promise<void> {
+    if (!this.#options.centralPause) return;
     await sleep(CENTRAL_PAUSE_AFTER_MS);
     const names = this.vms.map(({ name }) => toId<VmId>(name));
     const candidates = names.map((vm) => ({ vm, cores: 1, isPrimed: true }));
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -27,6 +27,18 @@
     default: 2_000,
     describe: "Time between two groups of leaving replicas",
   })
+  .option("deaf-gap-ms", {
+    type: "number",
+    default: 0,
+    describe:
+      "Time between two spells of watches that hear nothing; 0 for none",
+  })
+  .option("central-pause", {
+    type: "boolean",
+    default: true,
+    describe:
+      "Pause the VMs that watch the store and those that place requests",
+  })
   .option("requests-per-s", { type: "number", default: 300 })
   .option("fault-gap-ms", {
     type: "number",
@@ -68,6 +80,9 @@
   forMs: options.minutes * MS_PER_MINUTE,
 });
 process.stdout.write(`${JSON.stringify(report, undefined, 1)}\n`);
+process.stdout.write(
+  `${report.droppedDatagrams} datagrams dropped by the kernel\n`,
+);
 const broken = report.late.filter(({ isInTouch }) => isInTouch);
 process.stdout.write(
   `${report.late.length} late arrivals, ${broken.length} from VMs in touch; ` +
--- a/test/soak/at_size/observer.ts
+++ b/test/soak/at_size/observer.ts
@@ -26,6 +26,9 @@
 const MAX_DRAINING_MS = 8_000;
 const LATENESS_INTERVAL_MS = 20;
 const ENTRY_EXPIRY_MS = 2_000;
+/** The store's watches hear nothing for this long; replicas leave meanwhile. */
+const DEAF_MS = 1_000;
+const LEAVE_AFTER_DEAF_MS = 100;
 
 /** How a replica leaves: announced in its entry, or by the entry's removal. */
 export type LeavingKind = "draining" | "removed";
@@ -77,6 +80,8 @@
   /** Replicas that leave at the same time. */
   atOnce: number;
   gapMs: number;
+  /** Time between two spells in which watches hear nothing; 0 for none. */
+  deafGapMs: number;
 }
 
 /** Hosts the stand-ins and lets replicas leave. */
@@ -119,10 +124,9 @@
 
   /** Lets replicas leave until `stop`. */
   async run(): Promise<void> {
+    void this.#runDeafness();
     while (!this.#isStopped) {
-      for (let index = 0; index < this.#options.atOnce; index++) {
-        void this.#replace(index % 2 === 0 ? "draining" : "removed");
-      }
+      this.#replaceSome();
       await sleep(this.#options.gapMs);
     }
   }
@@ -145,6 +149,29 @@
     };
   }
 
+  #replaceSome(): void {
+    for (let index = 0; index < this.#options.atOnce; index++) {
+      void this.#replace(index % 2 === 0 ? "draining" : "removed");
+    }
+  }
+
+  /**
+   * Watches hear nothing while replicas leave; then the store drops its history
+   * and cuts its connections.
+   */
+  async #runDeafness(): Promise<void> {
+    const { deafGapMs } = this.#options;
+    if (deafGapMs === 0) return;
+    while (!this.#isStopped) {
+      await sleep(deafGapMs);
+      this.#store.startDeafness();
+      await sleep(LEAVE_AFTER_DEAF_MS);
+      this.#replaceSome();
+      await sleep(DEAF_MS - LEAVE_AFTER_DEAF_MS);
+      this.#store.endDeafness();
+    }
+  }
+
   async #startReplica(): Promise<ReplicaStandIn> {
     this.#started += 1;
     const standIn = ReplicaStandIn.create(`i-${this.#started}`);
--- a/test/soak/at_size/run_at_size.ts
+++ b/test/soak/at_size/run_at_size.ts
@@ -55,10 +55,16 @@
 }
 
 function buildObserverArgs(
-  { seed, replicas, atOnce, gapMs }: ObserverOptions,
+  { seed, replicas, atOnce, gapMs, deafGapMs }: ObserverOptions,
   reportFile: string,
 ): string[] {
-  const options = JSON.stringify({ seed, replicas, atOnce, gapMs });
+  const options = JSON.stringify({
+    seed,
+    replicas,
+    atOnce,
+    gapMs,
+    deafGapMs,
+  });
   return ["--import", "tsx", OBSERVER, options, reportFile];
 }
 
