Log why a VM watches the store, and leavings that it learns late; count datagrams

The record could not tell why carrasco-1 read the store, how old the senders' lists were, or what became of datagrams.

- store_watch has a reason: no_state, stale, behind or chosen.
- leaving_learnt_late (warn), one a replica, if a VM's list was not confirmed for 1.7 s, or another VM had a newer one for as long: age, lag, and when this VM last sent to that replica.
Gauge late_leavings.
- Datagrams sent, received, failed and dropped by the kernel as gauges, the last from /proc/net/udp where there is one; warnings datagrams_dropped and datagrams_failed every 5 s.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -154,6 +154,10 @@
     return Math.max(0, silentSince + MAX_SILENCE_MS - clock.now());
   }
 
+  override noteSending(): void {
+    this.#options.state.lastSends.note(this.upstream);
+  }
+
   noteProgress(progress: LeaseProgress): void {
     if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.liveness.note(this.upstream);
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -22,6 +22,7 @@
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
 import { type Random, SystemRandom } from "../random.ts";
+import { LastSends } from "./last_sends.ts";
 import { LinkChecks, type LinkChecksOptions } from "./link_checks.ts";
 import { ReplicaLinks, type ReplicaLinksOptions } from "./replica_links.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
@@ -122,6 +123,7 @@
   readonly callTimes = CallTimes.create();
   readonly shares: WorkspaceShares;
   readonly liveness: ReplicaLiveness;
+  readonly lastSends: LastSends;
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
   readonly backOffs: ReplicaBackOffs;
@@ -147,6 +149,7 @@
     this.prefixes = PrefixIndex.create(clock);
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
+    this.lastSends = LastSends.create(clock);
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
     this.backOffs = ReplicaBackOffs.create(clock, onBackOff);
@@ -263,6 +266,7 @@
     this.prefixes.dropUnlisted(isListed);
     this.prefills.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
+    this.lastSends.dropUnlisted(isListed);
     this.links.dropUnlisted(isListed);
   }
 
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -35,6 +35,7 @@
 import { createRoutedPriming } from "./routed_priming.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 import {
+  DatagramCounts,
   type DatagramLink,
   FleetHeartbeats,
   type FleetMember,
@@ -77,6 +78,7 @@
 /** Everything between this VM, the other VMs and the store. */
 export class RoutedFleet {
   readonly follower: StateFollower;
+  readonly datagrams: DatagramCounts;
   readonly streamOrigins: StreamOrigins;
   readonly #options: RoutedFleetOptions;
   readonly #heartbeats: FleetHeartbeats;
@@ -94,6 +96,7 @@
     const { clock, log, link, random, replicas } = options;
     const { address, peerPort, vm, entryRenewalMs } = options.getSettings();
     this.#options = options;
+    this.datagrams = DatagramCounts.create(options);
     this.#peerTransport = options.createTransport((peer) =>
       this.#findPeer(peer)
     );
@@ -185,6 +188,8 @@
       },
       onReplicas: (restarted) => this.#noteReplicas(restarted),
       onStoreLost: () => this.#heartbeats.announceNow(),
+      getMsSinceSent: (replica) =>
+        options.placement.lastSends.getMsSince(replica),
     });
     this.#priming = createRoutedPriming({
       ...options,
@@ -202,6 +207,7 @@
   start(): void {
     this.follower.start();
     this.#heartbeats.start();
+    this.datagrams.start();
     this.#suspectGossip.start();
     if (this.#hasOtherSeeds()) this.#newsQueries.start();
     void this.#priming.run(this.#ended.signal);
@@ -211,6 +217,7 @@
     this.#ended.abort();
     this.follower.stop();
     this.#heartbeats.stop();
+    this.datagrams.stop();
     this.#ownedPlacement.stop();
     this.#suspectGossip.stop();
     this.#options.link.close();
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -11,7 +11,7 @@
 } from "./placement/index.ts";
 import type { RequestQuarantine } from "./quarantine/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
-import type { FleetPeer } from "./seeded_fleet/index.ts";
+import type { DatagramCounts, FleetPeer } from "./seeded_fleet/index.ts";
 import type { WaitCounts } from "./waiting/index.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -35,6 +35,10 @@
   getLagMs: () => number;
   /** Calls to other VMs for newer state that failed. */
   countFailedFetches: () => number;
+  /** Leavings of which this VM may have learnt late. */
+  countLateLeavings: () => number;
+  /** Undefined until the VM has started. */
+  getDatagrams: () => DatagramCounts | undefined;
   /** Requests passed on to other VMs; undefined until the VM has started. */
   getForwarding: () => { inFlight: number; count: number } | undefined;
   isWatching: () => boolean;
@@ -124,6 +128,28 @@
     help: "Calls to other VMs for newer state that failed since the start",
     read: sources.countFailedFetches,
   });
+  metrics.addGauge("late_leavings", {
+    help:
+      "Leaving replicas of which this VM may have learnt late, since the start",
+    read: sources.countLateLeavings,
+  });
+  metrics.addGauge("datagrams_sent", {
+    help: "Datagrams to other VMs since the start",
+    read: () => sources.getDatagrams()?.totals.sent ?? 0,
+  });
+  metrics.addGauge("datagrams_received", {
+    help: "Datagrams from other VMs since the start",
+    read: () => sources.getDatagrams()?.totals.received ?? 0,
+  });
+  metrics.addGauge("datagrams_failed", {
+    help: "Datagrams that could not be sent since the start",
+    read: () => sources.getDatagrams()?.totals.failed ?? 0,
+  });
+  metrics.addGauge("datagrams_dropped", {
+    help:
+      "Datagrams that the kernel dropped for a full receive buffer since the start",
+    read: () => sources.getDatagrams()?.dropped ?? 0,
+  });
   metrics.addGauge("waiting_requests", {
     help: "Requests that wait at this VM until a replica has room",
     read: () => sources.getWaiting()?.size ?? 0,
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -15,6 +15,7 @@
   OriginMessage,
   OriginQueryMessage,
 } from "./origin_message.ts";
+export { DatagramCounts } from "./datagram_counts.ts";
 export { DatagramLink, UdpLink } from "./datagram_link.ts";
 export type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 export { FleetHeartbeats } from "./fleet_heartbeats.ts";
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -27,7 +27,11 @@
 import { RefreshWait } from "./refresh_wait.ts";
 import { StateFetcher } from "./state_fetcher.ts";
 import { StateLag } from "./state_lag.ts";
-import { listChanges, writeChanges } from "./replica_changes.ts";
+import {
+  listChanges,
+  writeChanges,
+  writeLateLeavings,
+} from "./replica_changes.ts";
 import { listEvacuations, writeEvacuations } from "./evacuation_changes.ts";
 import { StoreWatcher } from "./store_watcher.ts";
 
@@ -70,6 +74,8 @@
   onReplicas: (restarted: readonly VmId[]) => void;
   /** Called when the store stops answering this VM. */
   onStoreLost: () => void;
+  /** Milliseconds since the last request to a replica; undefined for none. */
+  getMsSinceSent: (replica: VmId) => number | undefined;
 }
 
 /** Follows the store and peers. */
@@ -84,6 +90,7 @@
   readonly #confirmation: ListConfirmation;
   readonly #watcher: StoreWatcher;
   readonly #refreshWait: RefreshWait;
+  #lateLeavings = 0;
 
   constructor(options: StateFollowerOptions) {
     this.#options = options;
@@ -171,6 +178,11 @@
     return this.#fetcher.failures;
   }
 
+  /** Leavings of which this VM may have learnt late, since the start. */
+  get lateLeavings(): number {
+    return this.#lateLeavings;
+  }
+
   /** See `RefreshWait.waitForFreshState`. */
   waitForFreshState(): Promise<void> {
     return this.#refreshWait.waitForFreshState();
@@ -277,17 +289,21 @@
   }
 
   #applyReplicas(list: ReplicaList, from: VmId | "store"): void {
-    const { replicas, log } = this.#options;
+    const { replicas, log, getMsSinceSent } = this.#options;
     const before = replicas.getList();
+    const [listAgeMs, lagMs] = [this.getListAgeMs(), this.#listLag.getMs()];
     if (!replicas.apply(list)) return;
-    this.#listLag.noteApplied(list.revision, from, this.getListAgeMs());
+    this.#listLag.noteApplied(list.revision, from, listAgeMs);
     const after = replicas.getList();
     this.#options.onList(after);
     const changes = listChanges(before, after);
     const evacuations = listEvacuations(before, after);
     if (changes.length + evacuations.length === 0) return;
     writeEvacuations(log, evacuations, { list, from });
-    writeChanges(log, changes, { list, from, isFirst: before.revision === 0 });
+    const isFirst = before.revision === 0;
+    writeChanges(log, changes, { list, from, isFirst });
+    const view = { list, from, listAgeMs, lagMs, getMsSinceSent };
+    if (!isFirst) this.#lateLeavings += writeLateLeavings(log, changes, view);
     const restarted = changes.filter(({ change }) => change === "restarted");
     this.#options.onReplicas(restarted.map(({ replica }) => replica));
   }
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -65,6 +65,9 @@
   failingMs: number;
 }
 
+/** Why a VM watches the store. */
+type WatchReason = "no_state" | "stale" | "behind" | "chosen";
+
 /** Reads the store while this VM is one of those that watch it. */
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions;
@@ -131,12 +134,14 @@
   }
 
   #updateWatching(): void {
-    const isNeeded = this.#isNeeded();
+    const reason = this.#findReason();
+    const isNeeded = reason !== undefined;
     if (isNeeded === this.#isWatching) return;
     this.#isWatching = isNeeded;
     this.#hasFailed = false;
     this.#options.log.info("store_watch", {
       watching: isNeeded,
+      reason,
       list_age_ms: this.#options.getListAgeMs(),
     });
   }
@@ -153,10 +158,13 @@
    * only these. Waiting until all views are stale would take longer than a
    * revoked key may remain valid.
    */
-  #isNeeded(): boolean {
+  #findReason(): WatchReason | undefined {
     const { hasState, isBehind, isViewStale } = this.#options;
-    return !hasState() || isViewStale() || isBehind() ||
-      this.#election.isChosen(this.#listCandidates());
+    if (!hasState()) return "no_state";
+    if (isViewStale()) return "stale";
+    if (isBehind()) return "behind";
+    const isChosen = this.#election.isChosen(this.#listCandidates());
+    return isChosen ? "chosen" : undefined;
   }
 
   /** Other VMs that can watch the store. */
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -126,6 +126,9 @@
     return undefined;
   }
 
+  /** Records that the request is about to be written to the upstream. */
+  noteSending(): void {}
+
   abstract noteProgress(progress: LeaseProgress): void;
   /**
    * Records that the call failed without the upstream saying so. Resolves once
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -226,7 +226,7 @@
         computeExtensionMs: () => computeExtensionMs(execution, work, lease),
       },
       signal: cancel.signal,
-      canSend: () => execution.options.isClaimValid() && lease.isValid(),
+      canSend: () => canSend(execution, lease),
     });
     await work.handleAnswer(answer, {
       signal: cancel.signal,
@@ -253,6 +253,12 @@
   }
 }
 
+function canSend(execution: RequestExecution, lease: HeldLease): boolean {
+  if (!execution.options.isClaimValid() || !lease.isValid()) return false;
+  lease.noteSending();
+  return true;
+}
+
 /**
  * Checks again, right before the send, that the work may be sent. While a
  * process was paused, its leases and claims may have expired and passed to
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -53,6 +53,7 @@
     onList: () => {},
     onReplicas: () => {},
     onStoreLost: () => {},
+    getMsSinceSent: () => undefined,
   });
   peers.noteHeartbeat({
     kind: "heartbeat",
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -74,6 +74,7 @@
     onList: () => {},
     onReplicas: () => {},
     onStoreLost: () => announced += 1,
+    getMsSinceSent: () => undefined,
   });
   follower.start();
   return { clock, follower, store, countAnnounced: () => announced };
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -241,6 +241,7 @@
       onList: () => {},
       onReplicas: () => vm.heartbeats.announceState(),
       onStoreLost: () => vm.heartbeats.announceNow(),
+      getMsSinceSent: () => undefined,
     });
   }
 
