Begin a watch of the store from the list that the fleet has

Cause: a VM that begins to watch asked for all changes since its own last read, minutes ago. Where the store had dropped that history, each such VM read its whole state, all at one moment; where the answer was too large, it repeated the same watch for as long as the history lasted.

--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -33,4 +33,9 @@
    * with it. Rejects with `StepError`.
    */
   abstract watch(waitMs: number): Promise<StoreUpdate>;
+  /**
+   * Lets the next watch go on from a list that another VM read, if that is newer
+   * than the last read.
+   */
+  abstract resumeFrom(list: ReplicaList): void;
 }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -110,6 +110,7 @@
       ...options,
       hasState: () =>
         this.#snapshot !== undefined && options.replicas.revision > 0,
+      getList: () => options.replicas.getList(),
       isViewStale: () => this.#isViewStale(),
       isBehind: () => this.getLagMs() > MAX_LAG_MS,
       getListAgeMs: () => this.getListAgeMs(),
--- a/src/process/seeded_fleet/store_retry.ts
+++ b/src/process/seeded_fleet/store_retry.ts
@@ -24,6 +24,11 @@
     return new StoreRetry();
   }
 
+  /** Failures in a row. */
+  get failures(): number {
+    return this.#failures;
+  }
+
   noteAnswered(): void {
     this.#failures = 0;
   }
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -13,6 +13,7 @@
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
+import type { ReplicaList } from "../placement/replica_list.ts";
 import type { Random } from "../random.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
@@ -41,6 +42,8 @@
   peers: FleetPeers;
   /** Whether this VM has a configuration and a list. */
   hasState: () => boolean;
+  /** The newest list that this VM has from the store or another VM. */
+  getList: () => ReplicaList;
   /** Whether this VM's view was not confirmed for some time. */
   isViewStale: () => boolean;
   /** Whether this VM has known of newer state for some time. */
@@ -185,17 +188,20 @@
   }
 
   async #watchOnce(): Promise<void> {
-    const { clock, random, store, onState } = this.#options;
+    const { clock, random, store, getList, onState } = this.#options;
     const calledAt = clock.now();
     try {
       const waitMs = this.#computeWatchWaitMs();
-      const state = this.#hasReadStore
+      const list = getList();
+      store.resumeFrom(list);
+      const state = this.#canWatch()
         ? await this.#watchState(waitMs)
         : await store.fetchState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#noteRegained(state.revision, calledAt);
-      const isUnchanged = state.revision === this.#revision;
+      const known = Math.max(this.#revision, list.revision);
+      const isUnchanged = state.revision === known;
       this.#revision = state.revision;
       // The store answers a watch without a change after the wait. The time for
       // which the answer was on its way, or lay in the socket, doesn't count.
@@ -211,6 +217,15 @@
     }
   }
 
+  /**
+   * A watch that failed twice may do so each time, because there is more to tell
+   * than fits into its answer or its time: every other call reads everything.
+   */
+  #canWatch(): boolean {
+    const { failures } = this.#retry;
+    return this.#hasReadStore && (failures < 2 || failures % 2 === 1);
+  }
+
   async #watchState(waitMs: number): Promise<PublishedState> {
     const { store, log } = this.#options;
     const update = await store.watch(waitMs);
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -19,6 +19,8 @@
 
 /** Never answers. */
 class SilentStore extends PublishedStore {
+  override resumeFrom(): void {}
+
   override fetchState(): Promise<never> {
     return new Promise(() => {});
   }
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -16,6 +16,8 @@
 
 /** Rejects every call and counts the calls. */
 class UnavailableStore extends PublishedStore {
+  override resumeFrom(): void {}
+
   calls = 0;
 
   override fetchState(): Promise<PublishedState> {
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -16,6 +16,7 @@
 import {
   type ListedReplica,
   ReplicaDirectory,
+  type ReplicaList,
 } from "../../src/process/placement/index.ts";
 import { SeededRandom } from "../../src/process/random.ts";
 import { PoolOwners } from "../../src/process/seeded_fleet/pool_owners.ts";
@@ -77,14 +78,23 @@
   owners?: PoolOwners;
   /** Calls to the store, failed ones included. */
   storeCalls: number;
+  /** Reads of the store's whole state. */
+  wholeReads: number;
 }
 
+/** How a watch of the store ended. */
+type WatchEnd = "changed" | "unchanged" | "cut";
+
 /** VMs, their store, and the paths between them. */
 export class VirtualSeededFleet {
   readonly clock = VirtualClock.create();
   readonly vms: VirtualVm[] = [];
   /** Whether a datagram or call between two VMs is dropped. */
   isCut: (from: VirtualVm, to: VirtualVm) => boolean = () => false;
+  /** Whether the store's watches hear of no change. */
+  #isDeaf = false;
+  /** The oldest revision from which a watch can go on. */
+  #oldestRevision = 0;
   /** Milliseconds until a datagram is read. */
   computeDatagramMs: (from: VirtualVm, to: VirtualVm) => number = () =>
     DATAGRAM_MS;
@@ -99,7 +109,7 @@
   >();
   readonly #listed = new Map<VmId, ListedReplica>();
   #revision = 1;
-  #waiting: (() => void)[] = [];
+  #waiting: ((end: WatchEnd) => void)[] = [];
 
   constructor({ seed = 1 }: VirtualFleetOptions) {
     this.#random = SeededRandom.create(seed);
@@ -171,6 +181,28 @@
     return times;
   }
 
+  /** Makes watches from before now learn that the history is gone. */
+  dropHistory(): void {
+    this.#oldestRevision = this.#revision;
+  }
+
+  /** Whether a watch from `revision` can tell what came after it. */
+  hasHistory(revision: number): boolean {
+    return revision >= this.#oldestRevision;
+  }
+
+  /**
+   * Lets watches hear of no change for `ms`, then drops the history and cuts
+   * them.
+   */
+  async runDeafness(ms: number): Promise<void> {
+    this.#isDeaf = true;
+    await this.clock.run(ms);
+    this.#isDeaf = false;
+    this.dropHistory();
+    this.#wakeWatches("cut");
+  }
+
   /** The state that the store publishes. */
   buildState(): PublishedState {
     return {
@@ -183,14 +215,19 @@
     };
   }
 
-  /** Resolves at the next change, or after `ms`. */
-  waitForChange(revision: number, ms: number): Promise<void> {
-    if (this.#revision > revision) return Promise.resolve();
+  /** Resolves at the next change, or after `ms` with `unchanged`. */
+  waitForChange(revision: number, ms: number): Promise<WatchEnd> {
+    if (!this.#isDeaf && this.#revision > revision) {
+      return Promise.resolve("changed");
+    }
     return new Promise((resolve) => {
-      const cancelTimer = this.clock.startTimer(ms, () => resolve());
-      this.#waiting.push(() => {
+      const cancelTimer = this.clock.startTimer(
+        ms,
+        () => resolve("unchanged"),
+      );
+      this.#waiting.push((end) => {
         cancelTimer();
-        resolve();
+        resolve(end);
       });
     });
   }
@@ -209,9 +246,13 @@
 
   #flushChange(): void {
     this.#revision += 1;
+    if (!this.#isDeaf) this.#wakeWatches("changed");
+  }
+
+  #wakeWatches(end: WatchEnd): void {
     const waiting = this.#waiting;
     this.#waiting = [];
-    waiting.forEach((wake) => wake());
+    waiting.forEach((wake) => wake(end));
   }
 
   #addVm(index: number, options: VirtualFleetOptions): void {
@@ -222,6 +263,7 @@
       dataCentre: toId<DataCentre>(`dc-${index % options.dataCentres}`),
       replicas: ReplicaDirectory.create(),
       storeCalls: 0,
+      wholeReads: 0,
     } as VirtualVm;
     this.vms.push(vm);
     vm.heartbeats = this.#createHeartbeats(vm);
@@ -314,6 +356,7 @@
   readonly #fleet: VirtualSeededFleet;
   readonly #vm: VirtualVm;
   #revision = 0;
+  #state: PublishedState | undefined;
 
   constructor(fleet: VirtualSeededFleet, vm: VirtualVm) {
     super();
@@ -322,22 +365,35 @@
   }
 
   override async fetchState(): Promise<PublishedState> {
+    this.#vm.wholeReads += 1;
     await this.#waitForAnswer();
     return this.#read();
   }
 
   override async watch(waitMs: number): Promise<StoreUpdate> {
     await this.#waitForAnswer();
-    await this.#fleet.waitForChange(this.#revision, waitMs);
+    if (!this.#fleet.hasHistory(this.#revision)) {
+      return { kind: "history_lost" };
+    }
+    const end = await this.#fleet.waitForChange(this.#revision, waitMs);
     const failsAfterMs = this.#fleet.failStoreCall(this.#vm);
-    if (failsAfterMs !== undefined) throw new Error("Watch was cut");
-    return { kind: "state", state: this.#read() };
+    if (end === "cut" || failsAfterMs !== undefined) {
+      throw new Error("Watch was cut");
+    }
+    const state = end === "changed" ? this.#read() : this.#state!;
+    return { kind: "state", state };
+  }
+
+  override resumeFrom(list: ReplicaList): void {
+    if (list.revision <= this.#revision || this.#state === undefined) return;
+    this.#revision = list.revision;
+    this.#state = { ...this.#state, revision: list.revision, replicas: list };
   }
 
   #read(): PublishedState {
-    const state = this.#fleet.buildState();
-    this.#revision = state.revision;
-    return state;
+    this.#state = this.#fleet.buildState();
+    this.#revision = this.#state.revision;
+    return this.#state;
   }
 
   async #waitForAnswer(): Promise<void> {
