Repeat a watch of the store at once that was cut

A store that drops its history cuts all watches. Those who watch for the others waited 125 to 375 ms before their next call, while all lists were a second old already. After the first failure the next call now follows within 10 to 30 ms; later intervals are as before, one failure later. A store that is unavailable gets one more call from each VM that reads it.

--- a/src/process/seeded_fleet/store_retry.ts
+++ b/src/process/seeded_fleet/store_retry.ts
@@ -4,8 +4,13 @@
  * @module
  */
 
+/**
+ * Interval after the first failure: the store may have cut the watches of all
+ * VMs and answer their next call.
+ */
+const FIRST_RETRY_MS = 20;
 /** Interval while views are fresh, since other VMs depend on watchers. */
-export const RETRY_MS = 250;
+const RETRY_MS = 250;
 /**
  * While the store is unavailable all VMs retry, at an interval that grows by
  * this time with each VM: some 40 calls a second for a fleet of any size. Calls
@@ -38,13 +43,15 @@
   }
 
   /**
-   * Interval for a VM of `vmCount` that serves by a stale view. It grows from
-   * failure to failure: a single one does not show that the store is unavailable
-   * to other VMs as well.
+   * Interval for a VM of `vmCount`. While its view is stale it grows from failure
+   * to failure: a single one does not show that the store is unavailable to
+   * other VMs as well.
    */
-  computeStaleMs(vmCount: number): number {
+  computeIntervalMs(vmCount: number, isViewStale: boolean): number {
+    if (this.#failures === 1) return FIRST_RETRY_MS;
+    if (!isViewStale) return RETRY_MS;
     const maxMs = Math.max(RETRY_MS, RETRY_PER_VM_MS * vmCount);
-    const grownMs = RETRY_MS * GROWTH_FACTOR ** (this.#failures - 1);
+    const grownMs = RETRY_MS * GROWTH_FACTOR ** (this.#failures - 2);
     return Math.min(maxMs, grownMs);
   }
 }
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -17,7 +17,7 @@
 import type { Random } from "../random.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
-import { RETRY_MS, StoreRetry } from "./store_retry.ts";
+import { StoreRetry } from "./store_retry.ts";
 import { WatcherElection } from "./watcher_election.ts";
 
 /** A watch waits this long for a change. */
@@ -242,8 +242,8 @@
 
   #computeRetryMs(): number {
     const { isViewStale, peers } = this.#options;
-    if (!isViewStale()) return RETRY_MS;
-    return this.#retry.computeStaleMs(peers.listLive().length);
+    const vmCount = peers.listLive().length;
+    return this.#retry.computeIntervalMs(vmCount, isViewStale());
   }
 
   #noteLost(calledAt: number, error: Error): void {
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -84,3 +84,19 @@
   follower.stop();
   expect(replicas.revision).toBeGreaterThan(1);
 });
+
+// Guards against a fleet that knows nothing new for another third of a second
+// after the store has cut the watches.
+it("a watch that is cut is repeated at once", async () => {
+  const { clock, store, follower } = startFollower();
+  store.watchOnce = async () => {
+    await clock.sleep(700);
+    throw new Error("Watch was cut");
+  };
+  follower.start();
+  await clock.run(760);
+  follower.stop();
+  const times = store.calls.filter(({ kind }) => kind === "watch")
+    .map(({ at }) => Math.round(at));
+  expect(times).toHaveLength(2);
+});
