Let requests wait for the store's answer while the view is stale

The wait now lasts up to a second, and ends as before when the store is found unavailable. Requests at a VM that was stalled wait 200 ms as before.

fresh_state_test (waits for a store that takes its time to answer) failed before: the list still had the replica. Its bound for a store that never answers is the new one, as exact as before.

--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -6,12 +6,16 @@
 import type { Clock } from "../clock.ts";
 
 /**
- * Requests wait at most this long for newer state, from when this VM notices
- * that it may lack some: the caller is better off with a replica that has just
- * left than with none. A call to the store or another VM takes a few
- * milliseconds.
+ * Requests wait at most this long for a confirmation of a stale view, unless the
+ * store is found unavailable: a call to it may take a large part of a second
+ * while many VMs read it. Replicas serve for a few seconds after their leaving.
  */
-const MAX_REFRESH_WAIT_MS = 200;
+const MAX_CONFIRMING_WAIT_MS = 1_000;
+/**
+ * At a VM that was stalled, requests wait at most this long for state that it
+ * has heard of. A call to another VM takes a few milliseconds.
+ */
+const MAX_RESUMING_WAIT_MS = 200;
 const REFRESH_CHECK_INTERVAL_MS = 10;
 /** A VM that heard from no other for so long was stalled, or cut off. */
 const MIN_GAP_MS = 1_000;
@@ -77,10 +81,10 @@
     const staleMs = this.#staleSince === undefined
       ? Infinity
       : now - this.#staleSince;
-    const isConfirming = staleMs < MAX_REFRESH_WAIT_MS && !isStoreLost();
+    const isConfirming = staleMs < MAX_CONFIRMING_WAIT_MS && !isStoreLost();
     // Otherwise newer state comes within moments, and each of many changes in a
     // row would delay requests.
-    const isResuming = now - this.#resumedAt < MAX_REFRESH_WAIT_MS;
+    const isResuming = now - this.#resumedAt < MAX_RESUMING_WAIT_MS;
     return isConfirming || (isResuming && getLagMs() > 0);
   }
 }
