--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -98,6 +98,10 @@
   /** Revision at which the current process of each replica was first listed. */
   #listedSince = new Map<VmId, number>();
   readonly #leaving = new Set<VmId>();
+  /**
+   * Replicas that a newer list than this one shows as leaving, and its revision.
+   */
+  readonly #leftLater = new Map<VmId, number>();
   readonly #onLeaving: OnLeaving;
 
   constructor(onLeaving: OnLeaving) {
@@ -129,10 +133,27 @@
     for (const id of this.#leaving) {
       if (!this.#isListedAt(id, list.revision - 1)) this.#leaving.delete(id);
     }
+    for (const [id, revision] of this.#leftLater) {
+      if (revision <= list.revision) this.#leftLater.delete(id);
+    }
     this.#ready = this.#buildReady();
     return true;
   }
 
+  /**
+   * Records replicas that newer lists of other VMs show as leaving; returns those
+   * that this VM took for ready.
+   */
+  noteLeftLater(entries: readonly LeavingEntry[]): LeavingEntry[] {
+    const added = entries.filter(([id, revision]) =>
+      revision > this.revision && this.isReady(id)
+    );
+    if (added.length === 0) return added;
+    for (const [id, revision] of added) this.#leftLater.set(id, revision);
+    this.#ready = this.#buildReady();
+    return added;
+  }
+
   /** Records a replica's notice to this VM that it leaves. */
   noteLeaving(id: VmId): void {
     this.notePeerLeaving([[id, this.revision]]);
@@ -239,6 +260,6 @@
 
   #canTakeWork({ id, state, dataCentre }: ListedReplica): boolean {
     return state === "ready" && !this.#evacuated.has(dataCentre) &&
-      !this.#leaving.has(id);
+      !this.#leaving.has(id) && !this.#leftLater.has(id);
   }
 }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -317,6 +317,7 @@
   #buildHeartbeat(): HeartbeatContent {
     const { getSettings, replicas, placement } = this.#options;
     const lostPools = placement.links.listLost();
+    const left = this.follower.leavings.listRecent();
     const { vm, dataCentre, listeners, cores } = getSettings();
     return {
       vm,
@@ -334,6 +335,7 @@
       cores,
       confirmed: this.follower.getConfirmation(),
       ...(lostPools.length === 0 ? {} : { lostPools }),
+      ...(left.length === 0 ? {} : { left }),
     };
   }
 
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -373,7 +373,7 @@
       getLagMs: () => this.#fleet?.follower.getLagMs() ?? 0,
       getWaiting: () => this.#fleet?.waiting,
       countFailedFetches: () => this.#fleet?.follower.failedFetches ?? 0,
-      countLateLeavings: () => this.#fleet?.follower.lateLeavings ?? 0,
+      countLateLeavings: () => this.#fleet?.follower.leavings.lateCount ?? 0,
       getDatagrams: () => this.#fleet?.datagrams,
       getForwarding: () => this.#fleet?.forwarding,
       isWatching: () => this.#fleet?.follower.isWatching ?? false,
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -88,6 +88,11 @@
   confirmed: CONFIRMATION.optional(),
   /** Pools of which the sender reaches no replica; undefined for none. */
   lostPools: z.array(TEXT.transform((text) => text as PoolName)).optional(),
+  /**
+   * Replicas that have left lately, and the revision of the list that showed it;
+   * undefined for none.
+   */
+  left: z.array(z.tuple([VM, COUNT])).optional(),
 });
 
 const MEMBERS = z.object({
--- /dev/null
+++ b/src/process/seeded_fleet/leaving_news.ts
@@ -0,0 +1,119 @@
+/**
+ * Leavings of replicas, as this VM learns of them from lists and heartbeats.
+ *
+ * A list is fetched by a call, from the few VMs that have it first, and while
+ * the fleet is short of processor time such calls take seconds. A leaving fits
+ * into the heartbeat that tells of the newer list.
+ *
+ * @module
+ */
+import type { VmId } from "../../ids.ts";
+import type { Clock } from "../clock.ts";
+import type { Log } from "../log.ts";
+import type {
+  LeavingEntry,
+  ReplicaDirectory,
+  ReplicaList,
+} from "../placement/replica_list.ts";
+import type { FleetHeartbeat } from "./fleet_message.ts";
+import { RecentLeavings } from "./recent_leavings.ts";
+
+/** A VM that gets lists in time learns of a leaving by one younger than this. */
+const LATE_AFTER_MS = 1_700;
+
+/** Options of `LeavingNews`. */
+export interface LeavingNewsOptions {
+  clock: Clock;
+  log: Log;
+  replicas: ReplicaDirectory;
+  /** Milliseconds since the last request to a replica; undefined for none. */
+  getMsSinceSent: (replica: VmId) => number | undefined;
+}
+
+/** How this VM got a newer list. */
+export interface ListChange {
+  before: ReplicaList;
+  after: ReplicaList;
+  from: VmId | "store";
+  /** Age of the list before, in milliseconds; below 0 for never confirmed. */
+  listAgeMs: number;
+  /** Time for which other VMs have had a newer list, in milliseconds. */
+  lagMs: number;
+}
+
+/** Learns of leavings, passes them on, and logs those learnt late. */
+export class LeavingNews {
+  readonly #options: LeavingNewsOptions;
+  readonly #recent: RecentLeavings;
+  #lateCount = 0;
+
+  constructor(options: LeavingNewsOptions) {
+    this.#options = options;
+    this.#recent = RecentLeavings.create(options.clock);
+  }
+
+  static create(options: LeavingNewsOptions): LeavingNews {
+    return new LeavingNews(options);
+  }
+
+  /** Leavings that this VM may have learnt late, since the start. */
+  get lateCount(): number {
+    return this.#lateCount;
+  }
+
+  /** What to tell other VMs. */
+  listRecent(): LeavingEntry[] {
+    return this.#recent.list();
+  }
+
+  /** Notes the leavings in a newer list, but for the first one. */
+  noteList(change: ListChange): void {
+    const { before, after } = change;
+    if (before.revision === 0) return;
+    const entries = listLeavings(before, after)
+      .map((id): LeavingEntry => [id, after.revision]);
+    const unheard = entries.filter(([id]) => !this.#recent.has(id));
+    this.#recent.add(entries);
+    const { listAgeMs, lagMs } = change;
+    if (listAgeMs < LATE_AFTER_MS && lagMs < LATE_AFTER_MS) return;
+    this.#lateCount += unheard.length;
+    for (const [id] of unheard) this.#logLate(id, change);
+  }
+
+  /**
+   * Applies leavings that another VM knows by a newer list; returns whether any
+   * was unknown.
+   */
+  noteHeartbeat({ vm, left = [] }: FleetHeartbeat): boolean {
+    const { replicas, log } = this.#options;
+    const heard = replicas.noteLeftLater(left);
+    this.#recent.add(heard);
+    for (const [replica, revision] of heard) {
+      log.info("replica_left_heard", { replica, revision, from: vm });
+    }
+    return heard.length > 0;
+  }
+
+  #logLate(replica: VmId, { after, from, listAgeMs, lagMs }: ListChange): void {
+    const { log, getMsSinceSent } = this.#options;
+    log.warn("leaving_learnt_late", {
+      replica,
+      revision: after.revision,
+      from,
+      list_age_ms: listAgeMs,
+      lag_ms: Math.round(lagMs),
+      last_sent_ms: getMsSinceSent(replica),
+    });
+  }
+}
+
+/** Replicas that were ready, and are draining or missing now. */
+function listLeavings(before: ReplicaList, after: ReplicaList): VmId[] {
+  const ready = new Set(
+    after.replicas.filter(({ state }) => state === "ready")
+      .map(({ id }) => id),
+  );
+  return before.replicas
+    .filter(({ id, state }) => state === "ready" && !ready.has(id))
+    .map(({ id }) => id);
+}
--- a/src/process/seeded_fleet/replica_changes.ts
+++ b/src/process/seeded_fleet/replica_changes.ts
@@ -7,12 +7,6 @@
 import type { Log } from "../log.ts";
 import type { ListedReplica, ReplicaList } from "../placement/replica_list.ts";
 
-/**
- * A VM whose list is confirmed in time learns of a leaving while its list is
- * younger than this.
- */
-const LATE_LEAVING_MS = 1_700;
-
 /** State change, restart or removal of a replica. */
 export interface ReplicaChange {
   replica: VmId;
@@ -75,39 +69,3 @@
     log.info("replica_changed", { replica, change, version, revision, from });
   }
 }
-
-/** What a VM knew of a replica until it learnt that it is leaving. */
-export interface LeavingView {
-  list: ReplicaList;
-  from: string;
-  /** Age of the list before, in milliseconds; below 0 for never confirmed. */
-  listAgeMs: number;
-  /** Time for which other VMs have had a newer list, in milliseconds. */
-  lagMs: number;
-  /** Milliseconds since the last request to it; undefined for none. */
-  getMsSinceSent: (replica: VmId) => number | undefined;
-}
-
-/** Logs replicas of whose leaving this VM may have learnt late; counts them. */
-export function writeLateLeavings(
-  log: Log,
-  changes: readonly ReplicaChange[],
-  { list, from, listAgeMs, lagMs, getMsSinceSent }: LeavingView,
-): number {
-  if (listAgeMs < LATE_LEAVING_MS && lagMs < LATE_LEAVING_MS) return 0;
-  const leaving = changes.filter(({ change }) =>
-    change === "draining" || change === "gone"
-  );
-  for (const { replica, change } of leaving) {
-    log.warn("leaving_learnt_late", {
-      replica,
-      change,
-      revision: list.revision,
-      from,
-      list_age_ms: listAgeMs,
-      lag_ms: Math.round(lagMs),
-      last_sent_ms: getMsSinceSent(replica),
-    });
-  }
-  return leaving.length;
-}
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -20,6 +20,7 @@
 import type { Random } from "../random.ts";
 import type { Confirmation } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
+import { LeavingNews } from "./leaving_news.ts";
 import { ListConfirmation } from "./list_confirmation.ts";
 import type { KnownVersions, NewerState } from "./newer_state.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
@@ -27,11 +28,7 @@
 import { RefreshWait } from "./refresh_wait.ts";
 import { StateFetcher } from "./state_fetcher.ts";
 import { StateLag } from "./state_lag.ts";
-import {
-  listChanges,
-  writeChanges,
-  writeLateLeavings,
-} from "./replica_changes.ts";
+import { listChanges, writeChanges } from "./replica_changes.ts";
 import { listEvacuations, writeEvacuations } from "./evacuation_changes.ts";
 import { StoreWatcher } from "./store_watcher.ts";
 
@@ -81,6 +78,8 @@
 /** Follows the store and peers. */
 export class StateFollower {
   readonly #options: StateFollowerOptions;
+  /** Leavings of replicas, for the log and other VMs. */
+  readonly leavings: LeavingNews;
   readonly #expired: RecentlyExpired;
   readonly #configurationLag: StateLag;
   readonly #listLag: StateLag;
@@ -90,11 +89,11 @@
   readonly #confirmation: ListConfirmation;
   readonly #watcher: StoreWatcher;
   readonly #refreshWait: RefreshWait;
-  #lateLeavings = 0;
 
   constructor(options: StateFollowerOptions) {
     this.#options = options;
     this.#expired = RecentlyExpired.create(options);
+    this.leavings = LeavingNews.create(options);
     this.#configurationLag = StateLag.create(options.clock, options.log);
     this.#listLag = StateLag.create(options.clock, options.log);
     this.#confirmation = ListConfirmation.create(
@@ -179,11 +178,6 @@
     return this.#fetcher.failures;
   }
 
-  /** Leavings of which this VM may have learnt late, since the start. */
-  get lateLeavings(): number {
-    return this.#lateLeavings;
-  }
-
   /** See `RefreshWait.waitForFreshState`. */
   waitForFreshState(): Promise<void> {
     return this.#refreshWait.waitForFreshState();
@@ -211,6 +205,7 @@
     const isSameList =
       heartbeat.listRevision === this.#options.replicas.revision;
     this.#confirmation.noteHeartbeat(heartbeat, isSameList);
+    if (this.leavings.noteHeartbeat(heartbeat)) this.#options.onReplicas([]);
     if (!this.#isAhead(peer)) return;
     if (this.#hasNewerConfiguration(peer)) {
       this.#configurationLag.noteBehind(heartbeat.configVersion);
@@ -290,7 +285,7 @@
   }
 
   #applyReplicas(list: ReplicaList, from: VmId | "store"): void {
-    const { replicas, log, getMsSinceSent } = this.#options;
+    const { replicas, log } = this.#options;
     const before = replicas.getList();
     const [listAgeMs, lagMs] = [this.getListAgeMs(), this.#listLag.getMs()];
     if (!replicas.apply(list)) return;
@@ -303,8 +298,7 @@
     writeEvacuations(log, evacuations, { list, from });
     const isFirst = before.revision === 0;
     writeChanges(log, changes, { list, from, isFirst });
-    const view = { list, from, listAgeMs, lagMs, getMsSinceSent };
-    if (!isFirst) this.#lateLeavings += writeLateLeavings(log, changes, view);
+    this.leavings.noteList({ before, after, from, listAgeMs, lagMs });
     const restarted = changes.filter(({ change }) => change === "restarted");
     this.#options.onReplicas(restarted.map(({ replica }) => replica));
   }
--- a/test/failures/leaving_replica_heard_late_test.ts
+++ b/test/failures/leaving_replica_heard_late_test.ts
@@ -12,6 +12,7 @@
 const PAUSE_MS = 1_000;
 const PAUSE_STEP_MS = 137;
 const CONNECT_TIMEOUT_MS = 250;
+const BUSY_STORE_MS = 2_000;
 
 /** Half of the connections between VMs, in no regular order. */
 function isHalfSilent(from: VirtualVm, to: VirtualVm): boolean {
@@ -108,3 +109,19 @@
   },
   60_000,
 );
+
+// Guards against VMs that know of a newer list and go on sending to a replica
+// whose leaving is in it, while the few VMs that have it, and the store, are too
+// busy to hand it out.
+it("a leaving is known before the list that shows it", async () => {
+  const fleet = await VirtualSeededFleet.create({
+    vms: 89,
+    dataCentres: 4,
+    replicas: 10,
+  });
+  fleet.isSilent = () => true;
+  fleet.storeCallMs = BUSY_STORE_MS;
+  const times = await fleet.runRemoval(toId<VmId>("i-1"), WAIT_MS);
+  fleet.stop();
+  expect(Math.max(...times)).toBeLessThan(SMALL_FLEET_BOUND_MS);
+}, 60_000);
--- a/test/process/seeded_fleet/replica_changes_test.ts
+++ b/test/process/seeded_fleet/replica_changes_test.ts
@@ -7,7 +7,6 @@
 import {
   listChanges,
   writeChanges,
-  writeLateLeavings,
 } from "../../../src/process/seeded_fleet/replica_changes.ts";
 import { FakeLog } from "../../support/request_fakes.ts";
 
@@ -44,53 +43,3 @@
     fields: { count: 3, revision: 7, from: "vm-2", leaving: "i-2,i-3" },
   }]);
 });
-
-// Guards against a sender that nobody can tell to have known too late, since
-// only its lines of single requests show by which list it sent.
-it("a leaving that is learnt late is logged with the last request", () => {
-  const log = new FakeLog();
-  const before = buildList({ "i-1": "ready", "i-2": "ready", "i-3": "ready" });
-  const list = buildList({ "i-1": "draining", "i-3": "ready" });
-  const changes = listChanges(before, list);
-  const view = {
-    list,
-    from: "vm-2",
-    listAgeMs: 2_000,
-    lagMs: 300.4,
-    getMsSinceSent: (id: string) => id === "i-1" ? 40 : undefined,
-  };
-  expect(writeLateLeavings(log, changes, view)).toBe(2);
-  const shared = { revision: 7, from: "vm-2", list_age_ms: 2_000, lag_ms: 300 };
-  expect(log.lines).toEqual([
-    {
-      level: "warn",
-      event: "leaving_learnt_late",
-      fields: {
-        replica: "i-1",
-        change: "draining",
-        ...shared,
-        last_sent_ms: 40,
-      },
-    },
-    {
-      level: "warn",
-      event: "leaving_learnt_late",
-      fields: { replica: "i-2", change: "gone", ...shared },
-    },
-  ]);
-});
-
-it("a leaving that is learnt in time is not", () => {
-  const log = new FakeLog();
-  const list = buildList({ "i-1": "draining" });
-  const changes = listChanges(buildList({ "i-1": "ready" }), list);
-  const view = {
-    list,
-    from: "store",
-    listAgeMs: 900,
-    lagMs: 0,
-    getMsSinceSent: () => undefined,
-  };
-  expect(writeLateLeavings(log, changes, view)).toBe(0);
-  expect(log.lines).toEqual([]);
-});
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -413,6 +413,7 @@
     isStoreLost: vm.follower.isStoreLost,
     cores: 1,
     confirmed: vm.follower.getConfirmation(),
+    left: vm.follower.leavings.listRecent(),
   };
 }
 
