Strip callers' headers before the router adds its own

Cause: the headers that Connection names were removed right before the send, from headers that held the router's own by then. Now the caller's are copied first, in one place for replicas and other VMs, and in one for services of the product's own interface. Headers that identify a request and its prompt are kept whatever Connection says: without its id or model a replica would run another request.

On answers, the router's headers were added after the copy already.

--- a/src/connection/headers.ts
+++ b/src/connection/headers.ts
@@ -16,14 +16,22 @@
   "upgrade",
 ]);
 
+const NONE: ReadonlySet<string> = new Set();
+
 /**
  * Copies the end-to-end headers: all but the hop-by-hop headers and those that
- * the `connection` header lists. The copied names are in lower case.
+ * the `connection` header lists, unless they are in `kept`. The copied names are
+ * in lower case.
+ *
+ * Headers of the router's own are added to the copy: a caller's `connection`
+ * header may name them.
  */
 export function copyEndToEndHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
+  kept = NONE,
 ): Record<string, string> {
-  const named = listNamed(headers["connection"]);
+  const named = listNamed(headers["connection"])
+    .filter((name) => !kept.has(name));
   const copy: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
     if (value === undefined) continue;
--- a/src/request/header_codec.ts
+++ b/src/request/header_codec.ts
@@ -71,6 +71,8 @@
 
 /** Reads and writes the headers of routed calls, by lower-case name. */
 export abstract class HeaderCodec {
+  /** Callers' headers that go to the upstream whatever `connection` says. */
+  abstract readonly endToEndHeaders: ReadonlySet<string>;
   abstract readCall(headers: Record<string, string>): RoutedCall;
   /** The caller's headers without its credentials, plus the router's own. */
   abstract buildHeaders(
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -17,6 +17,7 @@
 import type { UpstreamPool } from "../version/records.ts";
 import type { Route } from "../version/routes.ts";
 import { isRepeatable } from "../version/routes.ts";
+import { copyEndToEndHeaders } from "../connection/headers.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import {
@@ -144,8 +145,8 @@
   }
 
   #buildUpstreamHeaders(lease: HeldLease): Record<string, string> {
-    const { request, execution, headerCodec, route } = this.context;
-    return headerCodec.buildHeaders(request.headers, {
+    const { execution, headerCodec, route } = this.context;
+    return headerCodec.buildHeaders(this.#copyCallerHeaders(), {
       upstream: lease.upstream,
       workspace: route.isPublic ? undefined : execution.options.workspace.name,
       leftMs: this.#getWholeLeftMs(),
@@ -156,15 +157,23 @@
   }
 
   #buildForwardedHeaders(sends: number): Record<string, string> {
-    const { request, headerCodec } = this.context;
-    const headers = headerCodec.buildForwardedHeaders(request.headers, {
-      leftMs: this.#getWholeLeftMs(),
-      lastEventId: this.getLastEventId(),
-    });
+    const { headerCodec } = this.context;
+    const headers = headerCodec.buildForwardedHeaders(
+      this.#copyCallerHeaders(),
+      {
+        leftMs: this.#getWholeLeftMs(),
+        lastEventId: this.getLastEventId(),
+      },
+    );
     const sendsLeft = this.maxSends - sends;
     return { ...headers, ...buildForwardedHeader(sendsLeft, this.getOrigin()) };
   }
 
+  #copyCallerHeaders(): Record<string, string> {
+    const { request, headerCodec } = this.context;
+    return copyEndToEndHeaders(request.headers, headerCodec.endToEndHeaders);
+  }
+
   #getWholeLeftMs(): number {
     return Math.max(1, Math.floor(this.getLeftMs()));
   }
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { copyEndToEndHeaders } from "../connection/headers.ts";
 import type { UpstreamAnswer } from "../connection/upstream_transport.ts";
 import type { Refusal } from "../outcome.ts";
 import type { HeldLease } from "../process/services.ts";
@@ -72,7 +73,7 @@
       method: request.method,
       path: request.query === "" ? path : `${path}?${request.query}`,
       headers: {
-        ...copyServiceHeaders(request.headers),
+        ...copyServiceHeaders(copyEndToEndHeaders(request.headers)),
         "x-request-id": execution.id,
         "x-priority": String(lease.priority),
       },
--- a/test/platform/pass_through_test.ts
+++ b/test/platform/pass_through_test.ts
@@ -7,6 +7,44 @@
 import { PlatformFleet, sendRequest } from "./platform_fleet.ts";
 import { CLOSE_DELIMITED_BODY } from "./replica_stand_in.ts";
 
+/** Headers that the router sets or that identify the request. */
+const PROTECTED_HEADERS = [
+  "x-tenant",
+  "x-expect-instance",
+  "x-timeout-ms",
+  "x-request-priority",
+  "x-request-id",
+  "x-token-count",
+  "x-prompt-prefix",
+];
+
+// Guards against a client that takes its workspace, the expected instance or the
+// time left off its request by naming them in its `connection` header.
+describe("headers that the client's connection header names", () => {
+  for (const path of ["/safe/x", "/unsafe/x", "/stream/x", "/restream/x"]) {
+    it(`reach the replica of ${path}`, async () => {
+      const fleet = await PlatformFleet.create();
+      const answer = await sendRequest(fleet.vms[0]!, {
+        path,
+        headers: {
+          "x-request-id": "request-a",
+          "x-token-count": "10,1",
+          "x-prompt-prefix": "a1:10",
+          "x-private": "1",
+          connection: `keep-alive, X-Private, ${PROTECTED_HEADERS}`,
+        },
+      });
+      expect(answer.status).toBe(200);
+      const [seen] = fleet.replicas.flatMap(({ ran }) => ran);
+      for (const name of PROTECTED_HEADERS) {
+        expect(seen!.headers).toHaveProperty(name);
+      }
+      expect(seen!.headers["x-tenant"]).toBe("tenant-1");
+      expect(seen!.headers).not.toHaveProperty("x-private");
+    });
+  }
+});
+
 describe("a request on the platform", () => {
   it("is forwarded unchanged except for the router's own headers", async () => {
     const fleet = await PlatformFleet.create();
