Do not take one cut call for an outage of the store

The store now counts as unavailable after two failed calls in a row, and an answer that the history is gone ends the row. Each request waits until then, up to two seconds; calls that time out end it sooner. Before, all requests went on a second after the view had become stale, whatever the store did.

--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -6,11 +6,10 @@
 import type { Clock } from "../clock.ts";
 
 /**
- * Requests wait at most this long for a confirmation of a stale view, unless the
- * store is found unavailable: a call to it may take a large part of a second
- * while many VMs read it. Replicas serve for a few seconds after their leaving.
+ * A request waits at most this long for a confirmation of a stale view. A store
+ * that does not answer is found unavailable sooner, which ends the wait.
  */
-const MAX_CONFIRMING_WAIT_MS = 1_000;
+const MAX_CONFIRMING_WAIT_MS = 2_000;
 /**
  * At a VM that was stalled, requests wait at most this long for state that it
  * has heard of. A call to another VM takes a few milliseconds.
@@ -27,7 +26,8 @@
   hasSnapshot: () => boolean;
   /** Whether this VM's view was not confirmed for some time. */
   isViewStale: () => boolean;
-  isStoreLost: () => boolean;
+  /** Whether the last calls to the store failed. */
+  isStoreUnavailable: () => boolean;
   /** Time for which other VMs have had newer state; 0 if none has. */
   getLagMs: () => number;
   /** Reads the store at once if this VM has to. */
@@ -40,8 +40,6 @@
   #lastHeardAt = -Infinity;
   /** `Clock.now()` when another VM was heard after a gap. */
   #resumedAt = -Infinity;
-  /** `Clock.now()` when the view was first found stale. */
-  #staleSince: number | undefined;
 
   constructor(options: RefreshWaitOptions) {
     this.#options = options;
@@ -64,27 +62,23 @@
    */
   async waitForFreshState(): Promise<void> {
     if (!this.#isRefreshing()) return;
-    this.#options.checkStore();
-    while (this.#isRefreshing()) {
-      await this.#options.clock.sleep(REFRESH_CHECK_INTERVAL_MS);
+    const { clock, checkStore } = this.#options;
+    const until = clock.now() + MAX_CONFIRMING_WAIT_MS;
+    checkStore();
+    while (this.#isRefreshing() && clock.now() < until) {
+      await clock.sleep(REFRESH_CHECK_INTERVAL_MS);
     }
   }
 
   /** Whether newer state is on its way, or a confirmation that there is none. */
   #isRefreshing(): boolean {
-    const { clock, hasSnapshot, isViewStale, isStoreLost, getLagMs } =
+    const { clock, hasSnapshot, isViewStale, isStoreUnavailable, getLagMs } =
       this.#options;
     if (!hasSnapshot()) return false;
-    const now = clock.now();
-    if (isViewStale()) this.#staleSince ??= now;
-    else this.#staleSince = undefined;
-    const staleMs = this.#staleSince === undefined
-      ? Infinity
-      : now - this.#staleSince;
-    const isConfirming = staleMs < MAX_CONFIRMING_WAIT_MS && !isStoreLost();
+    const isConfirming = isViewStale() && !isStoreUnavailable();
     // Otherwise newer state comes within moments, and each of many changes in a
     // row would delay requests.
-    const isResuming = now - this.#resumedAt < MAX_RESUMING_WAIT_MS;
+    const isResuming = clock.now() - this.#resumedAt < MAX_RESUMING_WAIT_MS;
     return isConfirming || (isResuming && getLagMs() > 0);
   }
 }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -126,7 +126,7 @@
       clock: options.clock,
       hasSnapshot: () => this.#snapshot !== undefined,
       isViewStale: () => this.#isViewStale(),
-      isStoreLost: () => this.isStoreLost,
+      isStoreUnavailable: () => this.#watcher.isUnavailable,
       getLagMs: () => this.getLagMs(),
       checkStore: () => this.#watcher.checkNow(),
     });
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -32,6 +32,9 @@
 /** Interval at which a VM checks whether it has to watch the store. */
 const WATCH_CHECK_INTERVAL_MS = 200;
 
+/** Failed calls in a row after which the store counts as unavailable. */
+const UNAVAILABLE_FAILURES = 2;
+
 /** Options of `StoreWatcher`. */
 export interface StoreWatcherOptions {
   vm: VmId;
@@ -118,6 +121,11 @@
     return this.#lostSince !== undefined;
   }
 
+  /** Whether the store is unavailable to this VM: it may cut one call. */
+  get isUnavailable(): boolean {
+    return this.#retry.failures >= UNAVAILABLE_FAILURES;
+  }
+
   get isWatching(): boolean {
     return this.#isWatching;
   }
@@ -223,7 +231,8 @@
    */
   #canWatch(): boolean {
     const { failures } = this.#retry;
-    return this.#hasReadStore && (failures < 2 || failures % 2 === 1);
+    return this.#hasReadStore &&
+      (failures < UNAVAILABLE_FAILURES || failures % 2 === 1);
   }
 
   async #watchState(waitMs: number): Promise<PublishedState> {
@@ -231,6 +240,7 @@
     const update = await store.watch(waitMs);
     if (update.kind === "state") return update.state;
     log.info("store_history_lost");
+    this.#retry.noteAnswered();
     return await store.fetchState();
   }
 
