Let the soak at size tell how long its quota held VMs

A run beside tests and a compiler had a VM with a list of 7,048 ms, and sent 4,566 requests where the runs beside nothing sent 12,000 and more: the process that applies the quota was itself short of processor time.

--- a/test/soak/at_size/fleet_at_size.ts
+++ b/test/soak/at_size/fleet_at_size.ts
@@ -118,6 +118,7 @@
   });
   readonly #observed: ObservedRequest[] = [];
   readonly #kernelDrops = KernelDrops.create();
+  #maxHeldMs = 0;
   #sent = 0;
 
   constructor(options: FleetAtSizeOptions, place: FleetPlace) {
@@ -139,6 +140,11 @@
     return this.#kernelDrops.sum;
   }
 
+  /** See `ProcessorQuota.maxHeldMs`. */
+  get maxHeldMs(): number {
+    return this.#maxHeldMs;
+  }
+
   /** Starts the VMs before a store and waits until all of them serve. */
   async start(storePort: number): Promise<void> {
     await this.#addVms(storePort);
@@ -163,6 +169,7 @@
     this.#kernelDrops.stop();
     quota.end();
     await limited;
+    this.#maxHeldMs = Math.round(quota.maxHeldMs);
   }
 
   /** Whether a VM was undisturbed for a while before a time of day. */
--- a/test/soak/at_size/processor_quota.ts
+++ b/test/soak/at_size/processor_quota.ts
@@ -16,6 +16,7 @@
   readonly #vms: readonly SoakVm[];
   readonly #runMs: number;
   #isEnded = false;
+  #maxHeldMs = 0;
 
   constructor(vms: readonly SoakVm[], share: number) {
     this.#vms = vms;
@@ -27,6 +28,14 @@
     return new ProcessorQuota(vms, share);
   }
 
+  /**
+   * The longest time for which VMs stood still, in milliseconds: far longer than
+   * a period where this process itself got too little processor time.
+   */
+  get maxHeldMs(): number {
+    return this.#maxHeldMs;
+  }
+
   /** Applies the quota until `end`. */
   async run(): Promise<void> {
     if (this.#runMs >= PERIOD_MS) return;
@@ -45,7 +54,10 @@
       vms.forEach((vm) => vm.resume());
       await sleep(this.#runMs);
       vms.forEach((vm) => vm.hold());
+      const heldAt = performance.now();
       await sleep(PERIOD_MS - this.#runMs);
+      const heldMs = performance.now() - heldAt;
+      this.#maxHeldMs = Math.max(this.#maxHeldMs, heldMs);
     }
     vms.forEach((vm) => vm.resume());
   }
