--- a/test/ci/judge_test.ts
+++ b/test/ci/judge_test.ts
@@ -94,6 +94,26 @@
   ).toBe(1);
 });
 
+test("prints known red cases that are no tests, however many", () => {
+  const known = ["a", "b", "c", "d"].map((name) => `case ${name} | cause | 1`);
+  const { status, lines } = runJudge({ tests: [["x", "passed"]], known });
+  expect(lines).toEqual([
+    ...known.map((line) => `known red, not judged: ${line}`),
+    "1 passed, 0 failed",
+  ]);
+  expect(status).toBe(0);
+  const unexplained = runJudge({ tests: [["x", "passed"]], known: ["case a"] });
+  expect(unexplained.status).toBe(1);
+});
+
+// Guards against entries that nobody prints, behind the issue of another one.
+test("fails on a second entry in one line", () => {
+  const known = ["case a | cause | 1 | case b | cause | 1"];
+  const run = runJudge({ tests: [["x", "passed"]], known });
+  expect(run.lines).toContain("KNOWN-RED.txt: more than one entry in case a");
+  expect(run.status).toBe(1);
+});
+
 // Guards against green CI although a whole test file never ran: a file that
 // fails to load has no tests, so a count of failed tests misses it.
 test("fails where a file does not load", () => {
