--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -170,6 +170,7 @@
     method: incoming.method ?? "GET",
     path: queryStart < 0 ? url : url.slice(0, queryStart),
     query: queryStart < 0 ? "" : url.slice(queryStart + 1),
+    hasEmptyQuery: queryStart === url.length - 1,
     headers: toSingleHeaders(incoming),
     body: read.body,
     remoteAddress: getPeer(incoming),
--- a/src/request/caller_request.ts
+++ b/src/request/caller_request.ts
@@ -16,6 +16,8 @@
   path: string;
   /** The query as sent, without the question mark; empty if there is none. */
   query: string;
+  /** Whether the target has a question mark and nothing after it. */
+  hasEmptyQuery?: boolean;
   /** By lower-case name. */
   headers: Record<string, string>;
   /** Empty if there is none; the listener limits its size. */
@@ -35,6 +37,14 @@
   origin?: StreamOrigin | undefined;
 }
 
+/** The target of a request: `path`, and the query as the caller sent it. */
+export function formatTarget(
+  path: string,
+  { query, hasEmptyQuery = false }: CallerRequest,
+): string {
+  return query === "" && !hasEmptyQuery ? path : `${path}?${query}`;
+}
+
 /** Handles callers' requests. */
 export abstract class CallerHandler {
   /** Writes the complete answer or destroys the sink; never rejects. */
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -19,7 +19,7 @@
 import { isRepeatable } from "../version/routes.ts";
 import { copyEndToEndHeaders } from "../connection/headers.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
-import type { CallerRequest } from "./caller_request.ts";
+import { type CallerRequest, formatTarget } from "./caller_request.ts";
 import {
   buildForwardedHeader,
   checkPeerRefusal,
@@ -120,9 +120,7 @@
     this.#sends = isForwarded ? this.maxSends : sends + 1;
     return {
       method: request.method,
-      path: request.query === ""
-        ? request.path
-        : `${request.path}?${request.query}`,
+      path: formatTarget(request.path, request),
       host: request.headers["host"],
       headers,
       body: request.body,
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -10,7 +10,7 @@
 import type { UpstreamPool } from "../version/records.ts";
 import { AnswerCollector } from "./answer_collector.ts";
 import { buildAnswerHeaders } from "./answer_headers.ts";
-import type { CallerRequest } from "./caller_request.ts";
+import { type CallerRequest, formatTarget } from "./caller_request.ts";
 import type { RequestExecution } from "./request_execution.ts";
 import { copyServiceHeaders } from "./service_call.ts";
 import { readUpstreamSignals } from "./upstream_signals.ts";
@@ -71,7 +71,7 @@
     const { request, path, execution } = this.#context;
     return {
       method: request.method,
-      path: request.query === "" ? path : `${path}?${request.query}`,
+      path: formatTarget(path, request),
       headers: {
         ...copyServiceHeaders(copyEndToEndHeaders(request.headers)),
         "x-request-id": execution.id,
--- a/test/platform/pass_through_test.ts
+++ b/test/platform/pass_through_test.ts
@@ -135,6 +135,15 @@
     expect(fleet.replicas.flatMap(({ seen }) => seen)).toHaveLength(1);
   });
 
+  // Guards against a replica that runs another target than the caller's: an empty
+  // query is part of it.
+  it("keeps a question mark at the end of its target", async () => {
+    const fleet = await PlatformFleet.create();
+    await sendRequest(fleet.vms[0]!, { path: "/safe/x?" });
+    const [seen] = fleet.replicas.flatMap(({ ran }) => ran);
+    expect(seen!.path).toBe("/safe/x?");
+  });
+
   it("is refused without a matching route, key or configuration", async () => {
     const fleet = await PlatformFleet.create();
     const [vm] = fleet.vms;
