Let a stop wait until ended answers have been written

Cause: close() of Node's server closes connections that are idle by Node's count, and an answer that has been ended counts as idle though not all of it is written. Our own count, until the answer is closed, now decides alone. All listeners are of this class.

http_server_test failed before: the answer was aborted.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -108,6 +108,9 @@
   /** Stops accepting; resolves when the last request in flight has ended. */
   stop(): Promise<void> {
     this.#isStopping = true;
+    // Node's `close` calls this, and takes a connection for idle once its answer
+    // has been ended, though not all of it may have been written.
+    this.#server.closeIdleConnections = () => {};
     return new Promise((resolve) => {
       this.#server.close(() => resolve());
       this.#closeIdle();
