Bound the memory of bodies that are being read

Cause: each chunk was kept by itself and costs some 200 bytes, however short it is, and nothing bounded what all bodies take together. Chunks are now copied into blocks of 16 KiB, and all bodies that a VM reads, from callers and other VMs, share 64 MiB; beyond that a request is refused as not run, to be sent again in a second. Gauges request_bodies_bytes and request_bodies_refused.

request_body_test: 512 KiB in chunks of 1, 32 and 16,384 bytes take less than 2 MiB of heap.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -16,6 +16,7 @@
 } from "../request/caller_request.ts";
 import { REQUEST_ID_HEADER } from "../request/caller_request.ts";
 import { withProvableOutcome } from "../request/refusal_outcome.ts";
+import type { BodyBudget } from "./body_budget.ts";
 import { HttpListener } from "./http_listener.ts";
 import type { ServerLimits } from "./http_server.ts";
 import { HttpSink } from "./http_sink.ts";
@@ -50,6 +51,8 @@
   limits: CallerLimits;
   tls?: ServerTls | undefined;
   handler: CallerHandler;
+  /** Bound on the bodies in reading; none if it is left out. */
+  bodies?: BodyBudget;
   /** Issues an id for a request that is refused before the handler runs. */
   issueId?: () => RequestId;
 }
@@ -96,7 +99,11 @@
     let isHandled = false;
     try {
       checkVersion(incoming);
-      const body = await readRequestBody(incoming, { clock, ...limits });
+      const body = await readRequestBody(incoming, {
+        clock,
+        budget: this.#options.bodies,
+        ...limits,
+      });
       const request = toCallerRequest(incoming, { body, arrivedAt });
       isHandled = true;
       await handler.handle(request, sink);
--- a/src/connection/request_body.ts
+++ b/src/connection/request_body.ts
@@ -6,14 +6,19 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../process/clock.ts";
 import { RefusalError } from "../outcome.ts";
+import type { BodyBudget } from "./body_budget.ts";
+import { ChunkBuffer } from "./chunk_buffer.ts";
 
-const EMPTY = Buffer.alloc(0);
+/** Time after which bodies that are being read now have mostly been read. */
+const BUSY_RETRY_AFTER_MS = 1_000;
 
 /** Limits on a body. */
 export interface BodyLimits {
   clock: Clock;
   maxBodyBytes: number;
   bodyTimeoutMs: number;
+  /** Shared by all bodies of the listener; no bound if it is left out. */
+  budget?: BodyBudget | undefined;
 }
 
 /** The body was not received within `bodyTimeoutMs`. */
@@ -37,20 +42,21 @@
     return Promise.reject(createTooLarge());
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const { budget } = limits;
+    const buffer = ChunkBuffer.create();
     const finish = (error: RefusalError | undefined) => {
       cancelTimer();
+      budget?.end(buffer.length);
       request.off("data", onData);
       request.off("end", onEnd);
       request.off("close", onClose);
-      if (error === undefined) resolve(mergeChunks(chunks));
+      if (error === undefined) resolve(buffer.take());
       else reject(error);
     };
     const onData = (chunk: Buffer) => {
-      length += chunk.length;
-      chunks.push(chunk);
-      if (length > limits.maxBodyBytes) finish(createTooLarge());
+      if (budget?.take(chunk.length) === false) return finish(createBusy());
+      buffer.add(chunk);
+      if (buffer.length > limits.maxBodyBytes) finish(createTooLarge());
     };
     const onEnd = () => finish(undefined);
     const onClose = () => finish(createDisconnected());
@@ -65,11 +71,6 @@
   });
 }
 
-function mergeChunks(chunks: Buffer[]): Uint8Array {
-  if (chunks.length === 0) return EMPTY;
-  return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
-
 function createTooLarge(): RefusalError {
   return new RefusalError({
     code: "payload_too_large",
@@ -78,6 +79,15 @@
   });
 }
 
+function createBusy(): RefusalError {
+  return new RefusalError({
+    code: "queue_full",
+    message: "The VM is reading too many large bodies",
+    outcome: "not_run",
+    retryAfterMs: BUSY_RETRY_AFTER_MS,
+  });
+}
+
 function createDisconnected(): RefusalError {
   return new RefusalError({
     code: "cancelled",
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { BodyBudget } from "../connection/body_budget.ts";
 import type { SocketAddress } from "../connection/endpoint.ts";
 import { readFileSync } from "node:fs";
 import { createSecureContext } from "node:tls";
@@ -211,6 +212,7 @@
     return CallerListener.create({
       clock,
       log,
+      bodies: BodyBudget.create(),
       limits: {
         ...DEFAULT_CALLER_LIMITS,
         maxHeaderBytes: limits.maxHeaderBytes,
--- a/src/process/forwarding/forwarded_listener.ts
+++ b/src/process/forwarding/forwarded_listener.ts
@@ -13,7 +13,7 @@
 
 /** Options of `createForwardedListener`. */
 export interface ForwardedListenerOptions
-  extends Pick<CallerListenerOptions, "clock" | "log" | "handler"> {
+  extends Pick<CallerListenerOptions, "clock" | "log" | "handler" | "bodies"> {
   /** Whether a VM of the fleet has this IP address. */
   isPeer: (address: string) => boolean;
 }
--- a/src/process/routed_listeners.ts
+++ b/src/process/routed_listeners.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { BodyBudget } from "../connection/body_budget.ts";
 import { CallerListener } from "../connection/caller_listener.ts";
 import type { SimpleListener } from "../connection/simple_listener.ts";
 import type { CallerHandler } from "../request/caller_request.ts";
@@ -34,6 +35,8 @@
 
 /** All listeners of one VM. */
 export class RoutedListeners {
+  /** Bodies that are being read, from callers and other VMs. */
+  readonly bodies = BodyBudget.create();
   readonly #callers: CallerListener;
   readonly #forwarded: CallerListener;
   readonly #state: SimpleListener;
@@ -41,9 +44,13 @@
   constructor(options: RoutedListenersOptions) {
     this.#callers = CallerListener.create({
       ...options,
+      bodies: this.bodies,
       limits: INITIAL_CALLER_LIMITS,
     });
-    this.#forwarded = createForwardedListener(options);
+    this.#forwarded = createForwardedListener({
+      ...options,
+      bodies: this.bodies,
+    });
     this.#state = createStateListener(options.log, options.state);
   }
 
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { BodyBudget } from "../connection/body_budget.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
 import {
   getSoftwareVersion,
@@ -37,6 +38,8 @@
   countFailedFetches: () => number;
   /** Leavings of which this VM may have learnt late. */
   countLateLeavings: () => number;
+  /** Bodies of requests that are being read. */
+  getBodies: () => BodyBudget;
   /** Undefined until the VM has started. */
   getDatagrams: () => DatagramCounts | undefined;
   /** Requests passed on to other VMs; undefined until the VM has started. */
@@ -133,6 +136,14 @@
       "Leaving replicas of which this VM may have learnt late, since the start",
     read: sources.countLateLeavings,
   });
+  metrics.addGauge("request_bodies_bytes", {
+    help: "Bytes of request bodies that are being read",
+    read: () => sources.getBodies().bytes,
+  });
+  metrics.addGauge("request_bodies_refused", {
+    help: "Requests refused since the start because too many bodies were read",
+    read: () => sources.getBodies().refused,
+  });
   metrics.addGauge("datagrams_sent", {
     help: "Datagrams to other VMs since the start",
     read: () => sources.getDatagrams()?.totals.sent ?? 0,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -374,6 +374,7 @@
       getWaiting: () => this.#fleet?.waiting,
       countFailedFetches: () => this.#fleet?.follower.failedFetches ?? 0,
       countLateLeavings: () => this.#fleet?.follower.leavings.lateCount ?? 0,
+      getBodies: () => this.#listeners.bodies,
       getDatagrams: () => this.#fleet?.datagrams,
       getForwarding: () => this.#fleet?.forwarding,
       isWatching: () => this.#fleet?.follower.isWatching ?? false,
