Count no outage of a store that says its history is gone

The store had cut a watch and answered the next call that its history is gone; the read of its whole state then timed out, and all of that counted as an outage in which entries expire.

An answer that the history is gone now ends the outage, and counts as an answer of the store.

store_watcher_test (reads that time out after the history was lost are no outage) failed before: the replica was still ready.

--- a/src/process/seeded_fleet/list_confirmation.ts
+++ b/src/process/seeded_fleet/list_confirmation.ts
@@ -51,6 +51,11 @@
     return this.#answeredAt;
   }
 
+  /** Records that the store answers now, with whatever it has. */
+  noteAnswered(): void {
+    this.#answeredAt = this.#clock.now();
+  }
+
   /**
    * Records that an answer of the store has the list of this VM, and a time
    * (`Clock.now()`) at which it was the newest.
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -116,6 +116,7 @@
       isRetaining: () => this.#expired.isRetaining,
       onState: (state, newestAt) => this.#applyState(state, newestAt),
       onLost: options.onStoreLost,
+      onAnswered: () => this.#confirmation.noteAnswered(),
       onRegained: ({ calledAt, failingMs }) =>
         this.#expired.noteStoreRegained({
           unansweredMs: calledAt - this.#confirmation.answeredAt,
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -59,6 +59,8 @@
   onState: (state: PublishedState, newestAt: number) => void;
   /** Called when the store stops answering this VM. */
   onLost: () => void;
+  /** Called when the store answers without its state. */
+  onAnswered: () => void;
   /** Called before `onState` if the calls before failed. */
   onRegained: (regained: StoreRegained) => void;
 }
@@ -203,11 +205,11 @@
       const list = getList();
       store.resumeFrom(list);
       const state = this.#canWatch()
-        ? await this.#watchState(waitMs)
+        ? await this.#watchState(waitMs, calledAt)
         : await store.fetchState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
-      this.#noteRegained(state.revision, calledAt);
+      this.#noteRegained(calledAt);
       const known = Math.max(this.#revision, list.revision);
       const isUnchanged = state.revision === known;
       this.#revision = state.revision;
@@ -235,12 +237,18 @@
       (failures < UNAVAILABLE_FAILURES || failures % 2 === 1);
   }
 
-  async #watchState(waitMs: number): Promise<PublishedState> {
-    const { store, log } = this.#options;
+  async #watchState(
+    waitMs: number,
+    calledAt: number,
+  ): Promise<PublishedState> {
+    const { store, log, onAnswered } = this.#options;
     const update = await store.watch(waitMs);
     if (update.kind === "state") return update.state;
     log.info("store_history_lost");
+    // The store answers, however long the read of its whole state takes.
     this.#retry.noteAnswered();
+    this.#noteRegained(calledAt);
+    onAnswered();
     return await store.fetchState();
   }
 
@@ -266,12 +274,11 @@
     if (!isViewStale()) onLost();
   }
 
-  #noteRegained(revision: number, calledAt: number): void {
+  #noteRegained(calledAt: number): void {
     if (this.#lostSince === undefined) return;
     const failingMs = calledAt - this.#lostSince;
     this.#lostSince = undefined;
     this.#options.log.info("store_regained", {
-      revision,
       away_ms: Math.round(failingMs),
     });
     if (this.#hasFailed) this.#options.onRegained({ calledAt, failingMs });
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -1,7 +1,10 @@
 import { expect, it } from "vitest";
-import { toId } from "../../../src/ids.ts";
+import { toId, type VmId } from "../../../src/ids.ts";
 import { SilentLog } from "../../../src/process/log.ts";
-import { ReplicaDirectory } from "../../../src/process/placement/index.ts";
+import {
+  type ListedReplica,
+  ReplicaDirectory,
+} from "../../../src/process/placement/index.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { FleetPeers } from "../../../src/process/seeded_fleet/fleet_peers.ts";
 import {
@@ -12,6 +15,8 @@
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
+const READ_TIMEOUT_MS = 1_500;
+
 /** Answers reads with ever newer states; watches as the test says. */
 class ScriptedStore extends PublishedStore {
   readonly calls: { kind: "read" | "watch"; at: number }[] = [];
@@ -19,6 +24,9 @@
     Promise.reject(new Error("Answer exceeds the size limit"));
   readonly #clock: VirtualClock;
   #revision = 0;
+  /** Reads of the whole state that are going to fail. */
+  failingReads = 0;
+  replicas: ListedReplica[] = [];
 
   constructor(clock: VirtualClock) {
     super();
@@ -27,10 +35,15 @@
 
   override resumeFrom(): void {}
 
-  override fetchState(): Promise<PublishedState> {
+  override async fetchState(): Promise<PublishedState> {
     this.calls.push({ kind: "read", at: this.#clock.now() });
+    if (this.failingReads > 0) {
+      this.failingReads -= 1;
+      await this.#clock.sleep(READ_TIMEOUT_MS);
+      throw new Error("Call timed out");
+    }
     this.#revision += 1;
-    return Promise.resolve(this.buildState());
+    return this.buildState();
   }
 
   override watch(waitMs: number): Promise<StoreUpdate> {
@@ -43,7 +56,7 @@
     return {
       revision,
       configuration: undefined,
-      replicas: { revision, replicas: [] },
+      replicas: { revision, replicas: this.replicas },
     };
   }
 }
@@ -100,3 +113,39 @@
     .map(({ at }) => Math.round(at));
   expect(times).toHaveLength(2);
 });
+
+// Guards against a replica that is used on after it has left, because the store
+// cut a watch and reads of its whole state timed out: no entry expires in that
+// time, since the store answers.
+it("reads that time out after the history was lost are no outage", async () => {
+  const { clock, store, replicas, follower } = startFollower();
+  const left = toId<VmId>("i-1");
+  store.replicas = [{
+    id: left,
+    pool: toId("pool"),
+    address: "10.0.0.1",
+    port: 1,
+    dataCentre: toId("dc"),
+    slots: 1,
+    state: "ready",
+  }];
+  let watches = 0;
+  store.watchOnce = async () => {
+    watches += 1;
+    if (watches > 1) {
+      await clock.sleep(10);
+      return { kind: "history_lost" };
+    }
+    await clock.sleep(700);
+    throw new Error("Watch was cut");
+  };
+  follower.start();
+  await clock.run(100);
+  expect(replicas.isReady(left)).toBe(true);
+  store.replicas = [];
+  store.failingReads = 2;
+  await clock.run(700 + 3 * READ_TIMEOUT_MS);
+  follower.stop();
+  expect(watches).toBeGreaterThan(1);
+  expect(replicas.isReady(left)).toBe(false);
+});
