--- a/src/process/seeded_fleet/datagram_link.ts
+++ b/src/process/seeded_fleet/datagram_link.ts
@@ -81,7 +81,7 @@
       socket.bind({ address, port }, () => {
         socket.removeAllListeners("error");
         const link = new UdpLink(socket, local, log);
-        link.#growReceiveBuffer();
+        link.#setReceiveBuffer();
         socket.on("error", (error) => link.#noteError(error));
         resolve(link);
       });
@@ -122,7 +122,7 @@
     this.#socket.close();
   }
 
-  #growReceiveBuffer(): void {
+  #setReceiveBuffer(): void {
     try {
       this.#socket.setRecvBufferSize(RECEIVE_BUFFER_BYTES);
     } catch (thrown) {
--- a/src/process/seeded_fleet/leaving_news.ts
+++ b/src/process/seeded_fleet/leaving_news.ts
@@ -77,7 +77,7 @@
     const { listAgeMs, lagMs } = change;
     if (listAgeMs < LATE_AFTER_MS && lagMs < LATE_AFTER_MS) return;
     this.#lateCount += unheard.length;
-    for (const [id] of unheard) this.#logLate(id, change);
+    for (const [id] of unheard) this.#writeLate(id, change);
   }
 
   /**
@@ -94,7 +94,10 @@
     return heard.length > 0;
   }
 
-  #logLate(replica: VmId, { after, from, listAgeMs, lagMs }: ListChange): void {
+  #writeLate(
+    replica: VmId,
+    { after, from, listAgeMs, lagMs }: ListChange,
+  ): void {
     const { log, getMsSinceSent } = this.#options;
     log.warn("leaving_learnt_late", {
       replica,
--- a/test/connection/request_body_test.ts
+++ b/test/connection/request_body_test.ts
@@ -18,7 +18,7 @@
   bodyTimeoutMs: 5_000,
 };
 
-function measureHeap(): number {
+function countHeapBytes(): number {
   setFlagsFromString("--expose_gc");
   runInNewContext("gc")();
   const { heapUsed, external } = process.memoryUsage();
@@ -38,11 +38,11 @@
     it(`takes memory in proportion to its bytes: ${size}`, () => {
       const bytes = Buffer.alloc(BODY_BYTES, "0123456789");
       const buffer = ChunkBuffer.create();
-      const before = measureHeap();
+      const before = countHeapBytes();
       for (let at = 0; at < BODY_BYTES; at += size) {
         buffer.add(bytes.subarray(at, at + size));
       }
-      expect(measureHeap() - before).toBeLessThan(MAX_GROWTH_BYTES);
+      expect(countHeapBytes() - before).toBeLessThan(MAX_GROWTH_BYTES);
       expect(buffer.length).toBe(BODY_BYTES);
       expect(buffer.take().equals(bytes)).toBe(true);
     });
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -89,7 +89,7 @@
 // Guards against a VM that repeats a watch whose answer is too large, or too
 // slow, for as long as the store keeps its history.
 it("a VM whose watches all fail reads the whole state", async () => {
-  const { clock, store, replicas, follower } = startFollower();
+  const { clock, replicas, follower } = startFollower();
   follower.start();
   await clock.run(100);
   expect(replicas.revision).toBe(1);
