Give lines on a VM's state a limit of their own in the log

A record of a busy VM may lack the very lines that tell why it sent.

Lines that name a request, lines on the state of the process, and warnings each have a limit; log_lines_left_out tells how many of each kind were dropped.

--- a/src/process/rate_limited_log.ts
+++ b/src/process/rate_limited_log.ts
@@ -3,27 +3,41 @@
  *
  * Under load, and above all when many requests are refused, a line for each
  * step of each request would take CPU time from the requests. Lines over the
- * limit are dropped and counted. Warnings and errors have a limit of their own.
+ * limit are dropped and counted. Warnings and errors have a limit of their own,
+ * and so have lines on the state of the process: requests are judged by them.
  *
  * @module
  */
+import { match } from "ts-pattern";
 import type { Clock } from "./clock.ts";
 import { Log, type LogFields, type LogLevel } from "./log.ts";
 
 const WINDOW_MS = 1_000;
 /** Enough for about 60 requests per second, three times a VM's usual rate. */
-const ROUTINE_LINES_PER_SECOND = 400;
+const REQUEST_LINES_PER_SECOND = 400;
+/** A list of the largest fleet may change in this many replicas at once. */
+const STATE_LINES_PER_SECOND = 400;
 /** Limit for the levels `warn` and `error`. */
 const WARNING_LINES_PER_SECOND = 200;
 
+/** Lines that share a limit. */
+type LineKind = "requests" | "state" | "warnings";
+
+type LineCounts = Record<LineKind, number>;
+
+const LIMITS: Readonly<LineCounts> = {
+  requests: REQUEST_LINES_PER_SECOND,
+  state: STATE_LINES_PER_SECOND,
+  warnings: WARNING_LINES_PER_SECOND,
+};
+
 /** Forwards events up to a number of lines per second. */
 export class RateLimitedLog extends Log {
   readonly #log: Log;
   readonly #clock: Clock;
   #windowStart = -Infinity;
-  #routine = 0;
-  #warnings = 0;
-  #droppedInWindow = 0;
+  #written = createCounts();
+  #dropped = createCounts();
   #totalDropped = 0;
 
   constructor(log: Log, clock: Clock) {
@@ -43,30 +57,42 @@
 
   write(level: LogLevel, event: string, fields: LogFields): void {
     this.#updateWindow();
-    if (!this.#takeLine(level)) {
-      this.#droppedInWindow += 1;
+    const kind = chooseKind(level, fields);
+    this.#written[kind] += 1;
+    if (this.#written[kind] > LIMITS[kind]) {
+      this.#dropped[kind] += 1;
       this.#totalDropped += 1;
       return;
     }
     this.#log.write(level, event, fields);
   }
 
-  #takeLine(level: LogLevel): boolean {
-    const isWarning = level === "warn" || level === "error";
-    if (!isWarning) return this.#routine++ < ROUTINE_LINES_PER_SECOND;
-    return this.#warnings++ < WARNING_LINES_PER_SECOND;
-  }
-
   #updateWindow(): void {
     const now = this.#clock.now();
     if (now - this.#windowStart < WINDOW_MS) return;
     this.#windowStart = now;
-    this.#routine = 0;
-    this.#warnings = 0;
-    if (this.#droppedInWindow === 0) return;
-    this.#log.write("warn", "log_lines_left_out", {
-      count: this.#droppedInWindow,
-    });
-    this.#droppedInWindow = 0;
+    this.#written = createCounts();
+    const { requests, state, warnings } = this.#dropped;
+    const count = requests + state + warnings;
+    if (count === 0) return;
+    this.#dropped = createCounts();
+    const fields = { count, requests, state, warnings };
+    this.#log.write("warn", "log_lines_left_out", fields);
   }
 }
+
+function chooseKind(level: LogLevel, fields: LogFields): LineKind {
+  return match(level)
+    .returnType<LineKind>()
+    .with("warn", "error", () => "warnings")
+    .with(
+      "info",
+      "debug",
+      () => fields["request_id"] === undefined ? "state" : "requests",
+    )
+    .exhaustive();
+}
+
+function createCounts(): LineCounts {
+  return { requests: 0, state: 0, warnings: 0 };
+}
