--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -14,6 +14,7 @@
 } from "../../ids.ts";
 import type { UpstreamSignals } from "../../request/upstream_signals.ts";
 import type { Clock } from "../clock.ts";
+import type { Log } from "../log.ts";
 import {
   HeldLease,
   type LeaseProgress,
@@ -41,7 +42,10 @@
 /** Options of `PlacedLease`. */
 export interface PlacedLeaseOptions {
   clock: Clock;
+  log: Log;
   directory: ReplicaDirectory;
+  /** Whether the list was not confirmed for some time. */
+  isViewStale: () => boolean;
   /** Time since the list of replicas was confirmed; below 0 for never. */
   getListAgeMs: () => number;
   state: PlacementState;
@@ -156,6 +160,7 @@
 
   override noteSending(): void {
     this.#options.state.lastSends.note(this.upstream);
+    if (this.#options.isViewStale()) this.#writeStale();
   }
 
   noteProgress(progress: LeaseProgress): void {
@@ -208,6 +213,17 @@
     }
   }
 
+  #writeStale(): void {
+    const { clock, log, request, directory, getListAgeMs } = this.#options;
+    log.info("sent_by_stale_view", {
+      request_id: request.requestId,
+      replica: this.upstream,
+      list_revision: directory.revision,
+      list_age_ms: getListAgeMs(),
+      granted_ms: Math.round(clock.now() - this.#grantedAt),
+    });
+  }
+
   #addCallTime(): void {
     const { clock, request, state } = this.#options;
     if (request.promptTokens > 0) return;
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -15,6 +15,7 @@
 import { RefusalError } from "../../outcome.ts";
 import type { RequestStep } from "../../request/request_status.ts";
 import type { Clock } from "../clock.ts";
+import type { Log } from "../log.ts";
 import type { Random } from "../random.ts";
 import { type HeldLease, type LeaseRequest, LeaseSource } from "../services.ts";
 import type { Locality } from "./locality.ts";
@@ -71,12 +72,15 @@
 /** Options of `PlacementSource`. */
 export interface PlacementSourceOptions {
   clock: Clock;
+  log: Log;
   random: Random;
   /** Data centre of this VM. */
   dataCentre: DataCentre;
   directory: ReplicaDirectory;
   /** Time since the list of replicas was confirmed; below 0 for never. */
   getListAgeMs: () => number;
+  /** Whether the list was not confirmed for some time. */
+  isViewStale: () => boolean;
   locality: Locality;
   state: PlacementState;
   fetchPlacement: FetchPlacement;
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -43,6 +43,8 @@
   replicas: ReplicaDirectory;
   /** Time since the list of replicas was confirmed; below 0 for never. */
   getListAgeMs: () => number;
+  /** Whether the list was not confirmed for some time. */
+  isViewStale: () => boolean;
   /** Resolves once this VM's state is the newest, as far as it can tell. */
   waitForFreshState: () => Promise<void>;
   locality: Locality;
@@ -69,9 +71,11 @@
     getSnapshot: options.getSnapshot,
     leases: PlacementSource.create({
       clock,
+      log: options.log,
       random,
       directory: options.replicas,
       getListAgeMs: options.getListAgeMs,
+      isViewStale: options.isViewStale,
       locality: options.locality,
       dataCentre: options.dataCentre,
       state: placement,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -279,6 +279,7 @@
         quarantine: this.#quarantine,
         replicas: this.replicas,
         getListAgeMs: () => this.#fleet?.follower.getListAgeMs() ?? -1,
+        isViewStale: () => this.#fleet?.follower.isViewStale() ?? true,
         waitForFreshState: () => this.#waitForFreshState(),
         locality: this.#locality,
         placement: this.#placement,
--- a/src/process/seeded_fleet/leaving_news.ts
+++ b/src/process/seeded_fleet/leaving_news.ts
@@ -26,6 +26,8 @@
   clock: Clock;
   log: Log;
   replicas: ReplicaDirectory;
+  /** Time since the list was last known to be the newest; -1 for never. */
+  getListAgeMs: () => number;
   /** Milliseconds since the last request to a replica; undefined for none. */
   getMsSinceSent: (replica: VmId) => number | undefined;
 }
@@ -85,11 +87,17 @@
    * was unknown.
    */
   noteHeartbeat({ vm, left = [] }: FleetHeartbeat): boolean {
-    const { replicas, log } = this.#options;
+    const { replicas, log, getListAgeMs, getMsSinceSent } = this.#options;
     const heard = replicas.noteLeftLater(left);
     this.#recent.add(heard);
     for (const [replica, revision] of heard) {
-      log.info("replica_left_heard", { replica, revision, from: vm });
+      log.info("replica_left_heard", {
+        replica,
+        revision,
+        from: vm,
+        list_age_ms: getListAgeMs(),
+        last_sent_ms: getMsSinceSent(replica),
+      });
     }
     return heard.length > 0;
   }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -93,7 +93,10 @@
   constructor(options: StateFollowerOptions) {
     this.#options = options;
     this.#expired = RecentlyExpired.create(options);
-    this.leavings = LeavingNews.create(options);
+    this.leavings = LeavingNews.create({
+      ...options,
+      getListAgeMs: () => this.getListAgeMs(),
+    });
     this.#configurationLag = StateLag.create(options.clock, options.log);
     this.#listLag = StateLag.create(options.clock, options.log);
     this.#confirmation = ListConfirmation.create(
@@ -110,7 +113,7 @@
       hasState: () =>
         this.#snapshot !== undefined && options.replicas.revision > 0,
       getList: () => options.replicas.getList(),
-      isViewStale: () => this.#isViewStale(),
+      isViewStale: () => this.isViewStale(),
       isBehind: () => this.getLagMs() > MAX_LAG_MS,
       getListAgeMs: () => this.getListAgeMs(),
       isRetaining: () => this.#expired.isRetaining,
@@ -126,7 +129,7 @@
     this.#refreshWait = RefreshWait.create({
       clock: options.clock,
       hasSnapshot: () => this.#snapshot !== undefined,
-      isViewStale: () => this.#isViewStale(),
+      isViewStale: () => this.isViewStale(),
       isStoreUnavailable: () => this.#watcher.isUnavailable,
       getLagMs: () => this.getLagMs(),
       checkStore: () => this.#watcher.checkNow(),
@@ -164,6 +167,12 @@
     return Number.isFinite(age) ? Math.round(age) : -1;
   }
 
+  /** Whether the list was not known to be the newest for some time. */
+  isViewStale(): boolean {
+    const { clock } = this.#options;
+    return clock.now() - this.#confirmation.confirmedAt > STALE_VIEW_MS;
+  }
+
   /** What shows other VMs when the list of this VM was the newest. */
   getConfirmation(): Confirmation | undefined {
     return this.#confirmation.current;
@@ -249,11 +258,6 @@
     if (state.replicas) this.#applyReplicas(state.replicas, from);
   }
 
-  #isViewStale(): boolean {
-    const { clock } = this.#options;
-    return clock.now() - this.#confirmation.confirmedAt > STALE_VIEW_MS;
-  }
-
   #applyState(state: PublishedState, newestAt: number): void {
     const { replicas } = this.#options;
     if (state.configuration) {
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -265,10 +265,11 @@
   }
 
   #noteLost(calledAt: number, error: Error): void {
-    const { log, isViewStale, onLost } = this.#options;
+    const { clock, log, isViewStale, onLost } = this.#options;
     if (this.#lostSince !== undefined) return;
     this.#lostSince = calledAt;
-    log.warn("store_lost", { error: error.message });
+    const calledMs = Math.round(clock.now() - calledAt);
+    log.warn("store_lost", { error: error.message, called_ms: calledMs });
     // With a stale view each VM watches the store itself and needs no report
     // that others cannot.
     if (!isViewStale()) onLost();
--- a/test/process/placement/on_time_test.ts
+++ b/test/process/placement/on_time_test.ts
@@ -12,6 +12,7 @@
 import type { HeldLease, LeaseRequest } from "../../../src/process/services.ts";
 import { buildListedReplicas } from "../../support/listed_replicas.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
+import { SilentLog } from "../../../src/process/log.ts";
 
 const POOL_SIZE = 4;
 const TARGET_MS = 600;
@@ -64,7 +65,9 @@
     });
     this.#source = PlacementSource.create({
       waitForFreshState: () => Promise.resolve(),
+      log: SilentLog.create(),
       getListAgeMs: () => 0,
+      isViewStale: () => false,
       clock: this.clock,
       random: SeededRandom.create(1),
       dataCentre: toId("dc"),
@@ -280,7 +283,9 @@
     const directory = ReplicaDirectory.create();
     const source = PlacementSource.create({
       waitForFreshState: () => Promise.resolve(),
+      log: SilentLog.create(),
       getListAgeMs: () => 0,
+      isViewStale: () => false,
       clock,
       random: SeededRandom.create(1),
       dataCentre: toId("dc"),
--- a/test/process/placement/placement_source_test.ts
+++ b/test/process/placement/placement_source_test.ts
@@ -11,6 +11,7 @@
 import type { LeaseRequest } from "../../../src/process/services.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { buildListedReplica } from "../../support/listed_replicas.ts";
+import { SilentLog } from "../../../src/process/log.ts";
 
 const REPLICA = buildListedReplica(1);
 const PLACEMENT = {
@@ -44,7 +45,9 @@
     random: SeededRandom.create(1),
     dataCentre: toId("dc"),
     directory,
+    log: SilentLog.create(),
     getListAgeMs: () => 0,
+    isViewStale: () => false,
     waitForFreshState: () => clock.sleep(100),
     waitForSocketReads: () => Promise.resolve(),
     locality: Locality.create(new Map()),
--- a/test/process/placement/replica_liveness_test.ts
+++ b/test/process/placement/replica_liveness_test.ts
@@ -10,6 +10,7 @@
 import type { HeldLease } from "../../../src/process/services.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
+import { SilentLog } from "../../../src/process/log.ts";
 
 const PROGRESS = { tokens: 1, firstTokenMs: 1, betweenTokensMs: undefined };
 /** Longer than the time for which one byte counts as a sign of life. */
@@ -38,7 +39,9 @@
   });
   const source = PlacementSource.create({
     waitForFreshState: () => Promise.resolve(),
+    log: SilentLog.create(),
     getListAgeMs: () => 0,
+    isViewStale: () => false,
     clock,
     random: SeededRandom.create(1),
     dataCentre: toId("dc"),
--- a/test/process/placement/version_waits_test.ts
+++ b/test/process/placement/version_waits_test.ts
@@ -11,6 +11,7 @@
 import type { LeaseRequest } from "../../../src/process/services.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { buildListedReplica } from "../../support/listed_replicas.ts";
+import { SilentLog } from "../../../src/process/log.ts";
 
 const OLD = buildListedReplica(1, { version: toId("v1") });
 const NEW = buildListedReplica(2, { version: toId("v2") });
@@ -30,7 +31,9 @@
     random: SeededRandom.create(1),
     dataCentre: toId("dc"),
     directory,
+    log: SilentLog.create(),
     getListAgeMs: () => 0,
+    isViewStale: () => false,
     waitForFreshState: () => Promise.resolve(),
     waitForSocketReads: () => Promise.resolve(),
     locality: Locality.create(new Map()),
--- a/test/process/seeded_fleet/leaving_news_test.ts
+++ b/test/process/seeded_fleet/leaving_news_test.ts
@@ -45,6 +45,7 @@
     clock,
     log,
     replicas,
+    getListAgeMs: () => 900,
     getMsSinceSent: (id) => id === FIRST ? 40 : undefined,
   });
   const noteLeft = (left: [VmId, number][]) =>
@@ -65,6 +66,15 @@
     expect(noteLeft([[FIRST, 7]])).toBe(false);
   });
 
+  it("is logged with this VM's last request and the age of its list", () => {
+    const { log, noteLeft } = createNews();
+    noteLeft([[FIRST, 7]]);
+    expect(log.lines).toMatchObject([{
+      event: "replica_left_heard",
+      fields: { from: "vm-2", list_age_ms: 900, last_sent_ms: 40 },
+    }]);
+  });
+
   it("is told on to other VMs for some time", async () => {
     const { clock, news, noteLeft } = createNews();
     noteLeft([[FIRST, 7]]);
