Show that a request is sent by a view that became stale

A VM whose path to the store is silent gets a request at a view of 1.55 s; its process is held for 0.8 s while the connection to the replica is made.

--- a/test/support/cuttable_links.ts
+++ b/test/support/cuttable_links.ts
@@ -28,6 +28,8 @@
   /** Ports that the cut applies to; undefined for all. */
   #ports: ReadonlySet<number> | undefined;
   #cut: LinkCut | undefined;
+  /** Called when the VM has begun to open a connection. */
+  onOpen: () => void = () => {};
 
   static create(): CuttableLinks {
     return new CuttableLinks();
@@ -40,6 +42,7 @@
     if (cut !== undefined) return connect({ ...options, port: CLOSED_PORT });
     const socket = connect(options);
     this.add(socket, port);
+    this.onOpen();
     return socket;
   };
 
