Look at the age of the view again before the first byte of a request

What callers and replicas saw: a request reached a replica over 2 s after it had left, from a VM that was in touch.

Cause: the age of the view was looked at when a request arrived and when the answer of the pool's owner came. Waiting for room at a brittle replica or for a replica of its version (a quarter of the request's time), opening a connection, and any stall of the process came after that, and right before the first byte only the VM's own list was asked, however old.

Change: a lease counts as valid only while requests may be sent by the state that the VM has (RefreshWait.canUseState), so the check right before the first byte covers it. A lease that expires while its connection is opened is no failed attempt of that replica: nothing was sent, and the request is placed again, which waits for a fresh view. The wait is bounded as before (2 s), counted from when the view was first found stale, so that one lease after the other cannot add up.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -46,6 +46,8 @@
   directory: ReplicaDirectory;
   /** Whether the list was not confirmed for some time. */
   isViewStale: () => boolean;
+  /** Whether a request may be sent by the list that this VM has now. */
+  canUseState: () => boolean;
   /** Time since the list of replicas was confirmed; below 0 for never. */
   getListAgeMs: () => number;
   state: PlacementState;
@@ -109,11 +111,14 @@
     return new PlacedLease(lease, options);
   }
 
-  /** False once the replica is leaving or has asked to back off. */
+  /**
+   * False once the replica is leaving or has asked to back off, or while this VM
+   * can't tell.
+   */
   isValid(): boolean {
-    const { directory, state } = this.#options;
+    const { directory, state, canUseState } = this.#options;
     return directory.isReady(this.upstream) &&
-      !state.backOffs.isBackingOff(this.upstream);
+      !state.backOffs.isBackingOff(this.upstream) && canUseState();
   }
 
   /**
--- a/src/process/placement/placement_source.ts
+++ b/src/process/placement/placement_source.ts
@@ -81,6 +81,8 @@
   getListAgeMs: () => number;
   /** Whether the list was not confirmed for some time. */
   isViewStale: () => boolean;
+  /** Whether a request may be sent by the list that this VM has now. */
+  canUseState: () => boolean;
   locality: Locality;
   state: PlacementState;
   fetchPlacement: FetchPlacement;
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -45,6 +45,8 @@
   getListAgeMs: () => number;
   /** Whether the list was not confirmed for some time. */
   isViewStale: () => boolean;
+  /** Whether a request may be sent by the list that this VM has now. */
+  canUseState: () => boolean;
   /** Resolves once this VM's state is the newest, as far as it can tell. */
   waitForFreshState: () => Promise<void>;
   locality: Locality;
@@ -76,6 +78,7 @@
       directory: options.replicas,
       getListAgeMs: options.getListAgeMs,
       isViewStale: options.isViewStale,
+      canUseState: options.canUseState,
       locality: options.locality,
       dataCentre: options.dataCentre,
       state: placement,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -280,6 +280,7 @@
         replicas: this.replicas,
         getListAgeMs: () => this.#fleet?.follower.getListAgeMs() ?? -1,
         isViewStale: () => this.#fleet?.follower.isViewStale() ?? true,
+        canUseState: () => this.#fleet?.follower.canUseState() ?? true,
         waitForFreshState: () => this.#waitForFreshState(),
         locality: this.#locality,
         placement: this.#placement,
--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "../clock.ts";
 
 /**
- * A request waits at most this long for a confirmation of a stale view. A store
+ * Requests wait at most this long for a confirmation of a stale view. A store
  * that does not answer is found unavailable sooner, which ends the wait.
  */
 const MAX_CONFIRMING_WAIT_MS = 2_000;
@@ -18,6 +18,11 @@
 const REFRESH_CHECK_INTERVAL_MS = 10;
 /** A VM that heard from no other for so long was stalled, or cut off. */
 const MIN_GAP_MS = 1_000;
+/**
+ * What was refreshing at checks that lie further apart may have been confirmed,
+ * or the process stalled, in between.
+ */
+const MAX_CHECK_GAP_MS = 1_000;
 
 /** Options of `RefreshWait`. */
 export interface RefreshWaitOptions {
@@ -26,6 +31,8 @@
   hasSnapshot: () => boolean;
   /** Whether this VM's view was not confirmed for some time. */
   isViewStale: () => boolean;
+  /** `Clock.now()` at which the view was last the newest. */
+  getConfirmedAt: () => number;
   /** Whether the last calls to the store failed. */
   isStoreUnavailable: () => boolean;
   /** Time for which other VMs have had newer state; 0 if none has. */
@@ -34,12 +41,21 @@
   checkStore: () => void;
 }
 
+/** A time for which this VM waits for newer state. */
+interface Refreshing {
+  since: number;
+  checkedAt: number;
+  /** `Clock.now()` at which the view was last the newest. */
+  confirmedAt: number;
+}
+
 /** Holds requests that would be handled by what this VM knew before. */
 export class RefreshWait {
   readonly #options: RefreshWaitOptions;
   #lastHeardAt = -Infinity;
   /** `Clock.now()` when another VM was heard after a gap. */
   #resumedAt = -Infinity;
+  #refreshing: Refreshing | undefined;
 
   constructor(options: RefreshWaitOptions) {
     this.#options = options;
@@ -61,13 +77,30 @@
    * confirmed its state for some time, or was stalled and knows of newer state.
    */
   async waitForFreshState(): Promise<void> {
-    if (!this.#isRefreshing()) return;
+    if (this.canUseState()) return;
     const { clock, checkStore } = this.#options;
-    const until = clock.now() + MAX_CONFIRMING_WAIT_MS;
     checkStore();
-    while (this.#isRefreshing() && clock.now() < until) {
-      await clock.sleep(REFRESH_CHECK_INTERVAL_MS);
+    while (!this.canUseState()) await clock.sleep(REFRESH_CHECK_INTERVAL_MS);
+  }
+
+  /**
+   * Whether a request may be sent by what this VM knows now. Check before each
+   * send: the view of a request that waited, or whose connection took time to
+   * open, may have become stale.
+   */
+  canUseState(): boolean {
+    if (!this.#isRefreshing()) {
+      this.#refreshing = undefined;
+      return true;
     }
+    const now = this.#options.clock.now();
+    const confirmedAt = this.#options.getConfirmedAt();
+    const known = this.#refreshing;
+    const isSame = known?.confirmedAt === confirmedAt &&
+      now - known.checkedAt <= MAX_CHECK_GAP_MS;
+    const since = isSame ? known.since : now;
+    this.#refreshing = { since, checkedAt: now, confirmedAt };
+    return now - since >= MAX_CONFIRMING_WAIT_MS;
   }
 
   /** Whether newer state is on its way, or a confirmation that there is none. */
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -130,6 +130,7 @@
       clock: options.clock,
       hasSnapshot: () => this.#snapshot !== undefined,
       isViewStale: () => this.isViewStale(),
+      getConfirmedAt: () => this.#confirmation.confirmedAt,
       isStoreUnavailable: () => this.#watcher.isUnavailable,
       getLagMs: () => this.getLagMs(),
       checkStore: () => this.#watcher.checkNow(),
@@ -193,6 +194,11 @@
     return this.#refreshWait.waitForFreshState();
   }
 
+  /** See `RefreshWait.canUseState`. */
+  canUseState(): boolean {
+    return this.#refreshWait.canUseState();
+  }
+
   /** State of this VM that is newer than `known`. */
   buildNewerState(known: KnownVersions): NewerState {
     const { replicas } = this.#options;
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -205,10 +205,7 @@
   const call = work.buildCall(lease, sends);
   const isForwarded = lease.peerTransport !== undefined;
   const early = findEarlyResult(execution, lease);
-  if (early !== undefined) {
-    lease.release("unused", NO_PROGRESS);
-    return early;
-  }
+  if (early !== undefined) return early;
   execution.upstream = lease.upstream;
   execution.note(isForwarded ? "forwarded" : "sent", {
     peer: lease.upstream,
@@ -244,8 +241,12 @@
     });
     return { kind: "answered", beganAt: progress.beganAt };
   } catch (thrown) {
+    const error = toError(thrown);
+    const isUnsent = error instanceof UpstreamError &&
+      error.kind === "not_sent";
+    if (isUnsent) return handleExpired(execution, lease);
     const maxSends = isForwarded ? work.maxSends - sends : 1;
-    return handleFailure(execution, toError(thrown), {
+    return handleFailure(execution, error, {
       lease,
       progress,
       maxSends,
@@ -268,7 +269,10 @@
   execution: RequestExecution,
   lease: HeldLease,
 ): AttemptResult | undefined {
-  if (execution.options.sink.signal.aborted) return { kind: "cancelled" };
+  if (execution.options.sink.signal.aborted) {
+    lease.release("unused", NO_PROGRESS);
+    return { kind: "cancelled" };
+  }
   if (!execution.options.isClaimValid()) {
     lease.release("unused", NO_PROGRESS);
     throw createRefusal(execution, {
@@ -286,6 +290,14 @@
   }
   checkQuarantine(execution, () => lease.release("unused", NO_PROGRESS));
   if (lease.isValid() && !lease.preempted.aborted) return undefined;
+  return handleExpired(execution, lease);
+}
+
+function handleExpired(
+  execution: RequestExecution,
+  lease: HeldLease,
+): AttemptResult {
+  lease.release("unused", NO_PROGRESS);
   execution.note("retried", {
     peer: lease.upstream,
     detail: "The lease expired before the work was sent",
--- a/test/failures/sent_by_stale_view_test.ts
+++ b/test/failures/sent_by_stale_view_test.ts
@@ -10,7 +10,7 @@
 const VIEW_AGE_MS = 1_550;
 /** Time for which the process is held while it opens the connection. */
 const STALL_MS = 800;
-const HEALED_AFTER_MS = 2_700;
+const HEALED_AFTER_MS = 2_400;
 const TIMEOUT_MS = 8_000;
 const PATHS = ["/safe/x", "/unsafe/x", "/restream/x"];
 
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -181,6 +181,7 @@
     if (after + 1 >= this.#oldest && (isNewest || this.#isDeaf)) {
       await this.#waitForChange(Number(query.get("wait-ms")));
     }
+    if (this.mode === "silent") return;
     if (this.mode !== "up") {
       response.destroy();
       return;
--- a/test/process/placement/placement_source_test.ts
+++ b/test/process/placement/placement_source_test.ts
@@ -48,6 +48,7 @@
     log: SilentLog.create(),
     getListAgeMs: () => 0,
     isViewStale: () => false,
+    canUseState: () => true,
     waitForFreshState: () => clock.sleep(100),
     waitForSocketReads: () => Promise.resolve(),
     locality: Locality.create(new Map()),
--- a/test/process/placement/replica_liveness_test.ts
+++ b/test/process/placement/replica_liveness_test.ts
@@ -42,6 +42,7 @@
     log: SilentLog.create(),
     getListAgeMs: () => 0,
     isViewStale: () => false,
+    canUseState: () => true,
     clock,
     random: SeededRandom.create(1),
     dataCentre: toId("dc"),
--- a/test/process/placement/version_waits_test.ts
+++ b/test/process/placement/version_waits_test.ts
@@ -34,6 +34,7 @@
     log: SilentLog.create(),
     getListAgeMs: () => 0,
     isViewStale: () => false,
+    canUseState: () => true,
     waitForFreshState: () => Promise.resolve(),
     waitForSocketReads: () => Promise.resolve(),
     locality: Locality.create(new Map()),
--- /dev/null
+++ b/test/process/seeded_fleet/refresh_wait_test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from "vitest";
+import { RefreshWait } from "../../../src/process/seeded_fleet/refresh_wait.ts";
+import { VirtualClock } from "../../../standin/virtual_clock.ts";
+
+const MAX_WAIT_MS = 2_000;
+const CHECK_MS = 100;
+
+/** A VM whose view is stale from the start. */
+function createWait() {
+  const clock = VirtualClock.create();
+  const state = {
+    isStale: true,
+    isUnavailable: false,
+    confirmedAt: -1,
+    lagMs: 0,
+  };
+  const wait = RefreshWait.create({
+    clock,
+    hasSnapshot: () => true,
+    isViewStale: () => state.isStale,
+    getConfirmedAt: () => state.confirmedAt,
+    isStoreUnavailable: () => state.isUnavailable,
+    getLagMs: () => state.lagMs,
+    checkStore: () => {},
+  });
+  /** Time until requests may be sent, which look again and again. */
+  const runUntilUsable = async () => {
+    const from = clock.now();
+    while (!wait.canUseState()) await clock.run(CHECK_MS);
+    return clock.now() - from;
+  };
+  return { clock, state, wait, runUntilUsable };
+}
+
+describe("the state that requests are sent by", () => {
+  it("is used again once it is confirmed", async () => {
+    const { clock, state, wait } = createWait();
+    let isOver = false;
+    void wait.waitForFreshState().then(() => isOver = true);
+    await clock.run(MAX_WAIT_MS / 2);
+    expect(isOver).toBe(false);
+    state.isStale = false;
+    await clock.run(CHECK_MS);
+    expect(isOver).toBe(true);
+  });
+
+  it("is used once the store is unavailable", () => {
+    const { state, wait } = createWait();
+    expect(wait.canUseState()).toBe(false);
+    state.isUnavailable = true;
+    expect(wait.canUseState()).toBe(true);
+  });
+
+  // Guards against requests that wait for ever, one lease after the other, while
+  // the store neither answers nor fails.
+  it("is used after a bounded wait", async () => {
+    const { runUntilUsable, clock } = createWait();
+    expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
+    await clock.run(CHECK_MS);
+    expect(await runUntilUsable()).toBe(0);
+  });
+
+  // Guards against a wait that counts as over although the view was confirmed, or
+  // the process stalled, since it began.
+  it("is waited for anew after a confirmation or a stall", async () => {
+    const { clock, state, runUntilUsable } = createWait();
+    expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
+    state.confirmedAt = clock.now();
+    expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
+    await clock.run(10 * MAX_WAIT_MS);
+    expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
+  });
+});
