Do not take a stall of the process for a connection that times out

After a stall timers run before sockets are read, so a connection that was made in time counted as timed out after 250 ms. Two such calls make the store unavailable, and requests go by the old view.

Connecting and checking whether a replica listens now leave 100 ms to read the sockets after a timer that fires 100 ms late or more, as the timeouts of calls have done before.

--- a/src/connection/call_timer.ts
+++ b/src/connection/call_timer.ts
@@ -4,13 +4,9 @@
  * @module
  */
 import type { CancelTimer, Clock } from "../process/clock.ts";
+import { READ_GRACE_MS, STALL_THRESHOLD_MS } from "./silence_timer.ts";
 import type { CallTimeouts, UpstreamErrorKind } from "./upstream_transport.ts";
 
-/** A timer that fires this much too late indicates a pause of the process. */
-const PAUSE_THRESHOLD_MS = 100;
-/** Time after a pause to read the bytes that arrived during it. */
-const READ_GRACE_MS = 100;
-
 /** The timeout that fired. */
 export type TimeoutKind = Extract<
   UpstreamErrorKind,
@@ -81,7 +77,7 @@
     // read. Without a grace period, an answer that already waits in the socket
     // buffer would count as silence, and the work would be run twice or its
     // outcome reported as unknown.
-    if (now - this.#checkAt >= PAUSE_THRESHOLD_MS) {
+    if (now - this.#checkAt >= STALL_THRESHOLD_MS) {
       this.#startTimer(now + READ_GRACE_MS, now);
       return;
     }
--- a/src/connection/listening_check.ts
+++ b/src/connection/listening_check.ts
@@ -7,6 +7,7 @@
 import type { OpenConnection } from "./upstream_agent.ts";
 import type { Clock } from "../process/clock.ts";
 import type { SocketAddress } from "./endpoint.ts";
+import { startSilenceTimer } from "./silence_timer.ts";
 
 /**
  * Connects without sending anything. False if the connection is refused or not
@@ -29,7 +30,8 @@
       socket.destroy();
       resolve(isOpen);
     };
-    const cancelTimer = options.clock.startTimer(
+    const cancelTimer = startSilenceTimer(
+      options.clock,
       options.timeoutMs,
       () => settle(false),
     );
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -15,6 +15,7 @@
 import net from "node:net";
 import type { Duplex } from "node:stream";
 import type { Clock } from "../process/clock.ts";
+import { startSilenceTimer } from "./silence_timer.ts";
 import type { ClientTls } from "./tls_material.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
@@ -84,7 +85,7 @@
   socket: Socket,
   options: { event: string; onCreated: OnCreated | undefined },
 ): void {
-  const cancelTimer = clock.startTimer(connectTimeoutMs, () => {
+  const cancelTimer = startSilenceTimer(clock, connectTimeoutMs, () => {
     socket.destroy(new Error("Connecting timed out"));
   });
   // Stays registered: an error between `onCreated` and the registration of the
