Wait for newer state that other VMs have while the store fails this VM

A VM whose own calls to the store fail twice went on by its stale view at once, though it had heard that other VMs have a newer list.

While newer state is known of, requests wait for it as they do for a confirmation, 2 s at most; calls to other VMs for it go on meanwhile. The test failed before: requests were sent at once.

--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -108,7 +108,8 @@
     const { clock, hasSnapshot, isViewStale, isStoreUnavailable, getLagMs } =
       this.#options;
     if (!hasSnapshot()) return false;
-    const isConfirming = isViewStale() && !isStoreUnavailable();
+    const isStoreDown = isStoreUnavailable() && getLagMs() === 0;
+    const isConfirming = isViewStale() && !isStoreDown;
     // Otherwise newer state comes within moments, and each of many changes in a
     // row would delay requests.
     const isResuming = clock.now() - this.#resumedAt < MAX_RESUMING_WAIT_MS;
--- a/test/process/seeded_fleet/refresh_wait_test.ts
+++ b/test/process/seeded_fleet/refresh_wait_test.ts
@@ -51,6 +51,18 @@
     expect(wait.canUseState()).toBe(true);
   });
 
+  // Guards against a VM whose own calls to the store fail, and that goes on by its
+  // old view though it has heard that other VMs have a newer one.
+  it("is not used while the store answers other VMs with newer state", async () => {
+    const { state, wait, runUntilUsable } = createWait();
+    Object.assign(state, { isUnavailable: true, lagMs: 500 });
+    expect(wait.canUseState()).toBe(false);
+    state.lagMs = 0;
+    expect(wait.canUseState()).toBe(true);
+    state.lagMs = 500;
+    expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
+  });
+
   // Guards against requests that wait for ever, one lease after the other, while
   // the store neither answers nor fails.
   it("is used after a bounded wait", async () => {
