Do not take the version listed now for the only one there was

Cause: a caller that names no stream (Last-Event-Id alone, as the protocol has it) was served at the only version that its VM had seen. A VM that has just started has seen nothing, and takes the new version for the only one when the replicas of the old one have just left. Streams that callers name were refused then, soundly.

Change: unnamed streams follow the same rule as named ones: what nobody knows goes on only if there was one version for as long as a stream may last. So that VMs still know their own streams, they tell and ask of what a stream's request asks for as well (fingerprint, parts of the prompt and tokens), and refuse where this names streams of different versions.

A test is replaced: "is the only version listed if the caller names no stream" asked a VM that has just started to guess. In its place the search must fail there, by name and by content, until the VM can tell, and succeed where another VM can.

After a loss of all VMs, unnamed streams from before are refused for 30 s also where there is one version.

--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -299,8 +299,8 @@
       waitForFreshState: () => this.#waitForFreshState(),
       headerCodec: this.#options.headerCodec,
       streamOrigins: {
-        announce: (stream, origin) =>
-          this.#fleet?.streamOrigins.announce(stream, origin),
+        announce: (stream, content, origin) =>
+          this.#fleet?.streamOrigins.announce(stream, content, origin),
         find: async (stream, options) =>
           await this.#fleet?.streamOrigins.find(stream, options),
       },
--- a/src/process/seeded_fleet/origin_message.ts
+++ b/src/process/seeded_fleet/origin_message.ts
@@ -22,6 +22,11 @@
   key: STREAM_KEY,
   pool: POOL,
   version: VERSION,
+  /**
+   * Key of the stream's content; undefined where nothing of it is its own, and
+   * from older versions.
+   */
+  contentKey: STREAM_KEY.optional(),
 });
 
 /** Schema of a query for where a stream began. */
--- a/src/process/stream_origin_source.ts
+++ b/src/process/stream_origin_source.ts
@@ -5,6 +5,7 @@
  */
 import type {
   PoolName,
+  RequestFingerprint,
   RequestId,
   SoftwareVersion,
   VmId,
@@ -17,6 +18,18 @@
   requestId: RequestId;
 }
 
+/**
+ * A stream, by what its request asks for: all that is known of it where its
+ * caller takes it up without naming the request.
+ */
+export interface StreamContent {
+  fingerprint: RequestFingerprint;
+  /** Parts of its prompt, of which the last is its own or its session's. */
+  parts: readonly string[];
+  promptTokens: number;
+  maxTokens: number;
+}
+
 /** The replicas that a stream may go on at. */
 export interface StreamOrigin {
   pool: PoolName;
@@ -44,13 +57,17 @@
 /** Knows at which software version streams began. */
 export abstract class StreamOriginSource {
   /** Tells other VMs; call before the stream's first event is sent. */
-  abstract announce(stream: StreamName, origin: StreamOrigin): void;
+  abstract announce(
+    stream: StreamName,
+    content: StreamContent,
+    origin: StreamOrigin,
+  ): void;
   /**
-   * Finds the origin of a stream, undefined where the caller did not name it.
-   * Resolves to undefined if nobody knows it.
+   * Finds the origin of a stream, by its content where the caller did not name
+   * it. Resolves to undefined if nobody knows it.
    */
   abstract find(
-    stream: StreamName | undefined,
+    stream: StreamName | StreamContent,
     options: FindOriginOptions,
   ): Promise<FoundOrigin | undefined>;
 }
--- a/src/process/stream_origins/origin_store.ts
+++ b/src/process/stream_origins/origin_store.ts
@@ -11,7 +11,8 @@
 const MAX_ORIGINS = 50_000;
 
 interface StoredOrigin {
-  origin: StreamOrigin;
+  /** Undefined where streams with the same key began at different ones. */
+  origin: StreamOrigin | undefined;
   /** `Clock.now()` at which it was last stored. */
   storedAt: number;
 }
@@ -42,6 +43,29 @@
   }
 
   put(key: StreamKey, origin: StreamOrigin): void {
+    this.#put(key, origin);
+  }
+
+  /** Stores an origin under a key that other streams may have as well. */
+  putShared(key: StreamKey, origin: StreamOrigin): void {
+    const known = this.#origins.get(key);
+    const isSame = known === undefined ||
+      known.origin?.pool === origin.pool &&
+        known.origin.version === origin.version;
+    this.#put(key, isSame ? origin : undefined);
+  }
+
+  /** Whether streams with this key began at different origins. */
+  isAmbiguous(key: StreamKey): boolean {
+    const known = this.#origins.get(key);
+    return known !== undefined && known.origin === undefined;
+  }
+
+  find(key: StreamKey): StreamOrigin | undefined {
+    return this.#origins.get(key)?.origin;
+  }
+
+  #put(key: StreamKey, origin: StreamOrigin | undefined): void {
     const now = this.#options.clock.now();
     this.#origins.delete(key);
     this.#origins.set(key, { origin, storedAt: now });
@@ -52,8 +76,4 @@
       this.#origins.delete(oldest);
     }
   }
-
-  find(key: StreamKey): StreamOrigin | undefined {
-    return this.#origins.get(key)?.origin;
-  }
 }
--- a/src/process/stream_origins/stream_key.ts
+++ b/src/process/stream_origins/stream_key.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { type StreamKey, toId } from "../../ids.ts";
-import type { StreamName } from "../stream_origin_source.ts";
+import type { StreamContent, StreamName } from "../stream_origin_source.ts";
 
 /** 64 bits, so that keys of different streams do not meet. */
 const KEY_LENGTH = 16;
@@ -15,11 +15,16 @@
  * different workspaces may be the same.
  */
 export function computeStreamKey(
-  { workspace, requestId }: StreamName,
+  stream: StreamName | StreamContent,
 ): StreamKey {
-  const hash = createHash("sha256").update(JSON.stringify([
-    workspace,
-    requestId,
-  ]));
+  const fields = "requestId" in stream
+    ? [stream.workspace, stream.requestId]
+    : [
+      stream.fingerprint,
+      stream.parts,
+      stream.promptTokens,
+      stream.maxTokens,
+    ];
+  const hash = createHash("sha256").update(JSON.stringify(fields));
   return toId<StreamKey>(hash.digest("hex").slice(0, KEY_LENGTH));
 }
--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -5,7 +5,8 @@
  * the event on, since it may be gone when the caller takes the stream up.
  * Messages may be lost, so a VM that was not told asks. What nobody knows is not
  * guessed: a stream goes on at the only version of its pool if there was no
- * other for as long as a stream may last, and is refused otherwise.
+ * other for as long as a stream may last, and is refused otherwise. After a loss
+ * of all VMs nobody knows what was there before.
  *
  * @module
  */
@@ -22,6 +23,7 @@
 import {
   type FindOriginOptions,
   type FoundOrigin,
+  type StreamContent,
   type StreamName,
   type StreamOrigin,
   StreamOriginSource,
@@ -79,18 +81,37 @@
     this.#history.noteList(replicas);
   }
 
-  override announce(stream: StreamName, origin: StreamOrigin): void {
+  override announce(
+    stream: StreamName,
+    content: StreamContent,
+    origin: StreamOrigin,
+  ): void {
     const { listPeers, send } = this.#options;
     const key = computeStreamKey(stream);
-    this.#store.put(key, origin);
-    for (const peer of chooseHolders(key, listPeers())) {
-      send(peer, { kind: "origin", key, ...origin });
+    // Without a prompt nothing tells one request from another of its caller.
+    const contentKey = content.parts.length === 0
+      ? undefined
+      : computeStreamKey(content);
+    const message: OriginMessage = {
+      kind: "origin",
+      key,
+      ...origin,
+      contentKey,
+    };
+    this.noteAnnounced(message);
+    const peers = listPeers();
+    const holders = new Set(chooseHolders(key, peers));
+    if (contentKey !== undefined) {
+      chooseHolders(contentKey, peers).forEach((peer) => holders.add(peer));
     }
+    for (const peer of holders) send(peer, message);
   }
 
-  /** Records what another VM told. */
-  noteAnnounced({ key, pool, version }: OriginMessage): void {
+  /** Records where a stream began. */
+  noteAnnounced({ key, pool, version, contentKey }: OriginMessage): void {
     this.#store.put(key, { pool, version });
+    if (contentKey === undefined) return;
+    this.#store.putShared(contentKey, { pool, version });
   }
 
   answerQuery({ ask, key, pool }: OriginQueryMessage): OriginAnswerMessage {
@@ -101,6 +122,7 @@
     };
     const origin = this.#store.find(key);
     if (origin !== undefined) return { ...answer, ...origin };
+    if (this.#store.isAmbiguous(key)) return { ...answer, hasSeveral: true };
     const versions = this.#getVersionsLately(pool);
     return match(versions)
       .with({ kind: "only" }, ({ version }) => {
@@ -116,13 +138,13 @@
   }
 
   override async find(
-    stream: StreamName | undefined,
+    stream: StreamName | StreamContent,
     options: FindOriginOptions,
   ): Promise<FoundOrigin | undefined> {
     const { pool } = options;
     const { listPeers, vm } = this.#options;
-    if (stream === undefined) return this.#findOnlyNow(pool);
     const key = computeStreamKey(stream);
+    if (this.#store.isAmbiguous(key)) return undefined;
     const own = this.#store.find(key);
     if (own !== undefined) return { origin: own, knownBy: vm };
     const peers = chooseAsked(key, listPeers());
@@ -135,18 +157,6 @@
     return await this.#findOnlyLately(options, answer.versions);
   }
 
-  /**
-   * The origin of a stream that its caller does not name. Such a caller does not
-   * know of versions, and is served as long as this VM has seen but one.
-   */
-  #findOnlyNow(pool: PoolName): FoundOrigin | undefined {
-    if (this.#getVersionsLately(pool).kind === "several") return undefined;
-    const version = this.#history.findOnlyNow(pool);
-    return version === undefined
-      ? undefined
-      : { origin: { pool, version }, knownBy: "only_version" };
-  }
-
   /**
    * The origin of any stream of the pool, if there has been but one version for
    * as long as a stream may last. `told` are the versions for which other VMs
--- a/src/request/resumable_stream_work.ts
+++ b/src/request/resumable_stream_work.ts
@@ -14,6 +14,7 @@
 import { buildVersionHeader, readVersion } from "./forwarded_request.ts";
 import type { RoutedWorkContext } from "./routed_work.ts";
 import { StreamWork } from "./stream_work.ts";
+import { buildStreamContent } from "./taken_up_stream.ts";
 import {
   BrokenAnswerError,
   checkNotCancelled,
@@ -126,7 +127,11 @@
       ? execution.id
       : toId<RequestId>(call.resumes);
     const workspace = execution.options.workspace.name;
-    streamOrigins.announce({ workspace, requestId }, this.#origin);
+    streamOrigins.announce(
+      { workspace, requestId },
+      buildStreamContent(execution, call),
+      this.#origin,
+    );
   }
 
   async #sendEvents(
--- a/src/request/taken_up_stream.ts
+++ b/src/request/taken_up_stream.ts
@@ -6,10 +6,12 @@
 import { type RequestId, toId } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
 import type {
+  StreamContent,
   StreamOrigin,
   StreamOriginSource,
 } from "../process/stream_origin_source.ts";
 import type { CheckedCall } from "./checked_call.ts";
+import type { RoutedCall } from "./header_codec.ts";
 import type { RequestExecution } from "./request_execution.ts";
 
 /** Another VM may know more, or this one soon. */
@@ -27,6 +29,19 @@
     (call.resumes !== undefined || call.lastEventId !== undefined);
 }
 
+/** What a stream's request asks for, by which it is known if nobody names it. */
+export function buildStreamContent(
+  { options }: RequestExecution,
+  { prompt }: RoutedCall,
+): StreamContent {
+  return {
+    fingerprint: options.fingerprint,
+    parts: prompt?.parts.map(({ id }) => id) ?? [],
+    promptTokens: prompt?.promptTokens ?? 0,
+    maxTokens: prompt?.maxTokens ?? 0,
+  };
+}
+
 /**
  * Finds where the stream began, which may be in one of several pools of the
  * route. Throws `RefusalError` (`not_run`) if nobody knows, or if the route does
@@ -69,10 +84,12 @@
 ): Promise<KnownOrigin | undefined> {
   const [target, ...others] = route.targets;
   if (target === undefined) return undefined;
-  const stream = call.resumes === undefined ? undefined : {
-    workspace: workspace.name,
-    requestId: toId<RequestId>(call.resumes),
-  };
+  const stream = call.resumes === undefined
+    ? buildStreamContent(execution, call)
+    : {
+      workspace: workspace.name,
+      requestId: toId<RequestId>(call.resumes),
+    };
   const found = await streamOrigins.find(stream, {
     pool: target.pool,
     arrivedAt: request.arrivedAt,
--- a/test/platform/stream_caller.ts
+++ b/test/platform/stream_caller.ts
@@ -26,10 +26,17 @@
   vms: (() => TestVm)[];
   /** Pause before each try but the first. */
   pauseMs?: number;
+  /** Whether further tries name the stream; they do by default. */
+  isNamed?: boolean;
   /** Called when the first try is over and the stream is not whole. */
   onBroken?: () => Promise<void> | void;
 }
 
+/** A part of a prompt that belongs to one stream alone. */
+function createPart(id: string): string {
+  return Buffer.from(id).toString("hex");
+}
+
 /** Calls a stream, and takes it up again until it is whole or tries run out. */
 export async function sendStream(options: CallOptions): Promise<CalledStream> {
   const stream: CalledStream = { replicas: [], isWhole: false, statuses: [] };
@@ -44,9 +51,12 @@
       body: options.id,
       headers: {
         "x-request-id": id,
-        ...(first === undefined
+        "x-token-count": "9,60",
+        "x-prompt-prefix": `5ca1e:5,${createPart(options.id)}:4`,
+        ...(first === undefined ? {} : { "last-event-id": String(before) }),
+        ...(first === undefined || options.isNamed === false
           ? {}
-          : { resumes: first, "last-event-id": String(before) }),
+          : { resumes: first }),
       },
     });
     stream.statuses.push(answer.status);
--- a/test/process/stream_origins/stream_origins_test.ts
+++ b/test/process/stream_origins/stream_origins_test.ts
@@ -8,6 +8,7 @@
 } from "../../../src/ids.ts";
 import type { ListedReplica } from "../../../src/process/placement/index.ts";
 import type { FleetPeer } from "../../../src/process/seeded_fleet/index.ts";
+import type { StreamContent } from "../../../src/process/stream_origin_source.ts";
 import { StreamOrigins } from "../../../src/process/stream_origins/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
@@ -66,6 +67,17 @@
   return fleet;
 }
 
+const NO_CONTENT: StreamContent = {
+  fingerprint: toId("fingerprint"),
+  parts: [],
+  promptTokens: 0,
+  maxTokens: 0,
+};
+
+function buildContent(part: string): StreamContent {
+  return { ...NO_CONTENT, parts: ["shared", part] };
+}
+
 function buildStream(id: string) {
   const workspace = toId<WorkspaceName>("workspace");
   return { workspace, requestId: toId<RequestId>(id) };
@@ -85,10 +97,14 @@
 }
 
 /** Searches at VM `index` for a stream that was taken up now. */
-async function findAt(fleet: TestFleet, index: number, id: string | undefined) {
+async function findAt(
+  fleet: TestFleet,
+  index: number,
+  stream: string | StreamContent,
+) {
   const now = fleet.clock.now();
   const found = fleet.vms[index]!.find(
-    id === undefined ? undefined : buildStream(id),
+    typeof stream === "string" ? buildStream(stream) : stream,
     {
       pool: POOL,
       arrivedAt: now,
@@ -103,7 +119,10 @@
 describe("the origin of a stream", () => {
   it("is known to all VMs that were told", async () => {
     const fleet = createFleet(4);
-    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
+    fleet.vms[0]!.announce(buildStream("a"), NO_CONTENT, {
+      pool: POOL,
+      version: V1,
+    });
     await fleet.clock.run(DELAY_MS);
     fleet.isLost = () => true;
     for (const index of [0, 1, 2, 3]) {
@@ -116,7 +135,10 @@
   it("is found by asking where the message got lost", async () => {
     const fleet = createFleet(4);
     fleet.isLost = (_from, to) => to === 3;
-    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
+    fleet.vms[0]!.announce(buildStream("a"), NO_CONTENT, {
+      pool: POOL,
+      version: V1,
+    });
     await fleet.clock.run(DELAY_MS);
     let sent = 0;
     // The first query to each VM gets lost as well, and the first VM is gone.
@@ -134,7 +156,7 @@
     fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
     await fleet.clock.run(RETENTION_MS);
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
-    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+    expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
     fleet.vms.forEach((vm) => vm.noteList(listVersions("v1")));
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
     await fleet.clock.run(RETENTION_MS);
@@ -159,19 +181,68 @@
     });
   });
 
-  // Guards against callers who name no stream, as all did before there were
-  // several versions, and who are refused because their VM has just started.
-  it("is the only version listed if the caller names no stream", async () => {
+  // Guards against a VM that has just started and takes what is listed now for
+  // all there was: the version that began the stream may have left.
+  it("is unknown to a VM that has just started, however it is searched", async () => {
     const fleet = createFleet(1);
-    fleet.vms[0]!.noteList(listVersions("v1"));
-    expect(await findAt(fleet, 0, undefined))
-      .toEqual({
-        origin: { pool: POOL, version: V1 },
-        knownBy: "only_version",
-      });
+    const [vm] = fleet.vms;
+    vm!.noteList(listVersions("v1"));
+    expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
+    expect(await findAt(fleet, 0, buildContent("a"))).toBeUndefined();
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
-    fleet.vms[0]!.noteList(listVersions("v1", "v2"));
-    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+    await fleet.clock.run(RETENTION_MS);
+    const only = {
+      origin: { pool: POOL, version: V1 },
+      knownBy: "only_version",
+    };
+    expect(await findAt(fleet, 0, NO_CONTENT)).toEqual(only);
+    expect(await findAt(fleet, 0, buildContent("a"))).toEqual(only);
+    vm!.noteList(listVersions("v1", "v2"));
+    expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
+  });
+
+  it("is told by others to a VM that has just started if nobody names it", async () => {
+    const fleet = createFleet(2);
+    fleet.vms[1]!.noteList(listVersions("v1"));
+    await fleet.clock.run(RETENTION_MS);
+    fleet.vms[0]!.noteList(listVersions("v1"));
+    expect(await findAt(fleet, 0, NO_CONTENT)).toMatchObject({
+      origin: { pool: POOL, version: V1 },
+    });
+  });
+
+  // Guards against streams that are refused although a VM knows where they began,
+  // because their callers know nothing of versions and name no request.
+  it("is found by what the stream's request asks for", async () => {
+    const fleet = createFleet(3);
+    const origin = { pool: POOL, version: V1 };
+    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    fleet.isLost = (_from, to) => to === 2;
+    fleet.vms[0]!.announce(buildStream("a"), buildContent("a"), origin);
+    await fleet.clock.run(DELAY_MS);
+    fleet.isLost = () => false;
+    for (const index of [0, 1, 2]) {
+      expect(await findAt(fleet, index, buildContent("a")))
+        .toMatchObject({ origin });
+      expect(await findAt(fleet, index, buildContent("b"))).toBeUndefined();
+    }
+  });
+
+  // Guards against a guess between two streams that ask for the same.
+  it("is unknown if such streams began at different versions", async () => {
+    const fleet = createFleet(2);
+    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    for (const [index, version] of [V1, V2, V1].entries()) {
+      const stream = buildStream(String(index));
+      const origin = { pool: POOL, version };
+      fleet.vms[0]!.announce(stream, buildContent("a"), origin);
+      await fleet.clock.run(DELAY_MS);
+    }
+    for (const index of [0, 1]) {
+      expect(await findAt(fleet, index, buildContent("a"))).toBeUndefined();
+      expect(await findAt(fleet, index, "0"))
+        .toMatchObject({ origin: { version: V1 } });
+    }
   });
 
   // Guards against a stream that its caller does not name, and that goes on at
@@ -183,12 +254,12 @@
     await fleet.clock.run(1_000);
     vm!.noteList(listVersions("v2"));
     await fleet.clock.run(1_000);
-    expect(await findAt(fleet, 0, undefined)).toBeUndefined();
+    expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
     for (let each = 0; each < RETENTION_MS / 1_000; each++) {
       await fleet.clock.run(1_000);
       vm!.noteList(listVersions("v2"));
     }
-    expect(await findAt(fleet, 0, undefined)).toBeDefined();
+    expect(await findAt(fleet, 0, NO_CONTENT)).toBeDefined();
   });
 
   it("is told by others to a VM that has just started", async () => {
@@ -208,12 +279,13 @@
 
   it("is that of the caller's own workspace", async () => {
     const fleet = createFleet(2);
-    fleet.vms[0]!.announce(buildStream("a"), { pool: POOL, version: V1 });
-    const other = { ...buildStream("a"), workspace: toId("other") };
-    fleet.vms[1]!.announce({ ...other, workspace: toId("other") }, {
+    fleet.vms[0]!.announce(buildStream("a"), NO_CONTENT, {
       pool: POOL,
-      version: V2,
+      version: V1,
     });
+    const workspace = toId<WorkspaceName>("other");
+    const other = { ...buildStream("a"), workspace };
+    fleet.vms[1]!.announce(other, NO_CONTENT, { pool: POOL, version: V2 });
     await fleet.clock.run(DELAY_MS);
     expect(await findAt(fleet, 1, "a"))
       .toMatchObject({ origin: { version: V1 } });
@@ -222,9 +294,9 @@
   it("is forgotten when the stream cannot be taken up any more", async () => {
     const fleet = createFleet(1);
     const origin = { pool: POOL, version: V1 };
-    fleet.vms[0]!.announce(buildStream("a"), origin);
+    fleet.vms[0]!.announce(buildStream("a"), NO_CONTENT, origin);
     await fleet.clock.run(RETENTION_MS + 1);
-    fleet.vms[0]!.announce(buildStream("b"), origin);
+    fleet.vms[0]!.announce(buildStream("b"), NO_CONTENT, origin);
     expect(fleet.vms[0]!.size).toBe(1);
   });
 });
