Deliver a whole answer though other bytes follow it at once

A replica may send bytes after a complete answer; they belong to no request. Where they came with the answer, Node's parse error made the call fail as broken although all of the body was there: the caller lost the answer, and a call that may run once ended with an unknown outcome.

A connection error behind a complete body no longer breaks the body, unless this side cancelled the call.

--- a/src/connection/answer_body.ts
+++ b/src/connection/answer_body.ts
@@ -51,6 +51,11 @@
     return new AnswerBody(message, options);
   }
 
+  /** Whether all of the body was received, if not read. */
+  get isComplete(): boolean {
+    return this.#message.complete;
+  }
+
   /**
    * Ends the body as broken. When the connection of a close-delimited answer
    * is reset, Node reports the reset to the request and then ends the answer as
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -78,6 +78,9 @@
       request.on("socket", () => this.#handleSocket());
       request.on("finish", () => this.#isSent = true);
       this.#fail = (cause) => {
+        // What comes after a whole answer, or does not come, is no part of it.
+        const isOver = this.#body?.isComplete ?? false;
+        if (isOver && this.#cancelReason === undefined) return;
         this.#body?.destroy(cause);
         this.#end();
         const error = this.#createError(cause);
