Bound what an upstream sends around, in and after an answer

Seen with a server that sends as fast as it can (a trial, one run each of 15 forms, calls of 3 s): headers, chunk extensions and trailers were cut off by Node. Interim answers (1xx), blank lines before a head and the digits of a chunk's size took all of the process's time until the call timed out (2,950 to 3,729 ms of processor time), bodies as well (1.2 GB). Worst was what came on a connection after its answer: it stayed open in the pool and was read for ever, 1,422 MB in 1.5 s, long after the call had ended. Memory stayed within 28 MB in all.

Changes: what is received beside the body is at most 128 KB and 16 bytes for each byte of body, a body at most 64 MiB (max_answer_bytes), and an idle connection on which anything arrives is closed. All count as broken, and may have run.

--- a/src/connection/answer_body.ts
+++ b/src/connection/answer_body.ts
@@ -9,6 +9,8 @@
 
 /** Options of `AnswerBody`. */
 export interface AnswerBodyOptions {
+  /** Largest body, in bytes. */
+  maxBytes: number;
   timer: CallTimer;
   /** Creates the error to throw from the error of the connection. */
   createError: (cause: Error | undefined) => Error;
@@ -28,6 +30,7 @@
   readonly #options: AnswerBodyOptions;
   #failure: Error | undefined;
   #isEnded = false;
+  #readBytes = 0;
   #wake: (() => void) | undefined;
 
   constructor(message: IncomingMessage, options: AnswerBodyOptions) {
@@ -56,6 +59,11 @@
     return this.#message.complete;
   }
 
+  /** Bytes of the body that were received. */
+  get receivedBytes(): number {
+    return this.#readBytes + this.#message.readableLength;
+  }
+
   /**
    * Ends the body as broken. When the connection of a close-delimited answer
    * is reset, Node reports the reset to the request and then ends the answer as
@@ -73,6 +81,8 @@
         const chunk = this.#message.read() as Buffer | null;
         if (chunk !== null) {
           this.#options.timer.noteByte();
+          this.#readBytes += chunk.length;
+          this.#checkSize();
           yield chunk;
           continue;
         }
@@ -85,6 +95,12 @@
     }
   }
 
+  #checkSize(): void {
+    const { maxBytes, createError } = this.#options;
+    if (this.#readBytes <= maxBytes) return;
+    throw createError(new Error(`Answer exceeds ${maxBytes} bytes`));
+  }
+
   #cancel(): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -72,6 +72,8 @@
    * connection. If the connection is reset, the answer counts as broken.
    */
   allowsCloseDelimited?: boolean;
+  /** Largest body of an answer, in bytes; unlimited by default. */
+  maxAnswerBytes?: number;
 }
 
 /** Calls upstreams over HTTP with one keep-alive agent per endpoint. */
@@ -108,6 +110,7 @@
         agent: call.freshConnection ? this.#createAgent({}) : agent,
         tls: this.#options.tls,
         allowsCloseDelimited: this.#options.allowsCloseDelimited ?? false,
+        maxAnswerBytes: this.#options.maxAnswerBytes ?? Infinity,
         onSilentConnection: () => closeIdleConnections(agent),
         onConnection: (isEstablished) =>
           this.#options.onConnection?.(call.upstream, isEstablished),
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -16,6 +16,7 @@
 import type { Duplex } from "node:stream";
 import type { Clock } from "../process/clock.ts";
 import { startSilenceTimer } from "./silence_timer.ts";
+import { clearIdle, watchIdle } from "./idle_connections.ts";
 import type { ClientTls } from "./tls_material.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
@@ -60,6 +61,16 @@
     const socket = openConnection(options as net.TcpNetConnectOpts);
     waitConnected(this.#options, socket, { event: "connect", onCreated });
   }
+
+  override keepSocketAlive(socket: Duplex): void {
+    watchIdle(socket);
+    return super.keepSocketAlive(socket);
+  }
+
+  override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+    clearIdle(socket);
+    super.reuseSocket(socket, request);
+  }
 }
 
 class TlsAgent extends https.Agent {
@@ -77,6 +88,16 @@
     const socket = super.createConnection(options) as Socket;
     waitConnected(this.#options, socket, { event: "secureConnect", onCreated });
   }
+
+  override keepSocketAlive(socket: Duplex): void {
+    watchIdle(socket);
+    return super.keepSocketAlive(socket);
+  }
+
+  override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+    clearIdle(socket);
+    super.reuseSocket(socket, request);
+  }
 }
 
 function waitConnected(
--- a/src/connection/upstream_call.ts
+++ b/src/connection/upstream_call.ts
@@ -12,6 +12,7 @@
 import { setResetOnDestroy } from "./abandoned_socket.ts";
 import { AnswerBody } from "./answer_body.ts";
 import { CallTimer } from "./call_timer.ts";
+import { FramingGuard } from "./framing_guard.ts";
 import { copyEndToEndHeaders } from "./headers.ts";
 import type { ClientTls } from "./tls_material.ts";
 import type {
@@ -31,6 +32,8 @@
   tls: ClientTls | undefined;
   /** Whether to accept close-delimited answers. */
   allowsCloseDelimited: boolean;
+  /** Largest body of an answer, in bytes. */
+  maxAnswerBytes: number;
   /** Called when no first byte arrived on a reused connection in time. */
   onSilentConnection: () => void;
   /** Called when a new connection was established, or could not be. */
@@ -56,6 +59,7 @@
   #isSent = false;
   #fail: (cause: Error) => void = () => {};
   #body: AnswerBody | undefined;
+  #guard: FramingGuard | undefined;
   readonly #onAbort = () => this.#cancel("aborted");
 
   constructor(call: UpstreamCall, options: CallOptions) {
@@ -140,6 +144,11 @@
       return;
     }
     this.#mayHaveRun = true;
+    this.#guard = FramingGuard.create({
+      socket: this.#request!.socket!,
+      getBodyBytes: () => this.#body?.receivedBytes ?? 0,
+      onExcess: (cause) => this.#cancel("broken", cause),
+    });
   }
 
   #readAnswer(message: IncomingMessage): UpstreamAnswer {
@@ -152,6 +161,7 @@
       );
     }
     const body = AnswerBody.create(message, {
+      maxBytes: this.#options.maxAnswerBytes,
       timer,
       createError: (cause) => this.#createError(cause),
       onAbandoned: () => this.#destroyRequest(),
@@ -183,7 +193,10 @@
     });
   }
 
-  #cancel(kind: UpstreamErrorKind): void {
+  #cancel(
+    kind: UpstreamErrorKind,
+    cause = new Error(`Call cancelled: ${kind}`),
+  ): void {
     const request = this.#request;
     const isConnecting = request?.socket == null;
     const isTimeout = kind !== "aborted" && kind !== "not_sent";
@@ -191,7 +204,6 @@
     if (kind === "first_byte_timeout" && request?.reusedSocket) {
       this.#options.onSilentConnection();
     }
-    const cause = new Error(`Call cancelled: ${kind}`);
     this.#destroyRequest(cause);
     // Until it has a socket, a destroyed request does not report its error.
     if (isConnecting) this.#fail(cause);
@@ -209,6 +221,7 @@
 
   #end(): void {
     this.#timer?.stop();
+    this.#guard?.stop();
     this.#call.signal.removeEventListener("abort", this.#onAbort);
   }
 
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -17,6 +17,7 @@
 const DURATION = z.int().min(1);
 
 const DEFAULT_ENTRY_RENEWAL_MS = 1_200;
+const DEFAULT_MAX_ANSWER_BYTES = 67_108_864;
 
 const SCHEMA = z.strictObject({
   vm: NAME,
@@ -56,6 +57,8 @@
    * a replica has room; by default all are sent at once.
    */
   max_waiting_requests: z.int().min(0).default(0),
+  /** Largest body of a replica's answer; a longer one is broken off. */
+  max_answer_bytes: z.int().min(1).default(DEFAULT_MAX_ANSWER_BYTES),
 });
 
 /** The part of invalid settings that can still be used. */
@@ -100,6 +103,8 @@
    * may.
    */
   maxWaitingRequests: number;
+  /** Largest body of a replica's answer, in bytes. */
+  maxAnswerBytes: number;
 }
 
 /**
@@ -156,6 +161,7 @@
     retryReserve: file.retry_reserve,
     warmUpExcess: { ratio: file.warm_up_ratio, slack: file.warm_up_slack },
     maxWaitingRequests: file.max_waiting_requests,
+    maxAnswerBytes: file.max_answer_bytes,
   };
 }
 
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -117,6 +117,7 @@
     });
     this.#upstreams = this.#createTransport((vm) => this.replicas.find(vm), {
       allowsCloseDelimited: true,
+      maxAnswerBytes: options.settings.maxAnswerBytes,
       openConnection: options.openConnection,
       onConnection: (id, isEstablished) =>
         this.#noteConnection(id, isEstablished),
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -170,6 +170,7 @@
       regions: REGIONS,
       warmUpExcess: { ratio: 1, slack: 0 },
       maxWaitingRequests: 0,
+      maxAnswerBytes: 67_108_864,
     };
   }
 }
