Take late in a drain only what can be finished

Change: the listener stays open while there is work in flight. From 2.8 s on (a busy process handles the signal late) a request is taken if its deadline lies within the grace period; any other is refused at once as not run, with a time to come back of 10 ms and the end of its connection. A VM that passed it on tries another one.

Elsewhere: requests that other VMs pass on go the same way (the same handler).

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -11,7 +11,8 @@
  * Callers use a directory's answer for up to this many times its time to live.
  */
 const TTL_FACTOR = 3;
-const TTL_MARGIN_MS = 300;
+/** A busy process handles the signal late. */
+const SIGNAL_MARGIN_MS = 200;
 /** Time reserved for the shutdown before the platform kills the process. */
 const SHUTDOWN_MARGIN_MS = 300;
 const IN_FLIGHT_POLL_MS = 25;
@@ -23,6 +24,8 @@
   settings: Pick<RoutedSettings, "directoryTtlMs" | "drainGraceMs">;
   getInFlight: () => number;
   announceNow: () => void;
+  /** Refuses new requests that may last beyond this time (`Clock.now()`). */
+  limitRequests: (endsAt: number) => void;
   /** Accepts no more callers; resolves when the last one has its answer. */
   closeCallers: () => Promise<void>;
   /** Stops the VM at once. */
@@ -32,7 +35,7 @@
 /**
  * Sends new callers to other VMs at once, serves those that still use this
  * address, and then finishes the requests in flight, as far as the grace period
- * allows.
+ * allows. Meanwhile it takes what ends within that time.
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
   const { clock, log, getInFlight } = options;
@@ -40,12 +43,14 @@
   const startedAt = clock.now();
   log.info("drain_started", { in_flight: getInFlight() });
   options.announceNow();
-  await clock.sleep(TTL_FACTOR * directoryTtlMs + TTL_MARGIN_MS);
-  const closed = options.closeCallers();
+  const servingMs = TTL_FACTOR * directoryTtlMs - SIGNAL_MARGIN_MS;
+  await clock.sleep(Math.max(0, servingMs));
   const endsAt = startedAt + drainGraceMs - SHUTDOWN_MARGIN_MS;
+  options.limitRequests(endsAt);
   while (getInFlight() > 0 && clock.now() < endsAt) {
     await clock.sleep(IN_FLIGHT_POLL_MS);
   }
+  const closed = options.closeCallers();
   const cut = getInFlight();
   if (cut > 0) log.warn("drain_cut", { in_flight: cut });
   else await closed;
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -98,6 +98,8 @@
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
   #inFlight = 0;
+  /** `Clock.now()` by which new requests have to end. */
+  #endsAt = Infinity;
   #draining: Promise<void> | undefined;
   #stopped: Promise<void> | undefined;
 
@@ -234,6 +236,7 @@
       settings: this.#settings,
       getInFlight: () => this.#inFlight,
       announceNow: () => this.#fleet?.announceNow(),
+      limitRequests: (endsAt) => this.#endsAt = endsAt,
       closeCallers: () => this.#listeners.closeForCallers(),
       stop: () => this.stop(),
     });
@@ -297,6 +300,7 @@
         countLiveVms: () => 1 + this.#listLive().length,
       }),
       getSnapshot: () => this.getSnapshot(),
+      getEndsAt: () => this.#endsAt,
       waitForFreshState: () => this.#waitForFreshState(),
       headerCodec: this.#options.headerCodec,
       streamOrigins: {
--- a/src/request/forwarded_request.ts
+++ b/src/request/forwarded_request.ts
@@ -31,8 +31,9 @@
 const UNSENT = "unsent";
 const MS_PER_SECOND = 1_000;
 const OUTCOMES: readonly string[] = ["not_run", "ran", "unknown"];
-/** Codes of a VM that could not reach a replica either. */
+/** Codes of a VM that could not reach a replica either, or ends soon. */
 const UNREACHED_CODES: ReadonlySet<RefusalCode> = new Set([
+  "draining",
   "upstream_failed",
   "no_upstream",
 ]);
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -33,6 +33,8 @@
 import type { RoutedWork, RoutedWorkContext } from "./routed_work.ts";
 
 const NOT_READY_RETRY_MS = 300;
+/** Other VMs take the request at once. */
+const DRAINING_RETRY_MS = 10;
 const MS_PER_SECOND = 1_000;
 const SERVICE_UNAVAILABLE = 503;
 const UPSTREAM_STATUSES: ReadonlySet<number> = new Set([500, 502, 504]);
@@ -53,6 +55,8 @@
 export interface RoutedHandlerOptions {
   services: RequestServices;
   getSnapshot: () => RoutedSnapshot | undefined;
+  /** `Clock.now()` at which this VM ends its work; `Infinity` unless it drains. */
+  getEndsAt: () => number;
   /** Resolves once the snapshot is the newest, as far as this VM can tell. */
   waitForFreshState: () => Promise<void>;
   headerCodec: HeaderCodec;
@@ -82,9 +86,12 @@
     } catch (thrown) {
       const requestId = this.#findRequestId(request);
       const refusal = this.#toRefusal(thrown, request.path, requestId);
+      const { status, headers } = buildRoutedRefusal(refusal);
+      const isDraining = this.#options.services.isDraining();
       await writeRefusal(sink, refusal, {
         requestId,
-        ...buildRoutedRefusal(refusal),
+        status,
+        headers: isDraining ? { ...headers, connection: "close" } : headers,
       });
     }
   }
@@ -120,6 +127,8 @@
       call.timeoutMs ?? Infinity,
       requestClass.targets.totalMs,
     );
+    const deadlineAt = request.arrivedAt + timeoutMs;
+    if (deadlineAt > this.#options.getEndsAt()) throw createDraining();
     const execution = RequestExecution.create(this.#options.services, {
       requestId: checked.requestId,
       fingerprint: computeFingerprint(request, checked.workspace.name),
@@ -127,7 +136,7 @@
       requestClass,
       snapshot,
       arrivedAt: request.arrivedAt,
-      deadlineAt: request.arrivedAt + timeoutMs,
+      deadlineAt,
       sink: checked.sink,
       idempotent: isRepeatable(route.kind),
       isClaimValid: () => true,
@@ -253,6 +262,16 @@
   });
 }
 
+function createDraining(): RefusalError {
+  return new RefusalError({
+    code: "draining",
+    message: "This VM ends before the request's deadline",
+    outcome: "not_run",
+    isUnsent: true,
+    retryAfterMs: DRAINING_RETRY_MS,
+  });
+}
+
 function createNotRun(code: Refusal["code"], message: string): RefusalError {
   return new RefusalError({ code, message, outcome: "not_run" });
 }
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -111,12 +111,14 @@
       isAwaited?: boolean;
       log?: Log;
       maxWaitingRequests?: number;
+      drainGraceMs?: number;
     } = {},
   ): Promise<TestVm> {
-    const { maxWaitingRequests = 0 } = options;
+    const { maxWaitingRequests = 0, drainGraceMs = 8_000 } = options;
     const settings = {
       ...await this.#buildSettings(options.store),
       maxWaitingRequests,
+      drainGraceMs,
     };
     const log = options.log ?? SilentLog.create();
     const links = CuttableLinks.create();
