Count the age of a list from when its answer may have arrived

Cause: an answer with a change counted as the newest state when it was read, and a read of the whole state counted a second beyond its call. So a VM that gets no processor time for a second sends by its list for 1.7 s more than it may, and tells other VMs that the list is fresh.

Change: after a stall, found by a timer that comes late, an answer counts from the last check before the stall; a read of the whole state counts from its call.

Both tests failed before: an age of 0 instead of 1,300 ms or more, and of 0 instead of 900.

--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -17,6 +17,7 @@
 import type { Random } from "../random.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
+import { ReadDelay } from "./read_delay.ts";
 import { StoreRetry } from "./store_retry.ts";
 import { WatcherElection } from "./watcher_election.ts";
 
@@ -73,6 +74,12 @@
   failingMs: number;
 }
 
+/** What the store answered, and a time at which that was the newest. */
+interface ReadState {
+  state: PublishedState;
+  newestAt: number;
+}
+
 /** Why a VM watches the store. */
 type WatchReason = "no_state" | "stale" | "behind" | "chosen";
 
@@ -82,6 +89,7 @@
   readonly #stopped = new AbortController();
   readonly #election: WatcherElection;
   readonly #retry = StoreRetry.create();
+  readonly #readDelay: ReadDelay;
   #isWatching = false;
   #wasStale = false;
   /** Whether this process has read the store before. */
@@ -98,6 +106,7 @@
   constructor(options: StoreWatcherOptions) {
     this.#options = options;
     this.#election = WatcherElection.create(options.vm);
+    this.#readDelay = ReadDelay.create(options.clock);
   }
 
   static create(options: StoreWatcherOptions): StoreWatcher {
@@ -111,6 +120,7 @@
   stop(): void {
     this.#stopped.abort();
     this.#idle.abort();
+    this.#readDelay.stop();
   }
 
   /** Checks at once whether this VM has to watch. */
@@ -152,6 +162,8 @@
     if (isNeeded === this.#isWatching) return;
     this.#isWatching = isNeeded;
     this.#hasFailed = false;
+    if (isNeeded) this.#readDelay.start();
+    else this.#readDelay.stop();
     this.#options.log.info("store_watch", {
       watching: isNeeded,
       reason,
@@ -204,18 +216,15 @@
       const waitMs = this.#computeWatchWaitMs();
       const list = getList();
       store.resumeFrom(list);
-      const state = this.#canWatch()
-        ? await this.#watchState(waitMs, calledAt)
-        : await store.fetchState();
+      const known = Math.max(this.#revision, list.revision);
+      const { state, newestAt } = this.#canWatch()
+        ? await this.#watchState({ waitMs, calledAt, known })
+        : await this.#readState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#noteRegained(calledAt);
-      const known = Math.max(this.#revision, list.revision);
-      const isUnchanged = state.revision === known;
       this.#revision = state.revision;
-      // The store answers a watch without a change after the wait. The time for
-      // which the answer was on its way, or lay in the socket, doesn't count.
-      onState(state, isUnchanged ? calledAt + waitMs : clock.now());
+      onState(state, newestAt);
     } catch (thrown) {
       this.#hasFailed = true;
       this.#retry.noteFailed();
@@ -238,18 +247,37 @@
   }
 
   async #watchState(
-    waitMs: number,
-    calledAt: number,
-  ): Promise<PublishedState> {
+    { waitMs, calledAt, known }: {
+      waitMs: number;
+      calledAt: number;
+      /** Revision that the watch goes on from. */
+      known: number;
+    },
+  ): Promise<ReadState> {
     const { store, log, onAnswered } = this.#options;
     const update = await store.watch(waitMs);
-    if (update.kind === "state") return update.state;
+    if (update.kind === "state") {
+      const { state } = update;
+      // The store answers a watch without a change after the wait. The time for
+      // which the answer was on its way, or lay in the socket, doesn't count.
+      const newestAt = state.revision === known
+        ? calledAt + waitMs
+        : Math.max(calledAt, this.#readDelay.computeArrivedSince());
+      return { state, newestAt };
+    }
     log.info("store_history_lost");
     // The store answers, however long the read of its whole state takes.
     this.#retry.noteAnswered();
     this.#noteRegained(calledAt);
     onAnswered();
-    return await store.fetchState();
+    return await this.#readState();
+  }
+
+  /** Reads everything: what changes during the read may not be in it. */
+  async #readState(): Promise<ReadState> {
+    const newestAt = this.#options.clock.now();
+    const state = await this.#options.store.fetchState();
+    return { state, newestAt };
   }
 
   #computeWatchWaitMs(): number {
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -14,6 +14,7 @@
   type StoreUpdate,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
+import { StallingClock } from "../../support/stalling_clock.ts";
 
 const READ_TIMEOUT_MS = 1_500;
 
@@ -61,7 +62,7 @@
   }
 }
 
-function startFollower() {
+function startFollower(stall = { from: Infinity, to: Infinity }) {
   const clock = VirtualClock.create();
   const log = SilentLog.create();
   const store = new ScriptedStore(clock);
@@ -69,7 +70,7 @@
   const follower = StateFollower.create({
     vm: toId("vm-1"),
     incarnation: toId("process-1"),
-    clock,
+    clock: StallingClock.create(clock, stall),
     random: SeededRandom.create(1),
     log,
     store,
@@ -149,3 +150,43 @@
   expect(watches).toBeGreaterThan(1);
   expect(replicas.isReady(left)).toBe(false);
 });
+
+// Guards against a list that looks new by the time for which its answer lay in the
+// socket of a process that got no processor time.
+it("an answer that was read late does not make a list look new", async () => {
+  const stall = { from: 500, to: 2_000 };
+  const { clock, store, follower } = startFollower(stall);
+  const answeredAt = 700;
+  store.watchOnce = async () => {
+    // The change came at `answeredAt`, and is read after the stall.
+    if (clock.now() >= stall.to) return await new Promise(() => {});
+    await clock.sleep(stall.to - clock.now());
+    const state = store.buildState();
+    const revision = state.revision + 1;
+    const replicas = { ...state.replicas, revision };
+    return { kind: "state", state: { ...state, revision, replicas } };
+  };
+  follower.start();
+  await clock.run(stall.to);
+  const ageMs = follower.getListAgeMs();
+  follower.stop();
+  expect(ageMs).toBeGreaterThanOrEqual(stall.to - answeredAt);
+});
+
+// Guards against a list that looks new by the time that the read of the whole
+// state took: what changed meanwhile is not in it.
+it("a read of the whole state counts from its call", async () => {
+  const { clock, store, follower } = startFollower();
+  const readMs = 900;
+  store.fetchState = async () => {
+    const state = { ...store.buildState(), revision: 7 };
+    await clock.sleep(readMs);
+    return { ...state, replicas: { ...state.replicas, revision: 7 } };
+  };
+  store.watchOnce = () => new Promise(() => {});
+  follower.start();
+  await clock.run(readMs);
+  const ageMs = follower.getListAgeMs();
+  follower.stop();
+  expect(ageMs).toBe(readMs);
+});
