Bound the wait for a view that is confirmed late each time

Read again: the wait for a fresh view began anew with each confirmation. Of a slow store each answer may be older than a view may be, so that requests would have waited until their deadline.

The test of the stale view failed once beside other work (load 24, 3,344 ms). Traced by its times: the store that it silences never answers a call that it got, so a second call failed before the VM called again; the store counts as unavailable then and the request goes by the old view, by design. The store now holds its answers and gives them afterwards; bound and stall are as they were.

--- a/src/connection/framing_guard.ts
+++ b/src/connection/framing_guard.ts
@@ -45,15 +45,13 @@
   }
 
   #note(length: number): void {
+    const { getBodyBytes, onExcess } = this.#options;
     this.#receivedBytes += length;
-    const allowed = MAX_FRAMING_BYTES +
-      MAX_BYTES_PER_BODY_BYTE * this.#options.getBodyBytes();
-    if (this.#receivedBytes <= allowed) return;
+    const received = this.#receivedBytes;
+    const body = getBodyBytes();
+    const allowed = MAX_FRAMING_BYTES + MAX_BYTES_PER_BODY_BYTE * body;
+    if (received <= allowed) return;
     this.stop();
-    this.#options.onExcess(
-      new Error(
-        `Answer has ${this.#receivedBytes} bytes, and ${this.#options.getBodyBytes()} of them are its body`,
-      ),
-    );
+    onExcess(new Error(`Answer has ${received} bytes, its body ${body}`));
   }
 }
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -15,8 +15,8 @@
 import net from "node:net";
 import type { Duplex } from "node:stream";
 import type { Clock } from "../process/clock.ts";
-import { startSilenceTimer } from "./silence_timer.ts";
 import { clearIdle, watchIdle } from "./idle_connections.ts";
+import { startSilenceTimer } from "./silence_timer.ts";
 import type { ClientTls } from "./tls_material.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
@@ -64,6 +64,7 @@
 
   override keepSocketAlive(socket: Duplex): void {
     watchIdle(socket);
+    // Returns whether to keep it, which Node's types leave out.
     return super.keepSocketAlive(socket);
   }
 
@@ -91,6 +92,7 @@
 
   override keepSocketAlive(socket: Duplex): void {
     watchIdle(socket);
+    // Returns whether to keep it, which Node's types leave out.
     return super.keepSocketAlive(socket);
   }
 
--- a/src/process/seeded_fleet/read_delay.ts
+++ b/src/process/seeded_fleet/read_delay.ts
@@ -7,13 +7,13 @@
  *
  * @module
  */
+import {
+  READ_GRACE_MS,
+  STALL_THRESHOLD_MS,
+} from "../../connection/silence_timer.ts";
 import type { CancelTimer, Clock } from "../clock.ts";
 
 const CHECK_INTERVAL_MS = 200;
-/** A check that comes this much too late shows that the process was stalled. */
-const STALL_THRESHOLD_MS = 100;
-/** Time after a stall within which what arrived during it is read. */
-const READ_GRACE_MS = 100;
 
 /** A time in which the process ran no timer. */
 interface Stall {
--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -19,8 +19,8 @@
 /** A VM that heard from no other for so long was stalled, or cut off. */
 const MIN_GAP_MS = 1_000;
 /**
- * What was refreshing at checks that lie further apart may have been confirmed,
- * or the process stalled, in between.
+ * Between checks that lie further apart the view may have been fresh, or the
+ * process stalled.
  */
 const MAX_CHECK_GAP_MS = 1_000;
 
@@ -31,8 +31,6 @@
   hasSnapshot: () => boolean;
   /** Whether this VM's view was not confirmed for some time. */
   isViewStale: () => boolean;
-  /** `Clock.now()` at which the view was last the newest. */
-  getConfirmedAt: () => number;
   /** Whether the last calls to the store failed. */
   isStoreUnavailable: () => boolean;
   /** Time for which other VMs have had newer state; 0 if none has. */
@@ -45,8 +43,6 @@
 interface Refreshing {
   since: number;
   checkedAt: number;
-  /** `Clock.now()` at which the view was last the newest. */
-  confirmedAt: number;
 }
 
 /** Holds requests that would be handled by what this VM knew before. */
@@ -94,12 +90,11 @@
       return true;
     }
     const now = this.#options.clock.now();
-    const confirmedAt = this.#options.getConfirmedAt();
     const known = this.#refreshing;
-    const isSame = known?.confirmedAt === confirmedAt &&
+    const goesOn = known !== undefined &&
       now - known.checkedAt <= MAX_CHECK_GAP_MS;
-    const since = isSame ? known.since : now;
-    this.#refreshing = { since, checkedAt: now, confirmedAt };
+    const since = goesOn ? known.since : now;
+    this.#refreshing = { since, checkedAt: now };
     return now - since >= MAX_CONFIRMING_WAIT_MS;
   }
 
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -130,7 +130,6 @@
       clock: options.clock,
       hasSnapshot: () => this.#snapshot !== undefined,
       isViewStale: () => this.isViewStale(),
-      getConfirmedAt: () => this.#confirmation.confirmedAt,
       isStoreUnavailable: () => this.#watcher.isUnavailable,
       getLagMs: () => this.getLagMs(),
       checkStore: () => this.#watcher.checkNow(),
--- a/test/failures/sent_by_stale_view_test.ts
+++ b/test/failures/sent_by_stale_view_test.ts
@@ -19,7 +19,7 @@
   while (performance.now() < until);
 }
 
-/** A VM whose only replica leaves while the store is silent. */
+/** A VM whose only replica leaves while the store holds its answers. */
 async function createFleet() {
   const fleet = await PlatformFleet.create({ replicas: 1 });
   const [leaving] = fleet.replicas;
@@ -27,7 +27,7 @@
   const other = await fleet.addReplica("i-2");
   fleet.store.remove("servers/i-2");
   await waitUntil(() => vm!.vm.replicas.find(toId("i-2")) === undefined);
-  fleet.store.mode = "silent";
+  fleet.store.mode = "held";
   const leftAt = performance.now();
   fleet.store.remove(`servers/${leaving!.id}`);
   fleet.listReplica(other);
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import {
   HttpStandIn,
   sendJson,
@@ -21,8 +22,16 @@
   revision: number;
 }
 
-/** The store's failure mode. */
-export type StoreMode = "up" | "busy" | "limited" | "reset" | "silent";
+/** The store's failure mode; calls that are held are answered afterwards. */
+export type StoreMode =
+  | "up"
+  | "busy"
+  | "limited"
+  | "reset"
+  | "silent"
+  | "held";
+
+const HELD_CHECK_MS = 2;
 
 const REFUSED_STATUS = { busy: 503, limited: 429 };
 
@@ -86,6 +95,7 @@
   ): Promise<void> {
     const url = new URL(call.path, "http://store");
     this.calls.push(url.pathname);
+    await this.#waitWhileHeld();
     if (this.mode === "silent") return;
     if (this.mode === "reset") {
       response.destroy();
@@ -181,7 +191,7 @@
     if (after + 1 >= this.#oldest && (isNewest || this.#isDeaf)) {
       await this.#waitForChange(Number(query.get("wait-ms")));
     }
-    if (this.mode === "silent") return;
+    await this.#waitWhileHeld();
     if (this.mode !== "up") {
       response.destroy();
       return;
@@ -204,6 +214,10 @@
     sendJson(response, { status: 200, body });
   }
 
+  async #waitWhileHeld(): Promise<void> {
+    while (this.mode === "held") await sleep(HELD_CHECK_MS);
+  }
+
   #waitForChange(waitMs: number): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, waitMs);
--- a/test/process/seeded_fleet/refresh_wait_test.ts
+++ b/test/process/seeded_fleet/refresh_wait_test.ts
@@ -11,14 +11,12 @@
   const state = {
     isStale: true,
     isUnavailable: false,
-    confirmedAt: -1,
     lagMs: 0,
   };
   const wait = RefreshWait.create({
     clock,
     hasSnapshot: () => true,
     isViewStale: () => state.isStale,
-    getConfirmedAt: () => state.confirmedAt,
     isStoreUnavailable: () => state.isUnavailable,
     getLagMs: () => state.lagMs,
     checkStore: () => {},
@@ -72,12 +70,14 @@
     expect(await runUntilUsable()).toBe(0);
   });
 
-  // Guards against a wait that counts as over although the view was confirmed, or
-  // the process stalled, since it began.
-  it("is waited for anew after a confirmation or a stall", async () => {
-    const { clock, state, runUntilUsable } = createWait();
+  // Guards against a wait that counts as over although the view was fresh, or the
+  // process stalled, since it began.
+  it("is waited for anew once it was fresh, and after a stall", async () => {
+    const { clock, state, wait, runUntilUsable } = createWait();
     expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
-    state.confirmedAt = clock.now();
+    state.isStale = false;
+    expect(wait.canUseState()).toBe(true);
+    state.isStale = true;
     expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
     await clock.run(10 * MAX_WAIT_MS);
     expect(await runUntilUsable()).toBe(MAX_WAIT_MS);
