--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -12,7 +12,7 @@
  */
 const TTL_FACTOR = 3;
 /** A busy process handles the signal late. */
-const SIGNAL_MARGIN_MS = 200;
+const SIGNAL_MARGIN_MS = 500;
 /** Time reserved for the shutdown before the platform kills the process. */
 const SHUTDOWN_MARGIN_MS = 300;
 const IN_FLIGHT_POLL_MS = 25;
