Keep a draining VM open while callers may use its address

A fault of: with nothing in flight the VM closed as soon as it began to refuse what it can't finish, 2.5 s after the signal, and at once where the directory's time to live is 100 ms. Callers may use the address for three times that time.

A test of an idle VM failed before (status 0, no answer).

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -11,6 +11,7 @@
  * Callers use a directory's answer for up to this many times its time to live.
  */
 const TTL_FACTOR = 3;
+const TTL_MARGIN_MS = 300;
 /** A busy process handles the signal late. */
 const SIGNAL_MARGIN_MS = 500;
 /** Time reserved for the shutdown before the platform kills the process. */
@@ -43,10 +44,12 @@
   const startedAt = clock.now();
   log.info("drain_started", { in_flight: getInFlight() });
   options.announceNow();
-  const servingMs = TTL_FACTOR * directoryTtlMs - SIGNAL_MARGIN_MS;
-  await clock.sleep(Math.max(0, servingMs));
+  const addressedMs = TTL_FACTOR * directoryTtlMs;
+  const unlimitedMs = Math.max(0, addressedMs - SIGNAL_MARGIN_MS);
+  await clock.sleep(unlimitedMs);
   const endsAt = startedAt + drainGraceMs - SHUTDOWN_MARGIN_MS;
   options.limitRequests(endsAt);
+  await clock.sleep(addressedMs + TTL_MARGIN_MS - unlimitedMs);
   while (getInFlight() > 0 && clock.now() < endsAt) {
     await clock.sleep(IN_FLIGHT_POLL_MS);
   }
--- a/test/failures/requests_late_in_drain_test.ts
+++ b/test/failures/requests_late_in_drain_test.ts
@@ -9,6 +9,8 @@
 /** Callers may still use the VM's address for so long, and a little longer. */
 const LATE_MS = 450;
 const LATER_MS = 900;
+/** Within three times the directory's time to live. */
+const ADDRESS_AGE_MS = 250;
 const LONG_MS = 10_000;
 const SHORT_MS = 400;
 
@@ -40,3 +42,15 @@
   expect(await first).toMatchObject({ status: 200, isWhole: false });
   expect(fleet.replicas.flatMap(({ ran }) => ran)).toHaveLength(2);
 }, 15_000);
+
+// Guards against a VM that closes while callers may still use its address,
+// because nothing is in flight.
+it("an idle draining VM serves callers with an older list", async () => {
+  const fleet = await PlatformFleet.create();
+  const [vm] = fleet.vms;
+  const drained = vm!.vm.drain();
+  await sleep(ADDRESS_AGE_MS);
+  const answer = await sendRequest(vm!, { path: "/safe/x" });
+  expect(answer).toMatchObject({ status: 200, isWhole: true });
+  await drained;
+});
