Say how late a drain may have begun

drain_started names stalled_ms, for which the signal may have waited, and how many other VMs serve. ReadDelay tells it; a stall counts there until the next check, since what is read first after it may take longer than 100 ms. A VM has ten timers a second more.

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -23,7 +23,11 @@
   clock: Clock;
   log: Log;
   settings: Pick<RoutedSettings, "directoryTtlMs" | "drainGraceMs">;
+  /** `Clock.now()` since when the signal may have waited to be handled. */
+  signalledSince: number;
   getInFlight: () => number;
+  /** Number of other VMs that serve callers. */
+  countOthers: () => number;
   announceNow: () => void;
   /** Refuses new requests that may last beyond this time (`Clock.now()`). */
   limitRequests: (endsAt: number) => void;
@@ -39,10 +43,14 @@
  * allows. Meanwhile it takes what ends within that time.
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
-  const { clock, log, getInFlight } = options;
+  const { clock, log, getInFlight, signalledSince } = options;
   const { directoryTtlMs, drainGraceMs } = options.settings;
   const startedAt = clock.now();
-  log.info("drain_started", { in_flight: getInFlight() });
+  log.info("drain_started", {
+    in_flight: getInFlight(),
+    stalled_ms: Math.round(startedAt - signalledSince),
+    others: options.countOthers(),
+  });
   options.announceNow();
   const addressedMs = TTL_FACTOR * directoryTtlMs;
   const unlimitedMs = Math.max(0, addressedMs - SIGNAL_MARGIN_MS);
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -44,6 +44,7 @@
   type DatagramLink,
   type FleetPeer,
   type PublishedStore,
+  ReadDelay,
   UdpLink,
 } from "./seeded_fleet/index.ts";
 
@@ -54,6 +55,8 @@
  * opening packet is lost, it is sent again only after a second.
  */
 const CONNECT_TIMEOUT_MS = 250;
+/** Interval at which stalls of the process are looked for. */
+const STALL_CHECK_INTERVAL_MS = 100;
 /** Memory for the status of finished requests. */
 const REQUEST_STATUS_BYTES = 4 * 1024 * 1024;
 
@@ -95,6 +98,7 @@
   readonly #quarantine: RequestQuarantine;
   readonly #handler: RoutedHandler;
   readonly #listeners: RoutedListeners;
+  readonly #readDelay: ReadDelay;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
   #inFlight = 0;
@@ -113,6 +117,7 @@
     this.#incarnation = toId<Incarnation>(
       this.#random.nextHex(INCARNATION_LENGTH),
     );
+    this.#readDelay = ReadDelay.create(this.#clock, STALL_CHECK_INTERVAL_MS);
     this.metrics = ProcessMetrics.create(this.#clock);
     this.requestStatuses = RequestStatusStore.create({
       maxBytes: REQUEST_STATUS_BYTES,
@@ -156,6 +161,7 @@
   /** Opens the listeners and starts all tasks. Rejects with `StepError`. */
   async start(): Promise<void> {
     const { vm, dataCentre } = this.#settings;
+    this.#readDelay.start();
     this.#fleet = this.#createFleet(await this.#openLink());
     this.#fleet.start();
     await this.#listeners.start(this.#settings);
@@ -202,9 +208,7 @@
    */
   listEntries(region?: Region): string[] {
     const { dataCentre, listeners } = this.#settings;
-    const entries: EntryAddress[] = this.#listLive()
-      .map(({ heartbeat }) => heartbeat)
-      .filter(({ isServing }) => isServing);
+    const entries: EntryAddress[] = this.#listServing();
     if (this.isServing()) {
       entries.push({ dataCentre, callers: listeners.callers });
     }
@@ -234,7 +238,9 @@
       clock: this.#clock,
       log: this.#log,
       settings: this.#settings,
+      signalledSince: this.#readDelay.computeArrivedSince(),
       getInFlight: () => this.#inFlight,
+      countOthers: () => this.#listServing().length,
       announceNow: () => this.#fleet?.announceNow(),
       limitRequests: (endsAt) => this.#endsAt = endsAt,
       closeCallers: () => this.#listeners.closeForCallers(),
@@ -244,6 +250,7 @@
   }
 
   async #runStop(): Promise<void> {
+    this.#readDelay.stop();
     this.#fleet?.stop();
     this.#placement.stop();
     const stopped = this.#listeners.stop();
@@ -393,6 +400,13 @@
     return this.#fleet?.listLive() ?? [];
   }
 
+  /** What the other VMs that serve callers said last. */
+  #listServing(): FleetPeer["heartbeat"][] {
+    return this.#listLive()
+      .map(({ heartbeat }) => heartbeat)
+      .filter(({ isServing }) => isServing);
+  }
+
   #createTransport(
     findAddress: HttpTransportOptions["findAddress"],
     options: Partial<HttpTransportOptions> = {},
--- a/src/process/seeded_fleet/read_delay.ts
+++ b/src/process/seeded_fleet/read_delay.ts
@@ -1,9 +1,10 @@
 /**
- * Tells for how long an answer that is read now may have lain in its socket.
+ * Tells for how long an answer that is read now, or a signal that is handled
+ * now, may have waited in this process.
  *
  * A process that gets no processor time reads its sockets late. Without this, an
  * answer of the store that came during a stall would make an old list look new by
- * the length of the stall.
+ * the length of the stall, and a drain would end as much after its grace period.
  *
  * @module
  */
@@ -13,7 +14,7 @@
 } from "../../connection/silence_timer.ts";
 import type { CancelTimer, Clock } from "../clock.ts";
 
-const CHECK_INTERVAL_MS = 200;
+const DEFAULT_CHECK_INTERVAL_MS = 200;
 
 /** A time in which the process ran no timer. */
 interface Stall {
@@ -24,17 +25,23 @@
 /** Finds stalls of this process by a timer that comes late. */
 export class ReadDelay {
   readonly #clock: Clock;
+  readonly #intervalMs: number;
   #checkedAt: number;
   #lastStall: Stall | undefined;
   #cancel: CancelTimer = () => {};
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, intervalMs: number) {
     this.#clock = clock;
+    this.#intervalMs = intervalMs;
     this.#checkedAt = clock.now();
   }
 
-  static create(clock: Clock): ReadDelay {
-    return new ReadDelay(clock);
+  /** Misses stalls that are not longer than `intervalMs` and 100 ms. */
+  static create(
+    clock: Clock,
+    intervalMs = DEFAULT_CHECK_INTERVAL_MS,
+  ): ReadDelay {
+    return new ReadDelay(clock, intervalMs);
   }
 
   start(): void {
@@ -52,28 +59,27 @@
    * moment after a stall.
    */
   computeArrivedSince(): number {
-    this.#noteCheck();
     const now = this.#clock.now();
     const stall = this.#lastStall;
+    // What is read first after a stall may take longer than the grace.
     const isAfterStall = stall !== undefined &&
-      now - stall.to <= READ_GRACE_MS;
-    return isAfterStall ? stall.from : now;
+      (this.#checkedAt === stall.to || now - stall.to <= READ_GRACE_MS);
+    if (isAfterStall) return stall.from;
+    return this.#isLate(now) ? this.#checkedAt : now;
   }
 
   #startTimer(): void {
-    this.#cancel = this.#clock.startTimer(CHECK_INTERVAL_MS, () => {
-      this.#noteCheck();
-      this.#checkedAt = this.#clock.now();
+    this.#cancel = this.#clock.startTimer(this.#intervalMs, () => {
+      const now = this.#clock.now();
+      if (this.#isLate(now)) {
+        this.#lastStall = { from: this.#checkedAt, to: now };
+      }
+      this.#checkedAt = now;
       this.#startTimer();
     });
   }
 
-  #noteCheck(): void {
-    const now = this.#clock.now();
-    const isLate = now - this.#checkedAt >=
-      CHECK_INTERVAL_MS + STALL_THRESHOLD_MS;
-    if (!isLate) return;
-    this.#lastStall = { from: this.#checkedAt, to: now };
-    this.#checkedAt = now;
+  #isLate(now: number): boolean {
+    return now - this.#checkedAt >= this.#intervalMs + STALL_THRESHOLD_MS;
   }
 }
