Count a drain from when its signal may have been sent

Cause: runDrain counted its times from when it ran, so that the planned end lay behind the kill, and a request was taken for a deadline within a time that does not exist. The platform counts from the sending.

The test with a process that stands still for 700 ms failed before: a drain of 1,500 ms ended after 1,917 ms. It ends in time now.

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -12,7 +12,7 @@
  */
 const TTL_FACTOR = 3;
 const TTL_MARGIN_MS = 300;
-/** A busy process handles the signal late. */
+/** A stall of the process that is too short to be noticed. */
 const SIGNAL_MARGIN_MS = 500;
 /** Time reserved for the shutdown before the platform kills the process. */
 const SHUTDOWN_MARGIN_MS = 300;
@@ -40,7 +40,8 @@
 /**
  * Sends new callers to other VMs at once, serves those that still use this
  * address, and then finishes the requests in flight, as far as the grace period
- * allows. Meanwhile it takes what ends within that time.
+ * allows. Meanwhile it takes what ends within that time. The platform counts the
+ * grace period from when it sent the signal.
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
   const { clock, log, getInFlight, signalledSince } = options;
@@ -52,12 +53,11 @@
     others: options.countOthers(),
   });
   options.announceNow();
-  const addressedMs = TTL_FACTOR * directoryTtlMs;
-  const unlimitedMs = Math.max(0, addressedMs - SIGNAL_MARGIN_MS);
-  await clock.sleep(unlimitedMs);
-  const endsAt = startedAt + drainGraceMs - SHUTDOWN_MARGIN_MS;
+  const addressedUntil = signalledSince + TTL_FACTOR * directoryTtlMs;
+  const endsAt = signalledSince + drainGraceMs - SHUTDOWN_MARGIN_MS;
+  await sleepUntil(clock, addressedUntil - SIGNAL_MARGIN_MS);
   options.limitRequests(endsAt);
-  await clock.sleep(addressedMs + TTL_MARGIN_MS - unlimitedMs);
+  await sleepUntil(clock, addressedUntil + TTL_MARGIN_MS);
   while (getInFlight() > 0 && clock.now() < endsAt) {
     await clock.sleep(IN_FLIGHT_POLL_MS);
   }
@@ -68,3 +68,7 @@
   await options.stop();
   log.info("drain_ended", { ms: Math.round(clock.now() - startedAt) });
 }
+
+async function sleepUntil(clock: Clock, at: number): Promise<void> {
+  await clock.sleep(Math.max(0, at - clock.now()));
+}
