Leave to other VMs what a draining VM may not finish

Cause: for three times the directory's time to live everything was taken, whatever time it needs.

While others serve, a draining VM takes what ends by its deadline, or by the time within which 99 of 100 answers of its class were whole lately; anything else is refused as not run, to come back in 10 ms (500 ms where none serves). Where none serves it takes everything for 2.5 s as before. It looks again right before the first byte, so that a request which waited for its place, a view or a connection isn't sent to be cut.

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "./clock.ts";
+import type { DrainAdmission } from "./drain_admission.ts";
 import type { Log } from "./log.ts";
 import type { RoutedSettings } from "./routed_settings.ts";
 
@@ -28,9 +29,8 @@
   getInFlight: () => number;
   /** Number of other VMs that serve callers. */
   countOthers: () => number;
+  admission: DrainAdmission;
   announceNow: () => void;
-  /** Refuses new requests that may last beyond this time (`Clock.now()`). */
-  limitRequests: (endsAt: number) => void;
   /** Accepts no more callers; resolves when the last one has its answer. */
   closeCallers: () => Promise<void>;
   /** Stops the VM at once. */
@@ -44,7 +44,7 @@
  * grace period from when it sent the signal.
  */
 export async function runDrain(options: DrainOptions): Promise<void> {
-  const { clock, log, getInFlight, signalledSince } = options;
+  const { clock, log, getInFlight, signalledSince, admission } = options;
   const { directoryTtlMs, drainGraceMs } = options.settings;
   const startedAt = clock.now();
   log.info("drain_started", {
@@ -52,11 +52,13 @@
     stalled_ms: Math.round(startedAt - signalledSince),
     others: options.countOthers(),
   });
-  options.announceNow();
   const addressedUntil = signalledSince + TTL_FACTOR * directoryTtlMs;
   const endsAt = signalledSince + drainGraceMs - SHUTDOWN_MARGIN_MS;
-  await sleepUntil(clock, addressedUntil - SIGNAL_MARGIN_MS);
-  options.limitRequests(endsAt);
+  admission.startDraining({
+    addressedUntil: addressedUntil - SIGNAL_MARGIN_MS,
+    endsAt,
+  });
+  options.announceNow();
   await sleepUntil(clock, addressedUntil + TTL_MARGIN_MS);
   while (getInFlight() > 0 && clock.now() < endsAt) {
     await clock.sleep(IN_FLIGHT_POLL_MS);
@@ -66,7 +68,10 @@
   if (cut > 0) log.warn("drain_cut", { in_flight: cut });
   else await closed;
   await options.stop();
-  log.info("drain_ended", { ms: Math.round(clock.now() - startedAt) });
+  log.info("drain_ended", {
+    ms: Math.round(clock.now() - startedAt),
+    refused: admission.refused,
+  });
 }
 
 async function sleepUntil(clock: Clock, at: number): Promise<void> {
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -8,6 +8,7 @@
 import type { RoutedSnapshot } from "../version/routes.ts";
 import { AnswerStore } from "./answer_store.ts";
 import type { Quarantine } from "./crash_quarantine.ts";
+import type { DrainAdmission } from "./drain_admission.ts";
 import { UncheckedExecutionClaims } from "./unchecked_execution_claims.ts";
 import type { LocalEnvironment } from "./environment.ts";
 import type { RequestStatusStore } from "./request_status_store.ts";
@@ -58,6 +59,7 @@
   metrics: ProcessMetrics;
   getSnapshot: () => RoutedSnapshot | undefined;
   isDraining: () => boolean;
+  admission: DrainAdmission;
   listEntries: () => string[];
   /** Number of live VMs, including this one. */
   countLiveVms: () => number;
@@ -103,6 +105,7 @@
     metrics: options.metrics,
     answers: AnswerStore.create({ maxBytes: 0 }),
     isDraining: options.isDraining,
+    admission: options.admission,
     buildRefusalOptions: buildRoutedRefusal,
     entries: options.listEntries,
     findStatus: (requestId) => {
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -20,7 +20,9 @@
 import type { HeaderCodec } from "../request/header_codec.ts";
 import { RoutedHandler } from "../request/routed_handler.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import { type Clock, SystemClock } from "./clock.ts";
+import { DrainAdmission } from "./drain_admission.ts";
 import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
 import { RequestStatusStore } from "./request_status_store.ts";
 import type { Log } from "./log.ts";
@@ -101,9 +103,9 @@
   readonly #readDelay: ReadDelay;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
+  readonly #answerTimes: AnswerTimes;
+  readonly #admission: DrainAdmission;
   #inFlight = 0;
-  /** `Clock.now()` by which new requests have to end. */
-  #endsAt = Infinity;
   #draining: Promise<void> | undefined;
   #stopped: Promise<void> | undefined;
 
@@ -118,6 +120,12 @@
       this.#random.nextHex(INCARNATION_LENGTH),
     );
     this.#readDelay = ReadDelay.create(this.#clock, STALL_CHECK_INTERVAL_MS);
+    this.#answerTimes = AnswerTimes.create(this.#clock);
+    this.#admission = DrainAdmission.create({
+      clock: this.#clock,
+      answerTimes: this.#answerTimes,
+      countOthers: () => this.#listServing().length,
+    });
     this.metrics = ProcessMetrics.create(this.#clock);
     this.requestStatuses = RequestStatusStore.create({
       maxBytes: REQUEST_STATUS_BYTES,
@@ -241,8 +249,8 @@
       signalledSince: this.#readDelay.computeArrivedSince(),
       getInFlight: () => this.#inFlight,
       countOthers: () => this.#listServing().length,
+      admission: this.#admission,
       announceNow: () => this.#fleet?.announceNow(),
-      limitRequests: (endsAt) => this.#endsAt = endsAt,
       closeCallers: () => this.#listeners.closeForCallers(),
       stop: () => this.stop(),
     });
@@ -303,11 +311,13 @@
         metrics: this.metrics,
         getSnapshot: () => this.getSnapshot(),
         isDraining: () => this.isDraining(),
+        admission: this.#admission,
         listEntries: () => this.listEntries(),
         countLiveVms: () => 1 + this.#listLive().length,
       }),
       getSnapshot: () => this.getSnapshot(),
-      getEndsAt: () => this.#endsAt,
+      answerTimes: this.#answerTimes,
+      admission: this.#admission,
       waitForFreshState: () => this.#waitForFreshState(),
       headerCodec: this.#options.headerCodec,
       streamOrigins: {
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -256,6 +256,7 @@
 
 function canSend(execution: RequestExecution, lease: HeldLease): boolean {
   if (!execution.options.isClaimValid() || !lease.isValid()) return false;
+  if (!canFinish(execution)) return false;
   lease.noteSending();
   return true;
 }
@@ -288,11 +289,27 @@
       message: "The deadline passed before the work was sent",
     });
   }
+  if (!canFinish(execution)) {
+    lease.release("unused", NO_PROGRESS);
+    throw createDraining(execution);
+  }
   checkQuarantine(execution, () => lease.release("unused", NO_PROGRESS));
   if (lease.isValid() && !lease.preempted.aborted) return undefined;
   return handleExpired(execution, lease);
 }
 
+/**
+ * Whether this VM, if it drains, has the time for the request. What may have run
+ * goes on for as long as it can.
+ */
+function canFinish(execution: RequestExecution): boolean {
+  const { services, options, deadlineAt } = execution;
+  const { requestClass: { name: className }, arrivedAt } = options;
+  return execution.getOutcome() !== "not_run" ||
+    services.admission === undefined ||
+    services.admission.canTake({ className, arrivedAt, deadlineAt });
+}
+
 function handleExpired(
   execution: RequestExecution,
   lease: HeldLease,
@@ -363,6 +380,15 @@
   };
 }
 
+function createDraining(execution: RequestExecution): RefusalError {
+  return createRefusal(execution, {
+    code: "draining",
+    message: "This VM ends before it can finish the request",
+    retryAfterMs: execution.services.admission?.noteRefused() ??
+      FAILED_RETRY_AFTER_MS,
+  });
+}
+
 function createCancelled(execution: RequestExecution): RefusalError {
   return createRefusal(execution, {
     code: "cancelled",
--- a/src/request/request_services.ts
+++ b/src/request/request_services.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from "../outcome.ts";
 import type { AnswerStore } from "../process/answer_store.ts";
 import type { Quarantine } from "../process/crash_quarantine.ts";
+import type { DrainAdmission } from "../process/drain_admission.ts";
 import type { LocalEnvironment } from "../process/environment.ts";
 import type { RequestStatusStore } from "../process/request_status_store.ts";
 import type { RequestStatusAnswer } from "../process/peer_api.ts";
@@ -36,6 +37,8 @@
   metrics: RequestMetrics;
   answers: AnswerStore;
   isDraining: () => boolean;
+  /** Decides what a draining VM takes; undefined where it takes everything. */
+  admission?: DrainAdmission;
   /** Status and headers of refusals, if callers rely on the status alone. */
   buildRefusalOptions?: (
     refusal: Refusal,
--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -91,23 +91,28 @@
   });
 }
 
-/** Runs a claimed request and writes a refusal to the caller if it fails. */
+/**
+ * Runs a claimed request and writes a refusal to the caller if it fails.
+ * Resolves to whether the caller was sent the whole answer.
+ */
 export async function runExecution(
   execution: RequestExecution,
   checkWork: (
     execution: RequestExecution,
   ) => CheckedWork | Promise<CheckedWork>,
-): Promise<void> {
+): Promise<boolean> {
   let checked: CheckedWork | undefined;
   try {
     checked = await checkWork(execution);
     await runAdmitted(execution, checked);
     execution.end({ kind: "answered" });
+    return !execution.options.sink.signal.aborted;
   } catch (thrown) {
     const refusal = toRefusal(execution, thrown);
     const kind = refusal.code === "cancelled" ? "cancelled" : "refused";
     execution.end({ kind, refusal });
     await writeEnd(execution, refusal, checked?.work);
+    return false;
   }
 }
 
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -8,6 +8,8 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId, type WorkspaceName } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
+import type { AnswerTimes } from "../process/answer_times.ts";
+import type { DrainAdmission } from "../process/drain_admission.ts";
 import type { StreamOriginSource } from "../process/stream_origin_source.ts";
 import type { Workspace } from "../version/records.ts";
 import {
@@ -33,8 +35,6 @@
 import type { RoutedWork, RoutedWorkContext } from "./routed_work.ts";
 
 const NOT_READY_RETRY_MS = 300;
-/** Other VMs take the request at once. */
-const DRAINING_RETRY_MS = 10;
 const MS_PER_SECOND = 1_000;
 const SERVICE_UNAVAILABLE = 503;
 const UPSTREAM_STATUSES: ReadonlySet<number> = new Set([500, 502, 504]);
@@ -55,8 +55,8 @@
 export interface RoutedHandlerOptions {
   services: RequestServices;
   getSnapshot: () => RoutedSnapshot | undefined;
-  /** `Clock.now()` at which this VM ends its work; `Infinity` unless it drains. */
-  getEndsAt: () => number;
+  answerTimes: AnswerTimes;
+  admission: DrainAdmission;
   /** Resolves once the snapshot is the newest, as far as this VM can tell. */
   waitForFreshState: () => Promise<void>;
   headerCodec: HeaderCodec;
@@ -127,15 +127,20 @@
       call.timeoutMs ?? Infinity,
       requestClass.targets.totalMs,
     );
-    const deadlineAt = request.arrivedAt + timeoutMs;
-    if (deadlineAt > this.#options.getEndsAt()) throw createDraining();
-    const execution = RequestExecution.create(this.#options.services, {
+    const { admission, answerTimes, services } = this.#options;
+    const { className } = route;
+    const { arrivedAt } = request;
+    const deadlineAt = arrivedAt + timeoutMs;
+    if (!admission.canTake({ className, arrivedAt, deadlineAt })) {
+      throw createDraining(admission.noteRefused());
+    }
+    const execution = RequestExecution.create(services, {
       requestId: checked.requestId,
       fingerprint: computeFingerprint(request, checked.workspace.name),
       workspace: checked.workspace,
       requestClass,
       snapshot,
-      arrivedAt: request.arrivedAt,
+      arrivedAt,
       deadlineAt,
       sink: checked.sink,
       idempotent: isRepeatable(route.kind),
@@ -143,7 +148,12 @@
       retainsAnswer: false,
       isForwarded: request.forwarded !== undefined,
     });
-    await runExecution(execution, () => this.#buildWork(execution, checked));
+    const isAnswered = await runExecution(
+      execution,
+      () => this.#buildWork(execution, checked),
+    );
+    if (!isAnswered) return;
+    answerTimes.add(className, services.environment.clock.now() - arrivedAt);
   }
 
   async #buildWork(
@@ -262,13 +272,13 @@
   });
 }
 
-function createDraining(): RefusalError {
+function createDraining(retryAfterMs: number): RefusalError {
   return new RefusalError({
     code: "draining",
-    message: "This VM ends before the request's deadline",
+    message: "This VM ends before it can finish the request",
     outcome: "not_run",
     isUnsent: true,
-    retryAfterMs: DRAINING_RETRY_MS,
+    retryAfterMs,
   });
 }
 
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -112,13 +112,16 @@
       log?: Log;
       maxWaitingRequests?: number;
       drainGraceMs?: number;
+      directoryTtlMs?: number;
     } = {},
   ): Promise<TestVm> {
     const { maxWaitingRequests = 0, drainGraceMs = 8_000 } = options;
+    const { directoryTtlMs = 100 } = options;
     const settings = {
       ...await this.#buildSettings(options.store),
       maxWaitingRequests,
       drainGraceMs,
+      directoryTtlMs,
     };
     const log = options.log ?? SilentLog.create();
     const links = CuttableLinks.create();
