Refuse what has no answer yet when a drain ends

What callers would see: a request that waited for a place, a fresh view, the origin of a stream or its replica's first byte when the grace period ended got a closed connection, which promises nothing, though a VM knows whether it ran.

Now the VM ends them before its sockets: 503 with a time to come back where nothing ran, 502 otherwise, as part of the 300 ms that are reserved; what has begun is cut as before. A request that another VM passed on and that may have run is cut, so that that VM may try again as before.

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -17,6 +17,8 @@
 const SIGNAL_MARGIN_MS = 500;
 /** Time reserved for the shutdown before the platform kills the process. */
 const SHUTDOWN_MARGIN_MS = 300;
+/** Time in which the last answers are written, as part of the shutdown. */
+const FLUSH_MS = 100;
 const IN_FLIGHT_POLL_MS = 25;
 
 /** Options of `runDrain`. */
@@ -33,6 +35,8 @@
   announceNow: () => void;
   /** Accepts no more callers; resolves when the last one has its answer. */
   closeCallers: () => Promise<void>;
+  /** Ends all requests, and refuses those whose answers have not begun. */
+  cancelRequests: () => void;
   /** Stops the VM at once. */
   stop: () => Promise<void>;
 }
@@ -65,8 +69,11 @@
   }
   const closed = options.closeCallers();
   const cut = getInFlight();
-  if (cut > 0) log.warn("drain_cut", { in_flight: cut });
-  else await closed;
+  if (cut > 0) {
+    log.warn("drain_cut", { in_flight: cut });
+    options.cancelRequests();
+  }
+  await Promise.race([closed, clock.sleep(FLUSH_MS)]);
   await options.stop();
   log.info("drain_ended", {
     ms: Math.round(clock.now() - startedAt),
--- a/src/process/routed_services.ts
+++ b/src/process/routed_services.ts
@@ -106,7 +106,8 @@
     answers: AnswerStore.create({ maxBytes: 0 }),
     isDraining: options.isDraining,
     admission: options.admission,
-    buildRefusalOptions: buildRoutedRefusal,
+    buildRefusalOptions: (refusal) =>
+      buildRoutedRefusal(refusal, options.isDraining()),
     entries: options.listEntries,
     findStatus: (requestId) => {
       const status = requestStatuses.find(requestId);
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -252,11 +252,17 @@
       admission: this.#admission,
       announceNow: () => this.#fleet?.announceNow(),
       closeCallers: () => this.#listeners.closeForCallers(),
+      cancelRequests: () => this.#cancelRequests(),
       stop: () => this.stop(),
     });
     return this.#draining;
   }
 
+  #cancelRequests(): void {
+    this.#handler.cancelAll();
+    this.#fleet?.follower.endWaits();
+  }
+
   async #runStop(): Promise<void> {
     this.#readDelay.stop();
     this.#fleet?.stop();
--- a/src/process/seeded_fleet/refresh_wait.ts
+++ b/src/process/seeded_fleet/refresh_wait.ts
@@ -52,6 +52,7 @@
   /** `Clock.now()` when another VM was heard after a gap. */
   #resumedAt = -Infinity;
   #refreshing: Refreshing | undefined;
+  #isEnded = false;
 
   constructor(options: RefreshWaitOptions) {
     this.#options = options;
@@ -68,6 +69,11 @@
     this.#lastHeardAt = now;
   }
 
+  /** Lets requests wait no more, at a VM that sends none. */
+  endWaits(): void {
+    this.#isEnded = true;
+  }
+
   /**
    * Resolves once a request may be handled: at once, unless this VM has not
    * confirmed its state for some time, or was stalled and knows of newer state.
@@ -85,7 +91,7 @@
    * open, may have become stale.
    */
   canUseState(): boolean {
-    if (!this.#isRefreshing()) {
+    if (this.#isEnded || !this.#isRefreshing()) {
       this.#refreshing = undefined;
       return true;
     }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -188,6 +188,11 @@
     return this.#fetcher.failures;
   }
 
+  /** See `RefreshWait.endWaits`. */
+  endWaits(): void {
+    this.#refreshWait.endWaits();
+  }
+
   /** See `RefreshWait.waitForFreshState`. */
   waitForFreshState(): Promise<void> {
     return this.#refreshWait.waitForFreshState();
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -128,7 +128,7 @@
       isForwarded: options.isForwarded ?? false,
       ...work.buildLeaseRequirements(),
     }, {
-      signal: options.sink.signal,
+      signal: execution.signal,
       onStep: (step) => {
         execution.note(step.step, { peer: step.peer, detail: step.detail });
       },
@@ -137,6 +137,7 @@
     return lease;
   } catch (thrown) {
     if (!(thrown instanceof RefusalError)) throw thrown;
+    if (execution.isCancelled) throw createCancelled(execution);
     // This outcome covers one attempt; an earlier attempt may have run.
     throw createRefusal(execution, thrown.refusal);
   }
@@ -159,7 +160,7 @@
     cancel.abort();
     lease.release("cancelled", progress.getProgress());
   };
-  const onCallerDisconnect = () => cancel.abort();
+  const onAborted = () => cancel.abort();
   const preempted = execution.options.idempotent ? lease.preempted : undefined;
   preempted?.addEventListener("abort", onPreempted, { once: true });
   // Work that is not idempotent and can be resubmitted is completed after its
@@ -168,22 +169,13 @@
   const finishesWithoutCaller = !execution.options.idempotent &&
     execution.options.retainsAnswer;
   if (!finishesWithoutCaller) {
-    execution.options.sink.signal.addEventListener(
-      "abort",
-      onCallerDisconnect,
-      {
-        once: true,
-      },
-    );
+    execution.signal.addEventListener("abort", onAborted, { once: true });
   }
   try {
     return await sendWork(execution, work, { lease, cancel, progress, sends });
   } finally {
     preempted?.removeEventListener("abort", onPreempted);
-    execution.options.sink.signal.removeEventListener(
-      "abort",
-      onCallerDisconnect,
-    );
+    execution.signal.removeEventListener("abort", onAborted);
     // If the answer was rejected before it was read, the connection and the
     // work at the upstream would otherwise last until a timeout.
     cancel.abort();
@@ -270,7 +262,7 @@
   execution: RequestExecution,
   lease: HeldLease,
 ): AttemptResult | undefined {
-  if (execution.options.sink.signal.aborted) {
+  if (execution.signal.aborted) {
     lease.release("unused", NO_PROGRESS);
     return { kind: "cancelled" };
   }
@@ -347,7 +339,7 @@
       },
     )
     : Promise.resolve();
-  if (execution.options.sink.signal.aborted) {
+  if (execution.signal.aborted) {
     lease.release("cancelled", progress.getProgress());
     return { kind: "cancelled" };
   }
@@ -390,6 +382,7 @@
 }
 
 function createCancelled(execution: RequestExecution): RefusalError {
+  if (execution.isCancelled) return createDraining(execution);
   return createRefusal(execution, {
     code: "cancelled",
     message: "The caller disconnected",
--- a/src/request/request_execution.ts
+++ b/src/request/request_execution.ts
@@ -81,6 +81,8 @@
   /** Tokens that were generated but not part of a complete answer. */
   wastedTokens = 0;
   readonly #phases: RequestPhases;
+  readonly #aborter = new AbortController();
+  #isCancelled = false;
   #mayHaveRun = false;
   #hasRun = false;
   #firstTokenAt: number | undefined;
@@ -98,6 +100,9 @@
       services.metrics.noteStep(options.requestClass.name, phase, ms);
     });
     services.requestStatuses.start(buildInitialStatus(services, options));
+    const { signal } = options.sink;
+    if (signal.aborted) this.#aborter.abort();
+    else signal.addEventListener("abort", () => this.#aborter.abort());
   }
 
   static create(
@@ -109,6 +114,22 @@
     return execution;
   }
 
+  /** Aborts when the caller disconnects, or this VM ends its requests. */
+  get signal(): AbortSignal {
+    return this.#aborter.signal;
+  }
+
+  /** Whether this VM ended the request, for want of time. */
+  get isCancelled(): boolean {
+    return this.#isCancelled;
+  }
+
+  /** Ends the request; its caller gets a refusal if no answer has begun. */
+  cancel(): void {
+    this.#isCancelled = true;
+    this.#aborter.abort();
+  }
+
   get id(): RequestId {
     return this.options.requestId;
   }
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -66,6 +66,7 @@
 /** Handles callers' requests on a VM that is configured with routes. */
 export class RoutedHandler extends CallerHandler {
   readonly #options: RoutedHandlerOptions;
+  readonly #running = new Set<RequestExecution>();
 
   constructor(options: RoutedHandlerOptions) {
     super();
@@ -86,16 +87,19 @@
     } catch (thrown) {
       const requestId = this.#findRequestId(request);
       const refusal = this.#toRefusal(thrown, request.path, requestId);
-      const { status, headers } = buildRoutedRefusal(refusal);
-      const isDraining = this.#options.services.isDraining();
+      const { isDraining } = this.#options.services;
       await writeRefusal(sink, refusal, {
         requestId,
-        status,
-        headers: isDraining ? { ...headers, connection: "close" } : headers,
+        ...buildRoutedRefusal(refusal, isDraining()),
       });
     }
   }
 
+  /** Ends all requests: refuses those whose answers have not begun. */
+  cancelAll(): void {
+    for (const execution of this.#running) execution.cancel();
+  }
+
   #check(request: CallerRequest, sink: CallerSink): CheckedCall {
     const snapshot = this.#options.getSnapshot();
     if (snapshot === undefined) throw createNotReady();
@@ -148,10 +152,12 @@
       retainsAnswer: false,
       isForwarded: request.forwarded !== undefined,
     });
+    this.#running.add(execution);
     const isAnswered = await runExecution(
       execution,
       () => this.#buildWork(execution, checked),
     );
+    this.#running.delete(execution);
     if (!isAnswered) return;
     answerTimes.add(className, services.environment.clock.now() - arrivedAt);
   }
@@ -232,14 +238,16 @@
  * bodies, so the status alone has to say whether the request ran: 500, 502 and
  * 504 become 503, which they may retry, if it certainly did not run; 503 and
  * 429 become 502 if it may have run. `retry-after` may be a fraction of a
- * second.
+ * second. A VM that drains takes no more requests on the connection.
  */
 export function buildRoutedRefusal(
   refusal: Refusal,
+  isDraining: boolean,
 ): { status: number; headers: Record<string, string> } {
   const { status } = getRefusalKind(refusal.code);
   const isNotRun = refusal.outcome === "not_run";
   const headers = buildRefusalHeader(refusal);
+  if (isDraining) headers["connection"] = "close";
   if (refusal.retryAfterMs !== undefined && isNotRun) {
     headers["retry-after"] = String(refusal.retryAfterMs / MS_PER_SECOND);
   }
--- a/src/request/taken_up_stream.ts
+++ b/src/request/taken_up_stream.ts
@@ -94,7 +94,7 @@
     pool: target.pool,
     arrivedAt: request.arrivedAt,
     deadlineAt: execution.deadlineAt,
-    signal: execution.options.sink.signal,
+    signal: execution.signal,
   });
   // Which of several pools a stream began in follows from no version.
   const isGuess = found?.knownBy === "only_version" && others.length > 0;
