Notice a caller that left before its request is sent

Cause: before a request is sent, all sockets are read once, so that the end of the caller's connection is known. But the VM listened to the close of the answer, which Node reports a turn of the event loop later than that end, and a kept connection to a replica needs no further turn.

Now it listens to the end itself. Node ends its side of the connection then, so no answer could be written any more.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -142,6 +142,8 @@
 
   #addSocket(socket: Socket): void {
     this.#inFlight.set(socket, 0);
+    // Each request that is pipelined on it listens for its end.
+    socket.setMaxListeners(0);
     socket.once("close", () => this.#inFlight.delete(socket));
   }
 
--- a/src/connection/http_sink.ts
+++ b/src/connection/http_sink.ts
@@ -28,10 +28,15 @@
     super();
     this.#response = response;
     this.#options = options;
+    // Node ends its side as well, but reports the close some turns later.
+    const onEnd = () => this.#noteDisconnected();
+    const { socket } = response.req;
     response.on("error", () => this.#noteDisconnected());
     response.on("close", () => {
+      socket.off("end", onEnd);
       if (!response.writableFinished) this.#noteDisconnected();
     });
+    socket.on("end", onEnd);
   }
 
   static create(response: ServerResponse, options: HttpSinkOptions): HttpSink {
