End a drain within its grace period whatever the directory's time to live

Found by reading: the listener stays open for three times the directory's time to live and 300 ms, also where that is longer than the grace period, so that the kill comes first. With 1,000 ms and a grace period of 1,500 ms the drain of an idle VM took 3,300 ms (the test failed before); it ends in time now.

--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -63,7 +63,8 @@
     endsAt,
   });
   options.announceNow();
-  await sleepUntil(clock, startedAt + addressedMs + TTL_MARGIN_MS);
+  const openUntil = startedAt + addressedMs + TTL_MARGIN_MS;
+  await sleepUntil(clock, Math.min(openUntil, endsAt));
   while (getInFlight() > 0 && clock.now() < endsAt) {
     await clock.sleep(IN_FLIGHT_POLL_MS);
   }
--- a/test/failures/requests_late_in_drain_test.ts
+++ b/test/failures/requests_late_in_drain_test.ts
@@ -54,3 +54,13 @@
   expect(answer).toMatchObject({ status: 200, isWhole: true });
   await drained;
 });
+
+// Guards against a drain that is ended by a SIGKILL, because callers may use the
+// address for longer than the grace period.
+it("a drain ends within its grace period whatever the time to live", async () => {
+  const fleet = await PlatformFleet.create({ vms: 0 });
+  const vm = await fleet.addVm({ drainGraceMs: 1_500, directoryTtlMs: 1_000 });
+  const signalledAt = performance.now();
+  await vm.vm.drain();
+  expect(performance.now() - signalledAt).toBeLessThan(1_500);
+});
