Ask a silent replica whether it responds before a stream leaves it

Cause: a replica counts as alive only by the bytes of other streams that the same VM has there. With none, a preempted stream looks like one at a replica that hangs, and the attempt is given up before it is known whether another replica takes it.

Now a replica that falls silent in the middle of a stream is asked for its report, which needs no slot, once a second at most for each VM. One that answers counts as alive, and its streams wait, for as long as their callers do. One that is dead, dark or hangs answers nothing, and its streams leave it as soon as before.

Streams without a first event go as before: their attempts have shown no work.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -152,12 +152,16 @@
     return isExpected || state.liveness.isAlive(this.upstream);
   }
 
-  /** Checks at the same time whether the replica is there at all. */
+  /**
+   * Checks at the same time whether the replica is there at all, and whether one
+   * that has begun its answer still responds.
+   */
   override computeSilenceLeftMs(): number {
     const { clock, state } = this.#options;
     if (!this.#isSameProcess()) return 0;
     if (state.links.isUnreachable(this.upstream)) return 0;
     void state.checks.check(this.upstream);
+    if (this.#hasOutput) void state.probes?.probe(this.upstream);
     const activeAt = state.liveness.getActiveAt(this.upstream);
     const silentSince = Math.max(this.#grantedAt, activeAt);
     return Math.max(0, silentSince + MAX_SILENCE_MS - clock.now());
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -26,6 +26,10 @@
 import { LinkChecks, type LinkChecksOptions } from "./link_checks.ts";
 import { ReplicaLinks, type ReplicaLinksOptions } from "./replica_links.ts";
 import { ReplicaLiveness } from "./replica_liveness.ts";
+import {
+  ResponseProbes,
+  type ResponseProbesOptions,
+} from "./response_probes.ts";
 import type { ListedReplica } from "./replica_list.ts";
 import {
   type RateLimitEntry,
@@ -76,6 +80,8 @@
   onBackOff?: OnBackOff;
   /** Omitted where connections are not observed. */
   links?: PlacementLinksOptions;
+  /** Omitted where replicas are not asked whether they respond. */
+  probes?: Omit<ResponseProbesOptions, "liveness">;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted where no replica is brittle. */
@@ -123,6 +129,7 @@
   readonly callTimes = CallTimes.create();
   readonly shares: WorkspaceShares;
   readonly liveness: ReplicaLiveness;
+  readonly probes: ResponseProbes | undefined;
   readonly lastSends: LastSends;
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
@@ -149,6 +156,9 @@
     this.prefixes = PrefixIndex.create(clock);
     this.prefills = PrefillShares.create(clock);
     this.liveness = ReplicaLiveness.create(clock);
+    const { liveness } = this;
+    this.probes = options.probes &&
+      ResponseProbes.create({ ...options.probes, liveness });
     this.lastSends = LastSends.create(clock);
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -26,6 +26,8 @@
   random: Random;
   /** Whether a new connection to a replica is established; never rejects. */
   isListening: (replica: VmId) => Promise<boolean>;
+  /** Resolves once the replica has answered a call that needs no slot. */
+  fetchReport: (replica: VmId) => Promise<void>;
   getSnapshot: () => RoutedSnapshot | undefined;
   /** Undefined until the VM has started. */
   getFleet: () => RoutedFleet | undefined;
@@ -59,6 +61,7 @@
         getFleet()?.announceNow();
       },
     },
+    probes: { log, fetchReport: options.fetchReport },
     brittle: {
       vm: settings.vm,
       listReady: (pool) => options.replicas.listReady(pool),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -73,6 +73,11 @@
     transport: HttpUpstreamTransport,
     replica: VmId,
   ) => Promise<string[]>;
+  /** Resolves once the replica has answered a call that needs no slot. */
+  fetchReport: (
+    transport: HttpUpstreamTransport,
+    replica: VmId,
+  ) => Promise<void>;
   clock?: Clock;
   random?: Random;
   /** Opens the datagram link; UDP by default. */
@@ -145,6 +150,7 @@
       replicas: this.replicas,
       random: this.#random,
       isListening: (replica) => this.#upstreams.isListening(replica),
+      fetchReport: (replica) => options.fetchReport(this.#upstreams, replica),
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -9,6 +9,7 @@
 import { startListeners } from "../../platform/listeners.ts";
 import { PlatformHeaderCodec } from "../../platform/headers.ts";
 import { fetchCachedParts } from "../../platform/cached_parts.ts";
+import { fetchReport } from "../../platform/replica_report.ts";
 import { PlatformStore } from "../../platform/store.ts";
 import { type DataCentre, type Region, toId } from "../../src/ids.ts";
 import { type Log, SilentLog } from "../../src/process/log.ts";
@@ -131,6 +132,7 @@
       headerCodec: PlatformHeaderCodec.create(),
       createStore: (transport) => PlatformStore.create(transport, log),
       fetchCachedParts,
+      fetchReport,
       openConnection: links.open,
     });
     onTestFinished(() => vm.stop());
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -56,6 +56,7 @@
   fail: 500,
   fail_busy: 503,
 };
+const REPORT_PATH = "/api/report";
 const SLOW_MS = 1_400;
 /** Delay of a crash, so that other requests are streaming by then. */
 const CRASH_AFTER_MS = 15;
@@ -82,6 +83,8 @@
   eventGapMs = EVENT_GAP_MS;
   /** Events of each stream. */
   events = EVENTS;
+  /** Length of the pause in the mode `pause`. */
+  pauseMs = PAUSE_MS;
   /** Selects streams that break off after some more events. */
   isBroken: (call: StandInCall) => boolean = () => false;
   /** Selects requests that crash the replica soon after their start. */
@@ -133,6 +136,11 @@
     call: StandInCall,
     response: ServerResponse,
   ): Promise<void> {
+    if (call.path === REPORT_PATH) {
+      await this.#silence;
+      sendJson(response, { status: 200, body: {} });
+      return;
+    }
     this.seen.push(call);
     this.seenAt.push(performance.now());
     for (const [name, value] of Object.entries(this.extraHeaders)) {
@@ -259,7 +267,7 @@
       await this.#silence;
       response.write(`id: ${id}\ndata: ${this.id}\n\n`);
       const isPause = this.mode === "pause" && id === last + BROKEN_AFTER;
-      await sleep(isPause ? PAUSE_MS : this.eventGapMs);
+      await sleep(isPause ? this.pauseMs : this.eventGapMs);
     }
     response.end();
   }
