Read a grace period that is a fraction of a second

The product's settings take drain_grace_s, in seconds, and drain_grace_ms as before. entry_renewal_ms may be a fraction too.

--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -16,9 +16,14 @@
 });
 const DURATION = z.int().min(1);
 
+const MS_PER_SECOND = 1_000;
 const DEFAULT_ENTRY_RENEWAL_MS = 1_200;
 const DEFAULT_MAX_ANSWER_BYTES = 67_108_864;
 
+const NO_DRAIN_GRACE = {
+  error: "drain_grace_s or drain_grace_ms is required",
+};
+
 const SCHEMA = z.strictObject({
   vm: NAME,
   data_centre: NAME,
@@ -37,12 +42,14 @@
   metrics_port: z.int().optional(),
   store: ENDPOINT,
   /** Interval at which replicas renew their entries in the store. */
-  entry_renewal_ms: DURATION.default(DEFAULT_ENTRY_RENEWAL_MS),
+  entry_renewal_ms: z.number().min(1).default(DEFAULT_ENTRY_RENEWAL_MS),
   /** Number of cores, and the share of each that this VM may use. */
   cores: z.number().positive(),
   core_share: z.number().positive().max(1),
   log_level: z.enum(["debug", "info", "warn", "error"]).default("info"),
-  drain_grace_ms: DURATION,
+  /** In seconds; goes before `drain_grace_ms`. */
+  drain_grace_s: z.number().positive().optional(),
+  drain_grace_ms: DURATION.optional(),
   directory_ttl_ms: DURATION,
   retry_share: z.number().min(0).max(1),
   retry_reserve: z.number().min(0),
@@ -59,7 +66,7 @@
   max_waiting_requests: z.int().min(0).default(0),
   /** Largest body of a replica's answer; a longer one is broken off. */
   max_answer_bytes: z.int().min(1).default(DEFAULT_MAX_ANSWER_BYTES),
-});
+}).refine((file) => computeDrainGraceMs(file) > 0, NO_DRAIN_GRACE);
 
 /** The part of invalid settings that can still be used. */
 const LISTENERS_SCHEMA = z.object({
@@ -155,7 +162,7 @@
     entryRenewalMs: file.entry_renewal_ms,
     cores: file.cores * file.core_share,
     logLevel: file.log_level,
-    drainGraceMs: file.drain_grace_ms,
+    drainGraceMs: computeDrainGraceMs(file),
     directoryTtlMs: file.directory_ttl_ms,
     retryShare: file.retry_share,
     retryReserve: file.retry_reserve,
@@ -165,6 +172,19 @@
   };
 }
 
+/** 0 where the settings have no grace period. */
+function computeDrainGraceMs(
+  file: {
+    drain_grace_s?: number | undefined;
+    drain_grace_ms?: number | undefined;
+  },
+): number {
+  const { drain_grace_s, drain_grace_ms = 0 } = file;
+  return drain_grace_s === undefined
+    ? drain_grace_ms
+    : drain_grace_s * MS_PER_SECOND;
+}
+
 function readJson(path: string): unknown {
   try {
     return JSON.parse(readFileSync(path, "utf8"));
