--- a/test/platform/configurations.ts
+++ b/test/platform/configurations.ts
@@ -39,6 +39,8 @@
   changes: {
     routes?: TestRoute[];
     keys?: string[];
+    /** Whether it has no tenants at all. */
+    isOpen?: boolean;
     /** Keys of a second tenant, which is added only if they are set. */
     otherKeys?: string[];
     /** Fields of the first service besides its name. */
@@ -71,11 +73,15 @@
       "header-timeout-ms": 3_000,
       "idle-timeout-ms": IDLE_TIMEOUT_MS,
     },
-    tenants: [
-      { name: "tenant-1", "api-keys": changes.keys ?? [KEY] },
-      ...(changes.otherKeys === undefined
-        ? []
-        : [{ name: "tenant-2", "api-keys": changes.otherKeys }]),
-    ],
+    ...(changes.isOpen === true ? {} : { tenants: buildTenants(changes) }),
   };
 }
+
+function buildTenants(
+  { keys = [KEY], otherKeys }: { keys?: string[]; otherKeys?: string[] },
+): object[] {
+  const first = { name: "tenant-1", "api-keys": keys };
+  return otherKeys === undefined
+    ? [first]
+    : [first, { name: "tenant-2", "api-keys": otherKeys }];
+}
