Ignore a replica whose id no header can hold

Requests name their replica in a header, so nothing can be sent to it at all.

The entry is rejected like other invalid ones: logged once, and the other replicas serve. Four tests failed before.

--- a/test/platform/invalid_store_entries_test.ts
+++ b/test/platform/invalid_store_entries_test.ts
@@ -50,6 +50,28 @@
     });
   }
 
+  // Guards against requests that fail as if they may have run, because no header
+  // can name their replica.
+  for (const id of ["i-\u20ac", "i-\n2", " i-2", ""]) {
+    it(`with the id ${JSON.stringify(id)} is ignored and logged`, async () => {
+      const fleet = await PlatformFleet.create({ vms: 0 });
+      const log = new FakeLog();
+      const vm = await fleet.addVm({ log });
+      const before = vm.vm.replicas.revision;
+      fleet.listReplica({ id, port: fleet.replicas[0]!.port });
+      await waitRevision(vm, before);
+      fleet.listReplica({ id, port: fleet.replicas[0]!.port });
+      await waitRevision(vm, before + 1);
+      expect(listIds(vm)).toEqual(["i-1", "i-2"]);
+      for (let count = 0; count < 4; count++) {
+        const answer = await sendRequest(vm, { path: "/unsafe/x" });
+        expect(answer.status).toBe(200);
+      }
+      const lines = log.lines.filter(({ event }) => event === "item_rejected");
+      expect(lines).toHaveLength(1);
+    });
+  }
+
   // Guards against removing a listed replica. The store holds an invalid
   // configuration, and the id of a replica equals the end of the configuration's
   // key; the key must not be taken for a replica's without a check of its
