Wait for a silent replica's answer before its stream leaves it

In two streams of those that were cut the replica was asked in the same moment in which its stream was given up, and answered 5 and 9 ms later: while there was no budget for a retry, streams waited beyond the 1.5 s without asking, and were given up once there was some.

The stream waits for the answer now, 400 ms at most, once in a silence. A replica that gives none costs its streams as much as before.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -161,10 +161,12 @@
     if (!this.#isSameProcess()) return 0;
     if (state.links.isUnreachable(this.upstream)) return 0;
     void state.checks.check(this.upstream);
-    if (this.#hasOutput) void state.probes?.probe(this.upstream);
     const activeAt = state.liveness.getActiveAt(this.upstream);
     const silentSince = Math.max(this.#grantedAt, activeAt);
-    return Math.max(0, silentSince + MAX_SILENCE_MS - clock.now());
+    const leftMs = Math.max(0, silentSince + MAX_SILENCE_MS - clock.now());
+    if (!this.#hasOutput) return leftMs;
+    const answerMs = state.probes?.ask(this.upstream, silentSince) ?? 0;
+    return Math.max(leftMs, answerMs);
   }
 
   override noteSending(): void {
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -81,7 +81,7 @@
   /** Omitted where connections are not observed. */
   links?: PlacementLinksOptions;
   /** Omitted where replicas are not asked whether they respond. */
-  probes?: Omit<ResponseProbesOptions, "liveness">;
+  probes?: Omit<ResponseProbesOptions, "clock" | "liveness">;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted where no replica is brittle. */
@@ -158,7 +158,7 @@
     this.liveness = ReplicaLiveness.create(clock);
     const { liveness } = this;
     this.probes = options.probes &&
-      ResponseProbes.create({ ...options.probes, liveness });
+      ResponseProbes.create({ ...options.probes, clock, liveness });
     this.lastSends = LastSends.create(clock);
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
@@ -276,6 +276,7 @@
     this.prefixes.dropUnlisted(isListed);
     this.prefills.dropUnlisted(isListed);
     this.liveness.dropUnlisted(isListed);
+    this.probes?.dropUnlisted(isListed);
     this.lastSends.dropUnlisted(isListed);
     this.links.dropUnlisted(isListed);
   }
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -27,7 +27,7 @@
   /** Whether a new connection to a replica is established; never rejects. */
   isListening: (replica: VmId) => Promise<boolean>;
   /** Resolves once the replica has answered a call that needs no slot. */
-  fetchReport: (replica: VmId) => Promise<void>;
+  fetchReport: (replica: VmId, timeoutMs: number) => Promise<void>;
   getSnapshot: () => RoutedSnapshot | undefined;
   /** Undefined until the VM has started. */
   getFleet: () => RoutedFleet | undefined;
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -77,6 +77,7 @@
   fetchReport: (
     transport: HttpUpstreamTransport,
     replica: VmId,
+    timeoutMs: number,
   ) => Promise<void>;
   clock?: Clock;
   random?: Random;
@@ -150,7 +151,8 @@
       replicas: this.replicas,
       random: this.#random,
       isListening: (replica) => this.#upstreams.isListening(replica),
-      fetchReport: (replica) => options.fetchReport(this.#upstreams, replica),
+      fetchReport: (replica, timeoutMs) =>
+        options.fetchReport(this.#upstreams, replica, timeoutMs),
       getSnapshot: () => this.getSnapshot(),
       getFleet: () => this.#fleet,
     });
