Tell a VM that passed a request on when the drain of the other ends it

A request that was passed on and may have run was cut where its VM's drain ended, so that the VM that passed it on may try again. It never does: it can't know how many sends were used, and counts all of them. So it gets the same refusal as a caller, and its caller 502 either way; the exception is taken out.

Tests of the path: a call that may run once, one that may be repeated and a stream whose VM ends get 502, whole, and run once.

--- a/src/request/request_task.ts
+++ b/src/request/request_task.ts
@@ -140,13 +140,8 @@
   refusal: Refusal,
   work: UpstreamWork | undefined,
 ): Promise<void> {
-  const { sink, isForwarded = false } = execution.options;
+  const { sink } = execution.options;
   if (sink.signal.aborted) return;
-  // The VM that passed the request on tries again what may run twice.
-  if (execution.isCancelled && isForwarded && refusal.outcome !== "not_run") {
-    sink.destroy();
-    return;
-  }
   if (sink.headWritten && work !== undefined) {
     await work.endIncomplete(refusal);
     return;
--- a/test/platform/forwarding_test.ts
+++ b/test/platform/forwarding_test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { describe, expect, it } from "vitest";
 import type { StandInCall } from "../../standin/http_stand_in.ts";
+import { toId } from "../../src/ids.ts";
 import { FakeLog } from "../support/request_fakes.ts";
 import { waitUntil } from "../support/loopback.ts";
 import { HOST, KEY } from "./configurations.ts";
@@ -10,6 +11,8 @@
 
 const TIMEOUT_MS = 2_000;
 const RETURN_MS = 2_000;
+const GRACE_MS = 1_000;
+const OWN_ID = { "x-request-id": "own-id" };
 const POLL_MS = 20;
 const STREAM_PATH = "/stream/x";
 
@@ -21,10 +24,10 @@
 }
 
 /** Three VMs, of which the first reaches no replica. */
-async function createCutFleet(): Promise<CutFleet> {
+async function createCutFleet(drainGraceMs = 8_000): Promise<CutFleet> {
   const fleet = await PlatformFleet.create({ replicas: 3, vms: 0 });
   const logs = [new FakeLog(), new FakeLog(), new FakeLog()];
-  for (const log of logs) await fleet.addVm({ log });
+  for (const log of logs) await fleet.addVm({ log, drainGraceMs });
   await waitUntil(() =>
     fleet.vms.every(({ vm }) => vm.listEntries().length === logs.length)
   );
@@ -132,6 +135,23 @@
     expect(seen).toBe(3);
   });
 
+  // Guards against a caller that hears nothing, or that its request did not run,
+  // because the VM which runs it drains.
+  for (const path of ["/unsafe/x", "/safe/x", STREAM_PATH]) {
+    it(`may have run on ${path} if the VM that runs it ends`, async () => {
+      const { fleet, cut, others } = await createCutFleet(GRACE_MS);
+      setMode(fleet, "hang");
+      const answer = sendRequest(cut, { path, headers: OWN_ID });
+      await waitUntil(() => listRuns(fleet).length > 0);
+      const runner = others.find(({ vm }) =>
+        vm.requestStatuses.find(toId(OWN_ID["x-request-id"])) !== undefined
+      );
+      await runner!.vm.drain();
+      expect(await answer).toMatchObject({ status: 502, isWhole: true });
+      expect(listRuns(fleet)).toHaveLength(1);
+    });
+  }
+
   // Guards against a refusal that says "not run" of a request that may have run.
   it("is not reported as not run if its replica was lost", async () => {
     const { fleet, cut } = await createCutFleet();
