Keep how long answers took with what decides by it

Answer times belong to the admission of a drain and leave the VM and the handler. Classes without answers for two minutes are dropped, as configurations replace them. A drain whose requests are over waits for what is still being written until the grace period ends, as before.

--- a/src/process/answer_times.ts
+++ b/src/process/answer_times.ts
@@ -13,10 +13,17 @@
 const MIN_ANSWERS = 20;
 const LONG_PERCENTILE = 99;
 
+/** Recent answers of one class. */
+interface RecentAnswers {
+  histogram: SlidingHistogram;
+  /** `Clock.now()` at the last one. */
+  lastAt: number;
+}
+
 /** Times from the arrival of a request to the end of its answer. */
 export class AnswerTimes {
   readonly #clock: Clock;
-  readonly #classes = new Map<ClassName, SlidingHistogram>();
+  readonly #classes = new Map<ClassName, RecentAnswers>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -28,13 +35,9 @@
 
   /** Adds the time of a whole answer, in milliseconds. */
   add(className: ClassName, ms: number): void {
-    let recent = this.#classes.get(className);
-    if (recent === undefined) {
-      const window = { clock: this.#clock, slotMs: SLOT_MS, slots: SLOTS };
-      recent = SlidingHistogram.create(window);
-      this.#classes.set(className, recent);
-    }
-    recent.record(ms);
+    const recent = this.#classes.get(className) ?? this.#addClass(className);
+    recent.lastAt = this.#clock.now();
+    recent.histogram.record(ms);
   }
 
   /**
@@ -42,10 +45,23 @@
    * milliseconds; undefined where too few are known.
    */
   computeLongMs(className: ClassName): number | undefined {
-    const histogram = this.#classes.get(className)?.collect();
+    const histogram = this.#classes.get(className)?.histogram.collect();
     if (histogram === undefined || histogram.count < MIN_ANSWERS) {
       return undefined;
     }
     return histogram.getPercentile(LONG_PERCENTILE);
   }
+
+  /** Configurations replace classes, so those without answers are dropped. */
+  #addClass(className: ClassName): RecentAnswers {
+    const now = this.#clock.now();
+    for (const [name, { lastAt }] of this.#classes) {
+      if (now - lastAt > SLOTS * SLOT_MS) this.#classes.delete(name);
+    }
+    const window = { clock: this.#clock, slotMs: SLOT_MS, slots: SLOTS };
+    const histogram = SlidingHistogram.create(window);
+    const recent = { histogram, lastAt: now };
+    this.#classes.set(className, recent);
+    return recent;
+  }
 }
--- a/src/process/drain_admission.ts
+++ b/src/process/drain_admission.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { ClassName } from "../ids.ts";
-import type { AnswerTimes } from "./answer_times.ts";
+import { AnswerTimes } from "./answer_times.ts";
 import type { Clock } from "./clock.ts";
 
 /** Another VM takes the request at once. */
@@ -34,7 +34,6 @@
 /** Options of `DrainAdmission`. */
 export interface DrainAdmissionOptions {
   clock: Clock;
-  answerTimes: AnswerTimes;
   /** Number of other VMs that serve callers. */
   countOthers: () => number;
 }
@@ -42,6 +41,7 @@
 /** Takes all requests until a drain begins, and then what can be finished. */
 export class DrainAdmission {
   readonly #options: DrainAdmissionOptions;
+  readonly #answerTimes: AnswerTimes;
   /** How long answers took before the drain, by class. */
   readonly #longMs = new Map<ClassName, number | undefined>();
   #times: DrainTimes | undefined;
@@ -49,6 +49,7 @@
 
   constructor(options: DrainAdmissionOptions) {
     this.#options = options;
+    this.#answerTimes = AnswerTimes.create(options.clock);
   }
 
   static create(options: DrainAdmissionOptions): DrainAdmission {
@@ -60,6 +61,11 @@
     return this.#refused;
   }
 
+  /** Records the time of a whole answer, in milliseconds. */
+  noteAnswered(className: ClassName, ms: number): void {
+    this.#answerTimes.add(className, ms);
+  }
+
   /** Takes no more than what can be finished. */
   startDraining(times: DrainTimes): void {
     this.#times = times;
@@ -92,7 +98,7 @@
 
   #getLongMs(className: ClassName): number | undefined {
     if (!this.#longMs.has(className)) {
-      const longMs = this.#options.answerTimes.computeLongMs(className);
+      const longMs = this.#answerTimes.computeLongMs(className);
       this.#longMs.set(className, longMs);
     }
     return this.#longMs.get(className);
--- a/src/process/routed_drain.ts
+++ b/src/process/routed_drain.ts
@@ -13,7 +13,7 @@
  */
 const TTL_FACTOR = 3;
 const TTL_MARGIN_MS = 300;
-/** Requests are read late as well. */
+/** A busy process may read a request so long after it was sent. */
 const READ_MARGIN_MS = 500;
 /** Time reserved for the shutdown before the platform kills the process. */
 const SHUTDOWN_MARGIN_MS = 400;
@@ -74,7 +74,8 @@
     log.warn("drain_cut", { in_flight: cut });
     options.cancelRequests();
   }
-  await Promise.race([closed, clock.sleep(FLUSH_MS)]);
+  const flushUntil = Math.max(endsAt, clock.now()) + FLUSH_MS;
+  await Promise.race([closed, sleepUntil(clock, flushUntil)]);
   await options.stop();
   log.info("drain_ended", {
     ms: Math.round(clock.now() - startedAt),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -20,7 +20,6 @@
 import type { HeaderCodec } from "../request/header_codec.ts";
 import { RoutedHandler } from "../request/routed_handler.ts";
 import type { RoutedSnapshot } from "../version/routes.ts";
-import { AnswerTimes } from "./answer_times.ts";
 import { type Clock, SystemClock } from "./clock.ts";
 import { DrainAdmission } from "./drain_admission.ts";
 import { type EntryAddress, listNearAddresses } from "./entry_addresses.ts";
@@ -109,7 +108,6 @@
   readonly #readDelay: ReadDelay;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
-  readonly #answerTimes: AnswerTimes;
   readonly #admission: DrainAdmission;
   #inFlight = 0;
   #draining: Promise<void> | undefined;
@@ -126,10 +124,8 @@
       this.#random.nextHex(INCARNATION_LENGTH),
     );
     this.#readDelay = ReadDelay.create(this.#clock, SIGNAL_CHECK_INTERVAL_MS);
-    this.#answerTimes = AnswerTimes.create(this.#clock);
     this.#admission = DrainAdmission.create({
       clock: this.#clock,
-      answerTimes: this.#answerTimes,
       countOthers: () => this.#listServing().length,
     });
     this.metrics = ProcessMetrics.create(this.#clock);
@@ -330,7 +326,6 @@
         countLiveVms: () => 1 + this.#listLive().length,
       }),
       getSnapshot: () => this.getSnapshot(),
-      answerTimes: this.#answerTimes,
       admission: this.#admission,
       waitForFreshState: () => this.#waitForFreshState(),
       headerCodec: this.#options.headerCodec,
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -8,7 +8,6 @@
 import { toError } from "../errors.ts";
 import { type RequestId, toId, type WorkspaceName } from "../ids.ts";
 import { type Refusal, RefusalError } from "../outcome.ts";
-import type { AnswerTimes } from "../process/answer_times.ts";
 import type { DrainAdmission } from "../process/drain_admission.ts";
 import type { StreamOriginSource } from "../process/stream_origin_source.ts";
 import type { Workspace } from "../version/records.ts";
@@ -55,7 +54,6 @@
 export interface RoutedHandlerOptions {
   services: RequestServices;
   getSnapshot: () => RoutedSnapshot | undefined;
-  answerTimes: AnswerTimes;
   admission: DrainAdmission;
   /** Resolves once the snapshot is the newest, as far as this VM can tell. */
   waitForFreshState: () => Promise<void>;
@@ -131,7 +129,7 @@
       call.timeoutMs ?? Infinity,
       requestClass.targets.totalMs,
     );
-    const { admission, answerTimes, services } = this.#options;
+    const { admission, services } = this.#options;
     const { className } = route;
     const { arrivedAt } = request;
     const deadlineAt = arrivedAt + timeoutMs;
@@ -159,7 +157,8 @@
     );
     this.#running.delete(execution);
     if (!isAnswered) return;
-    answerTimes.add(className, services.environment.clock.now() - arrivedAt);
+    const { clock } = services.environment;
+    admission.noteAnswered(className, clock.now() - arrivedAt);
   }
 
   async #buildWork(
