--- a/test/support/relay.ts
+++ b/test/support/relay.ts
@@ -141,7 +141,7 @@
       if (isDropped(from, connection)) return;
       line.add(this.#delayMs, () => void to.end());
     });
-    from.on("error", () => to.destroy());
+    from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
       this.#connections.delete(connection);
       if (isDropped(from, connection)) return;
--- a/test/support/relay_test.ts
+++ b/test/support/relay_test.ts
@@ -9,10 +9,12 @@
 async function createRelayed() {
   let send: (text: string) => void = () => {};
   let end: () => void = () => {};
+  let reset: () => void = () => {};
   const server = createServer((socket) => {
     socket.on("error", () => {});
     send = (text) => void socket.write(text);
     end = () => socket.end();
+    reset = () => socket.resetAndDestroy();
   });
   await new Promise<void>((resolve) => server.listen(0, LOOPBACK, resolve));
   onTestFinished(() => void server.close());
@@ -26,6 +28,7 @@
     client,
     send: (text: string) => send(text),
     end: () => end(),
+    reset: () => reset(),
   };
 }
 
@@ -55,3 +58,16 @@
   await client.waitClosed();
   expect(client.received).toBe("1");
 });
+
+// Guards against a relay that passes a reset on as an orderly end, by which an
+// answer without a length looks complete.
+it("passes a reset on as a reset", async () => {
+  const { client, send, reset } = await createRelayed();
+  send("1");
+  await client.waitFor("1");
+  const error = new Promise((resolve) => client.socket.once("error", resolve));
+  reset();
+  await client.waitClosed();
+  expect(client.socket.errored).toMatchObject({ code: "ECONNRESET" });
+  await error;
+});
