--- a/src/process/drain_admission.ts
+++ b/src/process/drain_admission.ts
@@ -77,11 +77,13 @@
       this.#isFinishable(request, this.#times);
   }
 
-  /**
-   * Counts a refusal; returns when its caller may come back, in milliseconds.
-   */
-  noteRefused(): number {
+  /** Counts a request that was refused since it can't be finished. */
+  noteRefused(): void {
     this.#refused += 1;
+  }
+
+  /** When the caller of a refused request may come back, in milliseconds. */
+  computeRetryMs(): number {
     return this.#hasOthers() ? ELSEWHERE_RETRY_MS : RESTART_RETRY_MS;
   }
 
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -283,6 +283,7 @@
   }
   if (!canFinish(execution)) {
     lease.release("unused", NO_PROGRESS);
+    execution.services.admission?.noteRefused();
     throw createDraining(execution);
   }
   checkQuarantine(execution, () => lease.release("unused", NO_PROGRESS));
@@ -376,7 +377,7 @@
   return createRefusal(execution, {
     code: "draining",
     message: "This VM ends before it can finish the request",
-    retryAfterMs: execution.services.admission?.noteRefused() ??
+    retryAfterMs: execution.services.admission?.computeRetryMs() ??
       FAILED_RETRY_AFTER_MS,
   });
 }
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -134,7 +134,8 @@
     const { arrivedAt } = request;
     const deadlineAt = arrivedAt + timeoutMs;
     if (!admission.canTake({ className, arrivedAt, deadlineAt })) {
-      throw createDraining(admission.noteRefused());
+      admission.noteRefused();
+      throw createDraining(admission.computeRetryMs());
     }
     const execution = RequestExecution.create(services, {
       requestId: checked.requestId,
--- a/test/process/drain_admission_test.ts
+++ b/test/process/drain_admission_test.ts
@@ -84,6 +84,7 @@
   await clock.run(ADDRESSED_MS);
   expect(canTake(15_000)).toBe(false);
   expect(canTake(LEFT_MS - ADDRESSED_MS)).toBe(true);
-  expect(admission.noteRefused()).toBeGreaterThan(100);
+  expect(admission.computeRetryMs()).toBeGreaterThan(100);
+  admission.noteRefused();
   expect(admission.refused).toBe(1);
 });
