--- a/src/connection/http_sink.ts
+++ b/src/connection/http_sink.ts
@@ -29,7 +29,9 @@
     this.#response = response;
     this.#options = options;
     // Node ends its side as well, but reports the close some turns later.
-    const onEnd = () => this.#noteDisconnected();
+    const onEnd = () => {
+      if (!response.writableFinished) this.#noteDisconnected();
+    };
     const { socket } = response.req;
     response.on("error", () => this.#noteDisconnected());
     response.on("close", () => {
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -106,9 +106,9 @@
   readonly #handler: RoutedHandler;
   readonly #listeners: RoutedListeners;
   readonly #readDelay: ReadDelay;
+  readonly #admission: DrainAdmission;
   #settings: RoutedSettings;
   #fleet: RoutedFleet | undefined;
-  readonly #admission: DrainAdmission;
   #inFlight = 0;
   #draining: Promise<void> | undefined;
   #stopped: Promise<void> | undefined;
--- a/src/request/routed_handler.ts
+++ b/src/request/routed_handler.ts
@@ -151,17 +151,28 @@
       retainsAnswer: false,
       isForwarded: request.forwarded !== undefined,
     });
-    this.#running.add(execution);
-    const isAnswered = await runExecution(
-      execution,
-      () => this.#buildWork(execution, checked),
-    );
-    this.#running.delete(execution);
+    const isAnswered = await this.#runExecution(execution, checked);
     if (!isAnswered) return;
     const { clock } = services.environment;
     admission.noteAnswered(className, clock.now() - arrivedAt);
   }
 
+  /** Resolves to whether the caller was sent the whole answer. */
+  async #runExecution(
+    execution: RequestExecution,
+    checked: CheckedCall,
+  ): Promise<boolean> {
+    this.#running.add(execution);
+    try {
+      return await runExecution(
+        execution,
+        () => this.#buildWork(execution, checked),
+      );
+    } finally {
+      this.#running.delete(execution);
+    }
+  }
+
   async #buildWork(
     execution: RequestExecution,
     checked: CheckedCall,
