Reset a crashed replica's streams without a length in the soak

By the code of the soak: a replica sends streams without a length while it is in that mode. If it crashes afterwards, its mode is another one, its relay closes all connections in order, and a stream that ends between two events is whole by the protocol. It goes by the streams that are open now.

--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -128,6 +128,11 @@
     this.#silence = sleep(ms);
   }
 
+  /** Whether a stream without a length is not over. */
+  get hasUnframed(): boolean {
+    return this.#unframed.size > 0;
+  }
+
   get hasCrashed(): boolean {
     return this.#hasCrashed;
   }
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -15,6 +15,7 @@
 import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import { StoreStandIn } from "../platform/store_stand_in.ts";
 import { Relay } from "../support/relay.ts";
+import { cutCrashed } from "./crashed_replica.ts";
 import { hasPoisonPart } from "./prompt_parts.ts";
 import { POISON_BODY } from "./soak_callers.ts";
 import { SoakBackOffs } from "./soak_back_offs.ts";
@@ -303,10 +304,8 @@
 
   /** Replaces a crashed replica under a new id; its entry expires late. */
   async #replaceReplica(index: number): Promise<void> {
-    const { standIn, relay } = this.replicas[index]!;
-    // Closed in order between two events, a stream without a length is whole.
-    if (standIn.mode === "unframed") relay.destroyOpen({ reset: true });
-    await relay.close();
+    const { standIn } = this.replicas[index]!;
+    await cutCrashed(this.replicas[index]!);
     await sleep(REPLACEMENT_DELAY_MS);
     if (this.#isClosed) return;
     this.#crashed.push(standIn);
