--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -31,6 +31,12 @@
   | "silent"
   | "held";
 
+/**
+ * How watches that hear nothing end after their wait: without a change at the
+ * revision asked for, without one at the store's own revision, or not at all.
+ */
+export type DeafnessKind = "asked_revision" | "newest_revision" | "unanswered";
+
 const HELD_CHECK_MS = 2;
 
 const REFUSED_STATUS = { busy: 503, limited: 429 };
@@ -48,8 +54,8 @@
   #revision = 1;
   #oldest = 1;
   #waiting: (() => void)[] = [];
-  /** Whether watches hear of no change. */
-  #isDeaf = false;
+  /** Set while watches hear of no change. */
+  #deafness: DeafnessKind | undefined;
 
   static create(): StoreStandIn {
     return new StoreStandIn();
@@ -77,14 +83,14 @@
     this.#flushWaiting();
   }
 
-  /** Until `endDeafness`, watches end without a change after their wait. */
-  startDeafness(): void {
-    this.#isDeaf = true;
+  /** Until `endDeafness`, watches hear of no change. */
+  startDeafness(kind: DeafnessKind = "asked_revision"): void {
+    this.#deafness = kind;
   }
 
   /** Drops the history and cuts all connections, and with them all watches. */
   endDeafness(): void {
-    this.#isDeaf = false;
+    this.#deafness = undefined;
     this.destroyConnections();
     this.dropHistory();
   }
@@ -137,7 +143,7 @@
   }
 
   #flushWaiting(): void {
-    if (this.#isDeaf) return;
+    if (this.#deafness !== undefined) return;
     const waiting = this.#waiting;
     this.#waiting = [];
     waiting.forEach((wake) => wake());
@@ -188,7 +194,8 @@
   ): Promise<void> {
     const after = Number(query.get("after"));
     const isNewest = after >= this.#revision;
-    if (after + 1 >= this.#oldest && (isNewest || this.#isDeaf)) {
+    const isDeaf = this.#deafness !== undefined;
+    if (after + 1 >= this.#oldest && (isNewest || isDeaf)) {
       await this.#waitForChange(Number(query.get("wait-ms")));
     }
     await this.#waitWhileHeld();
@@ -200,8 +207,11 @@
       sendJson(response, { status: 410, body: {} });
       return;
     }
-    if (this.#isDeaf) {
-      const body = { events: [], "store-revision": after };
+    if (this.#deafness === "unanswered") return;
+    if (this.#deafness !== undefined) {
+      const isNewest = this.#deafness === "newest_revision";
+      const revision = isNewest ? this.#revision : after;
+      const body = { events: [], "store-revision": revision };
       sendJson(response, { status: 200, body });
       return;
     }
--- a/test/soak/at_size/main.ts
+++ b/test/soak/at_size/main.ts
@@ -33,6 +33,11 @@
     describe:
       "Time between two spells of watches that hear nothing; 0 for none",
   })
+  .option("deafness", {
+    choices: ["asked_revision", "newest_revision", "unanswered"] as const,
+    default: "asked_revision" as const,
+    describe: "How watches that hear nothing end",
+  })
   .option("central-pause", {
     type: "boolean",
     default: true,
--- a/test/soak/at_size/observer.ts
+++ b/test/soak/at_size/observer.ts
@@ -8,7 +8,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { buildConfiguration } from "../../platform/configurations.ts";
 import { ReplicaStandIn } from "../../platform/replica_stand_in.ts";
-import { StoreStandIn } from "../../platform/store_stand_in.ts";
+import {
+  type DeafnessKind,
+  StoreStandIn,
+} from "../../platform/store_stand_in.ts";
 import { SeededRandom } from "../../../src/process/random.ts";
 import { PERMANENT_KEY } from "../soak_fleet.ts";
 import { hasPoisonPart } from "../prompt_parts.ts";
@@ -82,6 +85,7 @@
   gapMs: number;
   /** Time between two spells in which watches hear nothing; 0 for none. */
   deafGapMs: number;
+  deafness: DeafnessKind;
 }
 
 /** Hosts the stand-ins and lets replicas leave. */
@@ -160,11 +164,11 @@
    * and cuts its connections.
    */
   async #runDeafness(): Promise<void> {
-    const { deafGapMs } = this.#options;
+    const { deafGapMs, deafness } = this.#options;
     if (deafGapMs === 0) return;
     while (!this.#isStopped) {
       await sleep(deafGapMs);
-      this.#store.startDeafness();
+      this.#store.startDeafness(deafness);
       await sleep(LEAVE_AFTER_DEAF_MS);
       this.#replaceSome();
       await sleep(DEAF_MS - LEAVE_AFTER_DEAF_MS);
--- a/test/soak/at_size/run_at_size.ts
+++ b/test/soak/at_size/run_at_size.ts
@@ -58,7 +58,7 @@
 }
 
 function buildObserverArgs(
-  { seed, replicas, atOnce, gapMs, deafGapMs }: ObserverOptions,
+  { seed, replicas, atOnce, gapMs, deafGapMs, deafness }: ObserverOptions,
   reportFile: string,
 ): string[] {
   const options = JSON.stringify({
@@ -67,6 +67,7 @@
     atOnce,
     gapMs,
     deafGapMs,
+    deafness,
   });
   return ["--import", "tsx", OBSERVER, options, reportFile];
 }
