--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -17,7 +17,12 @@
 
 /** Result of a watch. */
 export type StoreUpdate =
-  | { kind: "state"; state: PublishedState }
+  | {
+    kind: "state";
+    state: PublishedState;
+    /** Whether the answer has each change up to the revision that it gives. */
+    isComplete: boolean;
+  }
   /**
    * The revision that the watch started from is no longer in the store's
    * history: read everything again.
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -273,12 +273,26 @@
     if (state.configuration) {
       this.#applyConfiguration(state.configuration, "store");
     }
-    const list = this.#expired.apply(state.replicas, replicas.getList());
+    const before = replicas.getList();
+    const list = this.#expired.apply(state.replicas, before);
     this.#applyReplicas(list, "store");
+    if (list.revision === before.revision) this.#logDifferences(before, list);
     if (replicas.revision !== list.revision) return;
     this.#confirmation.noteStore(newestAt);
   }
 
+  /** Two lists of one revision differ where a change was lost on its way. */
+  #logDifferences(known: ReplicaList, list: ReplicaList): void {
+    const differences = listChanges(known, list).length +
+      listEvacuations(known, list).length;
+    if (differences === 0) return;
+    const { revision } = list;
+    this.#options.log.warn("list_differs_from_store", {
+      revision,
+      differences,
+    });
+  }
+
   #applyConfiguration(
     configuration: PublishedConfiguration,
     from: VmId | "store",
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -257,7 +257,10 @@
     const { store, log, onAnswered } = this.#options;
     const update = await store.watch(waitMs);
     if (update.kind === "state") {
-      const { state } = update;
+      const { state, isComplete } = update;
+      if (!isComplete) {
+        log.warn("store_answer_incomplete", { known, claimed: state.revision });
+      }
       // The store answers a watch without a change after the wait. The time for
       // which the answer was on its way, or lay in the socket, doesn't count.
       const newestAt = state.revision === known
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -164,7 +164,11 @@
     const state = store.buildState();
     const revision = state.revision + 1;
     const replicas = { ...state.replicas, revision };
-    return { kind: "state", state: { ...state, revision, replicas } };
+    return {
+      kind: "state",
+      state: { ...state, revision, replicas },
+      isComplete: true,
+    };
   };
   follower.start();
   await clock.run(stall.to);
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -353,7 +353,7 @@
     await this.#fleet.waitForChange(this.#revision, waitMs);
     const failsAfterMs = this.#fleet.failStoreCall(this.#vm);
     if (failsAfterMs !== undefined) throw new Error("Watch was cut");
-    return { kind: "state", state: this.#read() };
+    return { kind: "state", state: this.#read(), isComplete: true };
   }
 
   override resumeFrom(list: ReplicaList): void {
