Read everything after a watch that claims more than it told

Callers saw nothing; replicas got requests for as long as they were up after they had said that they leave.

Cause: a VM went on from the revision that a watch's answer claims, whatever changes came with it. A store that ends a watch which hears nothing with its own revision thus skips the change at all VMs, for good once the history is gone; each answer confirms their view as the newest. Now a watch goes on from the last change that was told, and an answer that claims more makes the VM read everything at once.

Such reads are bounded for a store whose revision grows for other reasons: four in a row, then as many as take 10 KB/s.

--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -31,6 +31,10 @@
 export { PlacementRequester } from "./placement_requester.ts";
 export { PeerCalls } from "./peer_calls.ts";
 export { PublishedStore } from "./published_store.ts";
-export type { PublishedState, StoreUpdate } from "./published_store.ts";
+export type {
+  PublishedState,
+  StoreUpdate,
+  WholeState,
+} from "./published_store.ts";
 export { ReadDelay } from "./read_delay.ts";
 export { StateFollower } from "./state_follower.ts";
--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -15,12 +15,21 @@
   replicas: ReplicaList;
 }
 
+/** Everything that the platform publishes, as one read returned it. */
+export interface WholeState extends PublishedState {
+  /** Size of the read, in bytes. */
+  sizeBytes: number;
+}
+
 /** Result of a watch. */
 export type StoreUpdate =
   | {
     kind: "state";
     state: PublishedState;
-    /** Whether the answer has each change up to the revision that it gives. */
+    /**
+     * Whether the answer told each change up to the store's revision. The state
+     * has that of the last one told.
+     */
     isComplete: boolean;
   }
   /**
@@ -32,7 +41,7 @@
 /** Reads and watches what the platform publishes; read-only. */
 export abstract class PublishedStore {
   /** Reads everything; rejects with `StepError`. */
-  abstract fetchState(): Promise<PublishedState>;
+  abstract fetchState(): Promise<WholeState>;
   /**
    * Waits up to `waitMs` for a change since the last read and returns the state
    * with it. Rejects with `StepError`.
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -276,13 +276,13 @@
     const before = replicas.getList();
     const list = this.#expired.apply(state.replicas, before);
     this.#applyReplicas(list, "store");
-    if (list.revision === before.revision) this.#logDifferences(before, list);
+    if (list.revision === before.revision) this.#noteDifferences(before, list);
     if (replicas.revision !== list.revision) return;
     this.#confirmation.noteStore(newestAt);
   }
 
   /** Two lists of one revision differ where a change was lost on its way. */
-  #logDifferences(known: ReplicaList, list: ReplicaList): void {
+  #noteDifferences(known: ReplicaList, list: ReplicaList): void {
     const differences = listChanges(known, list).length +
       listEvacuations(known, list).length;
     if (differences === 0) return;
--- /dev/null
+++ b/src/process/seeded_fleet/store_audit.ts
@@ -0,0 +1,53 @@
+/**
+ * Bounds how often a VM reads the whole state to verify what watches told.
+ *
+ * @module
+ */
+import type { Clock } from "../clock.ts";
+
+/** Half of what a VM may receive for control at the target size. */
+const AUDIT_BYTES_PER_S = 10_000;
+const MS_PER_S = 1_000;
+const MIN_INTERVAL_MS = 1_000;
+/** Incomplete answers in a row after each of which everything is read. */
+const MAX_INCOMPLETE_READS = 4;
+
+/** Reads are the rarer the larger the state is. */
+export class StoreAudit {
+  readonly #clock: Clock;
+  #intervalMs = MIN_INTERVAL_MS;
+  /** Reads that incomplete answers may still cause; grows with time. */
+  #incompleteReads = MAX_INCOMPLETE_READS;
+  #refilledAt: number;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#refilledAt = clock.now();
+  }
+
+  static create(clock: Clock): StoreAudit {
+    return new StoreAudit(clock);
+  }
+
+  /** Records the size of the whole state, in bytes. */
+  noteSize(bytes: number): void {
+    const ms = bytes * MS_PER_S / AUDIT_BYTES_PER_S;
+    this.#intervalMs = Math.max(MIN_INTERVAL_MS, ms);
+  }
+
+  /**
+   * Whether an answer that lacks changes may cause a read, which then counts: a
+   * store whose revision also grows for other reasons would cause one with each
+   * watch.
+   */
+  takeIncompleteRead(): boolean {
+    const now = this.#clock.now();
+    const refilled = (now - this.#refilledAt) / this.#intervalMs;
+    const left = this.#incompleteReads + refilled;
+    this.#incompleteReads = Math.min(MAX_INCOMPLETE_READS, left);
+    this.#refilledAt = now;
+    if (this.#incompleteReads < 1) return false;
+    this.#incompleteReads -= 1;
+    return true;
+  }
+}
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -18,6 +18,7 @@
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { ReadDelay } from "./read_delay.ts";
+import { StoreAudit } from "./store_audit.ts";
 import { StoreRetry } from "./store_retry.ts";
 import { WatcherElection } from "./watcher_election.ts";
 
@@ -90,6 +91,7 @@
   readonly #election: WatcherElection;
   readonly #retry = StoreRetry.create();
   readonly #readDelay: ReadDelay;
+  readonly #audit: StoreAudit;
   #isWatching = false;
   #wasStale = false;
   /** Whether this process has read the store before. */
@@ -107,6 +109,7 @@
     this.#options = options;
     this.#election = WatcherElection.create(options.vm);
     this.#readDelay = ReadDelay.create(options.clock);
+    this.#audit = StoreAudit.create(options.clock);
   }
 
   static create(options: StoreWatcherOptions): StoreWatcher {
@@ -258,8 +261,8 @@
     const update = await store.watch(waitMs);
     if (update.kind === "state") {
       const { state, isComplete } = update;
-      if (!isComplete) {
-        log.warn("store_answer_incomplete", { known, claimed: state.revision });
+      if (!isComplete && this.#canReadIncomplete(state.revision)) {
+        return await this.#readState();
       }
       // The store answers a watch without a change after the wait. The time for
       // which the answer was on its way, or lay in the socket, doesn't count.
@@ -276,10 +279,21 @@
     return await this.#readState();
   }
 
+  /** Whether to read everything, after an answer that lacks changes. */
+  #canReadIncomplete(revision: number): boolean {
+    const canRead = this.#audit.takeIncompleteRead();
+    this.#options.log.warn("store_answer_incomplete", {
+      revision,
+      reads_all: canRead,
+    });
+    return canRead;
+  }
+
   /** Reads everything: what changes during the read may not be in it. */
   async #readState(): Promise<ReadState> {
     const newestAt = this.#options.clock.now();
     const state = await this.#options.store.fetchState();
+    this.#audit.noteSize(state.sizeBytes);
     return { state, newestAt };
   }
 
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -46,6 +46,8 @@
   mode: StoreMode = "up";
   /** Paths of all calls, refused ones included. */
   readonly calls: string[] = [];
+  /** Whether watches tell of changes; those made meanwhile are left out. */
+  tellsChanges = true;
   /** Number of reads that allowed stale answers. */
   staleReads = 0;
   readonly #items = new Map<string, Change>();
@@ -136,9 +138,10 @@
   #add(key: string, value: string | undefined): void {
     this.#revision += 1;
     const change = { key, value, revision: this.#revision };
-    this.#history.push(change);
     if (value === undefined) this.#items.delete(key);
     else this.#items.set(key, change);
+    if (!this.tellsChanges) return;
+    this.#history.push(change);
     this.#flushWaiting();
   }
 
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -5,10 +5,10 @@
 import { SeededRandom } from "../../../src/process/random.ts";
 import { FleetPeers } from "../../../src/process/seeded_fleet/fleet_peers.ts";
 import {
-  type PublishedState,
   PublishedStore,
   StateFollower,
   type StoreUpdate,
+  type WholeState,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 
@@ -20,7 +20,7 @@
 
   calls = 0;
 
-  override fetchState(): Promise<PublishedState> {
+  override fetchState(): Promise<WholeState> {
     return this.#refuse();
   }
 
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -8,10 +8,10 @@
 import { SeededRandom } from "../../../src/process/random.ts";
 import { FleetPeers } from "../../../src/process/seeded_fleet/fleet_peers.ts";
 import {
-  type PublishedState,
   PublishedStore,
   StateFollower,
   type StoreUpdate,
+  type WholeState,
 } from "../../../src/process/seeded_fleet/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { StallingClock } from "../../support/stalling_clock.ts";
@@ -36,7 +36,7 @@
 
   override resumeFrom(): void {}
 
-  override async fetchState(): Promise<PublishedState> {
+  override async fetchState(): Promise<WholeState> {
     this.calls.push({ kind: "read", at: this.#clock.now() });
     if (this.failingReads > 0) {
       this.failingReads -= 1;
@@ -52,9 +52,10 @@
     return this.watchOnce(waitMs);
   }
 
-  buildState(): PublishedState {
+  buildState(): WholeState {
     const revision = this.#revision;
     return {
+      sizeBytes: this.replicas.length,
       revision,
       configuration: undefined,
       replicas: { revision, replicas: this.replicas },
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -28,6 +28,7 @@
   PublishedStore,
   StateFollower,
   type StoreUpdate,
+  type WholeState,
   type WorkReport,
 } from "../../src/process/seeded_fleet/index.ts";
 import type {
@@ -42,6 +43,8 @@
 const DATAGRAM_MS = 1;
 const PEER_CALL_MS = 2;
 const STORE_CALL_MS = 4;
+/** Size of a replica's entry in a read of the store. */
+const ENTRY_BYTES = 300;
 /** Timeout of a call to another VM, as the product has it. */
 const PEER_CALL_TIMEOUT_MS = 1_000;
 /** Timeout of connecting, as the product has it. */
@@ -339,10 +342,12 @@
     this.#vm = vm;
   }
 
-  override async fetchState(): Promise<PublishedState> {
+  override async fetchState(): Promise<WholeState> {
     this.#vm.wholeReads += 1;
     await this.#waitForAnswer();
-    return this.#read();
+    const state = this.#read();
+    const sizeBytes = ENTRY_BYTES * state.replicas.replicas.length;
+    return { ...state, sizeBytes };
   }
 
   override async watch(waitMs: number): Promise<StoreUpdate> {
