Correct a list by a read of the whole state at its revision

A read of the whole state now corrects the list: its revision lies a 64th above, so that other VMs fetch it, and below the store's next one and the one of lists with retained replicas. A read older than the list corrects nothing. list_corrected takes the place of list_differs_from_store.

The follower's test failed before (the replica stayed ready).

--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -21,16 +21,17 @@
 import type { Confirmation } from "./fleet_message.ts";
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { LeavingNews } from "./leaving_news.ts";
+import { correctList } from "./list_correction.ts";
 import { ListConfirmation } from "./list_confirmation.ts";
 import type { KnownVersions, NewerState } from "./newer_state.ts";
-import type { PublishedState, PublishedStore } from "./published_store.ts";
+import type { PublishedStore } from "./published_store.ts";
 import { RecentlyExpired } from "./recently_expired.ts";
 import { RefreshWait } from "./refresh_wait.ts";
 import { StateFetcher } from "./state_fetcher.ts";
 import { StateLag } from "./state_lag.ts";
 import { listChanges, writeChanges } from "./replica_changes.ts";
 import { listEvacuations, writeEvacuations } from "./evacuation_changes.ts";
-import { StoreWatcher } from "./store_watcher.ts";
+import { type ReadState, StoreWatcher } from "./store_watcher.ts";
 
 /**
  * A view older than a watch of the store and the time for which word of it
@@ -117,7 +118,7 @@
       isBehind: () => this.getLagMs() > MAX_LAG_MS,
       getListAgeMs: () => this.getListAgeMs(),
       isRetaining: () => this.#expired.isRetaining,
-      onState: (state, newestAt) => this.#applyState(state, newestAt),
+      onState: (read) => this.#applyState(read),
       onLost: options.onStoreLost,
       onAnswered: () => this.#confirmation.noteAnswered(),
       onRegained: ({ calledAt, failingMs }) =>
@@ -268,31 +269,22 @@
     if (state.replicas) this.#applyReplicas(state.replicas, from);
   }
 
-  #applyState(state: PublishedState, newestAt: number): void {
-    const { replicas } = this.#options;
+  #applyState({ state, newestAt, isWhole }: ReadState): void {
+    const { replicas, log } = this.#options;
     if (state.configuration) {
       this.#applyConfiguration(state.configuration, "store");
     }
     const before = replicas.getList();
-    const list = this.#expired.apply(state.replicas, before);
+    const read = this.#expired.apply(state.replicas, before);
+    const list = isWhole ? correctList(before, read) : read;
+    if (list !== before && list.revision > read.revision) {
+      log.warn("list_corrected", { revision: list.revision });
+    }
     this.#applyReplicas(list, "store");
-    if (list.revision === before.revision) this.#noteDifferences(before, list);
     if (replicas.revision !== list.revision) return;
     this.#confirmation.noteStore(newestAt);
   }
 
-  /** Two lists of one revision differ where a change was lost on its way. */
-  #noteDifferences(known: ReplicaList, list: ReplicaList): void {
-    const differences = listChanges(known, list).length +
-      listEvacuations(known, list).length;
-    if (differences === 0) return;
-    const { revision } = list;
-    this.#options.log.warn("list_differs_from_store", {
-      revision,
-      differences,
-    });
-  }
-
   #applyConfiguration(
     configuration: PublishedConfiguration,
     from: VmId | "store",
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -57,8 +57,7 @@
   getListAgeMs: () => number;
   /** Whether replicas are retained that are missing in the store's list. */
   isRetaining: () => boolean;
-  /** `newestAt` is a time (`Clock.now()`) at which the state was the newest. */
-  onState: (state: PublishedState, newestAt: number) => void;
+  onState: (read: ReadState) => void;
   /** Called when the store stops answering this VM. */
   onLost: () => void;
   /** Called when the store answers without its state. */
@@ -75,10 +74,13 @@
   failingMs: number;
 }
 
-/** What the store answered, and a time at which that was the newest. */
-interface ReadState {
+/** What the store answered. */
+export interface ReadState {
   state: PublishedState;
+  /** `Clock.now()` at which the state was the newest. */
   newestAt: number;
+  /** Whether everything was read, not only what changed. */
+  isWhole: boolean;
 }
 
 /** Why a VM watches the store. */
@@ -220,14 +222,14 @@
       const list = getList();
       store.resumeFrom(list);
       const known = Math.max(this.#revision, list.revision);
-      const { state, newestAt } = this.#canWatch()
+      const read = this.#canWatch()
         ? await this.#watchState({ waitMs, calledAt, known })
         : await this.#readState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#noteRegained(calledAt);
-      this.#revision = state.revision;
-      onState(state, newestAt);
+      this.#revision = read.state.revision;
+      onState(read);
     } catch (thrown) {
       this.#hasFailed = true;
       this.#retry.noteFailed();
@@ -269,7 +271,7 @@
       const newestAt = state.revision === known
         ? calledAt + waitMs
         : Math.max(calledAt, this.#readDelay.computeArrivedSince());
-      return { state, newestAt };
+      return { state, newestAt, isWhole: false };
     }
     log.info("store_history_lost");
     // The store answers, however long the read of its whole state takes.
@@ -294,7 +296,7 @@
     const newestAt = this.#options.clock.now();
     const state = await this.#options.store.fetchState();
     this.#audit.noteSize(state.sizeBytes);
-    return { state, newestAt };
+    return { state, newestAt, isWhole: true };
   }
 
   #computeWatchWaitMs(): number {
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -195,3 +195,37 @@
   follower.stop();
   expect(ageMs).toBe(readMs);
 });
+
+// Guards against a replica that is used on after it has left: a change was lost,
+// and a read of the whole state at the revision of the list was ignored.
+it("a read of the whole state corrects a list of its revision", async () => {
+  const { clock, store, replicas, follower } = startFollower();
+  const left = toId<VmId>("i-1");
+  const revision = 7;
+  store.fetchState = () => {
+    const state = store.buildState();
+    const list = { ...state.replicas, revision };
+    return Promise.resolve({ ...state, revision, replicas: list });
+  };
+  store.replicas = [{
+    id: left,
+    pool: toId("pool"),
+    address: "10.0.0.1",
+    port: 1,
+    dataCentre: toId("dc"),
+    slots: 1,
+    state: "ready",
+  }];
+  store.watchOnce = async (waitMs) => {
+    await clock.sleep(waitMs);
+    return { kind: "history_lost" };
+  };
+  follower.start();
+  await clock.run(100);
+  expect(replicas.isReady(left)).toBe(true);
+  store.replicas = [];
+  await clock.run(1_000);
+  follower.stop();
+  expect(replicas.isReady(left)).toBe(false);
+  expect(follower.getListAgeMs()).toBeLessThan(1_000);
+});
