Verify what watches told by reads of the whole state

Nothing ever compared the list with what the store holds: a change that no watch tells, whatever the reason, was unknown at all VMs until its key was written again.

The first of the VMs that watch the store now reads everything once a second, or as often as 10 KB/s allow: each second up to 10 KB (some 24 replicas), every 3 s at 30 KB (100 replicas), every 75 s at 750 KB (2,500 replicas). Two calls a read, one VM of any fleet; a VM that becomes the auditor waits an interval first, since many may take themselves for it while they hear from few. So a change that is lost for any reason is known within a second or so at small fleets; at the target size that takes up to 75 s and a bit, and an answer that claims more than it tells is read again at once.

--- a/src/process/seeded_fleet/store_audit.ts
+++ b/src/process/seeded_fleet/store_audit.ts
@@ -1,5 +1,8 @@
 /**
- * Bounds how often a VM reads the whole state to verify what watches told.
+ * Decides when a VM reads the whole state to verify what watches told.
+ *
+ * A watch tells changes only. One that is left out stays unknown at all VMs until
+ * its key is written again, although each answer confirms their view.
  *
  * @module
  */
@@ -16,12 +19,15 @@
 export class StoreAudit {
   readonly #clock: Clock;
   #intervalMs = MIN_INTERVAL_MS;
+  /** `Clock.now()` at which the interval began. */
+  #since: number;
   /** Reads that incomplete answers may still cause; grows with time. */
   #incompleteReads = MAX_INCOMPLETE_READS;
   #refilledAt: number;
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#since = clock.now();
     this.#refilledAt = clock.now();
   }
 
@@ -29,6 +35,21 @@
     return new StoreAudit(clock);
   }
 
+  /**
+   * Whether this VM has to read the whole state: it has been the auditor, and
+   * read nothing, for an interval. Call it before each call to the store.
+   */
+  checkDue(isAuditor: boolean): boolean {
+    const now = this.#clock.now();
+    if (!isAuditor) this.#since = now;
+    return now - this.#since >= this.#intervalMs;
+  }
+
+  /** Records that a read of the whole state begins. */
+  noteBegun(): void {
+    this.#since = this.#clock.now();
+  }
+
   /** Records the size of the whole state, in bytes. */
   noteSize(bytes: number): void {
     const ms = bytes * MS_PER_S / AUDIT_BYTES_PER_S;
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -222,7 +222,7 @@
       const list = getList();
       store.resumeFrom(list);
       const known = Math.max(this.#revision, list.revision);
-      const read = this.#canWatch()
+      const read = this.#canWatch() && !this.#isAuditDue()
         ? await this.#watchState({ waitMs, calledAt, known })
         : await this.#readState();
       this.#hasReadStore = true;
@@ -291,9 +291,17 @@
     return canRead;
   }
 
+  /** One VM audits for all; with a stale view it confirms that one first. */
+  #isAuditDue(): boolean {
+    const isAuditor = !this.#options.isViewStale() &&
+      this.#election.isFirst(this.#listCandidates());
+    return this.#audit.checkDue(isAuditor);
+  }
+
   /** Reads everything: what changes during the read may not be in it. */
   async #readState(): Promise<ReadState> {
     const newestAt = this.#options.clock.now();
+    this.#audit.noteBegun();
     const state = await this.#options.store.fetchState();
     this.#audit.noteSize(state.sizeBytes);
     return { state, newestAt, isWhole: true };
--- a/src/process/seeded_fleet/watcher_election.ts
+++ b/src/process/seeded_fleet/watcher_election.ts
@@ -35,6 +35,11 @@
     return this.#listOrder(others).slice(0, WATCHER_COUNT).includes(this.#vm);
   }
 
+  /** Whether this VM comes first of those that watch. */
+  isFirst(others: readonly VmId[]): boolean {
+    return this.#listOrder(others)[0] === this.#vm;
+  }
+
   /**
    * Passes over the VMs that should have kept the view fresh. Their number
    * doubles each time, so that a VM that hears from nobody soon relies on
--- a/test/failures/change_left_out_by_watch_test.ts
+++ b/test/failures/change_left_out_by_watch_test.ts
@@ -50,3 +50,15 @@
   await sleep(DRAIN_MS - DEAF_MS);
   await checkDrained(fleet, leaving);
 }, 15_000);
+
+// Guards against a fleet that uses a draining replica for good, because watches
+// of the store told the next change and not the one that drains it.
+it("a change that no watch tells is found", async () => {
+  const { fleet, leaving } = await createFleet();
+  fleet.store.tellsChanges = false;
+  fleet.listReplica(leaving, { state: "draining" });
+  fleet.store.tellsChanges = true;
+  fleet.store.put("other/key", {});
+  await sleep(DRAIN_MS);
+  await checkDrained(fleet, leaving);
+}, 15_000);
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -162,6 +162,8 @@
     // The change came at `answeredAt`, and is read after the stall.
     if (clock.now() >= stall.to) return await new Promise(() => {});
     await clock.sleep(stall.to - clock.now());
+    // Nothing else tells what is the newest.
+    store.fetchState = () => new Promise(() => {});
     const state = store.buildState();
     const revision = state.revision + 1;
     const replicas = { ...state.replicas, revision };
