--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -41,6 +41,9 @@
 
 const REFUSED_STATUS = { busy: 503, limited: 429 };
 
+const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_000_000;
+
 /** The store's HTTP server. */
 export class StoreStandIn extends HttpStandIn {
   mode: StoreMode = "up";
@@ -122,11 +125,7 @@
         this.#answerKey(searchParams.get("key")!, response, isStaleAllowed);
         return;
       case "/api/kv-range":
-        this.#answerRange(
-          searchParams.get("prefix")!,
-          response,
-          isStaleAllowed,
-        );
+        this.#answerRange(searchParams, response, isStaleAllowed);
         return;
       case "/api/kv-watch":
         await this.#answerWatch(searchParams, response);
@@ -176,16 +175,20 @@
   }
 
   #answerRange(
-    prefix: string,
+    query: URLSearchParams,
     response: ServerResponse,
     isStaleAllowed: boolean,
   ): void {
     const view = this.#pickView(isStaleAllowed);
-    const items = [...view.items.values()]
-      .filter(({ key }) => key.startsWith(prefix));
+    const prefix = query.get("prefix")!;
+    const after = query.get("after") ?? "";
+    const rest = [...view.items.values()]
+      .filter(({ key }) => key.startsWith(prefix) && key > after)
+      .sort((one, other) => one.key < other.key ? -1 : 1);
+    const items = takePage(rest);
     const body = {
       items,
-      "more-pages": false,
+      "more-pages": items.length < rest.length,
       "store-revision": view.revision,
     };
     sendJson(response, { status: 200, body });
@@ -241,3 +244,13 @@
     });
   }
 }
+
+/** The first items: one at least, and as many as fit into a page. */
+function takePage(items: readonly Change[]): Change[] {
+  let size = 0;
+  const end = items.findIndex(({ value = "" }, index) => {
+    size += value.length;
+    return index > 0 && (index >= PAGE_ITEMS || size > PAGE_BYTES);
+  });
+  return end === -1 ? [...items] : items.slice(0, end);
+}
