--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -11,14 +11,16 @@
  */
 import { toError } from "../../errors.ts";
 import type { VmId } from "../../ids.ts";
-import type { Clock } from "../clock.ts";
-import type { Log } from "../log.ts";
 import type { ReplicaList } from "../placement/replica_list.ts";
 import type { Random } from "../random.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { ReadDelay } from "./read_delay.ts";
 import { StoreAudit } from "./store_audit.ts";
+import {
+  StoreAvailability,
+  type StoreAvailabilityOptions,
+} from "./store_availability.ts";
 import { StoreRetry } from "./store_retry.ts";
 import { WatcherElection } from "./watcher_election.ts";
 
@@ -38,19 +40,15 @@
 const UNAVAILABLE_FAILURES = 2;
 
 /** Options of `StoreWatcher`. */
-export interface StoreWatcherOptions {
+export interface StoreWatcherOptions extends StoreAvailabilityOptions {
   vm: VmId;
-  clock: Clock;
   random: Random;
-  log: Log;
   store: PublishedStore;
   peers: FleetPeers;
   /** Whether this VM has a configuration and a list. */
   hasState: () => boolean;
   /** The newest list that this VM has from the store or another VM. */
   getList: () => ReplicaList;
-  /** Whether this VM's view was not confirmed for some time. */
-  isViewStale: () => boolean;
   /** Whether this VM has known of newer state for some time. */
   isBehind: () => boolean;
   /** Age of this VM's list in milliseconds, for the log. */
@@ -58,20 +56,8 @@
   /** Whether replicas are retained that are missing in the store's list. */
   isRetaining: () => boolean;
   onState: (read: ReadState) => void;
-  /** Called when the store stops answering this VM. */
-  onLost: () => void;
   /** Called when the store answers without its state. */
   onAnswered: () => void;
-  /** Called before `onState` if the calls before failed. */
-  onRegained: (regained: StoreRegained) => void;
-}
-
-/** A call to the store that succeeded after others had failed. */
-export interface StoreRegained {
-  /** `Clock.now()` when it was sent. */
-  calledAt: number;
-  /** Time since the first of the calls that failed was sent. */
-  failingMs: number;
 }
 
 /** What the store answered. */
@@ -94,16 +80,13 @@
   readonly #retry = StoreRetry.create();
   readonly #readDelay: ReadDelay;
   readonly #audit: StoreAudit;
+  readonly #availability: StoreAvailability;
   #isWatching = false;
   #wasStale = false;
   /** Whether this process has read the store before. */
   #hasReadStore = false;
   /** Revision of the state that the store last returned. */
   #revision = 0;
-  /** `Clock.now()` at the start of the first call since then that failed. */
-  #lostSince: number | undefined;
-  /** Whether a call failed since this VM began to watch. */
-  #hasFailed = false;
   /** Aborting it ends the wait for the next check. */
   #idle = new AbortController();
 
@@ -112,6 +95,7 @@
     this.#election = WatcherElection.create(options.vm);
     this.#readDelay = ReadDelay.create(options.clock);
     this.#audit = StoreAudit.create(options.clock);
+    this.#availability = StoreAvailability.create(options);
   }
 
   static create(options: StoreWatcherOptions): StoreWatcher {
@@ -135,7 +119,7 @@
 
   /** Whether the last call to the store failed. */
   get isLost(): boolean {
-    return this.#lostSince !== undefined;
+    return this.#availability.isLost;
   }
 
   /** Whether the store is unavailable to this VM: it may cut one call. */
@@ -166,7 +150,7 @@
     const isNeeded = reason !== undefined;
     if (isNeeded === this.#isWatching) return;
     this.#isWatching = isNeeded;
-    this.#hasFailed = false;
+    this.#availability.noteWatching();
     if (isNeeded) this.#readDelay.start();
     else this.#readDelay.stop();
     this.#options.log.info("store_watch", {
@@ -227,13 +211,12 @@
         : await this.#readState();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
-      this.#noteRegained(calledAt);
+      this.#availability.noteAnswered(calledAt);
       this.#revision = read.state.revision;
       onState(read);
     } catch (thrown) {
-      this.#hasFailed = true;
       this.#retry.noteFailed();
-      this.#noteLost(calledAt, toError(thrown));
+      this.#availability.noteFailed(calledAt, toError(thrown));
       await clock.sleep(
         this.#computeRetryMs() * (0.5 + random.next()),
         this.#stopped.signal,
@@ -276,7 +259,7 @@
     log.info("store_history_lost");
     // The store answers, however long the read of its whole state takes.
     this.#retry.noteAnswered();
-    this.#noteRegained(calledAt);
+    this.#availability.noteAnswered(calledAt);
     onAnswered();
     return await this.#readState();
   }
@@ -318,26 +301,4 @@
     const vmCount = peers.listLive().length;
     return this.#retry.computeIntervalMs(vmCount, isViewStale());
   }
-
-  #noteLost(calledAt: number, error: Error): void {
-    const { clock, log, isViewStale, onLost } = this.#options;
-    if (this.#lostSince !== undefined) return;
-    this.#lostSince = calledAt;
-    const calledMs = Math.round(clock.now() - calledAt);
-    log.warn("store_lost", { error: error.message, called_ms: calledMs });
-    // With a stale view each VM watches the store itself and needs no report
-    // that others cannot.
-    if (!isViewStale()) onLost();
-  }
-
-  #noteRegained(calledAt: number): void {
-    if (this.#lostSince === undefined) return;
-    const failingMs = calledAt - this.#lostSince;
-    this.#lostSince = undefined;
-    this.#options.log.info("store_regained", {
-      away_ms: Math.round(failingMs),
-    });
-    if (this.#hasFailed) this.#options.onRegained({ calledAt, failingMs });
-    this.#hasFailed = false;
-  }
 }
