Do not take a pool owner for silent after a stall of this process

Found by tracing waiting_test.ts, which failed once with 60 calls running at once where replicas have 8 slots. A VM waits 40 ms for its pool owner's answer. After a stall the timer runs before the socket is read, so the owner counts as silent for all calls that wait, and the VM sends every one of them to the replicas.

The wait is now a silence timer, as for connections. A short one counts as late after a quarter of its time and gets its own length again to read; until now 100 ms were the least, which a timer of 40 ms is too short for. For connections (250 ms) the threshold falls from 100 to 62 ms.

The three new cases of the requester's test failed before.

--- a/src/connection/silence_timer.ts
+++ b/src/connection/silence_timer.ts
@@ -13,6 +13,8 @@
 export const STALL_THRESHOLD_MS = 100;
 /** Time after a stall to read what arrived during it. */
 export const READ_GRACE_MS = 100;
+/** For short timers, a delay by this share of their time shows a stall. */
+const STALL_SHARE = 0.25;
 
 /**
  * Calls `onSilence` after `ms`, or, if the process was stalled by then, once it
@@ -24,10 +26,12 @@
   onSilence: () => void,
 ): CancelTimer {
   const dueAt = clock.now() + ms;
+  const thresholdMs = Math.min(STALL_THRESHOLD_MS, STALL_SHARE * ms);
+  const graceMs = Math.min(READ_GRACE_MS, ms);
   let cancelGrace: CancelTimer = () => {};
   const cancelTimer = clock.startTimer(ms, () => {
-    if (clock.now() - dueAt < STALL_THRESHOLD_MS) return onSilence();
-    cancelGrace = startSilenceTimer(clock, READ_GRACE_MS, onSilence);
+    if (clock.now() - dueAt < thresholdMs) return onSilence();
+    cancelGrace = startSilenceTimer(clock, graceMs, onSilence);
   });
   return () => {
     cancelTimer();
--- a/src/process/seeded_fleet/placement_requester.ts
+++ b/src/process/seeded_fleet/placement_requester.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { startSilenceTimer } from "../../connection/silence_timer.ts";
 import type { Incarnation, PoolName, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
@@ -172,7 +173,7 @@
       const onAbort = () => settle();
       const sendNow = () => {
         cancelTimer();
-        cancelTimer = clock.startTimer(ANSWER_TIMEOUT_MS, () => settle());
+        cancelTimer = startSilenceTimer(clock, ANSWER_TIMEOUT_MS, settle);
         const current = updateTimes(content, clock.now() - sentAt);
         send(owner, { kind: "ask", vm, ask: number, incarnation, ...current });
       };
--- a/test/process/seeded_fleet/waiting_requester_test.ts
+++ b/test/process/seeded_fleet/waiting_requester_test.ts
@@ -8,6 +8,7 @@
 import type { PlacementRequestMessage } from "../../../src/process/seeded_fleet/fleet_message.ts";
 import type { FleetPeer } from "../../../src/process/seeded_fleet/fleet_peers.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
+import { StallingClock } from "../../support/stalling_clock.ts";
 
 const OWNERS = ["vm-1", "vm-2"].map((id) => toId<VmId>(id));
 const PLACED = {
@@ -20,13 +21,13 @@
 };
 
 /** A requester of which one request waits at the first owner. */
-async function createWaiting() {
+async function createWaiting(stall = { from: Infinity, to: Infinity }) {
   const clock = VirtualClock.create();
   const sent: { to: VmId; message: PlacementRequestMessage }[] = [];
   const requester = PlacementRequester.create({
     vm: toId("vm-3"),
     incarnation: toId("process-1"),
-    clock,
+    clock: StallingClock.create(clock, stall),
     log: SilentLog.create(),
     listOwners: () =>
       OWNERS.map((vm) => ({ heartbeat: { vm } }) as unknown as FleetPeer),
@@ -115,3 +116,22 @@
   requester.noteAnswer(buildAnswer(1, { isExpired: true }));
   expect(await placed).toBe("expired");
 });
+
+// Guards against a VM that sends all its waiting calls to replicas at one moment:
+// it was stalled while their owner answered, and takes the owner for silent.
+it.each([20, 60, 250])(
+  "an answer that waits for %i ms in the socket of a stalled VM counts",
+  async (stalledMs) => {
+    const renewedAt = 405;
+    const stall = { from: renewedAt + 1, to: renewedAt + 40 + stalledMs };
+    const { clock, requester, sent, placed } = await createWaiting(stall);
+    await clock.run(stall.to - clock.now() + 1);
+    expect(sent.at(-1)!.to).toBe("vm-1");
+    requester.noteAnswer(buildAnswer(1, { isWaiting: true }));
+    await clock.run(10);
+    expect(requester.listWaiting()).toEqual([1]);
+    requester.noteAnswer(buildAnswer(1, { placed: PLACED }));
+    expect(await placed).toEqual({ ...PLACED, owner: "vm-1" });
+    expect(sent.map(({ to }) => to)).toEqual(["vm-1", "vm-1"]);
+  },
+);
