Log requests that wait for an answer when their replica leaves

Logs couldn't tell a request that was decided late from one that was written before its replica left and read after it: the time of the write, and that the request still waited when the leaving was learnt, stood nowhere. Three lines of level info per such request: at the leaving, and at its answer or its end. No other logic changed; the one map costs an entry per request in flight.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -28,6 +28,7 @@
   type ReplicaDirectory,
 } from "./replica_list.ts";
 import type { PlacedWork } from "./replica_loads.ts";
+import type { UnansweredRequest } from "./unanswered_requests.ts";
 
 const DEFAULT_PRIORITY = 5;
 /**
@@ -71,6 +72,8 @@
   /** Start of the replica's process that has the request. */
   readonly #startedAt: number | undefined;
   readonly #grantedAt: number;
+  /** Undefined until it is written. */
+  #unanswered: UnansweredRequest | undefined;
   #hasOutput = false;
   #hasTransportFailed = false;
   #isReleased = false;
@@ -170,10 +173,21 @@
   }
 
   override noteSending(): void {
-    this.#options.state.lastSends.note(this.upstream);
+    const { state, request, directory, getListAgeMs } = this.#options;
+    state.lastSends.note(this.upstream);
+    this.#unanswered = state.unanswered.add({
+      requestId: request.requestId,
+      replica: this.upstream,
+      listRevision: directory.revision,
+      listAgeMs: getListAgeMs(),
+    });
     if (this.#options.isViewStale()) this.#writeStale();
   }
 
+  override noteAnswered(): void {
+    this.#unanswered?.noteAnswered();
+  }
+
   noteProgress(progress: LeaseProgress): void {
     if (!this.#isSameProcess()) return;
     if (progress.tokens > 0) this.#options.state.liveness.note(this.upstream);
@@ -214,6 +228,7 @@
     if (this.#isReleased) return;
     this.#isReleased = true;
     this.#work.end();
+    this.#unanswered?.end();
     this.#options.state.rooms.endFirstWait(this.#options.request.pool);
     if (state === "done") this.#addCallTime();
     if (!this.#isSameProcess()) return;
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -21,6 +21,7 @@
 import { type OnBackOff, ReplicaBackOffs } from "./replica_back_offs.ts";
 import { ReplicaHealth, type ResultEntry } from "./replica_health.ts";
 import { type LoadEntry, ReplicaLoads } from "./replica_loads.ts";
+import { SilentLog } from "../log.ts";
 import { type Random, SystemRandom } from "../random.ts";
 import { LastSends } from "./last_sends.ts";
 import { LinkChecks, type LinkChecksOptions } from "./link_checks.ts";
@@ -42,6 +43,10 @@
   type UnreachedEntry,
 } from "./transport_failures.ts";
 import { RoomQueue } from "./room_queue.ts";
+import {
+  UnansweredRequests,
+  type UnansweredRequestsOptions,
+} from "./unanswered_requests.ts";
 import { UnlistedReplicas } from "./unlisted_replicas.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
@@ -82,6 +87,8 @@
   links?: PlacementLinksOptions;
   /** Omitted where replicas are not asked whether they respond. */
   probes?: Omit<ResponseProbesOptions, "clock" | "liveness">;
+  /** Omitted where nothing is logged of requests to replicas that leave. */
+  unanswered?: Omit<UnansweredRequestsOptions, "clock">;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted where no replica is brittle. */
@@ -130,6 +137,7 @@
   readonly shares: WorkspaceShares;
   readonly liveness: ReplicaLiveness;
   readonly probes: ResponseProbes | undefined;
+  readonly unanswered: UnansweredRequests;
   readonly lastSends: LastSends;
   readonly slowStart: SlowStart;
   readonly rateLimits: ReplicaRateLimits;
@@ -159,6 +167,8 @@
     const { liveness } = this;
     this.probes = options.probes &&
       ResponseProbes.create({ ...options.probes, clock, liveness });
+    const { unanswered = { log: SilentLog.create() } } = options;
+    this.unanswered = UnansweredRequests.create({ ...unanswered, clock });
     this.lastSends = LastSends.create(clock);
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -215,6 +215,12 @@
     return replica !== undefined && this.#canTakeWork(replica);
   }
 
+  /** Whether `id` is gone, draining, or has announced that it leaves. */
+  hasLeft(id: VmId): boolean {
+    const replica = this.#byId.get(id);
+    return replica === undefined || this.#isLeaving(replica);
+  }
+
   /**
    * Whether a replica is part of the new list. One that another VM retains does
    * not return to a VM that has dropped it.
@@ -258,8 +264,13 @@
     return ready;
   }
 
-  #canTakeWork({ id, state, dataCentre }: ListedReplica): boolean {
-    return state === "ready" && !this.#evacuated.has(dataCentre) &&
-      !this.#leaving.has(id) && !this.#leftLater.has(id);
+  #canTakeWork(replica: ListedReplica): boolean {
+    return !this.#isLeaving(replica) &&
+      !this.#evacuated.has(replica.dataCentre);
+  }
+
+  #isLeaving({ id, state }: ListedReplica): boolean {
+    return state !== "ready" || this.#leaving.has(id) ||
+      this.#leftLater.has(id);
   }
 }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -367,6 +367,7 @@
    */
   #noteReplicas(restarted: readonly VmId[]): void {
     const { placement, replicas, onRestarted } = this.#options;
+    placement.unanswered.noteLeavings((id) => replicas.hasLeft(id));
     placement.dropUnlisted((id) => replicas.find(id) !== undefined);
     restarted.forEach((id) => placement.dropReplica(id));
     if (restarted.length > 0) onRestarted(restarted);
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -92,6 +92,7 @@
   readonly requestStatuses: RequestStatusStore;
   readonly replicas = ReplicaDirectory.create((replica) => {
     this.#log.info("replica_leaving", { replica });
+    this.#placement.unanswered.noteLeavings((id) => id === replica);
     this.#fleet?.announceWork();
   });
   readonly #options: RoutedVmOptions;
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -129,6 +129,9 @@
   /** Records that the request is about to be written to the upstream. */
   noteSending(): void {}
 
+  /** Records that the head of the answer was received. */
+  noteAnswered(): void {}
+
   abstract noteProgress(progress: LeaseProgress): void;
   /**
    * Records that the call failed without the upstream saying so. Resolves once
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -217,6 +217,7 @@
       signal: cancel.signal,
       canSend: () => canSend(execution, lease),
     });
+    lease.noteAnswered();
     await work.handleAnswer(answer, {
       signal: cancel.signal,
       progress,
