Take back what a leaving replica may not have read

What callers and replicas saw: a request that was written in time reached its replica long after it had begun to leave. Its bytes waited (a silent link whose kernel sends again seconds later), and nothing ended that wait when the VM learnt of the leaving: unsafe calls, calls without tries left and streams that can't be resumed wait until their deadline.

A replica that leaves keeps the requests that it has read, so they are not just cut: the VM looks for a sign of life since the leaving, and asks for its report (needs no slot, also from one that is gone from the list). Only if it has answered nothing for a second are its unanswered requests reset. What may be repeated runs elsewhere; the rest gets 502, may have run.

Not prevented: bytes that lie in the socket of a replica that hangs.

--- a/src/process/placement/placed_lease.ts
+++ b/src/process/placement/placed_lease.ts
@@ -67,6 +67,7 @@
   override readonly upstreamIncarnation: Incarnation;
   override readonly fetchFrom: Endpoint | undefined;
   readonly preempted: AbortSignal = new AbortController().signal;
+  readonly #withdrawal = new AbortController();
   readonly #options: PlacedLeaseOptions;
   readonly #work: PlacedWork;
   /** Start of the replica's process that has the request. */
@@ -114,6 +115,10 @@
     return new PlacedLease(lease, options);
   }
 
+  override get withdrawn(): AbortSignal {
+    return this.#withdrawal.signal;
+  }
+
   /**
    * False once the replica is leaving or has asked to back off, or while this VM
    * can't tell.
@@ -180,6 +185,7 @@
       replica: this.upstream,
       listRevision: directory.revision,
       listAgeMs: getListAgeMs(),
+      onWithdrawn: () => this.#withdrawal.abort(),
     });
     if (this.#options.isViewStale()) this.#writeStale();
   }
--- a/src/process/placement/placement_state.ts
+++ b/src/process/placement/placement_state.ts
@@ -43,10 +43,7 @@
   type UnreachedEntry,
 } from "./transport_failures.ts";
 import { RoomQueue } from "./room_queue.ts";
-import {
-  UnansweredRequests,
-  type UnansweredRequestsOptions,
-} from "./unanswered_requests.ts";
+import { UnansweredRequests } from "./unanswered_requests.ts";
 import { UnlistedReplicas } from "./unlisted_replicas.ts";
 import { WorkspaceShares } from "./workspace_shares.ts";
 import { SlowStart, type SlowStartOptions } from "./slow_start.ts";
@@ -87,8 +84,6 @@
   links?: PlacementLinksOptions;
   /** Omitted where replicas are not asked whether they respond. */
   probes?: Omit<ResponseProbesOptions, "clock" | "liveness">;
-  /** Omitted where nothing is logged of requests to replicas that leave. */
-  unanswered?: Omit<UnansweredRequestsOptions, "clock">;
   /** Omitted where no replica needs a warm-up. */
   slowStart?: Omit<SlowStartOptions, "clock">;
   /** Omitted where no replica is brittle. */
@@ -167,8 +162,13 @@
     const { liveness } = this;
     this.probes = options.probes &&
       ResponseProbes.create({ ...options.probes, clock, liveness });
-    const { unanswered = { log: SilentLog.create() } } = options;
-    this.unanswered = UnansweredRequests.create({ ...unanswered, clock });
+    this.unanswered = UnansweredRequests.create({
+      clock,
+      log: options.probes?.log ?? SilentLog.create(),
+      liveness,
+      checkResponse: (replica) =>
+        this.probes?.check(replica) ?? Promise.resolve(true),
+    });
     this.lastSends = LastSends.create(clock);
     this.shares = WorkspaceShares.create(clock);
     this.slowStart = SlowStart.create({ clock, ...slowStart });
--- a/src/process/placement/replica_list.ts
+++ b/src/process/placement/replica_list.ts
@@ -11,6 +11,9 @@
   type VmId,
 } from "../../ids.ts";
 
+/** A replica that is gone may still work on requests for some seconds. */
+const MAX_FORMER = 256;
+
 /** Stands for the software of replicas that publish no version. */
 const NO_VERSION = toId<SoftwareVersion>("");
 
@@ -97,6 +100,8 @@
   #ready = new Map<PoolName, ListedReplica[]>();
   /** Revision at which the current process of each replica was first listed. */
   #listedSince = new Map<VmId, number>();
+  /** Replicas of earlier lists that are gone, the newest last. */
+  readonly #former = new Map<VmId, ListedReplica>();
   readonly #leaving = new Set<VmId>();
   /**
    * Replicas that a newer list than this one shows as leaving, and its revision.
@@ -129,7 +134,9 @@
     this.#listedSince = this.#buildListedSince(replicas, list.revision);
     this.#list = { ...list, replicas };
     this.#evacuated = new Set(list.evacuated);
+    const before = this.#byId;
     this.#byId = new Map(replicas.map((each) => [each.id, each]));
+    this.#updateFormer(before);
     for (const id of this.#leaving) {
       if (!this.#isListedAt(id, list.revision - 1)) this.#leaving.delete(id);
     }
@@ -181,6 +188,11 @@
     return this.#byId.get(id);
   }
 
+  /** A replica of this list, or one that is gone since an earlier one. */
+  findFormer(id: VmId): ListedReplica | undefined {
+    return this.#byId.get(id) ?? this.#former.get(id);
+  }
+
   /** Replicas of the pool that take new work. */
   listReady(pool: PoolName): readonly ListedReplica[] {
     return this.#ready.get(pool) ?? [];
@@ -237,6 +249,16 @@
     return startedAt === undefined ? replica : { ...replica, startedAt };
   }
 
+  #updateFormer(before: ReadonlyMap<VmId, ListedReplica>): void {
+    for (const [id, replica] of before) {
+      if (!this.#byId.has(id)) this.#former.set(id, replica);
+    }
+    for (const id of this.#former.keys()) {
+      const isOver = this.#former.size > MAX_FORMER;
+      if (isOver || this.#byId.has(id)) this.#former.delete(id);
+    }
+  }
+
   #buildListedSince(
     replicas: readonly ListedReplica[],
     revision: number,
--- a/src/process/placement/response_probes.ts
+++ b/src/process/placement/response_probes.ts
@@ -25,11 +25,17 @@
   fetchReport: (replica: VmId, timeoutMs: number) => Promise<void>;
 }
 
+/** A probe that is not over. */
+interface RunningProbe {
+  /** `Clock.now()` at its start. */
+  startedAt: number;
+  hasAnswered: Promise<boolean>;
+}
+
 /** Probes replicas, each once at a time. */
 export class ResponseProbes {
   readonly #options: ResponseProbesOptions;
-  /** `Clock.now()` at the start of each probe that is not over. */
-  readonly #startedAt = new Map<VmId, number>();
+  readonly #running = new Map<VmId, RunningProbe>();
   /** `Clock.now()` at the start of each replica's last probe, if it failed. */
   readonly #failedAt = new Map<VmId, number>();
 
@@ -50,11 +56,15 @@
     const failedAt = this.#failedAt.get(replica) ?? -Infinity;
     if (failedAt >= silentSince) return 0;
     const { clock } = this.#options;
-    const startedAt = this.#startedAt.get(replica) ?? clock.now();
-    void this.#probe(replica);
+    const { startedAt } = this.#start(replica);
     return Math.max(0, startedAt + ANSWER_TIMEOUT_MS - clock.now());
   }
 
+  /** Whether the replica answers a probe now. */
+  check(replica: VmId): Promise<boolean> {
+    return this.#start(replica).hasAnswered;
+  }
+
   /** Forgets replicas that are no longer listed. */
   dropUnlisted(isListed: (replica: VmId) => boolean): void {
     for (const replica of this.#failedAt.keys()) {
@@ -62,22 +72,31 @@
     }
   }
 
+  /** The replica's running probe, or a new one. */
+  #start(replica: VmId): RunningProbe {
+    const running = this.#running.get(replica);
+    if (running !== undefined) return running;
+    const startedAt = this.#options.clock.now();
+    const hasAnswered = this.#probe(replica, startedAt);
+    const probe = { startedAt, hasAnswered };
+    this.#running.set(replica, probe);
+    void hasAnswered.then(() => this.#running.delete(replica));
+    return probe;
+  }
+
   /** Counts the replica as alive if it answers. Never rejects. */
-  async #probe(replica: VmId): Promise<void> {
-    if (this.#startedAt.has(replica)) return;
-    const { clock, log, liveness, fetchReport } = this.#options;
-    const startedAt = clock.now();
-    this.#startedAt.set(replica, startedAt);
+  async #probe(replica: VmId, startedAt: number): Promise<boolean> {
+    const { log, liveness, fetchReport } = this.#options;
     try {
       await fetchReport(replica, ANSWER_TIMEOUT_MS);
       liveness.note(replica);
       this.#failedAt.delete(replica);
+      return true;
     } catch (thrown) {
       this.#failedAt.set(replica, startedAt);
       const { message } = toError(thrown);
       log.info("replica_unresponsive", { replica, error: message });
-    } finally {
-      this.#startedAt.delete(replica);
+      return false;
     }
   }
 }
--- a/src/process/routed_placement.ts
+++ b/src/process/routed_placement.ts
@@ -62,7 +62,6 @@
       },
     },
     probes: { log, fetchReport: options.fetchReport },
-    unanswered: { log },
     brittle: {
       vm: settings.vm,
       listReady: (pool) => options.replicas.listReady(pool),
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -133,7 +133,9 @@
     this.requestStatuses = RequestStatusStore.create({
       maxBytes: REQUEST_STATUS_BYTES,
     });
-    this.#upstreams = this.#createTransport((vm) => this.replicas.find(vm), {
+    // A replica that is gone from the list may still work on requests.
+    const findReplica = (id: VmId) => this.replicas.findFormer(id);
+    this.#upstreams = this.#createTransport(findReplica, {
       allowsCloseDelimited: true,
       maxAnswerBytes: options.settings.maxAnswerBytes,
       openConnection: options.openConnection,
@@ -147,7 +149,9 @@
       settings: options.settings,
       replicas: this.replicas,
       random: this.#random,
-      isListening: (replica) => this.#upstreams.isListening(replica),
+      isListening: async (replica) =>
+        this.replicas.find(replica) !== undefined &&
+        await this.#upstreams.isListening(replica),
       fetchReport: (replica, timeoutMs) =>
         options.fetchReport(this.#upstreams, replica, timeoutMs),
       getSnapshot: () => this.getSnapshot(),
--- a/src/process/services.ts
+++ b/src/process/services.ts
@@ -92,6 +92,14 @@
   readonly fetchFrom?: Endpoint | undefined;
   /** Aborts when the owner preempts the slot for a higher tier. */
   abstract readonly preempted: AbortSignal;
+  /**
+   * Aborts when the request is taken back from an upstream that leaves and may
+   * not have got it; undefined where that never happens.
+   */
+  get withdrawn(): AbortSignal | undefined {
+    return undefined;
+  }
+
   /**
    * Whether the lease has not expired, by the monotonic clock. Check before
    * each send: the process may have been paused past the expiry.
--- a/src/request/attempts.ts
+++ b/src/request/attempts.ts
@@ -161,6 +161,7 @@
     lease.release("cancelled", progress.getProgress());
   };
   const onAborted = () => cancel.abort();
+  lease.withdrawn?.addEventListener("abort", onAborted, { once: true });
   const preempted = execution.options.idempotent ? lease.preempted : undefined;
   preempted?.addEventListener("abort", onPreempted, { once: true });
   // Work that is not idempotent and can be resubmitted is completed after its
@@ -174,6 +175,7 @@
   try {
     return await sendWork(execution, work, { lease, cancel, progress, sends });
   } finally {
+    lease.withdrawn?.removeEventListener("abort", onAborted);
     preempted?.removeEventListener("abort", onPreempted);
     execution.signal.removeEventListener("abort", onAborted);
     // If the answer was rejected before it was read, the connection and the
--- a/test/support/cuttable_links.ts
+++ b/test/support/cuttable_links.ts
@@ -13,7 +13,9 @@
   /** Open connections and new ones carry no more bytes. */
   | "silent"
   /** Open connections live on, new ones are refused. */
-  | "refuse_new";
+  | "refuse_new"
+  /** What the VM sends arrives once the cut ends, but for reset connections. */
+  | "held";
 
 /** All ways to lose connections. */
 export const LINK_CUTS: readonly LinkCut[] = ["reset", "silent", "refuse_new"];
@@ -28,6 +30,8 @@
   /** Ports that the cut applies to; undefined for all. */
   #ports: ReadonlySet<number> | undefined;
   #cut: LinkCut | undefined;
+  /** Lets what was written to a connection arrive. */
+  readonly #held = new Map<Socket, () => void>();
   /** Called when the VM has begun to open a connection. */
   onOpen: () => void = () => {};
 
@@ -39,9 +43,12 @@
     const { port } = options;
     const cut = this.getCut(port);
     if (cut === "silent") return new Socket();
-    if (cut !== undefined) return connect({ ...options, port: CLOSED_PORT });
+    if (cut !== undefined && cut !== "held") {
+      return connect({ ...options, port: CLOSED_PORT });
+    }
     const socket = connect(options);
     this.add(socket, port);
+    if (cut === "held") this.#hold(socket);
     this.onOpen();
     return socket;
   };
@@ -65,12 +72,21 @@
       if (this.getCut(port) === undefined) continue;
       if (cut === "reset") socket.resetAndDestroy();
       if (cut === "silent") dropBytes(socket);
+      if (cut === "held") this.#hold(socket);
     }
   }
 
   /** Lets new connections through; silent ones stay silent. */
   heal(): void {
     this.#cut = undefined;
+    this.#held.forEach((release) => release());
+    this.#held.clear();
+  }
+
+  #hold(socket: Socket): void {
+    if (this.#held.has(socket)) return;
+    this.#held.set(socket, holdWrites(socket));
+    socket.on("close", () => this.#held.delete(socket));
   }
 }
 
@@ -80,3 +96,24 @@
   socket._write = (_chunk, _encoding, onWritten) => onWritten();
   socket._writev = (_chunks, onWritten) => onWritten();
 }
+
+/** Keeps what is written from now on; returns a function that sends it. */
+function holdWrites(socket: Socket): () => void {
+  const { _write: write, _writev: writev } = socket;
+  const kept: (() => void)[] = [];
+  const keep = (send: () => void) => kept.push(send);
+  // The writer must not wait, as a kernel takes bytes of a silent link as well.
+  socket._write = (chunk, encoding, onWritten) => {
+    keep(() => write.call(socket, chunk, encoding, () => {}));
+    onWritten();
+  };
+  socket._writev = (chunks, onWritten) => {
+    keep(() => writev?.call(socket, chunks, () => {}));
+    onWritten();
+  };
+  return () => {
+    socket._write = write;
+    if (writev !== undefined) socket._writev = writev;
+    if (!socket.destroyed) kept.forEach((send) => send());
+  };
+}
