Count a history of versions only where no list was missed

What callers saw (shown as real processes): a VM that was cut off, or stood still, for 2 s while replicas of a new version joined and left again. Streams begun there through other VMs were taken up at that VM and went on at the old version, their events joined to those of another one.

Cause: a history counted as complete over gaps of up to 3 s, and a list fetched after the gap showed one version only. Where no other VM had answered in 200 ms (all taken for silent, after a stall without reading the sockets), that alone decided. What others said of the only version counted however old their list was.

Change: each newer list comes with what was between. The store tells each change, also of replicas that are gone again; VMs pass on with their list which versions they have seen, and since which revision none was missed. Whatever tells nothing of it leaves a gap. Silent VMs are asked again within the 1.3 s that were waited for a confirmation anyway.

--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -182,10 +182,11 @@
         options.onSnapshot(snapshot);
         this.#heartbeats.announceState();
       },
-      onList: (list) => {
+      onList: (list, source) => {
         options.placement.slowStart.noteList(list);
-        this.streamOrigins.noteList(list.replicas);
+        this.streamOrigins.noteList(list, source);
       },
+      buildVersionRecord: () => this.streamOrigins.buildVersionRecord(),
       onReplicas: (restarted) => this.#noteReplicas(restarted),
       onStoreLost: () => this.#heartbeats.announceNow(),
       getMsSinceSent: (replica) =>
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -28,6 +28,11 @@
   PoolOwners,
 } from "./pool_owners.ts";
 export type { FleetMember, OwnerCandidate } from "./pool_owners.ts";
+export type {
+  FormerVersion,
+  ListSource,
+  VersionRecord,
+} from "./list_source.ts";
 export { PlacementRequester } from "./placement_requester.ts";
 export { PeerCalls } from "./peer_calls.ts";
 export { PublishedStore } from "./published_store.ts";
--- a/src/process/seeded_fleet/newer_state.ts
+++ b/src/process/seeded_fleet/newer_state.ts
@@ -5,6 +5,7 @@
  */
 import type { PublishedConfiguration } from "../../version/published_configuration.ts";
 import type { ReplicaList } from "../placement/replica_list.ts";
+import type { VersionRecord } from "./list_source.ts";
 
 /** Versions that a VM already has. */
 export interface KnownVersions {
@@ -19,4 +20,6 @@
 export interface NewerState {
   configuration?: PublishedConfiguration;
   replicas?: ReplicaList;
+  /** Comes with the list; left out by older software. */
+  versions?: VersionRecord;
 }
--- a/src/process/seeded_fleet/origin_message.ts
+++ b/src/process/seeded_fleet/origin_message.ts
@@ -52,6 +52,8 @@
    * undefined if there were several or the sender cannot tell.
    */
   onlyVersion: VERSION.optional(),
+  /** Revision of the sender's list; undefined from older software. */
+  listRevision: COUNT.optional(),
   /** Whether there were several. */
   hasSeveral: z.boolean().optional(),
 });
--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PublishedConfiguration } from "../../version/published_configuration.ts";
-import type { ReplicaList } from "../placement/replica_list.ts";
+import type { ListedReplica, ReplicaList } from "../placement/replica_list.ts";
 
 /** Everything that the platform publishes. */
 export interface PublishedState {
@@ -31,6 +31,8 @@
      * has that of the last one told.
      */
     isComplete: boolean;
+    /** Each replica as a change listed it, also if a later one removed it. */
+    listed: readonly ListedReplica[];
   }
   /**
    * The revision that the watch started from is no longer in the store's
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -22,6 +22,7 @@
 import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
 import { LeavingNews } from "./leaving_news.ts";
 import { buildCorrectedList } from "./list_correction.ts";
+import type { ListSource, VersionRecord } from "./list_source.ts";
 import { ListConfirmation } from "./list_confirmation.ts";
 import type { KnownVersions, NewerState } from "./newer_state.ts";
 import type { PublishedStore } from "./published_store.ts";
@@ -64,7 +65,9 @@
   ) => Promise<NewerState>;
   onSnapshot: (snapshot: RoutedSnapshot) => void;
   /** Called with each newer list, even if no replica changed. */
-  onList: (list: ReplicaList) => void;
+  onList: (list: ReplicaList, source: ListSource) => void;
+  /** Builds what a VM that takes this one's list has to know of those before. */
+  buildVersionRecord: () => VersionRecord | undefined;
   /**
    * Called when replicas or evacuations changed, with the replicas that
    * restarted.
@@ -214,6 +217,8 @@
     }
     if (replicas.revision > known.listRevision) {
       state.replicas = replicas.getList();
+      const versions = this.#options.buildVersionRecord();
+      if (versions !== undefined) state.versions = versions;
     }
     return state;
   }
@@ -266,10 +271,15 @@
     if (state.configuration) {
       this.#applyConfiguration(state.configuration, from);
     }
-    if (state.replicas) this.#applyReplicas(state.replicas, from);
+    const { replicas, versions } = state;
+    if (replicas === undefined) return;
+    const source: ListSource = versions === undefined
+      ? { kind: "unknown" }
+      : { kind: "record", record: versions };
+    this.#applyReplicas(replicas, from, source);
   }
 
-  #applyState({ state, newestAt, isWhole }: ReadState): void {
+  #applyState({ state, newestAt, isWhole, source }: ReadState): void {
     const { replicas, log } = this.#options;
     if (state.configuration) {
       this.#applyConfiguration(state.configuration, "store");
@@ -280,7 +290,7 @@
     if (list !== before && list.revision > read.revision) {
       log.warn("list_corrected", { revision: list.revision });
     }
-    this.#applyReplicas(list, "store");
+    this.#applyReplicas(list, "store", source);
     if (replicas.revision !== list.revision) return;
     this.#confirmation.noteStore(newestAt);
   }
@@ -305,14 +315,18 @@
     this.#options.onSnapshot(this.#snapshot);
   }
 
-  #applyReplicas(list: ReplicaList, from: VmId | "store"): void {
+  #applyReplicas(
+    list: ReplicaList,
+    from: VmId | "store",
+    source: ListSource,
+  ): void {
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     const [listAgeMs, lagMs] = [this.getListAgeMs(), this.#listLag.getMs()];
     if (!replicas.apply(list)) return;
     this.#listLag.noteApplied(list.revision, from, listAgeMs);
     const after = replicas.getList();
-    this.#options.onList(after);
+    this.#options.onList(after, source);
     const changes = listChanges(before, after);
     const evacuations = listEvacuations(before, after);
     if (changes.length + evacuations.length === 0) return;
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -14,6 +14,7 @@
 import type { ReplicaList } from "../placement/replica_list.ts";
 import type { Random } from "../random.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
+import type { ListSource } from "./list_source.ts";
 import type { PublishedState, PublishedStore } from "./published_store.ts";
 import { ReadDelay } from "./read_delay.ts";
 import { StoreAudit } from "./store_audit.ts";
@@ -67,6 +68,8 @@
   newestAt: number;
   /** Whether everything was read, not only what changed. */
   isWhole: boolean;
+  /** What is known of the lists before. */
+  source: ListSource;
 }
 
 /** Why a VM watches the store. */
@@ -245,7 +248,7 @@
     const { store, log, onAnswered } = this.#options;
     const update = await store.watch(waitMs);
     if (update.kind === "state") {
-      const { state, isComplete } = update;
+      const { state, isComplete, listed } = update;
       if (!isComplete && this.#canReadIncomplete(state.revision)) {
         return await this.#readState();
       }
@@ -254,7 +257,8 @@
       const newestAt = state.revision === known
         ? calledAt + waitMs
         : Math.max(calledAt, this.#readDelay.computeArrivedSince());
-      return { state, newestAt, isWhole: false };
+      const source = { kind: "changes" as const, listed };
+      return { state, newestAt, isWhole: false, source };
     }
     log.info("store_history_lost");
     // The store answers, however long the read of its whole state takes.
@@ -287,7 +291,7 @@
     this.#audit.noteBegun();
     const state = await this.#options.store.fetchState();
     this.#audit.noteSize(state.sizeBytes);
-    return { state, newestAt, isWhole: true };
+    return { state, newestAt, isWhole: true, source: { kind: "unknown" } };
   }
 
   #computeWatchWaitMs(): number {
--- a/src/process/stream_origins/origin_queries.ts
+++ b/src/process/stream_origins/origin_queries.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { startSilenceTimer } from "../../connection/silence_timer.ts";
 import type { PoolName, StreamKey, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type {
@@ -27,7 +28,16 @@
   /** VM that knew it. */
   knownBy?: VmId;
   /** What those that answered can tell of the pool's versions. */
-  versions: PoolVersions[];
+  versions: ToldVersions[];
+  /** Number of VMs that did not answer. */
+  silent: number;
+}
+
+/** What a VM can tell, by its list of a revision. */
+export interface ToldVersions {
+  versions: PoolVersions;
+  /** Undefined from older software. */
+  listRevision: number | undefined;
 }
 
 /** Options of `OriginQueries`. */
@@ -63,14 +73,14 @@
     this.#lastQuery += 1;
     const ask = this.#lastQuery;
     const open = new Map(vms.map((peer) => [peer.heartbeat.vm, peer]));
-    const versions: PoolVersions[] = [];
+    const versions: ToldVersions[] = [];
     return new Promise((resolve) => {
       const settle = (origin?: StreamOrigin, knownBy?: VmId) => {
         cancelResend();
         cancelTimeout();
         this.#pending.delete(ask);
         const by = knownBy === undefined ? {} : { knownBy };
-        resolve({ origin, versions, ...by });
+        resolve({ origin, versions, silent: open.size, ...by });
       };
       let cancelResend = () => {};
       const sendOpen = () => {
@@ -78,7 +88,8 @@
         for (const peer of open.values()) send(peer, query);
         cancelResend = clock.startTimer(RESEND_INTERVAL_MS, sendOpen);
       };
-      const cancelTimeout = clock.startTimer(
+      const cancelTimeout = startSilenceTimer(
+        clock,
         ANSWER_TIMEOUT_MS,
         () => settle(),
       );
@@ -89,7 +100,8 @@
             return settle({ pool: from, version }, vm);
           }
           if (!open.delete(vm)) return;
-          versions.push(toPoolVersions(answer));
+          const { listRevision } = answer;
+          versions.push({ versions: toPoolVersions(answer), listRevision });
           if (open.size === 0) settle();
         },
       });
--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -11,14 +11,16 @@
  * @module
  */
 import { match } from "ts-pattern";
-import type { PoolName, VmId } from "../../ids.ts";
+import type { PoolName, StreamKey, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import type { ListedReplica } from "../placement/index.ts";
+import type { ReplicaList } from "../placement/index.ts";
 import type {
   FleetPeer,
+  ListSource,
   OriginAnswerMessage,
   OriginMessage,
   OriginQueryMessage,
+  VersionRecord,
 } from "../seeded_fleet/index.ts";
 import {
   type FindOriginOptions,
@@ -29,7 +31,11 @@
   StreamOriginSource,
 } from "../stream_origin_source.ts";
 import { chooseAsked, chooseHolders } from "./origin_holders.ts";
-import { OriginQueries } from "./origin_queries.ts";
+import {
+  type OriginAnswer,
+  OriginQueries,
+  type ToldVersions,
+} from "./origin_queries.ts";
 import { OriginStore } from "./origin_store.ts";
 import { computeStreamKey } from "./stream_key.ts";
 import { type PoolVersions, VersionHistory } from "./version_history.ts";
@@ -77,8 +83,13 @@
   }
 
   /** Records a newer list; call before it is confirmed. */
-  noteList(replicas: readonly ListedReplica[]): void {
-    this.#history.noteList(replicas);
+  noteList(list: ReplicaList, source: ListSource): void {
+    this.#history.noteList(list, source);
+  }
+
+  /** See `VersionHistory.buildRecord`. */
+  buildVersionRecord(): VersionRecord | undefined {
+    return this.#history.buildRecord();
   }
 
   override announce(
@@ -119,6 +130,7 @@
       kind: "origin_answer" as const,
       ask,
       vm: this.#options.vm,
+      listRevision: this.#history.revision,
     };
     const origin = this.#store.find(key);
     if (origin !== undefined) return { ...answer, ...origin };
@@ -141,53 +153,82 @@
     stream: StreamName | StreamContent,
     options: FindOriginOptions,
   ): Promise<FoundOrigin | undefined> {
-    const { pool } = options;
-    const { listPeers, vm } = this.#options;
+    const { vm } = this.#options;
     const key = computeStreamKey(stream);
     if (this.#store.isAmbiguous(key)) return undefined;
     const own = this.#store.find(key);
     if (own !== undefined) return { origin: own, knownBy: vm };
-    const peers = chooseAsked(key, listPeers());
-    const answer = await this.#queries.ask(peers, { key, pool });
-    const { origin, knownBy = vm } = answer;
-    if (origin !== undefined) {
-      this.#store.put(key, origin);
-      return { origin, knownBy };
-    }
-    return await this.#findOnlyLately(options, answer.versions);
+    return await this.#ask(key, options);
   }
 
   /**
-   * The origin of any stream of the pool, if there has been but one version for
-   * as long as a stream may last. `told` are the versions for which other VMs
-   * say so; those that have just started cannot tell themselves.
+   * Asks other VMs, again while one that is silent may know. Between two tries
+   * this VM may get a list, or the confirmation that it has the newest.
    */
-  async #findOnlyLately(
+  async #ask(
+    key: StreamKey,
     { pool, arrivedAt, deadlineAt, signal }: FindOriginOptions,
-    told: readonly PoolVersions[],
   ): Promise<FoundOrigin | undefined> {
-    const { clock } = this.#options;
+    const { clock, listPeers, vm } = this.#options;
     const waitUntil = Math.min(
       clock.now() + MAX_CONFIRMATION_WAIT_MS,
       deadlineAt - MIN_LEFT_MS,
     );
+    const ask = () =>
+      this.#queries.ask(chooseAsked(key, listPeers()), { key, pool });
+    let answer = await ask();
     while (true) {
-      const version = this.#history.findOnlyNow(pool);
-      if (version === undefined) return undefined;
-      const known = [this.#getVersionsLately(pool), ...told]
-        .filter(({ kind }) => kind !== "unknown");
-      const isOnly = known.length > 0 &&
-        known.every((each) => each.kind === "only" && each.version === version);
-      if (!isOnly) return undefined;
-      // The stream's own VM may have had a newer list than this one.
-      if (this.#isConfirmedSince(arrivedAt)) {
-        return { origin: { pool, version }, knownBy: "only_version" };
+      const { origin, knownBy = vm } = answer;
+      if (origin !== undefined) {
+        this.#store.put(key, origin);
+        return { origin, knownBy };
       }
+      const decision = this.#findOnlyLately(pool, arrivedAt, answer);
+      if (decision === "unknown") return undefined;
+      if (decision !== "undecided") return decision;
       if (signal.aborted || clock.now() >= waitUntil) return undefined;
       await clock.sleep(CONFIRMATION_CHECK_MS);
+      if (answer.silent > 0) answer = await ask();
     }
   }
 
+  /**
+   * The origin of any stream of the pool that began before `arrivedAt`, if there
+   * has been but one version for as long as a stream may last; undecided where
+   * this VM may learn more.
+   */
+  #findOnlyLately(
+    pool: PoolName,
+    arrivedAt: number,
+    { versions, silent }: OriginAnswer,
+  ): FoundOrigin | "unknown" | "undecided" {
+    const version = this.#history.findOnlyNow(pool);
+    if (version === undefined) return "unknown";
+    const told = versions.map((each) => this.#getUsable(each));
+    const known = [this.#getVersionsLately(pool), ...told]
+      .filter(({ kind }) => kind !== "unknown");
+    const isOnly = known.every((each) =>
+      each.kind === "only" && each.version === version
+    );
+    if (!isOnly) return "unknown";
+    if (known.length === 0) return silent > 0 ? "undecided" : "unknown";
+    // The stream's own VM may have had a newer list than this one.
+    return this.#isConfirmedSince(arrivedAt)
+      ? { origin: { pool, version }, knownBy: "only_version" }
+      : "undecided";
+  }
+
+  /**
+   * What another VM has told. That there was one version counts if this VM knows
+   * all lists after those of the other.
+   */
+  #getUsable({ versions, listRevision }: ToldVersions): PoolVersions {
+    const isUsable = versions.kind === "several" ||
+      listRevision !== undefined &&
+        this.#history.isCompleteSince(listRevision);
+    return isUsable ? versions : { kind: "unknown" };
+  }
+
   #getVersionsLately(pool: PoolName): PoolVersions {
     return this.#history.getVersions(pool, this.#options.getRetentionMs());
   }
--- a/src/process/stream_origins/version_history.ts
+++ b/src/process/stream_origins/version_history.ts
@@ -1,17 +1,36 @@
 /**
  * Versions of the software that each pool's replicas ran lately.
  *
+ * A version may come and go while a VM hears nothing, so each newer list counts
+ * with what is known of the lists between: the store tells each change, and VMs
+ * pass on which versions they have seen.
+ *
  * @module
  */
 import type { PoolName, SoftwareVersion } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
-import { getSoftwareVersion, type ListedReplica } from "../placement/index.ts";
+import {
+  getSoftwareVersion,
+  type ListedReplica,
+  type ReplicaList,
+} from "../placement/index.ts";
+import type {
+  FormerVersion,
+  ListSource,
+  VersionRecord,
+} from "../seeded_fleet/index.ts";
 
 /**
- * A list that was not confirmed for so long may have missed replicas that came
- * and went.
+ * A list that was not confirmed for so long says nothing of what is listed now.
+ */
+const MAX_UNCONFIRMED_MS = 3_000;
+/**
+ * A replica is listed for longer than this before a stream that began there can
+ * break and be taken up.
  */
-const MAX_GAP_MS = 3_000;
+const MAX_GAP_MS = 200;
+/** Versions that left earlier are forgotten. */
+const HISTORY_MS = 600_000;
 
 /** Options of `VersionHistory`. */
 export interface VersionHistoryOptions {
@@ -27,14 +46,23 @@
   /** Lists may have been missed. */
   | { kind: "unknown" };
 
+/** Lists of which none was missed. */
+interface CompleteSpan {
+  /** `Clock.now()` at the first of them. */
+  since: number;
+  /** Its revision. */
+  sinceRevision: number;
+}
+
 /** Which versions this VM has seen, from the lists that it had. */
 export class VersionHistory {
   readonly #options: VersionHistoryOptions;
+  #revision = 0;
   #current = new Map<PoolName, Set<SoftwareVersion>>();
   /** When versions that are listed no more were last listed. */
   readonly #endedAt = new Map<PoolName, Map<SoftwareVersion, number>>();
-  /** `Clock.now()` since which no list can have been missed. */
-  #completeSince = Infinity;
+  /** Undefined before the first list. */
+  #complete: CompleteSpan | undefined;
 
   constructor(options: VersionHistoryOptions) {
     this.#options = options;
@@ -45,19 +73,18 @@
   }
 
   /** Records a newer list; call before it is confirmed. */
-  noteList(replicas: readonly ListedReplica[]): void {
+  noteList({ revision, replicas }: ReplicaList, source: ListSource): void {
     const now = this.#options.clock.now();
-    const isFirst = this.#completeSince === Infinity;
-    if (isFirst || !this.#isConfirmed()) this.#completeSince = now;
+    this.#complete = this.#computeComplete(revision, source, now);
     const before = this.#current;
+    this.#revision = revision;
     this.#current = collectVersions(replicas);
-    for (const [pool, versions] of before) {
-      for (const version of versions) {
-        if (!this.#current.get(pool)?.has(version)) {
-          this.#noteEnded(pool, version, now);
-        }
-      }
+    this.#noteFormer(before, now);
+    if (source.kind === "changes") {
+      this.#noteFormer(collectVersions(source.listed), now);
     }
+    if (source.kind === "record") this.#addRecord(source.record, now);
+    this.#dropOld(now);
   }
 
   /** What this VM can tell of the versions of a pool in the last `forMs`. */
@@ -69,7 +96,7 @@
     }
     const [only] = versions;
     if (versions.size > 1) return { kind: "several" };
-    const isComplete = this.#isConfirmed() && this.#completeSince <= since;
+    const isComplete = this.#isConfirmed() && this.#getCompleteSince() <= since;
     return only === undefined || !isComplete
       ? { kind: "unknown" }
       : { kind: "only", version: only };
@@ -81,14 +108,99 @@
     return versions?.size === 1 ? [...versions][0] : undefined;
   }
 
-  #isConfirmed(): boolean {
-    const ageMs = this.#options.getListAgeMs();
-    return ageMs >= 0 && ageMs <= MAX_GAP_MS;
+  /** Revision of the newest list. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Whether no list after that of `revision` was missed. */
+  isCompleteSince(revision: number): boolean {
+    const { sinceRevision = Infinity } = this.#complete ?? {};
+    return sinceRevision <= revision;
+  }
+
+  /** What this VM has seen, for one that takes its list. */
+  buildRecord(): VersionRecord | undefined {
+    if (this.#complete === undefined) return undefined;
+    const now = this.#options.clock.now();
+    const former = [...this.#endedAt].flatMap(([pool, versions]) =>
+      [...versions].map(([version, endedAt]): FormerVersion => [
+        pool,
+        version,
+        Math.floor(now - endedAt),
+      ])
+    );
+    return {
+      sinceRevision: this.#complete.sinceRevision,
+      forMs: Math.floor(now - this.#getCompleteSince()),
+      former,
+    };
+  }
+
+  /** The span up to a newer list. */
+  #computeComplete(
+    revision: number,
+    source: ListSource,
+    now: number,
+  ): CompleteSpan {
+    const own = this.#complete;
+    const told = source.kind === "record"
+      ? {
+        since: now - source.record.forMs,
+        sinceRevision: source.record.sinceRevision,
+      }
+      : { since: now, sinceRevision: revision };
+    if (own === undefined) return told;
+    if (source.kind === "changes") return own;
+    const reachesBack = told.sinceRevision <= this.#revision;
+    if (reachesBack) return told.since < own.since ? told : own;
+    return this.#isConfirmed(MAX_GAP_MS) ? own : told;
+  }
+
+  #addRecord({ former }: VersionRecord, now: number): void {
+    for (const [pool, version, agoMs] of former) {
+      if (this.#current.get(pool)?.has(version)) continue;
+      this.#noteEnded(pool, version, now - agoMs);
+    }
+  }
+
+  /** Notes which of the listed versions are gone. */
+  #noteFormer(
+    listed: ReadonlyMap<PoolName, ReadonlySet<SoftwareVersion>>,
+    at: number,
+  ): void {
+    for (const [pool, versions] of listed) {
+      for (const version of versions) {
+        if (this.#current.get(pool)?.has(version)) continue;
+        this.#noteEnded(pool, version, at);
+      }
+    }
   }
 
   #noteEnded(pool: PoolName, version: SoftwareVersion, at: number): void {
     const ended = this.#endedAt.get(pool) ?? new Map();
-    this.#endedAt.set(pool, ended.set(version, at));
+    const known = ended.get(version) ?? -Infinity;
+    this.#endedAt.set(pool, ended.set(version, Math.max(known, at)));
+  }
+
+  #dropOld(now: number): void {
+    for (const [pool, versions] of this.#endedAt) {
+      for (const [version, endedAt] of versions) {
+        if (endedAt < now - HISTORY_MS) versions.delete(version);
+      }
+      if (versions.size === 0) this.#endedAt.delete(pool);
+    }
+  }
+
+  /** `Clock.now()` since which all versions are known. */
+  #getCompleteSince(): number {
+    const { since = Infinity } = this.#complete ?? {};
+    return Math.max(since, this.#options.clock.now() - HISTORY_MS);
+  }
+
+  #isConfirmed(withinMs = MAX_UNCONFIRMED_MS): boolean {
+    const ageMs = this.#options.getListAgeMs();
+    return ageMs >= 0 && ageMs <= withinMs;
   }
 }
 
--- a/test/failures/processes/odd_store_entries_test.ts
+++ b/test/failures/processes/odd_store_entries_test.ts
@@ -89,7 +89,7 @@
   await fleet.addVms(1);
   fleet.store.put("op/config", { version: 1e308, routes: "none" });
 
-  fleet.listReplica(leaving, "draining");
+  fleet.listReplica(leaving, { state: "draining" });
   await sleep(DRAIN_MS);
   const before = leaving.seen.length;
   for (let count = 0; count < 10; count++) {
@@ -120,7 +120,7 @@
   for (let index = 0; index < LARGE_ENTRIES; index++) {
     fleet.store.putBase64(`servers/large-${index}`, large);
   }
-  fleet.listReplica(leaving, "draining");
+  fleet.listReplica(leaving, { state: "draining" });
   await fleet.addReplica("read-last");
   fleet.store.endDeafness();
   await fleet.addVms(1);
--- a/test/platform/store_resume_test.ts
+++ b/test/platform/store_resume_test.ts
@@ -71,3 +71,16 @@
   other.resumeFrom(retained);
   expect(await watchIds(other)).toBe("history_lost");
 });
+
+// Guards against a replica that came and went between two answers and was never
+// there for this VM, although streams began at it.
+it("a watch tells of replicas that are gone again", async () => {
+  const { standIn, other, replicas } = await openStore();
+  other.resumeFrom(replicas);
+  standIn.put("servers/i-3", ENTRY);
+  standIn.remove("servers/i-3");
+  const update = await other.watch(WAIT_MS);
+  const listed = update.kind === "state" ? update.listed : [];
+  expect(listed.map(({ id }) => id)).toEqual(["i-3"]);
+  expect(await watchIds(other)).toEqual(["i-1", "i-2"]);
+});
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -53,6 +53,7 @@
     },
     onSnapshot: () => {},
     onList: () => {},
+    buildVersionRecord: () => undefined,
     onReplicas: () => {},
     onStoreLost: () => {},
     getMsSinceSent: () => undefined,
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -74,6 +74,7 @@
     fetchFrom: () => Promise.resolve({}),
     onSnapshot: () => {},
     onList: () => {},
+    buildVersionRecord: () => undefined,
     onReplicas: () => {},
     onStoreLost: () => announced += 1,
     getMsSinceSent: () => undefined,
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -81,6 +81,7 @@
     fetchFrom: () => Promise.resolve({}),
     onSnapshot: () => {},
     onList: () => {},
+    buildVersionRecord: () => undefined,
     onReplicas: () => {},
     onStoreLost: () => {},
     getMsSinceSent: () => undefined,
@@ -171,6 +172,7 @@
       kind: "state",
       state: { ...state, revision, replicas },
       isComplete: true,
+      listed: [],
     };
   };
   follower.start();
--- a/test/process/stream_origins/stream_origins_test.ts
+++ b/test/process/stream_origins/stream_origins_test.ts
@@ -6,8 +6,14 @@
   toId,
   type WorkspaceName,
 } from "../../../src/ids.ts";
-import type { ListedReplica } from "../../../src/process/placement/index.ts";
-import type { FleetPeer } from "../../../src/process/seeded_fleet/index.ts";
+import type {
+  ListedReplica,
+  ReplicaList,
+} from "../../../src/process/placement/index.ts";
+import type {
+  FleetPeer,
+  ListSource,
+} from "../../../src/process/seeded_fleet/index.ts";
 import type { StreamContent } from "../../../src/process/stream_origin_source.ts";
 import { StreamOrigins } from "../../../src/process/stream_origins/index.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
@@ -83,7 +89,18 @@
   return { workspace, requestId: toId<RequestId>(id) };
 }
 
-function listVersions(...versions: string[]): ListedReplica[] {
+let lastVersions = "";
+let lastRevision = 0;
+
+/** A list with these versions; the same ones in a row are one list. */
+function listVersions(...versions: string[]): [ReplicaList, ListSource] {
+  if (versions.join() !== lastVersions) lastRevision += 1;
+  lastVersions = versions.join();
+  const list = { revision: lastRevision, replicas: listReplicas(versions) };
+  return [list, { kind: "unknown" }];
+}
+
+function listReplicas(versions: readonly string[]): ListedReplica[] {
   return versions.map((version) => ({
     id: toId(version),
     pool: POOL,
@@ -153,11 +170,11 @@
   // after, another version served.
   it("is unknown if nobody was told and there were two versions", async () => {
     const fleet = createFleet(3);
-    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    fleet.vms.forEach((vm) => vm.noteList(...listVersions("v1", "v2")));
     await fleet.clock.run(RETENTION_MS);
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
     expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
-    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1")));
+    fleet.vms.forEach((vm) => vm.noteList(...listVersions("v1")));
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
     await fleet.clock.run(RETENTION_MS);
     expect(await findAt(fleet, 0, "a"))
@@ -171,7 +188,7 @@
   // one, with another version, before it was lost.
   it("is unknown unless the list was confirmed since the request", async () => {
     const fleet = createFleet(2);
-    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1")));
+    fleet.vms.forEach((vm) => vm.noteList(...listVersions("v1")));
     await fleet.clock.run(RETENTION_MS);
     fleet.ageMs = [2_500, 2_500];
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
@@ -186,7 +203,7 @@
   it("is unknown to a VM that has just started, however it is searched", async () => {
     const fleet = createFleet(1);
     const [vm] = fleet.vms;
-    vm!.noteList(listVersions("v1"));
+    vm!.noteList(...listVersions("v1"));
     expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
     expect(await findAt(fleet, 0, buildContent("a"))).toBeUndefined();
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
@@ -197,15 +214,15 @@
     };
     expect(await findAt(fleet, 0, NO_CONTENT)).toEqual(only);
     expect(await findAt(fleet, 0, buildContent("a"))).toEqual(only);
-    vm!.noteList(listVersions("v1", "v2"));
+    vm!.noteList(...listVersions("v1", "v2"));
     expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
   });
 
   it("is told by others to a VM that has just started if nobody names it", async () => {
     const fleet = createFleet(2);
-    fleet.vms[1]!.noteList(listVersions("v1"));
+    fleet.vms[1]!.noteList(...listVersions("v1"));
     await fleet.clock.run(RETENTION_MS);
-    fleet.vms[0]!.noteList(listVersions("v1"));
+    fleet.vms[0]!.noteList(...listVersions("v1"));
     expect(await findAt(fleet, 0, NO_CONTENT)).toMatchObject({
       origin: { pool: POOL, version: V1 },
     });
@@ -216,7 +233,7 @@
   it("is found by what the stream's request asks for", async () => {
     const fleet = createFleet(3);
     const origin = { pool: POOL, version: V1 };
-    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    fleet.vms.forEach((vm) => vm.noteList(...listVersions("v1", "v2")));
     fleet.isLost = (_from, to) => to === 2;
     fleet.vms[0]!.announce(buildStream("a"), buildContent("a"), origin);
     await fleet.clock.run(DELAY_MS);
@@ -231,7 +248,7 @@
   // Guards against a guess between two streams that ask for the same.
   it("is unknown if such streams began at different versions", async () => {
     const fleet = createFleet(2);
-    fleet.vms.forEach((vm) => vm.noteList(listVersions("v1", "v2")));
+    fleet.vms.forEach((vm) => vm.noteList(...listVersions("v1", "v2")));
     for (const [index, version] of [V1, V2, V1].entries()) {
       const stream = buildStream(String(index));
       const origin = { pool: POOL, version };
@@ -250,31 +267,59 @@
   it("is unknown while another version was listed lately", async () => {
     const fleet = createFleet(1);
     const [vm] = fleet.vms;
-    vm!.noteList(listVersions("v1", "v2"));
+    vm!.noteList(...listVersions("v1", "v2"));
     await fleet.clock.run(1_000);
-    vm!.noteList(listVersions("v2"));
+    vm!.noteList(...listVersions("v2"));
     await fleet.clock.run(1_000);
     expect(await findAt(fleet, 0, NO_CONTENT)).toBeUndefined();
     for (let each = 0; each < RETENTION_MS / 1_000; each++) {
       await fleet.clock.run(1_000);
-      vm!.noteList(listVersions("v2"));
+      vm!.noteList(...listVersions("v2"));
     }
     expect(await findAt(fleet, 0, NO_CONTENT)).toBeDefined();
   });
 
   it("is told by others to a VM that has just started", async () => {
     const fleet = createFleet(3);
-    fleet.vms.slice(1).forEach((vm) => vm.noteList(listVersions("v1")));
+    fleet.vms.slice(1).forEach((vm) => vm.noteList(...listVersions("v1")));
     await fleet.clock.run(RETENTION_MS);
     fleet.ageMs[0] = -1;
-    fleet.vms[0]!.noteList(listVersions("v1"));
+    fleet.vms[0]!.noteList(...listVersions("v1"));
     fleet.ageMs[0] = 0;
     expect(await findAt(fleet, 0, "a")).toMatchObject({
       knownBy: "only_version",
     });
     // One that saw another version is enough.
-    fleet.vms[2]!.noteList(listVersions("v1", "v2"));
+    fleet.vms[2]!.noteList(...listVersions("v1", "v2"));
+    expect(await findAt(fleet, 0, "a")).toBeUndefined();
+  });
+
+  // Guards against a VM that was out of step and tells of the one version that it
+  // knows, while another one came and went.
+  it("is not what a VM with an older list takes for the only version", async () => {
+    const fleet = createFleet(2);
+    const [starting, outOfStep] = fleet.vms;
+    outOfStep!.noteList(...listVersions("v1"));
+    await fleet.clock.run(RETENTION_MS);
+    listVersions("v1", "v2");
+    starting!.noteList(...listVersions("v1"));
     expect(await findAt(fleet, 0, "a")).toBeUndefined();
+    outOfStep!.noteList(...listVersions("v1"));
+    expect(await findAt(fleet, 0, "a")).toBeDefined();
+  });
+
+  // Guards against streams that are refused because a VM that was cut off for a
+  // moment asked while nobody heard it.
+  it("is found by asking again where nobody answered", async () => {
+    const fleet = createFleet(3);
+    fleet.vms.slice(1).forEach((vm) => vm.noteList(...listVersions("v1")));
+    await fleet.clock.run(RETENTION_MS);
+    fleet.vms[0]!.noteList(...listVersions("v1"));
+    fleet.isLost = () => true;
+    fleet.clock.startTimer(500, () => fleet.isLost = () => false);
+    expect(await findAt(fleet, 0, "a")).toMatchObject({
+      knownBy: "only_version",
+    });
   });
 
   it("is that of the caller's own workspace", async () => {
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -12,6 +12,7 @@
   readLogTail,
 } from "../../demo/child_process_group.ts";
 
+import type { PeerCut } from "../support/peer_cut.ts";
 import type { LinkControl } from "./link_control.ts";
 
 const PROGRAM = "target/persimmonslip-platform.js";
@@ -36,6 +37,8 @@
   drainGraceMs: number;
   /** Omitted where the links to replicas are never cut. */
   links?: LinkControl;
+  /** Omitted where datagrams are never lost. */
+  peers?: PeerCut;
   /** `dc-1` by default. */
   dataCentre?: string;
   directory: string;
@@ -88,7 +91,10 @@
   }
 
   start(): void {
-    const { name, directory, children, links, storePort } = this.#options;
+    const { name, directory, children, links, peers, storePort } =
+      this.#options;
+    const preloads = [links?.preload, peers?.preload]
+      .filter((each) => each !== undefined);
     const file = join(directory, `${name}.json`);
     writeFileSync(file, JSON.stringify(this.#buildSettings()));
     this.isEndExpected = false;
@@ -98,12 +104,11 @@
       : readFileSync(this.#child.logFile, "utf8").length;
     this.#child = children.start({
       name,
-      args: links === undefined
-        ? [PROGRAM]
-        : ["--import", links.preload, PROGRAM],
+      args: [...preloads.flatMap((each) => ["--import", each]), PROGRAM],
       environment: {
         [SETTINGS_VARIABLE]: file,
         ...links?.buildEnvironment(name, storePort),
+        ...peers?.buildEnvironment(name),
       },
     });
   }
--- a/test/support/platform_processes.ts
+++ b/test/support/platform_processes.ts
@@ -17,9 +17,14 @@
 import { buildConfiguration, HOST, KEY } from "../platform/configurations.ts";
 import { ReplicaStandIn } from "../platform/replica_stand_in.ts";
 import { StoreStandIn } from "../platform/store_stand_in.ts";
-import { sendCall, type TestAnswer } from "../platform/test_call.ts";
+import {
+  sendCall,
+  type TestAnswer,
+  type TestCall,
+} from "../platform/test_call.ts";
 import { SoakVm } from "../soak/soak_vm.ts";
 import { LOOPBACK } from "./loopback.ts";
+import type { PeerCut } from "./peer_cut.ts";
 
 const DRAIN_GRACE_MS = 2_000;
 const BUNDLE = "deploy/bundle.js";
@@ -53,30 +58,42 @@
     return fleet;
   }
 
-  async addReplica(id: string): Promise<ReplicaStandIn> {
+  async addReplica(
+    id: string,
+    options: { version?: string } = {},
+  ): Promise<ReplicaStandIn> {
     const replica = ReplicaStandIn.create(id);
     await replica.start();
     onTestFinished(() => replica.stop());
     this.replicas.push(replica);
-    this.listReplica(replica);
+    this.listReplica(replica, options);
     return replica;
   }
 
   listReplica(
     { id, port }: { id: string; port: number },
-    state: "ready" | "draining" = "ready",
+    options: { state?: "ready" | "draining"; version?: string } = {},
   ): void {
     this.store.put(`servers/${id}`, {
       service: "pool",
       address: `${LOOPBACK}:${port}`,
       zone: "dc-1",
       slots: 4,
-      state,
+      state: "ready",
+      ...options,
     });
   }
 
+  /** The folder of the daemons' files. */
+  get directory(): string {
+    return this.#directory;
+  }
+
   /** Starts VMs and waits until each of them serves. */
-  async addVms(count: number): Promise<void> {
+  async addVms(
+    count: number,
+    options: { storePort?: number; peers?: PeerCut } = {},
+  ): Promise<void> {
     const net = `127.6.${process.pid % 250}`;
     const [callers, readiness, state, directory, peers] = this.#ports as [
       number,
@@ -96,6 +113,7 @@
         drainGraceMs: DRAIN_GRACE_MS,
         directory: this.#directory,
         children: this.#children,
+        ...options,
       });
     });
     for (const vm of added) {
@@ -119,9 +137,14 @@
   }
 
   /** Sends a caller's request that may be repeated. */
-  send(vm: SoakVm, path = "/safe/x"): Promise<TestAnswer> {
+  send(
+    vm: SoakVm,
+    path = "/safe/x",
+    options: Pick<TestCall, "body" | "headers"> = {},
+  ): Promise<TestAnswer> {
     this.#sent += 1;
     return sendCall(`${vm.address}:${vm.callersPort}`, {
+      ...options,
       path,
       clientTimeoutMs: 2 * REQUEST_TIMEOUT_MS,
       headers: {
@@ -129,6 +152,7 @@
         authorization: `Bearer ${KEY}`,
         "x-request-id": `${vm.name}-${this.#sent}`,
         "x-timeout-ms": String(REQUEST_TIMEOUT_MS),
+        ...options.headers,
       },
     });
   }
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -260,6 +260,7 @@
         this.#fetchFrom(vm, heartbeat.vm, known),
       onSnapshot: () => vm.heartbeats.announceState(),
       onList: () => {},
+      buildVersionRecord: () => undefined,
       onReplicas: () => vm.heartbeats.announceState(),
       onStoreLost: () => vm.heartbeats.announceNow(),
       getMsSinceSent: () => undefined,
@@ -358,7 +359,9 @@
     await this.#fleet.waitForChange(this.#revision, waitMs);
     const failsAfterMs = this.#fleet.failStoreCall(this.#vm);
     if (failsAfterMs !== undefined) throw new Error("Watch was cut");
-    return { kind: "state", state: this.#read(), isComplete: true };
+    const state = this.#read();
+    const listed = state.replicas.replicas;
+    return { kind: "state", state, isComplete: true, listed };
   }
 
   override resumeFrom(list: ReplicaList): void {
