Log no defect for a caller that has disconnected

Since the end of a caller's connection aborts its request a turn before Node closes the answer, and the listener took the answer for left open. The test failed before.

--- a/src/connection/caller_listener.ts
+++ b/src/connection/caller_listener.ts
@@ -107,7 +107,10 @@
       const request = toCallerRequest(incoming, { body, arrivedAt });
       isHandled = true;
       await handler.handle(request, sink);
-      if (!sink.isClosed) throw new Error("Handler left its answer open");
+      const hasCaller = !sink.signal.aborted;
+      if (!sink.isClosed && hasCaller) {
+        throw new Error("Handler left its answer open");
+      }
     } catch (thrown) {
       await this.#refuse(thrown, { incoming, sink, isHandled });
     }
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -18,11 +18,12 @@
 import type { Clock } from "../../src/process/clock.ts";
 import { SystemClock } from "../../src/process/clock.ts";
 import { formatRequestId } from "../../src/process/request_ids.ts";
-import { SilentLog } from "../../src/process/log.ts";
+import { type Log, SilentLog } from "../../src/process/log.ts";
 import type { CallerSink } from "../../src/request/caller_sink.ts";
 import { VirtualClock } from "../../standin/virtual_clock.ts";
 import { CountingClock } from "../support/counting_clock.ts";
 import { LOOPBACK, RawClient, waitUntil } from "../support/loopback.ts";
+import { FakeLog } from "../support/request_fakes.ts";
 import { readTls } from "../support/tls_pairs.ts";
 
 const GET = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
@@ -62,11 +63,12 @@
     limits?: Partial<CallerLimits>;
     clock?: Clock;
     tls?: ServerTls;
+    log?: Log;
   } = {},
 ): Promise<CallerListener> {
   const listener = CallerListener.create({
     clock: options.clock ?? SystemClock.create(),
-    log: SilentLog.create(),
+    log: options.log ?? SilentLog.create(),
     limits: { ...DEFAULT_CALLER_LIMITS, ...options.limits },
     tls: options.tls,
     handler: new FakeHandler(handle),
@@ -370,6 +372,27 @@
     await waitUntil(() => isAborted);
   });
 
+  // Guards against lines that report a defect for each caller that disconnects.
+  it("logs no error for a caller that has disconnected", async () => {
+    const log = new FakeLog();
+    let isHandled = false;
+    let isOver = false;
+    const listener = await startListener(async (_request, sink) => {
+      isHandled = true;
+      await new Promise((resolve) =>
+        sink.signal.addEventListener("abort", resolve)
+      );
+      isOver = true;
+    }, { log });
+    const client = RawClient.create(listener.port);
+    client.socket.write(GET);
+    await waitUntil(() => isHandled);
+    client.socket.end();
+    await waitUntil(() => isOver);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+    expect(log.lines.map(({ event }) => event)).not.toContain("handler_failed");
+  });
+
   it("stops without aborting requests in flight or waiting for idle callers", async () => {
     // Guards against a draining process that never exits or aborts an answer.
     // At the stop, one caller waits for its answer, one is idle, and one has sent
