Send the new field of an answer about streams last

Datagrams are lists of values, so a field in the middle makes VMs of two versions reject each other's answers while a fleet is upgraded: streams whose origin has to be asked for were refused then. The test fails on that order.

--- a/src/process/seeded_fleet/origin_message.ts
+++ b/src/process/seeded_fleet/origin_message.ts
@@ -52,10 +52,10 @@
    * undefined if there were several or the sender cannot tell.
    */
   onlyVersion: VERSION.optional(),
-  /** Revision of the sender's list; undefined from older software. */
-  listRevision: COUNT.optional(),
   /** Whether there were several. */
   hasSeveral: z.boolean().optional(),
+  /** Revision of the sender's list; undefined from older software. */
+  listRevision: COUNT.optional(),
 });
 
 /** Where a stream began, from the VM that began it. */
--- a/test/process/seeded_fleet/fleet_message_test.ts
+++ b/test/process/seeded_fleet/fleet_message_test.ts
@@ -73,3 +73,16 @@
   expect(decode(values.with(workIndex, [...work, "later"]))).toEqual(heartbeat);
   expect(decode([...values, "later"])).toEqual(heartbeat);
 });
+
+// Guards against VMs of two versions that reject each other's answers about
+// streams during a rolling upgrade.
+it("reads an answer of older software about a stream's versions", () => {
+  const older = ["origin_answer", 7, "vm-1", null, null, "v1", true];
+  expect(decodeMessage(Buffer.from(JSON.stringify(older)))).toEqual({
+    kind: "origin_answer",
+    ask: 7,
+    vm: "vm-1",
+    onlyVersion: "v1",
+    hasSeveral: true,
+  });
+});
