Tell all VMs of a replica's notice that it leaves

In a fleet of 14 a notice went to the pool's owners only, and a VM whose owner does not answer in 40 ms places its requests itself.

Now each heartbeat names the replicas that have announced it and are listed as ready, 24 at most. Costs: some 15 bytes for each such replica in each heartbeat, while it is listed as ready; nothing else while there is none.

--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -49,6 +49,8 @@
 
 /** Origins of streams are remembered for this time at least. */
 const MIN_RETENTION_MS = 30_000;
+/** Keeps a heartbeat in one packet. */
+const MAX_TOLD_LEAVING = 24;
 
 /** Options of `RoutedFleet`. */
 export interface RoutedFleetOptions {
@@ -319,6 +321,7 @@
     const { getSettings, replicas, placement } = this.#options;
     const lostPools = placement.links.listLost();
     const left = this.follower.leavings.listRecent();
+    const leaving = replicas.listLeaving().slice(0, MAX_TOLD_LEAVING);
     const { vm, dataCentre, listeners, cores } = getSettings();
     return {
       vm,
@@ -337,6 +340,7 @@
       confirmed: this.follower.getConfirmation(),
       ...(lostPools.length === 0 ? {} : { lostPools }),
       ...(left.length === 0 ? {} : { left }),
+      ...(leaving.length === 0 ? {} : { leaving }),
     };
   }
 
@@ -354,8 +358,9 @@
   }
 
   #notePeer(peer: FleetPeer): void {
-    const { vm, work } = peer.heartbeat;
+    const { vm, work, leaving = [] } = peer.heartbeat;
     this.#newsQueries.notePeer();
+    this.#options.replicas.notePeerLeaving(leaving);
     if (work === undefined) this.#ownedPlacement.noteAlive(vm);
     else this.#ownedPlacement.applyWork(peer.heartbeat, work);
     this.follower.notePeer(peer);
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -93,6 +93,11 @@
    * undefined for none.
    */
   left: z.array(z.tuple([VM, COUNT])).optional(),
+  /**
+   * Replicas that are listed as ready and have announced that they leave, and the
+   * revision of the sender's list; undefined for none.
+   */
+  leaving: z.array(z.tuple([VM, COUNT])).optional(),
 });
 
 const MEMBERS = z.object({
@@ -198,7 +203,8 @@
 ]);
 
 /**
- * Fields of each message in the order in which their values are sent. Field
+ * Fields of each message in the order in which their values are sent; a new one
+ * goes to the end, since VMs of two versions send each other messages. Field
  * names are left out because they took more than half of a heartbeat's bytes.
  */
 const FIELDS = {
--- a/test/platform/replica_leaving_test.ts
+++ b/test/platform/replica_leaving_test.ts
@@ -41,6 +41,22 @@
   );
 }
 
+// Guards against a VM that places a request itself, since the pool's owner does
+// not answer, and knows nothing of what a replica told another VM.
+it("14 VMs all learn what a leaving replica told one of them", async () => {
+  const fleet = await createFleet(14);
+  const [leaving] = fleet.replicas;
+  const [first] = fleet.vms;
+  leaving!.extraHeaders = LEAVING;
+  while (leaving!.seen.length === 0) {
+    await sendRequest(first!, { path: "/safe/x" });
+  }
+  await sleep(DRAIN_MS);
+  const unaware = fleet.vms
+    .filter(({ vm }) => vm.replicas.isReady(toId(leaving!.id)));
+  expect(unaware.map(({ settings }) => settings.vm)).toEqual([]);
+}, 15_000);
+
 it("a VM learns from another VM that a replica is leaving", async () => {
   const fleet = await createFleet(2);
   const [leaving] = fleet.replicas;
