Test that a preempted stream stays with a replica that has left

Failed on: the replica could not be asked whether it responds, since its address was forgotten with its entry, and its stream was cut after 1.5 s.

--- a/test/platform/silent_replica_test.ts
+++ b/test/platform/silent_replica_test.ts
@@ -118,6 +118,18 @@
   expect(fleet.replicas.map(({ ran }) => ran.length)).toEqual([1, 0]);
 });
 
+// Guards against a stream that is cut since its replica, which is gone from the
+// list and serves on for some seconds, has no address to be asked at.
+it("a preempted stream stays with a replica that has left", async () => {
+  const { fleet, answer } = await startBesideFull({
+    mode: "pause",
+    pauseMs: PREEMPTED_MS,
+  });
+  fleet.store.remove(`servers/${fleet.replicas[0]!.id}`);
+  expect(await answer).toMatchObject({ status: 200, isWhole: true });
+  expect(fleet.replicas.map(({ ran }) => ran.length)).toEqual([1, 0]);
+});
+
 // Guards against a stream that stays with a replica which accepts connections
 // and does nothing else.
 it("a stream at a replica that hangs is sent elsewhere in time", async () => {
