--- a/src/process/stream_origins/origin_queries.ts
+++ b/src/process/stream_origins/origin_queries.ts
@@ -29,8 +29,8 @@
   knownBy?: VmId;
   /** What those that answered can tell of the pool's versions. */
   versions: ToldVersions[];
-  /** Number of VMs that did not answer. */
-  silent: number;
+  /** Whether VMs were asked and none answered. */
+  isUnheard: boolean;
 }
 
 /** What a VM can tell, by its list of a revision. */
@@ -80,7 +80,8 @@
         cancelTimeout();
         this.#pending.delete(ask);
         const by = knownBy === undefined ? {} : { knownBy };
-        resolve({ origin, versions, silent: open.size, ...by });
+        const isUnheard = versions.length === 0 && open.size > 0;
+        resolve({ origin, versions, isUnheard, ...by });
       };
       let cancelResend = () => {};
       const sendOpen = () => {
--- a/src/process/stream_origins/stream_origins.ts
+++ b/src/process/stream_origins/stream_origins.ts
@@ -162,8 +162,8 @@
   }
 
   /**
-   * Asks other VMs, again while one that is silent may know. Between two tries
-   * this VM may get a list, or the confirmation that it has the newest.
+   * Asks other VMs, again while none answers. Between two tries this VM may get a
+   * list, or the confirmation that it has the newest.
    */
   async #ask(
     key: StreamKey,
@@ -188,7 +188,7 @@
       if (decision !== "undecided") return decision;
       if (signal.aborted || clock.now() >= waitUntil) return undefined;
       await clock.sleep(CONFIRMATION_CHECK_MS);
-      if (answer.silent > 0) answer = await ask();
+      if (answer.isUnheard) answer = await ask();
     }
   }
 
@@ -200,7 +200,7 @@
   #findOnlyLately(
     pool: PoolName,
     arrivedAt: number,
-    { versions, silent }: OriginAnswer,
+    { versions, isUnheard }: OriginAnswer,
   ): FoundOrigin | "unknown" | "undecided" {
     const version = this.#history.findOnlyNow(pool);
     if (version === undefined) return "unknown";
@@ -211,7 +211,7 @@
       each.kind === "only" && each.version === version
     );
     if (!isOnly) return "unknown";
-    if (known.length === 0) return silent > 0 ? "undecided" : "unknown";
+    if (known.length === 0) return isUnheard ? "undecided" : "unknown";
     // The stream's own VM may have had a newer list than this one.
     return this.#isConfirmedSince(arrivedAt)
       ? { origin: { pool, version }, knownBy: "only_version" }
