Tell of the changes before a read of the whole state

One VM reads everything once a second or rarer, to verify what watches told. Each such read that found a newer revision left a gap in its history of versions, and in that of the VMs that took its list, so that streams whose origin nobody knows would be refused for 30 s where there is but one version. Found by reading, before it was seen: at 2,500 replicas a read takes longer than the 200 ms that count as no gap.

One more call, of the changes since the list before, and only where the revision has moved; none after the history was lost.

--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -19,6 +19,11 @@
 export interface WholeState extends PublishedState {
   /** Size of the read, in bytes. */
   sizeBytes: number;
+  /**
+   * Each replica that a change since the last read listed; undefined if the store
+   * can't tell.
+   */
+  listed: readonly ListedReplica[] | undefined;
 }
 
 /** Result of a watch. */
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -291,7 +291,11 @@
     this.#audit.noteBegun();
     const state = await this.#options.store.fetchState();
     this.#audit.noteSize(state.sizeBytes);
-    return { state, newestAt, isWhole: true, source: { kind: "unknown" } };
+    const { listed } = state;
+    const source: ListSource = listed === undefined
+      ? { kind: "unknown" }
+      : { kind: "changes", listed };
+    return { state, newestAt, isWhole: true, source };
   }
 
   #computeWatchWaitMs(): number {
--- a/test/platform/store_resume_test.ts
+++ b/test/platform/store_resume_test.ts
@@ -84,3 +84,23 @@
   expect(listed.map(({ id }) => id)).toEqual(["i-3"]);
   expect(await watchIds(other)).toEqual(["i-1", "i-2"]);
 });
+
+it("a read of everything tells of replicas that are gone again", async () => {
+  const { standIn, other, replicas } = await openStore();
+  other.resumeFrom(replicas);
+  standIn.put("servers/i-3", ENTRY);
+  standIn.remove("servers/i-3");
+  const { listed = [] } = await other.fetchState();
+  expect(listed.map(({ id }) => id)).toEqual(["i-3"]);
+});
+
+// Guards against a read of everything that passes for complete although the
+// changes before it are lost.
+it("a read of everything can't tell of changes that the store forgot", async () => {
+  const { standIn, other, replicas } = await openStore();
+  other.resumeFrom(replicas);
+  standIn.put("servers/i-3", ENTRY);
+  standIn.remove("servers/i-3");
+  standIn.dropHistory();
+  expect((await other.fetchState()).listed).toBeUndefined();
+});
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -55,6 +55,7 @@
   buildState(): WholeState {
     const revision = this.#revision;
     return {
+      listed: undefined,
       sizeBytes: this.replicas.length,
       revision,
       configuration: undefined,
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -348,7 +348,7 @@
     await this.#waitForAnswer();
     const state = this.#read();
     const sizeBytes = ENTRY_BYTES * state.replicas.replicas.length;
-    return { ...state, sizeBytes };
+    return { ...state, sizeBytes, listed: undefined };
   }
 
   override async watch(waitMs: number): Promise<StoreUpdate> {
