--- a/test/soak/cut_links_preload.ts
+++ b/test/soak/cut_links_preload.ts
@@ -44,7 +44,7 @@
   }
   const cut = links.getCut(port);
   if (cut === "silent") return this;
-  if (cut === undefined) links.add(this, port);
+  if (cut === undefined || cut === "held") links.add(this, port);
   else given[0][0] = { ...options, port: CLOSED_PORT };
   return connect.apply(this, given);
 } as unknown as typeof Socket.prototype.connect;
--- a/test/support/cuttable_links.ts
+++ b/test/support/cuttable_links.ts
@@ -48,7 +48,6 @@
     }
     const socket = connect(options);
     this.add(socket, port);
-    if (cut === "held") this.#hold(socket);
     this.onOpen();
     return socket;
   };
@@ -57,6 +56,7 @@
   add(socket: Socket, port: number): void {
     this.#sockets.set(socket, port);
     socket.on("close", () => this.#sockets.delete(socket));
+    if (this.getCut(port) === "held") this.#hold(socket);
   }
 
   /** How new connections to `port` are cut; undefined where they are not. */
