--- a/src/process/crash_check.ts
+++ b/src/process/crash_check.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { VmId } from "../ids.ts";
+import type { Log } from "./log.ts";
 import type { Random } from "./random.ts";
 
 /** Other VMs that are asked whether they reach a replica. */
@@ -17,6 +18,7 @@
 
 /** Options of `CrashCheck`. */
 export interface CrashCheckOptions {
+  log: Log;
   random: Random;
   /** Whether this VM reaches a replica now; never rejects. */
   checkReach: (replica: VmId) => Promise<boolean>;
@@ -46,13 +48,20 @@
    */
   async hasCrashed(id: VmId): Promise<boolean> {
     const { checkReach, listOthers } = this.#options;
-    if (await checkReach(id)) return false;
+    if (await checkReach(id)) return this.#noteAlive(id, "listening");
     const others = listOthers(id);
     const [hasLinks, isReached] = await Promise.all([
       others.length === 0 || this.#isAnyReached(others),
       this.#isReachedElsewhere(id),
     ]);
-    return hasLinks && !isReached;
+    if (isReached) return this.#noteAlive(id, "reached_elsewhere");
+    if (!hasLinks) return this.#noteAlive(id, "no_links");
+    return true;
+  }
+
+  #noteAlive(replica: VmId, reason: string): boolean {
+    this.#options.log.info("crash_not_confirmed", { replica, reason });
+    return false;
   }
 
   async #isAnyReached(replicas: readonly VmId[]): Promise<boolean> {
--- a/src/process/peer_crash_check.ts
+++ b/src/process/peer_crash_check.ts
@@ -18,8 +18,9 @@
 export function createPeerCrashCheck(
   { environment, membership }: PeerCrashCheckOptions,
 ): CrashCheck {
-  const { peers, random, upstreams, vm } = environment;
+  const { log, peers, random, upstreams, vm } = environment;
   return CrashCheck.create({
+    log,
     random,
     checkReach: (upstream) => upstreams.isListening(upstream),
     listOthers: (upstream) => listOthers(membership, upstream),
--- a/src/process/quarantine/culprits.ts
+++ b/src/process/quarantine/culprits.ts
@@ -60,6 +60,27 @@
   crashes: PartCrash[];
 }
 
+/** How likely it is that chance explains the crashes under a part. */
+export interface Chance {
+  /** Its crashes after the first one. */
+  hits: number;
+  /** Other crashes of the pool in that time. */
+  misses: number;
+  /** Assumed share of the replicas that run a request with it. */
+  share: number;
+  /** Probability that some sound part of the first crash is at so many. */
+  error: number;
+}
+
+/** A part that was in several crashes and is not held. */
+export interface Unproven extends Chance {
+  part: PartKey;
+  /** Crashes since its last complete answer. */
+  crashes: number;
+  /** Whether another part explains most of its crashes as well. */
+  hasRival: boolean;
+}
+
 /** What the decision is based on. */
 export interface CulpritEvidence {
   /** As `Clock.now()`. */
@@ -72,8 +93,7 @@
   evidence: PartEvidence;
   /** Crashes of requests that were each sent after the crash before. */
   successive: PartCrash[];
-  /** Probability that chance explains them. */
-  error: number;
+  chance: Chance;
 }
 
 /** Lists the parts to hold, the most certain one first. */
@@ -94,6 +114,26 @@
   }
 }
 
+/** Lists the parts that were in enough crashes and that `held` does not name. */
+export function listUnproven(
+  context: CulpritEvidence,
+  held: readonly Culprit[],
+): Unproven[] {
+  const isHeld = (each: PartKey) =>
+    held.some(({ part, company }) => part === each || company.includes(each));
+  const candidates = listCandidates(context);
+  return candidates
+    .filter(({ part, crashes }) =>
+      crashes.length >= MIN_CRASHES && !isHeld(part)
+    )
+    .map((each) => ({
+      part: each.part,
+      crashes: each.crashes.length,
+      hasRival: hasRival(each, candidates),
+      ...each.chance,
+    }));
+}
+
 /** The parts that came with it each time and that no answer has cleared. */
 export function listCompany(
   each: PartEvidence,
@@ -121,8 +161,8 @@
       evidence,
       successive,
     };
-    const error = computeError(candidate, new Set(), context);
-    candidates.push({ ...candidate, error });
+    const chance = computeChance(candidate, new Set(), context);
+    candidates.push({ ...candidate, chance });
   }
   return candidates;
 }
@@ -136,24 +176,32 @@
     .filter(({ replica }) => !explained.has(replica));
   const left = { ...candidate, crashes, successive: listSuccessive(crashes) };
   if (left.successive.length < 2) return left;
-  return { ...left, error: computeError(left, explained, context) };
+  return { ...left, chance: computeChance(left, explained, context) };
 }
 
 /** Whether neither chance nor another part explains its crashes as well. */
 function isCertain(
-  { part, company, crashes, successive, error }: Candidate,
+  candidate: Candidate,
   candidates: readonly Candidate[],
   { now }: CulpritEvidence,
 ): boolean {
-  if (successive.length < MIN_CRASHES || error > MAX_ERROR) return false;
+  const { crashes, successive, chance } = candidate;
+  if (successive.length < MIN_CRASHES || chance.error > MAX_ERROR) return false;
   if (now - crashes[1]!.at < OBJECTION_MS) return false;
-  const likely = candidates
-    .filter((other) => other.error < RIVAL_FACTOR * error);
+  return !hasRival(candidate, candidates);
+}
+
+/** Whether another part, not much less likely, explains most of its crashes. */
+function hasRival(
+  { part, company, crashes, chance }: Candidate,
+  candidates: readonly Candidate[],
+): boolean {
   const replicas = new Set(crashes.map(({ replica }) => replica));
-  return likely.every((other) => {
-    if (other.part === part || company.includes(other.part)) return true;
+  return candidates.some((other) => {
+    if (other.chance.error >= RIVAL_FACTOR * chance.error) return false;
+    if (other.part === part || company.includes(other.part)) return false;
     const shared = other.crashes.filter(({ replica }) => replicas.has(replica));
-    return 2 * shared.length <= crashes.length;
+    return 2 * shared.length > crashes.length;
   });
 }
 
@@ -161,11 +209,11 @@
  * Probability that some sound part of the first crash is at as many of the later
  * ones.
  */
-function computeError(
-  { evidence, crashes, successive }: Omit<Candidate, "error">,
+function computeChance(
+  { evidence, crashes, successive }: Omit<Candidate, "chance">,
   explained: ReadonlySet<Incarnation>,
   { crashes: all }: CulpritEvidence,
-): number {
+): Chance {
   const { pool } = evidence;
   const first = successive[0]!;
   const last = successive.at(-1)!;
@@ -187,7 +235,7 @@
     error *= requests.has(request) ? Math.max(share, RETRY_SHARE) : share;
     requests.add(request);
   }
-  return error;
+  return { hits, misses, share, error };
 }
 
 /** Number of ways to choose `count` of `total`. */
@@ -201,7 +249,7 @@
 
 /** The least likely chance first; then the one that holds least. */
 function compareCandidates(left: Candidate, right: Candidate): number {
-  return left.error - right.error ||
+  return left.chance.error - right.chance.error ||
     right.company.length - left.company.length ||
     (left.part < right.part ? -1 : 1);
 }
--- a/src/process/quarantine/part_ledger.ts
+++ b/src/process/quarantine/part_ledger.ts
@@ -8,9 +8,12 @@
 import type { Clock } from "../clock.ts";
 import {
   type Culprit,
+  type CulpritEvidence,
   listCompany,
   listCulprits,
+  listUnproven,
   type PoolCrash,
+  type Unproven,
 } from "./culprits.ts";
 import { listSuccessive, PartEvidence } from "./part_evidence.ts";
 import type { CrashReport, PartAnswer } from "./suspect_entry.ts";
@@ -159,14 +162,18 @@
     return this.#holds.filter(({ heldUntil }) => heldUntil > now);
   }
 
+  /** Parts that were in several crashes and are not held. */
+  listUnproven(): Unproven[] {
+    return listUnproven(this.#buildContext(), this.listHolds());
+  }
+
   /** Decides anew which parts are held. */
   updateHolds(): void {
     const now = this.#clock.now();
-    this.#holds = listCulprits({
-      now,
-      evidence: this.#evidence,
-      crashes: this.#crashes,
-    }).map((culprit) => ({ ...culprit, heldUntil: computeHeldUntil(culprit) }));
+    this.#holds = listCulprits(this.#buildContext()).map((culprit) => ({
+      ...culprit,
+      heldUntil: computeHeldUntil(culprit),
+    }));
     if (now - this.#expiredAt < EXPIRY_INTERVAL_MS) return;
     this.#expiredAt = now;
     this.#dropExpired(now);
@@ -202,6 +209,14 @@
     return answers;
   }
 
+  #buildContext(): CulpritEvidence {
+    return {
+      now: this.#clock.now(),
+      evidence: this.#evidence,
+      crashes: this.#crashes,
+    };
+  }
+
   #createEvidence(part: PartKey, pool: PoolName): PartEvidence {
     const evidence = PartEvidence.create(part, pool);
     evidence.noteAnswered(this.#answers.get(part) ?? -Infinity);
--- a/src/process/quarantine/part_quarantine.ts
+++ b/src/process/quarantine/part_quarantine.ts
@@ -44,6 +44,8 @@
   readonly #ledger: PartLedger;
   /** Parts whose holds were logged, with the number of their crashes. */
   #recorded = new Map<PartKey, number>();
+  /** Parts that were logged as not held, with the number of their crashes. */
+  #unproven = new Map<PartKey, number>();
   /** Requests refused because of held parts. */
   readonly #refused = new Map<PartKey, number>();
   #refusedInAll = 0;
@@ -233,9 +235,29 @@
       this.#updateFrom = undefined;
       this.#ledger.updateHolds();
       this.#recordHolds(by);
+      this.#recordUnproven();
     });
   }
 
+  #recordUnproven(): void {
+    const recorded = new Map<PartKey, number>();
+    for (const each of this.#ledger.listUnproven()) {
+      const { part, crashes, hits, misses, share, error, hasRival } = each;
+      recorded.set(part, crashes);
+      if (this.#unproven.get(part) === crashes) continue;
+      this.#options.log.info("part_not_held", {
+        part,
+        crashes,
+        hits,
+        misses,
+        share: Number(share.toFixed(3)),
+        error: Number(error.toPrecision(2)),
+        has_rival: hasRival,
+      });
+    }
+    this.#unproven = recorded;
+  }
+
   #recordHolds(from: string): void {
     const { log, clock, onHeld } = this.#options;
     const recorded = new Map<PartKey, number>();
--- a/src/process/routed_quarantine.ts
+++ b/src/process/routed_quarantine.ts
@@ -31,6 +31,7 @@
   const listPeers = (): VmId[] =>
     getFleet()?.listLive().map(({ heartbeat }) => heartbeat.vm) ?? [];
   const crashCheck = CrashCheck.create({
+    log,
     random,
     checkReach: (replica) => placement.checks.check(replica),
     listOthers: (replica) => replicas.listOthers(replica),
--- a/test/process/crash_check_test.ts
+++ b/test/process/crash_check_test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { toId, type VmId } from "../../src/ids.ts";
 import { CrashCheck } from "../../src/process/crash_check.ts";
+import { SilentLog } from "../../src/process/log.ts";
 import { ReplicaDirectory } from "../../src/process/placement/index.ts";
 import { SeededRandom } from "../../src/process/random.ts";
 import { buildListedReplicas } from "../support/listed_replicas.ts";
@@ -17,6 +18,7 @@
   const replicas = ReplicaDirectory.create();
   replicas.apply({ revision: 1, replicas: buildListedReplicas(count) });
   return CrashCheck.create({
+    log: SilentLog.create(),
     random,
     checkReach: (id) => Promise.resolve(reached["self"]!.includes(id)),
     listOthers: (id) => replicas.listOthers(id),
