--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -29,6 +29,11 @@
   .option("vms", { type: "number", default: 4 })
   .option("replicas", { type: "number", default: 3 })
   .option("callers", { type: "number", default: 12 })
+  .option("whole-logs", {
+    type: "boolean",
+    default: false,
+    describe: "Print the whole logs of the VMs if a check fails",
+  })
   .strict()
   .parseAsync();
 
@@ -39,9 +44,16 @@
 
 const first = options.seed ?? Math.floor(Math.random() * LARGEST_SEED);
 for (let seed = first; seed < first + options.seeds; seed++) {
-  const { vms, replicas, callers, minutes } = options;
+  const { vms, replicas, callers, minutes, wholeLogs: hasWholeLogs } = options;
   const forMs = minutes * MS_PER_MINUTE;
-  const report = await runSoak({ seed, forMs, vms, replicas, callers });
+  const report = await runSoak({
+    seed,
+    forMs,
+    vms,
+    replicas,
+    callers,
+    hasWholeLogs,
+  });
   const { broken, logs, ...figures } = report;
   process.stdout.write(`${JSON.stringify({ seed, ...figures })}\n`);
   for (const each of broken) {
--- a/test/soak/run_soak.ts
+++ b/test/soak/run_soak.ts
@@ -29,6 +29,8 @@
   vms: number;
   replicas: number;
   callers: number;
+  /** Whether a failed soak returns the whole logs of the VMs. */
+  hasWholeLogs?: boolean;
 }
 
 /** The result of a soak. */
@@ -43,7 +45,7 @@
   /** The greatest lateness of a timer of this process, in milliseconds. */
   mostLateMs: number;
   broken: { promise: string; detail: string }[];
-  /** The last lines of the VMs' logs if a check failed, else empty. */
+  /** Lines of the VMs' logs if a check failed, the last ones by default. */
   logs: string;
 }
 
@@ -131,7 +133,9 @@
     broken,
     logs: broken.length === 0
       ? ""
-      : fleet.vms.map((vm) => vm.readLogTail()).join("\n\n"),
+      : fleet.vms.map((vm) =>
+        options.hasWholeLogs ? vm.readLog().join("\n") : vm.readLogTail()
+      ).join("\n\n"),
   };
 }
 
