Check a replica again that still listens when its connection is lost

Callers saw their VMs crash replica after replica under one part of prompts, long after the fifth crash. A lost connection counts as a crash only if nobody reaches the replica, and that was asked once, within a millisecond of the loss. A replica that closes its connections before its listener, or whose listener's queue still takes a connection, passed for alive, and the crash was evidence against nothing, for requests as for parts. A check that another VM had made up to 50 ms before was an answer too.

Now such a replica is checked once more after 250 ms, less than it needs to restart. The request's own retry does not wait for that.

--- a/src/process/quarantine/crash_checks.ts
+++ b/src/process/quarantine/crash_checks.ts
@@ -9,6 +9,8 @@
 
 /** How long the result of a check is reused. */
 const CHECK_TTL_MS = 50;
+/** A replica that ends may accept connections for a part of this time. */
+const RECHECK_MS = 250;
 /** A replica takes longer than this to restart. */
 const MIN_RESTART_MS = 1_000;
 
@@ -26,6 +28,7 @@
 export class CrashChecks {
   readonly #options: CrashChecksOptions;
   readonly #checks = new Map<Incarnation, Promise<boolean>>();
+  readonly #rechecks = new Map<Incarnation, Promise<boolean>>();
 
   constructor(options: CrashChecksOptions) {
     this.#options = options;
@@ -46,6 +49,24 @@
     return check;
   }
 
+  /**
+   * Checks once more a replica that was found up when its connection was lost;
+   * never rejects.
+   */
+  checkAgain(id: VmId, replica: Incarnation): Promise<boolean> {
+    const known = this.#rechecks.get(replica);
+    if (known !== undefined) return known;
+    const recheck = this.#checkLater(id, replica);
+    this.#rechecks.set(replica, recheck);
+    return recheck;
+  }
+
+  async #checkLater(id: VmId, replica: Incarnation): Promise<boolean> {
+    await this.#options.clock.sleep(RECHECK_MS);
+    this.#rechecks.delete(replica);
+    return await this.check(id, replica);
+  }
+
   /**
    * Incarnation of a replica that reports none: if it crashes again, it has
    * restarted in between.
--- a/src/process/quarantine/request_quarantine.ts
+++ b/src/process/quarantine/request_quarantine.ts
@@ -138,9 +138,15 @@
   ): Promise<void> {
     const at = this.#options.clock.now();
     const replica = incarnation ?? this.#checks.buildIncarnation(id);
-    if (!await this.#checks.check(id, replica)) return;
-    this.#parts.noteCrash(keys, { replica, at, sentAt });
-    this.#noteCrash(keys.fingerprint, replica, hadOutput);
+    const noteCrash = () => {
+      this.#parts.noteCrash(keys, { replica, at, sentAt });
+      this.#noteCrash(keys.fingerprint, replica, hadOutput);
+    };
+    if (await this.#checks.check(id, replica)) return noteCrash();
+    // The caller need not wait for what few checks find.
+    void this.#checks.checkAgain(id, replica).then((hasCrashed) => {
+      if (hasCrashed) noteCrash();
+    });
   }
 
   #noteCrash(
--- a/test/platform/replica_stand_in.ts
+++ b/test/platform/replica_stand_in.ts
@@ -90,6 +90,8 @@
   /** Selects requests that crash the replica soon after their start. */
   isPoison: (call: StandInCall) => boolean = () => false;
   onCrash: () => void = () => {};
+  /** Time for which a crashed replica still accepts connections. */
+  lingerMs = 0;
   /** Events that a stream has sent when such a request crashes the replica. */
   eventsBeforeCrash = 0;
   /** Requests that were run. */
@@ -187,6 +189,10 @@
       // A stream without a length that ends between two events looks complete.
       for (const socket of this.#unframed) socket.write("id");
       this.onCrash();
+      if (this.lingerMs > 0) {
+        this.destroyConnections();
+        await sleep(this.lingerMs);
+      }
       await this.stop();
       return;
     }
--- a/test/process/quarantine/request_quarantine_test.ts
+++ b/test/process/quarantine/request_quarantine_test.ts
@@ -123,6 +123,19 @@
   });
 });
 
+// Guards against a crash that is taken for a lost connection, because the replica
+// still accepts connections while it ends.
+it("a replica that stops listening a moment later has crashed", async () => {
+  const fleet = QuarantineFleet.create({ vms: 2 });
+  fleet.areReplicasUp = true;
+  fleet.endReplica([[0, HARMLESS]]);
+  await fleet.clock.run(100);
+  fleet.areReplicasUp = false;
+  await fleet.clock.run(SPREAD_MS);
+  expect(fleet.getQuarantine(0).countSuspects()).toBe(1);
+  expect(fleet.getQuarantine(1).countSuspects()).toBe(1);
+});
+
 it("one check serves all requests that a crash cut off at a VM", async () => {
   const clock = VirtualClock.create();
   let checks = 0;
