Count crashes of a pool's last replicas

A VM that reached no other replica of the pool took its own links for lost, and the crash counted for nothing. In a pool of two or three whose other replicas are down, what came back was crashed alone, again and again, without evidence. Now other VMs say whether they reach any of them; if none that answers does, it is the replicas that are down.

--- a/src/process/crash_check.ts
+++ b/src/process/crash_check.ts
@@ -44,19 +44,20 @@
 
   /**
    * Whether no VM reaches the replica, while this one reaches another of its
-   * pool, if there is any. Never rejects.
+   * pool, or no VM that answers does. Never rejects.
    */
   async hasCrashed(id: VmId): Promise<boolean> {
-    const { checkReach, listOthers } = this.#options;
+    const { random, checkReach, listOthers, listPeers } = this.#options;
     if (await checkReach(id)) return this.#noteAlive(id, "listening");
-    const others = listOthers(id);
-    const [hasLinks, isReached] = await Promise.all([
+    const others = random.pickSample(listOthers(id), MAX_CHECKED_REPLICAS);
+    const peers = random.pickSample(listPeers(), MAX_ASKED_VMS);
+    const [hasLinks, reached] = await Promise.all([
       others.length === 0 || this.#isAnyReached(others),
-      this.#isReachedElsewhere(id),
+      this.#fetchReached(peers, [id]),
     ]);
-    if (isReached) return this.#noteAlive(id, "reached_elsewhere");
-    if (!hasLinks) return this.#noteAlive(id, "no_links");
-    return true;
+    if (reached.includes(true)) return this.#noteAlive(id, "reached_elsewhere");
+    if (hasLinks || await this.#isPoolDown(peers, others)) return true;
+    return this.#noteAlive(id, "no_links");
   }
 
   #noteAlive(replica: VmId, reason: string): boolean {
@@ -65,19 +66,33 @@
   }
 
   async #isAnyReached(replicas: readonly VmId[]): Promise<boolean> {
-    const { random, checkReach } = this.#options;
-    const checked = random.pickSample(replicas, MAX_CHECKED_REPLICAS);
-    return (await Promise.all(checked.map(checkReach))).includes(true);
+    const { checkReach } = this.#options;
+    return (await Promise.all(replicas.map(checkReach))).includes(true);
   }
 
-  async #isReachedElsewhere(replica: VmId): Promise<boolean> {
-    const { random, listPeers, fetchReach } = this.#options;
-    const asked = random.pickSample(listPeers(), MAX_ASKED_VMS);
+  /**
+   * Whether other VMs reach none of the replicas either: then it is the replicas
+   * that are down, and not this VM's links.
+   */
+  async #isPoolDown(
+    peers: readonly VmId[],
+    replicas: readonly VmId[],
+  ): Promise<boolean> {
+    const reached = await this.#fetchReached(peers, replicas);
+    return reached.length > 0 && !reached.includes(true);
+  }
+
+  /** What the VMs that answer say about each of the replicas. */
+  async #fetchReached(
+    peers: readonly VmId[],
+    replicas: readonly VmId[],
+  ): Promise<boolean[]> {
+    const { fetchReach } = this.#options;
     const answers = await Promise.allSettled(
-      asked.map((peer) => fetchReach(peer, replica)),
+      peers.flatMap((peer) => replicas.map((each) => fetchReach(peer, each))),
     );
-    return answers.some((answer) =>
-      answer.status === "fulfilled" && answer.value
+    return answers.flatMap((answer) =>
+      answer.status === "fulfilled" ? [answer.value] : []
     );
   }
 }
--- a/test/failures/processes/poison_part_small_pool_test.ts
+++ b/test/failures/processes/poison_part_small_pool_test.ts
@@ -111,3 +111,17 @@
   expect(countReached(pool)).toBeLessThanOrEqual(MAX_REACHED);
   expect(await sendSound(pool)).toEqual(new Array(VMS).fill(200));
 });
+
+// Guards against crashes that count for nothing, because no other replica of the
+// pool is up and a VM takes its own links for lost.
+it("a part is held that crashes a pool's last replicas", async () => {
+  const pool = await createPool({
+    replicas: 2,
+    returnMs: 1_500,
+    expiryMs: 3_000,
+    lingerMs: 0,
+  });
+  await sendBad(pool, 40);
+  expect(countReached(pool)).toBeLessThanOrEqual(MAX_REACHED);
+  expect(await sendSound(pool)).toEqual(new Array(VMS).fill(200));
+});
