Hold a part that was in use and is never answered any more

A popular sound part is answered between its crashes. From five successive crashes on, that none of its requests was answered counts, against the share of all requests of the pool that crashes cut off; waiting for twice the longest answer. Where that alone isn't proof, the part is held for ten seconds, and its next request tells.

--- a/src/process/quarantine/culprits.ts
+++ b/src/process/quarantine/culprits.ts
@@ -33,6 +33,13 @@
 export const OBJECTION_MS = 100;
 /** Successive crashes without which no part is held. */
 const MIN_CRASHES = 3;
+/**
+ * Successive crashes from which on it counts that no request with the part was
+ * answered in all that time, whatever other crashes there were.
+ */
+const MIN_UNANSWERED_CRASHES = 5;
+/** Probability up to which such a part is held for a short time. */
+const MAX_TRIAL_ERROR = 1;
 /**
  * A part is held only if each other part that explains most of its crashes is
  * less likely by this factor: requests that were retried together crash together.
@@ -58,6 +65,8 @@
   company: PartKey[];
   /** Replicas that crashed under it. */
   crashes: PartCrash[];
+  /** Whether it is held until a request can show whether it is sound. */
+  isOnTrial: boolean;
 }
 
 /** How likely it is that chance explains the crashes under a part. */
@@ -70,6 +79,8 @@
   share: number;
   /** Probability that some sound part of the first crash is at so many. */
   error: number;
+  /** Whether a sound part would have been answered meanwhile. */
+  isAnswerDue: boolean;
 }
 
 /** A part that was in several crashes and is not held. */
@@ -87,9 +98,11 @@
   now: number;
   evidence: ReadonlyMap<PartKey, PartEvidence>;
   crashes: ReadonlyMap<Incarnation, PoolCrash>;
+  /** See `PoolOutcomes`; `since` is as `Clock.now()`. */
+  computeCutOffShare: (pool: PoolName, since: number) => number;
 }
 
-interface Candidate extends Culprit {
+interface Candidate extends Omit<Culprit, "isOnTrial"> {
   evidence: PartEvidence;
   /** Crashes of requests that were each sent after the crash before. */
   successive: PartCrash[];
@@ -105,8 +118,9 @@
     const first = candidates.toSorted(compareCandidates)
       .find((each) => isCertain(each, candidates, context));
     if (first === undefined) return culprits;
-    const { part, company, crashes } = first;
-    culprits.push({ part, company, crashes });
+    const { part, company, crashes, chance } = first;
+    const isOnTrial = chance.error > MAX_ERROR;
+    culprits.push({ part, company, crashes, isOnTrial });
     crashes.forEach(({ replica }) => explained.add(replica));
     candidates = candidates
       .map((each) => dropExplained(each, explained, context))
@@ -186,7 +200,10 @@
   { now }: CulpritEvidence,
 ): boolean {
   const { crashes, successive, chance } = candidate;
-  if (successive.length < MIN_CRASHES || chance.error > MAX_ERROR) return false;
+  if (successive.length < MIN_CRASHES) return false;
+  const { error, isAnswerDue } = chance;
+  const canTry = isAnswerDue && successive.length >= MIN_UNANSWERED_CRASHES;
+  if (error > (canTry ? MAX_TRIAL_ERROR : MAX_ERROR)) return false;
   if (now - crashes[1]!.at < OBJECTION_MS) return false;
   return !hasRival(candidate, candidates);
 }
@@ -212,7 +229,7 @@
 function computeChance(
   { evidence, crashes, successive }: Omit<Candidate, "chance">,
   explained: ReadonlySet<Incarnation>,
-  { crashes: all }: CulpritEvidence,
+  { crashes: all, computeCutOffShare }: CulpritEvidence,
 ): Chance {
   const { pool } = evidence;
   const first = successive[0]!;
@@ -235,7 +252,11 @@
     error *= requests.has(request) ? Math.max(share, RETRY_SHARE) : share;
     requests.add(request);
   }
-  return { hits, misses, share, error };
+  const cutOffShare = computeCutOffShare(pool, first.at);
+  if (successive.length >= MIN_UNANSWERED_CRASHES) {
+    error = Math.min(error, accused * cutOffShare ** hits);
+  }
+  return { hits, misses, share, error, isAnswerDue: cutOffShare < 1 };
 }
 
 /** Number of ways to choose `count` of `total`. */
--- a/src/process/quarantine/part_ledger.ts
+++ b/src/process/quarantine/part_ledger.ts
@@ -16,6 +16,7 @@
   type Unproven,
 } from "./culprits.ts";
 import { listSuccessive, PartEvidence } from "./part_evidence.ts";
+import { PoolOutcomes } from "./pool_outcomes.ts";
 import type { CrashReport, PartAnswer } from "./suspect_entry.ts";
 
 const MS_PER_MINUTE = 60_000;
@@ -39,6 +40,8 @@
  */
 const FIRST_HOLD_MS = 10 * MS_PER_MINUTE;
 const MAX_HOLD_MS = 24 * MS_PER_HOUR;
+/** How long a part is held on trial after its last crash. */
+const TRIAL_HOLD_MS = 10_000;
 /** Crashes of the first hold. */
 const FIRST_HOLD_CRASHES = 5;
 /** It lasts longer once held, so that one more crash holds it again. */
@@ -62,6 +65,9 @@
   #holds: PartHold[] = [];
   #expiredAt = -Infinity;
 
+  /** How requests of this VM ended. */
+  readonly outcomes = PoolOutcomes.create();
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -210,10 +216,13 @@
   }
 
   #buildContext(): CulpritEvidence {
+    const now = this.#clock.now();
     return {
-      now: this.#clock.now(),
+      now,
       evidence: this.#evidence,
       crashes: this.#crashes,
+      computeCutOffShare: (pool, since) =>
+        this.outcomes.computeCutOffShare(pool, { since, now }),
     };
   }
 
@@ -270,7 +279,8 @@
   }
 }
 
-function computeHeldUntil({ crashes }: Culprit): number {
+function computeHeldUntil({ crashes, isOnTrial }: Culprit): number {
+  if (isOnTrial) return crashes.at(-1)!.at + TRIAL_HOLD_MS;
   const doublings = Math.max(0, crashes.length - FIRST_HOLD_CRASHES);
   const holdMs = Math.min(MAX_HOLD_MS, FIRST_HOLD_MS * 2 ** doublings);
   return crashes.at(-1)!.at + holdMs;
--- a/src/process/quarantine/part_quarantine.ts
+++ b/src/process/quarantine/part_quarantine.ts
@@ -136,6 +136,7 @@
       fingerprint,
       countReplicas(pool),
     ];
+    this.#ledger.outcomes.noteCutOff(pool, crash.at);
     if (!this.#ledger.mergeReport(report)) return;
     log.info("parts_accused", {
       replica: crash.replica,
@@ -147,8 +148,12 @@
   }
 
   /** Records a complete answer to a request of this VM. */
-  noteAnswered({ parts }: RequestKeys, beganAt: number): void {
+  noteAnswered({ parts, pool }: RequestKeys, beganAt: number): void {
     if (parts.length === 0) return;
+    if (pool !== undefined) {
+      const durationMs = this.#options.clock.now() - beganAt;
+      this.#ledger.outcomes.noteAnswered(pool, { beganAt, durationMs });
+    }
     const held = this.#listHeldParts();
     const cleared = parts.filter((part) => {
       const crashes = this.#ledger.countCrashes(part);
