Parse a connection's next request only when its answers are out

Clients that send requests ahead and read no answer ended a process, or kept ordinary callers without answers, at each listener: Node parses all of a 64 KB read, thousands of requests, and every one was handled at once. Bytes and connections were bounded; requests, which cost the memory, were not.

Now the parser gets a connection's bytes in pieces of 512, and none behind a request that is complete and has no answer yet; 4 KB more are read, the rest waits with the sender. Nobody is refused for sending ahead: answers come in order. Over 1,000 requests ahead or 32 MB unparsed in one listener, a connection is closed after the answers to what was taken. What Node answered by itself, not counted (no Host, an unknown Expect), is answered as any other; what follows an upgrade is no longer read.

caller_listener_test, 'never writes an error into an answer in flight': it sent garbage behind a request in flight and waited for the close, which now comes after the answer. It checks that the answer is whole and the error follows it.

--- a/demo/child_process_group.ts
+++ b/demo/child_process_group.ts
@@ -28,6 +28,8 @@
   args: string[];
   /** Variables added to this process's environment. */
   environment?: Record<string, string>;
+  /** Largest number of open descriptors; as this process's by default. */
+  maxDescriptors?: number;
 }
 
 /** The child processes that were started together. */
@@ -51,7 +53,8 @@
   start(options: ChildOptions): Child {
     const logFile = join(this.#directory, `${options.name}.log`);
     const log = openSync(logFile, "a");
-    const child = spawn(process.execPath, options.args, {
+    const [command, args] = buildCommand(options);
+    const child = spawn(command, args, {
       stdio: ["ignore", log, log],
       env: { ...process.env, ...options.environment },
     });
@@ -158,6 +161,15 @@
   return result;
 }
 
+/** A shell sets the limit and then becomes the child. */
+function buildCommand(
+  { args, maxDescriptors }: ChildOptions,
+): [command: string, args: string[]] {
+  if (maxDescriptors === undefined) return [process.execPath, args];
+  const script = `ulimit -n ${maxDescriptors} && exec "$@"`;
+  return ["/bin/sh", ["-c", script, "sh", process.execPath, ...args]];
+}
+
 function readFirstLine(child: ChildProcess): Promise<string | undefined> {
   return new Promise((resolve) => {
     let text = "";
--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -10,7 +10,9 @@
 import { StepError, toError } from "../errors.ts";
 import type { Log } from "../process/log.ts";
 import type { RefusalAnswer } from "./refusal_body.ts";
+import { PendingBudget } from "./pending_budget.ts";
 import { buildRefusal } from "./refusal_body.ts";
+import { ServerConnection } from "./server_connection.ts";
 import type { ServerTls } from "./tls_material.ts";
 
 const MAX_TIMEOUT_CHECK_INTERVAL_MS = 1_000;
@@ -50,8 +52,9 @@
 export class HttpServer {
   readonly #options: HttpServerOptions;
   readonly #server: http.Server;
-  /** Number of requests in flight, by open connection. */
-  readonly #inFlight = new Map<Socket, number>();
+  /** By their TCP sockets; undefined until a TLS handshake has ended. */
+  readonly #open = new Map<Socket, ServerConnection | undefined>();
+  readonly #budget = PendingBudget.create();
   #isStopping = false;
 
   constructor(options: HttpServerOptions) {
@@ -59,9 +62,18 @@
     this.#server = createServer(options);
     this.#server.maxConnections = options.limits.maxConnections;
     this.#server.on("connection", (socket) => this.#addSocket(socket));
-    this.#server.on("request", (request, response) => {
-      void this.#runExchange(request, response);
+    const isTls = options.tls !== undefined;
+    this.#server.on(isTls ? "secureConnection" : "connection", (socket) => {
+      const connection = ServerConnection.create(socket, this.#budget);
+      this.#open.set(getRawSocket(socket), connection);
     });
+    const runExchange = (
+      request: http.IncomingMessage,
+      response: http.ServerResponse,
+    ) => void this.#runExchange(request, response);
+    this.#server.on("request", runExchange);
+    // Without a listener, Node answers it, however many come.
+    this.#server.on("checkExpectation", runExchange);
     this.#server.on("clientError", (error: Error, socket: Socket) => {
       this.#handleClientError(error, socket);
     });
@@ -81,7 +93,7 @@
 
   /** Number of open connections. */
   get connections(): number {
-    return this.#inFlight.size;
+    return this.#open.size;
   }
 
   /** Resolves once connections are accepted; rejects with `StepError`. */
@@ -119,7 +131,7 @@
 
   /** Closes all connections at once. */
   closeAll(): void {
-    for (const socket of this.#inFlight.keys()) socket.destroy();
+    for (const socket of this.#open.keys()) socket.destroy();
   }
 
   /** Uses `tls` for new connections; open ones are not affected. */
@@ -141,23 +153,31 @@
   }
 
   #addSocket(socket: Socket): void {
-    this.#inFlight.set(socket, 0);
+    this.#open.set(socket, undefined);
     // Each request that is pipelined on it listens for its end.
     socket.setMaxListeners(0);
-    socket.once("close", () => this.#inFlight.delete(socket));
+    socket.once("close", () => this.#open.delete(socket));
   }
 
   async #runExchange(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const socket = getRawSocket(request.socket);
-    this.#addInFlight(socket, 1);
-    if (this.#isStopping) response.shouldKeepAlive = false;
+    const connection = this.#open.get(getRawSocket(request.socket));
+    if (!connection?.takeRequest(request, response)) return;
+    if (this.#isStopping || isUpgrade(request)) {
+      response.shouldKeepAlive = false;
+    }
     response.once("close", () => {
-      this.#addInFlight(socket, -1);
       if (this.#isStopping) this.#closeIdle();
     });
+    // The parser takes all that follows for another protocol.
+    if (isUpgrade(request)) connection.closeAfterAnswers();
+    const refusal = findHeadRefusal(request);
+    if (refusal !== undefined) {
+      response.writeHead(refusal.status, refusal.headers).end(refusal.body);
+      return;
+    }
     try {
       await this.#options.handle(request, response);
     } catch (thrown) {
@@ -169,19 +189,14 @@
     }
   }
 
-  #addInFlight(socket: Socket, change: number): void {
-    const count = this.#inFlight.get(socket);
-    if (count !== undefined) this.#inFlight.set(socket, count + change);
-  }
-
   /**
    * Closes connections without a request in flight. Node's `close` skips a
    * connection with a partial head and stops checking head timeouts, so that
    * such a caller would keep the process from exiting.
    */
   #closeIdle(): void {
-    for (const [socket, count] of this.#inFlight) {
-      if (count === 0) socket.destroySoon();
+    for (const [socket, connection] of this.#open) {
+      if (!connection?.inFlight) socket.destroySoon();
     }
   }
 
@@ -191,7 +206,7 @@
       listener: this.#options.name,
       cause: code,
     });
-    const isBusy = (this.#inFlight.get(getRawSocket(socket)) ?? 0) > 0;
+    const isBusy = (this.#open.get(getRawSocket(socket))?.inFlight ?? 0) > 0;
     // During an answer, the caller would read bytes written here as part of its
     // body.
     if (isBusy || !socket.writable) {
@@ -216,6 +231,8 @@
     headersTimeout: limits.headersTimeoutMs,
     requestTimeout: computeRequestTimeout(limits),
     keepAliveTimeout: limits.keepAliveMs,
+    // Node's own answer is not counted as one of the connection.
+    requireHostHeader: false,
     connectionsCheckingInterval: Math.min(
       MAX_TIMEOUT_CHECK_INTERVAL_MS,
       Math.ceil(limits.headersTimeoutMs / 2),
@@ -236,6 +253,31 @@
   return (socket as Socket & { _parent?: Socket })._parent ?? socket;
 }
 
+function isUpgrade({ headers }: http.IncomingMessage): boolean {
+  return headers.upgrade !== undefined &&
+    /\bupgrade\b/i.test(headers.connection ?? "");
+}
+
+/** The refusal of a request whose head asks for what no listener does. */
+function findHeadRefusal(
+  { headers, httpVersion }: http.IncomingMessage,
+): RefusalAnswer | undefined {
+  const { expect, host } = headers;
+  if (httpVersion === "1.1" && host === undefined) {
+    return buildBadRequest(400, "Host header is missing");
+  }
+  if (expect !== undefined && !/^100-continue$/i.test(expect)) {
+    return buildBadRequest(417, `Expectation ${expect} is not supported`);
+  }
+  return undefined;
+}
+
+function buildBadRequest(status: number, message: string): RefusalAnswer {
+  const refusal = { code: "bad_request", message, outcome: "not_run" } as const;
+  const headers = { connection: "close" };
+  return buildRefusal(refusal, { requestId: undefined, status, headers });
+}
+
 function buildClientError(
   code: string,
   options: HttpServerOptions,
--- /dev/null
+++ b/src/connection/pending_budget.ts
@@ -0,0 +1,44 @@
+/**
+ * Bound on what all connections of a listener hold beside one request each.
+ *
+ * @module
+ */
+
+/** Unparsed bytes of all connections; their senders keep the rest. */
+const MAX_BYTES = 32 * 1024 * 1024;
+/** Requests that were parsed while one before them had no answer yet. */
+const MAX_REQUESTS = 1_000;
+
+/** Unparsed bytes, and requests that are ahead of answers. */
+export class PendingBudget {
+  #bytes = 0;
+  #requests = 0;
+
+  static create(): PendingBudget {
+    return new PendingBudget();
+  }
+
+  /** Whether there is room for more bytes, which are taken if so. */
+  takeBytes(count: number): boolean {
+    if (this.#bytes + count > MAX_BYTES) return false;
+    this.#bytes += count;
+    return true;
+  }
+
+  /** Gives bytes back that were taken. */
+  endBytes(count: number): void {
+    this.#bytes -= count;
+  }
+
+  /** Whether there is room for one more request, which is taken if so. */
+  takeRequest(): boolean {
+    if (this.#requests >= MAX_REQUESTS) return false;
+    this.#requests += 1;
+    return true;
+  }
+
+  /** Gives back a request that was taken. */
+  endRequest(): void {
+    this.#requests -= 1;
+  }
+}
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import https from "node:https";
 import type { TLSSocket } from "node:tls";
 import { describe, expect, it, onTestFinished } from "vitest";
@@ -27,6 +28,8 @@
 import { readTls } from "../support/tls_pairs.ts";
 
 const GET = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+/** Time in which a listener reads what was sent. */
+const GARBAGE_READ_MS = 100;
 const CHUNK = Buffer.alloc(65_536, "a");
 
 type Handle = (request: CallerRequest, sink: CallerSink) => Promise<void>;
@@ -426,19 +429,28 @@
     // Guards against an error that becomes part of an answer: during its stream
     // the caller sends bytes that are not valid HTTP, and errors of the parser
     // are written directly to the socket.
+    let goOn = () => {};
+    const garbageSent = new Promise<void>((resolve) => goOn = resolve);
     const listener = await startListener(async (_, sink) => {
       sink.writeHead(200, {});
       await sink.write(Buffer.from("first"));
-      await new Promise<void>((resolve) => {
-        sink.signal.addEventListener("abort", () => resolve());
-      });
+      await garbageSent;
+      await sink.write(Buffer.from("last"));
+      await sink.end();
     });
     const client = RawClient.create(listener.port);
     client.socket.write(GET);
     await client.waitFor("first");
     client.socket.write("\0\0 no request\r\n\r\n");
-    await client.waitClosed();
+    await sleep(GARBAGE_READ_MS);
     expect(client.received).not.toContain("bad_request");
+    goOn();
+    await client.waitClosed();
+    const [answer, ...rest] = client.received.split("last\r\n0\r\n\r\n");
+    expect(answer).toMatch(/first\r\n4\r\n$/);
+    expect(answer).not.toContain("bad_request");
+    expect(rest).toHaveLength(1);
+    expect(rest[0]).toContain("bad_request");
   });
 
   it("uses a new certificate after an update", async () => {
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -27,6 +27,9 @@
   peers: number;
 }
 
+/** The listeners of a VM. */
+export type ListenerName = keyof SoakPorts;
+
 /** Start options of a VM. */
 export interface SoakVmOptions {
   name: string;
@@ -43,6 +46,10 @@
   dataCentre?: string;
   directory: string;
   children: ChildProcessGroup;
+  /** Size of the old generation; Node's default if it is left out. */
+  heapMb?: number;
+  /** Largest number of open descriptors; unchanged if it is left out. */
+  maxDescriptors?: number;
 }
 
 const STARTED_EVENT = "event=started";
@@ -79,6 +86,10 @@
     return this.#options.ports.callers;
   }
 
+  getEndpoint(listener: ListenerName): { host: string; port: number } {
+    return { host: this.address, port: this.#options.ports[listener] };
+  }
+
   /** Whether the process has logged its start. */
   get hasStarted(): boolean {
     if (this.#child === undefined) return false;
@@ -93,6 +104,10 @@
   start(): void {
     const { name, directory, children, links, peers, storePort } =
       this.#options;
+    const { heapMb, maxDescriptors } = this.#options;
+    const heapArgs = heapMb === undefined
+      ? []
+      : [`--max-old-space-size=${heapMb}`];
     const preloads = [links?.preload, peers?.preload]
       .filter((each) => each !== undefined);
     const file = join(directory, `${name}.json`);
@@ -104,7 +119,12 @@
       : readFileSync(this.#child.logFile, "utf8").length;
     this.#child = children.start({
       name,
-      args: [...preloads.flatMap((each) => ["--import", each]), PROGRAM],
+      args: [
+        ...heapArgs,
+        ...preloads.flatMap((each) => ["--import", each]),
+        PROGRAM,
+      ],
+      ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
       environment: {
         [SETTINGS_VARIABLE]: file,
         ...links?.buildEnvironment(name, storePort),
--- a/test/support/platform_processes.ts
+++ b/test/support/platform_processes.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { execFile } from "node:child_process";
-import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -92,7 +92,12 @@
   /** Starts VMs and waits until each of them serves. */
   async addVms(
     count: number,
-    options: { storePort?: number; peers?: PeerCut } = {},
+    options: {
+      storePort?: number;
+      peers?: PeerCut;
+      heapMb?: number;
+      maxDescriptors?: number;
+    } = {},
   ): Promise<void> {
     const net = `127.6.${process.pid % 250}`;
     const [callers, readiness, state, directory, peers] = this.#ports as [
@@ -166,6 +171,13 @@
     return Math.max(...peaks);
   }
 
+  /** The most descriptors that any VM has open. */
+  countMostDescriptors(): number {
+    const counts = this.#children.listAlive()
+      .map(({ pid }) => readdirSync(`/proc/${pid}/fd`).length);
+    return Math.max(...counts);
+  }
+
   async #close(): Promise<void> {
     for (const child of this.#children.listAlive()) {
       await this.#children.destroy(child);
