Keep descriptors for replicas, and room for ordinary callers

Each listener accepted 2,000 to 10,000 connections, whatever the process may open. Clients that connect and send little or nothing took all descriptors: every ordinary caller got 503, since none was left for a replica, or reached nobody.

The descriptors of a VM (max_descriptors, from the platform's settings) are divided between its listeners; as many as callers have are left for replicas. A listener that is full closes the connection that has been idle for longest, of the address that has the most, and refuses a new one only if all have a request in flight.

caller_listener_test, 'refuses connections over the limit': two idle connections kept a third out, which is the fault. Now two requests in flight do, and another test checks which connection is closed.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -9,6 +9,7 @@
 import { match } from "ts-pattern";
 import { StepError, toError } from "../errors.ts";
 import type { Log } from "../process/log.ts";
+import { ConnectionTable } from "./connection_table.ts";
 import type { RefusalAnswer } from "./refusal_body.ts";
 import { PendingBudget } from "./pending_budget.ts";
 import { buildRefusal } from "./refusal_body.ts";
@@ -52,20 +53,18 @@
 export class HttpServer {
   readonly #options: HttpServerOptions;
   readonly #server: http.Server;
-  /** By their TCP sockets; undefined until a TLS handshake has ended. */
-  readonly #open = new Map<Socket, ServerConnection | undefined>();
+  readonly #open = ConnectionTable.create();
   readonly #budget = PendingBudget.create();
   #isStopping = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
     this.#server = createServer(options);
-    this.#server.maxConnections = options.limits.maxConnections;
     this.#server.on("connection", (socket) => this.#addSocket(socket));
     const isTls = options.tls !== undefined;
     this.#server.on(isTls ? "secureConnection" : "connection", (socket) => {
       const connection = ServerConnection.create(socket, this.#budget);
-      this.#open.set(getRawSocket(socket), connection);
+      this.#open.setConnection(getRawSocket(socket), connection);
     });
     const runExchange = (
       request: http.IncomingMessage,
@@ -77,9 +76,6 @@
     this.#server.on("clientError", (error: Error, socket: Socket) => {
       this.#handleClientError(error, socket);
     });
-    this.#server.on("drop", () => {
-      options.log.warn("connection_dropped", { listener: options.name });
-    });
   }
 
   static create(options: HttpServerOptions): HttpServer {
@@ -131,7 +127,7 @@
 
   /** Closes all connections at once. */
   closeAll(): void {
-    for (const socket of this.#open.keys()) socket.destroy();
+    for (const socket of this.#open.listSockets()) socket.destroy();
   }
 
   /** Uses `tls` for new connections; open ones are not affected. */
@@ -153,10 +149,16 @@
   }
 
   #addSocket(socket: Socket): void {
-    this.#open.set(socket, undefined);
+    const { log, name, limits } = this.#options;
+    const isFull = this.#open.size >= limits.maxConnections;
+    if (isFull && !this.#open.closeIdle()) {
+      log.warn("connection_dropped", { listener: name });
+      socket.destroy();
+      return;
+    }
+    this.#open.add(socket);
     // Each request that is pipelined on it listens for its end.
     socket.setMaxListeners(0);
-    socket.once("close", () => this.#open.delete(socket));
   }
 
   async #runExchange(
@@ -169,6 +171,7 @@
       response.shouldKeepAlive = false;
     }
     response.once("close", () => {
+      this.#open.noteAnswered(getRawSocket(request.socket));
       if (this.#isStopping) this.#closeIdle();
     });
     // The parser takes all that follows for another protocol.
@@ -195,9 +198,7 @@
    * such a caller would keep the process from exiting.
    */
   #closeIdle(): void {
-    for (const [socket, connection] of this.#open) {
-      if (!connection?.inFlight) socket.destroySoon();
-    }
+    for (const socket of this.#open.listIdle()) socket.destroySoon();
   }
 
   #handleClientError(error: Error, socket: Socket): void {
--- a/src/connection/simple_listener.ts
+++ b/src/connection/simple_listener.ts
@@ -10,7 +10,7 @@
 
 const LIMITS: ServerLimits = {
   maxHeaderBytes: 8_192,
-  maxConnections: 2_000,
+  maxConnections: 256,
   headersTimeoutMs: 5_000,
   bodyTimeoutMs: 5_000,
   keepAliveMs: 20_000,
@@ -30,18 +30,30 @@
   url: URL,
 ) => SimpleAnswer | Promise<SimpleAnswer>;
 
+/** Options of `SimpleListener`. */
+export interface SimpleListenerOptions {
+  name: string;
+  log: Log;
+  /** 256 by default. */
+  maxConnections?: number | undefined;
+  buildAnswer: BuildAnswer;
+}
+
 /** Answers each request with the result of a function; ignores bodies. */
 export class SimpleListener extends HttpListener {
   readonly #buildAnswer: BuildAnswer;
 
-  constructor(options: { name: string; log: Log; buildAnswer: BuildAnswer }) {
-    super({ name: options.name, log: options.log, limits: LIMITS });
-    this.#buildAnswer = options.buildAnswer;
+  constructor(
+    { name, log, maxConnections, buildAnswer }: SimpleListenerOptions,
+  ) {
+    const limits = maxConnections === undefined
+      ? LIMITS
+      : { ...LIMITS, maxConnections };
+    super({ name, log, limits });
+    this.#buildAnswer = buildAnswer;
   }
 
-  static create(
-    options: { name: string; log: Log; buildAnswer: BuildAnswer },
-  ): SimpleListener {
+  static create(options: SimpleListenerOptions): SimpleListener {
     return new SimpleListener(options);
   }
 
--- a/src/process/forwarding/forwarded_listener.ts
+++ b/src/process/forwarding/forwarded_listener.ts
@@ -16,6 +16,7 @@
   extends Pick<CallerListenerOptions, "clock" | "log" | "handler" | "bodies"> {
   /** Whether a VM of the fleet has this IP address. */
   isPeer: (address: string) => boolean;
+  maxConnections: number;
 }
 
 /** Creates the listener; `handler` handles what VMs of the fleet pass on. */
@@ -24,7 +25,10 @@
 ): CallerListener {
   return CallerListener.create({
     ...options,
-    limits: INITIAL_CALLER_LIMITS,
+    limits: {
+      ...INITIAL_CALLER_LIMITS,
+      maxConnections: options.maxConnections,
+    },
     handler: ForwardedHandler.create(options),
   });
 }
--- a/src/process/routed_listeners.ts
+++ b/src/process/routed_listeners.ts
@@ -10,6 +10,7 @@
 import type { CallerHandler } from "../request/caller_request.ts";
 import type { CallerBounds } from "../version/routes.ts";
 import type { Clock } from "./clock.ts";
+import { computeConnectionShares } from "./connection_shares.ts";
 import {
   buildForwardedLimits,
   createForwardedListener,
@@ -30,6 +31,8 @@
   handler: CallerHandler;
   /** Whether a VM of the fleet has this IP address. */
   isPeer: (address: string) => boolean;
+  /** Descriptors that the process may have open. */
+  maxDescriptors: number;
   state: StateHandlers;
 }
 
@@ -42,16 +45,22 @@
   readonly #state: SimpleListener;
 
   constructor(options: RoutedListenersOptions) {
+    const shares = computeConnectionShares(options.maxDescriptors);
     this.#callers = CallerListener.create({
       ...options,
       bodies: this.bodies,
-      limits: INITIAL_CALLER_LIMITS,
+      limits: { ...INITIAL_CALLER_LIMITS, maxConnections: shares.callers },
     });
     this.#forwarded = createForwardedListener({
       ...options,
       bodies: this.bodies,
+      maxConnections: shares.forwarded,
+    });
+    this.#state = createStateListener({
+      log: options.log,
+      maxConnections: shares.state,
+      handlers: options.state,
     });
-    this.#state = createStateListener(options.log, options.state);
   }
 
   static create(options: RoutedListenersOptions): RoutedListeners {
--- a/src/process/routed_settings.ts
+++ b/src/process/routed_settings.ts
@@ -18,6 +18,7 @@
 
 const MS_PER_SECOND = 1_000;
 const DEFAULT_ENTRY_RENEWAL_MS = 1_200;
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
 const DEFAULT_MAX_ANSWER_BYTES = 67_108_864;
 
 const NO_DRAIN_GRACE = {
@@ -64,6 +65,8 @@
    * a replica has room; by default all are sent at once.
    */
   max_waiting_requests: z.int().min(0).default(0),
+  /** Descriptors that the process may have open. */
+  max_descriptors: z.number().min(1).default(DEFAULT_MAX_DESCRIPTORS),
   /** Largest body of a replica's answer; a longer one is broken off. */
   max_answer_bytes: z.int().min(1).default(DEFAULT_MAX_ANSWER_BYTES),
 }).refine((file) => computeDrainGraceMs(file) > 0, NO_DRAIN_GRACE);
@@ -110,6 +113,8 @@
    * may.
    */
   maxWaitingRequests: number;
+  /** Descriptors that the process may have open. */
+  maxDescriptors: number;
   /** Largest body of a replica's answer, in bytes. */
   maxAnswerBytes: number;
 }
@@ -168,6 +173,7 @@
     retryReserve: file.retry_reserve,
     warmUpExcess: { ratio: file.warm_up_ratio, slack: file.warm_up_slack },
     maxWaitingRequests: file.max_waiting_requests,
+    maxDescriptors: file.max_descriptors,
     maxAnswerBytes: file.max_answer_bytes,
   };
 }
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -287,6 +287,7 @@
       log: this.#log,
       handler: this,
       isPeer: (address) => this.#fleet?.isPeerAddress(address) ?? false,
+      maxDescriptors: this.#settings.maxDescriptors,
       state: {
         buildNewerState: (known) =>
           this.#fleet?.follower.buildNewerState(known) ?? {},
--- a/src/process/state_listener.ts
+++ b/src/process/state_listener.ts
@@ -40,12 +40,16 @@
 
 /** Creates the listener. */
 export function createStateListener(
-  log: Log,
-  handlers: StateHandlers,
+  { log, maxConnections, handlers }: {
+    log: Log;
+    maxConnections: number;
+    handlers: StateHandlers;
+  },
 ): SimpleListener {
   return SimpleListener.create({
     name: "state",
     log,
+    maxConnections,
     buildAnswer: (method, url) =>
       match(method)
         .returnType<SimpleAnswer | Promise<SimpleAnswer>>()
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -221,17 +221,44 @@
   });
 
   it("refuses connections over the limit", async () => {
+    let goOn = () => {};
+    const isOver = new Promise<void>((resolve) => goOn = resolve);
+    let handled = 0;
+    const listener = await startListener(async (request, sink) => {
+      handled += 1;
+      await isOver;
+      await answerEcho(request, sink);
+    }, { limits: { maxConnections: 2 } });
+    const first = RawClient.create(listener.port);
+    const second = RawClient.create(listener.port);
+    first.socket.write(GET);
+    second.socket.write(GET);
+    await waitUntil(() => handled === 2);
+    await RawClient.create(listener.port).waitClosed();
+    expect(listener.connections).toBe(2);
+    goOn();
+    await first.waitFor("200 OK");
+    await second.waitFor("200 OK");
+  });
+
+  // Guards against callers that are kept out by connections that stand idle.
+  it("closes the connection that is idle for longest at the limit", async () => {
     const listener = await startListener(answerEcho, {
       limits: { maxConnections: 2 },
     });
     const first = RawClient.create(listener.port);
+    await waitUntil(() => listener.connections === 1);
     const second = RawClient.create(listener.port);
     await waitUntil(() => listener.connections === 2);
-    await RawClient.create(listener.port).waitClosed();
     first.socket.write(GET);
-    second.socket.write(GET);
     await first.waitFor("200 OK");
-    await second.waitFor("200 OK");
+    const third = RawClient.create(listener.port);
+    await second.waitClosed();
+    third.socket.write(GET);
+    await third.waitFor("200 OK");
+    first.socket.write(GET.replace("/", "/again"));
+    await first.waitFor("/again");
+    expect(listener.connections).toBe(2);
   });
 
   it("disconnects a caller that sends its head too slowly", async () => {
--- a/test/platform/platform_fleet.ts
+++ b/test/platform/platform_fleet.ts
@@ -177,6 +177,7 @@
       regions: REGIONS,
       warmUpExcess: { ratio: 1, slack: 0 },
       maxWaitingRequests: 0,
+      maxDescriptors: 4_096,
       maxAnswerBytes: 67_108_864,
     };
   }
--- a/test/platform/settings_template_test.ts
+++ b/test/platform/settings_template_test.ts
@@ -68,6 +68,9 @@
     .toBeGreaterThan(0);
   const limits = { cores: 2, "cpu-share": 1 };
   expect(readSettings({ limits }).cores).toBe(2);
+  expect(readSettings({ limits }).maxDescriptors).toBeGreaterThan(0);
+  const files = { ...limits, "max-fds": 4_100.0 };
+  expect(readSettings({ limits: files }).maxDescriptors).toBe(4_100);
   expect(readSettings({ metrics: true, unknown: { field: 1 } }).vm)
     .toBe("front-1");
 });
--- a/test/soak/soak_vm.ts
+++ b/test/soak/soak_vm.ts
@@ -171,7 +171,11 @@
 
   #buildSettings() {
     const { name, address, ports, seeds, storePort } = this.#options;
+    const { maxDescriptors } = this.#options;
     return {
+      ...(maxDescriptors === undefined
+        ? {}
+        : { max_descriptors: maxDescriptors }),
       vm: name,
       data_centre: this.#options.dataCentre ?? "dc-1",
       address,
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -52,6 +52,12 @@
     this.#isSending = false;
   }
 
+  /** Writes `request` once on each connection, and waits for `ms`. */
+  async sendOnce(request: string, ms: number): Promise<void> {
+    this.#sockets.forEach((socket) => void socket.write(request));
+    await sleep(ms);
+  }
+
   close(): void {
     this.#isSending = false;
     this.#sockets.forEach((socket) => socket.destroy());
--- a/test/support/platform_processes.ts
+++ b/test/support/platform_processes.ts
@@ -162,6 +162,17 @@
     });
   }
 
+  /** The status of the path that says ready. */
+  async fetchReadiness(vm: SoakVm): Promise<number> {
+    const { host, port } = vm.getEndpoint("readiness");
+    const { status } = await sendCall(`${host}:${port}`, {
+      method: "GET",
+      path: "/api/ready",
+      clientTimeoutMs: 2 * REQUEST_TIMEOUT_MS,
+    });
+    return status;
+  }
+
   /** The most memory that any VM has used, in bytes. */
   readPeakMemory(): number {
     const peaks = this.#children.listAlive().map(({ pid }) => {
