Close connections whose answers are not read, at the small listeners too

The listener for callers gives up on a caller that does not read; readiness, directory, state, metrics and operators never did, so that a connection with an unread answer stood for ever and could not be closed to make room. After 20 s without a byte in either direction it is closed.

--- a/src/connection/http_server.ts
+++ b/src/connection/http_server.ts
@@ -29,6 +29,11 @@
   bodyTimeoutMs: number;
   /** Timeout of idle connections. */
   keepAliveMs: number;
+  /**
+   * Time without a byte in either direction during a request; no limit if it is
+   * left out.
+   */
+  inactivityMs?: number;
 }
 
 /** Handles a request; a rejection is logged and closes the connection. */
@@ -226,6 +231,13 @@
 }
 
 function createServer(options: HttpServerOptions): http.Server {
+  const { limits } = options;
+  const server = createNodeServer(options);
+  server.timeout = limits.inactivityMs ?? 0;
+  return server;
+}
+
+function createNodeServer(options: HttpServerOptions): http.Server {
   const { limits } = options;
   const settings: http.ServerOptions = {
     maxHeaderSize: limits.maxHeaderBytes,
--- a/src/connection/operator_listener.ts
+++ b/src/connection/operator_listener.ts
@@ -30,6 +30,7 @@
   headersTimeoutMs: 5_000,
   bodyTimeoutMs: 5_000,
   keepAliveMs: 15_000,
+  inactivityMs: 20_000,
 };
 
 /** The answer to a health or readiness check. */
--- a/src/connection/simple_listener.ts
+++ b/src/connection/simple_listener.ts
@@ -14,6 +14,7 @@
   headersTimeoutMs: 5_000,
   bodyTimeoutMs: 5_000,
   keepAliveMs: 20_000,
+  inactivityMs: 20_000,
 };
 
 /** A complete answer. */
--- a/test/connection/server_connection_test.ts
+++ b/test/connection/server_connection_test.ts
@@ -27,12 +27,12 @@
 
 async function startServer(
   handle: (exchange: Exchange) => Promise<void>,
-  tls?: ServerTls,
+  { tls, ...limits }: { tls?: ServerTls; inactivityMs?: number } = {},
 ): Promise<HttpServer> {
   const server = HttpServer.create({
     name: "test",
     log: SilentLog.create(),
-    limits: LIMITS,
+    limits: { ...LIMITS, ...limits },
     tls,
     handle: (request, response) => handle({ request, response }),
   });
@@ -123,10 +123,8 @@
         new URL(`fixtures/tls_a.${kind}.pem`, import.meta.url),
         "utf8",
       );
-    const server = await startServer(answerLength, {
-      cert: read("cert"),
-      key: read("key"),
-    });
+    const tls = { cert: read("cert"), key: read("key") };
+    const server = await startServer(answerLength, { tls });
     const socket = connectTls({
       host: LOOPBACK,
       port: server.port,
@@ -156,6 +154,18 @@
   expect(taken).toBeLessThanOrEqual(MAX_TAKEN);
 });
 
+// Guards against connections that stand for ever, since nobody reads the answer.
+it("a connection whose answer is not read is closed", async () => {
+  const server = await startServer(({ response }) => {
+    response.end("x".repeat(20_000_000));
+    return Promise.resolve();
+  }, { inactivityMs: 200 });
+  const client = RawClient.create(server.port, { isReading: false });
+  client.socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  await waitUntil(() => server.connections === 1);
+  await waitUntil(() => server.connections === 0);
+});
+
 // Guards against a request that is passed on and whose answer is cut, because
 // the connection is closed for what came behind it.
 it("an upgrade is not followed, and its request is answered", async () => {
