--- a/src/connection/pending_budget.ts
+++ b/src/connection/pending_budget.ts
@@ -5,7 +5,7 @@
  */
 
 /** Unparsed bytes of all connections; their senders keep the rest. */
-const MAX_BYTES = 32 * 1024 * 1024;
+const MAX_BYTES = 8 * 1024 * 1024;
 /** Requests that were parsed while one before them had no answer yet. */
 const MAX_REQUESTS = 1_000;
 
