--- a/src/connection/server_connection.ts
+++ b/src/connection/server_connection.ts
@@ -64,7 +64,7 @@
     this.#parsedSinceHead = 0;
     const isAhead = this.#inFlight > 0;
     if (this.#isClosing || (isAhead && !this.#budget.takeRequest())) {
-      this.closeAfterAnswers();
+      this.#closeAfterAnswers();
       return false;
     }
     this.#inFlight += 1;
@@ -77,7 +77,7 @@
   }
 
   /** Parses no further request, and closes once those in flight are answered. */
-  closeAfterAnswers(): void {
+  #closeAfterAnswers(): void {
     this.#isClosing = true;
     this.#dropUnparsed();
     this.#socket.pause();
@@ -104,7 +104,7 @@
 
   #add(bytes: Buffer): void {
     if (this.#isClosing) return;
-    if (!this.#budget.takeBytes(bytes.length)) return this.closeAfterAnswers();
+    if (!this.#budget.takeBytes(bytes.length)) return this.#closeAfterAnswers();
     this.#unparsed.push(bytes);
     this.#unparsedBytes += bytes.length;
     this.#parseNext();
