--- a/src/connection/server_connection.ts
+++ b/src/connection/server_connection.ts
@@ -13,9 +13,11 @@
 import type { Socket } from "node:net";
 import type { PendingBudget } from "./pending_budget.ts";
 
-/** The shortest requests that this holds are some 30. */
+/** Holds some 30 of the shortest requests. */
 const PIECE_BYTES = 512;
-/** Beyond so many unparsed bytes, nothing more is read. */
+/** Pieces that each connection may parse in a turn of the event loop. */
+const OWN_PIECES = 2;
+/** With more unparsed bytes, nothing is read from the socket. */
 const MAX_UNPARSED_BYTES = 4_096;
 
 type ParseBytes = (bytes: Buffer) => void;
@@ -111,7 +113,15 @@
   }
 
   #parseNext(): void {
-    while (this.#unparsedBytes > 0 && this.#canParse()) {
+    for (
+      let parsed = 0;
+      this.#unparsedBytes > 0 && this.#canParse();
+      parsed++
+    ) {
+      if (parsed >= OWN_PIECES && !this.#budget.takePiece()) {
+        this.#parseLater();
+        break;
+      }
       const piece = this.#takePiece();
       this.#parsedSinceHead += piece.length;
       this.#parse(piece);
--- a/src/process/quarantine/culprits.ts
+++ b/src/process/quarantine/culprits.ts
@@ -38,7 +38,7 @@
  * answered in all that time, whatever other crashes there were.
  */
 const MIN_UNANSWERED_CRASHES = 5;
-/** Probability up to which such a part is held for a short time. */
+/** Probability up to which such a part is held on trial. */
 const MAX_TRIAL_ERROR = 1;
 /**
  * A part is held only if each other part that explains most of its crashes is
--- a/test/failures/processes/requests_sent_ahead_test.ts
+++ b/test/failures/processes/requests_sent_ahead_test.ts
@@ -21,6 +21,8 @@
 interface Ahead {
   listener: ListenerName;
   request: string;
+  /** Sent once, before the requests. */
+  start?: string;
   connections?: number;
 }
 
@@ -62,6 +64,17 @@
       "Transfer-Encoding: chunked",
     ) + "1;a=b\r\nx\r\n0\r\n\r\n",
   },
+  "or chunks of one byte in a body without end": {
+    connections: MANY_CONNECTIONS,
+    listener: "callers",
+    start: buildHead(
+      "POST /safe/x HTTP/1.1",
+      TO_HOST,
+      WITH_KEY,
+      "Transfer-Encoding: chunked",
+    ),
+    request: "1\r\nx\r\n",
+  },
   "by HEAD": {
     listener: "callers",
     request: buildHead("HEAD /safe/x HTTP/1.1", TO_HOST, WITH_KEY),
@@ -123,7 +136,7 @@
 // requests ahead and read no answer.
 describe("a VM lives and serves after many requests", () => {
   for (const [name, ahead] of Object.entries(CASES)) {
-    const { listener, request, connections = CONNECTIONS } = ahead;
+    const { listener, start, request, connections = CONNECTIONS } = ahead;
     it(name, async () => {
       const processes = await PlatformProcesses.create();
       await processes.addReplica("i-1");
@@ -134,6 +147,7 @@
         ...vm!.getEndpoint(listener),
         connections,
       });
+      if (start !== undefined) await crowd.sendOnce(start, 0);
       await crowd.send(request, SENDING_MS);
       expect(vm!.hasEnded, vm!.readLogTail()).toBe(false);
       expect(processes.countMostDescriptors())
