--- a/src/process/settings_schema.ts
+++ b/src/process/settings_schema.ts
@@ -93,7 +93,9 @@
   max_body_bytes: COUNT.default(DEFAULT_MAX_BODY_BYTES)
     .describe("Bytes of a request's body"),
   max_connections: COUNT.default(DEFAULT_MAX_CONNECTIONS)
-    .describe("Open connections of callers"),
+    .describe(
+      "Open connections of callers; beyond it an idle one is closed",
+    ),
   header_timeout_ms: COUNT.default(DEFAULT_HEADER_TIMEOUT_MS)
     .describe("Time in which a caller must have sent its headers"),
   body_timeout_ms: COUNT.default(DEFAULT_BODY_TIMEOUT_MS)
