Tell VMs whose lists differ at one position by a digest in heartbeats

Nothing told that two VMs have different lists of one position: such a list isn't fetched, a heartbeat with its position confirms it, and a request to a replica that had left has no line at a VM that never learns of it. A full heartbeat now carries 32 bits of what the list holds; lists_differ and the gauge differing_lists tell which VMs differ and for how long, list_corrected which entries, and a leaving counts as learnt late where the list before was not that of its revision. No decision changes.

--- a/src/process/rendezvous.ts
+++ b/src/process/rendezvous.ts
@@ -5,8 +5,8 @@
  * @module
  */
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import { computeMix, computeTextHash } from "./hash.ts";
+
 const GOLDEN_RATIO = 0x9e3779b1;
 
 /** `ids` in the order in which they should own `key`, first choice first. */
@@ -14,7 +14,7 @@
   key: string,
   ids: readonly T[],
 ): T[] {
-  const keyHash = computeHash(key);
+  const keyHash = computeTextHash(key);
   return ids
     .map((id) => ({ id, score: computeScore(keyHash, id) }))
     .sort(compareScored)
@@ -26,7 +26,7 @@
   key: string,
   ids: Iterable<T>,
 ): T | undefined {
-  const keyHash = computeHash(key);
+  const keyHash = computeTextHash(key);
   let best: Scored<T> | undefined;
   for (const id of ids) {
     const scored = { id, score: computeScore(keyHash, id) };
@@ -41,7 +41,7 @@
   id: T,
   others: readonly T[],
 ): number {
-  const keyHash = computeHash(key);
+  const keyHash = computeTextHash(key);
   const own = { id, score: computeScore(keyHash, id) };
   return others.filter((other) =>
     compareScored({ id: other, score: computeScore(keyHash, other) }, own) < 0
@@ -60,22 +60,5 @@
 }
 
 function computeScore(keyHash: number, id: string): number {
-  return computeMix(keyHash ^ Math.imul(computeHash(id), GOLDEN_RATIO));
-}
-
-/** FNV-1a over UTF-16 units, in 32 bits. */
-function computeHash(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  return computeMix(hash);
-}
-
-/** Finalizer of MurmurHash3: each input bit affects each output bit. */
-function computeMix(value: number): number {
-  let mixed = value;
-  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-  return (mixed ^ (mixed >>> 16)) >>> 0;
+  return computeMix(keyHash ^ Math.imul(computeTextHash(id), GOLDEN_RATIO));
 }
--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -335,6 +335,7 @@
       configVersion: this.follower.getSnapshot()?.version ?? 0,
       listRevision: replicas.revision,
       listEra: replicas.position.era,
+      listDigest: this.follower.agreement.digest,
       listAgeMs: this.follower.getListAgeMs(),
       isStoreLost: this.follower.isStoreLost,
       cores,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -13,7 +13,11 @@
 } from "./placement/index.ts";
 import type { RequestQuarantine } from "./quarantine/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
-import type { DatagramCounts, FleetPeer } from "./seeded_fleet/index.ts";
+import type {
+  DatagramCounts,
+  DifferingVm,
+  FleetPeer,
+} from "./seeded_fleet/index.ts";
 import type { WaitCounts } from "./waiting/index.ts";
 
 const MS_PER_SECOND = 1_000;
@@ -39,6 +43,8 @@
   countFailedFetches: () => number;
   /** Leavings of which this VM may have learnt late. */
   countLateLeavings: () => number;
+  /** Other VMs whose lists differ from this one's at one position. */
+  listDiffering: () => DifferingVm[];
   /** Times that the store was restored, as this VM knows. */
   countRestorations: () => number;
   /** Bodies of requests that are being read. */
@@ -66,6 +72,10 @@
     list_revision: sources.replicas.revision,
     list_age_ms: sources.getListAgeMs(),
     watches_store: sources.isWatching(),
+    lists_differ: sources.listDiffering().map(({ vm, forMs }) => ({
+      vm,
+      for_ms: forMs,
+    })),
     peers: sources.listLive().map(({ heartbeat }) => ({
       vm: heartbeat.vm,
       incarnation: heartbeat.incarnation,
@@ -136,6 +146,10 @@
     help: "Calls to other VMs for newer state that failed since the start",
     read: sources.countFailedFetches,
   });
+  metrics.addGauge("differing_lists", {
+    help: "Other VMs that have another list at the same position",
+    read: () => sources.listDiffering().length,
+  });
   metrics.addGauge("store_restorations", {
     help: "Times that the store was restored from an older copy",
     read: sources.countRestorations,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -412,6 +412,8 @@
       getLagMs: () => this.#fleet?.follower.getLagMs() ?? 0,
       getWaiting: () => this.#fleet?.waiting,
       countFailedFetches: () => this.#fleet?.follower.failedFetches ?? 0,
+      listDiffering: () =>
+        this.#fleet?.follower.agreement.listDiffering() ?? [],
       countRestorations: () => this.#fleet?.follower.restorations.count ?? 0,
       countLateLeavings: () => this.#fleet?.follower.leavings.lateCount ?? 0,
       getBodies: () => this.#listeners.bodies,
--- a/src/process/seeded_fleet/fleet_message.ts
+++ b/src/process/seeded_fleet/fleet_message.ts
@@ -18,6 +18,7 @@
   WorkspaceName,
 } from "../../ids.ts";
 import { toError } from "../../errors.ts";
+import type { ListDigest } from "../placement/list_digest.ts";
 import type { ListPosition } from "../placement/list_position.ts";
 import { ORIGIN, ORIGIN_ANSWER, ORIGIN_QUERY } from "./origin_message.ts";
 import { NEWS_QUERY, SUSPECTS } from "./suspect_schema.ts";
@@ -109,6 +110,8 @@
   withheld: z.array(z.tuple([VM, COUNT])).optional(),
   /** The same for data centres that were evacuated. */
   keptEvacuations: z.array(z.tuple([DATA_CENTRE, COUNT])).optional(),
+  /** Digest of the sender's list; undefined from older versions. */
+  listDigest: COUNT.transform((digest) => digest as ListDigest).optional(),
 });
 
 const MEMBERS = z.object({
--- a/src/process/seeded_fleet/fleet_peers.ts
+++ b/src/process/seeded_fleet/fleet_peers.ts
@@ -7,7 +7,12 @@
 import type { VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
 import type { Log } from "../log.ts";
-import type { AliveMessage, FleetHeartbeat } from "./fleet_message.ts";
+import { isSamePosition } from "../placement/list_position.ts";
+import {
+  type AliveMessage,
+  type FleetHeartbeat,
+  getListPosition,
+} from "./fleet_message.ts";
 
 /** A VM that was silent for this long is removed and no longer retried. */
 const FORGET_AFTER_MS = 120_000;
@@ -100,10 +105,12 @@
     if (sequence <= peer.heartbeat.sequence) return undefined;
     // Neither is said anew: the work, and when the heartbeat was sent.
     const { work: _work, sentAt: _sentAt, ...heartbeat } = peer.heartbeat;
-    const list = alive.listRevision === undefined
-      ? {}
-      : { listRevision: alive.listRevision, listEra: alive.listEra };
-    peer.heartbeat = { ...heartbeat, sequence, listAgeMs, ...list };
+    peer.heartbeat = {
+      ...heartbeat,
+      sequence,
+      listAgeMs,
+      ...buildToldList(peer.heartbeat, alive),
+    };
     peer.lastReceivedAt = this.#clock.now();
     return peer;
   }
@@ -167,6 +174,17 @@
   }
 }
 
+/** What an `alive` message tells of the sender's list. */
+function buildToldList(
+  heartbeat: FleetHeartbeat,
+  { listRevision: revision, listEra: era }: AliveMessage,
+): Partial<FleetHeartbeat> {
+  if (revision === undefined) return {};
+  const list = { listRevision: revision, listEra: era };
+  const isSame = isSamePosition(getListPosition(heartbeat), { era, revision });
+  return isSame ? list : { ...list, listDigest: undefined };
+}
+
 /** Whether a property changed that the choice of owners depends on. */
 function hasOwnershipChange(
   before: FleetHeartbeat,
--- a/src/process/seeded_fleet/followed_list.ts
+++ b/src/process/seeded_fleet/followed_list.ts
@@ -6,8 +6,10 @@
  */
 import type { Incarnation, VmId } from "../../ids.ts";
 import type { Clock } from "../clock.ts";
+import { formatNames } from "../format_names.ts";
 import type { Log } from "../log.ts";
 import type { LastSend } from "../placement/last_sends.ts";
+import { listDifferences } from "../placement/list_digest.ts";
 import {
   isAfterRestore,
   isNewer,
@@ -19,7 +21,9 @@
 } from "../placement/replica_list.ts";
 import { listEvacuations, writeEvacuations } from "./evacuation_changes.ts";
 import { type FleetHeartbeat, getListPosition } from "./fleet_message.ts";
+import type { FleetPeers } from "./fleet_peers.ts";
 import { LeavingNews } from "./leaving_news.ts";
+import { ListAgreement } from "./list_agreement.ts";
 import { ListConfirmation } from "./list_confirmation.ts";
 import { buildCorrectedList } from "./list_correction.ts";
 import type { ListSource, VersionRecord } from "./list_source.ts";
@@ -44,6 +48,7 @@
   incarnation: Incarnation;
   clock: Clock;
   log: Log;
+  peers: FleetPeers;
   replicas: ReplicaDirectory;
   /** Interval at which replicas renew their entries. */
   entryRenewalMs: number;
@@ -67,6 +72,8 @@
   readonly leavings: LeavingNews;
   /** When the list was last known to be the newest. */
   readonly confirmation: ListConfirmation;
+  /** Which other VMs have other lists at one position. */
+  readonly agreement: ListAgreement;
   readonly #expired: RecentlyExpired;
   readonly #lag: StateLag;
 
@@ -81,6 +88,7 @@
       ...options,
       getListAgeMs: () => this.getAgeMs(),
     });
+    this.agreement = ListAgreement.create(options);
     this.#lag = StateLag.create(options.clock, options.log);
     this.confirmation = ListConfirmation.create(
       options.incarnation,
@@ -131,6 +139,7 @@
     const list = getListPosition(heartbeat);
     const isSameList = isSamePosition(list, replicas.position);
     this.confirmation.noteHeartbeat(heartbeat, isSameList);
+    this.agreement.noteHeartbeat(heartbeat);
     const hasLeft = this.leavings.noteHeartbeat(heartbeat);
     if (hasLeft) {
       this.#expired.dropLeft((id) => replicas.hasLeft(id));
@@ -160,20 +169,19 @@
     const list = this.#expired.isRestoring
       ? this.#expired.apply(published, before)
       : fetched;
-    this.#apply(list, from, source);
+    this.#apply(list, from, { source });
   }
 
   /** Applies the list that the store told. */
   applyRead({ state, newestAt, isWhole, source }: ReadState): void {
-    const { replicas, log } = this.#options;
+    const { replicas } = this.#options;
     const before = replicas.getList();
     this.#noteMissing(state.replicas, before);
     const read = this.#expired.apply(state.replicas, before);
     const list = isWhole ? buildCorrectedList(before, read) : read;
-    if (list !== before && list.revision > read.revision) {
-      log.warn("list_corrected", { revision: list.revision });
-    }
-    this.#apply(list, "store", source);
+    const isCorrected = list !== before && list.revision > read.revision;
+    if (isCorrected) this.#writeCorrected(before, list);
+    this.#apply(list, "store", { source, isCorrected });
     if (!isSamePosition(replicas.position, list)) return;
     this.confirmation.noteStore(newestAt);
   }
@@ -181,16 +189,21 @@
   #apply(
     list: ReplicaList,
     from: VmId | "store",
-    source: ListSource,
+    { source, isCorrected = false }: {
+      source: ListSource;
+      isCorrected?: boolean;
+    },
   ): void {
     const { replicas, log } = this.#options;
     const before = replicas.getList();
     const isRestored = isAfterRestore(list, before);
     const left = isRestored ? replicas.listLeft() : [];
     const [listAgeMs, lagMs] = [this.getAgeMs(), this.#lag.getMs()];
+    const differsMs = this.agreement.getDifferingMs();
     if (!replicas.apply(list, from)) return;
     this.#lag.noteApplied(list, from, listAgeMs);
     const after = replicas.getList();
+    this.agreement.noteOwn(after);
     if (isRestored) {
       this.leavings.noteRestored();
       this.restorations.noteRestored({ before, left, from });
@@ -204,11 +217,27 @@
     writeEvacuations(log, evacuations, { list, from });
     const isFirst = before.revision === 0;
     writeChanges(log, changes, { list, from, isFirst });
-    this.leavings.noteList({ before, after, from, listAgeMs, lagMs });
+    this.leavings.noteList({
+      before,
+      after,
+      from,
+      listAgeMs,
+      lagMs,
+      differsMs,
+      isCorrected,
+    });
     const restarted = changes.filter(({ change }) => change === "restarted");
     this.#options.onReplicas(restarted.map(({ replica }) => replica));
   }
 
+  #writeCorrected(before: ReplicaList, list: ReplicaList): void {
+    this.#options.log.warn("list_corrected", {
+      revision: list.revision,
+      entries: formatNames(listDifferences(before, list)),
+      differs_ms: this.agreement.getDifferingMs(),
+    });
+  }
+
   /** Retains what the copy lacks, unless another VM told that it has left. */
   #noteMissing(list: ReplicaList, before: ReplicaList): void {
     if (!isAfterRestore(list, before)) return;
--- a/src/process/seeded_fleet/index.ts
+++ b/src/process/seeded_fleet/index.ts
@@ -29,6 +29,7 @@
   PoolOwners,
 } from "./pool_owners.ts";
 export type { FleetMember, OwnerCandidate } from "./pool_owners.ts";
+export type { DifferingVm } from "./list_agreement.ts";
 export type {
   FormerVersion,
   ListSource,
--- a/src/process/seeded_fleet/leaving_news.ts
+++ b/src/process/seeded_fleet/leaving_news.ts
@@ -44,6 +44,10 @@
   listAgeMs: number;
   /** Time for which other VMs have had a newer list, in milliseconds. */
   lagMs: number;
+  /** Time for which other VMs have had another list of the same position. */
+  differsMs: number;
+  /** Whether the list before lacked a change of its own revision. */
+  isCorrected: boolean;
 }
 
 /** Learns of leavings, passes them on, and logs those learnt late. */
@@ -85,8 +89,7 @@
     const unheard = entries.filter(([id]) => !this.#recent.has(id));
     this.#recent.add(entries);
     unheard.forEach(([id]) => this.#writeLastSend(id));
-    const { listAgeMs, lagMs } = change;
-    if (listAgeMs < LATE_AFTER_MS && lagMs < LATE_AFTER_MS) return;
+    if (!isLate(change)) return;
     this.#lateCount += unheard.length;
     for (const [id] of unheard) this.#writeLate(id, change);
   }
@@ -127,7 +130,7 @@
 
   #writeLate(
     replica: VmId,
-    { after, from, listAgeMs, lagMs }: ListChange,
+    { after, from, listAgeMs, lagMs, differsMs }: ListChange,
   ): void {
     const { log, findLastSend } = this.#options;
     log.warn("leaving_learnt_late", {
@@ -136,11 +139,19 @@
       from,
       list_age_ms: listAgeMs,
       lag_ms: Math.round(lagMs),
+      differs_ms: differsMs,
       last_sent_ms: findLastSend(replica)?.agoMs,
     });
   }
 }
 
+/** Whether the leavings that a list shows may have been learnt late. */
+function isLate(
+  { listAgeMs, lagMs, differsMs, isCorrected }: ListChange,
+): boolean {
+  return isCorrected || Math.max(listAgeMs, lagMs, differsMs) >= LATE_AFTER_MS;
+}
+
 /**
  * Replicas that were ready, and are draining or missing now. One that was missing
  * before and is retained no more is none: other VMs may still retain it.
--- a/src/process/seeded_fleet/restorations.ts
+++ b/src/process/seeded_fleet/restorations.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "../clock.ts";
+import { formatNames } from "../format_names.ts";
 import type { Log } from "../log.ts";
 import { getEra } from "../placement/list_position.ts";
 import type {
@@ -13,9 +14,6 @@
 } from "../placement/replica_list.ts";
 import { EarlierEra, type KeptNews } from "./earlier_era.ts";
 
-/** Names in a log line at most. */
-const MAX_LOGGED_NAMES = 24;
-
 /** Options of `Restorations`. */
 export interface RestorationsOptions {
   clock: Clock;
@@ -78,8 +76,8 @@
       from,
       known_era: getEra(before),
       known_revision: before.revision,
-      withheld: formatSome(withheld.replicas),
-      evacuated: formatSome(withheld.dataCentres),
+      withheld: formatNames(withheld.replicas),
+      evacuated: formatNames(withheld.dataCentres),
       retained: after.replicas.filter(({ isRetained }) => isRetained).length,
     });
   }
@@ -110,9 +108,3 @@
     onWithheld();
   }
 }
-
-function formatSome(names: ReadonlySet<string>): string {
-  const shown = [...names].slice(0, MAX_LOGGED_NAMES).join(",");
-  const more = names.size - MAX_LOGGED_NAMES;
-  return more > 0 ? `${shown} and ${more} more` : shown;
-}
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -14,9 +14,10 @@
 import { isNewer } from "../placement/list_position.ts";
 import type { Random } from "../random.ts";
 import type { Confirmation } from "./fleet_message.ts";
-import type { FleetPeer, FleetPeers } from "./fleet_peers.ts";
+import type { FleetPeer } from "./fleet_peers.ts";
 import { FollowedList, type FollowedListOptions } from "./followed_list.ts";
 import type { LeavingNews } from "./leaving_news.ts";
+import type { ListAgreement } from "./list_agreement.ts";
 import type { VersionRecord } from "./list_source.ts";
 import type { KnownVersions, NewerState } from "./newer_state.ts";
 import type { PublishedStore } from "./published_store.ts";
@@ -37,7 +38,6 @@
   vm: VmId;
   random: Random;
   store: PublishedStore;
-  peers: FleetPeers;
   /** Fetches what another VM has beyond the two versions. */
   fetchFrom: (
     peer: FleetPeer,
@@ -135,6 +135,11 @@
     return this.#watcher.isWatching;
   }
 
+  /** Which other VMs have other lists at one position. */
+  get agreement(): ListAgreement {
+    return this.#list.agreement;
+  }
+
   /** See `FollowedList.getAgeMs`. */
   getListAgeMs(): number {
     return this.#list.getAgeMs();
--- a/test/process/seeded_fleet/leaving_news_test.ts
+++ b/test/process/seeded_fleet/leaving_news_test.ts
@@ -73,7 +73,14 @@
   return { clock, log, replicas, before, news, noteLeft };
 }
 
-const LATE = { from: "store", listAgeMs: 2_000, lagMs: 300.4 } as const;
+const IN_TIME = {
+  from: "store",
+  listAgeMs: 9,
+  lagMs: 0,
+  differsMs: 0,
+  isCorrected: false,
+} as const;
+const LATE = { ...IN_TIME, listAgeMs: 2_000, lagMs: 300.4 } as const;
 
 describe("a leaving that another VM tells of", () => {
   // Guards against requests for a replica of which this VM knows that it left,
@@ -129,6 +136,7 @@
       from: "store",
       list_age_ms: 2_000,
       lag_ms: 300,
+      differs_ms: 0,
     };
     expect(log.lines).toEqual([
       LAST_SEND_LINE,
@@ -158,8 +166,20 @@
   it("is told to other VMs", () => {
     const { before, news } = createNews();
     const after = buildList(7, { "i-1": "draining", "i-2": "ready" });
-    news.noteList({ before, after, from: "store", listAgeMs: 9, lagMs: 0 });
+    news.noteList({ before, after, ...IN_TIME });
     expect(news.listRecent()).toEqual([[FIRST, 7]]);
     expect(news.lateCount).toBe(0);
   });
+
+  // Guards against a sender that nobody can tell, since its list counted as new
+  // while it lacked the leaving.
+  it.each([{ isCorrected: true }, { differsMs: 1_900 }])(
+    "is late if the list before was not that of its revision, %o",
+    (how) => {
+      const { before, news } = createNews();
+      const after = buildList(7, { "i-1": "draining", "i-2": "ready" });
+      news.noteList({ before, after, ...IN_TIME, ...how });
+      expect(news.lateCount).toBe(1);
+    },
+  );
 });
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -479,6 +479,7 @@
     configVersion: vm.follower.getSnapshot()?.version ?? 0,
     listRevision: vm.replicas.revision,
     listEra: vm.replicas.position.era,
+    listDigest: vm.follower.agreement.digest,
     listAgeMs: vm.follower.getListAgeMs(),
     isStoreLost: vm.follower.isStoreLost,
     cores: 1,
