Drop a watch's answer when its list was replaced meanwhile

Callers' requests went on to a replica that had left, for good, from nearly all VMs. A watch adds changes to what its VM read before. A list that was corrected, and fetched from another VM while the watch was under way, was replaced by the old one with the next change added, at the next revision; the VM told others of it, and nothing noticed, since the position was the store's.

An answer is dropped only if the list is another one than when the watch began, and not the same as the answer's; the store is asked again from there. The other test guards against a case that held before.

--- a/src/process/seeded_fleet/published_store.ts
+++ b/src/process/seeded_fleet/published_store.ts
@@ -61,4 +61,9 @@
    * than the last read.
    */
   abstract resumeFrom(list: ReplicaList): void;
+  /**
+   * Lets the next watch go on from a list that another VM read, in the place of
+   * what was read here, also if that is newer.
+   */
+  abstract replaceBy(list: ReplicaList): void;
 }
--- a/src/process/seeded_fleet/store_history.ts
+++ b/src/process/seeded_fleet/store_history.ts
@@ -93,10 +93,15 @@
   /** Goes on from a list that another client read; returns whether it is newer. */
   resumeFrom(list: ListPosition): boolean {
     if (!isNewer(list, this.position)) return false;
+    this.replaceBy(list);
+    return true;
+  }
+
+  /** Goes on from a list that another client read, older or newer. */
+  replaceBy(list: ListPosition): void {
     this.#era = getEra(list);
     this.#revision = list.revision;
     this.#needsWholeRead = false;
-    return true;
   }
 
   #startEra(era: number): void {
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -11,6 +11,7 @@
  */
 import { toError } from "../../errors.ts";
 import type { VmId } from "../../ids.ts";
+import { computeListDigest } from "../placement/list_digest.ts";
 import {
   getEra,
   isNewer,
@@ -221,7 +222,7 @@
   }
 
   async #watchOnce(): Promise<void> {
-    const { clock, random, store, getList, onState } = this.#options;
+    const { clock, random, store, getList } = this.#options;
     const calledAt = clock.now();
     try {
       const waitMs = this.#computeWatchWaitMs();
@@ -234,9 +235,7 @@
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#availability.noteAnswered(calledAt);
-      const { era, revision } = read.state;
-      this.#position = { era, revision };
-      onState(read);
+      this.#applyRead(read, list);
       await this.#waitAfterFruitless();
     } catch (thrown) {
       this.#retry.noteFailed();
@@ -246,6 +245,20 @@
     }
   }
 
+  /** Applies what a call returned that was sent with `known` as the list. */
+  #applyRead(read: ReadState, known: ReplicaList): void {
+    const { store, getList, onState } = this.#options;
+    const list = getList();
+    if (!read.isWhole && isOutdated(read, known, list)) {
+      store.replaceBy(list);
+      this.#position = { era: list.era, revision: list.revision };
+      return;
+    }
+    const { era, revision } = read.state;
+    this.#position = { era, revision };
+    onState(read);
+  }
+
   /** A store that answers at once, and tells nothing, is not called at once. */
   async #waitAfterFruitless(): Promise<void> {
     const { clock, random } = this.#options;
@@ -355,3 +368,18 @@
     return this.#retry.computeIntervalMs(vmCount, isViewStale());
   }
 }
+
+/**
+ * Whether changes were added to a list that has been replaced meanwhile, by one
+ * that may have been wrong.
+ */
+function isOutdated(
+  { state }: ReadState,
+  known: ReplicaList,
+  list: ReplicaList,
+): boolean {
+  if (list === known) return false;
+  if (list.replicas.some(({ isRetained }) => isRetained)) return false;
+  return !isSamePosition(state, list) ||
+    computeListDigest(state.replicas) !== computeListDigest(list);
+}
--- a/test/platform/store_resume_test.ts
+++ b/test/platform/store_resume_test.ts
@@ -61,6 +61,22 @@
   expect(standIn.calls).toEqual(["/api/kv-watch", "/api/kv-watch"]);
 });
 
+// Guards against a corrected list that the next change undoes, since it is added
+// to what this VM had read before.
+it("a watch goes on from an older list in the place of what was read", async () => {
+  const { standIn, other, replicas } = await openStore();
+  standIn.put("servers/i-3", ENTRY);
+  await other.fetchState();
+  const corrected = {
+    ...replicas,
+    replicas: replicas.replicas.filter(({ id }) => id !== "i-1"),
+  };
+  other.resumeFrom(corrected);
+  expect(await watchIds(other)).toEqual(["i-1", "i-2", "i-3"]);
+  other.replaceBy(corrected);
+  expect(await watchIds(other)).toEqual(["i-2", "i-3"]);
+});
+
 // Guards against replicas that are kept although the store has removed them.
 it("a watch does not go on from a list with retained replicas", async () => {
   const { other, replicas } = await openStore();
--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -78,6 +78,8 @@
   #revision = 1;
   #oldest = 1;
   #waiting: (() => void)[] = [];
+  /** How many watches still leave the changes of a key out. */
+  readonly #leftOut = new Map<string, number>();
   /** Set while watches hear of no change. */
   #deafness: DeafnessKind | undefined;
 
@@ -99,6 +101,11 @@
     this.#add(key, undefined);
   }
 
+  /** The next so many watches that would tell a change of a key do not. */
+  silenceKey(key: string, watches: number): void {
+    this.#leftOut.set(key, watches);
+  }
+
   /** Drops the history and wakes all watches; those that lag behind get 410. */
   dropHistory(): void {
     this.#oldest = this.#revision + 1;
@@ -279,8 +286,7 @@
       this.#send(response, 200, body);
       return;
     }
-    const events = this.#history
-      .filter(({ revision }) => revision > after)
+    const events = this.#takeToldChanges(after)
       .map((change) =>
         change.value === undefined ? { ...change, deleted: true } : change
       );
@@ -288,6 +294,19 @@
     this.#send(response, 200, body);
   }
 
+  /** The changes after a revision that a watch tells. */
+  #takeToldChanges(after: number): Change[] {
+    const changes = this.#history.filter(({ revision }) => revision > after);
+    const leftOut = new Set<string>();
+    for (const { key } of changes) {
+      const watches = this.#leftOut.get(key) ?? 0;
+      if (watches === 0 || leftOut.has(key)) continue;
+      leftOut.add(key);
+      this.#leftOut.set(key, watches - 1);
+    }
+    return changes.filter(({ key }) => !leftOut.has(key));
+  }
+
   async #waitWhileHeld(): Promise<void> {
     while (this.mode === "held") await sleep(HELD_CHECK_MS);
   }
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -21,6 +21,8 @@
 class SilentStore extends PublishedStore {
   override resumeFrom(): void {}
 
+  override replaceBy(): void {}
+
   override fetchState(): Promise<never> {
     return new Promise(() => {});
   }
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -18,6 +18,8 @@
 class UnavailableStore extends PublishedStore {
   override resumeFrom(): void {}
 
+  override replaceBy(): void {}
+
   calls = 0;
 
   override fetchState(): Promise<WholeState> {
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -39,6 +39,8 @@
 
   override resumeFrom(): void {}
 
+  override replaceBy(): void {}
+
   override async fetchState(): Promise<WholeState> {
     this.calls.push({ kind: "read", at: this.#clock.now() });
     if (this.failingReads > 0) {
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -435,6 +435,10 @@
     this.#history.resumeFrom(list);
   }
 
+  override replaceBy(list: ReplicaList): void {
+    this.#history.replaceBy(list);
+  }
+
   async #waitForAnswer(): Promise<void> {
     this.#vm.storeCalls += 1;
     const failsAfterMs = this.#fleet.failStoreCall(this.#vm);
