Ask the store where VMs have two lists at one position

Requests went on to a replica that had left, from one VM or a few, for as long as it served, with a fresh view and without a line. The VM's watch had told the next change and not that one, so its list had the position of all others: such a list isn't fetched, each heartbeat and each watch without a change confirms it, and the VM that audits compares its own list only.

VMs compare digests. One that differs from most, or the first of those that agree, reads the store with a client of its own; a list that differs gets a position above, and the others fetch it.

--- a/src/process/routed_fleet.ts
+++ b/src/process/routed_fleet.ts
@@ -61,6 +61,8 @@
   log: Log;
   link: DatagramLink;
   store: PublishedStore;
+  /** See `StateFollowerOptions`. */
+  createStore: () => PublishedStore;
   replicas: ReplicaDirectory;
   locality: Locality;
   placement: PlacementState;
@@ -176,6 +178,7 @@
       random,
       log,
       store: options.store,
+      createStore: options.createStore,
       peers: this.#heartbeats.peers,
       replicas,
       entryRenewalMs,
--- a/src/process/routed_status.ts
+++ b/src/process/routed_status.ts
@@ -11,6 +11,7 @@
   type PlacementState,
   type ReplicaDirectory,
 } from "./placement/index.ts";
+import { computeListDigest } from "./placement/list_digest.ts";
 import type { RequestQuarantine } from "./quarantine/index.ts";
 import type { ProcessMetrics } from "./request_metrics.ts";
 import type {
@@ -45,6 +46,8 @@
   countLateLeavings: () => number;
   /** Other VMs whose lists differ from this one's at one position. */
   listDiffering: () => DifferingVm[];
+  /** Reads of the store because lists of other VMs differ. */
+  countVerifications: () => number;
   /** Times that the store was restored, as this VM knows. */
   countRestorations: () => number;
   /** Bodies of requests that are being read. */
@@ -72,6 +75,7 @@
     list_revision: sources.replicas.revision,
     list_age_ms: sources.getListAgeMs(),
     watches_store: sources.isWatching(),
+    list_digest: computeListDigest(sources.replicas.getList()),
     lists_differ: sources.listDiffering().map(({ vm, forMs }) => ({
       vm,
       for_ms: forMs,
@@ -83,6 +87,7 @@
       configuration_version: heartbeat.configVersion,
       list_era: heartbeat.listEra ?? 0,
       list_revision: heartbeat.listRevision,
+      list_digest: heartbeat.listDigest,
     })),
     quarantined: sources.quarantine.listQuarantined().map((request) => ({
       fingerprint: request.fingerprint,
@@ -150,6 +155,10 @@
     help: "Other VMs that have another list at the same position",
     read: () => sources.listDiffering().length,
   });
+  metrics.addGauge("list_verifications", {
+    help: "Reads of the store because other VMs had another list",
+    read: sources.countVerifications,
+  });
   metrics.addGauge("store_restorations", {
     help: "Times that the store was restored from an older copy",
     read: sources.countRestorations,
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -366,6 +366,7 @@
       log: this.#log,
       link,
       store: createStore(toStore),
+      createStore: () => createStore(toStore),
       replicas: this.replicas,
       locality: this.#locality,
       placement: this.#placement,
@@ -412,6 +413,7 @@
       getLagMs: () => this.#fleet?.follower.getLagMs() ?? 0,
       getWaiting: () => this.#fleet?.waiting,
       countFailedFetches: () => this.#fleet?.follower.failedFetches ?? 0,
+      countVerifications: () => this.#fleet?.follower.verifications ?? 0,
       listDiffering: () =>
         this.#fleet?.follower.agreement.listDiffering() ?? [],
       countRestorations: () => this.#fleet?.follower.restorations.count ?? 0,
--- a/src/process/seeded_fleet/list_agreement.ts
+++ b/src/process/seeded_fleet/list_agreement.ts
@@ -28,6 +28,8 @@
 const MAX_OWN_LISTS = 8;
 /** A change reaches all VMs within moments. */
 const LOGGED_AFTER_MS = 300;
+/** Heartbeats may come thousands of times a second. */
+const LOG_CHECK_INTERVAL_MS = 100;
 
 /** Options of `ListAgreement`. */
 export interface ListAgreementOptions {
@@ -52,6 +54,7 @@
 interface Comparison {
   isSame: boolean;
   since: number;
+  at: number;
 }
 
 /** Which other VMs have other lists at a position that this VM has had. */
@@ -63,6 +66,7 @@
   readonly #differ: RepeatedEvent;
   /** `Clock.now()` since which VMs differ, if that was logged. */
   #loggedSince: number | undefined;
+  #logCheckedAt = -Infinity;
 
   constructor(options: ListAgreementOptions) {
     this.#options = options;
@@ -93,6 +97,20 @@
       .map(([vm]) => vm);
   }
 
+  /** Whether a VM had another list at the last comparison. */
+  isDiffering(vm: VmId): boolean {
+    return this.#compared.get(vm)?.isSame === false;
+  }
+
+  /** Live VMs that were compared since the first of them differed. */
+  countCompared(): { differing: number; agreeing: number } {
+    const compared = this.#listCompared().map(([, each]) => each);
+    const differing = compared.filter(({ isSame }) => !isSame);
+    const since = Math.min(...differing.map((each) => each.since));
+    const agreeing = compared.filter(({ isSame, at }) => isSame && at >= since);
+    return { differing: differing.length, agreeing: agreeing.length };
+  }
+
   /** The longest time for which a VM has differed; 0 if none does. */
   getDifferingMs(): number {
     return Math.max(0, ...this.listDiffering().map(({ forMs }) => forMs));
@@ -124,7 +142,7 @@
     const before = this.#compared.get(vm);
     const now = this.#options.clock.now();
     const since = before?.isSame === isSame ? before.since : now;
-    this.#compared.set(vm, { isSame, since });
+    this.#compared.set(vm, { isSame, since, at: now });
     if (!isSame || this.#loggedSince !== undefined) this.#writeDiffering();
   }
 
@@ -146,6 +164,9 @@
 
   #writeDiffering(): void {
     const { clock, log } = this.#options;
+    const isDue = clock.now() - this.#logCheckedAt >= LOG_CHECK_INTERVAL_MS;
+    if (!isDue) return;
+    this.#logCheckedAt = clock.now();
     const differing = this.listDiffering();
     const forMs = this.getDifferingMs();
     if (differing.length === 0) {
--- a/src/process/seeded_fleet/list_correction.ts
+++ b/src/process/seeded_fleet/list_correction.ts
@@ -7,9 +7,9 @@
  *
  * @module
  */
+import { computeListDigest } from "../placement/list_digest.ts";
 import { getEra } from "../placement/list_position.ts";
 import type { ReplicaList } from "../placement/replica_list.ts";
-import { listEvacuations } from "./evacuation_changes.ts";
 import { listChanges } from "./replica_changes.ts";
 
 /**
@@ -33,11 +33,12 @@
   const ahead = known.revision - read.revision;
   if (ahead < 0 || ahead >= MAX_CORRECTION) return read;
   if (read.replicas.some(({ isRetained }) => isRetained)) return read;
-  if (countDifferences(known, read) === 0) return known;
+  if (isSameList(known, read)) return known;
   return { ...read, revision: known.revision + CORRECTION };
 }
 
-/** Replicas and evacuated data centres in which two lists differ. */
-function countDifferences(one: ReplicaList, other: ReplicaList): number {
-  return listChanges(one, other).length + listEvacuations(one, other).length;
+/** Whether two lists have the same entries, of the same processes. */
+function isSameList(one: ReplicaList, other: ReplicaList): boolean {
+  return computeListDigest(one) === computeListDigest(other) &&
+    listChanges(one, other).length === 0;
 }
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -21,6 +21,7 @@
 import type { VersionRecord } from "./list_source.ts";
 import type { KnownVersions, NewerState } from "./newer_state.ts";
 import type { PublishedStore } from "./published_store.ts";
+import { ListVerifier } from "./list_verifier.ts";
 import { RefreshWait } from "./refresh_wait.ts";
 import type { Restorations } from "./restorations.ts";
 import { StateFetcher } from "./state_fetcher.ts";
@@ -38,6 +39,8 @@
   vm: VmId;
   random: Random;
   store: PublishedStore;
+  /** Creates a client of the store that shares nothing with another one. */
+  createStore: () => PublishedStore;
   /** Fetches what another VM has beyond the two versions. */
   fetchFrom: (
     peer: FleetPeer,
@@ -56,6 +59,7 @@
   readonly #options: StateFollowerOptions;
   readonly #list: FollowedList;
   readonly #configurationLag: StateLag;
+  readonly #verifier: ListVerifier;
   readonly #fetcher: StateFetcher;
   #configuration: PublishedConfiguration | undefined;
   #snapshot: RoutedSnapshot | undefined;
@@ -66,6 +70,11 @@
     this.#options = options;
     this.#list = FollowedList.create(options);
     this.#configurationLag = StateLag.create(options.clock, options.log);
+    this.#verifier = ListVerifier.create({
+      ...options,
+      agreement: this.#list.agreement,
+      onState: (read) => this.#applyState(read),
+    });
     this.#fetcher = StateFetcher.create({
       ...options,
       isAhead: (peer) => this.#isAhead(peer),
@@ -110,6 +119,7 @@
   stop(): void {
     this.#watcher.stop();
     this.#list.stop();
+    this.#verifier.stop();
   }
 
   /** Restorations of the store from older copies. */
@@ -165,6 +175,11 @@
     return this.#fetcher.failures;
   }
 
+  /** Reads of the store because lists of other VMs differ. */
+  get verifications(): number {
+    return this.#verifier.count;
+  }
+
   /** See `RefreshWait.endWaits`. */
   endWaits(): void {
     this.#refreshWait.endWaits();
@@ -202,6 +217,9 @@
     this.#watcher.noteHeard(heartbeat.vm);
     this.#refreshWait.noteHeard();
     this.#list.noteHeartbeat(heartbeat);
+    if (this.agreement.isDiffering(heartbeat.vm)) {
+      this.#verifier.noteDiffering();
+    }
     if (!this.#isAhead(peer)) return;
     if (this.#hasNewerConfiguration(peer)) {
       const revision = heartbeat.configVersion;
--- a/test/failures/lists_differ_test.ts
+++ b/test/failures/lists_differ_test.ts
@@ -14,6 +14,7 @@
 const SETTLE_MS = 1_500;
 const WATCHERS = 3;
 const CHANGE_GAP_MS = 100;
+const ZONE = "dc-1";
 
 async function createFleet(): Promise<PlatformFleet> {
   const fleet = await PlatformFleet.create({ replicas: 3, vms: VMS });
@@ -46,6 +47,29 @@
   expect(listReady(fleet.vms, id)).toEqual([]);
 }
 
+// Guards against a VM that uses a replica for good that has left, since its watch
+// told the next change and not that one, so that its list has the position of all
+// others.
+for (const leaving of ["draining", "gone"]) {
+  for (let watches = 1; watches <= WATCHERS; watches++) {
+    it(
+      `a replica that is ${leaving}, which ${watches} of 3 watches leave out, gets nothing`,
+      async () => {
+        const fleet = await createFleet();
+        const [replica] = fleet.replicas as [ReplicaStandIn];
+        const key = `servers/${replica.id}`;
+        fleet.store.silenceKey(key, watches);
+        if (leaving === "gone") fleet.store.remove(key);
+        else fleet.listReplica(replica, { state: "draining" });
+        writeOther(fleet);
+        await sleep(DRAIN_MS);
+        await checkUnused(fleet, replica);
+      },
+      20_000,
+    );
+  }
+}
+
 // Guards against a watch that was under way when its list was corrected, and
 // whose answer puts the wrong list in the place of the right one.
 it("a corrected list is kept while other entries change", async () => {
@@ -77,3 +101,31 @@
   await sleep(DRAIN_MS);
   await checkUnused(fleet, replica);
 }, 20_000);
+
+// Guards against a VM that refuses a data centre for good, since its watch did not
+// tell that the evacuation has ended.
+it("the end of an evacuation that one watch leaves out is heard", async () => {
+  const fleet = await createFleet();
+  const key = `op/evacuate/${ZONE}`;
+  const [replica] = fleet.replicas as [ReplicaStandIn];
+  fleet.store.put(key, {});
+  await waitUntil(() => listReady(fleet.vms, replica.id).length === 0);
+  fleet.store.silenceKey(key, 1);
+  fleet.store.remove(key);
+  writeOther(fleet);
+  await sleep(DRAIN_MS);
+  expect(listReady(fleet.vms, replica.id)).toHaveLength(VMS);
+}, 20_000);
+
+// Guards against a VM that starts on the list of another one that is wrong.
+it("a VM that starts beside a wrong list learns of the leaving", async () => {
+  const fleet = await createFleet();
+  const [replica] = fleet.replicas as [ReplicaStandIn];
+  const key = `servers/${replica.id}`;
+  fleet.store.silenceKey(key, 2);
+  fleet.store.remove(key);
+  writeOther(fleet);
+  await fleet.addVm();
+  await sleep(DRAIN_MS);
+  await checkUnused(fleet, replica);
+}, 20_000);
--- a/test/process/seeded_fleet/alive_message_test.ts
+++ b/test/process/seeded_fleet/alive_message_test.ts
@@ -46,6 +46,7 @@
     random: SeededRandom.create(1),
     log,
     store: new SilentStore(),
+    createStore: () => new SilentStore(),
     peers,
     replicas,
     entryRenewalMs: 1_200,
--- a/test/process/seeded_fleet/store_unavailable_test.ts
+++ b/test/process/seeded_fleet/store_unavailable_test.ts
@@ -70,6 +70,7 @@
     random: SeededRandom.create(1),
     log,
     store,
+    createStore: () => store,
     peers,
     replicas: ReplicaDirectory.create(),
     entryRenewalMs: 1_200,
--- a/test/process/seeded_fleet/store_watcher_test.ts
+++ b/test/process/seeded_fleet/store_watcher_test.ts
@@ -81,6 +81,7 @@
     random: SeededRandom.create(1),
     log,
     store,
+    createStore: () => store,
     peers: FleetPeers.create(clock, log),
     replicas,
     entryRenewalMs: 1_200,
--- a/test/support/virtual_seeded_fleet.ts
+++ b/test/support/virtual_seeded_fleet.ts
@@ -78,6 +78,13 @@
   revision: number;
 }
 
+/** A change of a replica's entry; undefined if it was removed. */
+export interface VirtualChange {
+  revision: number;
+  id: VmId;
+  replica: ListedReplica | undefined;
+}
+
 /** A VM of the fleet. */
 export interface VirtualVm {
   index: number;
@@ -93,6 +100,8 @@
   storeCalls: number;
   /** Reads of the store's whole state. */
   wholeReads: number;
+  /** Whether a watch of this VM leaves a change out. */
+  misses: (change: VirtualChange) => boolean;
 }
 
 /** VMs, their store, and the paths between them. */
@@ -118,6 +127,8 @@
     (bytes: Uint8Array, from: string) => void
   >();
   readonly #listed = new Map<VmId, ListedReplica>();
+  /** Changes of entries, oldest first. */
+  #changes: VirtualChange[] = [];
   #revision = 1;
   /** Counts the copies that were restored. */
   #era = 1;
@@ -157,7 +168,7 @@
 
   /** Adds or replaces a replica's entry in the store. */
   list(id: VmId, state: ListedReplica["state"] = "ready"): void {
-    this.#listed.set(id, {
+    const replica = {
       id,
       pool: toId<PoolName>("pool"),
       address: "10.9.0.1",
@@ -165,14 +176,15 @@
       dataCentre: toId<DataCentre>("dc-0"),
       slots: 4,
       state,
-    });
-    this.#flushChange();
+    };
+    this.#listed.set(id, replica);
+    this.#addChange(id, replica);
   }
 
   /** Removes a replica's entry from the store. */
   remove(id: VmId): void {
     this.#listed.delete(id);
-    this.#flushChange();
+    this.#addChange(id, undefined);
   }
 
   /** Writes a version of the configuration. */
@@ -195,6 +207,7 @@
     for (const [id, replica] of listed) this.#listed.set(id, replica);
     this.#version = version;
     this.#revision = revision;
+    this.#changes = this.#changes.filter((each) => each.revision <= revision);
     this.#era += 1;
     this.#flushWaiting();
   }
@@ -239,6 +252,11 @@
     return revision >= this.#oldestRevision && revision <= this.#revision;
   }
 
+  listChangesAfter(revision: number): VirtualChange[] {
+    const first = this.#changes.findIndex((each) => each.revision > revision);
+    return first === -1 ? [] : this.#changes.slice(first);
+  }
+
   /** The state that the store publishes. */
   buildState(): PublishedState {
     const position = { era: this.#era, revision: this.#revision };
@@ -276,6 +294,11 @@
     this.#handles.set(toEndpoint(vm.index), handle);
   }
 
+  #addChange(id: VmId, replica: ListedReplica | undefined): void {
+    this.#changes.push({ revision: this.#revision + 1, id, replica });
+    this.#flushChange();
+  }
+
   #flushChange(): void {
     this.#revision += 1;
     this.#flushWaiting();
@@ -296,7 +319,8 @@
       dataCentre: toId<DataCentre>(`dc-${index % options.dataCentres}`),
       storeCalls: 0,
       wholeReads: 0,
-    } as VirtualVm;
+      misses: () => false,
+    } as unknown as VirtualVm;
     this.vms.push(vm);
     this.#startVm(vm);
   }
@@ -312,6 +336,7 @@
       random: SeededRandom.create(this.#random.nextInt(1_000_000)),
       log: SilentLog.create(),
       store: new VirtualStore(this, vm),
+      createStore: () => new VirtualStore(this, vm),
       peers: vm.heartbeats.peers,
       replicas: vm.replicas,
       entryRenewalMs: 1_200,
@@ -395,6 +420,8 @@
   readonly #fleet: VirtualSeededFleet;
   readonly #vm: VirtualVm;
   readonly #history = StoreHistory.create();
+  /** What this client has read. */
+  #listed = new Map<VmId, ListedReplica>();
 
   constructor(fleet: VirtualSeededFleet, vm: VirtualVm) {
     super();
@@ -409,6 +436,7 @@
     const state = this.#fleet.buildState();
     this.#history.noteEra(state.era);
     this.#history.noteWholeRead(state.revision, newest);
+    this.#setListed(state.replicas);
     const sizeBytes = ENTRY_BYTES * state.replicas.replicas.length;
     return { ...state, sizeBytes, listed: undefined };
   }
@@ -426,17 +454,37 @@
       return { kind: "history_lost" };
     }
     this.#history.noteChange(state.revision);
-    const listed = state.replicas.replicas;
-    return { kind: "state", state, isComplete: true, listed };
+    this.#applyChanges(known);
+    const listed = [...this.#listed.values()];
+    return {
+      kind: "state",
+      state: { ...state, replicas: { ...state.replicas, replicas: listed } },
+      isComplete: true,
+      listed,
+    };
   }
 
   override resumeFrom(list: ReplicaList): void {
     this.#history.noteHeard(list);
-    this.#history.resumeFrom(list);
+    if (this.#history.resumeFrom(list)) this.#setListed(list);
   }
 
   override replaceBy(list: ReplicaList): void {
     this.#history.replaceBy(list);
+    this.#setListed(list);
+  }
+
+  #setListed({ replicas }: ReplicaList): void {
+    this.#listed = new Map(replicas.map((each) => [each.id, each]));
+  }
+
+  #applyChanges(after: number): void {
+    for (const change of this.#fleet.listChangesAfter(after)) {
+      if (this.#vm.misses(change)) continue;
+      const { id, replica } = change;
+      if (replica === undefined) this.#listed.delete(id);
+      else this.#listed.set(id, replica);
+    }
   }
 
   async #waitForAnswer(): Promise<void> {
