--- a/src/process/seeded_fleet/followed_list.ts
+++ b/src/process/seeded_fleet/followed_list.ts
@@ -35,7 +35,7 @@
 import { listChanges, writeChanges } from "./replica_changes.ts";
 import { Restorations } from "./restorations.ts";
 import { StateLag } from "./state_lag.ts";
-import type { ReadState } from "./store_watcher.ts";
+import type { ReadState } from "./store_reader.ts";
 
 /**
  * A view older than a watch of the store and the time for which word of it
--- a/src/process/seeded_fleet/list_verifier.ts
+++ b/src/process/seeded_fleet/list_verifier.ts
@@ -16,7 +16,7 @@
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { ListAgreement } from "./list_agreement.ts";
 import type { PublishedStore } from "./published_store.ts";
-import type { ReadState } from "./store_watcher.ts";
+import type { ReadState } from "./store_reader.ts";
 
 /** A change may be on its way to one of the VMs. */
 const MIN_WAIT_MS = 100;
--- a/src/process/seeded_fleet/state_follower.ts
+++ b/src/process/seeded_fleet/state_follower.ts
@@ -26,7 +26,8 @@
 import type { Restorations } from "./restorations.ts";
 import { StateFetcher } from "./state_fetcher.ts";
 import { StateLag } from "./state_lag.ts";
-import { type ReadState, StoreWatcher } from "./store_watcher.ts";
+import type { ReadState } from "./store_reader.ts";
+import { StoreWatcher } from "./store_watcher.ts";
 
 /**
  * A VM that has known of newer state for so long reads the store itself: calls to
--- a/src/process/seeded_fleet/store_watcher.ts
+++ b/src/process/seeded_fleet/store_watcher.ts
@@ -13,24 +13,19 @@
 import type { VmId } from "../../ids.ts";
 import { computeListDigest } from "../placement/list_digest.ts";
 import {
-  getEra,
   isNewer,
   isSamePosition,
   type ListPosition,
 } from "../placement/list_position.ts";
 import type { ReplicaList } from "../placement/replica_list.ts";
 import type { Random } from "../random.ts";
-import { RepeatedEvent } from "../repeated_event.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
-import { FruitlessWatches } from "./fruitless_watches.ts";
-import type { ListSource } from "./list_source.ts";
-import type { PublishedState, PublishedStore } from "./published_store.ts";
-import { ReadDelay } from "./read_delay.ts";
-import { StoreAudit } from "./store_audit.ts";
+import type { PublishedStore } from "./published_store.ts";
 import {
   StoreAvailability,
   type StoreAvailabilityOptions,
 } from "./store_availability.ts";
+import { type ReadState, StoreReader } from "./store_reader.ts";
 import { StoreRetry } from "./store_retry.ts";
 import { WatcherElection } from "./watcher_election.ts";
 
@@ -46,8 +41,6 @@
 /** Interval at which a VM checks whether it has to watch the store. */
 const WATCH_CHECK_INTERVAL_MS = 200;
 
-/** A watch without a change that ends before so much of its wait is early. */
-const MIN_WAITED_SHARE = 0.5;
 /** Failed calls in a row after which the store counts as unavailable. */
 const UNAVAILABLE_FAILURES = 2;
 
@@ -72,17 +65,6 @@
   onAnswered: () => void;
 }
 
-/** What the store answered. */
-export interface ReadState {
-  state: PublishedState;
-  /** `Clock.now()` at which the state was the newest. */
-  newestAt: number;
-  /** Whether everything was read, not only what changed. */
-  isWhole: boolean;
-  /** What is known of the lists before. */
-  source: ListSource;
-}
-
 /** Why a VM watches the store. */
 type WatchReason = "no_state" | "stale" | "behind" | "chosen";
 
@@ -92,12 +74,8 @@
   readonly #stopped = new AbortController();
   readonly #election: WatcherElection;
   readonly #retry = StoreRetry.create();
-  readonly #fruitless = FruitlessWatches.create();
-  readonly #readDelay: ReadDelay;
-  readonly #audit: StoreAudit;
+  readonly #reader: StoreReader;
   readonly #availability: StoreAvailability;
-  readonly #historyLost: RepeatedEvent;
-  readonly #incomplete: RepeatedEvent;
   #isWatching = false;
   #wasStale = false;
   /** Whether this process has read the store before. */
@@ -110,11 +88,15 @@
   constructor(options: StoreWatcherOptions) {
     this.#options = options;
     this.#election = WatcherElection.create(options.vm);
-    this.#readDelay = ReadDelay.create(options.clock);
-    this.#audit = StoreAudit.create(options.clock);
     this.#availability = StoreAvailability.create(options);
-    this.#historyLost = RepeatedEvent.create("store_history_lost", options);
-    this.#incomplete = RepeatedEvent.create("store_answer_incomplete", options);
+    this.#reader = StoreReader.create({
+      ...options,
+      onAnswered: (calledAt) => {
+        this.#retry.noteAnswered();
+        this.#availability.noteAnswered(calledAt);
+        options.onAnswered();
+      },
+    });
   }
 
   static create(options: StoreWatcherOptions): StoreWatcher {
@@ -128,7 +110,7 @@
   stop(): void {
     this.#stopped.abort();
     this.#idle.abort();
-    this.#readDelay.stop();
+    this.#reader.stop();
   }
 
   /** Checks at once whether this VM has to watch. */
@@ -170,8 +152,8 @@
     if (isNeeded === this.#isWatching) return;
     this.#isWatching = isNeeded;
     this.#availability.noteWatching();
-    if (isNeeded) this.#readDelay.start();
-    else this.#readDelay.stop();
+    if (isNeeded) this.#reader.start();
+    else this.#reader.stop();
     this.#options.log.info("store_watch", {
       watching: isNeeded,
       reason,
@@ -230,8 +212,8 @@
       store.resumeFrom(list);
       const known = isNewer(list, this.#position) ? list : this.#position;
       const read = this.#canWatch() && !this.#isAuditDue()
-        ? await this.#watchState({ waitMs, calledAt, known })
-        : await this.#readState();
+        ? await this.#reader.watchOnce(waitMs, known)
+        : await this.#reader.fetchAll();
       this.#hasReadStore = true;
       this.#retry.noteAnswered();
       this.#availability.noteAnswered(calledAt);
@@ -277,77 +259,11 @@
       (failures < UNAVAILABLE_FAILURES || failures % 2 === 1);
   }
 
-  async #watchState(
-    { waitMs, calledAt, known }: {
-      waitMs: number;
-      calledAt: number;
-      /** Position that the watch goes on from. */
-      known: ListPosition;
-    },
-  ): Promise<ReadState> {
-    const { clock, store, onAnswered, getListAgeMs } = this.#options;
-    const update = await store.watch(waitMs);
-    if (update.kind === "state") {
-      const { state, isComplete, listed } = update;
-      const isUnchanged = isSamePosition(state, known);
-      const isEarly = clock.now() - calledAt < waitMs * MIN_WAITED_SHARE;
-      this.#fruitless.note(isUnchanged && isEarly);
-      if (!isComplete && this.#canReadIncomplete(state.revision)) {
-        return await this.#readState();
-      }
-      // The store answers a watch without a change after the wait. The time for
-      // which the answer was on its way, or lay in the socket, doesn't count.
-      const newestAt = isUnchanged
-        ? calledAt + (isEarly ? 0 : waitMs)
-        : Math.max(calledAt, this.#readDelay.computeArrivedSince());
-      const source = { kind: "changes" as const, listed };
-      return { state, newestAt, isWhole: false, source };
-    }
-    this.#fruitless.note(true);
-    // The store answers, however long the read of its whole state takes.
-    this.#retry.noteAnswered();
-    this.#availability.noteAnswered(calledAt);
-    onAnswered();
-    let read: ReadState | undefined;
-    try {
-      read = await this.#readState();
-      return read;
-    } finally {
-      this.#historyLost.note({
-        after: known.revision,
-        after_era: getEra(known),
-        store_era: read && getEra(read.state),
-        store_revision: read?.state.revision,
-        list_age_ms: getListAgeMs(),
-      });
-    }
-  }
-
-  /** Whether to read everything, after an answer that lacks changes. */
-  #canReadIncomplete(revision: number): boolean {
-    const canRead = this.#audit.takeIncompleteRead();
-    this.#incomplete.note({ revision, reads_all: canRead });
-    return canRead;
-  }
-
   /** One VM audits for all; with a stale view it confirms that one first. */
   #isAuditDue(): boolean {
     const isAuditor = !this.#options.isViewStale() &&
       this.#election.isFirst(this.#listCandidates());
-    return this.#audit.checkDue(isAuditor);
-  }
-
-  /** Reads everything: what changes during the read may not be in it. */
-  async #readState(): Promise<ReadState> {
-    const newestAt = this.#options.clock.now();
-    this.#audit.noteBegun();
-    const state = await this.#options.store.fetchState();
-    this.#audit.noteSize(state.sizeBytes);
-    const { listed } = state;
-    const source: ListSource = listed === undefined
-      ? { kind: "unknown" }
-      : { kind: "changes", listed };
-    return { state, newestAt, isWhole: true, source };
+    return this.#reader.audit.checkDue(isAuditor);
   }
 
   #computeWatchWaitMs(): number {
@@ -359,7 +275,7 @@
   #computeFruitlessMs(): number {
     const { isViewStale, peers } = this.#options;
     const vmCount = 1 + peers.listLive().length;
-    return this.#fruitless.computeIntervalMs(vmCount, isViewStale());
+    return this.#reader.fruitless.computeIntervalMs(vmCount, isViewStale());
   }
 
   #computeRetryMs(): number {
--- a/test/process/seeded_fleet/list_verifier_test.ts
+++ b/test/process/seeded_fleet/list_verifier_test.ts
@@ -15,7 +15,7 @@
 import { FleetPeers } from "../../../src/process/seeded_fleet/fleet_peers.ts";
 import { ListAgreement } from "../../../src/process/seeded_fleet/list_agreement.ts";
 import { ListVerifier } from "../../../src/process/seeded_fleet/list_verifier.ts";
-import type { ReadState } from "../../../src/process/seeded_fleet/store_watcher.ts";
+import type { ReadState } from "../../../src/process/seeded_fleet/store_reader.ts";
 import { VirtualClock } from "../../../standin/virtual_clock.ts";
 import { buildListedReplicas } from "../../support/listed_replicas.ts";
 import { FakeLog } from "../../support/request_fakes.ts";
