Test planned stops with a grace of 8 s, in a row, and at 0.675 of a processor

Real processes, four daemons, replicas slow from 0.3 s after the first signal, callers that keep their connections: a grace of 2 and 8 s, three daemons one after the other, each running for 0.675 of its time.

--- a/test/failures/processes/planned_stop_test.ts
+++ b/test/failures/processes/planned_stop_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { beforeAll, expect, it, onTestFinished } from "vitest";
 import type { TestAnswer } from "../../platform/test_call.ts";
+import { ProcessorQuota } from "../../soak/at_size/processor_quota.ts";
 import type { SoakVm } from "../../soak/soak_vm.ts";
 import {
   buildDaemon,
@@ -15,12 +16,29 @@
 const CALM_MS = 2_000;
 /** Replicas turn slow so long after the signal. */
 const SLOW_AFTER_MS = 300;
-/** From the signal to its end a daemon has this time. */
-const GRACE_MS = 2_000;
 const PAUSE_MS = 20;
 /** Callers may use the address of the daemon for all of its grace period. */
 const DIRECTORY_TTL_MS = 1_000;
 
+/** One of the planned stops that are tried. */
+interface PlannedStop {
+  /** From the signal to its end a daemon has this time. */
+  graceMs: number;
+  /** Daemons that are stopped, each so long after the one before. */
+  stops: number;
+  gapMs: number;
+  /** Share of its time for which a daemon runs. */
+  share: number;
+}
+
+const STOPS: PlannedStop[] = [
+  { graceMs: 2_000, stops: 1, gapMs: 0, share: 1 },
+  { graceMs: 8_000, stops: 1, gapMs: 0, share: 1 },
+  { graceMs: 8_000, stops: 3, gapMs: 1_000, share: 1 },
+  { graceMs: 2_000, stops: 3, gapMs: 3_000, share: 1 },
+  { graceMs: 8_000, stops: 3, gapMs: 2_000, share: 0.675 },
+];
+
 interface Sent {
   id: string;
   path: string;
@@ -48,44 +66,67 @@
   return sent;
 }
 
+/** Stops daemons by SIGTERM one after the other, and waits for their ends. */
+async function runStops(
+  vms: readonly SoakVm[],
+  { graceMs, gapMs }: PlannedStop,
+): Promise<void> {
+  const ends = vms.map(async (vm, index) => {
+    await sleep(index * gapMs);
+    vm.send("SIGTERM");
+    const kill = setTimeout(() => vm.send("SIGKILL"), graceMs);
+    await vm.waitEnd();
+    clearTimeout(kill);
+  });
+  await Promise.all(ends);
+}
+
 // Guards against requests that are taken late in the grace period of a planned
 // stop, passed on, and cut at its end without an answer.
-it("a daemon that is stopped in calm cuts nothing that it passed on", async () => {
-  const fleet = await PlatformProcesses.create();
-  for (let index = 1; index <= REPLICAS; index++) {
-    await fleet.addReplica(`i-${index}`);
-  }
-  await fleet.addVms(VMS, { directoryTtlMs: DIRECTORY_TTL_MS });
-  const [vm] = fleet.vms;
-  const callers = Array.from(
-    { length: CALLERS },
-    (_, index) =>
-      runCaller(fleet, {
-        vm: vm!,
-        path: PATHS[index % PATHS.length]!,
+it.each(STOPS)(
+  "daemons that are stopped in calm cut nothing that they passed on, %o",
+  async (plan) => {
+    const fleet = await PlatformProcesses.create();
+    for (let index = 1; index <= REPLICAS; index++) {
+      await fleet.addReplica(`i-${index}`);
+    }
+    await fleet.addVms(VMS, {
+      directoryTtlMs: DIRECTORY_TTL_MS,
+      drainGraceMs: plan.graceMs,
+    });
+    const stopped = fleet.vms.slice(0, plan.stops);
+    const callers = Array.from({ length: CALLERS * plan.stops }, (_, index) => {
+      const vm = stopped[index % plan.stops]!;
+      return runCaller(fleet, {
+        vm,
+        path: PATHS[Math.floor(index / plan.stops) % PATHS.length]!,
         name: `caller-${index}`,
-        until: () => vm!.hasEnded,
-      }),
-  );
-  await sleep(CALM_MS);
-  vm!.send("SIGTERM");
-  const kill = setTimeout(() => vm!.send("SIGKILL"), GRACE_MS);
-  await sleep(SLOW_AFTER_MS);
-  for (const replica of fleet.replicas) replica.mode = "slow";
-  await vm!.waitEnd();
-  clearTimeout(kill);
-  const sent = (await Promise.all(callers)).flat();
+        until: () => vm.hasEnded,
+      });
+    });
+    const quota = ProcessorQuota.create(fleet.vms, plan.share);
+    const limited = quota.run();
+    await sleep(CALM_MS);
+    const stops = runStops(stopped, plan);
+    await sleep(SLOW_AFTER_MS);
+    for (const replica of fleet.replicas) replica.mode = "slow";
+    await stops;
+    quota.end();
+    await limited;
+    const sent = (await Promise.all(callers)).flat();
 
-  const ran = new Set(
-    fleet.replicas.flatMap((replica) =>
-      replica.ran.map(({ headers }) => headers["x-request-id"])
-    ),
-  );
-  const cut = sent.filter(({ id, answer }) => ran.has(id) && !answer.isWhole);
-  expect(cut.map(({ id, path }) => `${id} ${path}`)).toEqual([]);
-  const failed = sent.filter(({ id, path, answer }) =>
-    ran.has(id) && path === "/unsafe/x" && answer.status !== 200
-  );
-  expect(failed.map(({ id, answer }) => `${id} ${answer.status}`)).toEqual([]);
-  expect(sent.length).toBeGreaterThan(CALLERS);
-});
+    const ran = new Set(
+      fleet.replicas.flatMap((replica) =>
+        replica.ran.map(({ headers }) => headers["x-request-id"])
+      ),
+    );
+    const cut = sent.filter(({ id, answer }) => ran.has(id) && !answer.isWhole);
+    expect(cut.map(({ id, path }) => `${id} ${path}`)).toEqual([]);
+    const failed = sent.filter(({ id, path, answer }) =>
+      ran.has(id) && path === "/unsafe/x" && answer.status !== 200
+    );
+    expect(failed.map(({ id, answer }) => `${id} ${answer.status}`))
+      .toEqual([]);
+    expect(sent.length).toBeGreaterThan(CALLERS);
+  },
+);
--- a/test/support/platform_processes.ts
+++ b/test/support/platform_processes.ts
@@ -98,6 +98,7 @@
       heapMb?: number;
       maxDescriptors?: number;
       directoryTtlMs?: number;
+      drainGraceMs?: number;
       /** Path of the requests that show that a VM serves. */
       soundPath?: string;
     } = {},
