--- a/test/platform/store_stand_in.ts
+++ b/test/platform/store_stand_in.ts
@@ -35,7 +35,9 @@
   | "limited"
   | "reset"
   | "silent"
-  | "held";
+  | "held"
+  /** Answers each call without end. */
+  | "endless";
 
 /**
  * How watches that hear nothing end after their wait: without a change at the
@@ -50,6 +52,7 @@
 const WATCH_PATH = "/api/kv-watch";
 const PAGE_ITEMS = 500;
 const PAGE_BYTES = 1_000_000;
+const ENDLESS_CHUNK = "[1,".repeat(20_000);
 
 /** The store's HTTP server. */
 export class StoreStandIn extends HttpStandIn {
@@ -158,6 +161,10 @@
     this.calls.push(url.pathname);
     await this.#waitWhileHeld();
     if (this.mode === "silent") return;
+    if (this.mode === "endless") {
+      sendEndless(response);
+      return;
+    }
     if (this.mode === "reset") {
       response.destroy();
       return;
@@ -322,6 +329,16 @@
   }
 }
 
+function sendEndless(response: ServerResponse): void {
+  response.writeHead(200, { "content-type": "application/json" });
+  const sendOn = () => {
+    if (response.destroyed) return;
+    if (response.write(ENDLESS_CHUNK)) setImmediate(sendOn);
+    else response.once("drain", sendOn);
+  };
+  sendOn();
+}
+
 /** The first items: one at least, and as many as fit into a page. */
 function takePage(items: readonly Change[], maxItems: number): Change[] {
   let size = 0;
