Let one watch of the soak's store leave changes out

A series of its own, with its own seed, that other series don't depend on: the next change of some replica's entry is left out of one watch.

--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -272,6 +272,10 @@
         this.#noteStoreFault();
       })
       .with({ kind: "store_forgets" }, () => this.#store.dropHistory())
+      .with({ kind: "store_leaves_out" }, ({ replica }) => {
+        const { id } = this.replicas[replica]!.standIn;
+        this.#store.silenceKey(`servers/${id}`, 1);
+      })
       .with({ kind: "configuration" }, ({ isRevoking }) => {
         if (isRevoking) this.#updateKey();
         this.#announceConfiguration();
--- a/test/soak/soak_plan.ts
+++ b/test/soak/soak_plan.ts
@@ -32,6 +32,9 @@
 const RESTORES_SEED = 5_000_000_029;
 const MAX_RESTORES_GAP_MS = 12_000;
 const MAX_COPY_AGE_MS = 4_000;
+/** So do changes that one watch leaves out. */
+const SILENCES_SEED = 6_000_000_011;
+const MAX_SILENCES_GAP_MS = 4_000;
 const VERSIONS: readonly string[] = ["v1", "v1.1", "v2"];
 const LINK_CUT_SHARE = 0.5;
 const MIN_CUT_MS = 1_000;
@@ -88,6 +91,8 @@
   | { kind: "store_forgets" }
   /** The store is away, and back as it was `ageMs` before. */
   | { kind: "store_restored"; ageMs: number; forMs: number }
+  /** One watch does not tell the next change of a replica's entry. */
+  | { kind: "store_leaves_out"; replica: number }
   | { kind: "configuration"; isRevoking: boolean };
 
 /** A fault and its start, in milliseconds from the start of the soak. */
@@ -142,8 +147,21 @@
     MAX_RESTORES_GAP_MS,
     pickRestore,
   );
-  return [...faults, ...signals, ...leaves, ...links, ...streams, ...restores]
-    .toSorted((left, right) => left.at - right.at);
+  const silences = buildSeries(
+    SeededRandom.create(options.seed + SILENCES_SEED),
+    options,
+    MAX_SILENCES_GAP_MS,
+    pickSilence,
+  );
+  return [
+    ...faults,
+    ...signals,
+    ...leaves,
+    ...links,
+    ...streams,
+    ...restores,
+    ...silences,
+  ].toSorted((left, right) => left.at - right.at);
 }
 
 function buildSeries(
@@ -169,6 +187,11 @@
   };
 }
 
+function pickSilence(random: SeededRandom, options: PlanOptions): Fault {
+  const replica = random.nextInt(options.replicas);
+  return { kind: "store_leaves_out", replica };
+}
+
 function pickLeaving(random: SeededRandom, options: PlanOptions): Fault {
   return {
     kind: "replica_removed",
