--- a/test/soak/soak_plan_test.ts
+++ b/test/soak/soak_plan_test.ts
@@ -12,7 +12,7 @@
   it("has every kind of fault, in order and within the duration", () => {
     const plan = buildPlan(OPTIONS);
     const kinds = new Set(plan.map(({ fault }) => fault.kind));
-    expect(kinds.size).toBe(22);
+    expect(kinds.size).toBe(23);
     const times = plan.map(({ at }) => at);
     expect(times).toEqual(times.toSorted((left, right) => left - right));
     expect(Math.max(...times)).toBeLessThan(OPTIONS.forMs);
