Let the soak's cuts see connections whose options are given directly

Since no VM of a soak got a configuration: its preload took the options of Socket.connect for a list, as net.connect passes them, and threw.

--- a/test/soak/cut_links_preload.ts
+++ b/test/soak/cut_links_preload.ts
@@ -25,19 +25,20 @@
 const links = CuttableLinks.create();
 let current = "";
 
-/** The arguments of `Socket.connect` as Node itself passes them on. */
-type ConnectArguments = [[TcpNetConnectOpts, unknown]];
+/** What `Socket.connect` is given: by Node itself, options in a list. */
+type ConnectArguments = [TcpNetConnectOpts | [TcpNetConnectOpts, unknown]];
 
 const connect = Socket.prototype.connect as unknown as (
   ...given: ConnectArguments
 ) => Socket;
 
-// Node's own connections all go through this method.
+// All connections go through this method.
 Socket.prototype.connect = function (
   this: Socket,
   ...given: ConnectArguments
 ): Socket {
-  const [[options]] = given;
+  const [first] = given;
+  const options = Array.isArray(first) ? first[0] : first;
   const { host, port } = options;
   if (host !== REPLICA_HOST || port === storePort) {
     return connect.apply(this, given);
@@ -45,7 +46,7 @@
   const cut = links.getCut(port);
   if (cut === "silent") return this;
   if (cut === undefined || cut === "held") links.add(this, port);
-  else given[0][0] = { ...options, port: CLOSED_PORT };
+  else return connect.apply(this, [{ ...options, port: CLOSED_PORT }]);
   return connect.apply(this, given);
 } as unknown as typeof Socket.prototype.connect;
 
