Tell the end of what a VM withholds after a restoration in any case

A VM refused all requests for good, as no replica took new work, after the store was restored from an older copy. What is withheld ends by time, and a timer tells it. A heartbeat that came in the millisecond between the end and the timer dropped what had ended and set the timer anew, for what was left: nothing told the replicas' directory, which withheld them on.

Now an entry is forgotten only by the timer, which is due at once where one has ended.

--- a/src/process/seeded_fleet/earlier_era.ts
+++ b/src/process/seeded_fleet/earlier_era.ts
@@ -142,7 +142,10 @@
     const ends = [this.#left.getNextEnd(), this.#evacuated.getNextEnd()];
     const end = Math.min(...ends);
     if (end === Infinity) return;
-    this.#cancelTimer = clock.startTimer(end - clock.now(), () => {
+    const ms = Math.max(0, end - clock.now());
+    this.#cancelTimer = clock.startTimer(ms, () => {
+      this.#left.dropEnded();
+      this.#evacuated.dropEnded();
       onEnd();
       this.#startTimer();
     });
--- a/src/process/seeded_fleet/kept_ids.ts
+++ b/src/process/seeded_fleet/kept_ids.ts
@@ -38,7 +38,7 @@
 
   /** Keeps each id of this VM for the whole time again. */
   renewAll(): void {
-    for (const id of this.#own.keys()) this.add(id);
+    for (const [id] of this.listOwn()) this.add(id);
   }
 
   /** Adds what another VM keeps; returns whether anything was not kept here. */
@@ -56,25 +56,30 @@
     this.#told.delete(id);
   }
 
+  /** What is kept now. */
   list(): Set<Id> {
-    this.#dropEnded();
-    return new Set([...this.#own.keys(), ...this.#told.keys()]);
+    const now = this.#clock.now();
+    const kept = [...this.#own, ...this.#told];
+    return new Set(kept.filter(([, until]) => until > now).map(([id]) => id));
   }
 
   /** What this VM knows itself. */
   listOwn(): KeptEntry<Id>[] {
-    this.#dropEnded();
     const now = this.#clock.now();
-    return [...this.#own].map(([id, until]) => [id, Math.ceil(until - now)]);
+    return [...this.#own].filter(([, until]) => until > now)
+      .map(([id, until]) => [id, Math.ceil(until - now)]);
   }
 
-  /** `Clock.now()` of the next end; Infinity for none. */
+  /**
+   * `Clock.now()` of the next end, or of one that was not dropped yet; Infinity
+   * for none.
+   */
   getNextEnd(): number {
-    this.#dropEnded();
     return Math.min(...this.#own.values(), ...this.#told.values());
   }
 
-  #dropEnded(): void {
+  /** Forgets what is kept no longer. */
+  dropEnded(): void {
     const now = this.#clock.now();
     for (const kept of [this.#own, this.#told]) {
       for (const [id, until] of kept) if (until <= now) kept.delete(id);
--- a/test/process/seeded_fleet/earlier_era_test.ts
+++ b/test/process/seeded_fleet/earlier_era_test.ts
@@ -116,3 +116,19 @@
   expect(era.noteTold({ keptEvacuations: [[DC, 1_000]] })).toBe(false);
   expect(list()).toEqual([]);
 });
+
+// Guards against replicas that one VM withholds for good, since it hears of another
+// VM after their time was over and before its timer has told the end.
+it.each<[string, (era: EarlierEra) => void]>([
+  ["another VM's word", (era) => void era.noteTold({})],
+  ["the operator's older configuration", (era) => era.noteOperatorBehind()],
+  ["a look at what is kept", (era) => void era.buildNews()],
+])("the end is told beside %s", async (_what, note) => {
+  const { clock, era, ends, restore, list } = createEra();
+  // Runs before the timer of the end, at the same time.
+  clock.startTimer(KEPT_MS, () => note(era));
+  restore({ left: [buildReplica(LEFT)] });
+  await clock.run(KEPT_MS + 10);
+  expect(list()).toEqual([]);
+  expect(ends).toHaveLength(1);
+});
