--- a/src/process/quarantine/culprits.ts
+++ b/src/process/quarantine/culprits.ts
@@ -33,6 +33,13 @@
 export const OBJECTION_MS = 100;
 /** Successive crashes without which no part is held. */
 const MIN_CRASHES = 3;
+/**
+ * Requests of these crashes: two bad requests that are retried crash as many
+ * replicas, and what they share need not be bad.
+ */
+const MIN_REQUESTS = 3;
+/** Successive crashes from which on it counts no more how many requests it were. */
+const MIN_REPEATED_CRASHES = 5;
 /**
  * Successive crashes from which on it counts that no request with the part was
  * answered in all that time, whatever other crashes there were.
@@ -201,6 +208,9 @@
 ): boolean {
   const { crashes, successive, chance } = candidate;
   if (successive.length < MIN_CRASHES) return false;
+  const requests = new Set(successive.map(({ request }) => request));
+  const isRepeated = requests.size < MIN_REQUESTS;
+  if (isRepeated && successive.length < MIN_REPEATED_CRASHES) return false;
   const { error, isAnswerDue } = chance;
   const canTry = isAnswerDue && successive.length >= MIN_UNANSWERED_CRASHES;
   if (error > (canTry ? MAX_TRIAL_ERROR : MAX_ERROR)) return false;
--- a/test/process/quarantine/part_quarantine_test.ts
+++ b/test/process/quarantine/part_quarantine_test.ts
@@ -69,6 +69,27 @@
   await fleet.clock.run(200);
 }
 
+/**
+ * Crashes a replica under requests that share the part `first`, each of which is
+ * sent again where it is named again.
+ */
+async function endUnderRepeated(
+  fleet: QuarantineFleet,
+  names: readonly string[],
+): Promise<void> {
+  for (const [index, name] of names.entries()) {
+    const sentAt = fleet.clock.now();
+    await fleet.clock.run(60);
+    const id = toId<VmId>(`i-${index}`);
+    void fleet.getQuarantine(0).noteConnectionLoss(
+      toPartKeys(names.indexOf(name), ["first", name]),
+      { id, incarnation: toId<Incarnation>(id), hadOutput: false, sentAt },
+    );
+    await fleet.clock.run(30);
+  }
+  await fleet.clock.run(200);
+}
+
 function listHeldAt(fleet: QuarantineFleet, vm: number): string[][] {
   return fleet.getQuarantine(vm).parts.listHolds()
     .map(({ part, company }) => [part, ...company].toSorted());
@@ -193,22 +214,20 @@
   // bad requests that share it crash three replicas, and nothing clears it then.
   it("does not hold what two bad requests share in a new fleet", async () => {
     const fleet = QuarantineFleet.create({ vms: 4 });
-    const requests = [["first", "bad"], ["first", "bad"], ["first", "other"]];
-    for (const [index, parts] of requests.entries()) {
-      const sentAt = fleet.clock.now();
-      await fleet.clock.run(60);
-      const id = toId<VmId>(`i-${index}`);
-      // The first request is retried by its VM, and crashes a second replica.
-      void fleet.getQuarantine(0).noteConnectionLoss(
-        toPartKeys(parts[1] === "bad" ? 1 : 2, parts),
-        { id, incarnation: toId<Incarnation>(id), hadOutput: false, sentAt },
-      );
-      await fleet.clock.run(30);
-    }
-    await fleet.clock.run(200);
+    // The first request is retried by its VM, and crashes a second replica.
+    await endUnderRepeated(fleet, ["bad", "bad", "other"]);
     for (let vm = 0; vm < 4; vm++) expect(listHeldAt(fleet, vm)).toEqual([]);
   });
 
+  // Guards against a bad part that is never held, since few requests have it and
+  // each of them is retried.
+  it("holds what five crashes of two requests share", async () => {
+    const fleet = QuarantineFleet.create({ vms: 4 });
+    await endUnderRepeated(fleet, ["bad", "bad", "other", "other", "bad"]);
+    const held = listHeldAt(fleet, 0).flat();
+    expect(held).toContain(`${POOL}/first`);
+  });
+
   // Guards against a request that crashes replicas beside a part that does: what
   // the part explains must not release the request for good.
   it("leaves a request held that also crashes replicas by itself", async () => {
