Send callers what was written of an answer before it is broken off

Since chunks are joined, the end of an answer is known in the same turn as its bytes, and the answer was destroyed in the turn in which its first bytes were written: that discards them. Before, it depended on timing.

--- a/src/request/caller_sink.ts
+++ b/src/request/caller_sink.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+const NO_BYTES = new Uint8Array(0);
+
 /** Writes the answer of one request. */
 export abstract class CallerSink {
   /** Aborts when the caller disconnects. */
@@ -16,6 +18,12 @@
   /** Aborts the answer so that the caller cannot mistake it for complete. */
   abstract destroy(): void;
 
+  /** Aborts once the caller has been sent all that was written. */
+  async destroyWritten(): Promise<void> {
+    if (this.headWritten) await this.destroyAfter(NO_BYTES);
+    else this.destroy();
+  }
+
   /** Writes a last chunk, which still reaches the caller, then aborts. */
   async destroyAfter(bytes: Uint8Array): Promise<void> {
     await this.write(bytes);
--- a/src/request/routed_work.ts
+++ b/src/request/routed_work.ts
@@ -127,9 +127,8 @@
     };
   }
 
-  override async endIncomplete(_refusal: Refusal): Promise<void> {
-    await Promise.resolve();
-    this.context.execution.options.sink.destroy();
+  override endIncomplete(_refusal: Refusal): Promise<void> {
+    return this.context.execution.options.sink.destroyWritten();
   }
 
   /** The id of the last event that the caller has received of a stream. */
--- a/src/request/service_work.ts
+++ b/src/request/service_work.ts
@@ -111,8 +111,7 @@
   }
 
   override endIncomplete(_refusal: Refusal): Promise<void> {
-    this.#context.execution.options.sink.destroy();
-    return Promise.resolve();
+    return this.#context.execution.options.sink.destroyWritten();
   }
 }
 
--- a/test/connection/caller_listener_test.ts
+++ b/test/connection/caller_listener_test.ts
@@ -351,6 +351,22 @@
     expect(client.received).not.toMatch(/\r\n0\r\n\r\n$/);
   });
 
+  // Guards against a caller who gets nothing, not even a status, of an answer that
+  // broke in the same turn as its first bytes came.
+  it("delivers what was written before it aborts the answer", async () => {
+    const listener = await startListener(async (_request, sink) => {
+      sink.writeHead(200, { "content-type": "text/event-stream" });
+      void sink.write(Buffer.from("data: x"));
+      await sink.destroyWritten();
+    });
+    const client = RawClient.create(listener.port);
+    client.socket.write(GET);
+    await client.waitClosed();
+    expect(client.received).toContain("HTTP/1.1 200");
+    expect(client.received).toContain("data: x");
+    expect(client.received).not.toMatch(/\r\n0\r\n\r\n$/);
+  });
+
   it("buffers little for a slow reader and disconnects it in the end", async () => {
     // Guards against unbounded memory: a caller requests a long answer, stops
     // reading and stays connected, while the upstream keeps writing.
