Keep a replica's notice that it leaves where a restored store lacks its entry

What the copy lacks of those that were listed and had begun to leave is now withheld like one that the copy shows as ready, unless another process takes the id. One that was gone before stays unlisted. New test with a store and four VMs: failed before (1 request, all VMs took it for ready), passes; two unit tests of EarlierEra.

A replica that is removed just as the store is back is used for 2.2 s from the first read. Not mended: a shorter time would drop replicas that have not written themselves again.

--- a/src/process/seeded_fleet/earlier_era.ts
+++ b/src/process/seeded_fleet/earlier_era.ts
@@ -5,7 +5,9 @@
  * The copy may show a replica as ready that has left, and lack an evacuation. A
  * replica that lives writes its entry again, with its state; the entry of one
  * that has ended expires. After that time the store's word counts. An evacuation
- * also holds until the operator's configuration is there again.
+ * also holds until the operator's configuration is there again. A replica that had
+ * announced its leaving to callers only writes itself as ready, so its notice
+ * counts too where the copy lacks it.
  *
  * An evacuation that had ended and that the copy still shows counts at once: the
  * other data centres serve for the moments until its end is written again.
@@ -33,11 +35,10 @@
 
 /** A list of a new era, and what this VM knew before. */
 export interface RestoredList {
+  before: ReplicaList;
   after: ReplicaList;
   /** Replicas that had left, or had begun to. */
   left: readonly ListedReplica[];
-  /** Data centres that were evacuated. */
-  evacuated: readonly DataCentre[];
 }
 
 /** Options of `EarlierEra`. */
@@ -54,6 +55,8 @@
   readonly #options: EarlierEraOptions;
   readonly #left: KeptIds<VmId>;
   readonly #evacuated: KeptIds<DataCentre>;
+  /** Replicas that had begun to leave, and that the copy lacks. */
+  readonly #missing = new Map<VmId, ListedReplica>();
   /** Data centres of whose evacuation the new era has told. */
   readonly #settled = new Set<DataCentre>();
   #cancelTimer: () => void = () => {};
@@ -75,34 +78,39 @@
   }
 
   /** Keeps what a list of a new era contradicts. */
-  noteRestored({ after, left, evacuated }: RestoredList): void {
-    const ready = new Map(
-      after.replicas.filter(({ state }) => state === "ready")
-        .map((replica) => [replica.id, replica]),
+  noteRestored({ before, after, left }: RestoredList): void {
+    const known = new Set(before.replicas.map(({ id }) => id));
+    const listed = new Map(
+      after.replicas.map((replica) => [replica.id, replica]),
     );
     for (const replica of left) {
-      const listed = ready.get(replica.id);
-      if (listed !== undefined && isSameProcess(listed, replica)) {
+      const restored = listed.get(replica.id);
+      if (restored === undefined) {
+        if (known.has(replica.id)) this.#addMissing(replica);
+      } else if (
+        restored.state === "ready" && isSameProcess(restored, replica)
+      ) {
         this.#left.add(replica.id);
       }
     }
     this.#settled.clear();
-    for (const each of evacuated) this.#evacuated.add(each);
+    for (const each of before.evacuated ?? []) this.#evacuated.add(each);
     this.noteList(after);
     this.#startTimer();
   }
 
   /**
-   * Lets the store's word count for evacuations that a list of the era shows;
-   * returns whether any of them was kept.
+   * Lets the store's word count for evacuations that a list of the era shows, and
+   * for new processes; returns whether any of them was kept.
    */
-  noteList({ evacuated = [] }: ReplicaList): boolean {
+  noteList({ evacuated = [], replicas }: ReplicaList): boolean {
     const kept = this.#evacuated.list();
     for (const each of evacuated) {
       this.#settled.add(each);
       this.#evacuated.remove(each);
     }
-    return evacuated.some((each) => kept.has(each));
+    const hasNewProcess = this.#dropReplaced(replicas);
+    return hasNewProcess || evacuated.some((each) => kept.has(each));
   }
 
   /** Records that the store has an older configuration than is in force. */
@@ -136,6 +144,33 @@
     };
   }
 
+  #addMissing(replica: ListedReplica): void {
+    this.#left.add(replica.id);
+    this.#missing.set(replica.id, replica);
+  }
+
+  /** Forgets those that are kept no longer. */
+  #dropMissing(): void {
+    const kept = this.#left.list();
+    for (const id of this.#missing.keys()) {
+      if (!kept.has(id)) this.#missing.delete(id);
+    }
+  }
+
+  /** Returns whether another process has taken the id of one that is missing. */
+  #dropReplaced(replicas: readonly ListedReplica[]): boolean {
+    if (this.#missing.size === 0) return false;
+    let isAnyReplaced = false;
+    for (const replica of replicas) {
+      const missing = this.#missing.get(replica.id);
+      if (missing === undefined || isSameProcess(replica, missing)) continue;
+      this.#missing.delete(replica.id);
+      this.#left.remove(replica.id);
+      isAnyReplaced = true;
+    }
+    return isAnyReplaced;
+  }
+
   #startTimer(): void {
     this.#cancelTimer();
     const { clock, onEnd } = this.#options;
@@ -146,6 +181,7 @@
     this.#cancelTimer = clock.startTimer(ms, () => {
       this.#left.dropEnded();
       this.#evacuated.dropEnded();
+      this.#dropMissing();
       onEnd();
       this.#startTimer();
     });
--- a/src/process/seeded_fleet/restorations.ts
+++ b/src/process/seeded_fleet/restorations.ts
@@ -65,9 +65,8 @@
   noteRestored({ before, left, from }: Restoration): void {
     const { replicas, log } = this.#options;
     const after = replicas.getList();
-    const { evacuated = [] } = before;
     this.#count += 1;
-    this.#earlierEra.noteRestored({ after, left, evacuated });
+    this.#earlierEra.noteRestored({ before, after, left });
     const withheld = this.#earlierEra.getWithheld();
     replicas.setWithheld(withheld);
     log.warn("store_restored", {
--- a/test/failures/store_restored_test.ts
+++ b/test/failures/store_restored_test.ts
@@ -203,6 +203,25 @@
   20_000,
 );
 
+// Guards against a replica whose notice that it leaves is forgotten, since the copy
+// lacks it and it then writes itself again as ready.
+it("a leaving replica that the copy lacks gets nothing new", async () => {
+  const fleet = await createFleet();
+  const { items, revision } = fleet.store.takeCopy();
+  const [leaving] = fleet.replicas;
+  const id = toId<VmId>(leaving!.id);
+  const others = [...items].filter(([key]) => key !== `servers/${id}`);
+  leaving!.extraHeaders = { "server-leaving": "1" };
+  while (fleet.vms.some(({ vm }) => vm.replicas.isReady(id))) {
+    await sendFor(fleet.vms, SEND_MS / 10);
+  }
+  await runRestore(fleet, { items: new Map(others), revision }, 300);
+  await waitUntil(() => fleet.vms.every(({ vm }) => !vm.replicas.find(id)));
+  fleet.listReplica(leaving!);
+  await waitUntil(() => fleet.vms.every(({ vm }) => vm.replicas.find(id)));
+  await checkUnused(fleet, leaving!);
+}, 20_000);
+
 // Guards against a configuration, or a key, that comes back after it was
 // replaced, since a copy of the store still has it.
 it("an older configuration of the copy is not taken up", async () => {
--- a/test/process/seeded_fleet/earlier_era_test.ts
+++ b/test/process/seeded_fleet/earlier_era_test.ts
@@ -38,13 +38,16 @@
   });
   const restore = (options: {
     left?: ListedReplica[];
+    /** Listed before. */
+    known?: ListedReplica[];
     listed?: ListedReplica[];
     evacuated?: DataCentre[];
   } = {}) => {
-    const { left = [], evacuated = [] } = options;
+    const { left = [], known = [], evacuated = [] } = options;
     const { listed = [buildReplica(LEFT), buildReplica(STAYS)] } = options;
+    const before = { era: 1, revision: 12, replicas: known, evacuated };
     const after = { era: 2, revision: 9, replicas: listed };
-    era.noteRestored({ after, left, evacuated });
+    era.noteRestored({ before, after, left });
   };
   const list = () => {
     const { replicas, dataCentres } = era.getWithheld();
@@ -70,6 +73,29 @@
   expect(list()).toEqual([]);
 });
 
+// Guards against a replica whose notice that it leaves is forgotten, since the copy
+// lacks it and it then writes itself again as ready.
+it("a leaving replica that the copy lacks is withheld", async () => {
+  const { clock, era, restore, list } = createEra();
+  const leaving = buildReplica(LEFT, 1);
+  restore({ left: [leaving], known: [leaving], listed: [] });
+  expect(list()).toEqual([LEFT]);
+  expect(era.noteList({ era: 2, revision: 10, replicas: [leaving] }))
+    .toBe(false);
+  expect(list()).toEqual([LEFT]);
+  await clock.run(KEPT_MS + 1);
+  expect(list()).toEqual([]);
+});
+
+it("another process under the id of one that is missing is used", () => {
+  const { era, restore, list } = createEra();
+  const leaving = buildReplica(LEFT, 1);
+  restore({ left: [leaving], known: [leaving], listed: [] });
+  const replicas = [buildReplica(LEFT, 2)];
+  expect(era.noteList({ era: 2, revision: 10, replicas })).toBe(true);
+  expect(list()).toEqual([]);
+});
+
 it("a second restoration withholds for the whole time again", async () => {
   const { clock, restore, list } = createEra();
   restore({ left: [buildReplica(LEFT)] });
