Read the store's answers as they come, and pace reads by their own time only

The pause after a piece was as long as the whole turn of the event loop, with what other connections had done in it.

Connections to other VMs stay paced.

--- a/src/connection/http_transport.ts
+++ b/src/connection/http_transport.ts
@@ -19,7 +19,7 @@
   parseLoadReport,
 } from "./engine_reports.ts";
 import { isListening } from "./listening_check.ts";
-import { ReadPacer } from "./read_pacer.ts";
+import type { ReadPacer } from "./read_pacer.ts";
 import type { ClientTls } from "./tls_material.ts";
 import { createUpstreamAgent, type OpenConnection } from "./upstream_agent.ts";
 import { runUpstreamCall } from "./upstream_call.ts";
@@ -75,18 +75,18 @@
   allowsCloseDelimited?: boolean;
   /** Largest body of an answer, in bytes; unlimited by default. */
   maxAnswerBytes?: number;
+  /** Paces the reads of answers; by default they are read as they come. */
+  pacer?: ReadPacer | undefined;
 }
 
 /** Calls upstreams over HTTP with one keep-alive agent per endpoint. */
 export class HttpUpstreamTransport extends UpstreamTransport {
   readonly #options: HttpTransportOptions;
   readonly #agents = new Map<string, http.Agent>();
-  readonly #pacer: ReadPacer;
 
   constructor(options: HttpTransportOptions) {
     super();
     this.#options = options;
-    this.#pacer = ReadPacer.create(options.clock);
   }
 
   static create(options: HttpTransportOptions): HttpUpstreamTransport {
@@ -244,14 +244,14 @@
 
   #createAgent(agent: http.AgentOptions): http.Agent {
     const { clock, tls, connectTimeoutMs, openConnection } = this.#options;
-    const { localAddress } = this.#options;
+    const { localAddress, pacer } = this.#options;
     return createUpstreamAgent({
       clock,
       tls,
       agent: localAddress === undefined ? agent : { ...agent, localAddress },
       connectTimeoutMs,
       openConnection,
-      pacer: this.#pacer,
+      pacer,
     });
   }
 
--- a/src/connection/read_pacer.ts
+++ b/src/connection/read_pacer.ts
@@ -7,10 +7,13 @@
  *
  * @module
  */
+import process from "node:process";
 import type { Clock } from "../process/clock.ts";
 
-/** Shorter pauses are left to the event loop. */
+/** Pieces that cost less are followed by no pause. */
 const MIN_PAUSE_MS = 1;
+/** After so much time the event loop goes on before the next piece. */
+const MAX_TURN_MS = 1;
 
 /** A connection that holds bytes which its parser has not seen. */
 export abstract class PacedReader {
@@ -40,7 +43,7 @@
     setImmediate(() => this.#runTurn());
   }
 
-  #runTurn(): void {
+  #runTurn(turnAt = this.#clock.now()): void {
     const [reader] = this.#waiting;
     if (reader === undefined) {
       this.#isRunning = false;
@@ -49,12 +52,24 @@
     this.#waiting.delete(reader);
     const startedAt = this.#clock.now();
     reader.pushPiece();
-    // By then what follows from the piece at once has been done too.
-    setImmediate(() => this.#waitAfter(this.#clock.now() - startedAt));
+    runAfterTicks(() => {
+      const now = this.#clock.now();
+      const ms = now - startedAt;
+      if (ms >= MIN_PAUSE_MS) {
+        this.#clock.startTimer(ms, () => this.#runTurn());
+      } else if (now - turnAt >= MAX_TURN_MS) {
+        setImmediate(() => this.#runTurn());
+      } else {
+        this.#runTurn(turnAt);
+      }
+    });
   }
+}
 
-  #waitAfter(ms: number): void {
-    if (ms < MIN_PAUSE_MS) this.#runTurn();
-    else this.#clock.startTimer(ms, () => this.#runTurn());
-  }
+/**
+ * Runs `callback` when all ticks and microtasks that are due have run, with those
+ * that they lead to, and before the event loop serves other connections.
+ */
+function runAfterTicks(callback: () => void): void {
+  process.nextTick(() => queueMicrotask(() => process.nextTick(callback)));
 }
--- a/src/connection/upstream_agent.ts
+++ b/src/connection/upstream_agent.ts
@@ -11,8 +11,7 @@
  */
 import http from "node:http";
 import https from "node:https";
-import type { Socket } from "node:net";
-import type net from "node:net";
+import net, { type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import type { Clock } from "../process/clock.ts";
 import { clearIdle, watchIdle } from "./idle_connections.ts";
@@ -36,12 +35,10 @@
   agent: http.AgentOptions;
   /** Timeout of connecting, TLS handshake included; 1,000 ms by default. */
   connectTimeoutMs?: number | undefined;
-  /**
-   * By default as `PacedSocket` does; TLS connections always use Node's own.
-   */
+  /** `net.connect`, or a `PacedSocket`, by default; not used for TLS. */
   openConnection?: OpenConnection | undefined;
-  /** Paces the reads of connections. */
-  pacer: ReadPacer;
+  /** Paces the reads of connections; not used for TLS. */
+  pacer?: ReadPacer | undefined;
 }
 
 /** Creates an agent that uses only established connections. */
@@ -63,10 +60,7 @@
     options: http.ClientRequestArgs,
     onCreated?: OnCreated,
   ): undefined {
-    const { openConnection, pacer } = this.#options;
-    const endpoint = options as net.TcpNetConnectOpts;
-    const socket = openConnection?.(endpoint) ??
-      PacedSocket.open(pacer, endpoint);
+    const socket = this.#open(options as net.TcpNetConnectOpts);
     waitConnected(this.#options, socket, { event: "connect", onCreated });
   }
 
@@ -80,6 +74,13 @@
     clearIdle(socket);
     super.reuseSocket(socket, request);
   }
+
+  #open(endpoint: net.TcpNetConnectOpts): Socket {
+    const { openConnection, pacer } = this.#options;
+    if (openConnection !== undefined) return openConnection(endpoint);
+    if (pacer === undefined) return net.connect(endpoint);
+    return PacedSocket.open(pacer, endpoint);
+  }
 }
 
 class TlsAgent extends https.Agent {
--- a/src/process/daemon.ts
+++ b/src/process/daemon.ts
@@ -17,6 +17,7 @@
   type ServerTls,
   TrpcPeerDirectory,
 } from "../connection/index.ts";
+import { ReadPacer } from "../connection/read_pacer.ts";
 import { toError } from "../errors.ts";
 import { type Incarnation, toId, type VmId } from "../ids.ts";
 import type { ListedVm } from "../version/index.ts";
@@ -202,6 +203,7 @@
         clock,
         log,
         findAddress: (vm) => this.runtime.membership.findVm(vm),
+        pacer: ReadPacer.create(clock),
       }),
     };
   }
--- a/src/process/routed_vm.ts
+++ b/src/process/routed_vm.ts
@@ -11,6 +11,7 @@
   type HttpTransportOptions,
   HttpUpstreamTransport,
 } from "../connection/http_transport.ts";
+import { ReadPacer } from "../connection/read_pacer.ts";
 import { type Incarnation, type Region, toId, type VmId } from "../ids.ts";
 import {
   CallerHandler,
@@ -356,8 +357,10 @@
 
   #createFleet(link: DatagramLink): RoutedFleet {
     const { createStore, fetchCachedParts } = this.#options;
-    const toStore = this.#createTransport(() =>
-      parseEndpoint(this.#settings.store)
+    // A read of the whole state has to be over within a call's timeout.
+    const toStore = this.#createTransport(
+      () => parseEndpoint(this.#settings.store),
+      { pacer: undefined },
     );
     return RoutedFleet.create({
       incarnation: this.#incarnation,
@@ -446,6 +449,7 @@
       log: this.#log,
       findAddress,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      pacer: ReadPacer.create(this.#clock),
       ...options,
     });
   }
